--- a/Makefile
+++ b/Makefile
@@ -14,8 +14,10 @@
 	$(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 LIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lhttp_parser -lm
 obj = $(patsubst %.c,$(B)/%.o,$(wildcard $(1)))
-CORE = $(call obj,state/*.c coord/*.c)
-IO = $(call obj,proto/*.c trans/*.c)
+CORE = $(call obj,state/*.c coord/*.c sched/*.c proto/sched.pb-c.c)
+IO = $(filter-out $(B)/proto/sched.pb-c.o,$(call obj,proto/*.c trans/*.c \
+	platform/*.c))
+SERVE = $(call obj,serve/*.c)
 FAKE = $(call obj,test/fake/*.c)
 SIM = $(call obj,test/sim/*.c)
 UNIT = $(call obj,test/unit/*.c)
@@ -28,14 +30,14 @@
 	$(addprefix $(B)/,$(MAINS))
 SRC = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard */*.[ch] */*/*.[ch]))
 LINT = $(filter-out %.pb-c.c,$(wildcard state/*.c coord/*.c proto/*.c \
-	trans/*.c cmd/*.c example/*.c))
+	trans/*.c sched/*.c platform/*.c serve/*.c cmd/*.c example/*.c))
 GLIBFLAGS = $(shell pkg-config --cflags glib-2.0 libuv libh2o 2>/dev/null)
 LINK = @echo "  LD $@"; $(CC) $(OPT) -o $@ $^ $(LIBS)
 
 all: $(BIN)
 $(LIB): $(CORE)
 	@echo "  AR $@"; ar rcs $@ $^
-$(B)/tanagerspool: $(call obj,cmd/*.c) $(IO) $(LIB)
+$(B)/tanagerspool: $(call obj,cmd/*.c) $(SERVE) $(IO) $(LIB)
 	$(LINK)
 $(B)/standin-%: $(B)/test/standin/%.o $(FAKE) $(IO) $(LIB)
 	$(LINK)
@@ -45,7 +47,7 @@
 	$(LINK)
 $(addprefix $(B)/,$(BENCH)): $(B)/%: $(B)/bench/%.o $(SIM) $(FAKE) $(IO) $(LIB)
 	$(LINK)
-$(B)/unit: $(UNIT) $(NOMAIN) $(IO) $(FAKE) $(SIM) $(LIB)
+$(B)/unit: $(UNIT) $(NOMAIN) $(SERVE) $(IO) $(FAKE) $(SIM) $(LIB)
 	$(LINK) -lcriterion
 $(B)/%.o: %.c
 	@mkdir -p $(@D); echo "  CC $<"
--- a/cmd/cmd.h
+++ b/cmd/cmd.h
@@ -43,6 +43,7 @@
 	const char *help;
 } command_t;
 
+int serve_main(int argc, char **argv);
 int entry_main(int argc, char **argv);
 int table_main(int argc, char **argv);
 int zone_main(int argc, char **argv);
@@ -57,7 +58,12 @@
 #define EVT_BAD_PLATFORM 502
 #define EVT_BAD_WORKER	 503
 #define EVT_OPERATOR	 504
+#define EVT_LOG_DROPPED	 505
 bool log_open(const char *level);
+/* Lines go out from the loop from now on, and are dropped, not waited for. */
+void log_start(uv_loop_t *loop);
+void log_flush(void);
+uint64_t log_dropped(void); /* lines */
 void log_event(int number, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
 const char *log_event_name(int number);
 
--- a/cmd/log.c
+++ b/cmd/log.c
@@ -2,11 +2,14 @@
  * Logs by log4c: one line an event, with its number, name and key=value
  * fields.  The catalogue is docs/EVENTS.md.
  */
+#include <errno.h>
+#include <fcntl.h>
 #include <stdarg.h>
 #include <stdbool.h>
 #include <stdint.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <glib.h>
 #include <jansson.h>
@@ -48,29 +51,144 @@
 	{ EVT_BAD_PLATFORM, LOG4C_PRIORITY_WARN, "bad_platform_input" },
 	{ EVT_BAD_WORKER, LOG4C_PRIORITY_WARN, "bad_worker_input" },
 	{ EVT_OPERATOR, LOG4C_PRIORITY_WARN, "operator_refused" },
+	{ EVT_LOG_DROPPED, LOG4C_PRIORITY_WARN, "log_dropped" },
+	{ 601, LOG4C_PRIORITY_INFO, "cell_claimed" },
+	{ 602, LOG4C_PRIORITY_INFO, "cell_owned" },
+	{ 603, LOG4C_PRIORITY_WARN, "cell_lost" },
+	{ 604, LOG4C_PRIORITY_INFO, "cell_released" },
+	{ 605, LOG4C_PRIORITY_INFO, "owner_silent" },
+	{ 606, LOG4C_PRIORITY_WARN, "owner_unconfirmed" },
+	{ 611, LOG4C_PRIORITY_INFO, "job_seen" },
+	{ 612, LOG4C_PRIORITY_INFO, "job_end" },
+	{ 613, LOG4C_PRIORITY_INFO, "job_cancel" },
+	{ 614, LOG4C_PRIORITY_WARN, "job_bad" },
+	{ 621, LOG4C_PRIORITY_INFO, "run_start" },
+	{ 622, LOG4C_PRIORITY_WARN, "run_start_failed" },
+	{ 623, LOG4C_PRIORITY_INFO, "run_stop" },
+	{ 624, LOG4C_PRIORITY_INFO, "run_end" },
+	{ 625, LOG4C_PRIORITY_INFO, "run_adopted" },
+	{ 626, LOG4C_PRIORITY_WARN, "run_lost" },
+	{ 627, LOG4C_PRIORITY_INFO, "pace" },
+	{ 631, LOG4C_PRIORITY_INFO, "worker" },
+	{ 632, LOG4C_PRIORITY_WARN, "worker_silent" },
+	{ 633, LOG4C_PRIORITY_INFO, "worker_back" },
+	{ 634, LOG4C_PRIORITY_WARN, "worker_suspect" },
+	{ 641, LOG4C_PRIORITY_INFO, "zone" },
+	{ 651, LOG4C_PRIORITY_WARN, "store_lost" },
+	{ 652, LOG4C_PRIORITY_INFO, "store_back" },
+	{ 653, LOG4C_PRIORITY_WARN, "bad_row" },
+	{ 654, LOG4C_PRIORITY_INFO, "feed_reset" },
+	{ 661, LOG4C_PRIORITY_INFO, "job_accepted" },
+	{ 662, LOG4C_PRIORITY_WARN, "job_refused" },
+	{ 663, LOG4C_PRIORITY_WARN, "job_unsettled" },
+	{ 664, LOG4C_PRIORITY_INFO, "cancel_stored" },
+	{ 665, LOG4C_PRIORITY_WARN, "state_unreadable" },
+	{ 671, LOG4C_PRIORITY_INFO, "reload" },
+	{ 672, LOG4C_PRIORITY_WARN, "pause" },
 };
 
 static log4c_category_t *category;
 
+/*
+ * Lines wait here for standard output, which may be slow or blocked; beyond
+ * this they are dropped and counted, so that nothing waits for the reader.
+ */
+#define WAITING_MAX_BYTES (512 * 1024)
+#define FLUSH_MS	  100
+static GString *waiting;
+static uint64_t dropped, dropped_told;
+static uv_timer_t flush_timer;
+static bool by_loop;
+
+/* Seconds change seldom, so their text is kept. */
+static const char *
+time_text(time_t sec)
+{
+	static time_t last = -1;
+	static char text[32];
+	struct tm tm;
+
+	if (sec != last) {
+		gmtime_r(&sec, &tm);
+		strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%S", &tm);
+		last = sec;
+	}
+	return text;
+}
+
 static const char *
 format(const log4c_layout_t *layout, const log4c_logging_event_t *e)
 {
 	static char line[2048];
-	g_autoptr(GDateTime) t = g_date_time_new_now_utc();
-	g_autofree char *ts = g_date_time_format(t, "%Y-%m-%dT%H:%M:%S");
+	int64_t us = g_get_real_time();
 
 	(void)layout;
-	snprintf(line, sizeof(line), "%s.%03dZ %-5s %s\n", ts,
-	    g_date_time_get_microsecond(t) / 1000,
+	snprintf(line, sizeof(line), "%s.%03dZ %-5s %s\n",
+	    time_text((time_t)(us / G_USEC_PER_SEC)),
+	    (int)(us % G_USEC_PER_SEC / 1000),
 	    log4c_priority_to_string(e->evt_priority), e->evt_msg);
 	return line;
 }
 
+void
+log_flush(void)
+{
+	ssize_t n;
+
+	while (waiting != NULL && waiting->len > 0) {
+		n = write(STDOUT_FILENO, waiting->str, waiting->len);
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n <= 0)
+			return;
+		g_string_erase(waiting, 0, n);
+	}
+}
+
+uint64_t
+log_dropped(void)
+{
+	return dropped;
+}
+
+static void
+on_flush(uv_timer_t *t)
+{
+	(void)t;
+	if (dropped != dropped_told && waiting->len == 0) {
+		g_string_append_printf(waiting,
+		    "event=%d name=log_dropped lines=%" G_GUINT64_FORMAT "\n",
+		    EVT_LOG_DROPPED, dropped - dropped_told);
+		dropped_told = dropped;
+	}
+	log_flush();
+}
+
+void
+log_start(uv_loop_t *loop)
+{
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+	if (flags >= 0)
+		fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+	by_loop = true;
+	uv_timer_init(loop, &flush_timer);
+	uv_timer_start(&flush_timer, on_flush, FLUSH_MS, FLUSH_MS);
+	uv_unref((uv_handle_t *)&flush_timer);
+}
+
 static int
 append(log4c_appender_t *a, const log4c_logging_event_t *e)
 {
 	(void)a;
-	return fputs(e->evt_rendered_msg, stderr);
+	if (waiting->len > WAITING_MAX_BYTES) {
+		dropped++;
+		return 0;
+	}
+	g_string_append(waiting, e->evt_rendered_msg);
+	if (!by_loop)
+		log_flush();
+	return 0;
 }
 
 static const log4c_layout_type_t layout_type = { "tanagerspool", format };
@@ -86,6 +204,7 @@
 
 	if (priority == LOG4C_PRIORITY_UNKNOWN)
 		return false;
+	waiting = g_string_new(NULL);
 	log4c_init();
 	log4c_layout_type_set(&layout_type);
 	layout = log4c_layout_get("tanagerspool");
--- a/cmd/main.c
+++ b/cmd/main.c
@@ -20,6 +20,8 @@
 	{ "entry", entry_main,
 	    "serve as an entry between callers and "
 	    "backend servers" },
+	{ "serve", serve_main,
+	    "serve on the users' platform, as one of its VMs" },
 	{ "table", table_main, "check, get, put or diff the two tables" },
 	{ "zone", zone_main, "take a data centre out or bring it in" },
 	{ "job", job_main, "submit, show, cancel or list batch jobs" },
--- /dev/null
+++ b/sched/cell.c
@@ -0,0 +1,272 @@
+/*
+ * Ownership of the cell.  The owner's row in the store decides: it is claimed
+ * by a conditional write once it has been seen unchanged for a while, and the
+ * row's version is the fencing token of every order.
+ *
+ * An owner that the store has not confirmed for a while orders no new starts,
+ * as a successor may know nothing of them.  It goes on extending leases, so
+ * that an outage of the store does not end what runs; a successor leaves
+ * alone what could still run on a worker that it cannot ask.
+ */
+#include <inttypes.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "../proto/sched.pb-c.h"
+#include "sched.h"
+#include "part.h"
+
+#define SILENT_MS  1200 /* three renewals missed */
+#define READ_GAP_MS 1500 /* reads further apart say nothing of silence */
+#define START_MS   1000 /* no starts this long after the last confirmation */
+#define EXTEND_MS  10000 /* no leases either: longest outage of the store */
+#define LEASE_MAX_MS 4300 /* a lease, its drift and its margin */
+
+static bool
+row_is_ours(const sched_t *s, const Sched__Owner *o)
+{
+	return o != NULL && strcmp(o->name, s->o.name) == 0 &&
+	    o->incarnation == s->o.incarnation && !o->released;
+}
+
+GByteArray *
+cell_pack_owner(sched_t *s, bool released)
+{
+	Sched__Owner o = SCHED__OWNER__INIT;
+	GByteArray *b = g_byte_array_new();
+	GHashTableIter it;
+	void *v;
+
+	s->cell.release_sent = released;
+	o.name = (char *)s->o.name;
+	o.incarnation = s->o.incarnation;
+	o.epoch = s->cell.epoch;
+	o.beat = s->cell.beat;
+	o.released = released;
+	o.waiting = g_new0(Sched__Waiting *, g_hash_table_size(s->queues) + 1);
+	g_hash_table_iter_init(&it, s->queues);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const queue_t *q = v;
+		Sched__Waiting *w;
+
+		if (q->waiting == 0)
+			continue;
+		w = g_new(Sched__Waiting, 1);
+		sched__waiting__init(w);
+		w->queue = (char *)q->name;
+		w->jobs = q->waiting;
+		o.waiting[o.n_waiting++] = w;
+	}
+	g_byte_array_set_size(b, (guint)sched__owner__get_packed_size(&o));
+	sched__owner__pack(&o, b->data);
+	for (size_t i = 0; i < o.n_waiting; i++)
+		g_free(o.waiting[i]);
+	g_free(o.waiting);
+	return b;
+}
+
+/* Forgets what only the owner knows. */
+static void
+forget(sched_t *s)
+{
+	g_ptr_array_set_size(s->flushing, 0);
+	g_hash_table_remove_all(s->dirty);
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		vm_t *w = g_ptr_array_index(s->worker_list, i);
+
+		g_hash_table_remove_all(w->runs);
+		w->used_cpu = w->used_mem = w->filler_cpu = w->serving_cpu = 0;
+		w->used_gpu = w->serving = 0;
+		w->stored = w->answered = w->silent = false;
+		w->store_flush = w->flush_want = 0;
+		w->seen = w->noted = 0;
+		w->pace = 100;
+		w->fails = 0;
+		w->lease.until_ms = 0;
+	}
+	g_hash_table_remove_all(s->runs);
+	g_hash_table_remove_all(s->jobs);
+}
+
+void
+cell_lost(sched_t *s, const char *why)
+{
+	if (s->cell.state == CELL_FOLLOWING)
+		return;
+	if (s->cell.state == CELL_OWNED)
+		s->stats.deposed++;
+	LOG(s, SCHED_EVT_DEPOSED, "cell",
+	    "why=\"%s\" token=%" PRId64 " confirmed_age=%" PRId64, why,
+	    s->cell.token, s->now - s->cell.confirmed_ms);
+	s->cell.state = CELL_FOLLOWING;
+	s->cell.changed_ms = s->now;
+	s->cell.lost = true;
+}
+
+static void
+adopt_claim(sched_t *s, int64_t version)
+{
+	s->cell.state = CELL_LOADING;
+	s->cell.version = s->cell.token = version;
+	s->cell.confirmed_ms = s->cell.sent_ms;
+	LOG(s, SCHED_EVT_CLAIM, "cell",
+	    "token=%" PRId64 " epoch=%" PRId64, version, s->cell.epoch);
+	forget(s);
+	s->o.port.load(s->o.ctx);
+}
+
+/* Takes in the owner's row as read. */
+void
+cell_row(sched_t *s, const sched_row_t *row)
+{
+	cell_t *c = &s->cell;
+	Sched__Owner *o = NULL;
+
+	if (row->bytes != NULL)
+		o = sched__owner__unpack(NULL, row->nbytes, row->bytes);
+	if (!c->read || s->now - c->read_ms > READ_GAP_MS ||
+	    row->version != c->version)
+		c->changed_ms = s->now;
+	c->read = true;
+	c->read_ms = s->now;
+	if (row->version < c->version) {
+		/* An answer that was overtaken. */
+		sched__owner__free_unpacked(o, NULL);
+		return;
+	}
+	if (c->row != NULL)
+		sched__owner__free_unpacked(c->row, NULL);
+	c->row = o;
+	c->version = row->version;
+	if (c->state == CELL_OWNED || c->state == CELL_LOADING) {
+		if (!row_is_ours(s, o))
+			cell_lost(s, "another owner's row was read");
+		else
+			c->paused = false;
+		return;
+	}
+	if (c->state == CELL_FOLLOWING && !c->lost && row_is_ours(s, o)) {
+		/* Our claim went through, though its answer was lost. */
+		c->epoch = o->epoch;
+		adopt_claim(s, row->version);
+	}
+}
+
+void
+cell_claimed(sched_t *s, sched_write_t r, int64_t version)
+{
+	if (s->cell.state != CELL_CLAIMING)
+		return;
+	s->cell.state = CELL_FOLLOWING;
+	s->cell.changed_ms = s->now;
+	if (r != SCHED_WRITTEN)
+		return;
+	s->stats.claims++;
+	adopt_claim(s, version);
+}
+
+void
+cell_loaded(sched_t *s)
+{
+	cell_t *c = &s->cell;
+
+	if (c->state != CELL_LOADING)
+		return;
+	c->state = CELL_OWNED;
+	c->owned_ms = s->now;
+	c->accounted = false;
+	c->settled_ms = s->now;
+	if (c->had_owner)
+		c->settled_ms += LEASE_MAX_MS + (c->clean ? 0 : EXTEND_MS);
+	LOG(s, SCHED_EVT_OWNED, "cell",
+	    "token=%" PRId64 " jobs=%u workers=%u settled_in=%" PRId64,
+	    c->token, g_hash_table_size(s->jobs), s->worker_list->len,
+	    c->settled_ms - s->now);
+}
+
+static void
+claim(sched_t *s, const char *why)
+{
+	cell_t *c = &s->cell;
+	GByteArray *b;
+
+	c->had_owner = c->row != NULL;
+	c->clean = c->row != NULL && c->row->released;
+	c->epoch = c->row == NULL ? 1 : c->row->epoch + 1;
+	c->beat = 0;
+	c->state = CELL_CLAIMING;
+	c->sent_ms = s->now;
+	c->lost = false;
+	LOG(s, SCHED_EVT_OWNER_SILENT, "cell",
+	    "why=\"%s\" version=%" PRId64 " silent=%" PRId64, why, c->version,
+	    s->now - c->changed_ms);
+	b = cell_pack_owner(s, false);
+	s->o.port.claim(s->o.ctx, c->version, b);
+	g_byte_array_unref(b);
+}
+
+/* Every worker that earlier owners used has answered or been replaced. */
+static bool
+all_answered(const sched_t *s)
+{
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		const vm_t *w = g_ptr_array_index(s->worker_list, i);
+
+		if (w->stored && !w->answered)
+			return false;
+	}
+	return true;
+}
+
+void
+cell_tick(sched_t *s)
+{
+	cell_t *c = &s->cell;
+
+	if (c->lost) {
+		c->lost = false;
+		forget(s);
+	}
+	if (c->state == CELL_OWNED && !c->accounted &&
+	    (s->now >= c->settled_ms || all_answered(s))) {
+		c->accounted = true;
+		s->pump = true;
+	}
+	if (c->state != CELL_FOLLOWING || c->releasing || !c->read ||
+	    s->now - c->read_ms > READ_GAP_MS)
+		return;
+	if (c->row == NULL)
+		claim(s, "nobody owns it");
+	else if (c->row->released)
+		claim(s, "its owner released it");
+	else if (strcmp(c->row->name, s->o.name) == 0)
+		claim(s, "an earlier process of this name owned it");
+	else if (c->read_ms - c->changed_ms >= SILENT_MS)
+		claim(s, "its owner is silent");
+}
+
+/* Starts may be ordered. */
+bool
+cell_acts(const sched_t *s)
+{
+	return s->cell.state == CELL_OWNED && !s->cell.paused &&
+	    !s->cell.releasing && s->now - s->cell.confirmed_ms < START_MS;
+}
+
+/* Leases may be extended. */
+bool
+cell_extends(const sched_t *s)
+{
+	return s->cell.state == CELL_OWNED && !s->cell.paused &&
+	    s->now - s->cell.confirmed_ms < EXTEND_MS;
+}
+
+/* False while a task of the job may still run unseen. */
+bool
+cell_may_start(sched_t *s, const job_t *j)
+{
+	return s->cell.accounted || j->after_claim;
+}
--- /dev/null
+++ b/sched/flush.c
@@ -0,0 +1,258 @@
+/*
+ * Writing of progress: what has changed goes to the store in one transaction
+ * at a time, which also renews the owner's claim.
+ */
+#include <stdbool.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "../proto/sched.pb-c.h"
+#include "sched.h"
+#include "part.h"
+
+#define ROWS_MAX   90  /* of a transaction: the store takes 100 */
+#define GAP_MS	   25  /* between transactions, to write more in each */
+#define RENEW_MS   400 /* without one the claim is renewed */
+#define ROW_ABSENT NULL
+
+static void
+put(GArray *puts, char *key, GByteArray *bytes)
+{
+	sched_put_t p = { key, bytes };
+
+	g_array_append_val(puts, p);
+}
+
+static void
+put_clear(void *p)
+{
+	sched_put_t *u = p;
+
+	g_free(u->key);
+	if (u->bytes != NULL)
+		g_byte_array_unref(u->bytes);
+}
+
+void
+flush_job(sched_t *s, job_t *j, bool urgent)
+{
+	j->dirty = true;
+	g_hash_table_add(s->dirty, j);
+	s->urgent = s->urgent || urgent;
+}
+
+/* The ends that a worker listed may be forgotten once they are stored. */
+void
+flush_worker(sched_t *s, vm_t *w)
+{
+	if (w->seen == w->noted || w->flush_want != 0)
+		return;
+	if (g_hash_table_size(s->dirty) == 0 && !s->writing) {
+		w->noted = w->seen;
+		return;
+	}
+	w->flush_want = s->flush + 1;
+	w->flush_seen = w->seen;
+}
+
+static void
+put_job(GArray *puts, job_t *j)
+{
+	if (j->stage == JOB_OPEN) {
+		put(puts, g_strconcat(j->id, SCHED_KEY_PROGRESS, NULL),
+		    job_pack_progress(j));
+		return;
+	}
+	put(puts, g_strdup(j->id), job_pack_end(j));
+	put(puts, g_strconcat(j->id, SCHED_KEY_PROGRESS, NULL), ROW_ABSENT);
+	if (j->cancelled)
+		put(puts, g_strconcat(j->id, SCHED_KEY_CANCEL, NULL),
+		    ROW_ABSENT);
+}
+
+/* A worker is used from when it is in the footprint, until nothing is there. */
+static bool
+in_footprint(const sched_t *s, const vm_t *w)
+{
+	return w->listed || g_hash_table_size(w->runs) > 0 ||
+	    (w->stored && !vm_lapsed(s, w));
+}
+
+static void
+put_footprint(sched_t *s, GArray *puts)
+{
+	Sched__Footprint f = SCHED__FOOTPRINT__INIT;
+	GByteArray *b;
+	bool changed = false;
+
+	f.workers = g_new0(char *, s->worker_list->len + 1);
+	f.born_ms = g_new0(int64_t, s->worker_list->len + 1);
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		vm_t *w = g_ptr_array_index(s->worker_list, i);
+		bool in = in_footprint(s, w);
+
+		changed = changed || in != (w->store_flush != 0);
+		w->store_flush = !in ? 0 : w->store_flush == 0 ? s->flush :
+								 w->store_flush;
+		w->stored = w->stored && in;
+		if (!in)
+			continue;
+		f.workers[f.n_workers++] =
+		    g_strconcat(w->id, " ", w->address, NULL);
+		f.born_ms[f.n_born_ms++] = w->born_ms;
+	}
+	if (changed) {
+		b = g_byte_array_new();
+		g_byte_array_set_size(
+		    b, (guint)sched__footprint__get_packed_size(&f));
+		sched__footprint__pack(&f, b->data);
+		put(puts, g_strdup(SCHED_KEY_FOOTPRINT), b);
+	}
+	for (size_t i = 0; i < f.n_workers; i++)
+		g_free(f.workers[i]);
+	g_free(f.workers);
+	g_free(f.born_ms);
+}
+
+/* Workers that earlier owners may have left something on. */
+void
+flush_footprint(sched_t *s, const Sched__Footprint *f)
+{
+	for (size_t i = 0; i < f->n_workers && i < f->n_born_ms; i++) {
+		g_auto(GStrv) part = g_strsplit(f->workers[i], " ", 2);
+		vm_t *w;
+
+		if (part[0] == NULL || part[1] == NULL)
+			continue;
+		w = vm_get(s, part[0]);
+		if (w->address[0] == '\0') {
+			g_free(w->address);
+			w->address = g_strdup(part[1]);
+		}
+		if (w->born_ms == 0)
+			w->born_ms = f->born_ms[i];
+		/* A newer process there runs nothing of earlier owners. */
+		if (w->born_ms == f->born_ms[i] || f->born_ms[i] == 0) {
+			w->stored = true;
+			w->store_flush = 1;
+		}
+	}
+}
+
+static void
+begin(sched_t *s)
+{
+	g_autoptr(GArray) puts = g_array_new(FALSE, FALSE, sizeof(sched_put_t));
+	GHashTableIter it;
+	void *v;
+
+	g_array_set_clear_func(puts, put_clear);
+	s->flush++;
+	s->writing = true;
+	s->flush_ms = s->cell.sent_ms = s->now;
+	s->cell.beat++;
+	put(puts, g_strdup(SCHED_KEY_OWNER),
+	    cell_pack_owner(s,
+		s->cell.releasing && g_hash_table_size(s->dirty) <= ROWS_MAX / 3));
+	put_footprint(s, puts);
+	g_hash_table_iter_init(&it, s->dirty);
+	while (puts->len < ROWS_MAX && g_hash_table_iter_next(&it, &v, NULL)) {
+		job_t *j = v;
+
+		put_job(puts, j);
+		j->dirty = false;
+		j->flush = s->flush;
+		g_hash_table_iter_remove(&it);
+		g_ptr_array_add(s->flushing, j);
+	}
+	/* Ends whose jobs did not fit wait for the next. */
+	s->partial = g_hash_table_size(s->dirty) > 0;
+	s->urgent = s->partial;
+	s->stats.writes++;
+	s->o.port.write(s->o.ctx, s->cell.version, puts);
+}
+
+/* Begins a transaction when one is due. */
+void
+flush_due(sched_t *s)
+{
+	int64_t age = s->now - s->flush_ms;
+
+	if (s->writing || s->cell.state != CELL_OWNED)
+		return;
+	if (age >= RENEW_MS ||
+	    (age >= GAP_MS &&
+		(g_hash_table_size(s->dirty) > 0 || s->cell.releasing)))
+		begin(s);
+}
+
+static void
+stored_jobs(sched_t *s, bool ok)
+{
+	for (guint i = 0; i < s->flushing->len; i++) {
+		job_t *j = g_ptr_array_index(s->flushing, i);
+
+		if (!ok) {
+			flush_job(s, j, true);
+			continue;
+		}
+		if (j->stage == JOB_ENDING && !j->dirty) {
+			j->stage = JOB_ENDED;
+			if (j->runs == 0)
+				g_hash_table_remove(s->jobs, j->id);
+		}
+	}
+	g_ptr_array_set_size(s->flushing, 0);
+}
+
+static void
+stored_workers(sched_t *s)
+{
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		vm_t *w = g_ptr_array_index(s->worker_list, i);
+
+		if (w->store_flush != 0 && w->store_flush <= s->flushed &&
+		    !w->stored) {
+			w->stored = true;
+			s->pump = true;
+		}
+		if (w->flush_want == 0 || w->flush_want > s->flushed)
+			continue;
+		if (s->partial) {
+			w->flush_want = s->flushed + 1;
+			continue;
+		}
+		w->flush_want = 0;
+		w->noted = w->flush_seen;
+		w->look_next_ms = s->now;
+	}
+}
+
+void
+flush_done(sched_t *s, sched_write_t r, int64_t version)
+{
+	if (!s->writing)
+		return;
+	s->writing = false;
+	if (s->cell.state != CELL_OWNED) {
+		g_ptr_array_set_size(s->flushing, 0);
+		return;
+	}
+	stored_jobs(s, r == SCHED_WRITTEN);
+	if (r != SCHED_WRITTEN) {
+		for (guint i = 0; i < s->worker_list->len; i++) {
+			vm_t *w = g_ptr_array_index(s->worker_list, i);
+
+			w->flush_want = w->flush_want == 0 ? 0 : s->flush + 1;
+			if (!w->stored && w->store_flush == s->flush)
+				w->store_flush = 0;
+		}
+		return;
+	}
+	s->cell.version = version;
+	s->cell.confirmed_ms = s->cell.sent_ms;
+	s->flushed = s->flush;
+	stored_workers(s);
+}
--- /dev/null
+++ b/sched/part.h
@@ -0,0 +1,307 @@
+/*
+ * What the files of the scheduler share.  Each file calls those above it in
+ * this header and is called by those below: job, worker, place, queue, run,
+ * noise, flush, cell, sched.
+ */
+#ifndef SCHED_PART_H
+#define SCHED_PART_H
+
+typedef struct job job_t;
+typedef struct step step_t;
+typedef struct run run_t;
+typedef struct vm vm_t;
+
+typedef enum { TASK_WAITING, TASK_RUNNING, TASK_DONE } task_state_t;
+
+typedef struct {
+	step_t *step;
+	int32_t index;
+	task_state_t state;
+	int32_t fails;
+	int64_t failed_run;	/* newest counted in fails */
+	int64_t last_run;	/* highest number given out */
+	char *checkpoint;	/* or NULL */
+	run_t *run;		/* current, or NULL */
+	run_t *copy;		/* a duplicate, or NULL */
+	const char *avoid;	/* worker it failed on last, interned */
+	int64_t not_before_ms;	/* no start before this */
+	int64_t away_ms;	/* lasting: not at work since; 0: at work */
+} task_t;
+
+/* One occurrence of a job's steps. */
+typedef struct {
+	job_t *job;
+	int32_t number;
+	int64_t due_ms; /* wall clock */
+	int32_t steps_done;
+	bool done;
+	step_t *steps;
+} occ_t;
+
+struct step {
+	occ_t *occ;
+	int32_t number;
+	const Sched__Step *def;
+	task_t *tasks;
+	int32_t ntasks;
+	int32_t waiting; /* tasks to be started */
+	int32_t done;
+	bool ready;	    /* all steps before it are done */
+	int64_t tail_ms;    /* declared time of the longest chain from here */
+	GSequenceIter *it;  /* in the queue */
+	int64_t latest_ms;  /* wall clock: start by then to be in time */
+	bool hopeless;	    /* can't be in time any more */
+	int64_t gang_run;   /* run number of the current gang */
+	char *checkpoint;   /* of the gang */
+};
+
+typedef enum {
+	JOB_OPEN,
+	JOB_ENDING, /* its end is decided; runs are being stopped */
+	JOB_ENDED   /* its end is stored */
+} job_stage_t;
+
+struct job {
+	sched_t *sched;
+	char id[SCHED_JOB_ID_BYTES + 1];
+	Sched__Job *def;
+	const char *queue;   /* interned */
+	const char *service; /* interned; where the tables send it now */
+	int32_t priority;
+	int32_t max_attempts;
+	GPtrArray *occs; /* of occ_t */
+	job_stage_t stage;
+	Sched__State end; /* when ending */
+	bool cancelled;
+	bool begun;   /* a task has started */
+	bool dirty;   /* progress to be written */
+	uint64_t flush; /* the last that wrote it */
+	bool after_claim; /* accepted after this owner's claim */
+	int32_t runs;	  /* on workers now */
+	int64_t deadline_ms; /* wall clock */
+	int32_t occs_ended;
+	int32_t occs_due; /* made ready so far */
+};
+
+typedef enum {
+	RUN_SENT,    /* the order to start is under way */
+	RUN_ON,	     /* the worker runs it */
+	RUN_STOPPING /* a stop has been ordered */
+} run_state_t;
+
+struct run {
+	uint64_t id;
+	char name[64];
+	task_t *task;
+	job_t *job;
+	vm_t *worker;
+	int64_t number;
+	run_state_t state;
+	bool holds;	     /* counted in the worker's room */
+	bool order_out;	     /* an order is under way */
+	sched_order_kind_t order; /* the last one */
+	bool drop;	     /* free of it once it is proved absent */
+	int64_t since_ms;    /* in this state */
+	int64_t stopped_ms;  /* the worker acknowledged a stop; 0: not yet */
+	int64_t retry_ms;    /* next stop order */
+	int32_t percent;
+	int64_t percent_ms;  /* when percent last grew */
+	int64_t first_ms;    /* when the start was acknowledged */
+	int32_t first_percent;
+	int64_t measure;
+	uint64_t report;     /* the last report that listed it */
+	int32_t pace;	     /* percent in force */
+	int32_t pace_want;
+	int64_t over_ms;     /* serving: over its target since; 0: not */
+};
+
+/* A worker's clock and leases as this owner knows them. */
+typedef struct {
+	int64_t clock_ms; /* of the worker, at its last answer */
+	int64_t heard_ms; /* our clock then; 0: never */
+	int64_t until_ms; /* highest deadline sent; the worker's clock */
+	int64_t until_local_ms; /* ... as if its clock ran with ours */
+} lease_t;
+
+struct vm {
+	const char *id; /* interned */
+	char *address;
+	const char *service, *zone, *rack; /* interned */
+	GPtrArray *labels;		   /* interned */
+	int64_t born_ms;
+	int64_t cpu_milli, mem_mb;
+	int32_t gpu;
+	bool listed, swept, draining;
+	bool stored;  /* in the footprint row */
+	bool answered; /* under our token */
+	bool silent;
+	int32_t misses; /* looks in a row without an answer */
+	lease_t lease;
+	/* room taken */
+	int64_t used_cpu, used_mem, filler_cpu, serving_cpu;
+	int32_t used_gpu;
+	GHashTable *runs; /* name -> run_t */
+	/* looks */
+	bool looking;
+	int64_t look_ms;   /* when the one under way, or the last, began */
+	int64_t look_next_ms;
+	int64_t look_token;
+	int64_t seen;	   /* ends taken in */
+	int64_t noted;	   /* ends whose record is stored */
+	uint64_t flush_want; /* flush that stores ends up to flush_seen */
+	int64_t flush_seen;
+	uint64_t store_flush; /* flush that puts it into the footprint */
+	/* health */
+	int32_t bad_starts;
+	int64_t hold_off_ms; /* no start before this */
+	int32_t fails;	     /* failed runs of distinct jobs, in a row */
+	const char *fail_job;
+	int32_t serving;     /* serving tasks there */
+	int64_t calm_ms;     /* serving tasks within targets since */
+	int32_t pace;	     /* of its filler tasks */
+	int64_t pace_ms;     /* last change */
+};
+
+/* What has been learned of the run times of a queue's jobs. */
+typedef struct {
+	const char *name;
+	const char *service;
+	int32_t priority;
+	int32_t max_attempts;
+	bool known;	  /* in the tables in force */
+	int64_t time_pct; /* real run time, of the declared; moving average */
+	int32_t waiting;  /* jobs not begun */
+} queue_t;
+
+typedef enum {
+	CELL_FOLLOWING,
+	CELL_CLAIMING,
+	CELL_LOADING,
+	CELL_OWNED
+} cell_state_t;
+
+typedef struct {
+	cell_state_t state;
+	int64_t version; /* of the owner's row last known */
+	Sched__Owner *row;
+	int64_t changed_ms; /* our clock when that version was first seen */
+	int64_t read_ms;    /* last read that confirmed it */
+	int64_t sent_ms;    /* when the write under way was sent */
+	int64_t token;
+	int64_t epoch;
+	int64_t beat;
+	int64_t owned_ms;
+	int64_t confirmed_ms; /* last write or read that showed we own it */
+	int64_t settled_ms;   /* from then on nothing of earlier owners runs */
+	bool accounted;	      /* every worker of earlier owners has answered */
+	bool paused;
+	bool releasing;
+	bool read;	/* the row, at least once */
+	bool had_owner; /* another process may have given orders */
+	bool clean;	/* ... but it gave the cell up in order */
+	bool lost;	/* what the owner knew is to be forgotten */
+	bool release_sent;
+} cell_t;
+
+struct sched {
+	sched_opts_t o;
+	int64_t now, wall;
+	uint64_t next_id;
+	uint64_t reports;
+	cell_t cell;
+	GHashTable *jobs;    /* id -> job_t */
+	GHashTable *queues;  /* name -> queue_t */
+	GHashTable *workers; /* id -> vm_t */
+	GPtrArray *worker_list;
+	GHashTable *runs;  /* id -> run_t */
+	GHashTable *zones; /* evacuated, interned */
+	GSequence *ready;  /* of step_t */
+	GHashTable *dirty; /* of job_t */
+	GPtrArray *timed;  /* jobs with occurrences to come */
+	/* the write under way */
+	bool writing;
+	uint64_t flush, flushed; /* numbers of the last begun and stored */
+	int64_t flush_ms;	 /* when the last one began */
+	bool urgent;		 /* an end is to be shown */
+	bool partial;		 /* not all that was dirty fitted */
+	GPtrArray *flushing;	 /* jobs in the write under way */
+	bool pump;		 /* something may be startable */
+	int64_t sort_ms;
+	sched_stats_t stats;
+};
+
+#define LOG(s, n, subject, ...) \
+	(s)->o.port.event( \
+	    (s)->o.ctx, (n), (subject), g_strdup_printf(__VA_ARGS__))
+
+/* job.c */
+job_t *job_new(sched_t *s, const char *id, Sched__Job *def);
+void job_free(void *j);
+void job_progress(job_t *j, const Sched__Progress *p);
+GByteArray *job_pack_progress(const job_t *j);
+GByteArray *job_pack_end(const job_t *j);
+occ_t *job_occ(job_t *j, int32_t number);
+task_t *job_task(job_t *j, const char *name);
+void job_task_name(const task_t *t, char *name, size_t n);
+void job_task_done(task_t *t);
+int64_t job_tail_ms(const sched_t *s, const step_t *st);
+queue_t *queue_get(sched_t *s, const char *name);
+
+/* vm.c */
+vm_t *vm_get(sched_t *s, const char *id);
+void vm_free(void *w);
+void vm_take(vm_t *w, const Sched__Step *d, int sign);
+bool vm_usable(const sched_t *s, const vm_t *w);
+int64_t vm_clock(const vm_t *w, int64_t now_ms);
+int64_t vm_deadline(sched_t *s, vm_t *w);
+bool vm_lapsed(const sched_t *s, const vm_t *w);
+void vm_heard(vm_t *w, int64_t clock_ms, int64_t now_ms);
+
+/* place.c */
+vm_t *place_task(
+    sched_t *s, const step_t *st, const task_t *t, const char *rack);
+bool place_gang(sched_t *s, const step_t *st, vm_t **at);
+
+/* queue.c */
+void queue_add(sched_t *s, step_t *st);
+void queue_drop(step_t *st);
+void queue_sort(sched_t *s);
+int64_t queue_backlog_ms(const sched_t *s, const char *service);
+
+/* run.c */
+void run_start(sched_t *s, task_t *t, vm_t *w, int64_t number);
+void run_waiting(sched_t *s);
+void run_stop(sched_t *s, run_t *r, const char *why);
+void run_pace(sched_t *s, run_t *r, int32_t percent);
+void run_order_done(
+    sched_t *s, run_t *r, sched_result_t res, int64_t clock_ms);
+void run_report(sched_t *s, vm_t *w, const sched_report_t *rep,
+    int64_t asked_ms);
+void run_worker_lost(sched_t *s, vm_t *w, const char *why);
+void run_retry(sched_t *s, vm_t *w);
+void run_free(void *r);
+void run_job_end(sched_t *s, job_t *j, Sched__State end);
+void run_step_ready(sched_t *s, occ_t *o);
+
+/* noise.c */
+void noise_report(sched_t *s, vm_t *w);
+
+/* flush.c */
+void flush_job(sched_t *s, job_t *j, bool urgent);
+void flush_worker(sched_t *s, vm_t *w);
+void flush_footprint(sched_t *s, const Sched__Footprint *f);
+void flush_due(sched_t *s);
+void flush_done(sched_t *s, sched_write_t r, int64_t version);
+
+/* cell.c */
+void cell_tick(sched_t *s);
+void cell_lost(sched_t *s, const char *why);
+void cell_row(sched_t *s, const sched_row_t *row);
+void cell_claimed(sched_t *s, sched_write_t r, int64_t version);
+void cell_loaded(sched_t *s);
+bool cell_extends(const sched_t *s);
+bool cell_acts(const sched_t *s);
+GByteArray *cell_pack_owner(sched_t *s, bool released);
+bool cell_may_start(sched_t *s, const job_t *j);
+
+#endif
--- /dev/null
+++ b/sched/place.c
@@ -0,0 +1,157 @@
+/*
+ * Placement: which worker a task goes to.
+ */
+#include <stdbool.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "../proto/sched.pb-c.h"
+#include "sched.h"
+#include "part.h"
+
+/*
+ * Share of the processors held by serving tasks that they use at their
+ * busiest; the rest is left to filler tasks.
+ */
+#define SERVING_USE_PCT 70
+/* Score units are thousandths of a processor. */
+#define COST_FAR      1000000 /* away from the data */
+#define COST_FAILED   400000  /* each recent failure there */
+#define COST_SERVING  20000   /* a filler task beside a serving one */
+#define COST_AVOID    4000000 /* the task failed there before */
+
+static bool
+has_label(const vm_t *w, const char *label)
+{
+	if (label[0] == '\0')
+		return true;
+	for (guint i = 0; i < w->labels->len; i++)
+		if (strcmp(g_ptr_array_index(w->labels, i), label) == 0)
+			return true;
+	return false;
+}
+
+/* Tasks of the same step and occurrence on a worker. */
+static int32_t
+siblings(const vm_t *w, const step_t *st)
+{
+	GHashTableIter it;
+	void *v;
+	int32_t n = 0;
+
+	g_hash_table_iter_init(&it, w->runs);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		n += ((run_t *)v)->task != NULL && ((run_t *)v)->holds &&
+		    ((run_t *)v)->task->step == st;
+	return n;
+}
+
+/* Processor time that filler tasks find on a worker. */
+static int64_t
+left_over(const vm_t *w)
+{
+	return w->cpu_milli - w->used_cpu +
+	    w->serving_cpu * (100 - SERVING_USE_PCT) / 100;
+}
+
+static bool
+has_room(const vm_t *w, const Sched__Step *d)
+{
+	if (w->used_mem + d->mem_mb > w->mem_mb ||
+	    w->used_gpu + d->gpu > w->gpu)
+		return false;
+	if (d->filler)
+		return w->filler_cpu + d->cpu_milli <= left_over(w);
+	return w->used_cpu + d->cpu_milli <= w->cpu_milli;
+}
+
+static int64_t
+score(const vm_t *w, const step_t *st, const task_t *t)
+{
+	const Sched__Step *d = st->def;
+	int64_t sc = left_over(w) - w->filler_cpu;
+
+	if (d->near_rack[0] != '\0' && strcmp(d->near_rack, w->rack) != 0)
+		sc -= COST_FAR;
+	sc -= w->fails * COST_FAILED;
+	if (w->id == t->avoid)
+		sc -= COST_AVOID;
+	if (d->filler)
+		sc -= w->serving * COST_SERVING;
+	else if (d->tail_target_ms > 0)
+		sc -= 2 * w->filler_cpu;
+	return sc;
+}
+
+/* The best worker with room for a task, in a rack if one is named; or NULL. */
+vm_t *
+place_task(sched_t *s, const step_t *st, const task_t *t, const char *rack)
+{
+	vm_t *best = NULL;
+	int64_t best_score = 0;
+	char name[64];
+
+	job_task_name(t, name, sizeof(name));
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		vm_t *w = g_ptr_array_index(s->worker_list, i);
+		int64_t sc;
+
+		if (w->service != st->occ->job->service ||
+		    !vm_usable(s, w) || !has_room(w, st->def) ||
+		    !has_label(w, st->def->label) ||
+		    (rack != NULL && w->rack != rack))
+			continue;
+		sc = score(w, st, t);
+		if (best != NULL && sc <= best_score)
+			continue;
+		if (st->def->per_worker > 0 &&
+		    siblings(w, st) >= st->def->per_worker)
+			continue;
+		/* An older run of the task is still being dealt with. */
+		if (g_hash_table_contains(w->runs, name))
+			continue;
+		best = w;
+		best_score = sc;
+	}
+	return best;
+}
+
+/* Places all tasks of a gang; fills at and returns true when all fit. */
+static bool
+place_all(sched_t *s, const step_t *st, const char *rack, vm_t **at)
+{
+	int32_t n = 0;
+
+	while (n < st->ntasks) {
+		at[n] = place_task(s, st, &st->tasks[n], rack);
+		if (at[n] == NULL)
+			break;
+		vm_take(at[n++], st->def, 1);
+	}
+	for (int32_t i = 0; i < n; i++)
+		vm_take(at[i], st->def, -1);
+	return n == st->ntasks;
+}
+
+bool
+place_gang(sched_t *s, const step_t *st, vm_t **at)
+{
+	g_autoptr(GHashTable) racks = NULL;
+
+	if (!st->def->same_rack)
+		return place_all(s, st, NULL, at);
+	racks = g_hash_table_new(g_direct_hash, g_direct_equal);
+	if (st->def->near_rack[0] != '\0' &&
+	    place_all(s, st, g_intern_string(st->def->near_rack), at))
+		return true;
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		vm_t *w = g_ptr_array_index(s->worker_list, i);
+
+		if (g_hash_table_add(racks, (void *)w->rack) &&
+		    place_all(s, st, w->rack, at))
+			return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/sched/sched.c
@@ -0,0 +1,550 @@
+/*
+ * The scheduler of a cell: its inputs, and what is due.
+ */
+#include <inttypes.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "../proto/sched.pb-c.h"
+#include "sched.h"
+#include "part.h"
+
+#define SORT_MS	       250  /* between orderings of the queue */
+#define LOOK_WAIT_MS   1000 /* a look waits so long for an end */
+#define LOOK_RETRY_MS  300  /* after a look without an answer */
+#define LOOK_STORE_MS  300  /* while ends cannot be stored */
+#define SILENT_MISSES  2    /* looks in a row before nothing is sent */
+#define TICK_MS	       50   /* longest time between two ticks */
+#define TICK_SOON_MS   5    /* while tasks can be started */
+
+static void
+job_gone(sched_t *s, job_t *j)
+{
+	g_hash_table_remove(s->dirty, j);
+	g_ptr_array_remove(s->timed, j);
+	job_free(j);
+}
+
+static void
+on_job_free(void *p)
+{
+	job_t *j = p;
+
+	job_gone(j->sched, j);
+}
+
+sched_t *
+sched_new(const sched_opts_t *o)
+{
+	sched_t *s = g_new0(sched_t, 1);
+
+	s->o = *o;
+	s->ready = g_sequence_new(NULL);
+	s->dirty = g_hash_table_new(NULL, NULL);
+	s->timed = g_ptr_array_new();
+	s->flushing = g_ptr_array_new();
+	s->jobs = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, on_job_free);
+	s->queues =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	s->workers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, vm_free);
+	s->worker_list = g_ptr_array_new();
+	s->runs = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, run_free);
+	s->zones = g_hash_table_new(g_direct_hash, g_direct_equal);
+	return s;
+}
+
+void
+sched_free(sched_t *s)
+{
+	g_hash_table_unref(s->runs);
+	g_hash_table_unref(s->jobs);
+	g_hash_table_unref(s->workers);
+	g_ptr_array_unref(s->worker_list);
+	g_hash_table_unref(s->queues);
+	g_hash_table_unref(s->zones);
+	g_hash_table_unref(s->dirty);
+	g_ptr_array_unref(s->timed);
+	g_ptr_array_unref(s->flushing);
+	g_sequence_free(s->ready);
+	if (s->cell.row != NULL)
+		sched__owner__free_unpacked(s->cell.row, NULL);
+	g_free(s);
+}
+
+void
+sched_owner_row(sched_t *s, const sched_row_t *row, int64_t now_ms)
+{
+	s->now = now_ms;
+	cell_row(s, row);
+}
+
+void
+sched_claimed(sched_t *s, sched_write_t r, int64_t version, int64_t now_ms)
+{
+	s->now = now_ms;
+	cell_claimed(s, r, version);
+}
+
+/*
+ * Jobs.
+ */
+static void
+add_job(sched_t *s, const char *id, const sched_row_t *row)
+{
+	Sched__Job *def = sched__job__unpack(NULL, row->nbytes, row->bytes);
+	const char *why = "does not unpack";
+	job_t *j;
+
+	if (def != NULL && def->state != SCHED__STATE__PENDING) {
+		sched__job__free_unpacked(def, NULL);
+		return; /* it has ended */
+	}
+	if (def == NULL || !sched_job_valid(def, &why)) {
+		LOG(s, SCHED_EVT_JOB_BAD, id, "why=\"%s\" version=%" PRId64,
+		    why, row->version);
+		if (def != NULL)
+			sched__job__free_unpacked(def, NULL);
+		return;
+	}
+	j = job_new(s, id, def);
+	j->sched = s;
+	j->after_claim = row->version > s->cell.token;
+	g_hash_table_insert(s->jobs, j->id, j);
+	if (def->repeats > 0)
+		g_ptr_array_add(s->timed, j);
+	LOG(s, SCHED_EVT_JOB_SEEN, id,
+	    "queue=%s steps=%zu version=%" PRId64 " age=%" PRId64, j->queue,
+	    def->n_steps, row->version, s->wall - def->accepted_ms);
+	if (s->cell.state == CELL_OWNED && def->repeats == 0)
+		run_step_ready(s, g_ptr_array_index(j->occs, 0));
+}
+
+static void
+cancel_job(sched_t *s, job_t *j)
+{
+	if (j->cancelled)
+		return;
+	j->cancelled = true;
+	LOG(s, SCHED_EVT_JOB_CANCEL, j->id, "runs=%d", j->runs);
+	if (s->cell.state == CELL_OWNED)
+		run_job_end(s, j, SCHED__STATE__CANCELLED);
+}
+
+static void
+add_progress(job_t *j, const sched_row_t *row)
+{
+	Sched__Progress *p;
+
+	p = sched__progress__unpack(NULL, row->nbytes, row->bytes);
+	if (p == NULL)
+		return;
+	job_progress(j, p);
+	sched__progress__free_unpacked(p, NULL);
+}
+
+static void
+add_footprint(sched_t *s, const sched_row_t *row)
+{
+	Sched__Footprint *f;
+
+	f = sched__footprint__unpack(NULL, row->nbytes, row->bytes);
+	if (f == NULL)
+		return;
+	flush_footprint(s, f);
+	sched__footprint__free_unpacked(f, NULL);
+}
+
+void
+sched_row(sched_t *s, const sched_row_t *row, int64_t now_ms)
+{
+	char id[SCHED_JOB_ID_BYTES + 1];
+	bool loading = s->cell.state == CELL_LOADING;
+	const char *kind;
+	job_t *j;
+
+	s->now = now_ms;
+	if (!loading && s->cell.state != CELL_OWNED)
+		return;
+	if (strcmp(row->key, SCHED_KEY_FOOTPRINT) == 0) {
+		if (loading && row->bytes != NULL)
+			add_footprint(s, row);
+		return;
+	}
+	if (row->key[0] == '!' || strlen(row->key) < SCHED_JOB_ID_BYTES ||
+	    row->bytes == NULL)
+		return;
+	g_strlcpy(id, row->key, sizeof(id));
+	kind = row->key + SCHED_JOB_ID_BYTES;
+	j = g_hash_table_lookup(s->jobs, id);
+	if (kind[0] == '\0' && j == NULL)
+		add_job(s, id, row);
+	else if (j != NULL && strcmp(kind, SCHED_KEY_CANCEL) == 0)
+		cancel_job(s, j);
+	else if (j != NULL && loading && strcmp(kind, SCHED_KEY_PROGRESS) == 0)
+		add_progress(j, row);
+}
+
+static void
+begin_job(sched_t *s, job_t *j)
+{
+	if (j->cancelled) {
+		run_job_end(s, j, SCHED__STATE__CANCELLED);
+		return;
+	}
+	for (guint i = 0; i < j->occs->len; i++) {
+		occ_t *o = g_ptr_array_index(j->occs, i);
+
+		if (j->def->repeats == 0 || o->due_ms <= s->wall)
+			run_step_ready(s, o);
+	}
+	if (j->occs_ended >= MAX(1, j->def->repeats))
+		run_job_end(s, j, SCHED__STATE__COMPLETED);
+}
+
+void
+sched_loaded(sched_t *s, int64_t now_ms)
+{
+	g_autoptr(GList) all = g_hash_table_get_values(s->jobs);
+
+	s->now = now_ms;
+	cell_loaded(s);
+	if (s->cell.state != CELL_OWNED)
+		return;
+	for (GList *i = all; i != NULL; i = i->next)
+		begin_job(s, i->data);
+	for (guint i = 0; i < s->worker_list->len; i++)
+		((vm_t *)g_ptr_array_index(s->worker_list, i))
+		    ->look_next_ms = now_ms;
+}
+
+void
+sched_wrote(sched_t *s, sched_write_t r, int64_t version, int64_t now_ms)
+{
+	s->now = now_ms;
+	flush_done(s, r, version);
+	if (r == SCHED_WRITTEN && s->cell.release_sent &&
+	    s->cell.state == CELL_OWNED) {
+		LOG(s, SCHED_EVT_RELEASED, "cell", "token=%" PRId64,
+		    s->cell.token);
+		cell_lost(s, "released");
+	}
+}
+
+/*
+ * Workers.
+ */
+void
+sched_worker(sched_t *s, const sched_worker_info_t *i, int64_t now_ms)
+{
+	vm_t *w = vm_get(s, i->id);
+
+	s->now = now_ms;
+	if (!w->listed || w->draining != i->draining ||
+	    w->born_ms != i->born_ms)
+		LOG(s, SCHED_EVT_WORKER, i->id,
+		    "zone=%s draining=%d born=%" PRId64 " was=%" PRId64,
+		    i->zone, i->draining, i->born_ms, w->born_ms);
+	if (i->born_ms != 0 && i->born_ms > w->born_ms) {
+		if (w->born_ms != 0)
+			run_worker_lost(s, w, "listed as a newer process");
+		w->born_ms = i->born_ms;
+		w->lease.heard_ms = 0;
+		w->hold_off_ms = w->look_next_ms = now_ms;
+		w->stored = false;
+		w->store_flush = 0;
+	}
+	if (strcmp(w->address, i->address) != 0) {
+		g_free(w->address);
+		w->address = g_strdup(i->address);
+	}
+	w->service = g_intern_string(i->service);
+	w->zone = g_intern_string(i->zone);
+	w->rack = g_intern_string(i->rack);
+	g_ptr_array_set_size(w->labels, 0);
+	for (const char *const *l = i->labels; l != NULL && *l != NULL; l++)
+		g_ptr_array_add(w->labels, (void *)g_intern_string(*l));
+	w->cpu_milli = i->cpu_milli;
+	w->mem_mb = i->mem_mb;
+	w->gpu = i->gpu;
+	w->draining = i->draining;
+	w->listed = w->swept = true;
+	s->pump = true;
+}
+
+void
+sched_worker_left(sched_t *s, const char *id, int64_t now_ms)
+{
+	vm_t *w = g_hash_table_lookup(s->workers, id);
+
+	s->now = now_ms;
+	if (w == NULL || !w->listed)
+		return;
+	w->listed = false;
+	LOG(s, SCHED_EVT_WORKER, id, "left runs=%u",
+	    g_hash_table_size(w->runs));
+}
+
+void
+sched_workers_swept(sched_t *s, int64_t now_ms)
+{
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		vm_t *w = g_ptr_array_index(s->worker_list, i);
+
+		if (!w->swept)
+			sched_worker_left(s, w->id, now_ms);
+		w->swept = false;
+	}
+}
+
+void
+sched_zone(sched_t *s, const char *zone, bool evacuated, int64_t now_ms)
+{
+	void *z = (void *)g_intern_string(zone);
+
+	s->now = now_ms;
+	if (g_hash_table_contains(s->zones, z) == evacuated)
+		return;
+	LOG(s, SCHED_EVT_ZONE, zone, "evacuated=%d", evacuated);
+	if (evacuated)
+		g_hash_table_add(s->zones, z);
+	else
+		g_hash_table_remove(s->zones, z);
+	s->pump = true;
+}
+
+void
+sched_queue(sched_t *s, const char *queue, const char *service,
+    int32_t priority, int32_t max_attempts, int64_t now_ms)
+{
+	queue_t *q = queue_get(s, queue);
+	GHashTableIter it;
+	void *v;
+
+	s->now = now_ms;
+	q->known = true;
+	q->service = g_intern_string(service);
+	q->priority = priority;
+	q->max_attempts = max_attempts;
+	g_hash_table_iter_init(&it, s->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		job_t *j = v;
+
+		if (j->queue != q->name)
+			continue;
+		j->service = q->service;
+		j->priority = priority;
+		j->max_attempts = max_attempts;
+	}
+	s->pump = true;
+}
+
+void
+sched_order_done(sched_t *s, uint64_t id, sched_result_t r, int64_t clock_ms,
+    int64_t now_ms)
+{
+	run_t *run = g_hash_table_lookup(s->runs, &id);
+
+	s->now = now_ms;
+	if (run != NULL && s->cell.state == CELL_OWNED)
+		run_order_done(s, run, r, clock_ms);
+}
+
+static void
+look_missed(sched_t *s, vm_t *w)
+{
+	w->look_next_ms = s->now + LOOK_RETRY_MS;
+	if (++w->misses != SILENT_MISSES)
+		return;
+	w->silent = true;
+	LOG(s, SCHED_EVT_WORKER_SILENT, w->id,
+	    "runs=%u heard_age=%" PRId64 " lease_left=%" PRId64,
+	    g_hash_table_size(w->runs), s->now - w->lease.heard_ms,
+	    w->lease.until_ms - vm_clock(w, s->now));
+}
+
+void
+sched_looked(sched_t *s, const char *worker, sched_result_t r,
+    const sched_report_t *report, int64_t now_ms)
+{
+	vm_t *w = g_hash_table_lookup(s->workers, worker);
+
+	s->now = now_ms;
+	if (w == NULL || !w->looking)
+		return;
+	w->looking = false;
+	w->look_next_ms = now_ms;
+	if (s->cell.state != CELL_OWNED)
+		return;
+	if (r == SCHED_ORDER_FENCED) {
+		cell_lost(s, "a worker has seen a newer token");
+		return;
+	}
+	if (r == SCHED_ORDER_REBORN && w->misses == 0)
+		run_worker_lost(s, w, "another process answers");
+	if (report == NULL) {
+		look_missed(s, w);
+		return;
+	}
+	if (w->look_token != s->cell.token)
+		return; /* it was asked for as an earlier owner */
+	run_report(s, w, report, w->look_ms);
+	noise_report(s, w);
+	run_retry(s, w);
+	flush_worker(s, w);
+	flush_due(s);
+}
+
+static void
+look(sched_t *s, vm_t *w)
+{
+	sched_look_t l = { .worker = w->id, .address = w->address,
+		.token = s->cell.token, .last_seen = w->noted };
+
+	if (cell_extends(s))
+		l.deadline_ms = vm_deadline(s, w);
+	if (w->answered && w->seen == w->noted && w->lease.heard_ms != 0)
+		l.wait_ms = LOOK_WAIT_MS;
+	w->looking = true;
+	w->look_ms = s->now;
+	w->look_token = s->cell.token;
+	s->stats.looks++;
+	s->o.port.look(s->o.ctx, &l);
+}
+
+/* What is due at one worker. */
+static void
+tick_worker(sched_t *s, vm_t *w)
+{
+	if (g_hash_table_size(w->runs) > 0 && w->misses > 0 &&
+	    vm_lapsed(s, w))
+		run_worker_lost(s, w, "its lease has lapsed");
+	if (w->looking || w->address[0] == '\0' || s->now < w->look_next_ms)
+		return;
+	if (!w->listed && g_hash_table_size(w->runs) == 0 &&
+	    (w->answered || !w->stored))
+		return;
+	/* Ends are being stored: the next look waits for that, for a while. */
+	if (w->flush_want != 0 && s->now - w->look_ms < LOOK_STORE_MS)
+		return;
+	look(s, w);
+}
+
+/* Occurrences whose time has come. */
+static void
+tick_timed(sched_t *s)
+{
+	for (guint i = 0; i < s->timed->len; i++) {
+		job_t *j = g_ptr_array_index(s->timed, i);
+
+		if (j->stage != JOB_OPEN)
+			continue;
+		while (j->occs_due < j->def->repeats &&
+		    j->def->first_ms + j->occs_due * j->def->interval_ms <=
+			s->wall)
+			run_step_ready(s, job_occ(j, j->occs_due++));
+	}
+}
+
+static void
+count_waiting(sched_t *s)
+{
+	GHashTableIter it;
+	void *v;
+
+	g_hash_table_iter_init(&it, s->queues);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		((queue_t *)v)->waiting = 0;
+	g_hash_table_iter_init(&it, s->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const job_t *j = v;
+
+		if (!j->begun && j->stage == JOB_OPEN)
+			queue_get(s, j->queue)->waiting++;
+	}
+}
+
+int32_t
+sched_tick(sched_t *s, int64_t now_ms, int64_t wall_ms)
+{
+	s->now = now_ms;
+	s->wall = wall_ms;
+	cell_tick(s);
+	if (s->cell.state != CELL_OWNED)
+		return TICK_MS;
+	if (now_ms - s->sort_ms >= SORT_MS) {
+		s->sort_ms = now_ms;
+		queue_sort(s);
+		count_waiting(s);
+		s->pump = true;
+	}
+	tick_timed(s);
+	if (s->pump && cell_acts(s))
+		run_waiting(s);
+	for (guint i = 0; i < s->worker_list->len; i++)
+		tick_worker(s, g_ptr_array_index(s->worker_list, i));
+	flush_due(s);
+	return s->pump || g_hash_table_size(s->dirty) > 0 ? TICK_SOON_MS :
+							    TICK_MS;
+}
+
+bool
+sched_release(sched_t *s, int64_t now_ms)
+{
+	s->now = now_ms;
+	s->cell.releasing = true;
+	return s->cell.state == CELL_FOLLOWING;
+}
+
+void
+sched_paused(sched_t *s, int64_t now_ms)
+{
+	s->now = now_ms;
+	if (s->cell.state == CELL_OWNED)
+		s->cell.paused = true;
+}
+
+bool
+sched_owns(const sched_t *s)
+{
+	return s->cell.state == CELL_OWNED;
+}
+
+int32_t
+sched_waiting(const sched_t *s, const char *queue)
+{
+	const Sched__Owner *o = s->cell.row;
+
+	if (sched_owns(s)) {
+		const queue_t *q = g_hash_table_lookup(s->queues, queue);
+
+		return q == NULL ? 0 : q->waiting;
+	}
+	for (size_t i = 0; o != NULL && i < o->n_waiting; i++)
+		if (strcmp(o->waiting[i]->queue, queue) == 0)
+			return o->waiting[i]->jobs;
+	return 0;
+}
+
+int64_t
+sched_backlog_ms(const sched_t *s, const char *service)
+{
+	return queue_backlog_ms(s, g_intern_string(service));
+}
+
+sched_stats_t
+sched_stats(const sched_t *s)
+{
+	sched_stats_t st = s->stats;
+
+	st.jobs = g_hash_table_size(s->jobs);
+	st.running = g_hash_table_size(s->runs);
+	st.workers = s->worker_list->len;
+	st.queued = g_sequence_get_length(s->ready);
+	return st;
+}
--- /dev/null
+++ b/sched/vm.c
@@ -0,0 +1,117 @@
+/*
+ * Workers: room, clocks and leases.
+ */
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "../proto/sched.pb-c.h"
+#include "sched.h"
+#include "part.h"
+
+/*
+ * A lease must outlast the time until a successor has taken over (silence of
+ * 1.2 s, a claim, a load and a look), and ends the wait for a dead worker.
+ */
+#define LEASE_MS       4000
+#define LEASE_SPARE_MS 100 /* between our lease and the longest granted */
+#define DRIFT_PCT      2   /* a worker's clock may be so slow: platform */
+#define LAPSE_MARGIN_MS 200 /* for a lease that ends while an order arrives */
+
+vm_t *
+vm_get(sched_t *s, const char *id)
+{
+	vm_t *w = g_hash_table_lookup(s->workers, id);
+
+	if (w != NULL)
+		return w;
+	w = g_new0(vm_t, 1);
+	w->id = g_intern_string(id);
+	w->address = g_strdup("");
+	w->service = w->zone = w->rack = g_intern_string("");
+	w->labels = g_ptr_array_new();
+	w->runs = g_hash_table_new(g_str_hash, g_str_equal);
+	w->pace = 100;
+	g_hash_table_insert(s->workers, (void *)w->id, w);
+	g_ptr_array_add(s->worker_list, w);
+	return w;
+}
+
+void
+vm_free(void *p)
+{
+	vm_t *w = p;
+
+	g_free(w->address);
+	g_ptr_array_unref(w->labels);
+	g_hash_table_unref(w->runs);
+	g_free(w);
+}
+
+/* Counts a task of a step into the worker's room, or out of it. */
+void
+vm_take(vm_t *w, const Sched__Step *d, int sign)
+{
+	w->used_mem += sign * d->mem_mb;
+	w->used_gpu += sign * d->gpu;
+	if (d->filler) {
+		w->filler_cpu += sign * d->cpu_milli;
+		return;
+	}
+	w->used_cpu += sign * d->cpu_milli;
+	if (d->tail_target_ms > 0) {
+		w->serving_cpu += sign * d->cpu_milli;
+		w->serving += sign;
+	}
+}
+
+/* True when new tasks may be sent there. */
+bool
+vm_usable(const sched_t *s, const vm_t *w)
+{
+	return w->listed && !w->draining && w->stored && w->answered &&
+	    !w->silent && w->hold_off_ms <= s->now &&
+	    !g_hash_table_contains(s->zones, w->zone);
+}
+
+/* The worker's clock now, at least. */
+int64_t
+vm_clock(const vm_t *w, int64_t now_ms)
+{
+	return w->lease.clock_ms +
+	    (now_ms - w->lease.heard_ms) * (100 - DRIFT_PCT) / 100;
+}
+
+/* A deadline to send: the lease from now on, by the worker's clock. */
+int64_t
+vm_deadline(sched_t *s, vm_t *w)
+{
+	int64_t ms = MIN(LEASE_MS, s->o.max_lease_ms - LEASE_SPARE_MS);
+
+	if (w->lease.heard_ms == 0)
+		return 0;
+	ms += w->lease.clock_ms + (s->now - w->lease.heard_ms);
+	w->lease.until_ms = MAX(w->lease.until_ms, ms);
+	return w->lease.until_ms;
+}
+
+/* True when nothing that we ordered can be running there any more. */
+bool
+vm_lapsed(const sched_t *s, const vm_t *w)
+{
+	return w->lease.heard_ms == 0 ||
+	    vm_clock(w, s->now) > w->lease.until_ms + LAPSE_MARGIN_MS;
+}
+
+void
+vm_heard(vm_t *w, int64_t clock_ms, int64_t now_ms)
+{
+	/* An answer that overtook another must not turn the clock back. */
+	if (w->lease.heard_ms != 0 && clock_ms < vm_clock(w, now_ms))
+		return;
+	w->lease.clock_ms = clock_ms;
+	w->lease.heard_ms = now_ms;
+}
--- /dev/null
+++ b/serve/follow.c
@@ -0,0 +1,197 @@
+/*
+ * Following a table of the store.
+ */
+#include <inttypes.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <glib.h>
+#include <jansson.h>
+#include <uv.h>
+
+#include "../proto/peer.pb-c.h"
+#include "../proto/sched.pb-c.h"
+#include "tanagerspool.h"
+#include "../trans/trans.h"
+#include "../sched/sched.h"
+#include "../platform/platform.h"
+#include "../cmd/cmd.h"
+#include "serve.h"
+
+#define PAGE_ROWS  500	/* the store's most */
+#define READ_MS	   1500 /* for a page; the store may be slow */
+#define WAIT_MS	   1000 /* a feed waits so long for a change */
+#define FEED_MS	   1700 /* for the answer to a feed: a silent one is given up */
+#define RETRY_MS   120	/* after a failed call */
+
+typedef enum { FOLLOW_OFF, FOLLOW_READING, FOLLOW_FEEDING } follow_state_t;
+
+struct follow {
+	follow_opts_t o;
+	follow_state_t state;
+	uint64_t round; /* answers to calls of earlier rounds are dropped */
+	int64_t version;
+	int64_t read_version; /* to feed from, once the table is read */
+	char *next;	      /* key to read on from */
+	uv_timer_t timer;
+};
+
+/* A call under way, so that one of an earlier round can be told. */
+typedef struct {
+	follow_t *f;
+	uint64_t round;
+} ask_t;
+
+static void read_page(follow_t *f);
+static void feed(follow_t *f);
+
+static ask_t *
+ask_new(follow_t *f)
+{
+	ask_t *a = g_new(ask_t, 1);
+
+	a->f = f;
+	a->round = f->round;
+	return a;
+}
+
+static void
+on_timer(uv_timer_t *t)
+{
+	follow_t *f = t->data;
+
+	if (f->state == FOLLOW_READING)
+		read_page(f);
+	else if (f->state == FOLLOW_FEEDING)
+		feed(f);
+}
+
+static void
+after(follow_t *f, int32_t ms)
+{
+	uv_timer_start(&f->timer, on_timer, (uint64_t)ms, 0);
+}
+
+static void
+restart(follow_t *f)
+{
+	f->state = FOLLOW_READING;
+	f->read_version = 0;
+	g_free(f->next);
+	f->next = g_strdup("");
+}
+
+static void
+give_rows(follow_t *f, const store_answer_t *a)
+{
+	for (size_t i = 0; i < a->n; i++)
+		f->o.on_row(f->o.ctx, &a->rows[i]);
+}
+
+static void
+on_page(void *ctx, store_result_t r, const store_answer_t *a)
+{
+	ask_t *ask = ctx;
+	follow_t *f = ask->f;
+	bool stale = ask->round != f->round;
+
+	g_free(ask);
+	node_store_answer(f->o.node, r);
+	if (stale)
+		return;
+	if (r != STORE_OK) {
+		after(f, RETRY_MS);
+		return;
+	}
+	if (f->read_version == 0)
+		f->read_version = a->version;
+	give_rows(f, a);
+	if (a->more && a->n > 0) {
+		g_free(f->next);
+		f->next = g_strconcat(a->rows[a->n - 1].key, "\x01", NULL);
+		read_page(f);
+		return;
+	}
+	f->version = f->read_version;
+	f->state = FOLLOW_FEEDING;
+	if (f->o.on_whole != NULL)
+		f->o.on_whole(f->o.ctx);
+	/* The callback may have stopped or restarted this. */
+	if (f->state == FOLLOW_FEEDING)
+		feed(f);
+}
+
+static void
+read_page(follow_t *f)
+{
+	store_get_t g = { .table = f->o.table, .part = f->o.part,
+		.from = f->next, .limit = PAGE_ROWS, .timeout_ms = READ_MS };
+
+	store_get(f->o.node->platform, &g, on_page, ask_new(f));
+}
+
+static void
+on_feed(void *ctx, store_result_t r, const store_answer_t *a)
+{
+	ask_t *ask = ctx;
+	follow_t *f = ask->f;
+	bool stale = ask->round != f->round;
+
+	g_free(ask);
+	node_store_answer(f->o.node, r);
+	if (stale)
+		return;
+	if (r == STORE_GONE) {
+		log_event(EVT_FEED_RESET, "table=%s version=%" PRId64,
+		    f->o.table, f->version);
+		restart(f);
+		read_page(f);
+		return;
+	}
+	if (r != STORE_OK) {
+		after(f, RETRY_MS);
+		return;
+	}
+	f->version = MAX(f->version, a->version);
+	give_rows(f, a);
+	if (f->state == FOLLOW_FEEDING)
+		after(f, f->o.gap_ms);
+}
+
+static void
+feed(follow_t *f)
+{
+	store_feed_t q = { .table = f->o.table, .after = f->version,
+		.wait_ms = WAIT_MS, .timeout_ms = FEED_MS };
+
+	store_feed(f->o.node->platform, &q, on_feed, ask_new(f));
+}
+
+follow_t *
+follow_new(const follow_opts_t *o)
+{
+	follow_t *f = g_new0(follow_t, 1);
+
+	f->o = *o;
+	uv_timer_init(o->node->loop, &f->timer);
+	f->timer.data = f;
+	return f;
+}
+
+void
+follow_start(follow_t *f)
+{
+	f->round++;
+	uv_timer_stop(&f->timer);
+	restart(f);
+	read_page(f);
+}
+
+void
+follow_stop(follow_t *f)
+{
+	f->round++;
+	f->state = FOLLOW_OFF;
+	uv_timer_stop(&f->timer);
+}
--- /dev/null
+++ b/serve/node.c
@@ -0,0 +1,342 @@
+/*
+ * One process on the platform: its settings, its loop and its end.
+ */
+#include <inttypes.h>
+#include <signal.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include <glib.h>
+#include <jansson.h>
+#include <uv.h>
+
+#include "../proto/peer.pb-c.h"
+#include "../proto/sched.pb-c.h"
+#include "tanagerspool.h"
+#include "../trans/trans.h"
+#include "../sched/sched.h"
+#include "../platform/platform.h"
+#include "../cmd/cmd.h"
+#include "serve.h"
+
+#define TICK_MS		50
+#define SOON_MS		2     /* to do several changes at once */
+#define BODY_MAX_BYTES	262144
+#define PAUSE_MS	700   /* between ticks: less than a claim needs */
+#define STORE_LOST_MS	1500  /* without an answer, until one is told not ready */
+#define LEAVE_MS	2600  /* two misses of the balancer and a little */
+#define LEAVE_SPARE_MS	700   /* of the grace, kept for the exit */
+
+G_DEFINE_QUARK(serve_error, serve_error)
+
+int64_t
+node_now(const node_t *n)
+{
+	(void)n;
+	return (int64_t)(uv_hrtime() / 1000000);
+}
+
+int64_t
+node_wall(const node_t *n)
+{
+	(void)n;
+	return g_get_real_time() / 1000;
+}
+
+/* Time that also passes while the VM is suspended. */
+static int64_t
+boot_ms(void)
+{
+	struct timespec t;
+
+	clock_gettime(CLOCK_BOOTTIME, &t);
+	return (int64_t)t.tv_sec * 1000 + t.tv_nsec / 1000000;
+}
+
+void
+node_store_answer(node_t *n, store_result_t r)
+{
+	if (r == STORE_REFUSED || r == STORE_UNKNOWN)
+		return;
+	n->store_ok_ms = node_now(n);
+	if (n->store_lost)
+		log_event(EVT_STORE_BACK, "store=%s", n->o.store);
+	n->store_lost = false;
+}
+
+static void
+watch_store(node_t *n)
+{
+	if (n->store_lost || node_now(n) - n->store_ok_ms < STORE_LOST_MS)
+		return;
+	n->store_lost = true;
+	log_event(EVT_STORE_LOST, "store=%s silent=%" PRId64, n->o.store,
+	    node_now(n) - n->store_ok_ms);
+}
+
+static void
+finish(node_t *n, const char *why)
+{
+	log_event(EVT_EXIT, "why=%s requests=%d", why, n->requests);
+	log_flush();
+	exit(EXIT_OK);
+}
+
+/*
+ * A graceful stop: the cell is released and requests are served until the
+ * balancer has noticed; then connections are told to go.
+ */
+static void
+tick_stop(node_t *n, int64_t now)
+{
+	int64_t since = now - n->stop_ms;
+	bool released = sched_release(cell_port_sched(n->cell), now);
+
+	if (since < LEAVE_MS)
+		return;
+	server_stop(n->front);
+	if (released && n->requests == 0 && server_open(n->front) == 0)
+		finish(n, "stopped");
+	if (since >= n->o.grace_ms - LEAVE_SPARE_MS && n->requests == 0)
+		finish(n, "grace over");
+}
+
+static void
+on_tick(uv_timer_t *t)
+{
+	node_t *n = t->data;
+	int64_t now = node_now(n), boot = boot_ms();
+	int64_t gap = MAX(now - n->ticked_ms, boot - n->ticked_boot_ms);
+
+	if (n->ticked_ms != 0 && gap > PAUSE_MS) {
+		log_event(EVT_PAUSE, "gap=%" PRId64, gap);
+		sched_paused(cell_port_sched(n->cell), now);
+	}
+	n->ticked_ms = now;
+	n->ticked_boot_ms = boot;
+	cell_port_tick(n->cell);
+	watch_store(n);
+	if (n->stopping)
+		tick_stop(n, now);
+	uv_timer_start(&n->tick, on_tick, TICK_MS, 0);
+}
+
+void
+node_soon(node_t *n)
+{
+	if (uv_timer_get_due_in(&n->tick) > SOON_MS)
+		uv_timer_start(&n->tick, on_tick, SOON_MS, 0);
+}
+
+/*
+ * The operators' tables.
+ */
+static void
+on_operator_row(void *ctx, const store_row_t *row)
+{
+	node_t *n = ctx;
+	g_autoptr(GError) err = NULL;
+	const char *zone;
+	operator_row_t kind = platform_operator_row(row->key, &zone);
+	platform_tables_t *t;
+
+	if (kind == OPERATOR_EVACUATION) {
+		cell_port_zone(n->cell, zone, row->bytes != NULL);
+		return;
+	}
+	if (kind != OPERATOR_TABLES || row->bytes == NULL)
+		return;
+	t = platform_tables(row->bytes, row->nbytes, &err);
+	if (t == NULL) {
+		n->stats.bad_input++;
+		log_event(EVT_BAD_ROW, "table=operators key=%s why=\"%s\"",
+		    row->key, err->message);
+		return;
+	}
+	if (n->tables != NULL && t->version <= n->tables->version) {
+		platform_tables_free(t);
+		return;
+	}
+	log_event(EVT_TABLES, "version=%" PRId64 " queues=%u row=%" PRId64,
+	    t->version, t->queues->len, row->version);
+	platform_tables_free(n->tables);
+	n->tables = t;
+	cell_port_tables(n->cell, t);
+}
+
+/*
+ * Readiness and metrics.
+ */
+static void
+on_ready(void *ctx, server_req_t *r)
+{
+	node_t *n = ctx;
+	bool ok = n->tables != NULL && !n->stopping && !n->store_lost;
+
+	if (!platform_is_ready_path(r->path))
+		server_reply(r, 404, "", "", 0);
+	else
+		server_reply(r, ok ? 200 : 503, "", "", 0);
+}
+
+static void
+on_metrics(void *ctx, server_req_t *r)
+{
+	g_autofree char *text = node_metrics(ctx);
+
+	server_reply(
+	    r, 200, "content-type: text/plain\r\n", text, strlen(text));
+}
+
+static void
+on_signal(uv_signal_t *sig, int number)
+{
+	node_t *n = sig->data;
+
+	if (number == SIGHUP) {
+		/* Settings are read at the start; the tables follow the store. */
+		log_event(EVT_RELOAD, "signal=%d", number);
+		return;
+	}
+	if (n->stopping)
+		return;
+	n->stopping = true;
+	n->stop_ms = node_now(n);
+	log_event(TS_EVT_DRAIN, "signal=%d requests=%d", number, n->requests);
+	node_soon(n);
+}
+
+static server_t *
+listen_at(node_t *n, const char *at, void (*fn)(void *, server_req_t *))
+{
+	g_auto(GStrv) part = g_strsplit(at, ":", 2);
+	g_autoptr(GError) err = NULL;
+	server_opts_t o = { .loop = n->loop, .ip = part[0],
+		.port = part[1] == NULL ? 0 : atoi(part[1]),
+		.body_max_bytes = BODY_MAX_BYTES, .on_request = fn, .ctx = n };
+	server_t *s = server_new(&o, &err);
+
+	if (s == NULL)
+		fprintf(stderr, "tanagerspool: %s\n", err->message);
+	return s;
+}
+
+static bool
+listen_all(node_t *n)
+{
+	g_autofree char *metrics =
+	    g_strdup_printf("%s:%d", n->o.ip, n->o.metrics_port);
+
+	n->front = listen_at(n, n->o.front, ingress_request);
+	n->ready = listen_at(n, n->o.ready, on_ready);
+	if (n->o.metrics_port != 0)
+		n->metrics = listen_at(n, metrics, on_metrics);
+	return n->front != NULL && n->ready != NULL &&
+	    (n->metrics != NULL || n->o.metrics_port == 0);
+}
+
+static void
+on_bad(void *ctx, const char *from, const char *why)
+{
+	node_t *n = ctx;
+
+	n->stats.bad_input++;
+	log_event(EVT_BAD_PLATFORM, "from=%s why=\"%s\"", from, why);
+}
+
+static void
+signals(node_t *n)
+{
+	static const int numbers[] = { SIGTERM, SIGINT, SIGHUP };
+	uv_signal_t *sigs[] = { &n->term, &n->intr, &n->hup };
+
+	signal(SIGPIPE, SIG_IGN);
+	for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
+		uv_signal_init(n->loop, sigs[i]);
+		sigs[i]->data = n;
+		uv_signal_start(sigs[i], on_signal, numbers[i]);
+	}
+}
+
+static void
+begin(node_t *n)
+{
+	platform_opts_t po = {
+		.loop = n->loop, .store = n->o.store, .on_bad = on_bad, .ctx = n
+	};
+	follow_opts_t fo = { .node = n, .table = platform_operator_table,
+		.part = "", .gap_ms = 5, .on_row = on_operator_row, .ctx = n };
+
+	n->incarnation = node_wall(n);
+	n->store_ok_ms = node_now(n);
+	n->platform = platform_new(&po);
+	n->cell = cell_port_new(n);
+	n->operators = follow_new(&fo);
+	follow_start(n->operators);
+	uv_timer_init(n->loop, &n->tick);
+	n->tick.data = n;
+	uv_timer_start(&n->tick, on_tick, 0, 0);
+}
+
+int
+serve_main(int argc, char **argv)
+{
+	static node_t n;
+	node_opts_t *o = &n.o;
+	GStrv rest;
+	const setting_t set[] = {
+		{ "name", SET_TEXT, &o->name, NULL, 0, 0, "NAME",
+		    "this VM's name" },
+		{ "zone", SET_TEXT, &o->zone, NULL, 0, 0, "NAME",
+		    "its data centre" },
+		{ "ip", SET_TEXT, &o->ip, NULL, 0, 0, "IP", "its address" },
+		{ "front", SET_TEXT, &o->front, NULL, 0, 0, "IP:PORT",
+		    "for requests of callers" },
+		{ "ready", SET_TEXT, &o->ready, NULL, 0, 0, "IP:PORT",
+		    "for the balancer's probe" },
+		{ "store", SET_TEXT, &o->store, NULL, 0, 0, "IP:PORT",
+		    "the platform's store" },
+		{ "metrics-port", SET_INT, &o->metrics_port, "9464", 0, 65535,
+		    "PORT", "for counters; 0 for none" },
+		{ "max-hold-ms", SET_INT, &o->max_hold_ms, "6000", 1000,
+		    600000, "MS", "longest lease a worker grants" },
+		{ "stop-ms", SET_INT, &o->stop_ms, "1000", 0, 60000, "MS",
+		    "longest a worker takes to stop a task" },
+		{ "gang-wait-ms", SET_INT, &o->gang_wait_ms, "3000", 0, 600000,
+		    "MS", "a member of a gang waits so long for the others" },
+		{ "harm-ms", SET_INT, &o->harm_ms, "4000", 0, 600000, "MS",
+		    "a serving task may miss its target so long" },
+		{ "notice-ms", SET_INT, &o->notice_ms, "4500", 0, 600000, "MS",
+		    "absence of a lasting task that counts" },
+		{ "grace-ms", SET_INT, &o->grace_ms, "6000", 1000, 600000,
+		    "MS", "longest graceful stop" },
+		{ "far-factor", SET_TEXT, &o->far_factor, "3", 0, 0, "N",
+		    "slow-down of a task away from its data" },
+		{ "log-level", SET_TEXT, &o->log_level, "INFO", 0, 0, "LEVEL",
+		    "DEBUG, INFO, WARN or ERROR" },
+		{ 0 },
+	};
+
+	if (!settings_parse(set, "", "Serve on the users' platform.", &argc,
+		&argv, &rest))
+		return EXIT_USAGE;
+	if (!log_open(o->log_level)) {
+		fprintf(stderr, "tanagerspool: --log-level: no such level\n");
+		return EXIT_USAGE;
+	}
+	n.loop = uv_default_loop();
+	n.clock = clock_system(n.loop);
+	log_start(n.loop);
+	signals(&n);
+	begin(&n);
+	if (!listen_all(&n))
+		return EXIT_FAILED;
+	log_event(EVT_START, "name=%s zone=%s incarnation=%" PRId64
+			     " store=%s version=%s",
+	    o->name, o->zone, n.incarnation, o->store, TS_VERSION);
+	return uv_run(n.loop, UV_RUN_DEFAULT);
+}
--- a/trans/server.c
+++ b/trans/server.c
@@ -46,6 +46,7 @@
 	struct anchor *anchor;
 	char *method;
 	char *path;
+	char *host;
 } sreq_t;
 
 typedef struct anchor {
@@ -81,6 +82,8 @@
 	r->anchor->sr = r;
 	r->method = g_strndup(req->method.base, req->method.len);
 	r->path = g_strndup(req->path.base, req->path.len);
+	r->host = g_strndup(req->authority.base, req->authority.len);
+	r->pub.host = r->host;
 	r->pub.method = r->method;
 	r->pub.path = r->path;
 	r->pub.body = req->entity.base == NULL ? "" : req->entity.base;
@@ -184,6 +187,7 @@
 	}
 	g_free(r->method);
 	g_free(r->path);
+	g_free(r->host);
 	g_free(r);
 }
 
--- a/trans/trans.h
+++ b/trans/trans.h
@@ -38,6 +38,7 @@
 struct server_req {
 	const char *method; /* all owned by the request */
 	const char *path;   /* with the query */
+	const char *host;   /* as the caller named it */
 	const char *body;
 	size_t body_bytes;
 	void *impl;
