--- a/sched/cell.c
+++ b/sched/cell.c
@@ -80,6 +80,8 @@
 		g_hash_table_remove_all(w->runs);
 		w->used_cpu = w->used_mem = w->filler_cpu = w->serving_cpu = 0;
 		w->used_gpu = w->serving = 0;
+		memset(w->image_serving, 0, sizeof(w->image_serving));
+		memset(w->image_filler_cpu, 0, sizeof(w->image_filler_cpu));
 		w->stored = w->answered = w->silent = false;
 		w->store_flush = w->flush_want = 0;
 		w->seen = w->noted = 0;
--- a/sched/job.c
+++ b/sched/job.c
@@ -68,7 +68,7 @@
 }
 
 static occ_t *
-occ_new(job_t *j, int32_t number)
+occ_new(sched_t *s, job_t *j, int32_t number)
 {
 	occ_t *o = g_new0(occ_t, 1);
 	const Sched__Job *def = j->def;
@@ -85,6 +85,7 @@
 		st->occ = o;
 		st->number = (int32_t)i;
 		st->def = def->steps[i];
+		st->image = noise_image(s, st->def->image);
 		st->ntasks = st->waiting = st->def->count;
 		st->tasks = g_new0(task_t, st->ntasks);
 		for (int32_t k = 0; k < st->ntasks; k++) {
@@ -138,6 +139,7 @@
 	occ_t *o;
 
 	g_strlcpy(j->id, id, sizeof(j->id));
+	j->sched = s;
 	j->def = def;
 	j->queue = q->name;
 	j->service = q->known ? q->service : g_intern_string(def->service);
@@ -172,7 +174,7 @@
 		if (o->number == number)
 			return o;
 	}
-	o = occ_new(j, number);
+	o = occ_new(j->sched, j, number);
 	g_ptr_array_add(j->occs, o);
 	return o;
 }
--- a/sched/part.h
+++ b/sched/part.h
@@ -11,6 +11,8 @@
 typedef struct run run_t;
 typedef struct vm vm_t;
 
+#define IMAGES_MAX 64 /* whose harm is learned */
+
 typedef enum { TASK_WAITING, TASK_RUNNING, TASK_DONE } task_state_t;
 
 typedef struct {
@@ -47,6 +49,7 @@
 	int32_t waiting; /* tasks to be started */
 	int32_t done;
 	bool ready;	    /* all steps before it are done */
+	int32_t image;	    /* index, or -1 */
 	int64_t tail_ms;    /* declared time of the longest chain from here */
 	GSequenceIter *it;  /* in the queue */
 	int64_t latest_ms;  /* wall clock: start by then to be in time */
@@ -158,8 +161,11 @@
 	const char *fail_job;
 	int32_t serving;     /* serving tasks there */
 	int64_t calm_ms;     /* serving tasks within targets since */
-	int32_t pace;	     /* of its filler tasks */
+	int32_t pace;	     /* 100: none of its fillers is slowed */
 	int64_t pace_ms;     /* last change */
+	int64_t moved_ms;    /* a filler was sent away */
+	int64_t image_filler_cpu[IMAGES_MAX];
+	int32_t image_serving[IMAGES_MAX];
 };
 
 /* What has been learned of the run times of a queue's jobs. */
@@ -214,6 +220,11 @@
 	GHashTable *workers; /* id -> vm_t */
 	GPtrArray *worker_list;
 	GHashTable *runs;  /* id -> run_t */
+	GHashTable *images; /* image -> index */
+	struct {
+		double base[IMAGES_MAX]; /* percent of the target */
+		double harm[IMAGES_MAX][IMAGES_MAX]; /* serving, filler */
+	} noise;
 	GHashTable *zones; /* evacuated, interned */
 	GSequence *ready;  /* of step_t */
 	GHashTable *dirty; /* of job_t */
@@ -250,7 +261,7 @@
 /* vm.c */
 vm_t *vm_get(sched_t *s, const char *id);
 void vm_free(void *w);
-void vm_take(vm_t *w, const Sched__Step *d, int sign);
+void vm_take(vm_t *w, const step_t *st, int sign);
 bool vm_usable(const sched_t *s, const vm_t *w);
 int64_t vm_clock(const vm_t *w, int64_t now_ms);
 int64_t vm_deadline(sched_t *s, vm_t *w);
@@ -284,6 +295,11 @@
 void run_step_ready(sched_t *s, occ_t *o);
 
 /* noise.c */
+int32_t noise_image(sched_t *s, const char *image);
+bool noise_allows(const sched_t *s, const vm_t *w, const step_t *st);
+double noise_serving_cost(
+    const sched_t *s, const vm_t *w, const step_t *st, int32_t *images);
+void noise_take(vm_t *w, const step_t *st, int sign);
 void noise_report(sched_t *s, vm_t *w);
 
 /* flush.c */
--- a/sched/place.c
+++ b/sched/place.c
@@ -20,6 +20,9 @@
 #define COST_FAR      1000000 /* away from the data */
 #define COST_FAILED   400000  /* each recent failure there */
 #define COST_SERVING  20000   /* a filler task beside a serving one */
+#define COST_IMAGE    200000  /* a serving task beside another image */
+#define COST_EMPTY    100000  /* ... on a worker that had none */
+#define COST_TAIL     4000    /* each percent of its target it would suffer */
 #define COST_AVOID    4000000 /* the task failed there before */
 
 static bool
@@ -68,9 +71,10 @@
 }
 
 static int64_t
-score(const vm_t *w, const step_t *st, const task_t *t)
+score(const sched_t *s, const vm_t *w, const step_t *st, const task_t *t)
 {
 	const Sched__Step *d = st->def;
+	int32_t images;
 	int64_t sc = left_over(w) - w->filler_cpu;
 
 	if (d->near_rack[0] != '\0' && strcmp(d->near_rack, w->rack) != 0)
@@ -80,8 +84,15 @@
 		sc -= COST_AVOID;
 	if (d->filler)
 		sc -= w->serving * COST_SERVING;
-	else if (d->tail_target_ms > 0)
-		sc -= 2 * w->filler_cpu;
+	else if (d->tail_target_ms > 0) {
+		/* Serving tasks of one image share few workers, so that the
+		 * fillers which harm them find others. */
+		double tail = noise_serving_cost(s, w, st, &images);
+
+		sc -= images * COST_IMAGE + (int64_t)(tail * COST_TAIL);
+		sc -= w->serving == 0 ? COST_EMPTY : 0;
+		sc -= 2 * left_over(w);
+	}
 	return sc;
 }
 
@@ -101,9 +112,10 @@
 		if (w->service != st->occ->job->service ||
 		    !vm_usable(s, w) || !has_room(w, st->def) ||
 		    !has_label(w, st->def->label) ||
+		    !noise_allows(s, w, st) ||
 		    (rack != NULL && w->rack != rack))
 			continue;
-		sc = score(w, st, t);
+		sc = score(s, w, st, t);
 		if (best != NULL && sc <= best_score)
 			continue;
 		if (st->def->per_worker > 0 &&
@@ -128,10 +140,10 @@
 		at[n] = place_task(s, st, &st->tasks[n], rack);
 		if (at[n] == NULL)
 			break;
-		vm_take(at[n++], st->def, 1);
+		vm_take(at[n++], st, 1);
 	}
 	for (int32_t i = 0; i < n; i++)
-		vm_take(at[i], st->def, -1);
+		vm_take(at[i], st, -1);
 	return n == st->ntasks;
 }
 
--- a/sched/run.c
+++ b/sched/run.c
@@ -61,7 +61,7 @@
 	r->job = t->step->occ->job;
 	r->job->runs++;
 	r->holds = true;
-	vm_take(r->worker, t->step->def, 1);
+	vm_take(r->worker, t->step, 1);
 }
 
 static void
@@ -129,7 +129,7 @@
 	job_t *j = r->job;
 
 	if (r->holds) {
-		vm_take(r->worker, t->step->def, -1);
+		vm_take(r->worker, t->step, -1);
 		j->runs--;
 	}
 	if (t != NULL && t->copy == r)
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -55,6 +55,7 @@
 	s->worker_list = g_ptr_array_new();
 	s->runs = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, run_free);
+	s->images = g_hash_table_new(g_str_hash, g_str_equal);
 	s->zones = g_hash_table_new(g_direct_hash, g_direct_equal);
 	return s;
 }
@@ -67,6 +68,7 @@
 	g_hash_table_unref(s->workers);
 	g_ptr_array_unref(s->worker_list);
 	g_hash_table_unref(s->queues);
+	g_hash_table_unref(s->images);
 	g_hash_table_unref(s->zones);
 	g_hash_table_unref(s->dirty);
 	g_ptr_array_unref(s->timed);
@@ -113,7 +115,6 @@
 		return;
 	}
 	j = job_new(s, id, def);
-	j->sched = s;
 	j->after_claim = row->version > s->cell.token;
 	g_hash_table_insert(s->jobs, j->id, j);
 	if (def->repeats > 0)
--- a/sched/vm.c
+++ b/sched/vm.c
@@ -53,8 +53,11 @@
 
 /* Counts a task of a step into the worker's room, or out of it. */
 void
-vm_take(vm_t *w, const Sched__Step *d, int sign)
+vm_take(vm_t *w, const step_t *st, int sign)
 {
+	const Sched__Step *d = st->def;
+
+	noise_take(w, st, sign);
 	w->used_mem += sign * d->mem_mb;
 	w->used_gpu += sign * d->gpu;
 	if (d->filler) {
