--- a/cmd/log.c
+++ b/cmd/log.c
@@ -74,6 +74,7 @@
 	{ 633, LOG4C_PRIORITY_INFO, "worker_back" },
 	{ 634, LOG4C_PRIORITY_WARN, "worker_suspect" },
 	{ 641, LOG4C_PRIORITY_INFO, "zone" },
+	{ 642, LOG4C_PRIORITY_INFO, "load" },
 	{ 651, LOG4C_PRIORITY_WARN, "store_lost" },
 	{ 652, LOG4C_PRIORITY_INFO, "store_back" },
 	{ 653, LOG4C_PRIORITY_WARN, "bad_row" },
--- a/sched/job.c
+++ b/sched/job.c
@@ -85,7 +85,7 @@
 		st->occ = o;
 		st->number = (int32_t)i;
 		st->def = def->steps[i];
-		st->image = noise_image(s, st->def->image);
+		st->image = harm_image(s, st->def->image);
 		st->ntasks = st->waiting = st->def->count;
 		st->tasks = g_new0(task_t, st->ntasks);
 		for (int32_t k = 0; k < st->ntasks; k++) {
--- a/sched/noise.c
+++ b/sched/noise.c
@@ -1,11 +1,6 @@
 /*
- * Interference: how much each image of filler tasks slows each image of
- * serving tasks is learned from the tails that workers report, and used to
- * place tasks apart and to slow or move the fillers that do the harm.
- *
- * A tail is modelled, in percent of its target, as a base plus, for each
- * image of fillers beside it, harm times the share of the worker's
- * processors that the image uses.
+ * Interference: filler tasks are kept away from the serving tasks that they
+ * harm, and are slowed or moved where they do.
  */
 #include <stdbool.h>
 #include <stdint.h>
@@ -17,57 +12,36 @@
 #include "sched.h"
 #include "part.h"
 
-#define BASE_PCT      45   /* of the target, until learned */
-#define HARM_UNKNOWN  120  /* percent of the target per whole worker */
-#define HARM_MAX      4000
-#define TAIL_MAX_PCT  500  /* what is above teaches no more */
-#define RATE	      0.3  /* of the error, normalised least mean squares */
-#define RATE_BASE     0.03
-#define NORM	      0.004 /* keeps small shares from large steps */
-#define LIMIT_PCT     85   /* a tail expected above this is avoided */
-#define AIM_PCT	      75   /* slowed fillers are to leave this */
-#define STEP_MS	      450  /* between changes: the tail covers half a second */
-#define CALM_MS	      1000 /* within targets before shares grow again */
-#define GROW_PCT      25
-#define PACE_MIN_PCT  10   /* a lower share becomes 0 */
-#define MOVE_PACE_PCT 60   /* a filler slowed below this moves if it can */
-#define MOVE_GAP_MS   300  /* between two moves from one worker */
-
-/* The index of an image; -1 for none, or beyond the most. */
-int32_t
-noise_image(sched_t *s, const char *image)
+#define LIMIT_PCT     68  /* no filler where a tail above this is expected */
+#define AIM_PCT	      72  /* slowed fillers are to leave this */
+#define PART_MIN      0.2 /* of the harm: fillers that do less are left alone */
+#define PACE_MIN_PCT  15  /* a lower share becomes 0 */
+#define PACE_STEP_PCT 15  /* smaller changes are not sent */
+#define MOVE_PACE_PCT 60  /* a filler slowed below this moves if it can */
+#define MOVE_GAP_MS   150 /* between two moves from one worker */
+#define OVER_MS	      1300 /* over its target for so long, whatever the model */
+#define CALM_MS	      900 /* within its target so long: fillers work again */
+
+/* Processor share that a filler image would use there unslowed. */
+static double
+would_use(const vm_t *w, int32_t image, int64_t more)
 {
-	void *v;
-	int32_t n;
-
-	if (image[0] == '\0')
-		return -1;
-	if (g_hash_table_lookup_extended(s->images, image, NULL, &v))
-		return GPOINTER_TO_INT(v);
-	n = (int32_t)g_hash_table_size(s->images);
-	if (n >= IMAGES_MAX)
-		return -1;
-	g_hash_table_insert(
-	    s->images, (void *)g_intern_string(image), GINT_TO_POINTER(n));
-	s->noise.base[n] = BASE_PCT;
-	for (int32_t i = 0; i < IMAGES_MAX; i++)
-		s->noise.harm[n][i] = HARM_UNKNOWN;
-	return n;
+	return (double)(w->image_filler_cpu[image] + more) /
+	    (double)w->cpu_milli;
 }
 
-/* The tail of a serving image expected on a worker, with more of a filler. */
+/* The tail expected of a serving image with more of a filler image. */
 static double
 expected(const sched_t *s, const vm_t *w, int32_t serving, int32_t filler,
-    int64_t cpu)
+    int64_t more)
 {
-	double pct = s->noise.base[serving];
+	double pct = harm_base(s, serving);
 
 	for (int32_t f = 0; f < IMAGES_MAX; f++) {
-		int64_t c = w->image_filler_cpu[f] + (f == filler ? cpu : 0);
+		double use = would_use(w, f, f == filler ? more : 0);
 
-		if (c > 0)
-			pct += s->noise.harm[serving][f] * (double)c /
-			    (double)w->cpu_milli;
+		if (use > 0)
+			pct += harm_of(s, serving, f) * use;
 	}
 	return pct;
 }
@@ -78,9 +52,7 @@
 {
 	const Sched__Step *d = st->def;
 
-	if (st->image < 0 || w->cpu_milli == 0)
-		return true;
-	if (!d->filler)
+	if (st->image < 0 || w->cpu_milli == 0 || !d->filler)
 		return true;
 	for (int32_t i = 0; i < IMAGES_MAX && w->serving > 0; i++)
 		if (w->image_serving[i] > 0 &&
@@ -94,8 +66,8 @@
  * many other images it would meet.
  */
 double
-noise_serving_cost(const sched_t *s, const vm_t *w, const step_t *st,
-    int32_t *images)
+noise_serving_cost(
+    const sched_t *s, const vm_t *w, const step_t *st, int32_t *images)
 {
 	*images = 0;
 	for (int32_t i = 0; i < IMAGES_MAX; i++)
@@ -136,18 +108,18 @@
 	target = r->task->step->def->tail_target_ms;
 	if (target <= 0)
 		return 0;
-	return MIN(TAIL_MAX_PCT, (double)r->measure * 100 / (double)target);
+	return (double)r->measure * 100 / (double)target;
 }
 
-/* Shares of the worker's processors that filler images use now. */
-static double
-shares(const vm_t *w, double *use)
+/* Learns from the tails of a report; true when one is over its target. */
+static bool
+learn_report(sched_t *s, vm_t *w)
 {
+	double use[IMAGES_MAX] = { 0 };
 	GHashTableIter it;
+	bool over = false;
 	void *v;
-	double norm = 0;
 
-	memset(use, 0, IMAGES_MAX * sizeof(*use));
 	g_hash_table_iter_init(&it, w->runs);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		const run_t *r = v;
@@ -156,51 +128,38 @@
 			use[r->task->step->image] +=
 			    (double)r->measure / (double)w->cpu_milli;
 	}
-	for (int32_t i = 0; i < IMAGES_MAX; i++)
-		norm += use[i] * use[i];
-	return norm;
-}
-
-static void
-learn(sched_t *s, int32_t image, double pct, const double *use, double norm)
-{
-	double *harm = s->noise.harm[image];
-	double err = pct - s->noise.base[image];
+	g_hash_table_iter_init(&it, w->runs);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		double pct = tail_pct(v);
 
-	for (int32_t f = 0; f < IMAGES_MAX; f++)
-		err -= harm[f] * use[f];
-	for (int32_t f = 0; f < IMAGES_MAX; f++) {
-		if (use[f] <= 0)
+		if (pct <= 0)
 			continue;
-		harm[f] += RATE * err * use[f] / (NORM + norm);
-		harm[f] = CLAMP(harm[f], 0, HARM_MAX);
+		harm_learn(s, ((run_t *)v)->task->step->image, pct, use);
+		over = over || pct > 100;
 	}
-	s->noise.base[image] += RATE_BASE * err * NORM / (NORM + norm);
+	return over;
 }
 
-/* Learns from a report; returns the worst tail and whose it is. */
-static double
-learn_report(sched_t *s, vm_t *w, const double *use, double norm,
-    int32_t *image)
+/* The share of each filler image, 0 to 1, that keeps all tails at the aim. */
+static void
+shares_allowed(const sched_t *s, const vm_t *w, double *share)
 {
-	GHashTableIter it;
-	void *v;
-	double worst = 0;
-
-	g_hash_table_iter_init(&it, w->runs);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		const run_t *r = v;
-		double pct = tail_pct(r);
+	for (int32_t f = 0; f < IMAGES_MAX; f++)
+		share[f] = 1;
+	for (int32_t i = 0; i < IMAGES_MAX; i++) {
+		double base = harm_base(s, i), all, keep;
 
-		if (pct <= 0)
+		if (w->image_serving[i] <= 0)
+			continue;
+		all = expected(s, w, i, -1, 0) - base;
+		if (all <= 0 || base + all <= AIM_PCT)
 			continue;
-		learn(s, r->task->step->image, pct, use, norm);
-		if (pct > worst) {
-			worst = pct;
-			*image = r->task->step->image;
-		}
+		keep = CLAMP((AIM_PCT - base) / all, 0, 1);
+		for (int32_t f = 0; f < IMAGES_MAX; f++)
+			if (harm_of(s, i, f) * would_use(w, f, 0) >
+			    PART_MIN * all)
+				share[f] = MIN(share[f], keep);
 	}
-	return worst;
 }
 
 /* Another worker could take the task, so that it may leave this one. */
@@ -211,8 +170,8 @@
 	int64_t off = w->hold_off_ms;
 	vm_t *to;
 
-	if (!t->step->def->checkpoints || t->run != r ||
-	    s->now - w->moved_ms < MOVE_GAP_MS)
+	if (t->run != r || s->now - w->moved_ms < MOVE_GAP_MS ||
+	    (!t->step->def->checkpoints && r->pace_want > 0))
 		return false;
 	w->hold_off_ms = INT64_MAX;
 	to = place_task(s, t->step, t, NULL);
@@ -220,92 +179,53 @@
 	return to != NULL;
 }
 
-/*
- * Slows the fillers that harm an image so that its tail comes to the aim, by
- * the worst first; what can go elsewhere is stopped and moves.
- */
 static void
-slow(sched_t *s, vm_t *w, int32_t image, double worst, const double *use)
+set_share(sched_t *s, vm_t *w, run_t *r, int32_t pct)
 {
-	const double *harm = s->noise.harm[image];
-	double known = 0, excess = worst - AIM_PCT;
-	double pace;
-	g_autoptr(GList) all = g_hash_table_get_values(w->runs);
-
-	for (int32_t f = 0; f < IMAGES_MAX; f++)
-		known += harm[f] * use[f];
-	if (known <= 0)
+	if (pct < PACE_MIN_PCT)
+		pct = 0;
+	if (pct != 0 && pct != 100 && ABS(pct - r->pace_want) < PACE_STEP_PCT)
 		return;
-	/* What the model does not explain is laid on all in proportion. */
-	pace = known > excess ? 100 * (1 - excess / known) : 0;
-	pace = pace < PACE_MIN_PCT ? 0 : pace;
-	LOG(s, SCHED_EVT_PACE, w->id, "percent=%d worst_tail=%d explained=%d",
-	    (int)pace, (int)worst, (int)known);
-	for (GList *i = all; i != NULL; i = i->next) {
-		run_t *r = i->data;
-		double part;
-
-		if (!is_filler(r) || !cell_extends(s))
-			continue;
-		part = harm[r->task->step->image] *
-		    use[r->task->step->image] / known;
-		if (part < 0.1) /* not one that does the harm */
-			continue;
-		if (pace < MOVE_PACE_PCT && can_move(s, w, r)) {
-			w->moved_ms = s->now;
-			r->task->avoid = w->id;
-			run_stop(s, r, "harms a serving task");
-			continue;
-		}
-		r->pace_want = (int32_t)(r->pace_want * pace / 100);
-		if (r->pace_want < PACE_MIN_PCT)
-			r->pace_want = 0;
-	}
-	w->pace = 0;
-}
-
-/* Gives slowed fillers more again. */
-static void
-ease(sched_t *s, vm_t *w)
-{
-	GHashTableIter it;
-	void *v;
-	bool all = true;
-
-	g_hash_table_iter_init(&it, w->runs);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		run_t *r = v;
-
-		if (!is_filler(r) || r->pace_want >= 100)
-			continue;
-		r->pace_want = MIN(100, r->pace_want + GROW_PCT);
-		all = all && r->pace_want >= 100;
-	}
-	if (all)
-		w->pace = 100;
-	(void)s;
+	if (pct != r->pace_want)
+		LOG(s, SCHED_EVT_PACE, r->name, "worker=%s percent=%d was=%d",
+		    w->id, pct, r->pace_want);
+	r->pace_want = pct;
+	if (pct >= MOVE_PACE_PCT || !cell_acts(s) || !can_move(s, w, r))
+		return;
+	w->moved_ms = s->now;
+	r->task->avoid = w->id;
+	run_stop(s, r, "harms a serving task");
 }
 
 /* Takes in the tails of a report and acts on them. */
 void
 noise_report(sched_t *s, vm_t *w)
 {
-	double use[IMAGES_MAX], norm, worst;
-	int32_t image = 0;
+	double share[IMAGES_MAX];
+	g_autoptr(GList) all = NULL;
+	bool slowed = false;
 
 	if (w->cpu_milli == 0 || (w->serving == 0 && w->pace == 100))
 		return;
-	norm = shares(w, use);
-	worst = learn_report(s, w, use, norm, &image);
-	if (worst > AIM_PCT)
+	if (learn_report(s, w)) {
+		w->over_ms = w->over_ms == 0 ? s->now : w->over_ms;
 		w->calm_ms = s->now;
-	if (s->now - w->pace_ms < STEP_MS)
-		return;
-	if (worst > 100 && w->filler_cpu > 0) {
-		w->pace_ms = s->now;
-		slow(s, w, image, worst, use);
-	} else if (w->pace < 100 && s->now - w->calm_ms >= CALM_MS) {
-		w->pace_ms = s->now;
-		ease(s, w);
+	} else if (s->now - w->calm_ms >= CALM_MS)
+		w->over_ms = 0;
+	shares_allowed(s, w, share);
+	all = g_hash_table_get_values(w->runs);
+	for (GList *i = all; i != NULL; i = i->next) {
+		run_t *r = i->data;
+		int32_t pct;
+
+		if (!is_filler(r))
+			continue;
+		pct = (int32_t)(100 * share[r->task->step->image]);
+		/* The model says that all is well and it is not. */
+		if (w->over_ms != 0 && s->now - w->over_ms >= OVER_MS)
+			pct = 0;
+		slowed = slowed || pct < 100;
+		set_share(s, w, r, pct);
 	}
+	w->pace = slowed ? 0 : 100;
 }
--- a/sched/part.h
+++ b/sched/part.h
@@ -10,6 +10,7 @@
 typedef struct step step_t;
 typedef struct run run_t;
 typedef struct vm vm_t;
+typedef struct harm harm_t;
 
 #define IMAGES_MAX 64 /* whose harm is learned */
 
@@ -164,6 +165,7 @@
 	int32_t pace;	     /* 100: none of its fillers is slowed */
 	int64_t pace_ms;     /* last change */
 	int64_t moved_ms;    /* a filler was sent away */
+	int64_t over_ms;     /* a tail is over its target since; 0: none */
 	int64_t image_filler_cpu[IMAGES_MAX];
 	int32_t image_serving[IMAGES_MAX];
 };
@@ -221,10 +223,7 @@
 	GPtrArray *worker_list;
 	GHashTable *runs;  /* id -> run_t */
 	GHashTable *images; /* image -> index */
-	struct {
-		double base[IMAGES_MAX]; /* percent of the target */
-		double harm[IMAGES_MAX][IMAGES_MAX]; /* serving, filler */
-	} noise;
+	harm_t *harm[IMAGES_MAX]; /* of each serving image */
 	GHashTable *zones; /* evacuated, interned */
 	GSequence *ready;  /* of step_t */
 	GHashTable *dirty; /* of job_t */
@@ -237,7 +236,7 @@
 	bool partial;		 /* not all that was dirty fitted */
 	GPtrArray *flushing;	 /* jobs in the write under way */
 	bool pump;		 /* something may be startable */
-	int64_t sort_ms;
+	int64_t sort_ms, load_ms;
 	sched_stats_t stats;
 };
 
@@ -294,8 +293,14 @@
 void run_job_end(sched_t *s, job_t *j, Sched__State end);
 void run_step_ready(sched_t *s, occ_t *o);
 
+/* harm.c */
+int32_t harm_image(sched_t *s, const char *image);
+double harm_of(const sched_t *s, int32_t serving, int32_t filler);
+double harm_base(const sched_t *s, int32_t serving);
+void harm_learn(sched_t *s, int32_t serving, double pct, const double *use);
+void harm_solve(sched_t *s);
+
 /* noise.c */
-int32_t noise_image(sched_t *s, const char *image);
 bool noise_allows(const sched_t *s, const vm_t *w, const step_t *st);
 double noise_serving_cost(
     const sched_t *s, const vm_t *w, const step_t *st, int32_t *images);
--- a/sched/place.c
+++ b/sched/place.c
@@ -15,7 +15,7 @@
  * Share of the processors held by serving tasks that they use at their
  * busiest; the rest is left to filler tasks.
  */
-#define SERVING_USE_PCT 70
+#define SERVING_USE_PCT 50
 /* Score units are thousandths of a processor. */
 #define COST_FAR      1000000 /* away from the data */
 #define COST_FAILED   400000  /* each recent failure there */
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -17,6 +17,7 @@
 #define LOOK_RETRY_MS  300  /* after a look without an answer */
 #define LOOK_STORE_MS  300  /* while ends cannot be stored */
 #define SILENT_MISSES  2    /* looks in a row before nothing is sent */
+#define LOAD_MS	       1000 /* between lines on the load */
 #define TICK_MS	       50   /* longest time between two ticks */
 #define TICK_SOON_MS   5    /* while tasks can be started */
 
@@ -68,6 +69,8 @@
 	g_hash_table_unref(s->workers);
 	g_ptr_array_unref(s->worker_list);
 	g_hash_table_unref(s->queues);
+	for (int32_t i = 0; i < IMAGES_MAX; i++)
+		g_free(s->harm[i]);
 	g_hash_table_unref(s->images);
 	g_hash_table_unref(s->zones);
 	g_hash_table_unref(s->dirty);
@@ -470,6 +473,42 @@
 	}
 }
 
+/* A line a second on what the cell has and does. */
+static void
+log_load(sched_t *s)
+{
+	int64_t waiting = 0, hopeless = 0, cpu = 0, used = 0, filler = 0;
+	int32_t usable = 0, slowed = 0;
+	GHashTableIter it;
+	void *v;
+
+	for (GSequenceIter *i = g_sequence_get_begin_iter(s->ready);
+	    !g_sequence_iter_is_end(i); i = g_sequence_iter_next(i)) {
+		const step_t *st = g_sequence_get(i);
+
+		waiting += st->waiting;
+		hopeless += st->hopeless ? st->waiting : 0;
+	}
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		const vm_t *w = g_ptr_array_index(s->worker_list, i);
+
+		usable += vm_usable(s, w);
+		cpu += w->cpu_milli;
+		used += w->used_cpu;
+		filler += w->filler_cpu;
+	}
+	g_hash_table_iter_init(&it, s->runs);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		slowed += ((run_t *)v)->pace_want < 100;
+	LOG(s, SCHED_EVT_LOAD, "cell",
+	    "jobs=%u runs=%u waiting=%d hopeless=%d workers=%u usable=%d "
+	    "cpu=%d used=%d filler=%d slowed=%d accounted=%d",
+	    g_hash_table_size(s->jobs), g_hash_table_size(s->runs),
+	    (int)waiting, (int)hopeless, s->worker_list->len, usable,
+	    (int)(cpu / 1000), (int)(used / 1000), (int)(filler / 1000),
+	    slowed, s->cell.accounted);
+}
+
 int32_t
 sched_tick(sched_t *s, int64_t now_ms, int64_t wall_ms)
 {
@@ -481,9 +520,14 @@
 	if (now_ms - s->sort_ms >= SORT_MS) {
 		s->sort_ms = now_ms;
 		queue_sort(s);
+		harm_solve(s);
 		count_waiting(s);
 		s->pump = true;
 	}
+	if (now_ms - s->load_ms >= LOAD_MS) {
+		s->load_ms = now_ms;
+		log_load(s);
+	}
 	tick_timed(s);
 	if (s->pump && cell_acts(s))
 		run_waiting(s);
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -141,7 +141,8 @@
 	SCHED_EVT_WORKER_SILENT = 632,
 	SCHED_EVT_WORKER_BACK = 633,
 	SCHED_EVT_WORKER_SUSPECT = 634,
-	SCHED_EVT_ZONE = 641
+	SCHED_EVT_ZONE = 641,
+	SCHED_EVT_LOAD = 642
 } sched_evt_t;
 
 /* What the scheduler asks of the embedding program. */
