--- a/sched/sched.c
+++ b/sched/sched.c
@@ -410,7 +410,8 @@
 	sched_look_t l = { .worker = w->id, .address = w->address,
 		.token = s->cell.token, .last_seen = w->noted };
 
-	if (cell_extends(s))
+	/* What does not answer is not extended, so that its lease can lapse. */
+	if (cell_extends(s) && w->misses == 0)
 		l.deadline_ms = vm_deadline(s, w);
 	if (w->answered && w->seen == w->noted && w->lease.heard_ms != 0)
 		l.wait_ms = LOOK_WAIT_MS;
