--- a/sched/noise.c
+++ b/sched/noise.c
@@ -13,13 +13,16 @@
 #include "part.h"
 
 #define LIMIT_PCT     68  /* no filler where a tail above this is expected */
-#define AIM_PCT	      72  /* slowed fillers are to leave this */
+#define LIMIT_LOW_PCT 55  /* ... while its job can still wait */
+#define WAIT_MS	      1500 /* it can, with so much time to spare */
+#define AIM_PCT	      70  /* slowed fillers are to leave this */
 #define PART_MIN      0.2 /* of the harm: fillers that do less are left alone */
 #define PACE_MIN_PCT  15  /* a lower share becomes 0 */
 #define PACE_STEP_PCT 15  /* smaller changes are not sent */
 #define MOVE_PACE_PCT 60  /* a filler slowed below this moves if it can */
 #define MOVE_GAP_MS   150 /* between two moves from one worker */
-#define OVER_MS	      1300 /* over its target for so long, whatever the model */
+#define OVER_PCT      88   /* taken as over: the figure is rough */
+#define OVER_MS	      1200 /* over for so long, whatever the model */
 #define CALM_MS	      900 /* within its target so long: fillers work again */
 
 /* Processor share that a filler image would use there unslowed. */
@@ -51,12 +54,14 @@
 noise_allows(const sched_t *s, const vm_t *w, const step_t *st)
 {
 	const Sched__Step *d = st->def;
+	double limit = st->latest_ms - s->wall > WAIT_MS ? LIMIT_LOW_PCT :
+							   LIMIT_PCT;
 
 	if (st->image < 0 || w->cpu_milli == 0 || !d->filler)
 		return true;
 	for (int32_t i = 0; i < IMAGES_MAX && w->serving > 0; i++)
 		if (w->image_serving[i] > 0 &&
-		    expected(s, w, i, st->image, d->cpu_milli) > LIMIT_PCT)
+		    expected(s, w, i, st->image, d->cpu_milli) > limit)
 			return false;
 	return true;
 }
@@ -135,7 +140,7 @@
 		if (pct <= 0)
 			continue;
 		harm_learn(s, ((run_t *)v)->task->step->image, pct, use);
-		over = over || pct > 100;
+		over = over || pct > OVER_PCT;
 	}
 	return over;
 }
