--- a/proto/sched.pb-c.c
+++ b/proto/sched.pb-c.c
@@ -626,7 +626,7 @@
   (ProtobufCMessageInit) sched__step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sched__job__field_descriptors[13] =
+static const ProtobufCFieldDescriptor sched__job__field_descriptors[12] =
 {
   {
     "queue",
@@ -688,18 +688,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "state",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
-    0,   /* quantifier_offset */
-    offsetof(Sched__Job, state),
-    &sched__state__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "repeats",
     7,
@@ -787,23 +775,23 @@
 };
 static const unsigned sched__job__field_indices_by_name[] = {
   4,   /* field[4] = accepted_ms */
-  7,   /* field[7] = first_ms */
-  8,   /* field[8] = interval_ms */
-  10,   /* field[10] = max_attempts */
-  9,   /* field[9] = priority */
+  6,   /* field[6] = first_ms */
+  7,   /* field[7] = interval_ms */
+  9,   /* field[9] = max_attempts */
+  8,   /* field[8] = priority */
   0,   /* field[0] = queue */
-  6,   /* field[6] = repeats */
+  5,   /* field[5] = repeats */
   1,   /* field[1] = service */
   2,   /* field[2] = spec */
-  5,   /* field[5] = state */
   3,   /* field[3] = steps */
-  11,   /* field[11] = stretch */
-  12,   /* field[12] = target_ms */
+  10,   /* field[10] = stretch */
+  11,   /* field[11] = target_ms */
 };
-static const ProtobufCIntRange sched__job__number_ranges[1 + 1] =
+static const ProtobufCIntRange sched__job__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 7, 5 },
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor sched__job__descriptor =
 {
@@ -813,10 +801,10 @@
   "Sched__Job",
   "sched",
   sizeof(Sched__Job),
-  13,
+  12,
   sched__job__field_descriptors,
   sched__job__field_indices_by_name,
-  1,  sched__job__number_ranges,
+  2,  sched__job__number_ranges,
   (ProtobufCMessageInit) sched__job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -974,7 +962,7 @@
   (ProtobufCMessageInit) sched__step_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sched__progress__field_descriptors[2] =
+static const ProtobufCFieldDescriptor sched__progress__field_descriptors[3] =
 {
   {
     "steps",
@@ -989,12 +977,24 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "ended",
+    "state",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT32,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Sched__Progress, ended),
+    offsetof(Sched__Progress, state),
+    &sched__state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Sched__Progress, ended_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -1002,13 +1002,14 @@
   },
 };
 static const unsigned sched__progress__field_indices_by_name[] = {
-  1,   /* field[1] = ended */
+  2,   /* field[2] = ended_ms */
+  1,   /* field[1] = state */
   0,   /* field[0] = steps */
 };
 static const ProtobufCIntRange sched__progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor sched__progress__descriptor =
 {
@@ -1018,7 +1019,7 @@
   "Sched__Progress",
   "sched",
   sizeof(Sched__Progress),
-  2,
+  3,
   sched__progress__field_descriptors,
   sched__progress__field_indices_by_name,
   1,  sched__progress__number_ranges,
--- a/proto/sched.pb-c.h
+++ b/proto/sched.pb-c.h
@@ -111,10 +111,6 @@
    * since 1970
    */
   int64_t accepted_ms;
-  /*
-   * of an ended job; the rest is dropped
-   */
-  Sched__State state;
   int32_t repeats;
   /*
    * since 1970
@@ -128,7 +124,7 @@
 };
 #define SCHED__JOB__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sched__job__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, SCHED__STATE__PENDING, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Sched__TaskProgress
@@ -164,19 +160,26 @@
     , 0, 0, {0,NULL}, 0,NULL }
 
 
+/*
+ * What an owner knows of a job that has begun.
+ */
 struct  Sched__Progress
 {
   ProtobufCMessage base;
+  /*
+   * while it has not ended
+   */
   size_t n_steps;
   Sched__StepProgress **steps;
+  Sched__State state;
   /*
-   * occurrences that are done
+   * since 1970
    */
-  int32_t ended;
+  int64_t ended_ms;
 };
 #define SCHED__PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sched__progress__descriptor) \
-    , 0,NULL, 0 }
+    , 0,NULL, SCHED__STATE__PENDING, 0 }
 
 
 struct  Sched__Waiting
--- a/sched/cell.c
+++ b/sched/cell.c
@@ -21,7 +21,7 @@
 
 #define SILENT_MS  1200 /* three renewals missed */
 #define READ_GAP_MS 1500 /* reads further apart say nothing of silence */
-#define START_MS   1000 /* no starts this long after the last confirmation */
+#define START_MS   1150 /* no starts this long after the last confirmation */
 #define EXTEND_MS  10000 /* no leases either: longest outage of the store */
 #define LEASE_MAX_MS 4300 /* a lease, its drift and its margin */
 
@@ -91,6 +91,8 @@
 	}
 	g_hash_table_remove_all(s->runs);
 	g_hash_table_remove_all(s->jobs);
+	g_hash_table_remove_all(s->progress);
+	g_hash_table_remove_all(s->ended);
 }
 
 void
--- a/sched/flush.c
+++ b/sched/flush.c
@@ -15,7 +15,6 @@
 #define ROWS_MAX   90  /* of a transaction: the store takes 100 */
 #define GAP_MS	   25  /* between transactions, to write more in each */
 #define RENEW_MS   400 /* without one the claim is renewed */
-#define ROW_ABSENT NULL
 
 static void
 put(GArray *puts, char *key, GByteArray *bytes)
@@ -58,18 +57,15 @@
 }
 
 static void
-put_job(GArray *puts, job_t *j)
+put_job(sched_t *s, GArray *puts, job_t *j)
 {
 	if (j->stage == JOB_OPEN) {
 		put(puts, g_strconcat(j->id, SCHED_KEY_PROGRESS, NULL),
 		    job_pack_progress(j));
 		return;
 	}
-	put(puts, g_strdup(j->id), job_pack_end(j));
-	put(puts, g_strconcat(j->id, SCHED_KEY_PROGRESS, NULL), ROW_ABSENT);
-	if (j->cancelled)
-		put(puts, g_strconcat(j->id, SCHED_KEY_CANCEL, NULL),
-		    ROW_ABSENT);
+	put(puts, g_strconcat(j->id, SCHED_KEY_PROGRESS, NULL),
+	    job_pack_end(j, s->wall));
 }
 
 /* A worker is used from when it is in the footprint, until nothing is there. */
@@ -161,7 +157,7 @@
 	while (puts->len < ROWS_MAX && g_hash_table_iter_next(&it, &v, NULL)) {
 		job_t *j = v;
 
-		put_job(puts, j);
+		put_job(s, puts, j);
 		j->dirty = false;
 		j->flush = s->flush;
 		g_hash_table_iter_remove(&it);
@@ -200,6 +196,7 @@
 		}
 		if (j->stage == JOB_ENDING && !j->dirty) {
 			j->stage = JOB_ENDED;
+			g_hash_table_add(s->ended, g_strdup(j->id));
 			if (j->runs == 0)
 				g_hash_table_remove(s->jobs, j->id);
 		}
--- a/sched/job.c
+++ b/sched/job.c
@@ -320,7 +320,7 @@
 	size_t n = j->occs->len * j->def->n_steps;
 
 	p.steps = g_new0(Sched__StepProgress *, n);
-	p.ended = j->occs_ended;
+	p.state = SCHED__STATE__RUNNING;
 	for (guint i = 0; i < j->occs->len; i++) {
 		occ_t *o = g_ptr_array_index(j->occs, i);
 
@@ -342,18 +342,17 @@
 	return b;
 }
 
-/* The row of an ended job: its state, and which queue it was in. */
+/* The row of a job that has ended. */
 GByteArray *
-job_pack_end(const job_t *j)
+job_pack_end(const job_t *j, int64_t wall_ms)
 {
-	Sched__Job d = SCHED__JOB__INIT;
+	Sched__Progress p = SCHED__PROGRESS__INIT;
 	GByteArray *b = g_byte_array_new();
 
-	d.queue = j->def->queue;
-	d.accepted_ms = j->def->accepted_ms;
-	d.state = j->end;
-	g_byte_array_set_size(b, (guint)sched__job__get_packed_size(&d));
-	sched__job__pack(&d, b->data);
+	p.state = j->end;
+	p.ended_ms = wall_ms;
+	g_byte_array_set_size(b, (guint)sched__progress__get_packed_size(&p));
+	sched__progress__pack(&p, b->data);
 	return b;
 }
 
--- a/sched/part.h
+++ b/sched/part.h
@@ -225,6 +225,8 @@
 	GHashTable *images; /* image -> index */
 	harm_t *harm[IMAGES_MAX]; /* of each serving image */
 	GHashTable *zones; /* evacuated, interned */
+	GHashTable *progress; /* while loading: id -> Sched__Progress */
+	GHashTable *ended;    /* ids of jobs whose end is stored */
 	GSequence *ready;  /* of step_t */
 	GHashTable *dirty; /* of job_t */
 	GPtrArray *timed;  /* jobs with occurrences to come */
@@ -249,7 +251,7 @@
 void job_free(void *j);
 void job_progress(job_t *j, const Sched__Progress *p);
 GByteArray *job_pack_progress(const job_t *j);
-GByteArray *job_pack_end(const job_t *j);
+GByteArray *job_pack_end(const job_t *j, int64_t wall_ms);
 occ_t *job_occ(job_t *j, int32_t number);
 task_t *job_task(job_t *j, const char *name);
 void job_task_name(const task_t *t, char *name, size_t n);
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -37,6 +37,12 @@
 	job_gone(j->sched, j);
 }
 
+static void
+free_progress(void *p)
+{
+	sched__progress__free_unpacked(p, NULL);
+}
+
 sched_t *
 sched_new(const sched_opts_t *o)
 {
@@ -57,6 +63,10 @@
 	s->runs = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, run_free);
 	s->images = g_hash_table_new(g_str_hash, g_str_equal);
+	s->progress = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, free_progress);
+	s->ended =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	s->zones = g_hash_table_new(g_direct_hash, g_direct_equal);
 	return s;
 }
@@ -72,6 +82,8 @@
 	for (int32_t i = 0; i < IMAGES_MAX; i++)
 		g_free(s->harm[i]);
 	g_hash_table_unref(s->images);
+	g_hash_table_unref(s->progress);
+	g_hash_table_unref(s->ended);
 	g_hash_table_unref(s->zones);
 	g_hash_table_unref(s->dirty);
 	g_ptr_array_unref(s->timed);
@@ -104,12 +116,9 @@
 {
 	Sched__Job *def = sched__job__unpack(NULL, row->nbytes, row->bytes);
 	const char *why = "does not unpack";
+	const Sched__Progress *p;
 	job_t *j;
 
-	if (def != NULL && def->state != SCHED__STATE__PENDING) {
-		sched__job__free_unpacked(def, NULL);
-		return; /* it has ended */
-	}
 	if (def == NULL || !sched_job_valid(def, &why)) {
 		LOG(s, SCHED_EVT_JOB_BAD, id, "why=\"%s\" version=%" PRId64,
 		    why, row->version);
@@ -122,6 +131,9 @@
 	g_hash_table_insert(s->jobs, j->id, j);
 	if (def->repeats > 0)
 		g_ptr_array_add(s->timed, j);
+	p = g_hash_table_lookup(s->progress, id);
+	if (p != NULL)
+		job_progress(j, p);
 	LOG(s, SCHED_EVT_JOB_SEEN, id,
 	    "queue=%s steps=%zu version=%" PRId64 " age=%" PRId64, j->queue,
 	    def->n_steps, row->version, s->wall - def->accepted_ms);
@@ -140,15 +152,22 @@
 		run_job_end(s, j, SCHED__STATE__CANCELLED);
 }
 
+/* Keeps what a job has done until its own row is read, or that it has ended. */
 static void
-add_progress(job_t *j, const sched_row_t *row)
+add_progress(sched_t *s, const char *id, const sched_row_t *row)
 {
 	Sched__Progress *p;
 
 	p = sched__progress__unpack(NULL, row->nbytes, row->bytes);
-	if (p == NULL)
+	if (p == NULL) {
+		LOG(s, SCHED_EVT_JOB_BAD, id, "why=\"progress does not unpack\"");
+		return;
+	}
+	if (p->state == SCHED__STATE__RUNNING) {
+		g_hash_table_insert(s->progress, g_strdup(id), p);
 		return;
-	job_progress(j, p);
+	}
+	g_hash_table_add(s->ended, g_strdup(id));
 	sched__progress__free_unpacked(p, NULL);
 }
 
@@ -186,12 +205,14 @@
 	g_strlcpy(id, row->key, sizeof(id));
 	kind = row->key + SCHED_JOB_ID_BYTES;
 	j = g_hash_table_lookup(s->jobs, id);
-	if (kind[0] == '\0' && j == NULL)
+	if (strcmp(kind, SCHED_KEY_PROGRESS) == 0) {
+		if (loading)
+			add_progress(s, id, row);
+	} else if (kind[0] == '\0' && j == NULL &&
+	    !g_hash_table_contains(s->ended, id))
 		add_job(s, id, row);
 	else if (j != NULL && strcmp(kind, SCHED_KEY_CANCEL) == 0)
 		cancel_job(s, j);
-	else if (j != NULL && loading && strcmp(kind, SCHED_KEY_PROGRESS) == 0)
-		add_progress(j, row);
 }
 
 static void
@@ -218,6 +239,7 @@
 
 	s->now = now_ms;
 	cell_loaded(s);
+	g_hash_table_remove_all(s->progress);
 	if (s->cell.state != CELL_OWNED)
 		return;
 	for (GList *i = all; i != NULL; i = i->next)
--- a/serve/cell.c
+++ b/serve/cell.c
@@ -4,6 +4,7 @@
 #include <inttypes.h>
 #include <stdbool.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -30,7 +31,8 @@
 struct cell_port {
 	node_t *node;
 	sched_t *sched;
-	follow_t *rows;
+	follow_t *runs; /* what an owner wrote; read once */
+	follow_t *jobs;
 	follow_t *workers;
 	bool polling;
 	int64_t poll_next_ms;
@@ -96,6 +98,13 @@
 	store_get(c->node->platform, &g, on_poll, c);
 }
 
+void
+job_part(const char *id, char *part)
+{
+	snprintf(part, STORE_NAME_BYTES, "%s%u", JOB_PART,
+	    g_str_hash(id) % JOB_PARTS);
+}
+
 /*
  * What the scheduler asks for.
  */
@@ -130,7 +139,7 @@
 	cell_port_t *c = ctx;
 
 	follow_start(c->workers);
-	follow_start(c->rows);
+	follow_start(c->runs);
 }
 
 static void
@@ -221,8 +230,17 @@
 	node_soon(c->node);
 }
 
+/* Jobs are read after what has become of them. */
+static void
+on_runs(void *ctx)
+{
+	cell_port_t *c = ctx;
+
+	follow_start(c->jobs);
+}
+
 static void
-on_rows(void *ctx)
+on_jobs(void *ctx)
 {
 	cell_port_t *c = ctx;
 
@@ -264,9 +282,12 @@
 cell_port_new(node_t *n)
 {
 	cell_port_t *c = g_new0(cell_port_t, 1);
-	follow_opts_t rows = { .node = n, .table = CELL_TABLE,
-		.part = CELL_PART, .gap_ms = JOB_GAP_MS, .on_row = on_row,
-		.on_whole = on_rows, .ctx = c };
+	follow_opts_t runs = { .node = n, .table = CELL_TABLE,
+		.part = CELL_PART, .once = true, .on_row = on_row,
+		.on_whole = on_runs, .ctx = c };
+	follow_opts_t jobs = { .node = n, .table = JOB_TABLE,
+		.part = JOB_PART, .parts = JOB_PARTS, .gap_ms = JOB_GAP_MS,
+		.on_row = on_row, .on_whole = on_jobs, .ctx = c };
 	follow_opts_t workers = { .node = n, .table = platform_worker_table,
 		.part = "", .gap_ms = WORKER_GAP_MS, .on_row = on_worker,
 		.on_whole = on_workers, .ctx = c };
@@ -281,7 +302,8 @@
 
 	c->node = n;
 	c->sched = sched_new(&o);
-	c->rows = follow_new(&rows);
+	c->runs = follow_new(&runs);
+	c->jobs = follow_new(&jobs);
 	c->workers = follow_new(&workers);
 	return c;
 }
@@ -316,7 +338,8 @@
 		poll_owner(c);
 	sched_tick(c->sched, now, node_wall(c->node));
 	if (owned && !sched_owns(c->sched)) {
-		follow_stop(c->rows);
+		follow_stop(c->runs);
+		follow_stop(c->jobs);
 		follow_stop(c->workers);
 	}
 }
--- a/serve/follow.c
+++ b/serve/follow.c
@@ -4,6 +4,7 @@
 #include <inttypes.h>
 #include <stdbool.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <string.h>
 
 #include <glib.h>
@@ -33,37 +34,57 @@
 	uint64_t round; /* answers to calls of earlier rounds are dropped */
 	int64_t version;
 	int64_t read_version; /* to feed from, once the table is read */
-	char *next;	      /* key to read on from */
+	int32_t reading;      /* parts that are not read whole */
 	uv_timer_t timer;
 };
 
-/* A call under way, so that one of an earlier round can be told. */
+/* A call under way; one of an earlier round is told by its number. */
 typedef struct {
 	follow_t *f;
 	uint64_t round;
+	char part[STORE_NAME_BYTES];
+	char *next; /* key to read on from */
+	uv_timer_t retry;
 } ask_t;
 
-static void read_page(follow_t *f);
+static void read_page(ask_t *a);
 static void feed(follow_t *f);
 
 static ask_t *
-ask_new(follow_t *f)
+ask_new(follow_t *f, const char *part)
 {
-	ask_t *a = g_new(ask_t, 1);
+	ask_t *a = g_new0(ask_t, 1);
 
 	a->f = f;
 	a->round = f->round;
+	g_strlcpy(a->part, part, sizeof(a->part));
+	a->next = g_strdup("");
+	uv_timer_init(f->o.node->loop, &a->retry);
+	a->retry.data = a;
 	return a;
 }
 
+static void
+on_ask_closed(uv_handle_t *h)
+{
+	ask_t *a = h->data;
+
+	g_free(a->next);
+	g_free(a);
+}
+
+static void
+ask_free(ask_t *a)
+{
+	uv_close((uv_handle_t *)&a->retry, on_ask_closed);
+}
+
 static void
 on_timer(uv_timer_t *t)
 {
 	follow_t *f = t->data;
 
-	if (f->state == FOLLOW_READING)
-		read_page(f);
-	else if (f->state == FOLLOW_FEEDING)
+	if (f->state == FOLLOW_FEEDING)
 		feed(f);
 }
 
@@ -73,13 +94,34 @@
 	uv_timer_start(&f->timer, on_timer, (uint64_t)ms, 0);
 }
 
+static void
+on_retry(uv_timer_t *t)
+{
+	ask_t *a = t->data;
+
+	if (a->round == a->f->round)
+		read_page(a);
+	else
+		ask_free(a);
+}
+
+/* Reads all parts at once. */
 static void
 restart(follow_t *f)
 {
+	f->round++;
 	f->state = FOLLOW_READING;
-	f->read_version = 0;
-	g_free(f->next);
-	f->next = g_strdup("");
+	f->read_version = INT64_MAX;
+	f->reading = MAX(1, f->o.parts);
+	for (int32_t i = 0; i < f->reading; i++) {
+		char part[STORE_NAME_BYTES];
+
+		if (f->o.parts == 0)
+			g_strlcpy(part, f->o.part, sizeof(part));
+		else
+			snprintf(part, sizeof(part), "%s%d", f->o.part, i);
+		read_page(ask_new(f, part));
+	}
 }
 
 static void
@@ -89,46 +131,55 @@
 		f->o.on_row(f->o.ctx, &a->rows[i]);
 }
 
+static void
+part_read(follow_t *f)
+{
+	if (--f->reading > 0)
+		return;
+	f->version = f->read_version;
+	f->state = f->o.once ? FOLLOW_OFF : FOLLOW_FEEDING;
+	if (f->o.on_whole != NULL)
+		f->o.on_whole(f->o.ctx);
+	/* The callback may have stopped or restarted this. */
+	if (f->state == FOLLOW_FEEDING)
+		feed(f);
+}
+
 static void
 on_page(void *ctx, store_result_t r, const store_answer_t *a)
 {
 	ask_t *ask = ctx;
 	follow_t *f = ask->f;
-	bool stale = ask->round != f->round;
 
-	g_free(ask);
 	node_store_answer(f->o.node, r);
-	if (stale)
+	if (ask->round != f->round) {
+		ask_free(ask);
 		return;
+	}
 	if (r != STORE_OK) {
-		after(f, RETRY_MS);
+		uv_timer_start(&ask->retry, on_retry, RETRY_MS, 0);
 		return;
 	}
-	if (f->read_version == 0)
-		f->read_version = a->version;
+	f->read_version = MIN(f->read_version, a->version);
 	give_rows(f, a);
 	if (a->more && a->n > 0) {
-		g_free(f->next);
-		f->next = g_strconcat(a->rows[a->n - 1].key, "\x01", NULL);
-		read_page(f);
+		g_free(ask->next);
+		ask->next = g_strconcat(a->rows[a->n - 1].key, "\x01", NULL);
+		read_page(ask);
 		return;
 	}
-	f->version = f->read_version;
-	f->state = FOLLOW_FEEDING;
-	if (f->o.on_whole != NULL)
-		f->o.on_whole(f->o.ctx);
-	/* The callback may have stopped or restarted this. */
-	if (f->state == FOLLOW_FEEDING)
-		feed(f);
+	ask_free(ask);
+	part_read(f);
 }
 
 static void
-read_page(follow_t *f)
+read_page(ask_t *a)
 {
-	store_get_t g = { .table = f->o.table, .part = f->o.part,
-		.from = f->next, .limit = PAGE_ROWS, .timeout_ms = READ_MS };
+	follow_t *f = a->f;
+	store_get_t g = { .table = f->o.table, .part = a->part,
+		.from = a->next, .limit = PAGE_ROWS, .timeout_ms = READ_MS };
 
-	store_get(f->o.node->platform, &g, on_page, ask_new(f));
+	store_get(f->o.node->platform, &g, on_page, a);
 }
 
 static void
@@ -138,7 +189,7 @@
 	follow_t *f = ask->f;
 	bool stale = ask->round != f->round;
 
-	g_free(ask);
+	ask_free(ask);
 	node_store_answer(f->o.node, r);
 	if (stale)
 		return;
@@ -146,7 +197,6 @@
 		log_event(EVT_FEED_RESET, "table=%s version=%" PRId64,
 		    f->o.table, f->version);
 		restart(f);
-		read_page(f);
 		return;
 	}
 	if (r != STORE_OK) {
@@ -165,7 +215,7 @@
 	store_feed_t q = { .table = f->o.table, .after = f->version,
 		.wait_ms = WAIT_MS, .timeout_ms = FEED_MS };
 
-	store_feed(f->o.node->platform, &q, on_feed, ask_new(f));
+	store_feed(f->o.node->platform, &q, on_feed, ask_new(f, ""));
 }
 
 follow_t *
@@ -182,10 +232,8 @@
 void
 follow_start(follow_t *f)
 {
-	f->round++;
 	uv_timer_stop(&f->timer);
 	restart(f);
-	read_page(f);
 }
 
 void
--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -217,83 +217,103 @@
 	finish(a, 200, "{}");
 }
 
+static int32_t
+time_left(const ask_t *a)
+{
+	return (int32_t)CLAMP(
+	    a->until_ms - node_now(a->node), 1, WRITE_MS);
+}
+
 static void
 put_row(ask_t *a, const char *key, const uint8_t *bytes, size_t n, store_fn fn)
 {
+	char part[STORE_NAME_BYTES];
 	store_put_t put = { key, bytes, n };
-	int64_t left = a->until_ms - node_now(a->node);
-	store_tx_t tx = { .table = CELL_TABLE, .part = CELL_PART,
-		.if_key = key, .puts = &put, .nputs = 1,
-		.timeout_ms = (int32_t)CLAMP(left, 1, WRITE_MS) };
+	store_tx_t tx = { .table = JOB_TABLE, .part = part, .if_key = key,
+		.puts = &put, .nputs = 1, .timeout_ms = time_left(a) };
 
+	job_part(a->id, part);
 	store_tx(a->node->platform, &tx, fn, a);
 }
 
-static Sched__State
-state_of(const store_answer_t *ans, const char *id, const store_row_t *job)
+static void
+answer_state(ask_t *a, Sched__State st)
 {
-	Sched__Job *def = sched__job__unpack(NULL, job->nbytes, job->bytes);
-	Sched__State st = SCHED__STATE__PENDING;
+	g_autofree char *body = platform_state_body(st);
 
-	if (def != NULL) {
-		st = def->state;
-		sched__job__free_unpacked(def, NULL);
-	}
-	if (st != SCHED__STATE__PENDING)
-		return st;
-	if (row_named(ans, id, SCHED_KEY_CANCEL) != NULL)
-		return SCHED__STATE__CANCELLED;
-	return row_named(ans, id, SCHED_KEY_PROGRESS) != NULL ?
-	    SCHED__STATE__RUNNING :
-	    SCHED__STATE__PENDING;
+	a->node->stats.states++;
+	finish(a, 200, body);
 }
 
+/* The rows that callers wrote: the job, and whether it was cancelled. */
 static void
-on_state(void *ctx, store_result_t r, const store_answer_t *ans)
+on_job_rows(void *ctx, store_result_t r, const store_answer_t *ans)
 {
 	ask_t *a = ctx;
-	const store_row_t *job;
-	g_autofree char *body = NULL;
-	g_autofree char *key = NULL;
-	Sched__State st;
+	g_autofree char *key = g_strconcat(a->id, SCHED_KEY_CANCEL, NULL);
 
 	node_store_answer(a->node, r);
 	if (r != STORE_OK) {
 		again(a, STORE_REFUSED);
 		return;
 	}
-	job = row_named(ans, a->id, "");
-	if (job == NULL) {
+	if (row_named(ans, a->id, "") == NULL) {
 		a->node->stats.state_gone++;
 		finish(a, 410, "{\"error\":\"no such job\"}");
+	} else if (a->kind == CALL_CANCEL)
+		put_row(a, key, (const uint8_t *)"c", 1, on_cancel);
+	else
+		answer_state(a,
+		    row_named(ans, a->id, SCHED_KEY_CANCEL) != NULL ?
+			SCHED__STATE__CANCELLED :
+			SCHED__STATE__PENDING);
+}
+
+static void
+read_job(ask_t *a)
+{
+	/* Both keys: the id, and the id with a '.' and a letter. */
+	g_autofree char *to = g_strconcat(a->id, "/", NULL);
+	char part[STORE_NAME_BYTES];
+	store_get_t g = { .table = JOB_TABLE, .part = part, .from = a->id,
+		.to = to, .limit = 2, .timeout_ms = time_left(a) };
+
+	job_part(a->id, part);
+	store_get(a->node->platform, &g, on_job_rows, a);
+}
+
+/* The row that owners write; none before a job has got anywhere. */
+static void
+on_run_row(void *ctx, store_result_t r, const store_answer_t *ans)
+{
+	ask_t *a = ctx;
+	const store_row_t *row = row_named(ans, a->id, SCHED_KEY_PROGRESS);
+	Sched__Progress *p = NULL;
+
+	node_store_answer(a->node, r);
+	if (r != STORE_OK) {
+		again(a, STORE_REFUSED);
 		return;
 	}
-	st = state_of(ans, a->id, job);
-	if (a->kind == CALL_STATE) {
-		a->node->stats.states++;
-		body = platform_state_body(st);
-		finish(a, 200, body);
-		return;
-	}
-	if (st != SCHED__STATE__PENDING && st != SCHED__STATE__RUNNING) {
-		finish(a, 200, "{}"); /* it has ended */
+	if (row != NULL)
+		p = sched__progress__unpack(NULL, row->nbytes, row->bytes);
+	if (p == NULL) {
+		read_job(a);
 		return;
 	}
-	key = g_strconcat(a->id, SCHED_KEY_CANCEL, NULL);
-	put_row(a, key, (const uint8_t *)"c", 1, on_cancel);
+	answer_state(a, p->state);
+	sched__progress__free_unpacked(p, NULL);
 }
 
 static void
-read_state(ask_t *a)
+read_run(ask_t *a)
 {
-	/* All rows of the job: its other keys are the id, '.', a letter. */
-	g_autofree char *to = g_strconcat(a->id, "/", NULL);
-	int64_t left = a->until_ms - node_now(a->node);
-	store_get_t g = { .table = CELL_TABLE, .part = CELL_PART,
-		.from = a->id, .to = to, .limit = 4,
-		.timeout_ms = (int32_t)CLAMP(left, 1, WRITE_MS) };
+	g_autofree char *key = g_strconcat(a->id, SCHED_KEY_PROGRESS, NULL);
+	g_autofree char *to = g_strconcat(key, "!", NULL);
+	store_get_t g = { .table = CELL_TABLE, .part = CELL_PART, .from = key,
+		.to = to, .limit = 1, .timeout_ms = time_left(a) };
 
-	store_get(a->node->platform, &g, on_state, a);
+	store_get(a->node->platform, &g, on_run_row, a);
 }
 
 static void
@@ -302,8 +322,10 @@
 	a->tries++;
 	if (a->kind == CALL_ACCEPT)
 		put_row(a, a->id, a->row->data, a->row->len, on_accept);
+	else if (a->kind == CALL_CANCEL)
+		read_job(a);
 	else
-		read_state(a);
+		read_run(a);
 }
 
 static int32_t
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -38,8 +38,10 @@
 typedef struct {
 	node_t *node;
 	const char *table;
-	const char *part;
-	int32_t gap_ms; /* between two reads of changes */
+	const char *part; /* its name, or the front of the names of many */
+	int32_t parts;	  /* how many, numbered from 0; 0: just one */
+	bool once;	  /* read it whole and no more */
+	int32_t gap_ms;	  /* between two reads of changes */
 	void (*on_row)(void *ctx, const store_row_t *row);
 	/* The table has been read whole; rows not told of are not there. */
 	void (*on_whole)(void *ctx);
@@ -77,9 +79,18 @@
  */
 void ingress_request(void *ctx, server_req_t *r);
 
-/* Where rows of a job lie. */
-#define CELL_TABLE "cell0"
+/*
+ * Where rows lie.  An owner's rows share a part, as one transaction writes
+ * them; the store does a part's transactions one after another, so hand-ins
+ * are spread over many.
+ */
+#define CELL_TABLE "run0"
 #define CELL_PART  "c0"
+#define JOB_TABLE  "job0"
+#define JOB_PART   "j"
+#define JOB_PARTS  32 /* enough for 30 hand-ins/s in a store 60 times slower */
+/* The part that a job's row lies in; part has STORE_NAME_BYTES. */
+void job_part(const char *id, char *part);
 
 typedef struct {
 	char *name, *zone, *ip;
