--- a/Makefile
+++ b/Makefile
@@ -20,12 +20,13 @@
 SERVE = $(call obj,serve/*.c)
 FAKE = $(call obj,test/fake/*.c)
 SIM = $(call obj,test/sim/*.c)
+CELL = $(call obj,test/cell/*.c)
 UNIT = $(call obj,test/unit/*.c)
 LIB = $(B)/libtanagerspool.a
 NOMAIN = $(filter-out $(B)/cmd/main.o,$(call obj,cmd/*.c))
 TESTS = check scenes fuzz
 BENCH = policy slopes load
-MAINS = $(TESTS) $(BENCH) embed
+MAINS = $(TESTS) $(BENCH) embed cells
 BIN = $(B)/tanagerspool $(B)/standin-platform $(B)/standin-worker \
 	$(addprefix $(B)/,$(MAINS))
 SRC = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard */*.[ch] */*/*.[ch]))
@@ -47,6 +48,8 @@
 	$(LINK)
 $(addprefix $(B)/,$(BENCH)): $(B)/%: $(B)/bench/%.o $(SIM) $(FAKE) $(IO) $(LIB)
 	$(LINK)
+$(B)/cells: $(B)/test/main/cells.o $(CELL) $(LIB)
+	$(LINK)
 $(B)/unit: $(UNIT) $(NOMAIN) $(SERVE) $(IO) $(FAKE) $(SIM) $(LIB)
 	$(LINK) -lcriterion
 $(B)/%.o: %.c
--- a/proto/sched.pb-c.c
+++ b/proto/sched.pb-c.c
@@ -808,7 +808,7 @@
   (ProtobufCMessageInit) sched__job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sched__task_progress__field_descriptors[4] =
+static const ProtobufCFieldDescriptor sched__task_progress__field_descriptors[3] =
 {
   {
     "index",
@@ -823,27 +823,15 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "fails",
+    "failed_runs",
     2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT32,
-    0,   /* quantifier_offset */
-    offsetof(Sched__TaskProgress, fails),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "failed_run",
-    3,
-    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_INT64,
-    0,   /* quantifier_offset */
-    offsetof(Sched__TaskProgress, failed_run),
+    offsetof(Sched__TaskProgress, n_failed_runs),
+    offsetof(Sched__TaskProgress, failed_runs),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
@@ -860,15 +848,15 @@
   },
 };
 static const unsigned sched__task_progress__field_indices_by_name[] = {
-  3,   /* field[3] = checkpoint */
-  2,   /* field[2] = failed_run */
-  1,   /* field[1] = fails */
+  2,   /* field[2] = checkpoint */
+  1,   /* field[1] = failed_runs */
   0,   /* field[0] = index */
 };
-static const ProtobufCIntRange sched__task_progress__number_ranges[1 + 1] =
+static const ProtobufCIntRange sched__task_progress__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 4, 2 },
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor sched__task_progress__descriptor =
 {
@@ -878,10 +866,10 @@
   "Sched__TaskProgress",
   "sched",
   sizeof(Sched__TaskProgress),
-  4,
+  3,
   sched__task_progress__field_descriptors,
   sched__task_progress__field_indices_by_name,
-  1,  sched__task_progress__number_ranges,
+  2,  sched__task_progress__number_ranges,
   (ProtobufCMessageInit) sched__task_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/sched.pb-c.h
+++ b/proto/sched.pb-c.h
@@ -131,16 +131,16 @@
 {
   ProtobufCMessage base;
   int32_t index;
-  int32_t fails;
   /*
-   * the newest that is counted in fails
+   * whose ends are counted
    */
-  int64_t failed_run;
+  size_t n_failed_runs;
+  int64_t *failed_runs;
   char *checkpoint;
 };
 #define SCHED__TASK_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sched__task_progress__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, 0,NULL, (char *)protobuf_c_empty_string }
 
 
 struct  Sched__StepProgress
--- a/sched/cell.c
+++ b/sched/cell.c
@@ -22,6 +22,7 @@
 #define SILENT_MS  1200 /* three renewals missed */
 #define READ_GAP_MS 1500 /* reads further apart say nothing of silence */
 #define START_MS   1150 /* no starts this long after the last confirmation */
+#define FRESH_MS   2000 /* cancels and leaving workers count within 2 s */
 #define EXTEND_MS  10000 /* no leases either: longest outage of the store */
 #define LEASE_MAX_MS 4300 /* a lease, its drift and its margin */
 
@@ -85,6 +86,7 @@
 		w->stored = w->answered = w->silent = false;
 		w->store_flush = w->flush_want = 0;
 		w->seen = w->noted = 0;
+		w->look_id = 0;
 		w->pace = 100;
 		w->fails = 0;
 		w->lease.until_ms = 0;
@@ -256,6 +258,9 @@
 bool
 cell_acts(const sched_t *s)
 {
+	for (int32_t i = 0; i < SCHED_FEEDS; i++)
+		if (s->now - s->fed_ms[i] > FRESH_MS)
+			return false;
 	return s->cell.state == CELL_OWNED && !s->cell.paused &&
 	    !s->cell.releasing && s->now - s->cell.confirmed_ms < START_MS;
 }
--- a/sched/job.c
+++ b/sched/job.c
@@ -105,8 +105,11 @@
 	for (size_t i = 0; i < o->job->def->n_steps; i++) {
 		step_t *st = &o->steps[i];
 
-		for (int32_t k = 0; k < st->ntasks; k++)
+		for (int32_t k = 0; k < st->ntasks; k++) {
 			g_free(st->tasks[k].checkpoint);
+			g_clear_pointer(
+			    &st->tasks[k].failed_runs, g_array_unref);
+		}
 		queue_drop(st);
 		g_free(st->checkpoint);
 		g_free(st->tasks);
@@ -206,6 +209,24 @@
 	return &o->steps[step].tasks[index];
 }
 
+int32_t
+task_fails(const task_t *t)
+{
+	return t->failed_runs == NULL ? 0 : (int32_t)t->failed_runs->len;
+}
+
+bool
+task_add_fail(task_t *t, int64_t run)
+{
+	if (t->failed_runs == NULL)
+		t->failed_runs = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	for (guint i = 0; i < t->failed_runs->len; i++)
+		if (g_array_index(t->failed_runs, int64_t, i) == run)
+			return false;
+	g_array_append_val(t->failed_runs, run);
+	return true;
+}
+
 /* Marks a task done, and its step and occurrence with it. */
 void
 job_task_done(task_t *t)
@@ -249,9 +270,10 @@
 		if (tp->index < 0 || tp->index >= st->ntasks)
 			continue;
 		t = &st->tasks[tp->index];
-		t->fails = tp->fails;
-		t->failed_run = tp->failed_run;
-		t->last_run = MAX(t->last_run, tp->failed_run);
+		for (size_t k = 0; k < tp->n_failed_runs; k++) {
+			task_add_fail(t, tp->failed_runs[k]);
+			t->last_run = MAX(t->last_run, tp->failed_runs[k]);
+		}
 		if (tp->checkpoint[0] != '\0') {
 			g_free(t->checkpoint);
 			t->checkpoint = g_strdup(tp->checkpoint);
@@ -287,13 +309,15 @@
 			p->done.data[i / 8] |= (uint8_t)(1 << (i % 8));
 			continue;
 		}
-		if (t->fails == 0 && t->checkpoint == NULL)
+		if (t->failed_runs == NULL && t->checkpoint == NULL)
 			continue;
 		tp = g_new(Sched__TaskProgress, 1);
 		sched__task_progress__init(tp);
 		tp->index = i;
-		tp->fails = t->fails;
-		tp->failed_run = t->failed_run;
+		if (t->failed_runs != NULL) {
+			tp->failed_runs = (int64_t *)t->failed_runs->data;
+			tp->n_failed_runs = t->failed_runs->len;
+		}
 		if (t->checkpoint != NULL)
 			tp->checkpoint = t->checkpoint;
 		p->tasks[p->n_tasks++] = tp;
--- a/sched/part.h
+++ b/sched/part.h
@@ -20,8 +20,7 @@
 	step_t *step;
 	int32_t index;
 	task_state_t state;
-	int32_t fails;
-	int64_t failed_run;	/* newest counted in fails */
+	GArray *failed_runs;	/* int64_t, each counted once; or NULL */
 	int64_t last_run;	/* highest number given out */
 	char *checkpoint;	/* or NULL */
 	run_t *run;		/* current, or NULL */
@@ -124,7 +123,8 @@
 	int64_t clock_ms; /* of the worker, at its last answer */
 	int64_t heard_ms; /* our clock then; 0: never */
 	int64_t until_ms; /* highest deadline sent; the worker's clock */
-	int64_t until_local_ms; /* ... as if its clock ran with ours */
+	int64_t sent_ms;  /* when the last was sent; our clock */
+	int64_t hard_ms;  /* nothing lapses before; our clock */
 } lease_t;
 
 struct vm {
@@ -146,10 +146,9 @@
 	int32_t used_gpu;
 	GHashTable *runs; /* name -> run_t */
 	/* looks */
-	bool looking;
+	uint64_t look_id; /* of the look under way; 0: none */
 	int64_t look_ms;   /* when the one under way, or the last, began */
 	int64_t look_next_ms;
-	int64_t look_token;
 	int64_t seen;	   /* ends taken in */
 	int64_t noted;	   /* ends whose record is stored */
 	uint64_t flush_want; /* flush that stores ends up to flush_seen */
@@ -239,6 +238,7 @@
 	GPtrArray *flushing;	 /* jobs in the write under way */
 	bool pump;		 /* something may be startable */
 	int64_t sort_ms, load_ms;
+	int64_t fed_ms[SCHED_FEEDS]; /* a table was last read up to then */
 	sched_stats_t stats;
 };
 
@@ -256,6 +256,9 @@
 task_t *job_task(job_t *j, const char *name);
 void job_task_name(const task_t *t, char *name, size_t n);
 void job_task_done(task_t *t);
+int32_t task_fails(const task_t *t);
+/* False when that run's failure has been counted before. */
+bool task_add_fail(task_t *t, int64_t run);
 int64_t job_tail_ms(const sched_t *s, const step_t *st);
 queue_t *queue_get(sched_t *s, const char *name);
 
@@ -267,7 +270,8 @@
 int64_t vm_clock(const vm_t *w, int64_t now_ms);
 int64_t vm_deadline(sched_t *s, vm_t *w);
 bool vm_lapsed(const sched_t *s, const vm_t *w);
-void vm_heard(vm_t *w, int64_t clock_ms, int64_t now_ms);
+void vm_reborn(sched_t *s, vm_t *w, int64_t born_ms);
+void vm_heard(sched_t *s, vm_t *w, int64_t clock_ms);
 
 /* place.c */
 vm_t *place_task(
--- a/sched/run.c
+++ b/sched/run.c
@@ -277,7 +277,7 @@
 {
 	r->order_out = false;
 	if (clock_ms > 0 && res != SCHED_ORDER_REBORN)
-		vm_heard(r->worker, clock_ms, s->now);
+		vm_heard(s, r->worker, clock_ms);
 	if (res == SCHED_ORDER_FENCED)
 		cell_lost(s, "a worker has seen a newer token");
 	else if (r->order == SCHED_START)
@@ -406,12 +406,12 @@
 	else
 		job_task_done(t);
 	s->stats.done++;
+	if (j->stage != JOB_OPEN)
+		return;
 	if (!step_was && t->step->done == t->step->ntasks) {
 		queue_drop(t->step);
 		run_step_ready(s, o);
 	}
-	if (j->stage != JOB_OPEN)
-		return;
 	if (j->occs_ended >= MAX(1, j->def->repeats))
 		run_job_end(s, j, SCHED__STATE__COMPLETED);
 	else
@@ -424,7 +424,7 @@
 	int32_t n = 0;
 
 	for (int32_t i = 0; i < st->ntasks; i++)
-		n += st->tasks[i].fails;
+		n += task_fails(&st->tasks[i]);
 	return n;
 }
 
@@ -453,17 +453,11 @@
 	s->stats.failed++;
 	blame_worker(s, w, j);
 	t->avoid = w->id;
-	if (run <= t->failed_run)
+	if (t->step->def->lasting || !task_add_fail(t, run))
 		return;
-	t->failed_run = run;
-	t->fails++;
-	fails = t->step->def->gang ? gang_fails(t->step) : t->fails;
+	fails = t->step->def->gang ? gang_fails(t->step) : task_fails(t);
 	t->not_before_ms =
 	    s->now + MIN(FAIL_MAX_MS, FAIL_BASE_MS << MIN(fails - 1, 4));
-	if (t->step->def->lasting) {
-		t->not_before_ms = 0;
-		return;
-	}
 	if (j->stage != JOB_OPEN)
 		return;
 	if (fails >= j->max_attempts)
@@ -599,12 +593,14 @@
 	g_autoptr(GList) all = NULL;
 
 	if (rep->born_ms != 0 && w->born_ms != 0 && rep->born_ms != w->born_ms) {
-		run_worker_lost(s, w, "another process answers");
-		w->born_ms = rep->born_ms;
-		w->lease.heard_ms = 0;
+		LOG(s, SCHED_EVT_WORKER, w->id,
+		    "answers as another process: born=%" PRId64
+		    " was=%" PRId64,
+		    rep->born_ms, w->born_ms);
+		vm_reborn(s, w, rep->born_ms);
 	}
 	s->reports++;
-	vm_heard(w, rep->clock_ms, s->now);
+	vm_heard(s, w, rep->clock_ms);
 	worker_answered(s, w);
 	for (size_t i = 0; i < rep->nended; i++) {
 		if (rep->ended[i].seq <= w->seen)
@@ -653,8 +649,6 @@
 		    "run=%" PRId64 " worker=%s why=%s", r->number, w->id, why);
 		run_gone(s, r);
 	}
-	w->seen = w->noted = 0;
-	w->lease.until_ms = 0;
 }
 
 static int64_t
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -277,13 +277,7 @@
 		    "zone=%s draining=%d born=%" PRId64 " was=%" PRId64,
 		    i->zone, i->draining, i->born_ms, w->born_ms);
 	if (i->born_ms != 0 && i->born_ms > w->born_ms) {
-		if (w->born_ms != 0)
-			run_worker_lost(s, w, "listed as a newer process");
-		w->born_ms = i->born_ms;
-		w->lease.heard_ms = 0;
-		w->hold_off_ms = w->look_next_ms = now_ms;
-		w->stored = false;
-		w->store_flush = 0;
+		vm_reborn(s, w, i->born_ms);
 	}
 	if (strcmp(w->address, i->address) != 0) {
 		g_free(w->address);
@@ -344,6 +338,13 @@
 	s->pump = true;
 }
 
+void
+sched_fed(sched_t *s, sched_feed_t feed, int64_t now_ms)
+{
+	s->now = now_ms;
+	s->fed_ms[feed] = now_ms;
+}
+
 void
 sched_queue(sched_t *s, const char *queue, const char *service,
     int32_t priority, int32_t max_attempts, int64_t now_ms)
@@ -395,30 +396,28 @@
 }
 
 void
-sched_looked(sched_t *s, const char *worker, sched_result_t r,
+sched_looked(sched_t *s, uint64_t id, const char *worker, sched_result_t r,
     const sched_report_t *report, int64_t now_ms)
 {
 	vm_t *w = g_hash_table_lookup(s->workers, worker);
 
 	s->now = now_ms;
-	if (w == NULL || !w->looking)
+	if (w == NULL || w->look_id != id || s->cell.state != CELL_OWNED)
 		return;
-	w->looking = false;
+	w->look_id = 0;
 	w->look_next_ms = now_ms;
-	if (s->cell.state != CELL_OWNED)
-		return;
 	if (r == SCHED_ORDER_FENCED) {
 		cell_lost(s, "a worker has seen a newer token");
 		return;
 	}
-	if (r == SCHED_ORDER_REBORN && w->misses == 0)
-		run_worker_lost(s, w, "another process answers");
+	/* An answer of an earlier process, after the list told of a newer. */
+	if (report != NULL && report->born_ms != 0 &&
+	    report->born_ms < w->born_ms)
+		report = NULL;
 	if (report == NULL) {
 		look_missed(s, w);
 		return;
 	}
-	if (w->look_token != s->cell.token)
-		return; /* it was asked for as an earlier owner */
 	run_report(s, w, report, w->look_ms);
 	noise_report(s, w);
 	run_retry(s, w);
@@ -437,9 +436,8 @@
 		l.deadline_ms = vm_deadline(s, w);
 	if (w->answered && w->seen == w->noted && w->lease.heard_ms != 0)
 		l.wait_ms = LOOK_WAIT_MS;
-	w->looking = true;
+	w->look_id = l.id = ++s->next_id;
 	w->look_ms = s->now;
-	w->look_token = s->cell.token;
 	s->stats.looks++;
 	s->o.port.look(s->o.ctx, &l);
 }
@@ -451,7 +449,7 @@
 	if (g_hash_table_size(w->runs) > 0 && w->misses > 0 &&
 	    vm_lapsed(s, w))
 		run_worker_lost(s, w, "its lease has lapsed");
-	if (w->looking || w->address[0] == '\0' || s->now < w->look_next_ms)
+	if (w->look_id != 0 || w->address[0] == '\0' || s->now < w->look_next_ms)
 		return;
 	if (!w->listed && g_hash_table_size(w->runs) == 0 &&
 	    (w->answered || !w->stored))
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -110,6 +110,7 @@
 } sched_order_t;
 
 typedef struct {
+	uint64_t id; /* to be handed to sched_looked */
 	const char *worker;
 	const char *address;
 	int64_t token;
@@ -196,6 +197,14 @@
 /* After a whole read of the list: forgets those not seen since the last. */
 void sched_workers_swept(sched_t *s, int64_t now_ms);
 void sched_zone(sched_t *s, const char *zone, bool evacuated, int64_t now_ms);
+/* A table's changes have been read up to now; starts wait when they lag. */
+typedef enum {
+	SCHED_FEED_JOBS,
+	SCHED_FEED_WORKERS,
+	SCHED_FEED_OPERATORS
+} sched_feed_t;
+#define SCHED_FEEDS 3
+void sched_fed(sched_t *s, sched_feed_t feed, int64_t now_ms);
 /* The queue's settings in force; jobs that name it follow them. */
 void sched_queue(sched_t *s, const char *queue, const char *service,
     int32_t priority, int32_t max_attempts, int64_t now_ms);
@@ -203,8 +212,8 @@
 void sched_order_done(sched_t *s, uint64_t id, sched_result_t r,
     int64_t clock_ms, int64_t now_ms);
 /* report is NULL when no whole answer came. */
-void sched_looked(sched_t *s, const char *worker, sched_result_t r,
-    const sched_report_t *report, int64_t now_ms);
+void sched_looked(sched_t *s, uint64_t id, const char *worker,
+    sched_result_t r, const sched_report_t *report, int64_t now_ms);
 
 /* Does what is due; returns the milliseconds until the next call. */
 int32_t sched_tick(sched_t *s, int64_t now_ms, int64_t wall_ms);
--- a/sched/vm.c
+++ b/sched/vm.c
@@ -1,6 +1,7 @@
 /*
  * Workers: room, clocks and leases.
  */
+#include <inttypes.h>
 #include <stdbool.h>
 #include <stdint.h>
 #include <stdlib.h>
@@ -19,6 +20,7 @@
 #define LEASE_MS       4000
 #define LEASE_SPARE_MS 100 /* between our lease and the longest granted */
 #define DRIFT_PCT      2   /* a worker's clock may be so slow: platform */
+#define BACKWARD_MS     1500 /* no answer is overtaken by so much */
 #define LAPSE_MARGIN_MS 200 /* for a lease that ends while an order arrives */
 
 vm_t *
@@ -94,6 +96,7 @@
 {
 	int64_t ms = MIN(LEASE_MS, s->o.max_lease_ms - LEASE_SPARE_MS);
 
+	w->lease.sent_ms = s->now;
 	if (w->lease.heard_ms == 0)
 		return 0;
 	ms += w->lease.clock_ms + (s->now - w->lease.heard_ms);
@@ -101,20 +104,64 @@
 	return w->lease.until_ms;
 }
 
+/* When the longest lease ends that a worker may have granted; our clock. */
+static int64_t
+longest_lease(const sched_t *s, const vm_t *w)
+{
+	if (w->lease.sent_ms == 0)
+		return 0;
+	return w->lease.sent_ms +
+	    (int64_t)s->o.max_lease_ms * (100 + DRIFT_PCT) / 100 +
+	    LAPSE_MARGIN_MS;
+}
+
 /* True when nothing that we ordered can be running there any more. */
 bool
 vm_lapsed(const sched_t *s, const vm_t *w)
 {
-	return w->lease.heard_ms == 0 ||
-	    vm_clock(w, s->now) > w->lease.until_ms + LAPSE_MARGIN_MS;
+	if (s->now <= w->lease.hard_ms)
+		return false;
+	/* A clock not known: no lease is longer than the worker grants. */
+	if (w->lease.heard_ms == 0)
+		return s->now > longest_lease(s, w);
+	return vm_clock(w, s->now) > w->lease.until_ms + LAPSE_MARGIN_MS;
 }
 
 void
-vm_heard(vm_t *w, int64_t clock_ms, int64_t now_ms)
+vm_heard(sched_t *s, vm_t *w, int64_t clock_ms)
 {
+	int64_t now_ms = s->now;
+
+	if (w->lease.heard_ms != 0 &&
+	    clock_ms + BACKWARD_MS < vm_clock(w, now_ms)) {
+		LOG(s, SCHED_EVT_WORKER, w->id,
+		    "clock is another: %" PRId64 " after %" PRId64, clock_ms,
+		    vm_clock(w, now_ms));
+		vm_reborn(s, w, w->born_ms);
+	}
 	/* An answer that overtook another must not turn the clock back. */
 	if (w->lease.heard_ms != 0 && clock_ms < vm_clock(w, now_ms))
 		return;
 	w->lease.clock_ms = clock_ms;
 	w->lease.heard_ms = now_ms;
 }
+
+/*
+ * Another process is there.  It holds nothing of the last, but may have been
+ * sent starts before we knew of it: only a look at it tells what runs.
+ */
+void
+vm_reborn(sched_t *s, vm_t *w, int64_t born_ms)
+{
+	w->born_ms = born_ms;
+	w->seen = w->noted = 0;
+	w->flush_want = 0;
+	/* Deadlines by another clock: the worker cuts them to its longest. */
+	w->lease.hard_ms = longest_lease(s, w);
+	w->lease.heard_ms = 0;
+	w->lease.until_ms = 0;
+	w->answered = w->stored = false;
+	w->store_flush = 0;
+	w->look_id = 0;
+	w->look_next_ms = s->now;
+}
--- a/serve/cell.c
+++ b/serve/cell.c
@@ -192,12 +192,12 @@
 }
 
 static void
-on_looked(void *ctx, const char *worker, sched_result_t r,
+on_looked(void *ctx, uint64_t id, const char *worker, sched_result_t r,
     const sched_report_t *report)
 {
 	cell_port_t *c = ctx;
 
-	sched_looked(c->sched, worker, r, report, node_now(c->node));
+	sched_looked(c->sched, id, worker, r, report, node_now(c->node));
 	node_soon(c->node);
 }
 
@@ -278,6 +278,28 @@
 	sched_workers_swept(c->sched, node_now(c->node));
 }
 
+static void
+on_jobs_fresh(void *ctx)
+{
+	cell_port_t *c = ctx;
+
+	sched_fed(c->sched, SCHED_FEED_JOBS, node_now(c->node));
+}
+
+static void
+on_workers_fresh(void *ctx)
+{
+	cell_port_t *c = ctx;
+
+	sched_fed(c->sched, SCHED_FEED_WORKERS, node_now(c->node));
+}
+
+void
+cell_port_fresh(cell_port_t *c)
+{
+	sched_fed(c->sched, SCHED_FEED_OPERATORS, node_now(c->node));
+}
+
 cell_port_t *
 cell_port_new(node_t *n)
 {
@@ -287,10 +309,11 @@
 		.on_whole = on_runs, .ctx = c };
 	follow_opts_t jobs = { .node = n, .table = JOB_TABLE,
 		.part = JOB_PART, .parts = JOB_PARTS, .gap_ms = JOB_GAP_MS,
-		.on_row = on_row, .on_whole = on_jobs, .ctx = c };
+		.on_row = on_row, .on_whole = on_jobs,
+		.on_fresh = on_jobs_fresh, .ctx = c };
 	follow_opts_t workers = { .node = n, .table = platform_worker_table,
 		.part = "", .gap_ms = WORKER_GAP_MS, .on_row = on_worker,
-		.on_whole = on_workers, .ctx = c };
+		.on_whole = on_workers, .on_fresh = on_workers_fresh, .ctx = c };
 	sched_opts_t o = { .name = n->o.name, .incarnation = n->incarnation,
 		.max_lease_ms = n->o.max_hold_ms, .stop_ms = n->o.stop_ms,
 		.far_factor = g_ascii_strtod(n->o.far_factor, NULL),
--- a/serve/follow.c
+++ b/serve/follow.c
@@ -138,6 +138,8 @@
 		return;
 	f->version = f->read_version;
 	f->state = f->o.once ? FOLLOW_OFF : FOLLOW_FEEDING;
+	if (f->o.on_fresh != NULL)
+		f->o.on_fresh(f->o.ctx);
 	if (f->o.on_whole != NULL)
 		f->o.on_whole(f->o.ctx);
 	/* The callback may have stopped or restarted this. */
@@ -205,6 +207,8 @@
 	}
 	f->version = MAX(f->version, a->version);
 	give_rows(f, a);
+	if (f->o.on_fresh != NULL)
+		f->o.on_fresh(f->o.ctx);
 	if (f->state == FOLLOW_FEEDING)
 		after(f, f->o.gap_ms);
 }
--- a/serve/node.c
+++ b/serve/node.c
@@ -168,6 +168,14 @@
 	cell_port_tables(n->cell, t);
 }
 
+static void
+on_operators_fresh(void *ctx)
+{
+	node_t *n = ctx;
+
+	cell_port_fresh(n->cell);
+}
+
 /*
  * Readiness and metrics.
  */
@@ -269,7 +277,8 @@
 		.loop = n->loop, .store = n->o.store, .on_bad = on_bad, .ctx = n
 	};
 	follow_opts_t fo = { .node = n, .table = platform_operator_table,
-		.part = "", .gap_ms = 5, .on_row = on_operator_row, .ctx = n };
+		.part = "", .gap_ms = 5, .on_row = on_operator_row,
+		.on_fresh = on_operators_fresh, .ctx = n };
 
 	n->incarnation = node_wall(n);
 	n->store_ok_ms = node_now(n);
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -45,6 +45,7 @@
 	void (*on_row)(void *ctx, const store_row_t *row);
 	/* The table has been read whole; rows not told of are not there. */
 	void (*on_whole)(void *ctx);
+	void (*on_fresh)(void *ctx); /* all changes so far have been told */
 	void *ctx;
 } follow_opts_t;
 
@@ -72,6 +73,7 @@
 void cell_port_tick(cell_port_t *c);
 /* Applies tables and evacuations to the scheduler. */
 void cell_port_tables(cell_port_t *c, const platform_tables_t *t);
+void cell_port_fresh(cell_port_t *c); /* the operators' table */
 void cell_port_zone(cell_port_t *c, const char *zone, bool evacuated);
 
 /*
