The owner goes on when nearly all entries say that the store is away

Entries that miss the store tell each other by datagrams; nothing is said while it answers. Otherwise the owner now gives up leases after 3 s, so a successor waits 6 s, not 14, for workers that it cannot ask.

--- a/proto/sched.pb-c.c
+++ b/proto/sched.pb-c.c
@@ -367,6 +367,96 @@
   assert(message->base.descriptor == &sched__footprint__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sched__entry__init
+                     (Sched__Entry         *message)
+{
+  static const Sched__Entry init_value = SCHED__ENTRY__INIT;
+  *message = init_value;
+}
+size_t sched__entry__get_packed_size
+                     (const Sched__Entry *message)
+{
+  assert(message->base.descriptor == &sched__entry__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sched__entry__pack
+                     (const Sched__Entry *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sched__entry__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sched__entry__pack_to_buffer
+                     (const Sched__Entry *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sched__entry__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sched__Entry *
+       sched__entry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sched__Entry *)
+     protobuf_c_message_unpack (&sched__entry__descriptor,
+                                allocator, len, data);
+}
+void   sched__entry__free_unpacked
+                     (Sched__Entry *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sched__entry__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sched__silence__init
+                     (Sched__Silence         *message)
+{
+  static const Sched__Silence init_value = SCHED__SILENCE__INIT;
+  *message = init_value;
+}
+size_t sched__silence__get_packed_size
+                     (const Sched__Silence *message)
+{
+  assert(message->base.descriptor == &sched__silence__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sched__silence__pack
+                     (const Sched__Silence *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sched__silence__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sched__silence__pack_to_buffer
+                     (const Sched__Silence *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sched__silence__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sched__Silence *
+       sched__silence__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sched__Silence *)
+     protobuf_c_message_unpack (&sched__silence__descriptor,
+                                allocator, len, data);
+}
+void   sched__silence__free_unpacked
+                     (Sched__Silence *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sched__silence__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor sched__step__field_descriptors[18] =
 {
   {
@@ -1219,6 +1309,134 @@
   (ProtobufCMessageInit) sched__footprint__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor sched__entry__field_descriptors[3] =
+{
+  {
+    "ip",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sched__Entry, ip),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "port",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Sched__Entry, port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Sched__Entry, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sched__entry__field_indices_by_name[] = {
+  2,   /* field[2] = incarnation */
+  0,   /* field[0] = ip */
+  1,   /* field[1] = port */
+};
+static const ProtobufCIntRange sched__entry__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor sched__entry__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sched.Entry",
+  "Entry",
+  "Sched__Entry",
+  "sched",
+  sizeof(Sched__Entry),
+  3,
+  sched__entry__field_descriptors,
+  sched__entry__field_indices_by_name,
+  1,  sched__entry__number_ranges,
+  (ProtobufCMessageInit) sched__entry__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sched__silence__field_descriptors[3] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sched__Silence, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Sched__Silence, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "silent_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Sched__Silence, silent_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sched__silence__field_indices_by_name[] = {
+  1,   /* field[1] = incarnation */
+  0,   /* field[0] = name */
+  2,   /* field[2] = silent_ms */
+};
+static const ProtobufCIntRange sched__silence__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor sched__silence__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sched.Silence",
+  "Silence",
+  "Sched__Silence",
+  "sched",
+  sizeof(Sched__Silence),
+  3,
+  sched__silence__field_descriptors,
+  sched__silence__field_indices_by_name,
+  1,  sched__silence__number_ranges,
+  (ProtobufCMessageInit) sched__silence__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue sched__state__enum_values_by_number[5] =
 {
   { "PENDING", "SCHED__STATE__PENDING", 0 },
--- a/proto/sched.pb-c.h
+++ b/proto/sched.pb-c.h
@@ -23,6 +23,8 @@
 typedef struct Sched__Waiting Sched__Waiting;
 typedef struct Sched__Owner Sched__Owner;
 typedef struct Sched__Footprint Sched__Footprint;
+typedef struct Sched__Entry Sched__Entry;
+typedef struct Sched__Silence Sched__Silence;
 
 
 /* --- enums --- */
@@ -234,6 +236,37 @@
     , 0,NULL, 0,NULL }
 
 
+/*
+ * An entry, as the others find it.
+ */
+struct  Sched__Entry
+{
+  ProtobufCMessage base;
+  char *ip;
+  int32_t port;
+  int64_t incarnation;
+};
+#define SCHED__ENTRY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sched__entry__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * Sent to all other entries, over and over, by one that the store does not
+ * answer.
+ */
+struct  Sched__Silence
+{
+  ProtobufCMessage base;
+  char *name;
+  int64_t incarnation;
+  int32_t silent_ms;
+};
+#define SCHED__SILENCE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sched__silence__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
 /* Sched__Step methods */
 void   sched__step__init
                      (Sched__Step         *message);
@@ -386,6 +419,44 @@
 void   sched__footprint__free_unpacked
                      (Sched__Footprint *message,
                       ProtobufCAllocator *allocator);
+/* Sched__Entry methods */
+void   sched__entry__init
+                     (Sched__Entry         *message);
+size_t sched__entry__get_packed_size
+                     (const Sched__Entry   *message);
+size_t sched__entry__pack
+                     (const Sched__Entry   *message,
+                      uint8_t             *out);
+size_t sched__entry__pack_to_buffer
+                     (const Sched__Entry   *message,
+                      ProtobufCBuffer     *buffer);
+Sched__Entry *
+       sched__entry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sched__entry__free_unpacked
+                     (Sched__Entry *message,
+                      ProtobufCAllocator *allocator);
+/* Sched__Silence methods */
+void   sched__silence__init
+                     (Sched__Silence         *message);
+size_t sched__silence__get_packed_size
+                     (const Sched__Silence   *message);
+size_t sched__silence__pack
+                     (const Sched__Silence   *message,
+                      uint8_t             *out);
+size_t sched__silence__pack_to_buffer
+                     (const Sched__Silence   *message,
+                      ProtobufCBuffer     *buffer);
+Sched__Silence *
+       sched__silence__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sched__silence__free_unpacked
+                     (Sched__Silence *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Sched__Step_Closure)
@@ -412,6 +483,12 @@
 typedef void (*Sched__Footprint_Closure)
                  (const Sched__Footprint *message,
                   void *closure_data);
+typedef void (*Sched__Entry_Closure)
+                 (const Sched__Entry *message,
+                  void *closure_data);
+typedef void (*Sched__Silence_Closure)
+                 (const Sched__Silence *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -427,6 +504,8 @@
 extern const ProtobufCMessageDescriptor sched__waiting__descriptor;
 extern const ProtobufCMessageDescriptor sched__owner__descriptor;
 extern const ProtobufCMessageDescriptor sched__footprint__descriptor;
+extern const ProtobufCMessageDescriptor sched__entry__descriptor;
+extern const ProtobufCMessageDescriptor sched__silence__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/sched/cell.c
+++ b/sched/cell.c
@@ -4,9 +4,9 @@
  * row's version is the fencing token of every order.
  *
  * An owner that the store has not confirmed for a while orders no new starts,
- * as a successor may know nothing of them.  It goes on extending leases, so
- * that an outage of the store does not end what runs; a successor leaves
- * alone what could still run on a worker that it cannot ask.
+ * as a successor may know nothing of them, and a little later extends no
+ * leases; a successor leaves alone what could still run on a worker that it
+ * cannot ask.  While the store is away for all entries the owner goes on.
  */
 #include <inttypes.h>
 #include <stdbool.h>
@@ -23,7 +23,7 @@
 #define READ_GAP_MS 1500 /* reads further apart say nothing of silence */
 #define START_MS   1150 /* no starts this long after the last confirmation */
 #define FRESH_MS   2000 /* cancels and leaving workers count within 2 s */
-#define EXTEND_MS  10000 /* no leases either: longest outage of the store */
+#define EXTEND_MS  3000 /* nor leases, unless all entries miss the store */
 #define LEASE_MAX_MS 4300 /* a lease, its drift and its margin */
 
 static bool
@@ -89,7 +89,10 @@
 		w->look_id = 0;
 		w->pace = 100;
 		w->fails = 0;
+		/* Earlier owners may have granted leases up to now. */
+		w->lease.sent_ms = s->now;
 		w->lease.until_ms = 0;
+		vm_lease_unknown(s, w);
 	}
 	g_hash_table_remove_all(s->runs);
 	g_hash_table_remove_all(s->jobs);
@@ -186,7 +189,8 @@
 	c->accounted = false;
 	c->settled_ms = s->now;
 	if (c->had_owner)
-		c->settled_ms += LEASE_MAX_MS + (c->clean ? 0 : EXTEND_MS);
+		c->settled_ms +=
+		    LEASE_MAX_MS + (c->clean ? 0 : EXTEND_MS - SILENT_MS);
 	LOG(s, SCHED_EVT_OWNED, "cell",
 	    "token=%" PRId64 " jobs=%u workers=%u settled_in=%" PRId64,
 	    c->token, g_hash_table_size(s->jobs), s->worker_list->len,
@@ -254,23 +258,39 @@
 		claim(s, "its owner is silent");
 }
 
-/* Starts may be ordered. */
-bool
-cell_acts(const sched_t *s)
+/* What is decided on is known up to now. */
+static bool
+fed(const sched_t *s)
 {
 	for (int32_t i = 0; i < SCHED_FEEDS; i++)
 		if (s->now - s->fed_ms[i] > FRESH_MS)
 			return false;
-	return s->cell.state == CELL_OWNED && !s->cell.paused &&
-	    !s->cell.releasing && s->now - s->cell.confirmed_ms < START_MS;
+	return true;
+}
+
+/*
+ * Starts may be ordered.  While the store is away for all, nobody can claim
+ * the cell, and nothing can be cancelled or taken out of service either.
+ */
+bool
+cell_acts(const sched_t *s)
+{
+	const cell_t *c = &s->cell;
+
+	if (c->state != CELL_OWNED || c->paused || c->releasing)
+		return false;
+	return c->outage ||
+	    (s->now - c->confirmed_ms < START_MS && fed(s));
 }
 
 /* Leases may be extended. */
 bool
 cell_extends(const sched_t *s)
 {
-	return s->cell.state == CELL_OWNED && !s->cell.paused &&
-	    s->now - s->cell.confirmed_ms < EXTEND_MS;
+	const cell_t *c = &s->cell;
+
+	return c->state == CELL_OWNED && !c->paused &&
+	    (c->outage || s->now - c->confirmed_ms < EXTEND_MS);
 }
 
 /* False while a task of the job may still run unseen. */
--- a/sched/flush.c
+++ b/sched/flush.c
@@ -73,7 +73,7 @@
 in_footprint(const sched_t *s, const vm_t *w)
 {
 	return w->listed || g_hash_table_size(w->runs) > 0 ||
-	    (w->stored && !vm_lapsed(s, w));
+	    (w->stored && (!s->cell.accounted || !vm_lapsed(s, w)));
 }
 
 static void
--- a/sched/part.h
+++ b/sched/part.h
@@ -208,6 +208,7 @@
 	bool clean;	/* ... but it gave the cell up in order */
 	bool lost;	/* what the owner knew is to be forgotten */
 	bool release_sent;
+	bool outage;	/* the store is away for all entries */
 } cell_t;
 
 struct sched {
@@ -270,6 +271,7 @@
 int64_t vm_clock(const vm_t *w, int64_t now_ms);
 int64_t vm_deadline(sched_t *s, vm_t *w);
 bool vm_lapsed(const sched_t *s, const vm_t *w);
+void vm_lease_unknown(const sched_t *s, vm_t *w);
 void vm_reborn(sched_t *s, vm_t *w, int64_t born_ms);
 void vm_heard(sched_t *s, vm_t *w, int64_t clock_ms);
 
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -567,6 +567,17 @@
 	return s->cell.state == CELL_FOLLOWING;
 }
 
+void
+sched_outage(sched_t *s, bool for_all, int64_t now_ms)
+{
+	s->now = now_ms;
+	if (s->cell.outage != for_all)
+		LOG(s, SCHED_EVT_SELF_FENCE, "cell",
+		    "store_away_for_all=%d confirmed_age=%" PRId64, for_all,
+		    now_ms - s->cell.confirmed_ms);
+	s->cell.outage = for_all;
+}
+
 void
 sched_paused(sched_t *s, int64_t now_ms)
 {
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -219,6 +219,11 @@
 int32_t sched_tick(sched_t *s, int64_t now_ms, int64_t wall_ms);
 /* A graceful stop begins; true once the cell is given up. */
 bool sched_release(sched_t *s, int64_t now_ms);
+/*
+ * Whether the store is away for all entries, so that none can claim the cell:
+ * the owner then goes on without it.
+ */
+void sched_outage(sched_t *s, bool for_all, int64_t now_ms);
 /* The process stood still: nothing is ordered before the row is read. */
 void sched_paused(sched_t *s, int64_t now_ms);
 
--- a/sched/vm.c
+++ b/sched/vm.c
@@ -146,6 +146,13 @@
 	w->lease.heard_ms = now_ms;
 }
 
+/* Nothing there is taken for lapsed before its longest lease has ended. */
+void
+vm_lease_unknown(const sched_t *s, vm_t *w)
+{
+	w->lease.hard_ms = MAX(w->lease.hard_ms, longest_lease(s, w));
+}
+
 /*
  * Another process is there.  It holds nothing of the last, but may have been
  * sent starts before we knew of it: only a look at it tells what runs.
@@ -157,7 +164,7 @@
 	w->seen = w->noted = 0;
 	w->flush_want = 0;
 	/* Deadlines by another clock: the worker cuts them to its longest. */
-	w->lease.hard_ms = longest_lease(s, w);
+	vm_lease_unknown(s, w);
 	w->lease.heard_ms = 0;
 	w->lease.until_ms = 0;
 	w->answered = w->stored = false;
--- a/serve/follow.c
+++ b/serve/follow.c
@@ -23,7 +23,7 @@
 #define PAGE_ROWS  500	/* the store's most */
 #define READ_MS	   1500 /* for a page; the store may be slow */
 #define WAIT_MS	   1000 /* a feed waits so long for a change */
-#define FEED_MS	   1700 /* for the answer to a feed: a silent one is given up */
+#define FEED_MS	   700	/* for the answer to a feed, beyond its wait */
 #define RETRY_MS   120	/* after a failed call */
 
 typedef enum { FOLLOW_OFF, FOLLOW_READING, FOLLOW_FEEDING } follow_state_t;
@@ -216,8 +216,9 @@
 static void
 feed(follow_t *f)
 {
+	int32_t wait = f->o.wait_ms == 0 ? WAIT_MS : f->o.wait_ms;
 	store_feed_t q = { .table = f->o.table, .after = f->version,
-		.wait_ms = WAIT_MS, .timeout_ms = FEED_MS };
+		.wait_ms = wait, .timeout_ms = wait + FEED_MS };
 
 	store_feed(f->o.node->platform, &q, on_feed, ask_new(f, ""));
 }
@@ -230,6 +231,7 @@
 	f->o = *o;
 	uv_timer_init(o->node->loop, &f->timer);
 	f->timer.data = f;
+	g_ptr_array_add(o->node->follows, f);
 	return f;
 }
 
@@ -247,3 +249,13 @@
 	f->state = FOLLOW_OFF;
 	uv_timer_stop(&f->timer);
 }
+
+void
+follow_kick(follow_t *f)
+{
+	if (f->state != FOLLOW_FEEDING)
+		return;
+	f->round++;
+	uv_timer_stop(&f->timer);
+	feed(f);
+}
--- a/serve/node.c
+++ b/serve/node.c
@@ -28,6 +28,7 @@
 #define BODY_MAX_BYTES	262144
 #define PAUSE_MS	700   /* between ticks: less than a claim needs */
 #define STORE_LOST_MS	1500  /* without an answer, until one is told not ready */
+#define STORE_GAP_MS	900   /* without an answer: calls under way are lost */
 #define LEAVE_MS	2600  /* two misses of the balancer and a little */
 #define LEAVE_SPARE_MS	700   /* of the grace, kept for the exit */
 
@@ -57,12 +58,23 @@
 	return (int64_t)t.tv_sec * 1000 + t.tv_nsec / 1000000;
 }
 
+static void
+kick(void *f, void *ctx)
+{
+	(void)ctx;
+	follow_kick(f);
+}
+
 void
 node_store_answer(node_t *n, store_result_t r)
 {
+	int64_t now = node_now(n), silent = now - n->store_ok_ms;
+
 	if (r == STORE_REFUSED || r == STORE_UNKNOWN)
 		return;
-	n->store_ok_ms = node_now(n);
+	n->store_ok_ms = now;
+	if (silent > STORE_GAP_MS)
+		g_ptr_array_foreach(n->follows, kick, NULL);
 	if (n->store_lost)
 		log_event(EVT_STORE_BACK, "store=%s", n->o.store);
 	n->store_lost = false;
@@ -214,6 +226,7 @@
 		return;
 	n->stopping = true;
 	n->stop_ms = node_now(n);
+	outage_leave(n->outage);
 	log_event(TS_EVT_DRAIN, "signal=%d requests=%d", number, n->requests);
 	node_soon(n);
 }
@@ -270,8 +283,8 @@
 	}
 }
 
-static void
-begin(node_t *n)
+static bool
+begin(node_t *n, GError **err)
 {
 	platform_opts_t po = {
 		.loop = n->loop, .store = n->o.store, .on_bad = on_bad, .ctx = n
@@ -282,13 +295,16 @@
 
 	n->incarnation = node_wall(n);
 	n->store_ok_ms = node_now(n);
+	n->follows = g_ptr_array_new();
 	n->platform = platform_new(&po);
 	n->cell = cell_port_new(n);
 	n->operators = follow_new(&fo);
 	follow_start(n->operators);
+	n->outage = outage_new(n, err);
 	uv_timer_init(n->loop, &n->tick);
 	n->tick.data = n;
 	uv_timer_start(&n->tick, on_tick, 0, 0);
+	return n->outage != NULL;
 }
 
 int
@@ -296,6 +312,7 @@
 {
 	static node_t n;
 	node_opts_t *o = &n.o;
+	g_autoptr(GError) err = NULL;
 	GStrv rest;
 	const setting_t set[] = {
 		{ "name", SET_TEXT, &o->name, NULL, 0, 0, "NAME",
@@ -311,6 +328,8 @@
 		    "the platform's store" },
 		{ "metrics-port", SET_INT, &o->metrics_port, "9464", 0, 65535,
 		    "PORT", "for counters; 0 for none" },
+		{ "peer-port", SET_INT, &o->peer_port, "8002", 1, 65535,
+		    "PORT", "for datagrams of other entries" },
 		{ "max-hold-ms", SET_INT, &o->max_hold_ms, "6000", 1000,
 		    600000, "MS", "longest lease a worker grants" },
 		{ "stop-ms", SET_INT, &o->stop_ms, "1000", 0, 60000, "MS",
@@ -341,7 +360,10 @@
 	n.clock = clock_system(n.loop);
 	log_start(n.loop);
 	signals(&n);
-	begin(&n);
+	if (!begin(&n, &err)) {
+		fprintf(stderr, "tanagerspool: %s\n", err->message);
+		return EXIT_FAILED;
+	}
 	if (!listen_all(&n))
 		return EXIT_FAILED;
 	log_event(EVT_START, "name=%s zone=%s incarnation=%" PRId64
--- /dev/null
+++ b/serve/outage.c
@@ -0,0 +1,239 @@
+/*
+ * Whether the store is away for this entry only, or for all.
+ *
+ * Entries find one another by rows of the store.  One that the store does not
+ * answer says so to all others, over and over; who hears that from nearly all
+ * of them knows that nobody can claim what it owns.  Nothing is said while
+ * the store answers.
+ */
+#include <inttypes.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <glib.h>
+#include <jansson.h>
+#include <uv.h>
+
+#include "../proto/peer.pb-c.h"
+#include "../proto/sched.pb-c.h"
+#include "tanagerspool.h"
+#include "../trans/trans.h"
+#include "../sched/sched.h"
+#include "../platform/platform.h"
+#include "../cmd/cmd.h"
+#include "serve.h"
+
+#define ENTRY_TABLE "entry"
+#define ENTRY_PART  "e"
+#define SILENT_MS   700 /* without an answer of the store */
+#define SAY_MS	    150 /* between two datagrams to each */
+#define HEARD_MS    600 /* a datagram counts so long; three may be lost */
+#define SHARE_PCT   75  /* of the others must miss the store */
+#define WRITE_MS    1500
+#define RETRY_MS    300
+#define WAIT_MS	    20000 /* entries change seldom */
+
+typedef struct {
+	char *ip;
+	int32_t port;
+	int64_t heard_ms; /* last datagram */
+} entry_row_t;
+
+struct outage {
+	node_t *node;
+	dgram_t *dgram;
+	follow_t *follow;
+	GHashTable *entries; /* name -> entry_row_t; without this one */
+	uv_timer_t timer;
+	uv_timer_t retry;
+	bool for_all;
+};
+
+static void
+row_free(void *p)
+{
+	entry_row_t *e = p;
+
+	g_free(e->ip);
+	g_free(e);
+}
+
+static void
+on_row(void *ctx, const store_row_t *row)
+{
+	outage_t *o = ctx;
+	Sched__Entry *e = NULL;
+	entry_row_t *r;
+
+	if (strcmp(row->key, o->node->o.name) == 0)
+		return;
+	if (row->bytes != NULL)
+		e = sched__entry__unpack(NULL, row->nbytes, row->bytes);
+	if (e == NULL) {
+		g_hash_table_remove(o->entries, row->key);
+		return;
+	}
+	r = g_new0(entry_row_t, 1);
+	r->ip = g_strdup(e->ip);
+	r->port = e->port;
+	g_hash_table_replace(o->entries, g_strdup(row->key), r);
+	sched__entry__free_unpacked(e, NULL);
+}
+
+static void
+on_data(void *ctx, const uint8_t *data, size_t n)
+{
+	outage_t *o = ctx;
+	Sched__Silence *s = sched__silence__unpack(NULL, n, data);
+	entry_row_t *r;
+
+	if (s == NULL) {
+		o->node->stats.bad_input++;
+		log_event(EVT_BAD_PEER, "why=\"datagram does not unpack\"");
+		return;
+	}
+	r = g_hash_table_lookup(o->entries, s->name);
+	if (r != NULL)
+		r->heard_ms = node_now(o->node);
+	sched__silence__free_unpacked(s, NULL);
+}
+
+static void
+say(outage_t *o, int64_t silent_ms)
+{
+	Sched__Silence s = SCHED__SILENCE__INIT;
+	g_autofree uint8_t *b = NULL;
+	GHashTableIter it;
+	size_t n;
+	void *v;
+
+	s.name = o->node->o.name;
+	s.incarnation = o->node->incarnation;
+	s.silent_ms = (int32_t)silent_ms;
+	n = sched__silence__get_packed_size(&s);
+	b = g_malloc(n);
+	sched__silence__pack(&s, b);
+	g_hash_table_iter_init(&it, o->entries);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const entry_row_t *r = v;
+
+		dgram_send(o->dgram, r->ip, r->port, b, n);
+	}
+}
+
+/* Nearly all others have said of late that they miss the store too. */
+static bool
+all_miss_it(const outage_t *o, int64_t now)
+{
+	guint n = g_hash_table_size(o->entries), silent = 0;
+	GHashTableIter it;
+	void *v;
+
+	g_hash_table_iter_init(&it, o->entries);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const entry_row_t *r = v;
+
+		silent += r->heard_ms != 0 && now - r->heard_ms < HEARD_MS;
+	}
+	return n > 0 && silent * 100 >= n * SHARE_PCT;
+}
+
+static void
+on_timer(uv_timer_t *t)
+{
+	outage_t *o = t->data;
+	node_t *n = o->node;
+	int64_t now = node_now(n), silent = now - n->store_ok_ms;
+	bool for_all = false;
+
+	if (silent >= SILENT_MS) {
+		say(o, silent);
+		for_all = all_miss_it(o, now);
+	}
+	if (for_all != o->for_all)
+		sched_outage(cell_port_sched(n->cell), for_all, now);
+	o->for_all = for_all;
+}
+
+static void write_row(outage_t *o);
+
+static void
+on_retry(uv_timer_t *t)
+{
+	write_row(t->data);
+}
+
+static void
+on_written(void *ctx, store_result_t r, const store_answer_t *a)
+{
+	outage_t *o = ctx;
+
+	(void)a;
+	node_store_answer(o->node, r);
+	if (r != STORE_OK)
+		uv_timer_start(&o->retry, on_retry, RETRY_MS, 0);
+}
+
+static void
+write_row(outage_t *o)
+{
+	node_t *n = o->node;
+	Sched__Entry e = SCHED__ENTRY__INIT;
+	g_autofree uint8_t *b = NULL;
+	store_put_t put = { .key = n->o.name };
+	store_tx_t tx = { .table = ENTRY_TABLE, .part = ENTRY_PART,
+		.puts = &put, .nputs = 1, .timeout_ms = WRITE_MS };
+
+	e.ip = n->o.ip;
+	e.port = n->o.peer_port;
+	e.incarnation = n->incarnation;
+	put.nbytes = sched__entry__get_packed_size(&e);
+	put.bytes = b = g_malloc(put.nbytes);
+	sched__entry__pack(&e, b);
+	store_tx(n->platform, &tx, on_written, o);
+}
+
+outage_t *
+outage_new(node_t *n, GError **err)
+{
+	outage_t *o = g_new0(outage_t, 1);
+	dgram_opts_t d = { .loop = n->loop, .ip = n->o.ip,
+		.port = n->o.peer_port, .on_data = on_data, .ctx = o };
+	follow_opts_t f = { .node = n, .table = ENTRY_TABLE,
+		.part = ENTRY_PART, .wait_ms = WAIT_MS, .gap_ms = RETRY_MS,
+		.on_row = on_row, .ctx = o };
+
+	o->node = n;
+	o->entries = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, row_free);
+	o->dgram = dgram_new(&d, err);
+	if (o->dgram == NULL)
+		return NULL;
+	o->follow = follow_new(&f);
+	follow_start(o->follow);
+	uv_timer_init(n->loop, &o->retry);
+	uv_timer_init(n->loop, &o->timer);
+	o->retry.data = o->timer.data = o;
+	uv_timer_start(&o->timer, on_timer, SAY_MS, SAY_MS);
+	write_row(o);
+	return o;
+}
+
+/* The entry leaves in order: the others need not count on it. */
+static void
+on_removed(void *ctx, store_result_t r, const store_answer_t *a)
+{
+	(void)a;
+	node_store_answer(ctx, r);
+}
+
+void
+outage_leave(outage_t *o)
+{
+	store_put_t put = { .key = o->node->o.name };
+	store_tx_t tx = { .table = ENTRY_TABLE, .part = ENTRY_PART,
+		.puts = &put, .nputs = 1, .timeout_ms = WRITE_MS };
+
+	store_tx(o->node->platform, &tx, on_removed, o->node);
+}
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -42,6 +42,7 @@
 	int32_t parts;	  /* how many, numbered from 0; 0: just one */
 	bool once;	  /* read it whole and no more */
 	int32_t gap_ms;	  /* between two reads of changes */
+	int32_t wait_ms;  /* a read of changes waits so long; 0: a second */
 	void (*on_row)(void *ctx, const store_row_t *row);
 	/* The table has been read whole; rows not told of are not there. */
 	void (*on_whole)(void *ctx);
@@ -52,6 +53,8 @@
 follow_t *follow_new(const follow_opts_t *o);
 void follow_start(follow_t *f);
 void follow_stop(follow_t *f);
+/* Asks anew at once, as the store answers again. */
+void follow_kick(follow_t *f);
 
 /*
  * Routes: which queue a request belongs to.
@@ -76,6 +79,13 @@
 void cell_port_fresh(cell_port_t *c); /* the operators' table */
 void cell_port_zone(cell_port_t *c, const char *zone, bool evacuated);
 
+/*
+ * Whether the store is away for all entries.
+ */
+typedef struct outage outage_t;
+outage_t *outage_new(node_t *n, GError **err);
+void outage_leave(outage_t *o);
+
 /*
  * Requests of callers.
  */
@@ -98,7 +108,7 @@
 	char *name, *zone, *ip;
 	char *front, *ready; /* ip:port */
 	char *store;	     /* ip:port */
-	int32_t metrics_port;
+	int32_t metrics_port, peer_port;
 	int32_t max_hold_ms, stop_ms, gang_wait_ms, harm_ms, notice_ms;
 	int32_t grace_ms;
 	char *far_factor;
@@ -121,6 +131,8 @@
 	platform_t *platform;
 	cell_port_t *cell;
 	follow_t *operators;
+	outage_t *outage;
+	GPtrArray *follows; /* all, of follow_t */
 	platform_tables_t *tables;
 	GHashTable *zones; /* evacuated; interned */
 	server_t *front, *ready, *metrics;
--- a/trans/trans.h
+++ b/trans/trans.h
@@ -101,6 +101,21 @@
     backends_t *b, uint64_t req, int32_t attempt, const backend_call_t *call);
 void backends_close(backends_t *b); /* idle connections go */
 
+/*
+ * Datagrams, for what is said over and over and may be lost.
+ */
+typedef struct dgram dgram_t;
+typedef struct {
+	uv_loop_t *loop;
+	const char *ip;
+	int32_t port;
+	void (*on_data)(void *ctx, const uint8_t *data, size_t n);
+	void *ctx;
+} dgram_opts_t;
+dgram_t *dgram_new(const dgram_opts_t *o, GError **err);
+void dgram_send(dgram_t *d, const char *ip, int32_t port, const uint8_t *data,
+    size_t n);
+
 /*
  * Peers.
  */
