--- a/sched/cell.c
+++ b/sched/cell.c
@@ -258,6 +258,25 @@
 		claim(s, "its owner is silent");
 }
 
+/*
+ * The owner may go on without the store if nobody else had it for long enough
+ * since to see the claim unrenewed.
+ */
+void
+cell_outage(sched_t *s, bool for_all, int64_t last_ms)
+{
+	cell_t *c = &s->cell;
+	bool on = for_all && c->state == CELL_OWNED &&
+	    (c->outage || last_ms - c->confirmed_ms < START_MS);
+
+	if (c->outage != on)
+		LOG(s, SCHED_EVT_SELF_FENCE, "cell",
+		    "store_away_for_all=%d last_answer=%" PRId64
+		    " confirmed_age=%" PRId64,
+		    on, s->now - last_ms, s->now - c->confirmed_ms);
+	c->outage = on;
+}
+
 /* What is decided on is known up to now. */
 static bool
 fed(const sched_t *s)
--- a/sched/part.h
+++ b/sched/part.h
@@ -329,6 +329,7 @@
 void cell_claimed(sched_t *s, sched_write_t r, int64_t version);
 void cell_loaded(sched_t *s);
 bool cell_extends(const sched_t *s);
+void cell_outage(sched_t *s, bool for_all, int64_t last_ms);
 bool cell_acts(const sched_t *s);
 GByteArray *cell_pack_owner(sched_t *s, bool released);
 bool cell_may_start(sched_t *s, const job_t *j);
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -568,14 +568,10 @@
 }
 
 void
-sched_outage(sched_t *s, bool for_all, int64_t now_ms)
+sched_outage(sched_t *s, bool for_all, int64_t last_ms, int64_t now_ms)
 {
 	s->now = now_ms;
-	if (s->cell.outage != for_all)
-		LOG(s, SCHED_EVT_SELF_FENCE, "cell",
-		    "store_away_for_all=%d confirmed_age=%" PRId64, for_all,
-		    now_ms - s->cell.confirmed_ms);
-	s->cell.outage = for_all;
+	cell_outage(s, for_all, last_ms);
 }
 
 void
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -221,9 +221,11 @@
 bool sched_release(sched_t *s, int64_t now_ms);
 /*
  * Whether the store is away for all entries, so that none can claim the cell:
- * the owner then goes on without it.
+ * the owner then goes on without it.  last_ms is when it last answered any of
+ * the others.
  */
-void sched_outage(sched_t *s, bool for_all, int64_t now_ms);
+void sched_outage(
+    sched_t *s, bool for_all, int64_t last_ms, int64_t now_ms);
 /* The process stood still: nothing is ordered before the row is read. */
 void sched_paused(sched_t *s, int64_t now_ms);
 
--- a/serve/outage.c
+++ b/serve/outage.c
@@ -38,6 +38,7 @@
 	char *ip;
 	int32_t port;
 	int64_t heard_ms; /* last datagram */
+	int64_t store_ms; /* when the store last answered it */
 } entry_row_t;
 
 struct outage {
@@ -94,8 +95,10 @@
 		return;
 	}
 	r = g_hash_table_lookup(o->entries, s->name);
-	if (r != NULL)
+	if (r != NULL) {
 		r->heard_ms = node_now(o->node);
+		r->store_ms = r->heard_ms - s->silent_ms;
+	}
 	sched__silence__free_unpacked(s, NULL);
 }
 
@@ -124,7 +127,7 @@
 
 /* Nearly all others have said of late that they miss the store too. */
 static bool
-all_miss_it(const outage_t *o, int64_t now)
+all_miss_it(const outage_t *o, int64_t now, int64_t *last_ms)
 {
 	guint n = g_hash_table_size(o->entries), silent = 0;
 	GHashTableIter it;
@@ -134,7 +137,10 @@
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		const entry_row_t *r = v;
 
-		silent += r->heard_ms != 0 && now - r->heard_ms < HEARD_MS;
+		if (r->heard_ms == 0 || now - r->heard_ms >= HEARD_MS)
+			continue;
+		silent++;
+		*last_ms = MAX(*last_ms, r->store_ms);
 	}
 	return n > 0 && silent * 100 >= n * SHARE_PCT;
 }
@@ -145,14 +151,16 @@
 	outage_t *o = t->data;
 	node_t *n = o->node;
 	int64_t now = node_now(n), silent = now - n->store_ok_ms;
+	int64_t last_ms = 0;
 	bool for_all = false;
 
 	if (silent >= SILENT_MS) {
 		say(o, silent);
-		for_all = all_miss_it(o, now);
+		for_all = all_miss_it(o, now, &last_ms);
 	}
-	if (for_all != o->for_all)
-		sched_outage(cell_port_sched(n->cell), for_all, now);
+	if (for_all || o->for_all)
+		sched_outage(
+		    cell_port_sched(n->cell), for_all, last_ms, now);
 	o->for_all = for_all;
 }
 
--- a/test/cell/cell.h
+++ b/test/cell/cell.h
@@ -110,6 +110,7 @@
 	GHashTable *rows;
 	int64_t version;
 	bool store_down;
+	int64_t down_ms; /* when that began, or last ended */
 	int32_t store_ms; /* an answer takes */
 	double store_lost;
 	bool store_late;
--- a/test/cell/vm.c
+++ b/test/cell/vm.c
@@ -19,6 +19,7 @@
 #define DRAIN_MS      2000
 #define EVACUATE_MS   5000
 #define CANCEL_MS     3000
+#define TOUCH_MS      3000
 
 static int64_t
 clock_of(const world_t *w, const sim_vm_t *v)
@@ -184,6 +185,9 @@
 		world_fail(w, "limit", "%s on %s", o->task, v->id);
 	if (late)
 		return;
+	/* The bounds count while the store answers, and 3 s after. */
+	if (w->store_down || w->now_ms < w->down_ms + TOUCH_MS)
+		return;
 	if (j->cancelled && w->now_ms > j->cancel_ms + CANCEL_MS)
 		world_fail(w, "cancel", "%s started after it", o->task);
 	if (v->draining && w->now_ms > v->drain_ms + DRAIN_MS)
