--- a/sched/cell.c
+++ b/sched/cell.c
@@ -33,13 +33,36 @@
 	    o->incarnation == s->o.incarnation && !o->released;
 }
 
+/* How many jobs wait, by queue. */
+static Sched__Waiting **
+pack_waiting(const sched_t *s, size_t *n)
+{
+	Sched__Waiting **list =
+	    g_new0(Sched__Waiting *, g_hash_table_size(s->queues) + 1);
+	GHashTableIter it;
+	void *v;
+
+	*n = 0;
+	g_hash_table_iter_init(&it, s->queues);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const queue_t *q = v;
+
+		if (q->waiting == 0)
+			continue;
+		list[*n] = g_new(Sched__Waiting, 1);
+		sched__waiting__init(list[*n]);
+		list[*n]->queue = (char *)q->name;
+		list[(*n)++]->jobs = q->waiting;
+	}
+	return list;
+}
+
 GByteArray *
 cell_pack_owner(sched_t *s, bool released)
 {
 	Sched__Owner o = SCHED__OWNER__INIT;
 	GByteArray *b = g_byte_array_new();
-	GHashTableIter it;
-	void *v;
+	g_autofree Sched__Waiting **waiting = NULL;
 
 	s->cell.release_sent = released;
 	o.name = (char *)s->o.name;
@@ -47,25 +70,16 @@
 	o.epoch = s->cell.epoch;
 	o.beat = s->cell.beat;
 	o.released = released;
-	o.waiting = g_new0(Sched__Waiting *, g_hash_table_size(s->queues) + 1);
-	g_hash_table_iter_init(&it, s->queues);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		const queue_t *q = v;
-		Sched__Waiting *w;
-
-		if (q->waiting == 0)
-			continue;
-		w = g_new(Sched__Waiting, 1);
-		sched__waiting__init(w);
-		w->queue = (char *)q->name;
-		w->jobs = q->waiting;
-		o.waiting[o.n_waiting++] = w;
-	}
+	/* Before the jobs are read, what the last owner told still holds. */
+	if (s->cell.state != CELL_OWNED && s->cell.row != NULL) {
+		o.waiting = s->cell.row->waiting;
+		o.n_waiting = s->cell.row->n_waiting;
+	} else
+		waiting = o.waiting = pack_waiting(s, &o.n_waiting);
 	g_byte_array_set_size(b, (guint)sched__owner__get_packed_size(&o));
 	sched__owner__pack(&o, b->data);
-	for (size_t i = 0; i < o.n_waiting; i++)
-		g_free(o.waiting[i]);
-	g_free(o.waiting);
+	for (size_t i = 0; waiting != NULL && i < o.n_waiting; i++)
+		g_free(waiting[i]);
 	return b;
 }
 
--- a/sched/part.h
+++ b/sched/part.h
@@ -155,7 +155,6 @@
 	int64_t flush_seen;
 	uint64_t store_flush; /* flush that puts it into the footprint */
 	/* health */
-	int32_t bad_starts;
 	int64_t hold_off_ms; /* no start before this */
 	int32_t fails;	     /* failed runs of distinct jobs, in a row */
 	const char *fail_job;
--- a/sched/run.c
+++ b/sched/run.c
@@ -164,7 +164,6 @@
 		t->run = r;
 	else
 		t->copy = r;
-	r->job->begun = true;
 	set_state(s, r, RUN_SENT);
 	LOG(s, SCHED_EVT_START, name,
 	    "run=%" PRId64 " worker=%s token=%" PRId64
@@ -237,6 +236,17 @@
 	run_gone(s, r);
 }
 
+/* A task of the job runs or has run; callers are told so from now on. */
+static void
+job_begun(sched_t *s, job_t *j)
+{
+	if (j->begun)
+		return;
+	j->begun = true;
+	if (j->stage == JOB_OPEN)
+		flush_job(s, j, false);
+}
+
 static void
 start_done(sched_t *s, run_t *r, sched_result_t res)
 {
@@ -244,7 +254,7 @@
 		if (r->state == RUN_SENT)
 			set_state(s, r, RUN_ON);
 		r->first_ms = r->percent_ms = s->now;
-		r->worker->bad_starts = 0;
+		job_begun(s, r->job);
 		if (r->drop)
 			run_stop(s, r, "not wanted any more");
 		return;
@@ -492,6 +502,7 @@
 	    w->id, e->how, r != NULL, e->seq);
 	if (t != NULL && t->state != TASK_DONE) {
 		t->last_run = MAX(t->last_run, e->run);
+		job_begun(s, t->step->occ->job);
 		keep_checkpoint(t, e->checkpoint);
 		if (e->how == SCHED_DONE && !t->step->def->lasting) {
 			w->fails = 0;
@@ -532,7 +543,7 @@
 		t->state = TASK_RUNNING;
 		t->step->waiting--;
 		t->away_ms = 0;
-		j->begun = true;
+		job_begun(s, j);
 		s->stats.adopted++;
 		LOG(s, SCHED_EVT_ADOPTED, f->task,
 		    "run=%" PRId64 " worker=%s", f->run, w->id);
@@ -557,6 +568,7 @@
 	r->measure = f->measure;
 	if (r->task == NULL)
 		return;
+	job_begun(s, r->job);
 	if (f->percent >= 100)
 		r->task->away_ms = 0;
 	if (r->task->run == r)
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -232,6 +232,24 @@
 		run_job_end(s, j, SCHED__STATE__COMPLETED);
 }
 
+static void
+count_waiting(sched_t *s)
+{
+	GHashTableIter it;
+	void *v;
+
+	g_hash_table_iter_init(&it, s->queues);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		((queue_t *)v)->waiting = 0;
+	g_hash_table_iter_init(&it, s->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const job_t *j = v;
+
+		if (!j->begun && j->stage == JOB_OPEN)
+			queue_get(s, j->queue)->waiting++;
+	}
+}
+
 void
 sched_loaded(sched_t *s, int64_t now_ms)
 {
@@ -244,6 +262,7 @@
 		return;
 	for (GList *i = all; i != NULL; i = i->next)
 		begin_job(s, i->data);
+	count_waiting(s);
 	for (guint i = 0; i < s->worker_list->len; i++)
 		((vm_t *)g_ptr_array_index(s->worker_list, i))
 		    ->look_next_ms = now_ms;
@@ -476,24 +495,6 @@
 	}
 }
 
-static void
-count_waiting(sched_t *s)
-{
-	GHashTableIter it;
-	void *v;
-
-	g_hash_table_iter_init(&it, s->queues);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		((queue_t *)v)->waiting = 0;
-	g_hash_table_iter_init(&it, s->jobs);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		const job_t *j = v;
-
-		if (!j->begun && j->stage == JOB_OPEN)
-			queue_get(s, j->queue)->waiting++;
-	}
-}
-
 /* A line a second on what the cell has and does. */
 static void
 log_load(sched_t *s)
--- a/test/cell/cell.h
+++ b/test/cell/cell.h
@@ -81,6 +81,7 @@
 	int64_t feed_version;
 	bool feeding;
 	int64_t tick_ms;
+	int64_t calm_ms; /* no fault of its own since */
 } sim_node_t;
 
 /* What is true of a task, whoever knows it. */
@@ -98,6 +99,8 @@
 	bool cancelled;
 	int64_t cancel_ms;
 	bool poison;
+	bool begun; /* a task has started */
+	int64_t accepted_ms;
 } sim_job_t;
 
 struct world {
--- a/test/cell/vm.c
+++ b/test/cell/vm.c
@@ -262,6 +262,7 @@
 	r->since_ms = w->now_ms;
 	g_ptr_array_add(v->runs, r);
 	world_truth(w, o->task)->running++;
+	j->begun = true;
 	w->starts++;
 	return SCHED_ORDER_OK;
 }
--- a/test/cell/world.c
+++ b/test/cell/world.c
@@ -186,6 +186,7 @@
 	sched__job__pack(def, b);
 	j->def = sched__job__unpack(NULL, n, b);
 	j->poison = poison;
+	j->accepted_ms = w->now_ms;
 	g_hash_table_insert(w->jobs, j->id, j);
 	store_put(w, j->id, b, n);
 	g_free(b);
--- a/test/main/cells.c
+++ b/test/main/cells.c
@@ -17,6 +17,8 @@
 
 #define TROUBLE_MS 25000 /* faults and jobs */
 #define QUIET_MS   60000 /* after which all jobs must have ended */
+#define WAITING_MS 5000  /* a job that waits longer must be counted */
+#define TOUCH_MS   3000  /* bounds count so long after a fault */
 #define JOBS_GAP_MS 400
 
 static void
@@ -125,8 +127,7 @@
 store_back(world_t *w, void *arg)
 {
 	(void)arg;
-	if (w->store_down)
-		w->down_ms = w->now_ms;
+	w->down_ms = w->now_ms;
 	w->store_down = false;
 	w->store_ms = 4;
 	w->store_lost = 0;
@@ -281,6 +282,38 @@
 	world_after(w, world_int(w, 200, 4000), fault, NULL);
 }
 
+/* Every entry in touch tells at least half of the jobs that wait. */
+static void
+check_waiting(world_t *w, void *arg)
+{
+	GHashTableIter it;
+	int32_t n = 0;
+	void *v;
+
+	(void)arg;
+	g_hash_table_iter_init(&it, w->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const sim_job_t *j = v;
+
+		n += !j->begun && !j->cancelled &&
+		    w->now_ms - j->accepted_ms > WAITING_MS;
+	}
+	for (int32_t i = 0; i < w->nnodes; i++) {
+		sim_node_t *e = &w->nodes[i];
+
+		if (!e->up || e->frozen || e->store_cut || w->store_ms > 10 ||
+		    w->store_lost > 0)
+			e->calm_ms = w->now_ms;
+		if (w->now_ms - MAX(e->calm_ms, w->down_ms) < TOUCH_MS ||
+		    w->store_down || e->calm_ms == w->now_ms)
+			continue;
+		if (sched_waiting(e->s, "q") * 2 < n)
+			world_fail(w, "waiting", "%s tells %d of %d", e->name,
+			    sched_waiting(e->s, "q"), n);
+	}
+	world_after(w, 100, check_waiting, NULL);
+}
+
 /*
  * What must be so at the end.
  */
@@ -325,6 +358,7 @@
 	w->verbose = verbose;
 	world_after(w, 1500, submit, NULL);
 	world_after(w, 3000, fault, NULL);
+	world_after(w, 3000, check_waiting, NULL);
 	world_run(w, TROUBLE_MS);
 	world_run(w, TROUBLE_MS + QUIET_MS);
 	g_hash_table_iter_init(&it, w->jobs);
