--- a/sched/part.h
+++ b/sched/part.h
@@ -115,6 +115,7 @@
 	uint64_t report;     /* the last report that listed it */
 	int32_t pace;	     /* percent in force */
 	int32_t pace_want;
+	bool paced; /* it has been slowed */
 	int64_t over_ms;     /* serving: over its target since; 0: not */
 };
 
@@ -149,12 +150,16 @@
 	uint64_t look_id; /* of the look under way; 0: none */
 	int64_t look_ms;   /* when the one under way, or the last, began */
 	int64_t look_next_ms;
+	bool look_now; /* the next one does not wait for an end */
 	int64_t seen;	   /* ends taken in */
 	int64_t noted;	   /* ends whose record is stored */
 	uint64_t flush_want; /* flush that stores ends up to flush_seen */
 	int64_t flush_seen;
 	uint64_t store_flush; /* flush that puts it into the footprint */
 	/* health */
+	double due, made; /* progress of runs that ended, fading */
+	double speed;	  /* share of that expected */
+	bool slow;
 	int64_t hold_off_ms; /* no start before this */
 	int32_t fails;	     /* failed runs of distinct jobs, in a row */
 	const char *fail_job;
@@ -288,6 +293,7 @@
 /* run.c */
 void run_start(sched_t *s, task_t *t, vm_t *w, int64_t number);
 void run_waiting(sched_t *s);
+int64_t run_next_number(sched_t *s, const task_t *t);
 void run_stop(sched_t *s, run_t *r, const char *why);
 void run_pace(sched_t *s, run_t *r, int32_t percent);
 void run_order_done(
@@ -314,6 +320,10 @@
 void noise_take(vm_t *w, const step_t *st, int sign);
 void noise_report(sched_t *s, vm_t *w);
 
+/* health.c */
+void health_done(sched_t *s, const run_t *r);
+void health_report(sched_t *s, vm_t *w);
+
 /* flush.c */
 void flush_job(sched_t *s, job_t *j, bool urgent);
 void flush_worker(sched_t *s, vm_t *w);
--- a/sched/place.c
+++ b/sched/place.c
@@ -23,6 +23,7 @@
 #define COST_IMAGE    200000  /* a serving task beside another image */
 #define COST_EMPTY    100000  /* ... on a worker that had none */
 #define COST_TAIL     4000    /* each percent of its target it would suffer */
+#define COST_SLOW     2000000 /* its tasks come slowly */
 #define COST_AVOID    4000000 /* the task failed there before */
 
 static bool
@@ -80,6 +81,7 @@
 	if (d->near_rack[0] != '\0' && strcmp(d->near_rack, w->rack) != 0)
 		sc -= COST_FAR;
 	sc -= w->fails * COST_FAILED;
+	sc -= w->slow ? COST_SLOW : 0;
 	if (w->id == t->avoid)
 		sc -= COST_AVOID;
 	if (d->filler)
--- a/sched/run.c
+++ b/sched/run.c
@@ -93,6 +93,7 @@
 		s->stats.stops++;
 	else {
 		o.percent = r->pace_want;
+		r->paced = true;
 		s->stats.paces++;
 	}
 	r->order_out = true;
@@ -278,8 +279,15 @@
 	if (res == SCHED_ORDER_REBORN)
 		run_gone(s, r);
 	else if (res != SCHED_ORDER_UNKNOWN && res != SCHED_ORDER_NOT_SENT &&
-	    res != SCHED_ORDER_UNHEALTHY)
+	    res != SCHED_ORDER_UNHEALTHY) {
 		r->stopped_ms = s->now;
+		/* Whether it ever ran shows in a look that begins now. */
+		if (r->first_ms == 0) {
+			r->worker->look_id = 0;
+			r->worker->look_next_ms = s->now;
+			r->worker->look_now = true;
+		}
+	}
 }
 
 void
@@ -358,7 +366,8 @@
 	queue_t *q = g_hash_table_lookup(s->queues, r->job->queue);
 	int64_t est = r->task->step->def->estimate_ms, pct;
 
-	if (q == NULL || est <= 0 || r->first_ms == 0 || r->first_percent > 0)
+	if (q == NULL || est <= 0 || r->first_ms == 0 ||
+	    r->first_percent > 0 || r->worker->slow || r->paced)
 		return;
 	pct = (s->now - r->first_ms) * 100 / est;
 	pct = CLAMP(pct, TIME_MIN_PCT, TIME_MAX_PCT);
@@ -408,8 +417,10 @@
 	job_t *j = o->job;
 	bool step_was = t->step->done == t->step->ntasks;
 
-	if (r != NULL)
+	if (r != NULL) {
 		learn_time(s, r);
+		health_done(s, r);
+	}
 	stop_others(s, t, r);
 	if (t->step->def->gang)
 		step_all_done(t->step);
@@ -663,8 +674,8 @@
 	}
 }
 
-static int64_t
-next_number(sched_t *s, const task_t *t)
+int64_t
+run_next_number(sched_t *s, const task_t *t)
 {
 	return MAX(t->last_run, (s->cell.epoch - 1) * RUN_STRIDE) + 1;
 }
@@ -680,7 +691,7 @@
 	for (int32_t i = 0; i < st->ntasks; i++) {
 		if (st->tasks[i].not_before_ms > s->now)
 			return;
-		number = MAX(number, next_number(s, &st->tasks[i]));
+		number = MAX(number, run_next_number(s, &st->tasks[i]));
 	}
 	for (int32_t i = 0; i < st->ntasks; i++)
 		run_start(s, &st->tasks[i], at[i], number);
@@ -705,7 +716,7 @@
 		w = place_task(s, st, t, NULL);
 		if (w == NULL)
 			break;
-		run_start(s, t, w, next_number(s, t));
+		run_start(s, t, w, run_next_number(s, t));
 		n++;
 	}
 	return n;
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -439,6 +439,7 @@
 	}
 	run_report(s, w, report, w->look_ms);
 	noise_report(s, w);
+	health_report(s, w);
 	run_retry(s, w);
 	flush_worker(s, w);
 	flush_due(s);
@@ -453,8 +454,10 @@
 	/* What does not answer is not extended, so that its lease can lapse. */
 	if (cell_extends(s) && w->misses == 0)
 		l.deadline_ms = vm_deadline(s, w);
-	if (w->answered && w->seen == w->noted && w->lease.heard_ms != 0)
+	if (w->answered && w->seen == w->noted && w->lease.heard_ms != 0 &&
+	    !w->look_now)
 		l.wait_ms = LOOK_WAIT_MS;
+	w->look_now = false;
 	w->look_id = l.id = ++s->next_id;
 	w->look_ms = s->now;
 	s->stats.looks++;
