--- a/proto/sched.pb-c.c
+++ b/proto/sched.pb-c.c
@@ -1258,7 +1258,7 @@
   (ProtobufCMessageInit) sched__owner__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sched__footprint__field_descriptors[2] =
+static const ProtobufCFieldDescriptor sched__footprint__field_descriptors[3] =
 {
   {
     "workers",
@@ -1284,15 +1284,28 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "until_ms",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Sched__Footprint, n_until_ms),
+    offsetof(Sched__Footprint, until_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sched__footprint__field_indices_by_name[] = {
   1,   /* field[1] = born_ms */
+  2,   /* field[2] = until_ms */
   0,   /* field[0] = workers */
 };
 static const ProtobufCIntRange sched__footprint__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor sched__footprint__descriptor =
 {
@@ -1302,7 +1315,7 @@
   "Sched__Footprint",
   "sched",
   sizeof(Sched__Footprint),
-  2,
+  3,
   sched__footprint__field_descriptors,
   sched__footprint__field_indices_by_name,
   1,  sched__footprint__number_ranges,
--- a/proto/sched.pb-c.h
+++ b/proto/sched.pb-c.h
@@ -230,10 +230,16 @@
   char **workers;
   size_t n_born_ms;
   int64_t *born_ms;
+  /*
+   * For a worker that has stopped answering, when its lease ends by the
+   * store's clock; 0 while it is extended.
+   */
+  size_t n_until_ms;
+  int64_t *until_ms;
 };
 #define SCHED__FOOTPRINT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sched__footprint__descriptor) \
-    , 0,NULL, 0,NULL }
+    , 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
--- a/sched/cell.c
+++ b/sched/cell.c
@@ -23,7 +23,8 @@
 #define READ_GAP_MS 1500 /* reads further apart say nothing of silence */
 #define START_MS   1150 /* no starts this long after the last confirmation */
 #define FRESH_MS   2000 /* cancels and leaving workers count within 2 s */
-#define EXTEND_MS  3000 /* nor leases, unless all entries miss the store */
+#define EXTEND_MS  2200 /* nor leases, unless all entries miss the store */
+#define CLOCK_MARGIN_MS 600 /* the store may answer so late */
 #define LEASE_MAX_MS 4300 /* a lease, its drift and its margin */
 
 static bool
@@ -100,6 +101,8 @@
 		w->stored = w->answered = w->silent = false;
 		w->store_flush = w->flush_want = 0;
 		w->seen = w->noted = 0;
+		w->ends_ms = 0;
+		w->misses = 0;
 		w->look_id = 0;
 		w->pace = 100;
 		w->fails = 0;
@@ -232,14 +235,25 @@
 	g_byte_array_unref(b);
 }
 
-/* Every worker that earlier owners used has answered or been replaced. */
+/* Nothing of earlier owners can run on a worker any more. */
+static bool
+ended(const sched_t *s, const vm_t *w)
+{
+	return w->ends_ms != 0 &&
+	    s->now + s->store_off_ms > w->ends_ms + CLOCK_MARGIN_MS;
+}
+
+/*
+ * Every worker that earlier owners used has answered, been replaced, or had
+ * been given up by them and is free of them now.
+ */
 static bool
 all_answered(const sched_t *s)
 {
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		const vm_t *w = g_ptr_array_index(s->worker_list, i);
 
-		if (w->stored && !w->answered)
+		if (w->stored && !w->answered && !ended(s, w))
 			return false;
 	}
 	return true;
--- a/sched/flush.c
+++ b/sched/flush.c
@@ -76,6 +76,18 @@
 	    (w->stored && (!s->cell.accounted || !vm_lapsed(s, w)));
 }
 
+/* When a worker that is not extended any more is free of us; 0: extended. */
+static int64_t
+ends_ms(const sched_t *s, const vm_t *w)
+{
+	if (w->misses == 0 || w->lease.sent_ms == 0)
+		return 0;
+	if (!w->answered)
+		return w->ends_ms; /* as an earlier owner told */
+	return w->ends_ms != 0 ? w->ends_ms :
+				 vm_lease_end(w) + s->store_off_ms;
+}
+
 static void
 put_footprint(sched_t *s, GArray *puts)
 {
@@ -85,11 +97,16 @@
 
 	f.workers = g_new0(char *, s->worker_list->len + 1);
 	f.born_ms = g_new0(int64_t, s->worker_list->len + 1);
+	f.until_ms = g_new0(int64_t, s->worker_list->len + 1);
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		vm_t *w = g_ptr_array_index(s->worker_list, i);
 		bool in = in_footprint(s, w);
 
-		changed = changed || in != (w->store_flush != 0);
+		int64_t ends = ends_ms(s, w);
+
+		changed = changed || in != (w->store_flush != 0) ||
+		    (in && ends != w->ends_ms);
+		w->ends_ms = ends;
 		w->store_flush = !in ? 0 : w->store_flush == 0 ? s->flush :
 								 w->store_flush;
 		w->stored = w->stored && in;
@@ -98,6 +115,7 @@
 		f.workers[f.n_workers++] =
 		    g_strconcat(w->id, " ", w->address, NULL);
 		f.born_ms[f.n_born_ms++] = w->born_ms;
+		f.until_ms[f.n_until_ms++] = ends;
 	}
 	if (changed) {
 		b = g_byte_array_new();
@@ -110,6 +128,7 @@
 		g_free(f.workers[i]);
 	g_free(f.workers);
 	g_free(f.born_ms);
+	g_free(f.until_ms);
 }
 
 /* Workers that earlier owners may have left something on. */
@@ -133,6 +152,8 @@
 		if (w->born_ms == f->born_ms[i] || f->born_ms[i] == 0) {
 			w->stored = true;
 			w->store_flush = 1;
+			w->ends_ms =
+			    i < f->n_until_ms ? f->until_ms[i] : 0;
 		}
 	}
 }
--- a/sched/health.c
+++ b/sched/health.c
@@ -23,6 +23,7 @@
 #define MOVE_GAIN     1.3 /* waiting must take so much longer */
 #define MOVE_MS	      600 /* a stop, another start and a restore */
 #define COPY_TIMES    1.7 /* the time expected, before a copy */
+#define LEAVE_MS      1500 /* a shorter rest is done before the worker leaves */
 #define MOVES_AT_ONCE 4	  /* at one report */
 
 /* Expected time of a whole task of a step. */
@@ -157,6 +158,26 @@
 	return true;
 }
 
+/* What would end with a leaving worker goes elsewhere while there is room. */
+static bool
+leave(sched_t *s, run_t *r)
+{
+	const Sched__Step *d = r->task == NULL ? NULL : r->task->step->def;
+
+	if (d == NULL || r->state != RUN_ON || r->task->run != r || r->drop ||
+	    r->job->stage != JOB_OPEN || d->gang ||
+	    (!d->lasting && !d->checkpoints))
+		return false;
+	if (!d->lasting &&
+	    (100 - r->percent) * expected_ms(s, r->task->step) / 100 <
+		LEAVE_MS)
+		return false;
+	if (!has_place(s, r))
+		return false;
+	run_stop(s, r, "the worker is leaving");
+	return true;
+}
+
 /* Takes in a report on a worker. */
 void
 health_report(sched_t *s, vm_t *w)
@@ -169,6 +190,8 @@
 		return;
 	all = g_hash_table_get_values(w->runs);
 	for (GList *i = all; i != NULL && n < MOVES_AT_ONCE; i = i->next)
-		if (tells(i->data))
+		if (w->draining)
+			n += leave(s, i->data);
+		else if (tells(i->data))
 			n += rescue(s, w, i->data);
 }
--- a/sched/part.h
+++ b/sched/part.h
@@ -138,6 +138,7 @@
 	int32_t gpu;
 	bool listed, swept, draining;
 	bool stored;  /* in the footprint row */
+	int64_t ends_ms; /* lease by the store's clock, as stored; 0: extended */
 	bool answered; /* under our token */
 	bool silent;
 	int32_t misses; /* looks in a row without an answer */
@@ -243,6 +244,7 @@
 	GPtrArray *flushing;	 /* jobs in the write under way */
 	bool pump;		 /* something may be startable */
 	int64_t sort_ms, load_ms;
+	int64_t store_off_ms; /* its clock less ours */
 	int64_t fed_ms[SCHED_FEEDS]; /* a table was last read up to then */
 	sched_stats_t stats;
 };
@@ -275,6 +277,7 @@
 int64_t vm_clock(const vm_t *w, int64_t now_ms);
 int64_t vm_deadline(sched_t *s, vm_t *w);
 bool vm_lapsed(const sched_t *s, const vm_t *w);
+int64_t vm_lease_end(const vm_t *w);
 void vm_lease_unknown(const sched_t *s, vm_t *w);
 void vm_reborn(sched_t *s, vm_t *w, int64_t born_ms);
 void vm_heard(sched_t *s, vm_t *w, int64_t clock_ms);
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -357,6 +357,13 @@
 	s->pump = true;
 }
 
+void
+sched_store_clock(sched_t *s, int64_t store_ms, int64_t now_ms)
+{
+	s->now = now_ms;
+	s->store_off_ms = store_ms - now_ms;
+}
+
 void
 sched_fed(sched_t *s, sched_feed_t feed, int64_t now_ms)
 {
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -204,6 +204,8 @@
 	SCHED_FEED_OPERATORS
 } sched_feed_t;
 #define SCHED_FEEDS 3
+/* The store's steady clock, as told by an answer just now. */
+void sched_store_clock(sched_t *s, int64_t store_ms, int64_t now_ms);
 void sched_fed(sched_t *s, sched_feed_t feed, int64_t now_ms);
 /* The queue's settings in force; jobs that name it follow them. */
 void sched_queue(sched_t *s, const char *queue, const char *service,
--- a/sched/vm.c
+++ b/sched/vm.c
@@ -146,6 +146,14 @@
 	w->lease.heard_ms = now_ms;
 }
 
+/* When the lease last sent has ended for sure; our clock. */
+int64_t
+vm_lease_end(const vm_t *w)
+{
+	return w->lease.sent_ms + LEASE_MS * (100 + DRIFT_PCT) / 100 +
+	    LAPSE_MARGIN_MS;
+}
+
 /* Nothing there is taken for lapsed before its longest lease has ended. */
 void
 vm_lease_unknown(const sched_t *s, vm_t *w)
@@ -169,6 +177,7 @@
 	w->lease.until_ms = 0;
 	w->answered = w->stored = false;
 	w->store_flush = 0;
+	w->ends_ms = 0;
 	w->look_id = 0;
 	w->look_next_ms = s->now;
 }
--- a/serve/cell.c
+++ b/serve/cell.c
@@ -80,6 +80,8 @@
 
 	c->polling = false;
 	node_store_answer(c->node, r);
+	if (a->clock_ms != 0)
+		sched_store_clock(c->sched, a->clock_ms, node_now(c->node));
 	if (r == STORE_OK)
 		give_owner_row(c, a);
 	node_soon(c->node);
--- a/test/cell/store.c
+++ b/test/cell/store.c
@@ -12,6 +12,7 @@
 #include "../../sched/sched.h"
 #include "cell.h"
 
+#define STORE_CLOCK_MS 777000 /* its clock less that of the entries */
 #define CALL_MS 1500 /* until a call without an answer is given up */
 
 typedef enum { CALL_CLAIM, CALL_WRITE, CALL_LOAD, CALL_POLL, CALL_FEED }
@@ -248,6 +249,7 @@
 	world_t *w = n->w;
 
 	if (c->kind == CALL_POLL) {
+		sched_store_clock(n->s, w->now_ms + STORE_CLOCK_MS, w->now_ms);
 		give_owner(n,
 		    c->rows->len == 0 ? NULL : g_ptr_array_index(c->rows, 0));
 		return;
