--- a/sched/job.c
+++ b/sched/job.c
@@ -86,6 +86,8 @@
 		st->number = (int32_t)i;
 		st->def = def->steps[i];
 		st->image = harm_image(s, st->def->image);
+		if (st->image >= 0 && st->def->filler)
+			s->filler_image[st->image] = true;
 		st->ntasks = st->waiting = st->def->count;
 		st->tasks = g_new0(task_t, st->ntasks);
 		for (int32_t k = 0; k < st->ntasks; k++) {
--- a/sched/noise.c
+++ b/sched/noise.c
@@ -15,6 +15,7 @@
 #define LIMIT_PCT     68  /* no filler where a tail above this is expected */
 #define LIMIT_LOW_PCT 55  /* ... while its job can still wait */
 #define WAIT_MS	      1500 /* it can, with so much time to spare */
+#define TYPICAL_USE   0.08 /* of a worker, by a filler task */
 #define AIM_PCT	      70  /* slowed fillers are to leave this */
 #define PART_MIN      0.2 /* of the harm: fillers that do less are left alone */
 #define PACE_MIN_PCT  15  /* a lower share becomes 0 */
@@ -66,6 +67,34 @@
 	return true;
 }
 
+/*
+ * Works out for each worker how many of the filler images may run there, in
+ * percent; with none to be told apart all are alike.
+ */
+void
+noise_openness(sched_t *s)
+{
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		vm_t *w = g_ptr_array_index(s->worker_list, i);
+		int32_t all = 0, may = 0;
+
+		for (int32_t f = 0; f < IMAGES_MAX; f++) {
+			bool ok = true;
+
+			if (!s->filler_image[f])
+				continue;
+			for (int32_t g = 0; g < IMAGES_MAX && ok; g++)
+				ok = w->image_serving[g] <= 0 ||
+				    harm_base(s, g) +
+					    harm_of(s, g, f) * TYPICAL_USE <=
+					LIMIT_PCT;
+			all++;
+			may += ok;
+		}
+		w->open_pct = all == 0 ? 100 : 100 * may / all;
+	}
+}
+
 /*
  * What a serving task would suffer there, in percent of its target, and how
  * many other images it would meet.
--- a/sched/part.h
+++ b/sched/part.h
@@ -169,6 +169,7 @@
 	int32_t pace;	     /* 100: none of its fillers is slowed */
 	int64_t pace_ms;     /* last change */
 	int64_t moved_ms;    /* a filler was sent away */
+	int32_t open_pct;    /* of the filler images, those that may run there */
 	int64_t over_ms;     /* a tail is over its target since; 0: none */
 	int64_t image_filler_cpu[IMAGES_MAX];
 	int32_t image_serving[IMAGES_MAX];
@@ -229,6 +230,7 @@
 	GHashTable *runs;  /* id -> run_t */
 	GHashTable *images; /* image -> index */
 	harm_t *harm[IMAGES_MAX]; /* of each serving image */
+	bool filler_image[IMAGES_MAX];
 	GHashTable *zones; /* evacuated, interned */
 	GHashTable *progress; /* while loading: id -> Sched__Progress */
 	GHashTable *ended;    /* ids of jobs whose end is stored */
@@ -320,6 +322,7 @@
 bool noise_allows(const sched_t *s, const vm_t *w, const step_t *st);
 double noise_serving_cost(
     const sched_t *s, const vm_t *w, const step_t *st, int32_t *images);
+void noise_openness(sched_t *s);
 void noise_take(vm_t *w, const step_t *st, int sign);
 void noise_report(sched_t *s, vm_t *w);
 
--- a/sched/place.c
+++ b/sched/place.c
@@ -19,7 +19,7 @@
 /* Score units are thousandths of a processor. */
 #define COST_FAR      1000000 /* away from the data */
 #define COST_FAILED   400000  /* each recent failure there */
-#define COST_SERVING  20000   /* a filler task beside a serving one */
+#define COST_OPEN     600     /* each percent of filler images allowed there */
 #define COST_IMAGE    200000  /* a serving task beside another image */
 #define COST_EMPTY    100000  /* ... on a worker that had none */
 #define COST_TAIL     4000    /* each percent of its target it would suffer */
@@ -84,8 +84,9 @@
 	sc -= w->slow ? COST_SLOW : 0;
 	if (w->id == t->avoid)
 		sc -= COST_AVOID;
-	if (d->filler)
-		sc -= w->serving * COST_SERVING;
+	/* Room where any filler may run is left to those that need it. */
+	if (d->tail_target_ms == 0)
+		sc -= w->open_pct * COST_OPEN;
 	else if (d->tail_target_ms > 0) {
 		/* Serving tasks of one image share few workers, so that the
 		 * fillers which harm them find others. */
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -553,6 +553,7 @@
 		s->sort_ms = now_ms;
 		queue_sort(s);
 		harm_solve(s);
+		noise_openness(s);
 		count_waiting(s);
 		s->pump = true;
 	}
