--- a/sched/job.c
+++ b/sched/job.c
@@ -15,6 +15,7 @@
 
 #define TASKS_MAX  10000 /* of a step: bounds what one job may take */
 #define STEPS_MAX  200	 /* of a job */
+#define MEAN_JOBS  32	 /* in the moving average of the work of jobs */
 #define TIME_PCT   100	 /* of the declared run time, until learned */
 #define AMOUNT_MAX 1000000000 /* of processor, memory or time a task names */
 
@@ -152,8 +153,15 @@
 	j->max_attempts = q->known ? q->max_attempts : def->max_attempts;
 	j->occs = g_ptr_array_new_with_free_func(occ_free);
 	o = job_occ(j, 0);
-	for (size_t i = 0; i < def->n_steps; i++)
+	for (size_t i = 0; i < def->n_steps; i++) {
 		longest = MAX(longest, o->steps[i].tail_ms);
+		j->work += (double)def->steps[i]->count *
+		    (double)def->steps[i]->cpu_milli *
+		    (double)def->steps[i]->estimate_ms;
+	}
+	q->mean_work += q->mean_work <= 0 ?
+	    j->work :
+	    (j->work - q->mean_work) / MEAN_JOBS;
 	j->deadline_ms = def->target_ms + (int64_t)(def->stretch * longest);
 	return j;
 }
--- a/sched/part.h
+++ b/sched/part.h
@@ -54,6 +54,8 @@
 	GSequenceIter *it;  /* in the queue */
 	int64_t latest_ms;  /* wall clock: start by then to be in time */
 	bool hopeless;	    /* can't be in time any more */
+	bool given_up;	    /* nor in the time that counts as late */
+	int64_t order_ms;   /* among those alike, the lowest first */
 	int64_t gang_run;   /* run number of the current gang */
 	char *checkpoint;   /* of the gang */
 };
@@ -81,7 +83,8 @@
 	uint64_t flush; /* the last that wrote it */
 	bool after_claim; /* accepted after this owner's claim */
 	int32_t runs;	  /* on workers now */
-	int64_t deadline_ms; /* wall clock */
+	int64_t deadline_ms; /* from when it was due */
+	double work; /* thousandths of a core x ms, all tasks, as declared */
 	int32_t occs_ended;
 	int32_t occs_due; /* made ready so far */
 };
@@ -183,6 +186,7 @@
 	int32_t max_attempts;
 	bool known;	  /* in the tables in force */
 	int64_t time_pct; /* real run time, of the declared; moving average */
+	double mean_work; /* of its jobs; moving average */
 	int32_t waiting;  /* jobs not begun */
 } queue_t;
 
