--- a/sched/cell.c
+++ b/sched/cell.c
@@ -19,13 +19,13 @@
 #include "sched.h"
 #include "part.h"
 
-#define SILENT_MS  1200 /* three renewals missed */
-#define READ_GAP_MS 1500 /* reads further apart say nothing of silence */
-#define START_MS   1150 /* no starts this long after the last confirmation */
-#define FRESH_MS   2000 /* cancels and leaving workers count within 2 s */
-#define EXTEND_MS  2200 /* nor leases, unless all entries miss the store */
-#define CLOCK_MARGIN_MS 600 /* the store may answer so late */
-#define LEASE_MAX_MS 4300 /* a lease, its drift and its margin */
+#define SILENT_MS	1200 /* three renewals missed */
+#define READ_GAP_MS	1500 /* reads further apart say nothing of silence */
+#define START_MS	1150 /* no starts this long after the last confirmation */
+#define FRESH_MS	2000 /* cancels and leaving workers count within 2 s */
+#define EXTEND_MS	2200 /* nor leases, unless all entries miss the store */
+#define CLOCK_MARGIN_MS 600  /* the store may answer so late */
+#define LEASE_MAX_MS	4300 /* a lease, its drift and its margin */
 
 static bool
 row_is_ours(const sched_t *s, const Sched__Owner *o)
@@ -138,8 +138,8 @@
 	s->cell.state = CELL_LOADING;
 	s->cell.version = s->cell.token = version;
 	s->cell.confirmed_ms = s->cell.sent_ms;
-	LOG(s, SCHED_EVT_CLAIM, "cell",
-	    "token=%" PRId64 " epoch=%" PRId64, version, s->cell.epoch);
+	LOG(s, SCHED_EVT_CLAIM, "cell", "token=%" PRId64 " epoch=%" PRId64,
+	    version, s->cell.epoch);
 	forget(s);
 	s->o.port.load(s->o.ctx);
 }
@@ -326,8 +326,7 @@
 
 	if (c->state != CELL_OWNED || c->paused || c->releasing)
 		return false;
-	return c->outage ||
-	    (s->now - c->confirmed_ms < START_MS && fed(s));
+	return c->outage || (s->now - c->confirmed_ms < START_MS && fed(s));
 }
 
 /* Leases may be extended. */
--- a/sched/flush.c
+++ b/sched/flush.c
@@ -12,9 +12,9 @@
 #include "sched.h"
 #include "part.h"
 
-#define ROWS_MAX   90  /* of a transaction: the store takes 100 */
-#define GAP_MS	   25  /* between transactions, to write more in each */
-#define RENEW_MS   400 /* without one the claim is renewed */
+#define ROWS_MAX 90  /* of a transaction: the store takes 100 */
+#define GAP_MS	 25  /* between transactions, to write more in each */
+#define RENEW_MS 400 /* without one the claim is renewed */
 
 static void
 put(GArray *puts, char *key, GByteArray *bytes)
@@ -84,8 +84,7 @@
 		return 0;
 	if (!w->answered)
 		return w->ends_ms; /* as an earlier owner told */
-	return w->ends_ms != 0 ? w->ends_ms :
-				 vm_lease_end(w) + s->store_off_ms;
+	return w->ends_ms != 0 ? w->ends_ms : vm_lease_end(w) + s->store_off_ms;
 }
 
 static void
@@ -107,8 +106,9 @@
 		changed = changed || in != (w->store_flush != 0) ||
 		    (in && ends != w->ends_ms);
 		w->ends_ms = ends;
-		w->store_flush = !in ? 0 : w->store_flush == 0 ? s->flush :
-								 w->store_flush;
+		w->store_flush = !in	? 0 :
+		    w->store_flush == 0 ? s->flush :
+					  w->store_flush;
 		w->stored = w->stored && in;
 		if (!in)
 			continue;
@@ -152,8 +152,7 @@
 		if (w->born_ms == f->born_ms[i] || f->born_ms[i] == 0) {
 			w->stored = true;
 			w->store_flush = 1;
-			w->ends_ms =
-			    i < f->n_until_ms ? f->until_ms[i] : 0;
+			w->ends_ms = i < f->n_until_ms ? f->until_ms[i] : 0;
 		}
 	}
 }
@@ -172,7 +171,8 @@
 	s->cell.beat++;
 	put(puts, g_strdup(SCHED_KEY_OWNER),
 	    cell_pack_owner(s,
-		s->cell.releasing && g_hash_table_size(s->dirty) <= ROWS_MAX / 3));
+		s->cell.releasing &&
+		    g_hash_table_size(s->dirty) <= ROWS_MAX / 3));
 	put_footprint(s, puts);
 	g_hash_table_iter_init(&it, s->dirty);
 	while (puts->len < ROWS_MAX && g_hash_table_iter_next(&it, &v, NULL)) {
--- a/sched/harm.c
+++ b/sched/harm.c
@@ -17,13 +17,13 @@
 #include "sched.h"
 #include "part.h"
 
-#define BASE_PCT     40	 /* of the target, until learned */
-#define HARM_PRIOR   200 /* percent of the target per whole worker */
-#define PRIOR_WEIGHT 0.01 /* as much as two reports with a tenth in use */
-#define BASE_WEIGHT  4	 /* reports that the prior of the base counts as */
-#define TAIL_MAX_PCT 250 /* what is above teaches no more */
+#define BASE_PCT     40	   /* of the target, until learned */
+#define HARM_PRIOR   200   /* percent of the target per whole worker */
+#define PRIOR_WEIGHT 0.01  /* as much as two reports with a tenth in use */
+#define BASE_WEIGHT  4	   /* reports that the prior of the base counts as */
+#define TAIL_MAX_PCT 250   /* what is above teaches no more */
 #define FORGET	     0.985 /* of the weight of reports, each solution */
-#define SWEEPS	     12	 /* of coordinate descent, a solution */
+#define SWEEPS	     12	   /* of coordinate descent, a solution */
 
 #define BASE_COL IMAGES_MAX /* the column of the base */
 #define COLS	 (IMAGES_MAX + 1)
--- a/sched/health.c
+++ b/sched/health.c
@@ -20,20 +20,20 @@
 #define HISTORY_PCT   70  /* of what is known is kept at each report */
 #define SLOW	      0.4 /* of the speed expected: a slow worker */
 #define SPEED_MIN     0.04
-#define MOVE_GAIN     1.3 /* waiting must take so much longer */
-#define MOVE_MS	      600 /* a stop, another start and a restore */
-#define COPY_TIMES    1.7 /* the time expected, before a copy */
+#define MOVE_GAIN     1.3  /* waiting must take so much longer */
+#define MOVE_MS	      600  /* a stop, another start and a restore */
+#define COPY_TIMES    1.7  /* the time expected, before a copy */
 #define LEAVE_MS      1500 /* a shorter rest is done before the worker leaves */
-#define MOVES_AT_ONCE 4	  /* at one report */
+#define MOVES_AT_ONCE 4	   /* at one report */
 
 /* Expected time of a whole task of a step. */
 static int64_t
 expected_ms(const sched_t *s, const step_t *st)
 {
-	const queue_t *q =
-	    g_hash_table_lookup(s->queues, st->occ->job->queue);
+	const queue_t *q = g_hash_table_lookup(s->queues, st->occ->job->queue);
 
-	return MAX(100, st->def->estimate_ms * (q == NULL ? 100 : q->time_pct) / 100);
+	return MAX(
+	    100, st->def->estimate_ms * (q == NULL ? 100 : q->time_pct) / 100);
 }
 
 /* A run whose progress tells of the worker's speed. */
@@ -51,10 +51,10 @@
 {
 	int64_t ms = s->now - r->first_ms - WARM_MS;
 
-	*due = ms <= 0 ? 0 :
-			 MIN(100 - r->first_percent,
-			     100.0 * (double)ms /
-				 (double)expected_ms(s, r->task->step));
+	*due = ms <= 0 ?
+	    0 :
+	    MIN(100 - r->first_percent,
+		100.0 * (double)ms / (double)expected_ms(s, r->task->step));
 	*made = MIN(*due, MAX(0, r->percent - r->first_percent));
 }
 
@@ -98,8 +98,7 @@
 		return;
 	progress(s, r, &due, &made);
 	w->due = w->due * HISTORY_PCT / 100 + MAX(100 - r->first_percent, due);
-	w->made =
-	    w->made * HISTORY_PCT / 100 + (100 - r->first_percent);
+	w->made = w->made * HISTORY_PCT / 100 + (100 - r->first_percent);
 }
 
 /* Time until the run is done here, and with another start elsewhere. */
@@ -107,8 +106,8 @@
 better_elsewhere(const sched_t *s, const vm_t *w, const run_t *r)
 {
 	double whole = (double)expected_ms(s, r->task->step);
-	double here = whole * (100 - r->percent) / 100 /
-	    MAX(SPEED_MIN, w->speed);
+	double here =
+	    whole * (100 - r->percent) / 100 / MAX(SPEED_MIN, w->speed);
 	double there = whole + MOVE_MS;
 
 	if (r->task->checkpoint != NULL)
@@ -143,9 +142,9 @@
 		return false;
 	if (d->duplicates) {
 		if (r->task->copy == NULL &&
-		    (double)ms > COPY_TIMES *
-			    (double)expected_ms(s, r->task->step) +
-			WARM_MS) {
+		    (double)ms >
+			COPY_TIMES * (double)expected_ms(s, r->task->step) +
+			    WARM_MS) {
 			copy(s, r);
 			return true;
 		}
@@ -169,8 +168,7 @@
 	    (!d->lasting && !d->checkpoints))
 		return false;
 	if (!d->lasting &&
-	    (100 - r->percent) * expected_ms(s, r->task->step) / 100 <
-		LEAVE_MS)
+	    (100 - r->percent) * expected_ms(s, r->task->step) / 100 < LEAVE_MS)
 		return false;
 	if (!has_place(s, r))
 		return false;
--- a/sched/job.c
+++ b/sched/job.c
@@ -13,10 +13,10 @@
 #include "sched.h"
 #include "part.h"
 
-#define TASKS_MAX  10000 /* of a step: bounds what one job may take */
-#define STEPS_MAX  200	 /* of a job */
-#define MEAN_JOBS  32	 /* in the moving average of the work of jobs */
-#define TIME_PCT   100	 /* of the declared run time, until learned */
+#define TASKS_MAX  10000      /* of a step: bounds what one job may take */
+#define STEPS_MAX  200	      /* of a job */
+#define MEAN_JOBS  32	      /* in the moving average of the work of jobs */
+#define TIME_PCT   100	      /* of the declared run time, until learned */
 #define AMOUNT_MAX 1000000000 /* of processor, memory or time a task names */
 
 static bool
@@ -59,7 +59,7 @@
 	for (size_t i = def->n_steps; i-- > 0;) {
 		step_t *st = &o->steps[i];
 
-		st->tail_ms += st->def->estimate_ms;
+		st->tail_ms += def->steps[i]->estimate_ms;
 		for (size_t k = 0; k < st->def->n_after; k++) {
 			step_t *p = &o->steps[st->def->after[k]];
 
@@ -77,8 +77,8 @@
 	o->job = j;
 	o->number = number;
 	o->due_ms = def->repeats > 0 ?
-		  def->first_ms + number * def->interval_ms :
-		  def->accepted_ms;
+	    def->first_ms + number * def->interval_ms :
+	    def->accepted_ms;
 	o->steps = g_new0(step_t, def->n_steps);
 	for (size_t i = 0; i < def->n_steps; i++) {
 		step_t *st = &o->steps[i];
@@ -110,8 +110,8 @@
 
 		for (int32_t k = 0; k < st->ntasks; k++) {
 			g_free(st->tasks[k].checkpoint);
-			g_clear_pointer(
-			    &st->tasks[k].failed_runs, g_array_unref);
+			if (st->tasks[k].failed_runs != NULL)
+				g_array_unref(st->tasks[k].failed_runs);
 		}
 		queue_drop(st);
 		g_free(st->checkpoint);
@@ -159,9 +159,8 @@
 		    (double)def->steps[i]->cpu_milli *
 		    (double)def->steps[i]->estimate_ms;
 	}
-	q->mean_work += q->mean_work <= 0 ?
-	    j->work :
-	    (j->work - q->mean_work) / MEAN_JOBS;
+	q->mean_work +=
+	    q->mean_work <= 0 ? j->work : (j->work - q->mean_work) / MEAN_JOBS;
 	j->deadline_ms = def->target_ms + (int64_t)(def->stretch * longest);
 	return j;
 }
@@ -359,8 +358,7 @@
 		occ_t *o = g_ptr_array_index(j->occs, i);
 
 		for (size_t k = 0; k < j->def->n_steps; k++) {
-			Sched__StepProgress *sp =
-			    g_new(Sched__StepProgress, 1);
+			Sched__StepProgress *sp = g_new(Sched__StepProgress, 1);
 
 			if (fill_step(sp, &o->steps[k]))
 				p.steps[p.n_steps++] = sp;
@@ -394,8 +392,7 @@
 int64_t
 job_tail_ms(const sched_t *s, const step_t *st)
 {
-	const queue_t *q =
-	    g_hash_table_lookup(s->queues, st->occ->job->queue);
+	const queue_t *q = g_hash_table_lookup(s->queues, st->occ->job->queue);
 
 	return st->tail_ms * (q == NULL ? TIME_PCT : q->time_pct) / 100;
 }
--- a/sched/noise.c
+++ b/sched/noise.c
@@ -12,19 +12,19 @@
 #include "sched.h"
 #include "part.h"
 
-#define LIMIT_PCT     68  /* no filler where a tail above this is expected */
-#define LIMIT_LOW_PCT 55  /* ... while its job can still wait */
+#define LIMIT_PCT     68   /* no filler where a tail above this is expected */
+#define LIMIT_LOW_PCT 55   /* ... while its job can still wait */
 #define WAIT_MS	      1500 /* it can, with so much time to spare */
 #define TYPICAL_USE   0.08 /* of a worker, by a filler task */
-#define AIM_PCT	      70  /* slowed fillers are to leave this */
+#define AIM_PCT	      70   /* slowed fillers are to leave this */
 #define PART_MIN      0.2 /* of the harm: fillers that do less are left alone */
 #define PACE_MIN_PCT  15  /* a lower share becomes 0 */
 #define PACE_STEP_PCT 15  /* smaller changes are not sent */
 #define MOVE_PACE_PCT 60  /* a filler slowed below this moves if it can */
 #define MOVE_GAP_MS   150 /* between two moves from one worker */
-#define OVER_PCT      88   /* taken as over: the figure is rough */
+#define OVER_PCT      88  /* taken as over: the figure is rough */
 #define OVER_MS	      1200 /* over for so long, whatever the model */
-#define CALM_MS	      900 /* within its target so long: fillers work again */
+#define CALM_MS	      900  /* within its target so long: fillers work again */
 
 /* Processor share that a filler image would use there unslowed. */
 static double
@@ -55,8 +55,8 @@
 noise_allows(const sched_t *s, const vm_t *w, const step_t *st)
 {
 	const Sched__Step *d = st->def;
-	double limit = st->latest_ms - s->wall > WAIT_MS ? LIMIT_LOW_PCT :
-							   LIMIT_PCT;
+	double limit =
+	    st->latest_ms - s->wall > WAIT_MS ? LIMIT_LOW_PCT : LIMIT_PCT;
 
 	if (st->image < 0 || w->cpu_milli == 0 || !d->filler)
 		return true;
--- a/sched/part.h
+++ b/sched/part.h
@@ -20,14 +20,14 @@
 	step_t *step;
 	int32_t index;
 	task_state_t state;
-	GArray *failed_runs;	/* int64_t, each counted once; or NULL */
-	int64_t last_run;	/* highest number given out */
-	char *checkpoint;	/* or NULL */
-	run_t *run;		/* current, or NULL */
-	run_t *copy;		/* a duplicate, or NULL */
-	const char *avoid;	/* worker it failed on last, interned */
-	int64_t not_before_ms;	/* no start before this */
-	int64_t away_ms;	/* lasting: not at work since; 0: at work */
+	GArray *failed_runs;   /* int64_t, each counted once; or NULL */
+	int64_t last_run;      /* highest number given out */
+	char *checkpoint;      /* or NULL */
+	run_t *run;	       /* current, or NULL */
+	run_t *copy;	       /* a duplicate, or NULL */
+	const char *avoid;     /* worker it failed on last, interned */
+	int64_t not_before_ms; /* no start before this */
+	int64_t away_ms;       /* lasting: not at work since; 0: at work */
 } task_t;
 
 /* One occurrence of a job's steps. */
@@ -48,16 +48,16 @@
 	int32_t ntasks;
 	int32_t waiting; /* tasks to be started */
 	int32_t done;
-	bool ready;	    /* all steps before it are done */
-	int32_t image;	    /* index, or -1 */
-	int64_t tail_ms;    /* declared time of the longest chain from here */
-	GSequenceIter *it;  /* in the queue */
-	int64_t latest_ms;  /* wall clock: start by then to be in time */
-	bool hopeless;	    /* can't be in time any more */
-	bool given_up;	    /* nor in the time that counts as late */
-	int64_t order_ms;   /* among those alike, the lowest first */
-	int64_t gang_run;   /* run number of the current gang */
-	char *checkpoint;   /* of the gang */
+	bool ready;	   /* all steps before it are done */
+	int32_t image;	   /* index, or -1 */
+	int64_t tail_ms;   /* declared time of the longest chain from here */
+	GSequenceIter *it; /* in the queue */
+	int64_t latest_ms; /* wall clock: start by then to be in time */
+	bool hopeless;	   /* can't be in time any more */
+	bool given_up;	   /* nor in the time that counts as late */
+	int64_t order_ms;  /* among those alike, the lowest first */
+	int64_t gang_run;  /* run number of the current gang */
+	char *checkpoint;  /* of the gang */
 };
 
 typedef enum {
@@ -78,11 +78,11 @@
 	job_stage_t stage;
 	Sched__State end; /* when ending */
 	bool cancelled;
-	bool begun;   /* a task has started */
-	bool dirty;   /* progress to be written */
-	uint64_t flush; /* the last that wrote it */
-	bool after_claim; /* accepted after this owner's claim */
-	int32_t runs;	  /* on workers now */
+	bool begun;	     /* a task has started */
+	bool dirty;	     /* progress to be written */
+	uint64_t flush;	     /* the last that wrote it */
+	bool after_claim;    /* accepted after this owner's claim */
+	int32_t runs;	     /* on workers now */
 	int64_t deadline_ms; /* from when it was due */
 	double work; /* thousandths of a core x ms, all tasks, as declared */
 	int32_t occs_ended;
@@ -103,23 +103,23 @@
 	vm_t *worker;
 	int64_t number;
 	run_state_t state;
-	bool holds;	     /* counted in the worker's room */
-	bool order_out;	     /* an order is under way */
+	bool holds;		  /* counted in the worker's room */
+	bool order_out;		  /* an order is under way */
 	sched_order_kind_t order; /* the last one */
-	bool drop;	     /* free of it once it is proved absent */
-	int64_t since_ms;    /* in this state */
-	int64_t stopped_ms;  /* the worker acknowledged a stop; 0: not yet */
-	int64_t retry_ms;    /* next stop order */
+	bool drop;		  /* free of it once it is proved absent */
+	int64_t since_ms;	  /* in this state */
+	int64_t stopped_ms; /* the worker acknowledged a stop; 0: not yet */
+	int64_t retry_ms;   /* next stop order */
 	int32_t percent;
-	int64_t percent_ms;  /* when percent last grew */
-	int64_t first_ms;    /* when the start was acknowledged */
+	int64_t percent_ms; /* when percent last grew */
+	int64_t first_ms;   /* when the start was acknowledged */
 	int32_t first_percent;
 	int64_t measure;
-	uint64_t report;     /* the last report that listed it */
-	int32_t pace;	     /* percent in force */
+	uint64_t report; /* the last report that listed it */
+	int32_t pace;	 /* percent in force */
 	int32_t pace_want;
-	bool paced; /* it has been slowed */
-	int64_t over_ms;     /* serving: over its target since; 0: not */
+	bool paced;	 /* it has been slowed */
+	int64_t over_ms; /* serving: over its target since; 0: not */
 };
 
 /* A worker's clock and leases as this owner knows them. */
@@ -140,8 +140,9 @@
 	int64_t cpu_milli, mem_mb;
 	int32_t gpu;
 	bool listed, swept, draining;
-	bool stored;  /* in the footprint row */
-	int64_t ends_ms; /* lease by the store's clock, as stored; 0: extended */
+	bool stored; /* in the footprint row */
+	int64_t
+	    ends_ms;   /* lease by the store's clock, as stored; 0: extended */
 	bool answered; /* under our token */
 	bool silent;
 	int32_t misses; /* looks in a row without an answer */
@@ -152,11 +153,11 @@
 	GHashTable *runs; /* name -> run_t */
 	/* looks */
 	uint64_t look_id; /* of the look under way; 0: none */
-	int64_t look_ms;   /* when the one under way, or the last, began */
+	int64_t look_ms;  /* when the one under way, or the last, began */
 	int64_t look_next_ms;
-	bool look_now; /* the next one does not wait for an end */
-	int64_t seen;	   /* ends taken in */
-	int64_t noted;	   /* ends whose record is stored */
+	bool look_now;	     /* the next one does not wait for an end */
+	int64_t seen;	     /* ends taken in */
+	int64_t noted;	     /* ends whose record is stored */
 	uint64_t flush_want; /* flush that stores ends up to flush_seen */
 	int64_t flush_seen;
 	uint64_t store_flush; /* flush that puts it into the footprint */
@@ -167,13 +168,13 @@
 	int64_t hold_off_ms; /* no start before this */
 	int32_t fails;	     /* failed runs of distinct jobs, in a row */
 	const char *fail_job;
-	int32_t serving;     /* serving tasks there */
-	int64_t calm_ms;     /* serving tasks within targets since */
-	int32_t pace;	     /* 100: none of its fillers is slowed */
-	int64_t pace_ms;     /* last change */
-	int64_t moved_ms;    /* a filler was sent away */
-	int32_t open_pct;    /* of the filler images, those that may run there */
-	int64_t over_ms;     /* a tail is over its target since; 0: none */
+	int32_t serving;  /* serving tasks there */
+	int64_t calm_ms;  /* serving tasks within targets since */
+	int32_t pace;	  /* 100: none of its fillers is slowed */
+	int64_t pace_ms;  /* last change */
+	int64_t moved_ms; /* a filler was sent away */
+	int32_t open_pct; /* of the filler images, those that may run there */
+	int64_t over_ms;  /* a tail is over its target since; 0: none */
 	int64_t image_filler_cpu[IMAGES_MAX];
 	int32_t image_serving[IMAGES_MAX];
 };
@@ -218,7 +219,7 @@
 	bool clean;	/* ... but it gave the cell up in order */
 	bool lost;	/* what the owner knew is to be forgotten */
 	bool release_sent;
-	bool outage;	/* the store is away for all entries */
+	bool outage; /* the store is away for all entries */
 } cell_t;
 
 struct sched {
@@ -231,16 +232,16 @@
 	GHashTable *queues;  /* name -> queue_t */
 	GHashTable *workers; /* id -> vm_t */
 	GPtrArray *worker_list;
-	GHashTable *runs;  /* id -> run_t */
-	GHashTable *images; /* image -> index */
+	GHashTable *runs;	  /* id -> run_t */
+	GHashTable *images;	  /* image -> index */
 	harm_t *harm[IMAGES_MAX]; /* of each serving image */
 	bool filler_image[IMAGES_MAX];
-	GHashTable *zones; /* evacuated, interned */
+	GHashTable *zones;    /* evacuated, interned */
 	GHashTable *progress; /* while loading: id -> Sched__Progress */
 	GHashTable *ended;    /* ids of jobs whose end is stored */
-	GSequence *ready;  /* of step_t */
-	GHashTable *dirty; /* of job_t */
-	GPtrArray *timed;  /* jobs with occurrences to come */
+	GSequence *ready;     /* of step_t */
+	GHashTable *dirty;    /* of job_t */
+	GPtrArray *timed;     /* jobs with occurrences to come */
 	/* the write under way */
 	bool writing;
 	uint64_t flush, flushed; /* numbers of the last begun and stored */
@@ -250,7 +251,7 @@
 	GPtrArray *flushing;	 /* jobs in the write under way */
 	bool pump;		 /* something may be startable */
 	int64_t sort_ms, load_ms;
-	int64_t store_off_ms; /* its clock less ours */
+	int64_t store_off_ms;	     /* its clock less ours */
 	int64_t fed_ms[SCHED_FEEDS]; /* a table was last read up to then */
 	sched_stats_t stats;
 };
@@ -289,8 +290,8 @@
 void vm_heard(sched_t *s, vm_t *w, int64_t clock_ms);
 
 /* place.c */
-vm_t *place_task(
-    sched_t *s, const step_t *st, const task_t *t, const char *rack);
+vm_t *
+place_task(sched_t *s, const step_t *st, const task_t *t, const char *rack);
 bool place_gang(sched_t *s, const step_t *st, vm_t **at);
 
 /* queue.c */
@@ -305,10 +306,9 @@
 int64_t run_next_number(sched_t *s, const task_t *t);
 void run_stop(sched_t *s, run_t *r, const char *why);
 void run_pace(sched_t *s, run_t *r, int32_t percent);
-void run_order_done(
-    sched_t *s, run_t *r, sched_result_t res, int64_t clock_ms);
-void run_report(sched_t *s, vm_t *w, const sched_report_t *rep,
-    int64_t asked_ms);
+void run_order_done(sched_t *s, run_t *r, sched_result_t res, int64_t clock_ms);
+void
+run_report(sched_t *s, vm_t *w, const sched_report_t *rep, int64_t asked_ms);
 void run_worker_lost(sched_t *s, vm_t *w, const char *why);
 void run_retry(sched_t *s, vm_t *w);
 void run_free(void *r);
--- a/sched/place.c
+++ b/sched/place.c
@@ -17,14 +17,14 @@
  */
 #define SERVING_USE_PCT 50
 /* Score units are thousandths of a processor. */
-#define COST_FAR      1000000 /* away from the data */
-#define COST_FAILED   400000  /* each recent failure there */
-#define COST_OPEN     600     /* each percent of filler images allowed there */
-#define COST_IMAGE    200000  /* a serving task beside another image */
-#define COST_EMPTY    100000  /* ... on a worker that had none */
-#define COST_TAIL     4000    /* each percent of its target it would suffer */
-#define COST_SLOW     2000000 /* its tasks come slowly */
-#define COST_AVOID    4000000 /* the task failed there before */
+#define COST_FAR    1000000 /* away from the data */
+#define COST_FAILED 400000  /* each recent failure there */
+#define COST_OPEN   600	    /* each percent of filler images allowed there */
+#define COST_IMAGE  200000  /* a serving task beside another image */
+#define COST_EMPTY  100000  /* ... on a worker that had none */
+#define COST_TAIL   4000    /* each percent of its target it would suffer */
+#define COST_SLOW   2000000 /* its tasks come slowly */
+#define COST_AVOID  4000000 /* the task failed there before */
 
 static bool
 has_label(const vm_t *w, const char *label)
@@ -112,9 +112,8 @@
 		vm_t *w = g_ptr_array_index(s->worker_list, i);
 		int64_t sc;
 
-		if (w->service != st->occ->job->service ||
-		    !vm_usable(s, w) || !has_room(w, st->def) ||
-		    !has_label(w, st->def->label) ||
+		if (w->service != st->occ->job->service || !vm_usable(s, w) ||
+		    !has_room(w, st->def) || !has_label(w, st->def->label) ||
 		    !noise_allows(s, w, st) ||
 		    (rack != NULL && w->rack != rack))
 			continue;
--- a/sched/queue.c
+++ b/sched/queue.c
@@ -11,11 +11,11 @@
 #include "sched.h"
 #include "part.h"
 
-#define LATE_TIMES   3	  /* a job counts as late up to so many objectives */
-#define DENSITY_MS   1500 /* a job worth twice as much a second goes before */
-#define DENSITY_MIN  (-1.0)
-#define DENSITY_MAX  2.0
-#define FIXED_SHARE  0.3 /* of a job's worth, whatever its work */
+#define LATE_TIMES  3	 /* a job counts as late up to so many objectives */
+#define DENSITY_MS  1500 /* a job worth twice as much a second goes before */
+#define DENSITY_MIN (-1.0)
+#define DENSITY_MAX 2.0
+#define FIXED_SHARE 0.3 /* of a job's worth, whatever its work */
 
 /*
  * What comes first: short work that can be in time, then what lasts, as it
@@ -70,8 +70,8 @@
 density(const sched_t *s, const occ_t *o)
 {
 	const queue_t *q = g_hash_table_lookup(s->queues, o->job->queue);
-	double mean = q == NULL || q->mean_work <= 0 ? o->job->work :
-						       q->mean_work;
+	double mean =
+	    q == NULL || q->mean_work <= 0 ? o->job->work : q->mean_work;
 
 	return (FIXED_SHARE * mean + (1 - FIXED_SHARE) * o->job->work) /
 	    work_left(o);
@@ -120,7 +120,7 @@
 queue_sort(sched_t *s)
 {
 	for (GSequenceIter *i = g_sequence_get_begin_iter(s->ready);
-	    !g_sequence_iter_is_end(i); i = g_sequence_iter_next(i))
+	     !g_sequence_iter_is_end(i); i = g_sequence_iter_next(i))
 		set_latest(s, g_sequence_get(i));
 	g_sequence_sort(s->ready, by_order, NULL);
 }
@@ -132,7 +132,7 @@
 	double work = 0, room = 0;
 
 	for (GSequenceIter *i = g_sequence_get_begin_iter(s->ready);
-	    !g_sequence_iter_is_end(i); i = g_sequence_iter_next(i)) {
+	     !g_sequence_iter_is_end(i); i = g_sequence_iter_next(i)) {
 		const step_t *st = g_sequence_get(i);
 
 		if (st->occ->job->service == service && !st->def->lasting)
--- a/sched/run.c
+++ b/sched/run.c
@@ -24,13 +24,13 @@
 #define RUN_STRIDE     1000 /* run numbers each owner of a cell has */
 #define FAIL_BASE_MS   100  /* wait after a failed run, doubled each time */
 #define FAIL_MAX_MS    800
-#define SUSPECT_FAILS  3    /* distinct jobs in a row before a worker rests */
+#define SUSPECT_FAILS  3 /* distinct jobs in a row before a worker rests */
 #define SUSPECT_MS     3000
-#define TIME_WEIGHT    16   /* runs in the moving average of run times */
+#define TIME_WEIGHT    16 /* runs in the moving average of run times */
 #define TIME_MIN_PCT   10
 #define TIME_MAX_PCT   1000
-#define STARTS_AT_ONCE 64   /* in one pass, so that other events get a turn */
-#define MISFITS_MAX    200  /* steps without room before a pass ends */
+#define STARTS_AT_ONCE 64  /* in one pass, so that other events get a turn */
+#define MISFITS_MAX    200 /* steps without room before a pass ends */
 
 void
 run_free(void *p)
@@ -75,9 +75,15 @@
 send_order(sched_t *s, run_t *r, sched_order_kind_t kind)
 {
 	vm_t *w = r->worker;
-	sched_order_t o = { .id = r->id, .kind = kind, .worker = w->id,
-		.address = w->address, .task = r->name, .run = r->number,
-		.token = s->cell.token, .checkpoint = "", .spec = "" };
+	sched_order_t o = { .id = r->id,
+		.kind = kind,
+		.worker = w->id,
+		.address = w->address,
+		.task = r->name,
+		.run = r->number,
+		.token = s->cell.token,
+		.checkpoint = "",
+		.spec = "" };
 
 	if (kind == SCHED_START) {
 		const step_t *st = r->task->step;
@@ -167,8 +173,8 @@
 		t->copy = r;
 	set_state(s, r, RUN_SENT);
 	LOG(s, SCHED_EVT_START, name,
-	    "run=%" PRId64 " worker=%s token=%" PRId64
-	    " latest=%" PRId64 " list_age=%" PRId64,
+	    "run=%" PRId64 " worker=%s token=%" PRId64 " latest=%" PRId64
+	    " list_age=%" PRId64,
 	    number, w->id, s->cell.token, t->step->latest_ms - s->wall,
 	    s->now - w->lease.heard_ms);
 	send_order(s, r, SCHED_START);
@@ -335,9 +341,8 @@
 		if (r->state == RUN_ON)
 			run_stop(s, r, "the job has ended");
 	}
-	LOG(s, SCHED_EVT_JOB_ENDED, j->id,
-	    "state=%d late=%" PRId64 " runs=%d", end,
-	    s->wall - j->def->accepted_ms - j->deadline_ms, j->runs);
+	LOG(s, SCHED_EVT_JOB_ENDED, j->id, "state=%d late=%" PRId64 " runs=%d",
+	    end, s->wall - j->def->accepted_ms - j->deadline_ms, j->runs);
 	flush_job(s, j, true);
 }
 
@@ -366,8 +371,8 @@
 	queue_t *q = g_hash_table_lookup(s->queues, r->job->queue);
 	int64_t est = r->task->step->def->estimate_ms, pct;
 
-	if (q == NULL || est <= 0 || r->first_ms == 0 ||
-	    r->first_percent > 0 || r->worker->slow || r->paced)
+	if (q == NULL || est <= 0 || r->first_ms == 0 || r->first_percent > 0 ||
+	    r->worker->slow || r->paced)
 		return;
 	pct = (s->now - r->first_ms) * 100 / est;
 	pct = CLAMP(pct, TIME_MIN_PCT, TIME_MAX_PCT);
@@ -478,7 +483,7 @@
 		return;
 	fails = t->step->def->gang ? gang_fails(t->step) : task_fails(t);
 	t->not_before_ms =
-	    s->now + MIN(FAIL_MAX_MS, FAIL_BASE_MS << MIN(fails - 1, 4));
+	    s->now + MIN(FAIL_MAX_MS, FAIL_BASE_MS << CLAMP(fails - 1, 0, 4));
 	if (j->stage != JOB_OPEN)
 		return;
 	if (fails >= j->max_attempts)
@@ -556,8 +561,8 @@
 		t->away_ms = 0;
 		job_begun(s, j);
 		s->stats.adopted++;
-		LOG(s, SCHED_EVT_ADOPTED, f->task,
-		    "run=%" PRId64 " worker=%s", f->run, w->id);
+		LOG(s, SCHED_EVT_ADOPTED, f->task, "run=%" PRId64 " worker=%s",
+		    f->run, w->id);
 		return r;
 	}
 	s->stats.strays++;
@@ -615,10 +620,10 @@
 {
 	g_autoptr(GList) all = NULL;
 
-	if (rep->born_ms != 0 && w->born_ms != 0 && rep->born_ms != w->born_ms) {
+	if (rep->born_ms != 0 && w->born_ms != 0 &&
+	    rep->born_ms != w->born_ms) {
 		LOG(s, SCHED_EVT_WORKER, w->id,
-		    "answers as another process: born=%" PRId64
-		    " was=%" PRId64,
+		    "answers as another process: born=%" PRId64 " was=%" PRId64,
 		    rep->born_ms, w->born_ms);
 		vm_reborn(s, w, rep->born_ms);
 	}
@@ -683,18 +688,21 @@
 static void
 start_gang(sched_t *s, step_t *st)
 {
-	g_autofree vm_t **at = g_new0(vm_t *, st->ntasks);
+	vm_t **at;
 	int64_t number = 0;
 
-	if (st->waiting < st->ntasks || !place_gang(s, st, at))
+	if (st->waiting < st->ntasks)
 		return;
 	for (int32_t i = 0; i < st->ntasks; i++) {
 		if (st->tasks[i].not_before_ms > s->now)
 			return;
 		number = MAX(number, run_next_number(s, &st->tasks[i]));
 	}
-	for (int32_t i = 0; i < st->ntasks; i++)
-		run_start(s, &st->tasks[i], at[i], number);
+	at = g_new0(vm_t *, st->ntasks);
+	if (place_gang(s, st, at))
+		for (int32_t i = 0; i < st->ntasks; i++)
+			run_start(s, &st->tasks[i], at[i], number);
+	g_free(at);
 }
 
 /* Starts what fits of a step; returns how many tasks were started. */
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -12,14 +12,14 @@
 #include "sched.h"
 #include "part.h"
 
-#define SORT_MS	       250  /* between orderings of the queue */
-#define LOOK_WAIT_MS   1000 /* a look waits so long for an end */
-#define LOOK_RETRY_MS  300  /* after a look without an answer */
-#define LOOK_STORE_MS  300  /* while ends cannot be stored */
-#define SILENT_MISSES  2    /* looks in a row before nothing is sent */
-#define LOAD_MS	       1000 /* between lines on the load */
-#define TICK_MS	       50   /* longest time between two ticks */
-#define TICK_SOON_MS   5    /* while tasks can be started */
+#define SORT_MS	      250  /* between orderings of the queue */
+#define LOOK_WAIT_MS  1000 /* a look waits so long for an end */
+#define LOOK_RETRY_MS 300  /* after a look without an answer */
+#define LOOK_STORE_MS 300  /* while ends cannot be stored */
+#define SILENT_MISSES 2	   /* looks in a row before nothing is sent */
+#define LOAD_MS	      1000 /* between lines on the load */
+#define TICK_MS	      50   /* longest time between two ticks */
+#define TICK_SOON_MS  5	   /* while tasks can be started */
 
 static void
 job_gone(sched_t *s, job_t *j)
@@ -53,20 +53,19 @@
 	s->dirty = g_hash_table_new(NULL, NULL);
 	s->timed = g_ptr_array_new();
 	s->flushing = g_ptr_array_new();
-	s->jobs = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, NULL, on_job_free);
+	s->jobs =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, on_job_free);
 	s->queues =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	s->workers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, vm_free);
 	s->worker_list = g_ptr_array_new();
-	s->runs = g_hash_table_new_full(
-	    g_int64_hash, g_int64_equal, NULL, run_free);
+	s->runs =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, run_free);
 	s->images = g_hash_table_new(g_str_hash, g_str_equal);
 	s->progress = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, free_progress);
-	s->ended =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	s->ended = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	s->zones = g_hash_table_new(g_direct_hash, g_direct_equal);
 	return s;
 }
@@ -160,7 +159,8 @@
 
 	p = sched__progress__unpack(NULL, row->nbytes, row->bytes);
 	if (p == NULL) {
-		LOG(s, SCHED_EVT_JOB_BAD, id, "why=\"progress does not unpack\"");
+		LOG(s, SCHED_EVT_JOB_BAD, id,
+		    "why=\"progress does not unpack\"");
 		return;
 	}
 	if (p->state == SCHED__STATE__RUNNING) {
@@ -264,8 +264,8 @@
 		begin_job(s, i->data);
 	count_waiting(s);
 	for (guint i = 0; i < s->worker_list->len; i++)
-		((vm_t *)g_ptr_array_index(s->worker_list, i))
-		    ->look_next_ms = now_ms;
+		((vm_t *)g_ptr_array_index(s->worker_list, i))->look_next_ms =
+		    now_ms;
 }
 
 void
@@ -398,8 +398,8 @@
 }
 
 void
-sched_order_done(sched_t *s, uint64_t id, sched_result_t r, int64_t clock_ms,
-    int64_t now_ms)
+sched_order_done(
+    sched_t *s, uint64_t id, sched_result_t r, int64_t clock_ms, int64_t now_ms)
 {
 	run_t *run = g_hash_table_lookup(s->runs, &id);
 
@@ -455,8 +455,10 @@
 static void
 look(sched_t *s, vm_t *w)
 {
-	sched_look_t l = { .worker = w->id, .address = w->address,
-		.token = s->cell.token, .last_seen = w->noted };
+	sched_look_t l = { .worker = w->id,
+		.address = w->address,
+		.token = s->cell.token,
+		.last_seen = w->noted };
 
 	/* What does not answer is not extended, so that its lease can lapse. */
 	if (cell_extends(s) && w->misses == 0)
@@ -475,10 +477,10 @@
 static void
 tick_worker(sched_t *s, vm_t *w)
 {
-	if (g_hash_table_size(w->runs) > 0 && w->misses > 0 &&
-	    vm_lapsed(s, w))
+	if (g_hash_table_size(w->runs) > 0 && w->misses > 0 && vm_lapsed(s, w))
 		run_worker_lost(s, w, "its lease has lapsed");
-	if (w->look_id != 0 || w->address[0] == '\0' || s->now < w->look_next_ms)
+	if (w->look_id != 0 || w->address[0] == '\0' ||
+	    s->now < w->look_next_ms)
 		return;
 	if (!w->listed && g_hash_table_size(w->runs) == 0 &&
 	    (w->answered || !w->stored))
@@ -515,7 +517,7 @@
 	void *v;
 
 	for (GSequenceIter *i = g_sequence_get_begin_iter(s->ready);
-	    !g_sequence_iter_is_end(i); i = g_sequence_iter_next(i)) {
+	     !g_sequence_iter_is_end(i); i = g_sequence_iter_next(i)) {
 		const step_t *st = g_sequence_get(i);
 
 		waiting += st->waiting;
@@ -537,8 +539,8 @@
 	    "cpu=%d used=%d filler=%d slowed=%d accounted=%d",
 	    g_hash_table_size(s->jobs), g_hash_table_size(s->runs),
 	    (int)waiting, (int)hopeless, s->worker_list->len, usable,
-	    (int)(cpu / 1000), (int)(used / 1000), (int)(filler / 1000),
-	    slowed, s->cell.accounted);
+	    (int)(cpu / 1000), (int)(used / 1000), (int)(filler / 1000), slowed,
+	    s->cell.accounted);
 }
 
 int32_t
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -57,8 +57,8 @@
 	const char *task; /* JOB.OCCURRENCE.STEP.INDEX */
 	int64_t run;
 	const char *checkpoint; /* "" when there is none */
-	int32_t percent;	/* of its work; 100 for a lasting task at work */
-	int64_t measure;	/* tail in ms if it serves, else cpu milli */
+	int32_t percent; /* of its work; 100 for a lasting task at work */
+	int64_t measure; /* tail in ms if it serves, else cpu milli */
 } sched_running_t;
 
 typedef struct {
@@ -82,11 +82,11 @@
 /* How an order to a worker ended. */
 typedef enum {
 	SCHED_ORDER_OK,
-	SCHED_ORDER_UNKNOWN,   /* no answer: may be carried out, also later */
-	SCHED_ORDER_NOT_SENT,  /* no connection: was not carried out */
-	SCHED_ORDER_FENCED,    /* a newer owner has spoken */
-	SCHED_ORDER_OLD,       /* a run as new was stopped or ended there */
-	SCHED_ORDER_LATE,      /* its deadline had passed */
+	SCHED_ORDER_UNKNOWN,  /* no answer: may be carried out, also later */
+	SCHED_ORDER_NOT_SENT, /* no connection: was not carried out */
+	SCHED_ORDER_FENCED,   /* a newer owner has spoken */
+	SCHED_ORDER_OLD,      /* a run as new was stopped or ended there */
+	SCHED_ORDER_LATE,     /* its deadline had passed */
 	SCHED_ORDER_NO_ROOM,
 	SCHED_ORDER_UNHEALTHY, /* the worker takes nothing now */
 	SCHED_ORDER_REBORN,    /* another process answers there */
@@ -163,12 +163,12 @@
 typedef struct {
 	const char *name; /* of this process */
 	int64_t incarnation;
-	int32_t max_lease_ms;  /* the longest a worker grants */
-	int32_t stop_ms;       /* the longest a stop takes */
-	double far_factor;     /* slow-down away from a task's data */
-	int32_t gang_wait_ms;  /* a member waits so long for the others */
-	int32_t harm_ms;       /* a serving task may suffer so long */
-	int32_t notice_ms;     /* absence of a lasting task that counts */
+	int32_t max_lease_ms; /* the longest a worker grants */
+	int32_t stop_ms;      /* the longest a stop takes */
+	double far_factor;    /* slow-down away from a task's data */
+	int32_t gang_wait_ms; /* a member waits so long for the others */
+	int32_t harm_ms;      /* a serving task may suffer so long */
+	int32_t notice_ms;    /* absence of a lasting task that counts */
 	sched_port_t port;
 	void *ctx;
 } sched_opts_t;
@@ -183,13 +183,12 @@
 void sched_owner_row(sched_t *s, const sched_row_t *row, int64_t now_ms);
 /* The claim ended: ok, or refused (the row changed), or neither is known. */
 typedef enum { SCHED_WRITTEN, SCHED_CONFLICT, SCHED_IN_DOUBT } sched_write_t;
-void sched_claimed(
-    sched_t *s, sched_write_t r, int64_t version, int64_t now_ms);
+void
+sched_claimed(sched_t *s, sched_write_t r, int64_t version, int64_t now_ms);
 /* All rows of the cell were handed in by sched_row. */
 void sched_loaded(sched_t *s, int64_t now_ms);
 void sched_row(sched_t *s, const sched_row_t *row, int64_t now_ms);
-void sched_wrote(
-    sched_t *s, sched_write_t r, int64_t version, int64_t now_ms);
+void sched_wrote(sched_t *s, sched_write_t r, int64_t version, int64_t now_ms);
 
 /* The platform's list: one entry, or an id that left it. */
 void sched_worker(sched_t *s, const sched_worker_info_t *w, int64_t now_ms);
@@ -214,8 +213,8 @@
 void sched_order_done(sched_t *s, uint64_t id, sched_result_t r,
     int64_t clock_ms, int64_t now_ms);
 /* report is NULL when no whole answer came. */
-void sched_looked(sched_t *s, uint64_t id, const char *worker,
-    sched_result_t r, const sched_report_t *report, int64_t now_ms);
+void sched_looked(sched_t *s, uint64_t id, const char *worker, sched_result_t r,
+    const sched_report_t *report, int64_t now_ms);
 
 /* Does what is due; returns the milliseconds until the next call. */
 int32_t sched_tick(sched_t *s, int64_t now_ms, int64_t wall_ms);
@@ -226,8 +225,7 @@
  * the owner then goes on without it.  last_ms is when it last answered any of
  * the others.
  */
-void sched_outage(
-    sched_t *s, bool for_all, int64_t last_ms, int64_t now_ms);
+void sched_outage(sched_t *s, bool for_all, int64_t last_ms, int64_t now_ms);
 /* The process stood still: nothing is ordered before the row is read. */
 void sched_paused(sched_t *s, int64_t now_ms);
 
--- a/sched/vm.c
+++ b/sched/vm.c
@@ -17,11 +17,11 @@
  * A lease must outlast the time until a successor has taken over (silence of
  * 1.2 s, a claim, a load and a look), and ends the wait for a dead worker.
  */
-#define LEASE_MS       4000
-#define LEASE_SPARE_MS 100 /* between our lease and the longest granted */
-#define DRIFT_PCT      2   /* a worker's clock may be so slow: platform */
-#define BACKWARD_MS     1500 /* no answer is overtaken by so much */
-#define LAPSE_MARGIN_MS 200 /* for a lease that ends while an order arrives */
+#define LEASE_MS	4000
+#define LEASE_SPARE_MS	100  /* between our lease and the longest granted */
+#define DRIFT_PCT	2    /* a worker's clock may be so slow: platform */
+#define BACKWARD_MS	1500 /* no answer is overtaken by so much */
+#define LAPSE_MARGIN_MS 200  /* for a lease that ends while an order arrives */
 
 vm_t *
 vm_get(sched_t *s, const char *id)
--- a/serve/cell.c
+++ b/serve/cell.c
@@ -55,8 +55,10 @@
 static sched_row_t
 sched_row_of(const store_row_t *r)
 {
-	sched_row_t s = { .key = r->key, .version = r->version,
-		.bytes = r->bytes, .nbytes = r->nbytes };
+	sched_row_t s = { .key = r->key,
+		.version = r->version,
+		.bytes = r->bytes,
+		.nbytes = r->nbytes };
 
 	return s;
 }
@@ -90,8 +92,11 @@
 static void
 poll_owner(cell_port_t *c)
 {
-	store_get_t g = { .table = CELL_TABLE, .part = CELL_PART,
-		.from = SCHED_KEY_OWNER, .to = SCHED_KEY_OWNER "0", .limit = 1,
+	store_get_t g = { .table = CELL_TABLE,
+		.part = CELL_PART,
+		.from = SCHED_KEY_OWNER,
+		.to = SCHED_KEY_OWNER "0",
+		.limit = 1,
 		.timeout_ms = POLL_CALL_MS };
 
 	c->polling = true;
@@ -116,8 +121,7 @@
 	cell_port_t *c = ctx;
 
 	node_store_answer(c->node, r);
-	sched_claimed(
-	    c->sched, write_result(r), a->version, node_now(c->node));
+	sched_claimed(c->sched, write_result(r), a->version, node_now(c->node));
 	if (r == STORE_CONFLICT)
 		give_owner_row(c, a);
 	node_soon(c->node);
@@ -128,9 +132,13 @@
 {
 	cell_port_t *c = ctx;
 	store_put_t put = { SCHED_KEY_OWNER, owner->data, owner->len };
-	store_tx_t tx = { .table = CELL_TABLE, .part = CELL_PART,
-		.if_key = SCHED_KEY_OWNER, .if_version = version,
-		.puts = &put, .nputs = 1, .timeout_ms = WRITE_MS };
+	store_tx_t tx = { .table = CELL_TABLE,
+		.part = CELL_PART,
+		.if_key = SCHED_KEY_OWNER,
+		.if_version = version,
+		.puts = &put,
+		.nputs = 1,
+		.timeout_ms = WRITE_MS };
 
 	store_tx(c->node->platform, &tx, on_claimed, c);
 }
@@ -161,9 +169,13 @@
 {
 	cell_port_t *c = ctx;
 	g_autofree store_put_t *rows = g_new0(store_put_t, puts->len);
-	store_tx_t tx = { .table = CELL_TABLE, .part = CELL_PART,
-		.if_key = SCHED_KEY_OWNER, .if_version = version, .puts = rows,
-		.nputs = puts->len, .timeout_ms = WRITE_MS };
+	store_tx_t tx = { .table = CELL_TABLE,
+		.part = CELL_PART,
+		.if_key = SCHED_KEY_OWNER,
+		.if_version = version,
+		.puts = rows,
+		.nputs = puts->len,
+		.timeout_ms = WRITE_MS };
 
 	for (guint i = 0; i < puts->len; i++) {
 		const sched_put_t *p = &g_array_index(puts, sched_put_t, i);
@@ -306,20 +318,37 @@
 cell_port_new(node_t *n)
 {
 	cell_port_t *c = g_new0(cell_port_t, 1);
-	follow_opts_t runs = { .node = n, .table = CELL_TABLE,
-		.part = CELL_PART, .once = true, .on_row = on_row,
-		.on_whole = on_runs, .ctx = c };
-	follow_opts_t jobs = { .node = n, .table = JOB_TABLE,
-		.part = JOB_PART, .parts = JOB_PARTS, .gap_ms = JOB_GAP_MS,
-		.on_row = on_row, .on_whole = on_jobs,
-		.on_fresh = on_jobs_fresh, .ctx = c };
-	follow_opts_t workers = { .node = n, .table = platform_worker_table,
-		.part = "", .gap_ms = WORKER_GAP_MS, .on_row = on_worker,
-		.on_whole = on_workers, .on_fresh = on_workers_fresh, .ctx = c };
-	sched_opts_t o = { .name = n->o.name, .incarnation = n->incarnation,
-		.max_lease_ms = n->o.max_hold_ms, .stop_ms = n->o.stop_ms,
+	follow_opts_t runs = { .node = n,
+		.table = CELL_TABLE,
+		.part = CELL_PART,
+		.once = true,
+		.on_row = on_row,
+		.on_whole = on_runs,
+		.ctx = c };
+	follow_opts_t jobs = { .node = n,
+		.table = JOB_TABLE,
+		.part = JOB_PART,
+		.parts = JOB_PARTS,
+		.gap_ms = JOB_GAP_MS,
+		.on_row = on_row,
+		.on_whole = on_jobs,
+		.on_fresh = on_jobs_fresh,
+		.ctx = c };
+	follow_opts_t workers = { .node = n,
+		.table = platform_worker_table,
+		.part = "",
+		.gap_ms = WORKER_GAP_MS,
+		.on_row = on_worker,
+		.on_whole = on_workers,
+		.on_fresh = on_workers_fresh,
+		.ctx = c };
+	sched_opts_t o = { .name = n->o.name,
+		.incarnation = n->incarnation,
+		.max_lease_ms = n->o.max_hold_ms,
+		.stop_ms = n->o.stop_ms,
 		.far_factor = g_ascii_strtod(n->o.far_factor, NULL),
-		.gang_wait_ms = n->o.gang_wait_ms, .harm_ms = n->o.harm_ms,
+		.gang_wait_ms = n->o.gang_wait_ms,
+		.harm_ms = n->o.harm_ms,
 		.notice_ms = n->o.notice_ms,
 		.port = { do_claim, do_load, do_write, do_order, do_look,
 		    do_event },
--- a/serve/follow.c
+++ b/serve/follow.c
@@ -20,11 +20,11 @@
 #include "../cmd/cmd.h"
 #include "serve.h"
 
-#define PAGE_ROWS  500	/* the store's most */
-#define READ_MS	   1500 /* for a page; the store may be slow */
-#define WAIT_MS	   1000 /* a feed waits so long for a change */
-#define FEED_MS	   700	/* for the answer to a feed, beyond its wait */
-#define RETRY_MS   120	/* after a failed call */
+#define PAGE_ROWS 500  /* the store's most */
+#define READ_MS	  1500 /* for a page; the store may be slow */
+#define WAIT_MS	  1000 /* a feed waits so long for a change */
+#define FEED_MS	  700  /* for the answer to a feed, beyond its wait */
+#define RETRY_MS  120  /* after a failed call */
 
 typedef enum { FOLLOW_OFF, FOLLOW_READING, FOLLOW_FEEDING } follow_state_t;
 
@@ -178,8 +178,11 @@
 read_page(ask_t *a)
 {
 	follow_t *f = a->f;
-	store_get_t g = { .table = f->o.table, .part = a->part,
-		.from = a->next, .limit = PAGE_ROWS, .timeout_ms = READ_MS };
+	store_get_t g = { .table = f->o.table,
+		.part = a->part,
+		.from = a->next,
+		.limit = PAGE_ROWS,
+		.timeout_ms = READ_MS };
 
 	store_get(f->o.node->platform, &g, on_page, a);
 }
@@ -217,8 +220,10 @@
 feed(follow_t *f)
 {
 	int32_t wait = f->o.wait_ms == 0 ? WAIT_MS : f->o.wait_ms;
-	store_feed_t q = { .table = f->o.table, .after = f->version,
-		.wait_ms = wait, .timeout_ms = wait + FEED_MS };
+	store_feed_t q = { .table = f->o.table,
+		.after = f->version,
+		.wait_ms = wait,
+		.timeout_ms = wait + FEED_MS };
 
 	store_feed(f->o.node->platform, &q, on_feed, ask_new(f, ""));
 }
--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -24,13 +24,13 @@
 #include "../cmd/cmd.h"
 #include "serve.h"
 
-#define DEADLINE_MS	 3000 /* of a caller that names none */
-#define DEADLINE_SPARE_MS 150 /* kept for the way of the answer */
-#define WRITE_MS	 700  /* for the answer to one write */
-#define RETRY_MS	 60   /* between two tries, doubled each time */
-#define RETRY_MAX_MS	 400
-#define REFUSED_MS	 500  /* of refusals by the store before we refuse */
-#define AGAIN_S		 1    /* when a refused caller is to come back */
+#define DEADLINE_MS	  3000 /* of a caller that names none */
+#define DEADLINE_SPARE_MS 150  /* kept for the way of the answer */
+#define WRITE_MS	  700  /* for the answer to one write */
+#define RETRY_MS	  60   /* between two tries, doubled each time */
+#define RETRY_MAX_MS	  400
+#define REFUSED_MS	  500 /* of refusals by the store before we refuse */
+#define AGAIN_S		  1   /* when a refused caller is to come back */
 
 typedef enum { CALL_ACCEPT, CALL_CANCEL, CALL_STATE } call_kind_t;
 
@@ -62,11 +62,11 @@
 }
 
 static void
-reply_text(server_req_t *r, int32_t status, const char *headers,
-    const char *body)
+reply_text(
+    server_req_t *r, int32_t status, const char *headers, const char *body)
 {
-	g_autofree char *all = g_strconcat(
-	    "content-type: application/json\r\n", headers, NULL);
+	g_autofree char *all =
+	    g_strconcat("content-type: application/json\r\n", headers, NULL);
 
 	server_reply(r, status, all, body, strlen(body));
 }
@@ -78,8 +78,8 @@
 	    g_strdup_printf("retry-after: %d\r\n", AGAIN_S);
 	g_autofree char *body = g_strdup_printf("{\"error\":\"%s\"}", why);
 
-	reply_text(r, status,
-	    status == 429 || status == 503 ? headers : "", body);
+	reply_text(
+	    r, status, status == 429 || status == 503 ? headers : "", body);
 }
 
 static void
@@ -212,16 +212,15 @@
 		return;
 	}
 	a->node->stats.cancels++;
-	log_event(EVT_CANCEL_STORED, "id=%s queue=%s tries=%d", a->id,
-	    a->queue, a->tries);
+	log_event(EVT_CANCEL_STORED, "id=%s queue=%s tries=%d", a->id, a->queue,
+	    a->tries);
 	finish(a, 200, "{}");
 }
 
 static int32_t
 time_left(const ask_t *a)
 {
-	return (int32_t)CLAMP(
-	    a->until_ms - node_now(a->node), 1, WRITE_MS);
+	return (int32_t)CLAMP(a->until_ms - node_now(a->node), 1, WRITE_MS);
 }
 
 static void
@@ -229,8 +228,12 @@
 {
 	char part[STORE_NAME_BYTES];
 	store_put_t put = { key, bytes, n };
-	store_tx_t tx = { .table = JOB_TABLE, .part = part, .if_key = key,
-		.puts = &put, .nputs = 1, .timeout_ms = time_left(a) };
+	store_tx_t tx = { .table = JOB_TABLE,
+		.part = part,
+		.if_key = key,
+		.puts = &put,
+		.nputs = 1,
+		.timeout_ms = time_left(a) };
 
 	job_part(a->id, part);
 	store_tx(a->node->platform, &tx, fn, a);
@@ -275,8 +278,12 @@
 	/* Both keys: the id, and the id with a '.' and a letter. */
 	g_autofree char *to = g_strconcat(a->id, "/", NULL);
 	char part[STORE_NAME_BYTES];
-	store_get_t g = { .table = JOB_TABLE, .part = part, .from = a->id,
-		.to = to, .limit = 2, .timeout_ms = time_left(a) };
+	store_get_t g = { .table = JOB_TABLE,
+		.part = part,
+		.from = a->id,
+		.to = to,
+		.limit = 2,
+		.timeout_ms = time_left(a) };
 
 	job_part(a->id, part);
 	store_get(a->node->platform, &g, on_job_rows, a);
@@ -310,8 +317,12 @@
 {
 	g_autofree char *key = g_strconcat(a->id, SCHED_KEY_PROGRESS, NULL);
 	g_autofree char *to = g_strconcat(key, "!", NULL);
-	store_get_t g = { .table = CELL_TABLE, .part = CELL_PART, .from = key,
-		.to = to, .limit = 1, .timeout_ms = time_left(a) };
+	store_get_t g = { .table = CELL_TABLE,
+		.part = CELL_PART,
+		.from = key,
+		.to = to,
+		.limit = 1,
+		.timeout_ms = time_left(a) };
 
 	store_get(a->node->platform, &g, on_run_row, a);
 }
@@ -334,8 +345,7 @@
 	g_autofree char *s = server_header(r, platform_deadline_header);
 	int64_t ms = 0;
 
-	if (s == NULL ||
-	    !g_ascii_string_to_signed(s, 10, 1, 600000, &ms, NULL))
+	if (s == NULL || !g_ascii_string_to_signed(s, 10, 1, 600000, &ms, NULL))
 		return DEADLINE_MS;
 	return (int32_t)ms;
 }
--- a/serve/metrics.c
+++ b/serve/metrics.c
@@ -22,8 +22,7 @@
 static void
 put(GString *s, const char *name, int64_t value)
 {
-	g_string_append_printf(
-	    s, "tanagerspool_%s %" PRId64 "\n", name, value);
+	g_string_append_printf(s, "tanagerspool_%s %" PRId64 "\n", name, value);
 }
 
 static void
--- a/serve/node.c
+++ b/serve/node.c
@@ -23,14 +23,14 @@
 #include "../cmd/cmd.h"
 #include "serve.h"
 
-#define TICK_MS		50
-#define SOON_MS		2     /* to do several changes at once */
-#define BODY_MAX_BYTES	262144
-#define PAUSE_MS	700   /* between ticks: less than a claim needs */
-#define STORE_LOST_MS	1500  /* without an answer, until one is told not ready */
-#define STORE_GAP_MS	900   /* without an answer: calls under way are lost */
-#define LEAVE_MS	2600  /* two misses of the balancer and a little */
-#define LEAVE_SPARE_MS	700   /* of the grace, kept for the exit */
+#define TICK_MS	       50
+#define SOON_MS	       2 /* to do several changes at once */
+#define BODY_MAX_BYTES 262144
+#define PAUSE_MS       700  /* between ticks: less than a claim needs */
+#define STORE_LOST_MS  1500 /* without an answer, until one is told not ready */
+#define STORE_GAP_MS   900  /* without an answer: calls under way are lost */
+#define LEAVE_MS       2600 /* two misses of the balancer and a little */
+#define LEAVE_SPARE_MS 700  /* of the grace, kept for the exit */
 
 G_DEFINE_QUARK(serve_error, serve_error)
 
@@ -236,9 +236,12 @@
 {
 	g_auto(GStrv) part = g_strsplit(at, ":", 2);
 	g_autoptr(GError) err = NULL;
-	server_opts_t o = { .loop = n->loop, .ip = part[0],
+	server_opts_t o = { .loop = n->loop,
+		.ip = part[0],
 		.port = part[1] == NULL ? 0 : atoi(part[1]),
-		.body_max_bytes = BODY_MAX_BYTES, .on_request = fn, .ctx = n };
+		.body_max_bytes = BODY_MAX_BYTES,
+		.on_request = fn,
+		.ctx = n };
 	server_t *s = server_new(&o, &err);
 
 	if (s == NULL)
@@ -289,9 +292,13 @@
 	platform_opts_t po = {
 		.loop = n->loop, .store = n->o.store, .on_bad = on_bad, .ctx = n
 	};
-	follow_opts_t fo = { .node = n, .table = platform_operator_table,
-		.part = "", .gap_ms = 5, .on_row = on_operator_row,
-		.on_fresh = on_operators_fresh, .ctx = n };
+	follow_opts_t fo = { .node = n,
+		.table = platform_operator_table,
+		.part = "",
+		.gap_ms = 5,
+		.on_row = on_operator_row,
+		.on_fresh = on_operators_fresh,
+		.ctx = n };
 
 	n->incarnation = node_wall(n);
 	n->store_ok_ms = node_now(n);
@@ -328,10 +335,10 @@
 		    "the platform's store" },
 		{ "metrics-port", SET_INT, &o->metrics_port, "9464", 0, 65535,
 		    "PORT", "for counters; 0 for none" },
-		{ "peer-port", SET_INT, &o->peer_port, "8002", 1, 65535,
-		    "PORT", "for datagrams of other entries" },
-		{ "max-hold-ms", SET_INT, &o->max_hold_ms, "6000", 1000,
-		    600000, "MS", "longest lease a worker grants" },
+		{ "peer-port", SET_INT, &o->peer_port, "8002", 1, 65535, "PORT",
+		    "for datagrams of other entries" },
+		{ "max-hold-ms", SET_INT, &o->max_hold_ms, "6000", 1000, 600000,
+		    "MS", "longest lease a worker grants" },
 		{ "stop-ms", SET_INT, &o->stop_ms, "1000", 0, 60000, "MS",
 		    "longest a worker takes to stop a task" },
 		{ "gang-wait-ms", SET_INT, &o->gang_wait_ms, "3000", 0, 600000,
@@ -340,8 +347,8 @@
 		    "a serving task may miss its target so long" },
 		{ "notice-ms", SET_INT, &o->notice_ms, "4500", 0, 600000, "MS",
 		    "absence of a lasting task that counts" },
-		{ "grace-ms", SET_INT, &o->grace_ms, "6000", 1000, 600000,
-		    "MS", "longest graceful stop" },
+		{ "grace-ms", SET_INT, &o->grace_ms, "6000", 1000, 600000, "MS",
+		    "longest graceful stop" },
 		{ "far-factor", SET_TEXT, &o->far_factor, "3", 0, 0, "N",
 		    "slow-down of a task away from its data" },
 		{ "log-level", SET_TEXT, &o->log_level, "INFO", 0, 0, "LEVEL",
@@ -349,8 +356,8 @@
 		{ 0 },
 	};
 
-	if (!settings_parse(set, "", "Serve on the users' platform.", &argc,
-		&argv, &rest))
+	if (!settings_parse(
+		set, "", "Serve on the users' platform.", &argc, &argv, &rest))
 		return EXIT_USAGE;
 	if (!log_open(o->log_level)) {
 		fprintf(stderr, "tanagerspool: --log-level: no such level\n");
@@ -366,8 +373,8 @@
 	}
 	if (!listen_all(&n))
 		return EXIT_FAILED;
-	log_event(EVT_START, "name=%s zone=%s incarnation=%" PRId64
-			     " store=%s version=%s",
+	log_event(EVT_START,
+	    "name=%s zone=%s incarnation=%" PRId64 " store=%s version=%s",
 	    o->name, o->zone, n.incarnation, o->store, TS_VERSION);
 	return uv_run(n.loop, UV_RUN_DEFAULT);
 }
--- a/serve/outage.c
+++ b/serve/outage.c
@@ -29,7 +29,7 @@
 #define SILENT_MS   700 /* without an answer of the store */
 #define SAY_MS	    150 /* between two datagrams to each */
 #define HEARD_MS    600 /* a datagram counts so long; three may be lost */
-#define SHARE_PCT   75  /* of the others must miss the store */
+#define SHARE_PCT   75	/* of the others must miss the store */
 #define WRITE_MS    1500
 #define RETRY_MS    300
 #define WAIT_MS	    20000 /* entries change seldom */
@@ -159,8 +159,7 @@
 		for_all = all_miss_it(o, now, &last_ms);
 	}
 	if (for_all || o->for_all)
-		sched_outage(
-		    cell_port_sched(n->cell), for_all, last_ms, now);
+		sched_outage(cell_port_sched(n->cell), for_all, last_ms, now);
 	o->for_all = for_all;
 }
 
@@ -190,8 +189,11 @@
 	Sched__Entry e = SCHED__ENTRY__INIT;
 	g_autofree uint8_t *b = NULL;
 	store_put_t put = { .key = n->o.name };
-	store_tx_t tx = { .table = ENTRY_TABLE, .part = ENTRY_PART,
-		.puts = &put, .nputs = 1, .timeout_ms = WRITE_MS };
+	store_tx_t tx = { .table = ENTRY_TABLE,
+		.part = ENTRY_PART,
+		.puts = &put,
+		.nputs = 1,
+		.timeout_ms = WRITE_MS };
 
 	e.ip = n->o.ip;
 	e.port = n->o.peer_port;
@@ -206,15 +208,22 @@
 outage_new(node_t *n, GError **err)
 {
 	outage_t *o = g_new0(outage_t, 1);
-	dgram_opts_t d = { .loop = n->loop, .ip = n->o.ip,
-		.port = n->o.peer_port, .on_data = on_data, .ctx = o };
-	follow_opts_t f = { .node = n, .table = ENTRY_TABLE,
-		.part = ENTRY_PART, .wait_ms = WAIT_MS, .gap_ms = RETRY_MS,
-		.on_row = on_row, .ctx = o };
+	dgram_opts_t d = { .loop = n->loop,
+		.ip = n->o.ip,
+		.port = n->o.peer_port,
+		.on_data = on_data,
+		.ctx = o };
+	follow_opts_t f = { .node = n,
+		.table = ENTRY_TABLE,
+		.part = ENTRY_PART,
+		.wait_ms = WAIT_MS,
+		.gap_ms = RETRY_MS,
+		.on_row = on_row,
+		.ctx = o };
 
 	o->node = n;
-	o->entries = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, g_free, row_free);
+	o->entries =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, row_free);
 	o->dgram = dgram_new(&d, err);
 	if (o->dgram == NULL)
 		return NULL;
@@ -240,8 +249,11 @@
 outage_leave(outage_t *o)
 {
 	store_put_t put = { .key = o->node->o.name };
-	store_tx_t tx = { .table = ENTRY_TABLE, .part = ENTRY_PART,
-		.puts = &put, .nputs = 1, .timeout_ms = WRITE_MS };
+	store_tx_t tx = { .table = ENTRY_TABLE,
+		.part = ENTRY_PART,
+		.puts = &put,
+		.nputs = 1,
+		.timeout_ms = WRITE_MS };
 
 	store_tx(o->node->platform, &tx, on_removed, o->node);
 }
--- a/test/cell/cell.h
+++ b/test/cell/cell.h
@@ -86,10 +86,10 @@
 
 /* What is true of a task, whoever knows it. */
 typedef struct {
-	int32_t running;  /* runs on workers that are up */
-	bool done;	  /* an end done was taken note of */
-	int32_t failed;	  /* ends failed taken note of */
-	bool ended_done;  /* an end done was listed */
+	int32_t running;      /* runs on workers that are up */
+	bool done;	      /* an end done was taken note of */
+	int32_t failed;	      /* ends failed taken note of */
+	bool ended_done;      /* an end done was listed */
 	int32_t ended_failed; /* ends failed listed */
 } truth_t;
 
@@ -113,7 +113,7 @@
 	GHashTable *rows;
 	int64_t version;
 	bool store_down;
-	int64_t down_ms; /* when that began, or last ended */
+	int64_t down_ms;  /* when that began, or last ended */
 	int32_t store_ms; /* an answer takes */
 	double store_lost;
 	bool store_late;
@@ -122,9 +122,9 @@
 	int32_t nnodes;
 	sim_vm_t vms[WORKERS_MAX];
 	int32_t nvms;
-	GHashTable *jobs;  /* id -> sim_job_t */
-	GHashTable *truth; /* task -> truth_t */
-	GHashTable *out;   /* evacuated zone -> since, as int64 pointer */
+	GHashTable *jobs;   /* id -> sim_job_t */
+	GHashTable *truth;  /* task -> truth_t */
+	GHashTable *out;    /* evacuated zone -> since, as int64 pointer */
 	const char *failed; /* the check that failed, and where */
 	char detail[256];
 	int64_t starts, done;
@@ -134,8 +134,8 @@
 /* world.c */
 world_t *world_new(uint64_t seed, int32_t nodes, int32_t vms);
 void world_free(world_t *w);
-void world_after(
-    world_t *w, int64_t ms, void (*fn)(world_t *, void *), void *arg);
+void
+world_after(world_t *w, int64_t ms, void (*fn)(world_t *, void *), void *arg);
 void world_run(world_t *w, int64_t until_ms);
 void world_fail(world_t *w, const char *check, const char *fmt, ...)
     G_GNUC_PRINTF(3, 4);
--- a/test/cell/store.c
+++ b/test/cell/store.c
@@ -13,10 +13,15 @@
 #include "cell.h"
 
 #define STORE_CLOCK_MS 777000 /* its clock less that of the entries */
-#define CALL_MS 1500 /* until a call without an answer is given up */
+#define CALL_MS	       1500   /* until a call without an answer is given up */
 
-typedef enum { CALL_CLAIM, CALL_WRITE, CALL_LOAD, CALL_POLL, CALL_FEED }
-    call_kind_t;
+typedef enum {
+	CALL_CLAIM,
+	CALL_WRITE,
+	CALL_LOAD,
+	CALL_POLL,
+	CALL_FEED
+} call_kind_t;
 
 typedef struct {
 	sim_node_t *n;
@@ -110,11 +115,11 @@
 	g_strlcpy(id, key, sizeof(id));
 	j = g_hash_table_lookup(w->jobs, id);
 	for (size_t i = 0; j != NULL && p != NULL && i < j->def->n_steps &&
-	    p->state == SCHED__STATE__COMPLETED;
-	    i++)
+	     p->state == SCHED__STATE__COMPLETED;
+	     i++)
 		for (int32_t k = 0; k < j->def->steps[i]->count; k++) {
-			g_autofree char *t = g_strdup_printf(
-			    "%s.0.%zu.%d", id, i, k);
+			g_autofree char *t =
+			    g_strdup_printf("%s.0.%zu.%d", id, i, k);
 
 			if (!world_truth(w, t)->ended_done)
 				world_fail(w, "completed", "%s not done", t);
@@ -127,8 +132,8 @@
 
 		for (size_t i = 0; i < j->def->n_steps; i++)
 			for (int32_t k = 0; k < j->def->steps[i]->count; k++) {
-				g_autofree char *t = g_strdup_printf(
-				    "%s.0.%zu.%d", id, i, k);
+				g_autofree char *t =
+				    g_strdup_printf("%s.0.%zu.%d", id, i, k);
 
 				cause = cause ||
 				    world_truth(w, t)->ended_failed >=
@@ -204,8 +209,10 @@
 static sched_row_t
 row_of(const row_t *r)
 {
-	sched_row_t s = { .key = r->key, .version = r->version,
-		.bytes = r->bytes->data, .nbytes = r->bytes->len };
+	sched_row_t s = { .key = r->key,
+		.version = r->version,
+		.bytes = r->bytes->data,
+		.nbytes = r->bytes->len };
 
 	return s;
 }
--- a/test/cell/vm.c
+++ b/test/cell/vm.c
@@ -125,9 +125,8 @@
 		if (r->work_ms > 0 || r->def->lasting)
 			continue;
 		end_run(w, v, r,
-		    v->fails_all || r->work_ms <= -1000000 ?
-			SCHED_TASK_FAILED :
-			SCHED_DONE);
+		    v->fails_all || r->work_ms <= -1000000 ? SCHED_TASK_FAILED :
+							     SCHED_DONE);
 	}
 }
 
@@ -150,7 +149,7 @@
 
 	for (size_t i = 0; i < st->n_after; i++)
 		for (int32_t k = 0; k < j->def->steps[st->after[i]]->count;
-		    k++) {
+		     k++) {
 			g_autofree char *t = g_strdup_printf(
 			    "%s.0.%d.%d", j->id, st->after[i], k);
 
@@ -233,8 +232,8 @@
 
 	if (o->deadline_ms <= clock_of(w, v))
 		return SCHED_ORDER_LATE;
-	v->until_ms = MAX(v->until_ms,
-	    MIN(o->deadline_ms, clock_of(w, v) + MAX_HOLD_MS));
+	v->until_ms =
+	    MAX(v->until_ms, MIN(o->deadline_ms, clock_of(w, v) + MAX_HOLD_MS));
 	if (r != NULL && r->run == o->run)
 		return SCHED_ORDER_OK;
 	if ((refused != NULL && o->run <= *refused) ||
@@ -448,15 +447,19 @@
 	for (guint i = 0; i < v->runs->len; i++) {
 		const sim_run_t *r = g_ptr_array_index(v->runs, i);
 		sched_running_t s = { .task = g_intern_string(r->name),
-			.run = r->run, .checkpoint = "", .percent = 100 };
+			.run = r->run,
+			.checkpoint = "",
+			.percent = 100 };
 
 		g_array_append_val(c->running, s);
 	}
 	for (guint i = 0; i < v->ends->len; i++) {
 		const sim_end_t *e = g_ptr_array_index(v->ends, i);
 		sched_ended_t s = { .seq = e->seq,
-			.task = g_intern_string(e->name), .run = e->run,
-			.how = e->how, .checkpoint = "" };
+			.task = g_intern_string(e->name),
+			.run = e->run,
+			.how = e->how,
+			.checkpoint = "" };
 
 		g_array_append_val(c->ended, s);
 	}
@@ -526,10 +529,15 @@
 
 	for (int32_t i = 0; i < w->nvms; i++) {
 		sim_vm_t *v = &w->vms[i];
-		sched_worker_info_t info = { .id = v->id, .service = "s",
-			.address = v->id, .zone = v->zone, .rack = "r1",
-			.cpu_milli = v->cpu_milli, .mem_mb = v->mem_mb,
-			.born_ms = v->born_ms, .draining = v->draining };
+		sched_worker_info_t info = { .id = v->id,
+			.service = "s",
+			.address = v->id,
+			.zone = v->zone,
+			.rack = "r1",
+			.cpu_milli = v->cpu_milli,
+			.mem_mb = v->mem_mb,
+			.born_ms = v->born_ms,
+			.draining = v->draining };
 
 		if (v->listed)
 			sched_worker(n->s, &info, w->now_ms);
--- a/test/cell/world.c
+++ b/test/cell/world.c
@@ -123,8 +123,10 @@
 	w->rand = g_rand_new_with_seed((guint32)seed);
 	w->now_ms = 1000;
 	w->events = g_sequence_new(g_free);
-	w->rows = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_row);
-	w->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_job);
+	w->rows =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_row);
+	w->jobs =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_job);
 	w->truth =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	w->out = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
@@ -216,7 +218,8 @@
 	} else if (!g_hash_table_contains(w->out, zone)) {
 		since = g_new(int64_t, 1);
 		*since = w->now_ms;
-		g_hash_table_insert(w->out, (void *)g_intern_string(zone), since);
+		g_hash_table_insert(
+		    w->out, (void *)g_intern_string(zone), since);
 	}
 	for (int32_t i = 0; i < w->nnodes; i++)
 		world_tell_zones(w, &w->nodes[i]);
--- a/test/main/cells.c
+++ b/test/main/cells.c
@@ -15,10 +15,10 @@
 #include "../../sched/sched.h"
 #include "../cell/cell.h"
 
-#define TROUBLE_MS 25000 /* faults and jobs */
-#define QUIET_MS   60000 /* after which all jobs must have ended */
-#define WAITING_MS 5000  /* a job that waits longer must be counted */
-#define TOUCH_MS   3000  /* bounds count so long after a fault */
+#define TROUBLE_MS  25000 /* faults and jobs */
+#define QUIET_MS    60000 /* after which all jobs must have ended */
+#define WAITING_MS  5000  /* a job that waits longer must be counted */
+#define TOUCH_MS    3000  /* bounds count so long after a fault */
 #define JOBS_GAP_MS 400
 
 static void
@@ -34,8 +34,7 @@
 	st->per_worker = st->count <= 2 && world_chance(w, 0.4) ? 1 : 0;
 	st->checkpoints = world_chance(w, 0.5);
 	/* Few, as what lasts keeps its room for good. */
-	st->lasting =
-	    g_hash_table_size(w->jobs) < 12 && world_chance(w, 0.03);
+	st->lasting = g_hash_table_size(w->jobs) < 12 && world_chance(w, 0.03);
 }
 
 static void
@@ -326,7 +325,8 @@
 	Sched__State st = SCHED__STATE__PENDING;
 
 	if (r != NULL)
-		p = sched__progress__unpack(NULL, r->bytes->len, r->bytes->data);
+		p = sched__progress__unpack(
+		    NULL, r->bytes->len, r->bytes->data);
 	if (p != NULL) {
 		st = p->state;
 		sched__progress__free_unpacked(p, NULL);
@@ -349,8 +349,8 @@
 static bool
 run_seed(uint64_t seed, bool verbose)
 {
-	world_t *w = world_new(seed, 2 + (int32_t)(seed % 3),
-	    4 + (int32_t)(seed % 9));
+	world_t *w =
+	    world_new(seed, 2 + (int32_t)(seed % 3), 4 + (int32_t)(seed % 9));
 	GHashTableIter it;
 	void *v;
 	bool ok;
--- a/trans/trans.h
+++ b/trans/trans.h
@@ -113,8 +113,8 @@
 	void *ctx;
 } dgram_opts_t;
 dgram_t *dgram_new(const dgram_opts_t *o, GError **err);
-void dgram_send(dgram_t *d, const char *ip, int32_t port, const uint8_t *data,
-    size_t n);
+void dgram_send(
+    dgram_t *d, const char *ip, int32_t port, const uint8_t *data, size_t n);
 
 /*
  * Peers.
