--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 B = build
 PREFIX = /usr/local
 SEEDS = 2000
+CELL_SEEDS = 1500
 PKGS = glib-2.0 libuv libh2o libprotobuf-c log4c jansson libcurl openssl
 DEBS = gcc make pkg-config clang clang-format clang-tidy cppcheck curl man-db \
 	libuv1-dev libh2o-dev libprotobuf-c-dev liblog4c-dev libcriterion-dev \
@@ -66,16 +67,18 @@
 	@$(MAKE) --no-print-directory all
 	sh test/run.sh $(B)
 test: have
-	@$(MAKE) --no-print-directory all unit check scenes process
+	@$(MAKE) --no-print-directory all unit check cells scenes process
 unit: $(B)/unit
 	$(B)/unit
 check: $(B)/check
 	sh test/check.sh $(B) $(SEEDS)
+cells: $(B)/cells
+	sh test/cells.sh $(B) $(CELL_SEEDS)
 scenes: $(B)/scenes
 	sh test/red.sh $(B)/scenes
 process: all
 	sh test/process.sh $(B)
-mutants: $(B)/check
+mutants: $(B)/check $(B)/cells
 	sh test/mutants.sh $(B)
 policy: $(B)/policy
 	sh test/red.sh $(B)/policy
@@ -113,6 +116,6 @@
 	    $(DESTDIR)$(PREFIX)/share/tanagerspool
 clean:
 	rm -rf build*
-PHONY_TESTS = unit check scenes process
+PHONY_TESTS = unit check cells scenes process
 .PHONY: all deps have run test $(PHONY_TESTS) mutants policy slopes bench \
 	asan lint fmt install clean
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -10,7 +10,8 @@
 	d=$B/mutants/$1
 	rm -rf "$d"
 	mkdir -p "$d"
-	cp -r Makefile include state coord proto trans cmd test bench example "$d/"
+	cp -r Makefile include state coord sched platform serve proto trans \
+	    cmd test bench example "$d/"
 	cp -r "$B" "$d/build-own" 2>/dev/null
 	rm -rf "$d/build-own/mutants"
 	same=1
@@ -22,7 +23,10 @@
 		echo "FAIL $1: the expression changes nothing"
 		return
 	fi
-	if ! make -s -C "$d" B=build-own WARN=-w build-own/check \
+	# Mutants of the scheduler of a cell are met by its own schedules.
+	prog=check
+	case $1 in cell_*) prog=cells ;; esac
+	if ! make -s -C "$d" B=build-own WARN=-w build-own/$prog \
 	    >"$d/log" 2>&1; then
 		echo "FAIL $1: does not build"
 		tail -n 3 "$d/log"
@@ -30,7 +34,9 @@
 	fi
 	at=1
 	while [ $at -le "$5" ]; do
-		"$d/build-own/check" $at 50 >"$d/out" 2>&1
+		n=50
+		[ $prog = check ] || n=$((at + 49)) # first and last
+		"$d/build-own/$prog" $at $n >"$d/out" 2>&1
 		hit=$(grep -m1 "$4" "$d/out")
 		[ -z "$hit" ] || break
 		at=$((at + 50))
--- /dev/null
+++ b/test/unit/platform.c
@@ -0,0 +1,189 @@
+/*
+ * The adapter's codecs: bodies of callers, and rows of operators and workers,
+ * also damaged ones.
+ */
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <criterion/criterion.h>
+#include <glib.h>
+#include <jansson.h>
+#include <uv.h>
+
+#include "../../proto/peer.pb-c.h"
+#include "../../proto/sched.pb-c.h"
+#include "tanagerspool.h"
+#include "../../trans/trans.h"
+#include "../../sched/sched.h"
+#include "../../platform/platform.h"
+#include "../../serve/serve.h"
+
+Test(platform, jobs)
+{
+	static const struct {
+		const char *body;
+		bool decodes, valid;
+	} cases[] = {
+		{ "{\"spec\":\"x\",\"steps\":[{\"count\":2,\"cpu\":5}]}", true,
+		    true },
+		{ "{\"spec\":\"x\",\"steps\":[{\"count\":2},"
+		  "{\"count\":1,\"after\":[0]}],\"unknown\":7}",
+		    true, true },
+		{ "{\"spec\":\"x\",\"steps\":[]}", true, false },
+		{ "{\"spec\":\"x\",\"steps\":[{\"count\":0}]}", true, false },
+		{ "{\"spec\":\"x\",\"steps\":[{\"count\":99999999}]}", true,
+		    false },
+		{ "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":-1}]}", true,
+		    false },
+		{ "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":9e18}]}",
+		    true, false },
+		{ "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"after\":[0]}]}",
+		    true, false },
+		{ "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"after\":[-1]}]}",
+		    true, false },
+		{ "{\"spec\":\"x\",\"steps\":[7]}", true, false },
+		{ "{\"spec\":7,\"steps\":[{\"count\":1}]}", false, false },
+		{ "{\"steps\":[{\"count\":1}]}", false, false },
+		{ "{\"spec\":\"x\"}", false, false },
+		{ "[1,2", false, false },
+		{ "", false, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autoptr(GError) err = NULL;
+		const char *why;
+		Sched__Job *j = platform_job(
+		    cases[i].body, strlen(cases[i].body), &err);
+
+		cr_expect_eq(j != NULL, cases[i].decodes, "case %zu", i);
+		cr_expect_eq(err == NULL, cases[i].decodes, "case %zu", i);
+		if (j == NULL)
+			continue;
+		cr_expect_eq(sched_job_valid(j, &why), cases[i].valid,
+		    "case %zu: %s", i, why);
+		sched__job__free_unpacked(j, NULL);
+	}
+}
+
+Test(platform, job_fields)
+{
+	static const char body[] =
+	    "{\"spec\":\"s\",\"steps\":[{\"count\":3,\"cpu\":500,\"mem_mb\":9,"
+	    "\"gpu\":1,\"estimate_ms\":70,\"checkpointing\":true,\"gang\":true,"
+	    "\"same_rack\":true,\"requirements\":\"l\",\"affinity\":\"r1\","
+	    "\"anti_affinity\":2,\"allow_duplicates\":true,"
+	    "\"long_running\":true,\"image\":\"i\",\"target_ms\":40,"
+	    "\"fills\":true,\"may_miss\":1}],\"repeat_count\":4,"
+	    "\"start_ms\":5,\"interval_ms\":6}";
+	Sched__Job *j = platform_job(body, strlen(body), NULL);
+	const Sched__Step *s;
+
+	cr_assert_not_null(j);
+	s = j->steps[0];
+	cr_expect(s->count == 3 && s->cpu_milli == 500 && s->mem_mb == 9);
+	cr_expect(s->gpu == 1 && s->estimate_ms == 70 && s->checkpoints);
+	cr_expect(s->gang && s->same_rack && s->per_worker == 2);
+	cr_expect(s->duplicates && s->lasting && s->filler);
+	cr_expect(s->tail_target_ms == 40 && s->may_miss == 1);
+	cr_expect_str_eq(s->label, "l");
+	cr_expect_str_eq(s->near_rack, "r1");
+	cr_expect_str_eq(s->image, "i");
+	cr_expect(
+	    j->repeats == 4 && j->first_ms == 5 && j->interval_ms == 6);
+	sched__job__free_unpacked(j, NULL);
+}
+
+Test(platform, workers)
+{
+	static const struct {
+		const char *row;
+		bool ok;
+	} cases[] = {
+		{ "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
+		  "\"state\":\"ready\",\"capacity\":{\"cpu\":1,\"mem_mb\":2,"
+		  "\"gpu\":3},\"labels\":[\"a\",\"r1-3\"],\"born\":17}",
+		    true },
+		{ "{\"service\":\"s\",\"address\":\"1.2.3.4:5\","
+		  "\"state\":\"draining\",\"capacity\":{}}",
+		    true },
+		{ "{\"service\":\"s\",\"address\":\"1.2.3.4:5\","
+		  "\"state\":\"odd\",\"capacity\":{}}",
+		    false },
+		{ "{\"service\":\"s\",\"address\":\"nowhere\","
+		  "\"state\":\"ready\",\"capacity\":{}}",
+		    false },
+		{ "{\"service\":7,\"address\":\"1.2.3.4:5\","
+		  "\"state\":\"ready\",\"capacity\":{}}",
+		    false },
+		{ "{\"service\":\"s\",\"address\":\"1.2.3.4:5\","
+		  "\"state\":\"ready\",\"capacity\":9,\"labels\":3}",
+		    false },
+		{ "\xff\xfe", false },
+		{ "", false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autoptr(GError) err = NULL;
+		platform_worker_t w;
+		bool ok = platform_worker("i-1", (const uint8_t *)cases[i].row,
+		    strlen(cases[i].row), &w, &err);
+
+		cr_expect_eq(ok, cases[i].ok, "case %zu", i);
+		cr_expect_eq(err == NULL, ok, "case %zu", i);
+		if (i == 0) {
+			cr_expect_str_eq(w.info.rack, "r1-3");
+			cr_expect(w.info.born_ms == 17 && w.info.gpu == 3);
+		}
+		if (ok)
+			platform_worker_clear(&w);
+	}
+}
+
+Test(platform, tables_and_routes)
+{
+	static const char row[] =
+	    "{\"version\":7,\"routes\":["
+	    "{\"name\":\"a\",\"host\":\"h.example\",\"prefix\":\"/p/\","
+	    "\"service\":\"s\",\"priority\":2,\"max_attempts\":3,"
+	    "\"stretch\":1.5,\"target_duration_ms\":250},"
+	    "{\"name\":\"b\",\"host\":\"h.example\",\"prefix\":\"/p/q/\","
+	    "\"service\":\"s\"}],\"limits\":{\"max_body_bytes\":9}}";
+	static const struct {
+		const char *host, *path;
+		route_result_t want;
+		const char *queue, *id;
+	} cases[] = {
+		{ "h.example", "/p/0123456789abcdef", ROUTE_FOUND, "a",
+		    "0123456789abcdef" },
+		{ "H.EXAMPLE:80", "/p/q/0123456789abcdef", ROUTE_FOUND, "b",
+		    "0123456789abcdef" },
+		{ "h.example", "/p/", ROUTE_FOUND, "a", "" },
+		{ "h.example", "/p/?x", ROUTE_FOUND, "a", "" },
+		{ "h.example", "/p/0123456789abcde", ROUTE_BAD_ID, "a", "" },
+		{ "h.example", "/p/0123456789abcdeg", ROUTE_BAD_ID, "a", "" },
+		{ "h.example", "/x/", ROUTE_UNKNOWN, NULL, "" },
+		{ "h.exampl", "/p/", ROUTE_UNKNOWN, NULL, "" },
+		{ "", "", ROUTE_UNKNOWN, NULL, "" },
+	};
+	platform_tables_t *t =
+	    platform_tables((const uint8_t *)row, strlen(row), NULL);
+
+	cr_assert_not_null(t);
+	cr_expect(t->version == 7 && t->body_max_bytes == 9);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		route_match_t m = { 0 };
+
+		cr_expect_eq(
+		    route_find(t, cases[i].host, cases[i].path, &m),
+		    cases[i].want, "case %zu", i);
+		if (cases[i].want != ROUTE_FOUND)
+			continue;
+		cr_expect_str_eq(m.queue->name, cases[i].queue, "case %zu", i);
+		cr_expect_str_eq(m.id, cases[i].id, "case %zu", i);
+	}
+	platform_tables_free(t);
+	cr_expect_null(platform_tables((const uint8_t *)"{}", 2, NULL));
+	cr_expect_null(platform_tables((const uint8_t *)"\xff", 1, NULL));
+}
--- /dev/null
+++ b/test/unit/sched.c
@@ -0,0 +1,225 @@
+/*
+ * Policies of the scheduler, each for the load pattern it answers.
+ */
+#include <stdbool.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <criterion/criterion.h>
+#include <glib.h>
+
+#include "../../proto/sched.pb-c.h"
+#include "../../sched/sched.h"
+#include "../../sched/part.h"
+
+#define VM_CPU 64000
+
+static void
+ignore(void *ctx, sched_evt_t n, const char *subject, char *fields)
+{
+	(void)ctx;
+	(void)n;
+	(void)subject;
+	g_free(fields);
+}
+
+static sched_t *
+sched(void)
+{
+	sched_opts_t o = { .name = "e", .max_lease_ms = 6000,
+		.port = { .event = ignore } };
+
+	return sched_new(&o);
+}
+
+static job_t *
+job(sched_t *s, const char *id, const Sched__Step *step, int64_t accepted_ms)
+{
+	Sched__Job d = SCHED__JOB__INIT;
+	Sched__Step *list[1] = { (Sched__Step *)step };
+	g_autofree uint8_t *b = NULL;
+	size_t n;
+	job_t *j;
+
+	d.queue = "q";
+	d.service = "s";
+	d.accepted_ms = accepted_ms;
+	d.max_attempts = 2;
+	d.stretch = 2;
+	d.target_ms = 1000;
+	d.n_steps = 1;
+	d.steps = list;
+	n = sched__job__get_packed_size(&d);
+	b = g_malloc(n);
+	sched__job__pack(&d, b);
+	j = job_new(s, id, sched__job__unpack(NULL, n, b));
+	g_hash_table_insert(s->jobs, j->id, j);
+	return j;
+}
+
+static step_t *
+first_step(job_t *j)
+{
+	return &((occ_t *)g_ptr_array_index(j->occs, 0))->steps[0];
+}
+
+static vm_t *
+vm(sched_t *s, const char *id)
+{
+	sched_worker_info_t i = { .id = id, .service = "s", .address = "a:1",
+		.zone = "z", .rack = "r", .cpu_milli = VM_CPU,
+		.mem_mb = 256000, .born_ms = 1 };
+	vm_t *w;
+
+	sched_worker(s, &i, 0);
+	w = vm_get(s, id);
+	w->stored = w->answered = true;
+	w->open_pct = 100;
+	return w;
+}
+
+static Sched__Step
+step_of(const char *image, int64_t cpu, bool filler, int64_t target)
+{
+	Sched__Step st = SCHED__STEP__INIT;
+
+	st.count = 1;
+	st.cpu_milli = cpu;
+	st.mem_mb = 1000;
+	st.estimate_ms = 1000;
+	st.image = (char *)image;
+	st.filler = filler;
+	st.tail_target_ms = target;
+	st.lasting = target > 0;
+	return st;
+}
+
+/* Pattern: one of two filler images doubles the tail of a serving image. */
+Test(sched, harm_is_learned_by_pair)
+{
+	sched_t *s = sched();
+	int32_t serving = harm_image(s, "serve"), bad = harm_image(s, "bad"),
+		good = harm_image(s, "good");
+	double use[IMAGES_MAX] = { 0 };
+
+	for (int i = 0; i < 40; i++) {
+		memset(use, 0, sizeof(use));
+		use[bad] = i % 2 == 0 ? 0.1 : 0;
+		use[good] = i % 3 == 0 ? 0.2 : 0;
+		/* 40% of the target, and 60% more from a tenth of "bad". */
+		harm_learn(s, serving, 40 + 600 * use[bad] + i % 5, use);
+		harm_solve(s);
+	}
+	cr_expect_gt(harm_of(s, serving, bad), 400);
+	cr_expect_lt(harm_of(s, serving, good), 60);
+	cr_expect_float_eq(harm_base(s, serving), 42, 8);
+	sched_free(s);
+}
+
+/* Pattern: a burst of harmful fillers while serving tasks hold most workers. */
+Test(sched, harmful_fillers_go_where_nothing_serves)
+{
+	sched_t *s = sched();
+	Sched__Step serve = step_of("serve", 13000, false, 50);
+	Sched__Step bad = step_of("bad", 7000, true, 0);
+	Sched__Step good = step_of("good", 7000, true, 0);
+	double use[IMAGES_MAX] = { 0 };
+	vm_t *busy = vm(s, "busy"), *empty = vm(s, "empty");
+	job_t *js = job(s, "0000000000000001", &serve, 0);
+	job_t *jb = job(s, "0000000000000002", &bad, 0);
+	job_t *jg = job(s, "0000000000000003", &good, 0);
+	step_t *sb = first_step(jb), *sg = first_step(jg);
+
+	vm_take(busy, first_step(js), 1);
+	for (int i = 0; i < 30; i++) {
+		memset(use, 0, sizeof(use));
+		use[sb->image] = i % 2 == 0 ? 0.1 : 0;
+		use[sg->image] = i % 3 == 0 ? 0.1 : 0;
+		harm_learn(s, first_step(js)->image,
+		    40 + 800 * use[sb->image], use);
+	}
+	harm_solve(s);
+	noise_openness(s);
+	cr_expect_eq(place_task(s, sb, &sb->tasks[0], NULL), empty);
+	/* What does no harm leaves the empty worker to what does. */
+	cr_expect_eq(place_task(s, sg, &sg->tasks[0], NULL), busy);
+	empty->listed = false;
+	cr_expect_null(place_task(s, sb, &sb->tasks[0], NULL));
+	sched_free(s);
+}
+
+/* Pattern: all room is wanted by work of different kinds at once. */
+Test(sched, order_of_kinds)
+{
+	static const struct {
+		const char *what;
+		bool filler, lasting;
+		int64_t accepted_ms;
+	} cases[] = {
+		/* In the order in which they must come. */
+		{ "a short request in time", false, false, 10000 },
+		{ "a task that lasts", false, true, 0 },
+		{ "batch work in time", true, false, 10000 },
+		{ "batch work that is late", true, false, 6500 },
+		{ "batch work nobody waits for", true, false, 0 },
+	};
+	sched_t *s = sched();
+	step_t *st[G_N_ELEMENTS(cases)];
+	GSequenceIter *it;
+
+	s->wall = 10000;
+	for (size_t i = G_N_ELEMENTS(cases); i-- > 0;) {
+		Sched__Step d = step_of("", 1000, cases[i].filler, 0);
+		g_autofree char *id = g_strdup_printf("%016zu", i);
+
+		d.lasting = cases[i].lasting;
+		st[i] = first_step(job(s, id, &d, cases[i].accepted_ms));
+		st[i]->ready = true;
+		queue_add(s, st[i]);
+	}
+	it = g_sequence_get_begin_iter(s->ready);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		cr_expect_eq(g_sequence_get(it), st[i], "%s", cases[i].what);
+		it = g_sequence_iter_next(it);
+	}
+	sched_free(s);
+}
+
+/* Pattern: a worker turns slow while its tasks still come to an end. */
+Test(sched, slow_worker_is_seen_by_progress)
+{
+	static const struct {
+		int32_t percent; /* of each of four tasks, after 4 s of 1 s */
+		bool slow;
+	} cases[] = { { 5, true }, { 25, true }, { 60, false }, { 99, false } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = sched();
+		vm_t *w = vm(s, "w");
+		Sched__Step d = step_of("", 1000, false, 0);
+		sched_running_t run[4];
+		char names[4][64];
+		sched_report_t rep = { .clock_ms = 1, .born_ms = 1,
+			.running = run, .nrunning = 4 };
+
+		s->cell.state = CELL_OWNED;
+		for (int k = 0; k < 4; k++) {
+			g_autofree char *id = g_strdup_printf("%016d", k);
+
+			job(s, id, &d, 0);
+			g_snprintf(names[k], sizeof(names[k]), "%s.0.0.0", id);
+			run[k] = (sched_running_t){ .task = names[k],
+				.run = 1, .checkpoint = "" };
+		}
+		s->now = 1000;
+		run_report(s, w, &rep, 900);
+		s->now = 5000;
+		for (int k = 0; k < 4; k++)
+			run[k].percent = cases[i].percent;
+		run_report(s, w, &rep, 4900);
+		health_report(s, w);
+		cr_expect_eq(w->slow, cases[i].slow, "%d percent",
+		    cases[i].percent);
+		sched_free(s);
+	}
+}
