--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 TESTS = check scenes fuzz
 BENCH = policy slopes load
 MAINS = $(TESTS) $(BENCH) embed cells
-BIN = $(B)/tanagerspool $(B)/standin-platform $(B)/standin-worker \
+BIN = $(B)/tanagerspool $(B)/standin-platform $(B)/standin-worker $(B)/standin-users \
 	$(addprefix $(B)/,$(MAINS))
 SRC = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard */*.[ch] */*/*.[ch]))
 LINT = $(filter-out %.pb-c.c,$(wildcard state/*.c coord/*.c proto/*.c \
@@ -78,6 +78,7 @@
 	sh test/red.sh $(B)/scenes
 process: all
 	sh test/process.sh $(B)
+	sh test/serve.sh $(B)
 mutants: $(B)/check $(B)/cells
 	sh test/mutants.sh $(B)
 policy: $(B)/policy
--- /dev/null
+++ b/test/serve.sh
@@ -0,0 +1,84 @@
+#!/bin/sh
+# The serve daemon as real processes against a stand-in of the users' platform.
+# usage: serve.sh BUILD-FOLDER
+B=$1
+. test/lib.sh
+trap 'kill $PIDS 2>/dev/null; rm -rf "$T"' EXIT
+passed=0 failed=0 bad=0
+STORE=127.0.0.1:8400
+
+ok() { passed=$((passed + 1)); echo "ok   $1"; }
+no() { failed=$((failed + 1)); echo "FAIL $1: $2"; }
+check() { # NAME GOT WANT
+	if [ "$2" = "$3" ]; then ok "$1"; else no "$1" "got '$2', want '$3'"; fi
+}
+start_serve() { # N
+	start "s$1" "$B/tanagerspool" serve --name "s$1" --zone z \
+	    --ip "127.0.0.5$1" --front "127.0.0.5$1:8000" \
+	    --ready "127.0.0.5$1:8001" --store $STORE --peer-port 8002
+}
+ready() { [ "$(code "http://127.0.0.5$1:8001/-/ready")" = 200 ]; }
+code() { curl -s -m 5 -o /dev/null -w '%{http_code}' "$@"; }
+ask() { # N METHOD PATH [BODY]
+	curl -s -m 5 -X "$2" -H 'Host: h.example' ${4:+-d "$4"} \
+	    "http://127.0.0.5$1:8000$3"
+}
+ask_code() {
+	code -X "$2" -H 'Host: h.example' ${4:+-d "$4"} \
+	    "http://127.0.0.5$1:8000$3"
+}
+state() { ask "$1" GET "/q/$2" | sed 's/.*"state":"\([a-z]*\)".*/\1/'; }
+is_state() { [ "$(state "$1" "$2")" = "$3" ]; }
+owner() { # the entry that claimed last
+	grep -l name=cell_owned "$T"/s[12].out | tail -n 1 |
+	    sed 's/.*s\([12]\).out/\1/'
+}
+JOB='{"spec":"x","steps":[{"count":3,"cpu":500,"mem_mb":10,"estimate_ms":300},{"count":2,"cpu":500,"mem_mb":10,"estimate_ms":300,"after":[0]}]}'
+LONG='{"spec":"x","steps":[{"count":40,"cpu":16000,"mem_mb":10,"estimate_ms":300}]}'
+
+start store "$B/standin-users" 8400
+start_serve 1
+start_serve 2
+wait_for 10 ready 1 && wait_for 10 ready 2 || no ready "not ready"
+check accepted "$(ask_code 1 POST /q/00000000000000a1 "$JOB")" 200
+check repeated "$(ask_code 2 POST /q/00000000000000a1 "$JOB")" 200
+wait_for 10 is_state 2 00000000000000a1 completed
+check completed "$(state 2 00000000000000a1)" completed
+check no_such_job "$(ask_code 1 GET /q/00000000000000ff)" 410
+check no_such_queue "$(ask_code 1 GET /other/00000000000000a1)" 404
+check not_a_job "$(ask_code 1 POST /q/00000000000000a2 '{"steps":7}')" 400
+check count "$(ask 1 GET /q/)" '{"waiting":0}'
+check cancel_unknown "$(ask_code 1 DELETE /q/00000000000000ff)" 410
+check long_accepted "$(ask_code 1 POST /q/00000000000000a3 "$LONG")" 200
+check cancelled "$(ask_code 2 DELETE /q/00000000000000a3)" 200
+wait_for 10 is_state 1 00000000000000a3 cancelled
+check is_cancelled "$(state 1 00000000000000a3)" cancelled
+
+# The owner is killed: the other takes over what it began.
+o=$(owner)
+n=$((3 - o))
+check before_kill "$(ask_code "$n" POST /q/00000000000000a4 "$JOB")" 200
+kill -9 "$(pid_of "s$o")"
+wait_for 15 is_state "$n" 00000000000000a4 completed
+check after_kill "$(state "$n" 00000000000000a4)" completed
+# What is logged leads from the job to its end.
+for e in job_accepted job_seen run_start run_end job_end; do
+	grep -h "id=00000000000000a4" "$T"/s[12].out | grep -q "name=$e" ||
+	    bad=1
+done
+check logged $bad 0
+curl -s -m 5 "http://127.0.0.5$n:9464/metrics" >"$T/metrics"
+check metrics "$(grep -c '^tanagerspool_\(starts\|accept_ms_bucket{le="1"}\) ' "$T/metrics")" 2
+
+# A graceful stop ends by itself, with what it has said kept.
+kill -TERM "$(pid_of "s$n")"
+wait_for 8 grep -q name=exit "$T/s$n.out" || true
+check stopped "$(grep -c name=exit "$T/s$n.out")" 1
+start_serve "$o"
+wait_for 10 ready "$o"
+wait_for 10 is_state "$o" 00000000000000a4 completed
+check after_restart "$(state "$o" 00000000000000a4)" completed
+check flags "$("$B/tanagerspool" serve --name x --metrics-port nine 2>&1 | head -n 1)" \
+    "tanagerspool: --zone or TANAGERSPOOL_ZONE must be given: its data centre"
+echo "serve: $passed passed, $failed failed"
+[ $failed = 0 ]
--- a/test/unit/platform.c
+++ b/test/unit/platform.c
@@ -54,8 +54,8 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		g_autoptr(GError) err = NULL;
 		const char *why;
-		Sched__Job *j = platform_job(
-		    cases[i].body, strlen(cases[i].body), &err);
+		Sched__Job *j =
+		    platform_job(cases[i].body, strlen(cases[i].body), &err);
 
 		cr_expect_eq(j != NULL, cases[i].decodes, "case %zu", i);
 		cr_expect_eq(err == NULL, cases[i].decodes, "case %zu", i);
@@ -90,8 +90,7 @@
 	cr_expect_str_eq(s->label, "l");
 	cr_expect_str_eq(s->near_rack, "r1");
 	cr_expect_str_eq(s->image, "i");
-	cr_expect(
-	    j->repeats == 4 && j->first_ms == 5 && j->interval_ms == 6);
+	cr_expect(j->repeats == 4 && j->first_ms == 5 && j->interval_ms == 6);
 	sched__job__free_unpacked(j, NULL);
 }
 
@@ -175,8 +174,7 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		route_match_t m = { 0 };
 
-		cr_expect_eq(
-		    route_find(t, cases[i].host, cases[i].path, &m),
+		cr_expect_eq(route_find(t, cases[i].host, cases[i].path, &m),
 		    cases[i].want, "case %zu", i);
 		if (cases[i].want != ROUTE_FOUND)
 			continue;
--- a/test/unit/sched.c
+++ b/test/unit/sched.c
@@ -26,8 +26,9 @@
 static sched_t *
 sched(void)
 {
-	sched_opts_t o = { .name = "e", .max_lease_ms = 6000,
-		.port = { .event = ignore } };
+	sched_opts_t o = {
+		.name = "e", .max_lease_ms = 6000, .port = { .event = ignore }
+	};
 
 	return sched_new(&o);
 }
@@ -66,9 +67,14 @@
 static vm_t *
 vm(sched_t *s, const char *id)
 {
-	sched_worker_info_t i = { .id = id, .service = "s", .address = "a:1",
-		.zone = "z", .rack = "r", .cpu_milli = VM_CPU,
-		.mem_mb = 256000, .born_ms = 1 };
+	sched_worker_info_t i = { .id = id,
+		.service = "s",
+		.address = "a:1",
+		.zone = "z",
+		.rack = "r",
+		.cpu_milli = VM_CPU,
+		.mem_mb = 256000,
+		.born_ms = 1 };
 	vm_t *w;
 
 	sched_worker(s, &i, 0);
@@ -135,8 +141,8 @@
 		memset(use, 0, sizeof(use));
 		use[sb->image] = i % 2 == 0 ? 0.1 : 0;
 		use[sg->image] = i % 3 == 0 ? 0.1 : 0;
-		harm_learn(s, first_step(js)->image,
-		    40 + 800 * use[sb->image], use);
+		harm_learn(
+		    s, first_step(js)->image, 40 + 800 * use[sb->image], use);
 	}
 	harm_solve(s);
 	noise_openness(s);
@@ -199,8 +205,10 @@
 		Sched__Step d = step_of("", 1000, false, 0);
 		sched_running_t run[4];
 		char names[4][64];
-		sched_report_t rep = { .clock_ms = 1, .born_ms = 1,
-			.running = run, .nrunning = 4 };
+		sched_report_t rep = { .clock_ms = 1,
+			.born_ms = 1,
+			.running = run,
+			.nrunning = 4 };
 
 		s->cell.state = CELL_OWNED;
 		for (int k = 0; k < 4; k++) {
@@ -208,8 +216,9 @@
 
 			job(s, id, &d, 0);
 			g_snprintf(names[k], sizeof(names[k]), "%s.0.0.0", id);
-			run[k] = (sched_running_t){ .task = names[k],
-				.run = 1, .checkpoint = "" };
+			run[k] = (sched_running_t){
+				.task = names[k], .run = 1, .checkpoint = ""
+			};
 		}
 		s->now = 1000;
 		run_report(s, w, &rep, 900);
@@ -218,8 +227,8 @@
 			run[k].percent = cases[i].percent;
 		run_report(s, w, &rep, 4900);
 		health_report(s, w);
-		cr_expect_eq(w->slow, cases[i].slow, "%d percent",
-		    cases[i].percent);
+		cr_expect_eq(
+		    w->slow, cases[i].slow, "%d percent", cases[i].percent);
 		sched_free(s);
 	}
 }
