--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -29,8 +29,9 @@
 #define WRITE_MS	  700  /* for the answer to one write */
 #define RETRY_MS	  60   /* between two tries, doubled each time */
 #define RETRY_MAX_MS	  400
-#define REFUSED_MS	  500 /* of refusals by the store before we refuse */
-#define AGAIN_S		  1   /* when a refused caller is to come back */
+#define REFUSED_MS	  500  /* of refusals by the store before we refuse */
+#define STORE_KNOWN_MS	  1300 /* of silence; it is asked twice a second */
+#define AGAIN_S		  1    /* when a refused caller is to come back */
 
 typedef enum { CALL_ACCEPT, CALL_CANCEL, CALL_STATE } call_kind_t;
 
@@ -378,12 +379,37 @@
 	return b;
 }
 
+/* The store is known not to answer: nothing is tried, nothing is in doubt. */
+static void
+refuse_now(node_t *n, server_req_t *r, call_kind_t kind, const route_match_t *m,
+    int64_t silent_ms)
+{
+	if (kind == CALL_STATE)
+		n->stats.state_unreadable++;
+	else
+		n->stats.refused_store++;
+	log_event(kind == CALL_STATE ? EVT_STATE_UNREADABLE : EVT_REFUSED,
+	    "id=%s queue=%s tries=0 store_age=%" PRId64
+	    " why=\"the store does not answer\"",
+	    m->id, m->queue->name, silent_ms);
+	refuse(r, 503, "the store does not answer");
+}
+
 static void
 begin(node_t *n, server_req_t *r, call_kind_t kind, const route_match_t *m,
     GByteArray *row)
 {
-	ask_t *a = g_new0(ask_t, 1);
+	int64_t silent = node_now(n) - n->store_ok_ms;
 	int32_t ms = deadline_of(r);
+	ask_t *a;
+
+	if (silent > STORE_KNOWN_MS) {
+		refuse_now(n, r, kind, m, silent);
+		if (row != NULL)
+			g_byte_array_unref(row);
+		return;
+	}
+	a = g_new0(ask_t, 1);
 
 	a->node = n;
 	a->req = r;
--- a/serve/node.c
+++ b/serve/node.c
@@ -173,7 +173,7 @@
 		platform_tables_free(t);
 		return;
 	}
-	log_event(EVT_TABLES, "version=%" PRId64 " queues=%u row=%" PRId64,
+	log_event(TS_EVT_CONF, "version=%" PRId64 " queues=%u row=%" PRId64,
 	    t->version, t->queues->len, row->version);
 	platform_tables_free(n->tables);
 	n->tables = t;
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -9,7 +9,6 @@
 #define SERVE_H
 
 /* Logs: a numbered line; see docs/EVENTS.md. */
-#define EVT_TABLES	     102
 #define EVT_STORE_LOST	     651
 #define EVT_STORE_BACK	     652
 #define EVT_BAD_ROW	     653
