--- a/serve/cell.c
+++ b/serve/cell.c
@@ -22,6 +22,7 @@
 #include "serve.h"
 
 #define POLL_MS	      500  /* between reads of the owner's row */
+#define POLL_LATE_MS  150  /* ... while it is not renewed */
 #define POLL_OWNER_MS 2000 /* ... by the owner, whose writes tell as much */
 #define POLL_CALL_MS  900  /* for the answer to such a read */
 #define WRITE_MS      1500 /* for the answer to a write; the store may be slow */
@@ -36,6 +37,7 @@
 	follow_t *workers;
 	bool polling;
 	int64_t poll_next_ms;
+	int64_t row_version; /* of the owner's row, as last read */
 };
 
 sched_t *
@@ -68,10 +70,15 @@
 give_owner_row(cell_port_t *c, const store_answer_t *a)
 {
 	sched_row_t none = { .key = SCHED_KEY_OWNER };
+	int64_t before = c->row_version;
 
 	for (size_t i = 0; i < a->n; i++)
 		if (strcmp(a->rows[i].key, SCHED_KEY_OWNER) == 0)
 			none = sched_row_of(&a->rows[i]);
+	c->row_version = none.version;
+	/* Not renewed since the last read: its owner may be gone. */
+	if (none.version == before && !sched_owns(c->sched))
+		c->poll_next_ms = node_now(c->node) + POLL_LATE_MS;
 	sched_owner_row(c->sched, &none, node_now(c->node));
 }
 
