--- a/proto/sched.pb-c.c
+++ b/proto/sched.pb-c.c
@@ -1322,7 +1322,7 @@
   (ProtobufCMessageInit) sched__footprint__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sched__entry__field_descriptors[3] =
+static const ProtobufCFieldDescriptor sched__entry__field_descriptors[4] =
 {
   {
     "ip",
@@ -1360,16 +1360,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "strength",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Sched__Entry, strength),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sched__entry__field_indices_by_name[] = {
   2,   /* field[2] = incarnation */
   0,   /* field[0] = ip */
   1,   /* field[1] = port */
+  3,   /* field[3] = strength */
 };
 static const ProtobufCIntRange sched__entry__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor sched__entry__descriptor =
 {
@@ -1379,7 +1392,7 @@
   "Sched__Entry",
   "sched",
   sizeof(Sched__Entry),
-  3,
+  4,
   sched__entry__field_descriptors,
   sched__entry__field_indices_by_name,
   1,  sched__entry__number_ranges,
--- a/proto/sched.pb-c.h
+++ b/proto/sched.pb-c.h
@@ -251,10 +251,14 @@
   char *ip;
   int32_t port;
   int64_t incarnation;
+  /*
+   * what it can bear, against the others
+   */
+  int32_t strength;
 };
 #define SCHED__ENTRY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sched__entry__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
--- a/sched/cell.c
+++ b/sched/cell.c
@@ -276,13 +276,17 @@
 	if (c->state != CELL_FOLLOWING || c->releasing || !c->read ||
 	    s->now - c->read_ms > READ_GAP_MS)
 		return;
+	if (c->row != NULL && !c->row->released &&
+	    strcmp(c->row->name, s->o.name) == 0)
+		claim(s, "an earlier process of this name owned it");
+	if (c->state != CELL_FOLLOWING ||
+	    s->now - c->changed_ms < c->handicap_ms)
+		return;
 	if (c->row == NULL)
 		claim(s, "nobody owns it");
 	else if (c->row->released)
 		claim(s, "its owner released it");
-	else if (strcmp(c->row->name, s->o.name) == 0)
-		claim(s, "an earlier process of this name owned it");
-	else if (c->read_ms - c->changed_ms >= SILENT_MS)
+	else if (c->read_ms - c->changed_ms >= SILENT_MS + c->handicap_ms)
 		claim(s, "its owner is silent");
 }
 
--- a/sched/part.h
+++ b/sched/part.h
@@ -219,7 +219,8 @@
 	bool clean;	/* ... but it gave the cell up in order */
 	bool lost;	/* what the owner knew is to be forgotten */
 	bool release_sent;
-	bool outage; /* the store is away for all entries */
+	int32_t handicap_ms; /* left to stronger entries */
+	bool outage;	     /* the store is away for all entries */
 } cell_t;
 
 struct sched {
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -588,6 +588,12 @@
 	cell_outage(s, for_all, last_ms);
 }
 
+void
+sched_handicap(sched_t *s, int32_t ms)
+{
+	s->cell.handicap_ms = ms;
+}
+
 void
 sched_paused(sched_t *s, int64_t now_ms)
 {
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -226,6 +226,8 @@
  * the others.
  */
 void sched_outage(sched_t *s, bool for_all, int64_t last_ms, int64_t now_ms);
+/* This entry leaves a free cell so long to those that can bear more. */
+void sched_handicap(sched_t *s, int32_t ms);
 /* The process stood still: nothing is ordered before the row is read. */
 void sched_paused(sched_t *s, int64_t now_ms);
 
--- a/serve/outage.c
+++ b/serve/outage.c
@@ -24,21 +24,27 @@
 #include "../cmd/cmd.h"
 #include "serve.h"
 
-#define ENTRY_TABLE "entry"
-#define ENTRY_PART  "e"
-#define SILENT_MS   700 /* without an answer of the store */
-#define SAY_MS	    150 /* between two datagrams to each */
-#define HEARD_MS    600 /* a datagram counts so long; three may be lost */
-#define SHARE_PCT   75	/* of the others must miss the store */
-#define WRITE_MS    1500
-#define RETRY_MS    300
-#define WAIT_MS	    20000 /* entries change seldom */
+#define ENTRY_TABLE  "entry"
+#define ENTRY_PART   "e"
+#define SILENT_MS    700 /* without an answer of the store */
+#define SAY_MS	     150 /* between two datagrams to each */
+#define HEARD_MS     600 /* a datagram counts so long; three may be lost */
+#define SHARE_PCT    75	 /* of the others must miss the store */
+#define WRITE_MS     1500
+#define RETRY_MS     300
+#define CPU_UNITS    4000  /* strength of a core */
+#define LINK_UNITS   20	   /* strength of a Mbit/s: 50 go with a quarter core */
+#define STRONGER_PCT 130   /* of this entry's strength, to be much stronger */
+#define STRONGER_MAX 4	   /* that count */
+#define HANDICAP_MS  150   /* for each: they look at the cell so often */
+#define WAIT_MS	     20000 /* entries change seldom */
 
 typedef struct {
 	char *ip;
 	int32_t port;
 	int64_t heard_ms; /* last datagram */
 	int64_t store_ms; /* when the store last answered it */
+	int32_t strength;
 } entry_row_t;
 
 struct outage {
@@ -60,6 +66,34 @@
 	g_free(e);
 }
 
+/*
+ * What this entry can bear: processor share, or link where that is less.
+ */
+static int32_t
+strength(const node_t *n)
+{
+	double cpu = g_ascii_strtod(n->o.cpu_share, NULL) * CPU_UNITS;
+	double link = g_ascii_strtod(n->o.link_mbps, NULL) * LINK_UNITS;
+
+	return (int32_t)MIN(cpu, link);
+}
+
+/* An entry leaves the cell for a while to each that is much stronger. */
+static void
+set_handicap(outage_t *o)
+{
+	int32_t own = strength(o->node), stronger = 0;
+	GHashTableIter it;
+	void *v;
+
+	g_hash_table_iter_init(&it, o->entries);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		stronger +=
+		    ((entry_row_t *)v)->strength * 100 > own * STRONGER_PCT;
+	sched_handicap(cell_port_sched(o->node->cell),
+	    MIN(stronger, STRONGER_MAX) * HANDICAP_MS);
+}
+
 static void
 on_row(void *ctx, const store_row_t *row)
 {
@@ -73,13 +107,16 @@
 		e = sched__entry__unpack(NULL, row->nbytes, row->bytes);
 	if (e == NULL) {
 		g_hash_table_remove(o->entries, row->key);
+		set_handicap(o);
 		return;
 	}
 	r = g_new0(entry_row_t, 1);
 	r->ip = g_strdup(e->ip);
 	r->port = e->port;
+	r->strength = e->strength;
 	g_hash_table_replace(o->entries, g_strdup(row->key), r);
 	sched__entry__free_unpacked(e, NULL);
+	set_handicap(o);
 }
 
 static void
@@ -198,6 +235,7 @@
 	e.ip = n->o.ip;
 	e.port = n->o.peer_port;
 	e.incarnation = n->incarnation;
+	e.strength = strength(n);
 	put.nbytes = sched__entry__get_packed_size(&e);
 	put.bytes = b = g_malloc(put.nbytes);
 	sched__entry__pack(&e, b);
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -110,7 +110,7 @@
 	int32_t metrics_port, peer_port;
 	int32_t max_hold_ms, stop_ms, gang_wait_ms, harm_ms, notice_ms;
 	int32_t grace_ms;
-	char *far_factor;
+	char *far_factor, *cpu_share, *link_mbps;
 	char *log_level;
 } node_opts_t;
 
--- a/test/unit/sched.c
+++ b/test/unit/sched.c
@@ -232,3 +232,48 @@
 		sched_free(s);
 	}
 }
+
+static int claims;
+
+static void
+count_claim(void *ctx, int64_t version, const GByteArray *owner)
+{
+	(void)ctx;
+	(void)version;
+	(void)owner;
+	claims++;
+}
+
+/* Pattern: the owner dies and weak entries see it as soon as strong ones. */
+Test(sched, weak_entries_leave_the_cell_to_strong_ones)
+{
+	static const struct {
+		int32_t handicap_ms;
+		int64_t now_ms; /* since the row was first seen */
+		int claims;
+	} cases[] = { { 0, 1100, 0 }, { 0, 1300, 1 }, { 600, 1300, 0 },
+		{ 600, 1900, 1 } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_opts_t o = { .name = "e",
+			.max_lease_ms = 6000,
+			.port = { .event = ignore, .claim = count_claim } };
+		sched_t *s = sched_new(&o);
+		Sched__Owner owner = SCHED__OWNER__INIT;
+		uint8_t b[64];
+		sched_row_t row = {
+			.key = SCHED_KEY_OWNER, .version = 5, .bytes = b
+		};
+
+		owner.name = (char *)"other";
+		row.nbytes = sched__owner__pack(&owner, b);
+		claims = 0;
+		sched_handicap(s, cases[i].handicap_ms);
+		for (int64_t t = 0; t <= cases[i].now_ms; t += 100) {
+			sched_owner_row(s, &row, 1000 + t);
+			sched_tick(s, 1000 + t, 0);
+		}
+		cr_expect_eq(claims, cases[i].claims, "case %zu", i);
+		sched_free(s);
+	}
+}
