--- a/test/cell/node.c
+++ b/test/cell/node.c
@@ -83,8 +83,7 @@
 			sched_paused(n->s, w->now_ms);
 		n->tick_ms = w->now_ms;
 		ms = MIN(ms, sched_tick(n->s, w->now_ms, w->now_ms));
-		/* The lists of workers and zones are told without a store. */
-		sched_fed(n->s, SCHED_FEED_WORKERS, w->now_ms);
+		/* Zones are told at once, without a store. */
 		sched_fed(n->s, SCHED_FEED_OPERATORS, w->now_ms);
 		sched_outage(n->s, w->store_down, w->down_ms, w->now_ms);
 		if (sched_owns(n->s))
--- a/test/cell/vm.c
+++ b/test/cell/vm.c
@@ -544,4 +544,5 @@
 		else
 			sched_worker_left(n->s, v->id, w->now_ms);
 	}
+	sched_fed(n->s, SCHED_FEED_WORKERS, w->now_ms);
 }
