--- a/sched/sched.c
+++ b/sched/sched.c
@@ -460,6 +460,12 @@
 		.token = s->cell.token,
 		.last_seen = w->noted };
 
+	/*
+	 * What did not answer may be another process by now, whose ends have
+	 * numbers of their own: none of them is to be forgotten.
+	 */
+	if (w->misses > 0)
+		l.last_seen = 0;
 	/* What does not answer is not extended, so that its lease can lapse. */
 	if (cell_extends(s) && w->misses == 0)
 		l.deadline_ms = vm_deadline(s, w);
--- a/sched/vm.c
+++ b/sched/vm.c
@@ -78,7 +78,7 @@
 vm_usable(const sched_t *s, const vm_t *w)
 {
 	return w->listed && !w->draining && w->stored && w->answered &&
-	    !w->silent && w->hold_off_ms <= s->now &&
+	    w->misses == 0 && !w->silent && w->hold_off_ms <= s->now &&
 	    !g_hash_table_contains(s->zones, w->zone);
 }
 
--- a/test/main/cells.c
+++ b/test/main/cells.c
@@ -46,6 +46,11 @@
 	bool lasting = false;
 
 	(void)arg;
+	if (w->now_ms < TROUBLE_MS)
+		world_after(w, world_int(w, 10, 2 * JOBS_GAP_MS), submit, NULL);
+	/* Nothing is accepted while the store is down. */
+	if (w->store_down)
+		return;
 	d.queue = "q";
 	d.service = "s";
 	d.spec = "x";
@@ -70,8 +75,6 @@
 		steps[0].lasting = true;
 	}
 	world_submit(w, &d, !lasting && world_chance(w, 0.03));
-	if (w->now_ms < TROUBLE_MS)
-		world_after(w, world_int(w, 10, 2 * JOBS_GAP_MS), submit, NULL);
 }
 
 static const char *
