--- a/sched/part.h
+++ b/sched/part.h
@@ -1,7 +1,7 @@
 /*
- * What the files of the scheduler share.  Each file calls those above it in
- * this header and is called by those below: job, worker, place, queue, run,
- * noise, flush, cell, sched.
+ * What the files of the scheduler share.  job, vm, harm and queue keep state;
+ * place and noise decide on it; run, start, report, look and health act on
+ * workers; flush and cell write to the store; sched is the outside.
  */
 #ifndef SCHED_PART_H
 #define SCHED_PART_H
@@ -301,7 +301,12 @@
 void queue_sort(sched_t *s);
 int64_t queue_backlog_ms(const sched_t *s, const char *service);
 
-/* run.c */
+/* run.c, start.c, report.c */
+run_t *run_new(sched_t *s, const char *name, vm_t *w, int64_t number);
+void run_hold_room(run_t *r, task_t *t);
+void run_set_state(sched_t *s, run_t *r, run_state_t state);
+void run_gone(sched_t *s, run_t *r);
+void run_job_begun(sched_t *s, job_t *j);
 void run_start(sched_t *s, task_t *t, vm_t *w, int64_t number);
 void run_waiting(sched_t *s);
 int64_t run_next_number(sched_t *s, const task_t *t);
@@ -323,6 +328,9 @@
 void harm_learn(sched_t *s, int32_t serving, double pct, const double *use);
 void harm_solve(sched_t *s);
 
+/* look.c */
+void look_tick(sched_t *s, vm_t *w);
+
 /* noise.c */
 bool noise_allows(const sched_t *s, const vm_t *w, const step_t *st);
 double noise_serving_cost(
