--- a/test/serve.sh
+++ b/test/serve.sh
@@ -54,6 +54,19 @@
 wait_for 10 is_state 1 00000000000000a3 cancelled
 check is_cancelled "$(state 1 00000000000000a3)" cancelled
 
+# Requests whose length can be read in two ways, or with endless headers.
+raw() { # HEADERS: the status of a good job sent with them
+	printf 'POST /q/00000000000000b%s HTTP/1.1\r\nHost: h.example\r\n%b\r\n%s' \
+	    "$1" "$2" "$JOB" |
+	    curl -s -m 2 telnet://127.0.0.51:8000 | sed -n '1s/HTTP.1.1 \([0-9]*\).*/\1/p'
+}
+len=${#JOB}
+check one_length "$(raw 1 "Content-Length: $len\r\n")" 200
+check same_length_twice "$(raw 2 "Content-Length: $len\r\nContent-Length: $len\r\n")" 200
+check two_lengths "$(raw 3 "Content-Length: $len\r\nContent-Length: 5\r\n")" 400
+check length_and_chunks "$(raw 4 "Content-Length: $len\r\nTransfer-Encoding: chunked\r\n")" 400
+check long_header "$(raw 5 "X: $(printf '%020000d' 7)\r\nContent-Length: $len\r\n")" 431
+
 # The owner is killed: the other takes over what it began.
 o=$(owner)
 n=$((3 - o))
--- a/trans/server.c
+++ b/trans/server.c
@@ -14,8 +14,9 @@
 #include "tanagerspool.h"
 #include "trans.h"
 
-#define BACKLOG 1024
-#define IDLE_MS 30000 /* before a request is complete */
+#define BACKLOG		  1024
+#define IDLE_MS		  10000 /* before a request is complete */
+#define HEADERS_MAX_BYTES 16384 /* the most that callers of the platform send */
 
 struct server {
 	server_opts_t o;
@@ -25,6 +26,7 @@
 	h2o_accept_ctx_t accept;
 	int open;
 	bool stopped;
+	uint64_t refused;
 };
 
 /* h2o keeps its own pointer in the handle's data. */
@@ -69,12 +71,60 @@
 	a->sr->pub.body_bytes = 0;
 }
 
+/*
+ * The status to refuse a request with: its length is told in two ways that
+ * may differ, or its headers are too long; 0 when neither.
+ */
+static int
+refusal(const h2o_req_t *req)
+{
+	const h2o_iovec_t *length = NULL;
+	bool chunked = false;
+	size_t bytes = 0;
+
+	for (size_t i = 0; i < req->headers.size; i++) {
+		const h2o_header_t *f = &req->headers.entries[i];
+		const h2o_iovec_t *v = &f->value;
+
+		bytes += f->name->len + v->len;
+		if (h2o_memis(f->name->base, f->name->len,
+			H2O_STRLIT("transfer-encoding")))
+			chunked = true;
+		if (!h2o_memis(f->name->base, f->name->len,
+			H2O_STRLIT("content-length")))
+			continue;
+		if (length != NULL &&
+		    !h2o_memis(length->base, length->len, v->base, v->len))
+			return 400;
+		length = v;
+	}
+	if (length != NULL && chunked)
+		return 400;
+	return bytes > HEADERS_MAX_BYTES ? 431 : 0;
+}
+
+static int
+refuse(server_t *s, h2o_req_t *req, int status)
+{
+	s->refused++;
+	req->res.status = status;
+	req->res.reason = "-";
+	req->res.content_length = 0;
+	req->http1_is_persistent = 0;
+	h2o_send_inline(req, H2O_STRLIT(""));
+	return 0;
+}
+
 static int
 on_req(h2o_handler_t *h, h2o_req_t *req)
 {
 	server_t *s = ((handler_t *)h)->server;
-	sreq_t *r = g_new0(sreq_t, 1);
+	int bad = refusal(req);
+	sreq_t *r;
 
+	if (bad != 0)
+		return refuse(s, req, bad);
+	r = g_new0(sreq_t, 1);
 	r->server = s;
 	r->req = req;
 	r->anchor =
@@ -279,7 +329,7 @@
 uint64_t
 server_bad(const server_t *s)
 {
-	uint64_t n = 0;
+	uint64_t n = s->refused;
 
 	for (size_t i = 0; i < H2O_STATUS_ERROR_MAX; i++)
 		n += s->ctx.emitted_error_status[i];
