--- a/sched/part.h
+++ b/sched/part.h
@@ -27,7 +27,6 @@
 	run_t *copy;	       /* a duplicate, or NULL */
 	const char *avoid;     /* worker it failed on last, interned */
 	int64_t not_before_ms; /* no start before this */
-	int64_t away_ms;       /* lasting: not at work since; 0: at work */
 } task_t;
 
 /* One occurrence of a job's steps. */
@@ -111,15 +110,13 @@
 	int64_t stopped_ms; /* the worker acknowledged a stop; 0: not yet */
 	int64_t retry_ms;   /* next stop order */
 	int32_t percent;
-	int64_t percent_ms; /* when percent last grew */
-	int64_t first_ms;   /* when the start was acknowledged */
+	int64_t first_ms; /* when the start was acknowledged */
 	int32_t first_percent;
 	int64_t measure;
 	uint64_t report; /* the last report that listed it */
 	int32_t pace;	 /* percent in force */
 	int32_t pace_want;
-	bool paced;	 /* it has been slowed */
-	int64_t over_ms; /* serving: over its target since; 0: not */
+	bool paced; /* it has been slowed */
 };
 
 /* A worker's clock and leases as this owner knows them. */
@@ -299,7 +296,6 @@
 void queue_add(sched_t *s, step_t *st);
 void queue_drop(step_t *st);
 void queue_sort(sched_t *s);
-int64_t queue_backlog_ms(const sched_t *s, const char *service);
 
 /* run.c, start.c, report.c */
 run_t *run_new(sched_t *s, const char *name, vm_t *w, int64_t number);
--- a/sched/queue.c
+++ b/sched/queue.c
@@ -124,26 +124,3 @@
 		set_latest(s, g_sequence_get(i));
 	g_sequence_sort(s->ready, by_order, NULL);
 }
-
-/* Time until the waiting filler work of a service has been done. */
-int64_t
-queue_backlog_ms(const sched_t *s, const char *service)
-{
-	double work = 0, room = 0;
-
-	for (GSequenceIter *i = g_sequence_get_begin_iter(s->ready);
-	     !g_sequence_iter_is_end(i); i = g_sequence_iter_next(i)) {
-		const step_t *st = g_sequence_get(i);
-
-		if (st->occ->job->service == service && !st->def->lasting)
-			work += (double)st->waiting * st->def->cpu_milli *
-			    st->def->estimate_ms;
-	}
-	for (guint i = 0; i < s->worker_list->len; i++) {
-		const vm_t *w = g_ptr_array_index(s->worker_list, i);
-
-		if (w->service == service && w->listed && !w->silent)
-			room += w->cpu_milli;
-	}
-	return room > 0 ? (int64_t)(work / room) : 0;
-}
--- a/sched/report.c
+++ b/sched/report.c
@@ -202,7 +202,7 @@
 		return NULL; /* another run of it is being dealt with */
 	r = run_new(s, f->task, w, f->run);
 	run_set_state(s, r, RUN_ON);
-	r->first_ms = r->percent_ms = s->now;
+	r->first_ms = s->now;
 	r->first_percent = MAX(1, f->percent);
 	r->percent = f->percent;
 	if (t != NULL) {
@@ -214,7 +214,6 @@
 		t->run = r;
 		t->state = TASK_RUNNING;
 		t->step->waiting--;
-		t->away_ms = 0;
 		run_job_begun(s, j);
 		s->stats.adopted++;
 		LOG(s, SCHED_EVT_ADOPTED, f->task, "run=%" PRId64 " worker=%s",
@@ -233,16 +232,11 @@
 	r->report = s->reports;
 	if (r->state == RUN_STOPPING && r->stopped_ms == 0)
 		run_stop(s, r, "again");
-	if (f->percent > r->percent || r->percent_ms == 0) {
-		r->percent = f->percent;
-		r->percent_ms = s->now;
-	}
+	r->percent = MAX(r->percent, f->percent);
 	r->measure = f->measure;
 	if (r->task == NULL)
 		return;
 	run_job_begun(s, r->job);
-	if (f->percent >= 100)
-		r->task->away_ms = 0;
 	if (r->task->run == r)
 		keep_checkpoint(r->task, f->checkpoint);
 }
--- a/sched/run.c
+++ b/sched/run.c
@@ -106,8 +106,6 @@
 		return;
 	t->state = TASK_WAITING;
 	t->step->waiting++;
-	if (t->away_ms == 0)
-		t->away_ms = s->now;
 	if (t->step->occ->job->stage == JOB_OPEN)
 		queue_add(s, t->step);
 }
@@ -251,7 +249,7 @@
 	if (res == SCHED_ORDER_OK) {
 		if (r->state == RUN_SENT)
 			run_set_state(s, r, RUN_ON);
-		r->first_ms = r->percent_ms = s->now;
+		r->first_ms = s->now;
 		run_job_begun(s, r->job);
 		if (r->drop)
 			run_stop(s, r, "not wanted any more");
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -537,12 +537,6 @@
 	return 0;
 }
 
-int64_t
-sched_backlog_ms(const sched_t *s, const char *service)
-{
-	return queue_backlog_ms(s, g_intern_string(service));
-}
-
 sched_stats_t
 sched_stats(const sched_t *s)
 {
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -164,11 +164,6 @@
 	const char *name; /* of this process */
 	int64_t incarnation;
 	int32_t max_lease_ms; /* the longest a worker grants */
-	int32_t stop_ms;      /* the longest a stop takes */
-	double far_factor;    /* slow-down away from a task's data */
-	int32_t gang_wait_ms; /* a member waits so long for the others */
-	int32_t harm_ms;      /* a serving task may suffer so long */
-	int32_t notice_ms;    /* absence of a lasting task that counts */
 	sched_port_t port;
 	void *ctx;
 } sched_opts_t;
@@ -234,8 +229,6 @@
 bool sched_owns(const sched_t *s);
 /* Jobs of a queue that have not begun, by the owner's row last read. */
 int32_t sched_waiting(const sched_t *s, const char *queue);
-/* Whether any worker of a service is known to have room; for admission. */
-int64_t sched_backlog_ms(const sched_t *s, const char *service);
 
 /* Counters, for the metrics page. */
 typedef struct {
--- a/serve/cell.c
+++ b/serve/cell.c
@@ -352,11 +352,6 @@
 	sched_opts_t o = { .name = n->o.name,
 		.incarnation = n->incarnation,
 		.max_lease_ms = n->o.max_hold_ms,
-		.stop_ms = n->o.stop_ms,
-		.far_factor = g_ascii_strtod(n->o.far_factor, NULL),
-		.gang_wait_ms = n->o.gang_wait_ms,
-		.harm_ms = n->o.harm_ms,
-		.notice_ms = n->o.notice_ms,
 		.port = { do_claim, do_load, do_write, do_order, do_look,
 		    do_event },
 		.ctx = c };
--- a/serve/metrics.c
+++ b/serve/metrics.c
@@ -33,7 +33,6 @@
 	put(s, "jobs_accepted", (int64_t)st->accepted);
 	put(s, "jobs_repeated", (int64_t)st->repeated);
 	put(s, "jobs_refused_store", (int64_t)st->refused_store);
-	put(s, "jobs_refused_stopping", (int64_t)st->refused_stopping);
 	put(s, "jobs_refused_tables", (int64_t)st->refused_tables);
 	put(s, "jobs_refused_format", (int64_t)st->refused_format);
 	put(s, "jobs_unsettled", (int64_t)st->unsettled);
--- a/serve/node.c
+++ b/serve/node.c
@@ -339,18 +339,8 @@
 		    "for datagrams of other entries" },
 		{ "max-hold-ms", SET_INT, &o->max_hold_ms, "6000", 1000, 600000,
 		    "MS", "longest lease a worker grants" },
-		{ "stop-ms", SET_INT, &o->stop_ms, "1000", 0, 60000, "MS",
-		    "longest a worker takes to stop a task" },
-		{ "gang-wait-ms", SET_INT, &o->gang_wait_ms, "3000", 0, 600000,
-		    "MS", "a member of a gang waits so long for the others" },
-		{ "harm-ms", SET_INT, &o->harm_ms, "4000", 0, 600000, "MS",
-		    "a serving task may miss its target so long" },
-		{ "notice-ms", SET_INT, &o->notice_ms, "4500", 0, 600000, "MS",
-		    "absence of a lasting task that counts" },
 		{ "grace-ms", SET_INT, &o->grace_ms, "6000", 1000, 600000, "MS",
 		    "longest graceful stop" },
-		{ "far-factor", SET_TEXT, &o->far_factor, "3", 0, 0, "N",
-		    "slow-down of a task away from its data" },
 		{ "cpu-share", SET_TEXT, &o->cpu_share, "1", 0, 0, "CORES",
 		    "processor time this VM has" },
 		{ "link-mbps", SET_TEXT, &o->link_mbps, "1000", 0, 0, "MBPS",
@@ -368,7 +358,6 @@
 		return EXIT_USAGE;
 	}
 	n.loop = uv_default_loop();
-	n.clock = clock_system(n.loop);
 	log_start(n.loop);
 	signals(&n);
 	if (!begin(&n, &err)) {
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -108,17 +108,17 @@
 	char *front, *ready; /* ip:port */
 	char *store;	     /* ip:port */
 	int32_t metrics_port, peer_port;
-	int32_t max_hold_ms, stop_ms, gang_wait_ms, harm_ms, notice_ms;
+	int32_t max_hold_ms;
 	int32_t grace_ms;
-	char *far_factor, *cpu_share, *link_mbps;
+	char *cpu_share, *link_mbps;
 	char *log_level;
 } node_opts_t;
 
 /* Counters of requests, by how they ended. */
 typedef struct {
-	uint64_t accepted, repeated, refused_store, refused_stopping,
-	    refused_tables, refused_format, unsettled, no_route, states,
-	    state_gone, state_unreadable, cancels, counts, bad_input;
+	uint64_t accepted, repeated, refused_store, refused_tables,
+	    refused_format, unsettled, no_route, states, state_gone,
+	    state_unreadable, cancels, counts, bad_input;
 	uint64_t latency[16]; /* of hand-ins, by powers of two of ms */
 } node_stats_t;
 
@@ -126,7 +126,6 @@
 	node_opts_t o;
 	int64_t incarnation;
 	uv_loop_t *loop;
-	ts_clock_t clock;
 	platform_t *platform;
 	cell_port_t *cell;
 	follow_t *operators;
--- a/test/cell/node.c
+++ b/test/cell/node.c
@@ -135,11 +135,6 @@
 {
 	sched_opts_t o = { .name = n->name,
 		.max_lease_ms = MAX_HOLD_MS,
-		.stop_ms = STOP_MS,
-		.far_factor = 3,
-		.gang_wait_ms = 3000,
-		.harm_ms = 4000,
-		.notice_ms = 4500,
 		.port = { do_claim, do_load, do_write, do_order, do_look,
 		    do_event },
 		.ctx = n };
