--- a/test/process.sh
+++ b/test/process.sh
@@ -232,9 +232,9 @@
 	else
 		failed=$((failed + 1))
 		echo "FAIL $c"
-		tail -n 12 "$T"/e?.log
+		tail -n 12 "$T"/e?.out "$T"/e?.log
 	fi
-	rm -f "$T"/*.log
+	rm -f "$T"/*.log "$T"/e?.out
 done
 echo "processes: $passed passed, $failed failed"
 [ $failed = 0 ]
--- a/test/run.sh
+++ b/test/run.sh
@@ -25,4 +25,4 @@
 for e in 1 2 3; do
 	wait "$(pid_of e$e)" || die "entry e$e did not stop cleanly"
 done
-grep -h name=drained "$T"/e?.log
+grep -h name=drained "$T"/e?.out
--- a/test/serve.sh
+++ b/test/serve.sh
@@ -3,7 +3,7 @@
 # usage: serve.sh BUILD-FOLDER
 B=$1
 . test/lib.sh
-trap 'kill $PIDS 2>/dev/null; rm -rf "$T"' EXIT
+trap 'kill -9 $PIDS 2>/dev/null; rm -rf "$T"' EXIT
 passed=0 failed=0
 STORE=127.0.0.1:8400
 
