--- a/sched/harm.c
+++ b/sched/harm.c
@@ -2,10 +2,13 @@
  * Learning how much each image of filler tasks harms each image of serving
  * tasks.
  *
- * A tail, in percent of its target, is taken as a base plus, for each filler
- * image beside it, harm times the share of the worker's processors that the
- * image uses.  The harms of one serving image are found by least squares over
- * its recent reports, none below zero.
+ * What is learned on is headroom, a target over the tail that was seen: 1 at
+ * the target, more below it.  By the usual law of queues a tail grows as
+ * 1 / (1 - load), so headroom falls in proportion to load: to that of the
+ * serving task itself, which changes over seconds, and to what filler tasks
+ * beside it add, taken as harm times the share of the worker's processors that
+ * their image uses.  The harms of one serving image are found by least
+ * squares over its recent reports, none below zero.
  */
 #include <stdbool.h>
 #include <stdint.h>
@@ -17,22 +20,22 @@
 #include "sched.h"
 #include "part.h"
 
-#define BASE_PCT     40	   /* of the target, until learned */
-#define HARM_PRIOR   200   /* percent of the target per whole worker */
-#define PRIOR_WEIGHT 0.01  /* as much as two reports with a tenth in use */
-#define BASE_WEIGHT  4	   /* reports that the prior of the base counts as */
-#define TAIL_MAX_PCT 250   /* what is above teaches no more */
-#define FORGET	     0.985 /* of the weight of reports, each solution */
+#define HARM_PRIOR   3	   /* headroom lost to a whole worker's use */
+#define PRIOR_WEIGHT 0.005 /* as much as a report with a 14th in use */
+#define HARMLESS     2	   /* less than this is taken for noise */
+#define FORGET	     0.998 /* of the weight of reports, each solution */
 #define SWEEPS	     12	   /* of coordinate descent, a solution */
-
-#define BASE_COL IMAGES_MAX /* the column of the base */
-#define COLS	 (IMAGES_MAX + 1)
+#define LOW_START    1.6   /* headroom of an image when busiest, until known */
+#define LOW_MIN	     1.2   /* what is never within its target has no say */
+#define LOW_FALL     0.1   /* of a difference taken in, at a lower report */
+#define LOW_RISE     0.002 /* ... at a higher one: about 2% lie below */
 
 /* The sums of one serving image, and its solution. */
 struct harm {
-	double xx[COLS][COLS];
-	double xy[COLS];
-	double h[COLS];
+	double xx[IMAGES_MAX][IMAGES_MAX];
+	double xy[IMAGES_MAX];
+	double h[IMAGES_MAX];
+	double low;
 	bool changed;
 };
 
@@ -65,64 +68,67 @@
 	m = s->harm[serving] = g_new0(harm_t, 1);
 	for (int32_t f = 0; f < IMAGES_MAX; f++)
 		m->h[f] = HARM_PRIOR;
-	m->h[BASE_COL] = BASE_PCT;
+	m->low = LOW_START;
 	return m;
 }
 
+/* Headroom lost if the filler image used the whole worker; 0: harmless. */
 double
 harm_of(const sched_t *s, int32_t serving, int32_t filler)
 {
-	return s->harm[serving] == NULL ? HARM_PRIOR :
-					  s->harm[serving]->h[filler];
+	double h =
+	    s->harm[serving] == NULL ? HARM_PRIOR : s->harm[serving]->h[filler];
+
+	return h < HARMLESS ? 0 : h;
 }
 
+/* Headroom of a serving image when it is busiest, without fillers. */
 double
-harm_base(const sched_t *s, int32_t serving)
+harm_low(const sched_t *s, int32_t serving)
 {
-	return s->harm[serving] == NULL ? BASE_PCT :
-					  s->harm[serving]->h[BASE_COL];
+	return s->harm[serving] == NULL ? LOW_START :
+					  MAX(LOW_MIN, s->harm[serving]->low);
 }
 
-/* Takes in one tail, seen while the filler images used these shares. */
+/* Takes in a headroom that no harmful filler had a part in. */
 void
-harm_learn(sched_t *s, int32_t serving, double pct, const double *use)
+harm_undisturbed(sched_t *s, int32_t serving, double headroom)
 {
 	harm_t *m = harm_get(s, serving);
-	int32_t col[COLS], n = 0;
-	double x[COLS];
 
-	pct = MIN(pct, TAIL_MAX_PCT);
-	for (int32_t f = 0; f < IMAGES_MAX; f++)
-		if (use[f] > 0) {
-			col[n] = f;
-			x[n++] = use[f];
-		}
-	col[n] = BASE_COL;
-	x[n++] = 1;
-	for (int32_t i = 0; i < n; i++) {
-		m->xy[col[i]] += x[i] * pct;
-		for (int32_t k = 0; k < n; k++)
-			m->xx[col[i]][col[k]] += x[i] * x[k];
+	m->low +=
+	    (headroom - m->low) * (headroom < m->low ? LOW_FALL : LOW_RISE);
+}
+
+/* Takes in a loss of headroom while the filler images used these shares. */
+void
+harm_learn(sched_t *s, int32_t serving, double lost, const double *use)
+{
+	harm_t *m = harm_get(s, serving);
+
+	for (int32_t f = 0; f < IMAGES_MAX; f++) {
+		if (use[f] <= 0)
+			continue;
+		m->xy[f] += use[f] * lost;
+		for (int32_t k = 0; k < IMAGES_MAX; k++)
+			m->xx[f][k] += use[f] * use[k];
+		m->changed = true;
 	}
-	m->changed = true;
 }
 
-/* One pass over the columns; each takes what the others leave unexplained. */
+/* One pass over the images; each takes what the others leave unexplained. */
 static void
-sweep(harm_t *m)
+sweep(harm_t *m, int32_t images)
 {
-	for (int32_t i = 0; i < COLS; i++) {
-		double prior = i == BASE_COL ? BASE_PCT : HARM_PRIOR;
-		double weight = i == BASE_COL ? BASE_WEIGHT : PRIOR_WEIGHT;
-		double left;
+	for (int32_t i = 0; i < images; i++) {
+		double left = m->xy[i] + PRIOR_WEIGHT * HARM_PRIOR;
 
 		if (m->xx[i][i] <= 0)
 			continue;
-		left = m->xy[i] + weight * prior;
-		for (int32_t k = 0; k < COLS; k++)
+		for (int32_t k = 0; k < images; k++)
 			if (k != i)
 				left -= m->xx[i][k] * m->h[k];
-		m->h[i] = MAX(0, left / (m->xx[i][i] + weight));
+		m->h[i] = MAX(0, left / (m->xx[i][i] + PRIOR_WEIGHT));
 	}
 }
 
@@ -130,17 +136,19 @@
 void
 harm_solve(sched_t *s)
 {
-	for (int32_t g = 0; g < IMAGES_MAX; g++) {
+	int32_t images = (int32_t)g_hash_table_size(s->images);
+
+	for (int32_t g = 0; g < images; g++) {
 		harm_t *m = s->harm[g];
 
 		if (m == NULL || !m->changed)
 			continue;
 		m->changed = false;
 		for (int32_t i = 0; i < SWEEPS; i++)
-			sweep(m);
-		for (int32_t i = 0; i < COLS; i++) {
+			sweep(m, images);
+		for (int32_t i = 0; i < images; i++) {
 			m->xy[i] *= FORGET;
-			for (int32_t k = 0; k < COLS; k++)
+			for (int32_t k = 0; k < images; k++)
 				m->xx[i][k] *= FORGET;
 		}
 	}
--- a/sched/noise.c
+++ b/sched/noise.c
@@ -12,17 +12,19 @@
 #include "sched.h"
 #include "part.h"
 
-#define LIMIT_PCT     68   /* no filler where a tail above this is expected */
-#define LIMIT_LOW_PCT 55   /* ... while its job can still wait */
-#define WAIT_MS	      1500 /* it can, with so much time to spare */
+#define LEAST 1.15 /* headroom that placement leaves */
+#define AIM   1.4  /* headroom that slowed fillers are to leave */
+#define OVER  1.1  /* less counts as over the target: it is rough */
+#define CLEAN \
+	0.3		  /* known loss of headroom up to which a report
+			    * tells of the task's own load */
+#define HEADROOM_FALL 0.6 /* a second: no serving task's load grows faster */
+#define HEADROOM_MAX  10
 #define TYPICAL_USE   0.08 /* of a worker, by a filler task */
-#define AIM_PCT	      70   /* slowed fillers are to leave this */
-#define PART_MIN      0.2 /* of the harm: fillers that do less are left alone */
-#define PACE_MIN_PCT  15  /* a lower share becomes 0 */
-#define PACE_STEP_PCT 15  /* smaller changes are not sent */
-#define MOVE_PACE_PCT 60  /* a filler slowed below this moves if it can */
-#define MOVE_GAP_MS   150 /* between two moves from one worker */
-#define OVER_PCT      88  /* taken as over: the figure is rough */
+#define PACE_MIN_PCT  15   /* a lower share becomes 0 */
+#define PACE_STEP_PCT 15   /* smaller changes are not sent */
+#define MOVE_PACE_PCT 60   /* a filler slowed below this moves if it can */
+#define MOVE_GAP_MS   150  /* between two moves from one worker */
 #define OVER_MS	      1200 /* over for so long, whatever the model */
 #define CALM_MS	      900  /* within its target so long: fillers work again */
 
@@ -34,20 +36,27 @@
 	    (double)w->cpu_milli;
 }
 
-/* The tail expected of a serving image with more of a filler image. */
+/* Headroom that a serving image loses there to fillers at full speed. */
 static double
-expected(const sched_t *s, const vm_t *w, int32_t serving, int32_t filler,
-    int64_t more)
+lost(const sched_t *s, const vm_t *w, int32_t serving)
 {
-	double pct = harm_base(s, serving);
+	double sum = 0;
 
-	for (int32_t f = 0; f < IMAGES_MAX; f++) {
-		double use = would_use(w, f, f == filler ? more : 0);
+	for (int32_t f = 0; f < IMAGES_MAX; f++)
+		if (w->image_filler_cpu[f] > 0)
+			sum += harm_of(s, serving, f) * would_use(w, f, 0);
+	return sum;
+}
 
-		if (use > 0)
-			pct += harm_of(s, serving, f) * use;
-	}
-	return pct;
+/* Whether a filler image may use a share of a worker that serves an image. */
+static bool
+bears(const sched_t *s, const vm_t *w, int32_t serving, int32_t filler,
+    double share)
+{
+	double more = harm_of(s, serving, filler) * share;
+
+	return more == 0 ||
+	    harm_low(s, serving) - lost(s, w, serving) - more >= LEAST;
 }
 
 /* Whether a task of a step may go to a worker without too much harm. */
@@ -55,18 +64,26 @@
 noise_allows(const sched_t *s, const vm_t *w, const step_t *st)
 {
 	const Sched__Step *d = st->def;
-	double limit =
-	    st->latest_ms - s->wall > WAIT_MS ? LIMIT_LOW_PCT : LIMIT_PCT;
 
 	if (st->image < 0 || w->cpu_milli == 0 || !d->filler)
 		return true;
 	for (int32_t i = 0; i < IMAGES_MAX && w->serving > 0; i++)
 		if (w->image_serving[i] > 0 &&
-		    expected(s, w, i, st->image, d->cpu_milli) > limit)
+		    !bears(s, w, i, st->image,
+			(double)d->cpu_milli / (double)w->cpu_milli))
 			return false;
 	return true;
 }
 
+/* Whether a task of a filler image may run beside a serving image at all. */
+static bool
+compatible(const sched_t *s, int32_t serving, int32_t filler)
+{
+	return harm_low(s, serving) -
+	    harm_of(s, serving, filler) * TYPICAL_USE >=
+	    LEAST;
+}
+
 /*
  * Works out for each worker how many of the filler images may run there, in
  * percent; with none to be told apart all are alike.
@@ -85,9 +102,7 @@
 				continue;
 			for (int32_t g = 0; g < IMAGES_MAX && ok; g++)
 				ok = w->image_serving[g] <= 0 ||
-				    harm_base(s, g) +
-					    harm_of(s, g, f) * TYPICAL_USE <=
-					LIMIT_PCT;
+				    compatible(s, g, f);
 			all++;
 			may += ok;
 		}
@@ -95,21 +110,36 @@
 	}
 }
 
+/* Filler images that may run beside one of two serving images only. */
+static int32_t
+differences(const sched_t *s, int32_t a, int32_t b)
+{
+	int32_t n = 0;
+
+	for (int32_t f = 0; f < IMAGES_MAX; f++)
+		n += s->filler_image[f] &&
+		    compatible(s, a, f) != compatible(s, b, f);
+	return n;
+}
+
 /*
- * What a serving task would suffer there, in percent of its target, and how
- * many other images it would meet.
+ * What speaks against a serving task there: the headroom that it would lack
+ * beside the fillers of now, and how many of the serving images that it would
+ * meet keep other fillers away than its own does.
  */
 double
 noise_serving_cost(
     const sched_t *s, const vm_t *w, const step_t *st, int32_t *images)
 {
 	*images = 0;
-	for (int32_t i = 0; i < IMAGES_MAX; i++)
-		if (w->image_serving[i] > 0 && i != st->image)
-			(*images)++;
 	if (st->image < 0 || w->cpu_milli == 0)
 		return 0;
-	return expected(s, w, st->image, -1, 0);
+	for (int32_t i = 0; i < IMAGES_MAX; i++)
+		if (w->image_serving[i] > 0 && i != st->image)
+			*images += s->harm[i] == NULL ||
+			    s->harm[st->image] == NULL ||
+			    differences(s, i, st->image) > 0;
+	return MAX(0, LEAST + lost(s, w, st->image) - harm_low(s, st->image));
 }
 
 void
@@ -130,68 +160,106 @@
 	    r->task->step->def->filler && r->task->step->image >= 0;
 }
 
-/* The tail of a serving run at work in percent of its target, or 0. */
+/* Headroom of a serving run at work, target over tail; 0 when not known. */
 static double
-tail_pct(const run_t *r)
+headroom(const run_t *r)
 {
 	int64_t target;
 
 	if (r->task == NULL || r->state != RUN_ON || r->percent < 100 ||
-	    r->task->step->image < 0)
+	    r->task->step->image < 0 || r->measure <= 0)
 		return 0;
 	target = r->task->step->def->tail_target_ms;
-	if (target <= 0)
-		return 0;
-	return (double)r->measure * 100 / (double)target;
+	return MIN(HEADROOM_MAX, (double)target / (double)r->measure);
 }
 
-/* Learns from the tails of a report; true when one is over its target. */
-static bool
-learn_report(sched_t *s, vm_t *w)
+/*
+ * Follows the headroom that the tasks of a step have without fillers.  All
+ * bear the same load, and a filler can only lower what is seen: the highest
+ * counts, and falls as fast as a load can grow.
+ */
+static void
+follow_step(sched_t *s, step_t *st, double seen, double known_loss)
+{
+	double low = harm_low(s, st->image);
+	double fall = HEADROOM_FALL * (double)(s->now - st->headroom_ms) / 1000;
+
+	st->headroom = MAX(low, st->headroom - fall);
+	st->headroom = MAX(st->headroom, seen);
+	st->headroom_ms = s->now;
+	if (known_loss <= CLEAN)
+		harm_undisturbed(s, st->image, seen + known_loss);
+}
+
+/* The shares of the worker's processors that filler images use. */
+static void
+shares_used(const sched_t *s, const vm_t *w, double *use)
 {
-	double use[IMAGES_MAX] = { 0 };
 	GHashTableIter it;
-	bool over = false;
 	void *v;
 
 	g_hash_table_iter_init(&it, w->runs);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		const run_t *r = v;
 
-		if (is_filler(r))
+		if (r->task != NULL && r->report == s->reports &&
+		    r->task->step->def->filler && r->task->step->image >= 0)
 			use[r->task->step->image] +=
 			    (double)r->measure / (double)w->cpu_milli;
 	}
+}
+
+/* Learns from the tails of a report; true when one is over its target. */
+static bool
+learn_report(sched_t *s, vm_t *w)
+{
+	double use[IMAGES_MAX] = { 0 };
+	GHashTableIter it;
+	bool over = false;
+	void *v;
+
+	shares_used(s, w, use);
 	g_hash_table_iter_init(&it, w->runs);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		double pct = tail_pct(v);
+		double seen = headroom(v), known = 0;
+		step_t *st;
 
-		if (pct <= 0)
+		if (seen <= 0)
 			continue;
-		harm_learn(s, ((run_t *)v)->task->step->image, pct, use);
-		over = over || pct > OVER_PCT;
+		st = ((run_t *)v)->task->step;
+		for (int32_t f = 0; f < IMAGES_MAX; f++)
+			if (use[f] > 0)
+				known += harm_of(s, st->image, f) * use[f];
+		follow_step(s, st, seen, known);
+		harm_learn(s, st->image, st->headroom - seen, use);
+		over = over || seen < OVER;
 	}
 	return over;
 }
 
-/* The share of each filler image, 0 to 1, that keeps all tails at the aim. */
+/* The share of each filler image, 0 to 1, that leaves all tasks headroom. */
 static void
 shares_allowed(const sched_t *s, const vm_t *w, double *share)
 {
+	GHashTableIter it;
+	void *v;
+
 	for (int32_t f = 0; f < IMAGES_MAX; f++)
 		share[f] = 1;
-	for (int32_t i = 0; i < IMAGES_MAX; i++) {
-		double base = harm_base(s, i), all, keep;
+	g_hash_table_iter_init(&it, w->runs);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const step_t *st;
+		double all, keep;
 
-		if (w->image_serving[i] <= 0)
+		if (headroom(v) <= 0)
 			continue;
-		all = expected(s, w, i, -1, 0) - base;
-		if (all <= 0 || base + all <= AIM_PCT)
+		st = ((run_t *)v)->task->step;
+		all = lost(s, w, st->image);
+		if (all <= 0 || st->headroom - all >= AIM)
 			continue;
-		keep = CLAMP((AIM_PCT - base) / all, 0, 1);
+		keep = CLAMP((st->headroom - AIM) / all, 0, 1);
 		for (int32_t f = 0; f < IMAGES_MAX; f++)
-			if (harm_of(s, i, f) * would_use(w, f, 0) >
-			    PART_MIN * all)
+			if (harm_of(s, st->image, f) > 0)
 				share[f] = MIN(share[f], keep);
 	}
 }
--- a/sched/part.h
+++ b/sched/part.h
@@ -57,6 +57,9 @@
 	int64_t order_ms;  /* among those alike, the lowest first */
 	int64_t gang_run;  /* run number of the current gang */
 	char *checkpoint;  /* of the gang */
+	/* Serving: target over tail of its tasks, undisturbed by fillers. */
+	double headroom;
+	int64_t headroom_ms; /* when that was last taken in; 0: never */
 };
 
 typedef enum {
@@ -320,8 +323,9 @@
 /* harm.c */
 int32_t harm_image(sched_t *s, const char *image);
 double harm_of(const sched_t *s, int32_t serving, int32_t filler);
-double harm_base(const sched_t *s, int32_t serving);
-void harm_learn(sched_t *s, int32_t serving, double pct, const double *use);
+double harm_low(const sched_t *s, int32_t serving);
+void harm_undisturbed(sched_t *s, int32_t serving, double headroom);
+void harm_learn(sched_t *s, int32_t serving, double lost, const double *use);
 void harm_solve(sched_t *s);
 
 /* look.c */
--- a/sched/place.c
+++ b/sched/place.c
@@ -22,7 +22,7 @@
 #define COST_OPEN   600	    /* each percent of filler images allowed there */
 #define COST_IMAGE  200000  /* a serving task beside another image */
 #define COST_EMPTY  100000  /* ... on a worker that had none */
-#define COST_TAIL   4000    /* each percent of its target it would suffer */
+#define COST_HARM   400000  /* each unit of headroom it would lack */
 #define COST_SLOW   2000000 /* its tasks come slowly */
 #define COST_AVOID  4000000 /* the task failed there before */
 
@@ -90,9 +90,9 @@
 	else if (d->tail_target_ms > 0) {
 		/* Serving tasks of one image share few workers, so that the
 		 * fillers which harm them find others. */
-		double tail = noise_serving_cost(s, w, st, &images);
+		double lacks = noise_serving_cost(s, w, st, &images);
 
-		sc -= images * COST_IMAGE + (int64_t)(tail * COST_TAIL);
+		sc -= images * COST_IMAGE + (int64_t)(lacks * COST_HARM);
 		sc -= w->serving == 0 ? COST_EMPTY : 0;
 		sc -= 2 * left_over(w);
 	}
