--- a/sched/harm.c
+++ b/sched/harm.c
@@ -8,7 +8,8 @@
  * serving task itself, which changes over seconds, and to what filler tasks
  * beside it add, taken as harm times the share of the worker's processors that
  * their image uses.  The harms of one serving image are found by least
- * squares over its recent reports, none below zero.
+ * squares over its recent reports, none below zero, beside what is lost
+ * whatever runs there: reports are rough, and the highest is the reference.
  */
 #include <stdbool.h>
 #include <stdint.h>
@@ -20,9 +21,10 @@
 #include "sched.h"
 #include "part.h"
 
-#define HARM_PRIOR   3	   /* headroom lost to a whole worker's use */
+#define HARM_PRIOR   1.9   /* headroom lost to a whole worker's use */
 #define PRIOR_WEIGHT 0.005 /* as much as a report with a 14th in use */
-#define HARMLESS     2	   /* less than this is taken for noise */
+#define HARMLESS     2	   /* less leaves all tasks within their targets */
+#define LOST_WEIGHT  1	   /* reports that no loss without fillers counts as */
 #define FORGET	     0.998 /* of the weight of reports, each solution */
 #define SWEEPS	     12	   /* of coordinate descent, a solution */
 #define LOW_START    1.6   /* headroom of an image when busiest, until known */
@@ -30,11 +32,14 @@
 #define LOW_FALL     0.1   /* of a difference taken in, at a lower report */
 #define LOW_RISE     0.002 /* ... at a higher one: about 2% lie below */
 
+#define LOST_COL IMAGES_MAX /* the column of what is lost in any case */
+#define COLS	 (IMAGES_MAX + 1)
+
 /* The sums of one serving image, and its solution. */
 struct harm {
-	double xx[IMAGES_MAX][IMAGES_MAX];
-	double xy[IMAGES_MAX];
-	double h[IMAGES_MAX];
+	double xx[COLS][COLS];
+	double xy[COLS];
+	double h[COLS];
 	double low;
 	bool changed;
 };
@@ -105,30 +110,49 @@
 harm_learn(sched_t *s, int32_t serving, double lost, const double *use)
 {
 	harm_t *m = harm_get(s, serving);
+	int32_t col[COLS], n = 0;
+	double x[COLS];
 
 	for (int32_t f = 0; f < IMAGES_MAX; f++) {
 		if (use[f] <= 0)
 			continue;
-		m->xy[f] += use[f] * lost;
-		for (int32_t k = 0; k < IMAGES_MAX; k++)
-			m->xx[f][k] += use[f] * use[k];
-		m->changed = true;
+		col[n] = f;
+		x[n++] = use[f];
+	}
+	col[n] = LOST_COL;
+	x[n++] = 1;
+	for (int32_t i = 0; i < n; i++) {
+		m->xy[col[i]] += x[i] * lost;
+		for (int32_t k = 0; k < n; k++)
+			m->xx[col[i]][col[k]] += x[i] * x[k];
 	}
+	m->changed = true;
 }
 
-/* One pass over the images; each takes what the others leave unexplained. */
+/* What a column explains of the losses that the others leave. */
 static void
-sweep(harm_t *m, int32_t images)
+solve_column(
+    harm_t *m, int32_t images, int32_t col, double weight, double prior)
 {
-	for (int32_t i = 0; i < images; i++) {
-		double left = m->xy[i] + PRIOR_WEIGHT * HARM_PRIOR;
+	double left = m->xy[col] + weight * prior;
+
+	if (m->xx[col][col] <= 0)
+		return;
+	for (int32_t k = 0; k < images; k++)
+		if (k != col)
+			left -= m->xx[col][k] * m->h[k];
+	if (col != LOST_COL)
+		left -= m->xx[col][LOST_COL] * m->h[LOST_COL];
+	m->h[col] = MAX(0, left / (m->xx[col][col] + weight));
+}
 
-		if (m->xx[i][i] <= 0)
-			continue;
-		for (int32_t k = 0; k < images; k++)
-			if (k != i)
-				left -= m->xx[i][k] * m->h[k];
-		m->h[i] = MAX(0, left / (m->xx[i][i] + PRIOR_WEIGHT));
+static void
+forget(harm_t *m)
+{
+	for (int32_t i = 0; i < COLS; i++) {
+		m->xy[i] *= FORGET;
+		for (int32_t k = 0; k < COLS; k++)
+			m->xx[i][k] *= FORGET;
 	}
 }
 
@@ -144,12 +168,12 @@
 		if (m == NULL || !m->changed)
 			continue;
 		m->changed = false;
-		for (int32_t i = 0; i < SWEEPS; i++)
-			sweep(m, images);
-		for (int32_t i = 0; i < images; i++) {
-			m->xy[i] *= FORGET;
-			for (int32_t k = 0; k < images; k++)
-				m->xx[i][k] *= FORGET;
+		for (int32_t i = 0; i < SWEEPS; i++) {
+			for (int32_t f = 0; f < images; f++)
+				solve_column(
+				    m, images, f, PRIOR_WEIGHT, HARM_PRIOR);
+			solve_column(m, images, LOST_COL, LOST_WEIGHT, 0);
 		}
+		forget(m);
 	}
 }
--- a/sched/noise.c
+++ b/sched/noise.c
@@ -209,7 +209,10 @@
 	}
 }
 
-/* Learns from the tails of a report; true when one is over its target. */
+/*
+ * Learns from the tails of a report; true when one has been over its target
+ * in all reports for so long that the model must be wrong.
+ */
 static bool
 learn_report(sched_t *s, vm_t *w)
 {
@@ -222,17 +225,23 @@
 	g_hash_table_iter_init(&it, w->runs);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		double seen = headroom(v), known = 0;
+		run_t *r = v;
 		step_t *st;
 
 		if (seen <= 0)
 			continue;
-		st = ((run_t *)v)->task->step;
+		st = r->task->step;
 		for (int32_t f = 0; f < IMAGES_MAX; f++)
 			if (use[f] > 0)
 				known += harm_of(s, st->image, f) * use[f];
 		follow_step(s, st, seen, known);
 		harm_learn(s, st->image, st->headroom - seen, use);
-		over = over || seen < OVER;
+		if (seen >= 1)
+			r->over_ms = 0;
+		else if (r->over_ms == 0)
+			r->over_ms = s->now;
+		over =
+		    over || (r->over_ms != 0 && s->now - r->over_ms >= OVER_MS);
 	}
 	return over;
 }
@@ -292,6 +301,12 @@
 		LOG(s, SCHED_EVT_PACE, r->name, "worker=%s percent=%d was=%d",
 		    w->id, pct, r->pace_want);
 	r->pace_want = pct;
+}
+
+/* Sends a filler away that must be slowed much, if it has another place. */
+static void
+move(sched_t *s, vm_t *w, run_t *r, int32_t pct)
+{
 	if (pct >= MOVE_PACE_PCT || !cell_acts(s) || !can_move(s, w, r))
 		return;
 	w->moved_ms = s->now;
@@ -309,11 +324,8 @@
 
 	if (w->cpu_milli == 0 || (w->serving == 0 && w->pace == 100))
 		return;
-	if (learn_report(s, w)) {
-		w->over_ms = w->over_ms == 0 ? s->now : w->over_ms;
-		w->calm_ms = s->now;
-	} else if (s->now - w->calm_ms >= CALM_MS)
-		w->over_ms = 0;
+	if (learn_report(s, w))
+		w->over_ms = s->now;
 	shares_allowed(s, w, share);
 	all = g_hash_table_get_values(w->runs);
 	for (GList *i = all; i != NULL; i = i->next) {
@@ -323,8 +335,9 @@
 		if (!is_filler(r))
 			continue;
 		pct = (int32_t)(100 * share[r->task->step->image]);
+		move(s, w, r, pct);
 		/* The model says that all is well and it is not. */
-		if (w->over_ms != 0 && s->now - w->over_ms >= OVER_MS)
+		if (w->over_ms != 0 && s->now - w->over_ms < CALM_MS)
 			pct = 0;
 		slowed = slowed || pct < 100;
 		set_share(s, w, r, pct);
--- a/sched/part.h
+++ b/sched/part.h
@@ -116,6 +116,7 @@
 	int64_t first_ms; /* when the start was acknowledged */
 	int32_t first_percent;
 	int64_t measure;
+	int64_t over_ms; /* its tail is over the target since; 0: it is not */
 	uint64_t report; /* the last report that listed it */
 	int32_t pace;	 /* percent in force */
 	int32_t pace_want;
@@ -169,12 +170,12 @@
 	int32_t fails;	     /* failed runs of distinct jobs, in a row */
 	const char *fail_job;
 	int32_t serving;  /* serving tasks there */
-	int64_t calm_ms;  /* serving tasks within targets since */
 	int32_t pace;	  /* 100: none of its fillers is slowed */
 	int64_t pace_ms;  /* last change */
 	int64_t moved_ms; /* a filler was sent away */
 	int32_t open_pct; /* of the filler images, those that may run there */
-	int64_t over_ms;  /* a tail is over its target since; 0: none */
+	int64_t
+	    over_ms; /* a tail was last over its target for long; 0: never */
 	int64_t image_filler_cpu[IMAGES_MAX];
 	int32_t image_serving[IMAGES_MAX];
 };
