Fillers that have just ended count in reports; lasting excess acts after 0.8 s

Cause: the figures of a report tell of the last half second, so that a filler which ended in it left its harm to the others there.

--- a/sched/noise.c
+++ b/sched/noise.c
@@ -14,10 +14,8 @@
 
 #define LEAST 1.15 /* headroom that placement leaves */
 #define AIM   1.4  /* headroom that slowed fillers are to leave */
-#define OVER  1.1  /* less counts as over the target: it is rough */
-#define CLEAN \
-	0.3		  /* known loss of headroom up to which a report
-			    * tells of the task's own load */
+/* Loss of headroom up to which a report tells of the task's own load. */
+#define CLEAN	      0.3
 #define HEADROOM_FALL 0.6 /* a second: no serving task's load grows faster */
 #define HEADROOM_MAX  10
 #define TYPICAL_USE   0.08 /* of a worker, by a filler task */
@@ -25,7 +23,8 @@
 #define PACE_STEP_PCT 15   /* smaller changes are not sent */
 #define MOVE_PACE_PCT 60   /* a filler slowed below this moves if it can */
 #define MOVE_GAP_MS   150  /* between two moves from one worker */
-#define OVER_MS	      1200 /* over for so long, whatever the model */
+#define WINDOW_MS     500  /* that the figures of a report tell of */
+#define OVER_MS	      800  /* over for so long, whatever the model */
 #define CALM_MS	      900  /* within its target so long: fillers work again */
 
 /* Processor share that a filler image would use there unslowed. */
@@ -191,13 +190,39 @@
 		harm_undisturbed(s, st->image, seen + known_loss);
 }
 
+/* What ended fillers still have to do with the figures of now, 0 to 1. */
+static double
+gone_share(const sched_t *s, const vm_t *w)
+{
+	return MAX(0, 1 - (double)(s->now - w->gone_ms) / WINDOW_MS);
+}
+
+/* Keeps in mind what a filler used that is there no more. */
+void
+noise_gone(const sched_t *s, const run_t *r)
+{
+	const step_t *st = r->task->step;
+	vm_t *w = r->worker;
+	double share = gone_share(s, w);
+
+	if (!st->def->filler || st->image < 0)
+		return;
+	for (int32_t f = 0; f < IMAGES_MAX; f++)
+		w->image_gone_cpu[f] *= share;
+	w->image_gone_cpu[st->image] += (double)r->measure;
+	w->gone_ms = s->now;
+}
+
 /* The shares of the worker's processors that filler images use. */
 static void
 shares_used(const sched_t *s, const vm_t *w, double *use)
 {
+	double share = gone_share(s, w) / (double)w->cpu_milli;
 	GHashTableIter it;
 	void *v;
 
+	for (int32_t f = 0; f < IMAGES_MAX; f++)
+		use[f] = w->image_gone_cpu[f] * share;
 	g_hash_table_iter_init(&it, w->runs);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		const run_t *r = v;
@@ -216,7 +241,7 @@
 static bool
 learn_report(sched_t *s, vm_t *w)
 {
-	double use[IMAGES_MAX] = { 0 };
+	double use[IMAGES_MAX];
 	GHashTableIter it;
 	bool over = false;
 	void *v;
--- a/sched/part.h
+++ b/sched/part.h
@@ -177,6 +177,9 @@
 	int64_t
 	    over_ms; /* a tail was last over its target for long; 0: never */
 	int64_t image_filler_cpu[IMAGES_MAX];
+	/* Processor milli of fillers that ended, at the time of the last. */
+	double image_gone_cpu[IMAGES_MAX];
+	int64_t gone_ms;
 	int32_t image_serving[IMAGES_MAX];
 };
 
@@ -339,6 +342,7 @@
 void noise_openness(sched_t *s);
 void noise_take(vm_t *w, const step_t *st, int sign);
 void noise_report(sched_t *s, vm_t *w);
+void noise_gone(const sched_t *s, const run_t *r);
 
 /* health.c */
 void health_done(sched_t *s, const run_t *r);
--- a/sched/run.c
+++ b/sched/run.c
@@ -125,6 +125,7 @@
 	job_t *j = r->job;
 
 	if (r->holds) {
+		noise_gone(s, r);
 		vm_take(r->worker, t->step, -1);
 		j->runs--;
 	}
--- a/test/unit/sched.c
+++ b/test/unit/sched.c
@@ -5,6 +5,8 @@
 #include <stdint.h>
 #include <string.h>
 
+#include <math.h>
+
 #include <criterion/criterion.h>
 #include <glib.h>
 
@@ -121,6 +123,147 @@
 	sched_free(s);
 }
 
+static sched_running_t
+running(const char *task, int32_t percent, int64_t measure)
+{
+	sched_running_t r = { .task = task,
+		.run = 1,
+		.checkpoint = "",
+		.percent = percent,
+		.measure = measure };
+
+	return r;
+}
+
+/*
+ * Pattern: tasks of one serving step whose own load swings, one of them
+ * beside a filler that does no harm.
+ */
+Test(sched, own_load_is_not_taken_for_harm)
+{
+	sched_t *s = sched();
+	Sched__Step serve = step_of("serve", 10000, false, 50);
+	Sched__Step fill = step_of("fill", 7000, true, 0);
+	const char *names[] = { "0000000000000001.0.0.0",
+		"0000000000000001.0.0.1" };
+	vm_t *w[] = { vm(s, "beside"), vm(s, "alone") };
+	int32_t serving, filler;
+
+	serve.count = 2;
+	serving = first_step(job(s, "0000000000000001", &serve, 0))->image;
+	filler = first_step(job(s, "0000000000000002", &fill, 0))->image;
+	s->cell.state = CELL_OWNED;
+	for (int i = 0; i < 60; i++) {
+		/* A load of 0.45, half as much more or less over 14 s. */
+		double load = 0.45 + 0.225 * sin(2 * G_PI * i / 28);
+		int64_t tail = (int64_t)(10 / (1 - load));
+
+		s->now += 500;
+		for (int k = 0; k < 2; k++) {
+			sched_running_t run[] = { running(names[k], 100, tail),
+				running("0000000000000002.0.0.0", 10, 7000) };
+			sched_report_t rep = { .clock_ms = s->now,
+				.born_ms = 1,
+				.running = run,
+				.nrunning = k == 0 ? 2 : 1 };
+
+			run_report(s, w[k], &rep, s->now - 10);
+			noise_report(s, w[k]);
+		}
+		harm_solve(s);
+	}
+	cr_expect_eq(harm_of(s, serving, filler), 0);
+	sched_free(s);
+}
+
+/* Pattern: a harmful filler ends right before a report on the tail. */
+Test(sched, a_filler_that_has_just_gone_takes_its_harm_along)
+{
+	/* Gone for so long before the report; the last no longer counts. */
+	static const int64_t cases[] = { 50, 600 };
+	double harm[G_N_ELEMENTS(cases)];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = sched();
+		Sched__Step serve = step_of("serve", 10000, false, 50);
+		Sched__Step bad = step_of("bad", 7000, true, 0);
+		Sched__Step good = step_of("good", 7000, true, 0);
+		int32_t serving =
+			    first_step(job(s, "0000000000000001", &serve, 0))
+				->image,
+			other = first_step(job(s, "0000000000000003", &good, 0))
+				    ->image;
+		sched_running_t before[] = { running("0000000000000001.0.0.0",
+						 100, 20),
+			running("0000000000000002.0.0.0", 50, 6000),
+			running("0000000000000003.0.0.0", 50, 6000) };
+		sched_running_t after[] = { before[0], before[2] };
+		sched_ended_t end = { .seq = 1,
+			.task = "0000000000000002.0.0.0",
+			.run = 1,
+			.how = SCHED_STOPPED,
+			.checkpoint = "" };
+		sched_report_t rep = { .clock_ms = 1,
+			.born_ms = 1,
+			.running = before,
+			.nrunning = 3 };
+		vm_t *w = vm(s, "w");
+
+		job(s, "0000000000000002", &bad, 0);
+		s->cell.state = CELL_OWNED;
+		s->now = 1000;
+		run_report(s, w, &rep, 990);
+		rep.running = after;
+		rep.nrunning = 2;
+		rep.ended = &end;
+		rep.nended = 1;
+		s->now = 2000;
+		run_report(s, w, &rep, 1990);
+		s->now += cases[i];
+		after[0].measure = 100;
+		rep.nended = 0;
+		run_report(s, w, &rep, s->now - 10);
+		first_step(g_hash_table_lookup(s->jobs, "0000000000000001"))
+		    ->headroom = 2.5;
+		first_step(g_hash_table_lookup(s->jobs, "0000000000000001"))
+		    ->headroom_ms = s->now;
+		noise_report(s, w);
+		harm_solve(s);
+		harm[i] = harm_of(s, serving, other);
+		sched_free(s);
+	}
+	cr_expect_lt(
+	    harm[0], 0.75 * harm[1], "%.1f and %.1f", harm[0], harm[1]);
+}
+
+/* Pattern: a tail stays over its target beside a filler held harmless. */
+Test(sched, a_tail_that_stays_high_slows_all_fillers)
+{
+	sched_t *s = sched();
+	Sched__Step serve = step_of("serve", 10000, false, 50);
+	Sched__Step fill = step_of("fill", 7000, true, 0);
+	sched_running_t run[] = { running("0000000000000001.0.0.0", 100, 52),
+		running("0000000000000002.0.0.0", 10, 100) };
+	sched_report_t rep = {
+		.clock_ms = 1, .born_ms = 1, .running = run, .nrunning = 2
+	};
+	vm_t *w = vm(s, "w");
+	const run_t *r;
+
+	job(s, "0000000000000001", &serve, 0);
+	job(s, "0000000000000002", &fill, 0);
+	s->cell.state = CELL_OWNED;
+	for (int i = 0; i < 4; i++) {
+		s->now += 500;
+		run_report(s, w, &rep, s->now - 10);
+		noise_report(s, w);
+		r = g_hash_table_lookup(w->runs, "0000000000000002.0.0.0");
+		cr_expect_eq(r->pace_want, i < 2 ? 100 : 0, "report %d: %d", i,
+		    r->pace_want);
+	}
+	sched_free(s);
+}
+
 /* Pattern: a burst of harmful fillers while serving tasks hold most workers. */
 Test(sched, harmful_fillers_go_where_nothing_serves)
 {
