Requests with two different lengths are refused

Cause: h2o keeps the first Content-Length and drops both from the headers that it hands on; its input buffer still holds the head as received, which is now looked at. test/serve.sh two_lengths failed before and passes.

--- a/trans/server.c
+++ b/trans/server.c
@@ -71,6 +71,51 @@
 	a->sr->pub.body_bytes = 0;
 }
 
+/* The value of a header line that tells the length, or NULL; end is its end. */
+static const char *
+length_value(const char *line, const char *end)
+{
+	static const char name[] = "content-length:";
+
+	if ((size_t)(end - line) < sizeof(name) - 1 ||
+	    g_ascii_strncasecmp(line, name, sizeof(name) - 1) != 0)
+		return NULL;
+	line += sizeof(name) - 1;
+	while (line < end && (*line == ' ' || *line == '\t'))
+		line++;
+	return line;
+}
+
+/*
+ * Whether the head of a request, as received, tells two different lengths.
+ * h2o keeps the first and drops both from the headers that it hands on, so
+ * only its buffer shows it; the head stays there until the request is done.
+ */
+static bool
+two_lengths(const h2o_req_t *req)
+{
+	h2o_socket_t *sock = req->conn->callbacks->get_socket(req->conn);
+	const char *line = sock->input->bytes, *end, *value, *first = NULL;
+	const char *all = line + sock->input->size;
+	size_t first_len = 0, len;
+
+	while (line < all &&
+	    (end = memchr(line, '\r', (size_t)(all - line))) != NULL &&
+	    end != line) {
+		value = length_value(line, end);
+		len = value == NULL ? 0 : (size_t)(end - value);
+		if (value != NULL && first != NULL &&
+		    (len != first_len || memcmp(first, value, len) != 0))
+			return true;
+		if (value != NULL) {
+			first = value;
+			first_len = len;
+		}
+		line = end + 2;
+	}
+	return false;
+}
+
 /*
  * The status to refuse a request with: its length is told in two ways that
  * may differ, or its headers are too long; 0 when neither.
@@ -78,27 +123,23 @@
 static int
 refusal(const h2o_req_t *req)
 {
-	const h2o_iovec_t *length = NULL;
-	bool chunked = false;
+	bool length = two_lengths(req), chunked = false;
 	size_t bytes = 0;
 
+	if (length)
+		return 400;
 	for (size_t i = 0; i < req->headers.size; i++) {
 		const h2o_header_t *f = &req->headers.entries[i];
-		const h2o_iovec_t *v = &f->value;
-
-		bytes += f->name->len + v->len;
-		if (h2o_memis(f->name->base, f->name->len,
-			H2O_STRLIT("transfer-encoding")))
-			chunked = true;
-		if (!h2o_memis(f->name->base, f->name->len,
-			H2O_STRLIT("content-length")))
-			continue;
-		if (length != NULL &&
-		    !h2o_memis(length->base, length->len, v->base, v->len))
-			return 400;
-		length = v;
+
+		bytes += f->name->len + f->value.len;
+		chunked = chunked ||
+		    h2o_memis(f->name->base, f->name->len,
+			H2O_STRLIT("transfer-encoding"));
+		length = length ||
+		    h2o_memis(f->name->base, f->name->len,
+			H2O_STRLIT("content-length"));
 	}
-	if (length != NULL && chunked)
+	if (length && chunked)
 		return 400;
 	return bytes > HEADERS_MAX_BYTES ? 431 : 0;
 }
