--- a/coord/start.c
+++ b/coord/start.c
@@ -188,13 +188,15 @@
 	int64_t patience = b->j.urgent ? MOVE_URGENT_MS : MOVE_WAIT_MS;
 	const char *to;
 
+	/* A quota holds everywhere: elsewhere the job would only lose time. */
+	if (!within_quota(c, b))
+		return false;
 	if (c->now - MAX(b->j.submitted_ms, g->owned_ms) >= patience &&
 	    (to = submit_group(c, &b->j, g->name)) != NULL) {
 		move(c, b, to);
 		return true;
 	}
-	if (b->j.urgent && c->now >= b->evict_ms && p != NULL &&
-	    within_quota(c, b))
+	if (b->j.urgent && c->now >= b->evict_ms && p != NULL)
 		evict_for(c, b, p);
 	return false;
 }
