A soak of our own: real processes, faults from outside, promises checked

test/soak: entries and a stand-in of the platform as processes on loopback; a proxy delays, silences, cuts one way and resets; signals kill, freeze, stop and restart; workers restart, the platform freezes. The stand-in's workers keep leases, tokens and numbered ends on clocks 2% slow and check each start; callers keep what they were told. The first form of the check of the order of steps was wrong: a start may come before the end of its predecessor is noted; it now asks for that end itself.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 NOMAIN = $(filter-out $(B)/cmd/main.o,$(call obj,cmd/*.c))
 TESTS = check scenes fuzz
 BENCH = policy slopes load
-MAINS = $(TESTS) $(BENCH) embed cells
+MAINS = $(TESTS) $(BENCH) embed cells soak
 BIN = $(B)/tanagerspool $(B)/standin-platform $(B)/standin-worker $(B)/standin-users \
 	$(addprefix $(B)/,$(MAINS))
 SRC = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard */*.[ch] */*/*.[ch]))
@@ -49,6 +49,8 @@
 	$(LINK)
 $(addprefix $(B)/,$(BENCH)): $(B)/%: $(B)/bench/%.o $(SIM) $(FAKE) $(IO) $(LIB)
 	$(LINK)
+$(B)/soak: $(call obj,test/soak/*.c) $(IO) $(LIB)
+	$(LINK)
 $(B)/cells: $(B)/test/main/cells.o $(CELL) $(LIB)
 	$(LINK)
 $(B)/unit: $(UNIT) $(NOMAIN) $(SERVE) $(IO) $(FAKE) $(SIM) $(LIB)
@@ -79,6 +81,8 @@
 process: all
 	sh test/process.sh $(B)
 	sh test/red.sh sh test/serve.sh $(B)
+soak: $(B)/soak $(B)/standin-users $(B)/tanagerspool
+	sh test/soak.sh $(B) $(SEED)
 mutants: $(B)/check $(B)/cells
 	sh test/mutants.sh $(B)
 policy: $(B)/policy
@@ -117,6 +121,6 @@
 	    $(DESTDIR)$(PREFIX)/share/tanagerspool
 clean:
 	rm -rf build*
-PHONY_TESTS = unit check cells scenes process
+PHONY_TESTS = unit check cells scenes process soak
 .PHONY: all deps have run test $(PHONY_TESTS) mutants policy slopes bench \
 	asan lint fmt install clean
--- a/test/standin/users.c
+++ b/test/standin/users.c
@@ -1,9 +1,11 @@
 /*
  * A stand-in of the users' platform for process tests: the store at one port
- * and one worker at the next, on loopback.  Tasks take TASK_MS each.
- * usage: standin-users PORT
+ * and workers at the next ones, on loopback.  Tasks take TASK_MS each.  What
+ * the workers see goes to standard output, a line each; SIGUSR1 restarts one.
+ * usage: standin-users PORT [WORKERS [PORT-IN-ROWS]]
  */
 #include <inttypes.h>
+#include <signal.h>
 #include <stdbool.h>
 #include <stdint.h>
 #include <stdio.h>
@@ -17,42 +19,33 @@
 #include "../../proto/peer.pb-c.h"
 #include "tanagerspool.h"
 #include "../../trans/trans.h"
+#include "../fake/crew.h"
 
-#define IP	  "127.0.0.1"
-#define TASK_MS	  300
-#define TICK_MS	  20
-#define BODY_MAX  (1024 * 1024)
-#define WORKER_ID "i-1"
+#define IP	       "127.0.0.1"
+#define TASK_MS	       300
+#define TICK_MS	       20
+#define BODY_MAX       (1024 * 1024)
+#define HOSTS	       10 /* of callers: a name, and addresses of entries */
+#define TASK_CPU_MILLI 500
+#define FIRST_STEP     3 /* tasks of step 0 of the jobs of process tests */
 
 typedef struct {
 	char *table, *part, *key, *value; /* value is base64 */
 	int64_t version;
 } row_t;
 
-typedef struct {
-	char *task;
-	int64_t run, until_ms;
-} run_t;
-
-typedef struct {
-	int64_t seq, run;
-	char *task;
-	const char *how;
-} end_t;
-
 typedef struct {
 	server_req_t *req;
-	int64_t until_ms, after; /* feed: after a version; hold: an end */
-	char *table;		 /* feed */
+	int64_t until_ms, after; /* a version */
+	char *table;
 } waiter_t;
 
 static struct {
 	uv_loop_t *loop;
 	GPtrArray *rows; /* of row_t */
 	int64_t version;
-	GPtrArray *runs; /* of run_t */
-	GPtrArray *ends; /* of end_t */
-	int64_t seq, token, born_ms;
+	crew_t *crew;
+	int workers, restarts;
 	GPtrArray *waiters; /* of waiter_t */
 } w;
 
@@ -269,108 +262,6 @@
 		server_reply(r, 404, "", "", 0);
 }
 
-/*
- * The worker.
- */
-static void
-end_run(run_t *r, const char *how)
-{
-	end_t *e = g_new0(end_t, 1);
-
-	e->seq = ++w.seq;
-	e->task = g_strdup(r->task);
-	e->run = r->run;
-	e->how = how;
-	g_ptr_array_add(w.ends, e);
-	g_ptr_array_remove(w.runs, r);
-}
-
-static json_t *
-report(void)
-{
-	json_t *running = json_array(), *ended = json_array();
-
-	for (guint i = 0; i < w.runs->len; i++) {
-		const run_t *r = g_ptr_array_index(w.runs, i);
-
-		json_array_append_new(running,
-		    json_pack(
-			"[s,I,s,i,i]", r->task, (json_int_t)r->run, "", 50, 0));
-	}
-	for (guint i = 0; i < w.ends->len; i++) {
-		const end_t *e = g_ptr_array_index(w.ends, i);
-
-		json_array_append_new(ended,
-		    json_pack("[I,s,I,s,s]", (json_int_t)e->seq, e->task,
-			(json_int_t)e->run, e->how, ""));
-	}
-	return json_pack("{s:I,s:I,s:o,s:o}", "clock_ms", (json_int_t)now_ms(),
-	    "born", (json_int_t)w.born_ms, "running", running, "ended_runs",
-	    ended);
-}
-
-static run_t *
-run_find(const char *task)
-{
-	for (guint i = 0; i < w.runs->len; i++) {
-		run_t *r = g_ptr_array_index(w.runs, i);
-
-		if (strcmp(r->task, task) == 0)
-			return r;
-	}
-	return NULL;
-}
-
-static void
-worker_order(server_req_t *r, const json_t *j)
-{
-	const char *task = text(j, "task");
-	run_t *run = run_find(task);
-
-	if (strstr(r->path, "run-start") != NULL && run == NULL) {
-		run = g_new0(run_t, 1);
-		run->task = g_strdup(task);
-		run->run = json_integer_value(json_object_get(j, "run"));
-		run->until_ms = now_ms() + TASK_MS;
-		g_ptr_array_add(w.runs, run);
-	} else if (strstr(r->path, "run-stop") != NULL && run != NULL)
-		end_run(run, "stopped");
-	reply(r, 200, json_pack("{s:I}", "clock_ms", (json_int_t)now_ms()));
-}
-
-static void
-worker_hold(server_req_t *r, const json_t *j)
-{
-	int64_t seen = json_integer_value(json_object_get(j, "last_seen"));
-
-	for (guint i = w.ends->len; i-- > 0;)
-		if (((end_t *)g_ptr_array_index(w.ends, i))->seq <= seen)
-			g_ptr_array_remove_index(w.ends, i);
-	wait_for(r, json_integer_value(json_object_get(j, "wait_ms")));
-}
-
-static void
-on_worker(void *ctx, server_req_t *r)
-{
-	json_t *j = json_loadb(r->body, r->body_bytes, 0, NULL);
-	int64_t token = json_integer_value(json_object_get(j, "fencing_token"));
-
-	(void)ctx;
-	if (token < w.token) {
-		reply(r, 409,
-		    json_pack("{s:I,s:s}", "clock_ms", (json_int_t)now_ms(),
-			"reason", "fence"));
-		json_decref(j);
-		return;
-	}
-	w.token = token;
-	if (strstr(r->path, "/-/hold") != NULL)
-		worker_hold(r, j);
-	else
-		worker_order(r, j);
-	json_decref(j);
-}
-
 /* Ends tasks whose time has come, and answers who has waited for it. */
 static void
 on_tick(uv_timer_t *t)
@@ -378,25 +269,16 @@
 	int64_t now = now_ms();
 
 	(void)t;
-	for (guint i = w.runs->len; i-- > 0;) {
-		run_t *r = g_ptr_array_index(w.runs, i);
-
-		if (now >= r->until_ms)
-			end_run(r, "done");
-	}
+	crew_tick(w.crew);
 	for (guint i = w.waiters->len; i-- > 0;) {
 		waiter_t *x = g_ptr_array_index(w.waiters, i);
-		json_t *rows =
-		    x->table == NULL ? NULL : changes(x->table, x->after);
-		bool due = now >= x->until_ms ||
-		    (rows == NULL ? w.ends->len > 0 :
-				    json_array_size(rows) > 0);
+		json_t *rows = changes(x->table, x->after);
 
-		if (!due) {
+		if (now < x->until_ms && json_array_size(rows) == 0) {
 			json_decref(rows);
 			continue;
 		}
-		reply(x->req, 200, rows == NULL ? report() : answer(rows));
+		reply(x->req, 200, answer(rows));
 		g_free(x->table);
 		g_ptr_array_remove_index_fast(w.waiters, i);
 	}
@@ -412,25 +294,59 @@
 	row_put(table, "", key, b64);
 }
 
-/* What the operator and the worker write at the start. */
 static void
-seed_rows(int port)
+put_worker(int worker)
 {
-	g_autofree char *entry = g_strdup_printf(
-	    "{\"service\":\"s\",\"address\":\"" IP ":%d\",\"zone\":\"z\","
-	    "\"state\":\"ready\",\"capacity\":{\"cpu\":16000,\"mem_mb\":64000,"
-	    "\"gpu\":0},\"labels\":[\"a\",\"r1-1\"],\"born\":%" PRId64 "}",
-	    port + 1, w.born_ms);
-
-	put_text("op", "config",
-	    "{\"version\":3,\"routes\":[{\"name\":\"q\",\"host\":\"h.example\","
-	    "\"prefix\":\"/q/\",\"service\":\"s\",\"priority\":0,"
-	    "\"max_attempts\":2,\"stretch\":2.0,\"target_duration_ms\":500}],"
-	    "\"services\":[],\"limits\":{}}");
-	put_text("servers", WORKER_ID, entry);
+	g_autofree char *id = crew_id(w.crew, worker);
+	g_autofree char *row = crew_row(w.crew, worker);
+
+	put_text("servers", id, row);
+}
+
+/* What the operator and the workers write at the start. */
+static void
+seed_rows(void)
+{
+	GString *routes = g_string_new(NULL);
+
+	for (int i = 0; i < HOSTS; i++)
+		g_string_append_printf(routes,
+		    "%s{\"name\":\"q%d\",\"host\":\"%s%d\","
+		    "\"prefix\":\"/q/\",\"service\":\"s\",\"priority\":0,"
+		    "\"max_attempts\":2,\"stretch\":2.0,"
+		    "\"target_duration_ms\":500}",
+		    i == 0 ? "" : ",", i, i == 0 ? "h.example" : "127.0.0.5",
+		    i);
+	g_string_prepend(routes, "{\"version\":3,\"routes\":[");
+	g_string_append(routes, "],\"services\":[],\"limits\":{}}");
+	g_string_replace(routes, "h.example0", "h.example", 1);
+	put_text("op", "config", routes->str);
+	g_string_free(routes, TRUE);
+	for (int i = 0; i < w.workers; i++)
+		put_worker(i);
 	put_text("servers", "i-bad", "{\"state\":\"odd\"}");
 }
 
+/* Restarts the workers in turn. */
+static void
+on_restart(uv_signal_t *sig, int number)
+{
+	int worker = w.restarts++ % w.workers;
+
+	(void)sig;
+	(void)number;
+	crew_restart(w.crew, worker);
+	put_worker(worker);
+}
+
+static void
+on_tell(void *ctx, const char *line)
+{
+	(void)ctx;
+	puts(line);
+	fflush(stdout);
+}
+
 static bool
 serve(int port, void (*fn)(void *, server_req_t *))
 {
@@ -452,20 +368,31 @@
 {
 	int port = argc > 1 ? atoi(argv[1]) : 0;
 	static uv_timer_t tick;
-
-	if (port <= 0) {
-		fprintf(stderr, "usage: standin-users PORT\n");
+	static uv_signal_t restart;
+	crew_opts_t o = { .ip = IP,
+		.port = port + 1,
+		.advertised = argc > 3 ? atoi(argv[3]) : port + 1,
+		.workers = argc > 2 ? atoi(argv[2]) : 1,
+		.task_ms = TASK_MS,
+		.task_cpu_milli = TASK_CPU_MILLI,
+		.first_step = FIRST_STEP,
+		.tell = on_tell };
+
+	if (port <= 0 || o.workers <= 0) {
+		fprintf(stderr,
+		    "usage: standin-users PORT [WORKERS [PORT-IN-ROWS]]\n");
 		return 2;
 	}
-	w.loop = uv_default_loop();
+	o.loop = w.loop = uv_default_loop();
+	w.workers = o.workers;
 	w.rows = g_ptr_array_new();
-	w.runs = g_ptr_array_new();
-	w.ends = g_ptr_array_new();
 	w.waiters = g_ptr_array_new();
-	w.born_ms = g_get_real_time() / 1000;
-	seed_rows(port);
-	if (!serve(port, on_store) || !serve(port + 1, on_worker))
+	w.crew = crew_new(&o);
+	if (w.crew == NULL || !serve(port, on_store))
 		return 1;
+	seed_rows();
+	uv_signal_init(w.loop, &restart);
+	uv_signal_start(&restart, on_restart, SIGUSR1);
 	uv_timer_init(w.loop, &tick);
 	uv_timer_start(&tick, on_tick, TICK_MS, TICK_MS);
 	return uv_run(w.loop, UV_RUN_DEFAULT);
