--- a/sched/place.c
+++ b/sched/place.c
@@ -99,9 +99,26 @@
 	return sc;
 }
 
-/* The best worker with room for a task, in a rack if one is named; or NULL. */
-vm_t *
-place_task(sched_t *s, const step_t *st, const task_t *t, const char *rack)
+/* The first tasks of a gang, for which workers have been found. */
+typedef struct {
+	vm_t **at;
+	int32_t n;
+} placed_t;
+
+static int32_t
+placed_on(const placed_t *p, const vm_t *w)
+{
+	int32_t n = 0;
+
+	for (int32_t i = 0; i < p->n; i++)
+		n += p->at[i] == w;
+	return n;
+}
+
+/* The best worker for a task beside those of its gang; or NULL. */
+static vm_t *
+place_beside(sched_t *s, const step_t *st, const task_t *t, const char *rack,
+    const placed_t *gang)
 {
 	vm_t *best = NULL;
 	int64_t best_score = 0;
@@ -121,7 +138,7 @@
 		if (best != NULL && sc <= best_score)
 			continue;
 		if (st->def->per_worker > 0 &&
-		    siblings(w, st) >= st->def->per_worker)
+		    siblings(w, st) + placed_on(gang, w) >= st->def->per_worker)
 			continue;
 		/* An older run of the task is still being dealt with. */
 		if (g_hash_table_contains(w->runs, name))
@@ -132,21 +149,30 @@
 	return best;
 }
 
+/* The best worker with room for a task, in a rack if one is named; or NULL. */
+vm_t *
+place_task(sched_t *s, const step_t *st, const task_t *t, const char *rack)
+{
+	placed_t none = { NULL, 0 };
+
+	return place_beside(s, st, t, rack, &none);
+}
+
 /* Places all tasks of a gang; fills at and returns true when all fit. */
 static bool
 place_all(sched_t *s, const step_t *st, const char *rack, vm_t **at)
 {
-	int32_t n = 0;
+	placed_t p = { at, 0 };
 
-	while (n < st->ntasks) {
-		at[n] = place_task(s, st, &st->tasks[n], rack);
-		if (at[n] == NULL)
+	while (p.n < st->ntasks) {
+		at[p.n] = place_beside(s, st, &st->tasks[p.n], rack, &p);
+		if (at[p.n] == NULL)
 			break;
-		vm_take(at[n++], st, 1);
+		vm_take(at[p.n++], st, 1);
 	}
-	for (int32_t i = 0; i < n; i++)
+	for (int32_t i = 0; i < p.n; i++)
 		vm_take(at[i], st, -1);
-	return n == st->ntasks;
+	return p.n == st->ntasks;
 }
 
 bool
--- a/test/unit/sched.c
+++ b/test/unit/sched.c
@@ -295,6 +295,36 @@
 	sched_free(s);
 }
 
+/* Pattern: a gang whose tasks must be spread, on few workers with much room. */
+Test(sched, a_gang_is_spread)
+{
+	static const struct {
+		int32_t per_worker;
+		bool placed;
+		int32_t most; /* of its tasks on one worker */
+	} cases[] = { { 0, true, 4 }, { 2, true, 2 }, { 1, false, 0 } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = sched();
+		Sched__Step d = step_of("", 1000, false, 0);
+		vm_t *w[2] = { vm(s, "a"), vm(s, "b") }, *at[4];
+		int32_t on[2] = { 0, 0 };
+		step_t *st;
+
+		d.count = 4;
+		d.gang = true;
+		d.per_worker = cases[i].per_worker;
+		st = first_step(job(s, "0000000000000001", &d, 0));
+		cr_expect_eq(place_gang(s, st, at), cases[i].placed,
+		    "%d a worker", d.per_worker);
+		for (int k = 0; k < 4 && cases[i].placed; k++)
+			on[at[k] == w[1]]++;
+		cr_expect_leq(MAX(on[0], on[1]), cases[i].most,
+		    "%d a worker: %d and %d", d.per_worker, on[0], on[1]);
+		sched_free(s);
+	}
+}
+
 /* Pattern: all room is wanted by work of different kinds at once. */
 Test(sched, order_of_kinds)
 {
