Placements that need approval: workers are asked about, starts carry tickets

Tested in virtual time (four cases) and by the daemon against the stand-in (test/serve.sh: tickets, no_ticket).

--- a/cmd/log.c
+++ b/cmd/log.c
@@ -69,6 +69,8 @@
 	{ 625, LOG4C_PRIORITY_INFO, "run_adopted" },
 	{ 626, LOG4C_PRIORITY_WARN, "run_lost" },
 	{ 627, LOG4C_PRIORITY_INFO, "pace" },
+	{ 628, LOG4C_PRIORITY_INFO, "advice_asked" },
+	{ 629, LOG4C_PRIORITY_INFO, "advice" },
 	{ 631, LOG4C_PRIORITY_INFO, "worker" },
 	{ 632, LOG4C_PRIORITY_WARN, "worker_silent" },
 	{ 633, LOG4C_PRIORITY_INFO, "worker_back" },
--- a/sched/job.c
+++ b/sched/job.c
@@ -114,6 +114,7 @@
 				g_array_unref(st->tasks[k].failed_runs);
 		}
 		queue_drop(st);
+		advice_step_free(st);
 		g_free(st->checkpoint);
 		g_free(st->tasks);
 	}
@@ -151,6 +152,7 @@
 	j->service = q->known ? q->service : g_intern_string(def->service);
 	j->priority = q->known ? q->priority : def->priority;
 	j->max_attempts = q->known ? q->max_attempts : def->max_attempts;
+	j->advised = q->known && q->advised;
 	j->occs = g_ptr_array_new_with_free_func(occ_free);
 	o = job_occ(j, 0);
 	for (size_t i = 0; i < def->n_steps; i++) {
--- a/sched/part.h
+++ b/sched/part.h
@@ -47,16 +47,19 @@
 	int32_t ntasks;
 	int32_t waiting; /* tasks to be started */
 	int32_t done;
-	bool ready;	   /* all steps before it are done */
-	int32_t image;	   /* index, or -1 */
-	int64_t tail_ms;   /* declared time of the longest chain from here */
-	GSequenceIter *it; /* in the queue */
-	int64_t latest_ms; /* wall clock: start by then to be in time */
-	bool hopeless;	   /* can't be in time any more */
-	bool given_up;	   /* nor in the time that counts as late */
-	int64_t order_ms;  /* among those alike, the lowest first */
-	int64_t gang_run;  /* run number of the current gang */
-	char *checkpoint;  /* of the gang */
+	bool ready;	    /* all steps before it are done */
+	int32_t image;	    /* index, or -1 */
+	int64_t tail_ms;    /* declared time of the longest chain from here */
+	GSequenceIter *it;  /* in the queue */
+	int64_t latest_ms;  /* wall clock: start by then to be in time */
+	bool hopeless;	    /* can't be in time any more */
+	bool given_up;	    /* nor in the time that counts as late */
+	int64_t order_ms;   /* among those alike, the lowest first */
+	int64_t gang_run;   /* run number of the current gang */
+	char *checkpoint;   /* of the gang */
+	GHashTable *advice; /* worker id -> what was told of it; or NULL */
+	uint64_t advice_id; /* call under way about it; 0: none */
+	int64_t advice_next_ms; /* no call before */
 	/* Serving: target over tail of its tasks, undisturbed by fillers. */
 	double headroom;
 	int64_t headroom_ms; /* when that was last taken in; 0: never */
@@ -79,6 +82,7 @@
 	GPtrArray *occs; /* of occ_t */
 	job_stage_t stage;
 	Sched__State end; /* when ending */
+	bool advised;	  /* its queue needs approval of placements */
 	bool cancelled;
 	bool begun;	     /* a task has started */
 	bool dirty;	     /* progress to be written */
@@ -190,6 +194,7 @@
 	int32_t priority;
 	int32_t max_attempts;
 	bool known;	  /* in the tables in force */
+	bool advised;	  /* placements need approval */
 	int64_t time_pct; /* real run time, of the declared; moving average */
 	double mean_work; /* of its jobs; moving average */
 	int32_t waiting;  /* jobs not begun */
@@ -241,6 +246,7 @@
 	GHashTable *images;	  /* image -> index */
 	harm_t *harm[IMAGES_MAX]; /* of each serving image */
 	bool filler_image[IMAGES_MAX];
+	GHashTable *advising; /* calls under way, by id */
 	GHashTable *zones;    /* evacuated, interned */
 	GHashTable *progress; /* while loading: id -> Sched__Progress */
 	GHashTable *ended;    /* ids of jobs whose end is stored */
@@ -297,8 +303,19 @@
 /* place.c */
 vm_t *
 place_task(sched_t *s, const step_t *st, const task_t *t, const char *rack);
+/* Whether a worker could run a task of the step now, were it approved. */
+bool place_could(const sched_t *s, const vm_t *w, const step_t *st);
 bool place_gang(sched_t *s, const step_t *st, vm_t **at);
 
+/* advice.c */
+GHashTable *advice_calls_new(void);
+void advice_step_free(step_t *st);
+const char *advice_ticket(const sched_t *s, const step_t *st, const vm_t *w);
+bool advice_allows(const sched_t *s, const step_t *st, const vm_t *w);
+void advice_rejected(step_t *st, const vm_t *w);
+void advice_want(sched_t *s, step_t *st);
+void advice_tick(sched_t *s);
+
 /* queue.c */
 void queue_add(sched_t *s, step_t *st);
 void queue_drop(step_t *st);
--- a/sched/place.c
+++ b/sched/place.c
@@ -99,6 +99,14 @@
 	return sc;
 }
 
+bool
+place_could(const sched_t *s, const vm_t *w, const step_t *st)
+{
+	return w->service == st->occ->job->service && vm_usable(s, w) &&
+	    has_room(w, st->def) && has_label(w, st->def->label) &&
+	    noise_allows(s, w, st);
+}
+
 /* The first tasks of a gang, for which workers have been found. */
 typedef struct {
 	vm_t **at;
@@ -129,9 +137,7 @@
 		vm_t *w = g_ptr_array_index(s->worker_list, i);
 		int64_t sc;
 
-		if (w->service != st->occ->job->service || !vm_usable(s, w) ||
-		    !has_room(w, st->def) || !has_label(w, st->def->label) ||
-		    !noise_allows(s, w, st) ||
+		if (!place_could(s, w, st) || !advice_allows(s, st, w) ||
 		    (rack != NULL && w->rack != rack))
 			continue;
 		sc = score(s, w, st, t);
--- a/sched/run.c
+++ b/sched/run.c
@@ -74,6 +74,7 @@
 		.run = r->number,
 		.token = s->cell.token,
 		.checkpoint = "",
+		.ticket = "",
 		.spec = "" };
 
 	if (kind == SCHED_START) {
@@ -81,6 +82,8 @@
 
 		o.spec = r->job->def->spec;
 		o.deadline_ms = vm_deadline(s, w);
+		if (r->job->advised && advice_ticket(s, st, w) != NULL)
+			o.ticket = advice_ticket(s, st, w);
 		if (st->def->gang && st->checkpoint != NULL)
 			o.checkpoint = st->checkpoint;
 		else if (!st->def->gang && r->task->checkpoint != NULL)
@@ -222,6 +225,8 @@
 	else if (res == SCHED_ORDER_UNHEALTHY || res == SCHED_ORDER_REBORN ||
 	    res == SCHED_ORDER_NOT_SENT)
 		off = UNHEALTHY_MS;
+	else if (res == SCHED_ORDER_NO_TICKET)
+		advice_rejected(t->step, w);
 	else if (res == SCHED_ORDER_OLD)
 		t->last_run += RUN_STRIDE;
 	else if (res == SCHED_ORDER_INVALID)
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -62,6 +62,7 @@
 	s->progress = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, free_progress);
 	s->ended = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	s->advising = advice_calls_new();
 	s->zones = g_hash_table_new(g_direct_hash, g_direct_equal);
 	return s;
 }
@@ -79,6 +80,7 @@
 	g_hash_table_unref(s->images);
 	g_hash_table_unref(s->progress);
 	g_hash_table_unref(s->ended);
+	g_hash_table_unref(s->advising);
 	g_hash_table_unref(s->zones);
 	g_hash_table_unref(s->dirty);
 	g_ptr_array_unref(s->timed);
@@ -369,7 +371,7 @@
 
 void
 sched_queue(sched_t *s, const char *queue, const char *service,
-    int32_t priority, int32_t max_attempts, int64_t now_ms)
+    int32_t priority, int32_t max_attempts, bool advised, int64_t now_ms)
 {
 	queue_t *q = queue_get(s, queue);
 	GHashTableIter it;
@@ -380,6 +382,7 @@
 	q->service = g_intern_string(service);
 	q->priority = priority;
 	q->max_attempts = max_attempts;
+	q->advised = advised;
 	g_hash_table_iter_init(&it, s->jobs);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		job_t *j = v;
@@ -389,6 +392,7 @@
 		j->service = q->service;
 		j->priority = priority;
 		j->max_attempts = max_attempts;
+		j->advised = advised;
 	}
 	s->pump = true;
 }
@@ -470,6 +474,7 @@
 		harm_solve(s);
 		noise_openness(s);
 		count_waiting(s);
+		advice_tick(s);
 		s->pump = true;
 	}
 	if (now_ms - s->load_ms >= LOAD_MS) {
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -88,6 +88,7 @@
 	SCHED_ORDER_OLD,      /* a run as new was stopped or ended there */
 	SCHED_ORDER_LATE,     /* its deadline had passed */
 	SCHED_ORDER_NO_ROOM,
+	SCHED_ORDER_NO_TICKET, /* not approved, or no longer */
 	SCHED_ORDER_UNHEALTHY, /* the worker takes nothing now */
 	SCHED_ORDER_REBORN,    /* another process answers there */
 	SCHED_ORDER_INVALID
@@ -105,6 +106,7 @@
 	int64_t token;
 	const char *spec;	/* start */
 	const char *checkpoint; /* start; "" for none */
+	const char *ticket;	/* start; "" where no approval is needed */
 	int64_t deadline_ms;	/* start; the worker's clock */
 	int32_t percent;	/* pace */
 } sched_order_t;
@@ -119,6 +121,27 @@
 	int32_t wait_ms;
 } sched_look_t;
 
+/* Asks whether workers may run a step. */
+typedef struct {
+	uint64_t id;	  /* to be handed to sched_advised */
+	const char *step; /* JOB.OCCURRENCE.STEP */
+	const char *const *workers;
+	size_t nworkers;
+} sched_advise_t;
+
+/* Allows starts of a step's tasks at a worker. */
+typedef struct {
+	const char *worker;
+	const char *ticket;
+} sched_ticket_t;
+
+/* The answer: tickets for those that may. */
+typedef struct {
+	const sched_ticket_t *good;
+	size_t ngood;
+	int32_t valid_ms; /* since the call */
+} sched_advice_t;
+
 /* Why a line is logged; the numbers are in docs/EVENTS.md. */
 typedef enum {
 	SCHED_EVT_CLAIM = 601,
@@ -138,6 +161,8 @@
 	SCHED_EVT_ADOPTED = 625,
 	SCHED_EVT_LOST = 626,
 	SCHED_EVT_PACE = 627,
+	SCHED_EVT_ADVICE_ASKED = 628,
+	SCHED_EVT_ADVICE = 629,
 	SCHED_EVT_WORKER = 631,
 	SCHED_EVT_WORKER_SILENT = 632,
 	SCHED_EVT_WORKER_BACK = 633,
@@ -156,6 +181,8 @@
 	void (*write)(void *ctx, int64_t version, const GArray *puts);
 	void (*order)(void *ctx, const sched_order_t *o);
 	void (*look)(void *ctx, const sched_look_t *l);
+	/* NULL: no service approves placements. */
+	void (*advise)(void *ctx, const sched_advise_t *a);
 	void (*event)(
 	    void *ctx, sched_evt_t number, const char *subject, char *fields);
 } sched_port_t;
@@ -203,10 +230,13 @@
 void sched_fed(sched_t *s, sched_feed_t feed, int64_t now_ms);
 /* The queue's settings in force; jobs that name it follow them. */
 void sched_queue(sched_t *s, const char *queue, const char *service,
-    int32_t priority, int32_t max_attempts, int64_t now_ms);
+    int32_t priority, int32_t max_attempts, bool advised, int64_t now_ms);
 
 void sched_order_done(sched_t *s, uint64_t id, sched_result_t r,
     int64_t clock_ms, int64_t now_ms);
+/* a is NULL when no whole answer came. */
+void
+sched_advised(sched_t *s, uint64_t id, const sched_advice_t *a, int64_t now_ms);
 /* report is NULL when no whole answer came. */
 void sched_looked(sched_t *s, uint64_t id, const char *worker, sched_result_t r,
     const sched_report_t *report, int64_t now_ms);
--- a/sched/start.c
+++ b/sched/start.c
@@ -80,8 +80,11 @@
 		int32_t n = 0;
 
 		next = g_sequence_iter_next(i);
-		if (cell_may_start(s, st->occ->job))
+		if (cell_may_start(s, st->occ->job)) {
 			n = start_step(s, st);
+			if (st->waiting > 0)
+				advice_want(s, st);
+		}
 		started += n;
 		if (st->waiting == 0)
 			queue_drop(st);
--- a/serve/cell.c
+++ b/serve/cell.c
@@ -230,6 +230,23 @@
 	platform_look(c->node->platform, l, on_looked, c);
 }
 
+static void
+on_advised(void *ctx, uint64_t id, const sched_advice_t *a)
+{
+	cell_port_t *c = ctx;
+
+	sched_advised(c->sched, id, a, node_now(c->node));
+	node_soon(c->node);
+}
+
+static void
+do_advise(void *ctx, const sched_advise_t *a)
+{
+	cell_port_t *c = ctx;
+
+	platform_advise(c->node->platform, a, on_advised, c);
+}
+
 static void
 do_event(void *ctx, sched_evt_t number, const char *subject, char *fields)
 {
@@ -353,7 +370,7 @@
 		.incarnation = n->incarnation,
 		.max_lease_ms = n->o.max_hold_ms,
 		.port = { do_claim, do_load, do_write, do_order, do_look,
-		    do_event },
+		    do_advise, do_event },
 		.ctx = c };
 
 	c->node = n;
@@ -372,7 +389,7 @@
 		    &g_array_index(t->queues, platform_queue_t, i);
 
 		sched_queue(c->sched, q->name, q->service, q->priority,
-		    q->max_attempts, node_now(c->node));
+		    q->max_attempts, q->advised, node_now(c->node));
 	}
 	node_soon(c->node);
 }
--- a/serve/node.c
+++ b/serve/node.c
@@ -289,9 +289,11 @@
 static bool
 begin(node_t *n, GError **err)
 {
-	platform_opts_t po = {
-		.loop = n->loop, .store = n->o.store, .on_bad = on_bad, .ctx = n
-	};
+	platform_opts_t po = { .loop = n->loop,
+		.store = n->o.store,
+		.advice = n->o.advice,
+		.on_bad = on_bad,
+		.ctx = n };
 	follow_opts_t fo = { .node = n,
 		.table = platform_operator_table,
 		.part = "",
@@ -333,6 +335,8 @@
 		    "for the balancer's probe" },
 		{ "store", SET_TEXT, &o->store, NULL, 0, 0, "IP:PORT",
 		    "the platform's store" },
+		{ "advice", SET_TEXT, &o->advice, "", 0, 0, "IP:PORT",
+		    "what approves placements, if any" },
 		{ "metrics-port", SET_INT, &o->metrics_port, "9464", 0, 65535,
 		    "PORT", "for counters; 0 for none" },
 		{ "peer-port", SET_INT, &o->peer_port, "8002", 1, 65535, "PORT",
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -107,6 +107,7 @@
 	char *name, *zone, *ip;
 	char *front, *ready; /* ip:port */
 	char *store;	     /* ip:port */
+	char *advice;	     /* ip:port, or "" */
 	int32_t metrics_port, peer_port;
 	int32_t max_hold_ms;
 	int32_t grace_ms;
--- a/test/cell/node.c
+++ b/test/cell/node.c
@@ -136,7 +136,7 @@
 	sched_opts_t o = { .name = n->name,
 		.max_lease_ms = MAX_HOLD_MS,
 		.port = { do_claim, do_load, do_write, do_order, do_look,
-		    do_event },
+		    NULL, do_event },
 		.ctx = n };
 
 	if (n->up)
@@ -148,7 +148,7 @@
 	n->feeding = false;
 	n->tick_ms = 0;
 	n->s = sched_new(&o);
-	sched_queue(n->s, "q", "s", 0, 2, w->now_ms);
+	sched_queue(n->s, "q", "s", 0, 2, false, w->now_ms);
 	world_tell_zones(w, n);
 	world_after(w, n->index, on_tick, beat(n));
 	world_after(w, n->index, on_poll, beat(n));
--- a/test/fake/crew.c
+++ b/test/fake/crew.c
@@ -234,6 +234,7 @@
 do_start(worker_t *w, server_req_t *r, const json_t *j)
 {
 	const char *task = json_string_value(json_object_get(j, "task"));
+	const char *ticket = json_string_value(json_object_get(j, "ticket"));
 	int64_t run = integer(j, "run"), *highest;
 	int64_t deadline = integer(j, "deadline_ms");
 	run_t *have = task == NULL ? NULL : find_run(w, task);
@@ -265,7 +266,8 @@
 	have->run = run;
 	have->until_ms = now_ms() + w->crew->o.task_ms;
 	g_ptr_array_add(w->runs, have);
-	tell(w->crew, "start %s run %" PRId64 " on %d", task, run, w->index);
+	tell(w->crew, "start %s run %" PRId64 " on %d ticket %s", task, run,
+	    w->index, ticket == NULL ? "-" : ticket);
 	reply(r, 200, json_pack("{s:I}", "clock_ms", (json_int_t)clock_ms(w)));
 }
 
--- a/test/serve.sh
+++ b/test/serve.sh
@@ -15,7 +15,7 @@
 start_serve() { # N
 	start "s$1" "$B/tanagerspool" serve --name "s$1" --zone z \
 	    --ip "127.0.0.5$1" --front "127.0.0.5$1:8000" \
-	    --ready "127.0.0.5$1:8001" --store $STORE --peer-port 8002
+	    --ready "127.0.0.5$1:8001" --store $STORE --advice $STORE --peer-port 8002
 }
 ready() { [ "$(code "http://127.0.0.5$1:8001/-/ready")" = 200 ]; }
 code() { curl -s -m 5 -o /dev/null -w '%{http_code}' "$@"; }
@@ -54,6 +54,14 @@
 wait_for 10 is_state 1 00000000000000a3 cancelled
 check is_cancelled "$(state 1 00000000000000a3)" cancelled
 
+# A queue whose placements need approval.
+check advised "$(code -H 'Host: 127.0.0.59' -d "$JOB" \
+    http://127.0.0.51:8000/q/00000000000000a5)" 200
+wait_for 10 is_state 2 00000000000000a5 completed
+check advised_end "$(state 2 00000000000000a5)" completed
+check tickets "$(grep -c 'start 00000000000000a5.* ticket t1' "$T/store.out")" 5
+check no_ticket "$(grep -c 'start 00000000000000a1.* ticket -' "$T/store.out")" 5
+
 # Requests whose length can be read in two ways, or with endless headers.
 raw() { # HEADERS: the status of a good job sent with them
 	printf 'POST /q/00000000000000b%s HTTP/1.1\r\nHost: h.example\r\n%b\r\n%s' \
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -177,7 +177,8 @@
 	    g_strdup_printf("%s:%d", IP, STORE_PROXIES + e->index);
 	char *args[] = { bin, "serve", "--name", name, "--zone", "z", "--ip",
 		ip, "--front", front, "--ready", ready, "--store", store,
-		"--peer-port", "8002", "--log-level", "ERROR", NULL };
+		"--peer-port", "8012", "--metrics-port", "0", "--log-level",
+		"ERROR", NULL };
 	uv_process_options_t o = {
 		.file = bin, .args = args, .exit_cb = on_exit_entry
 	};
--- a/test/standin/users.c
+++ b/test/standin/users.c
@@ -25,8 +25,10 @@
 #define TASK_MS	       300
 #define TICK_MS	       20
 #define BODY_MAX       (1024 * 1024)
+#define ADVISED	       9  /* the host whose queue needs approval */
 #define HOSTS	       10 /* of callers: a name, and addresses of entries */
 #define TASK_CPU_MILLI 500
+#define TICKET_MS      3000
 #define FIRST_STEP     3 /* tasks of step 0 of the jobs of process tests */
 
 typedef struct {
@@ -248,6 +250,23 @@
 	x->after = g_ascii_strtoll(after, NULL, 10);
 }
 
+/* Approves every worker that it is asked about. */
+static void
+advise(server_req_t *r)
+{
+	json_t *j = json_loadb(r->body, r->body_bytes, 0, NULL), *e;
+	json_t *good = json_array();
+	size_t i;
+
+	json_array_foreach(json_object_get(j, "workers"), i, e)
+	{
+		json_array_append_new(good, json_pack("[O,s]", e, "t1"));
+	}
+	reply(r, 200,
+	    json_pack("{s:o,s:i}", "good", good, "valid_ms", TICKET_MS));
+	json_decref(j);
+}
+
 static void
 on_store(void *ctx, server_req_t *r)
 {
@@ -258,6 +277,8 @@
 		store_get(r);
 	else if (g_str_has_prefix(r->path, "/-/rows-feed"))
 		store_feed(r);
+	else if (g_str_has_prefix(r->path, "/-/advise"))
+		advise(r);
 	else
 		server_reply(r, 404, "", "", 0);
 }
@@ -314,9 +335,9 @@
 		    "%s{\"name\":\"q%d\",\"host\":\"%s%d\","
 		    "\"prefix\":\"/q/\",\"service\":\"s\",\"priority\":0,"
 		    "\"max_attempts\":2,\"stretch\":2.0,"
-		    "\"target_duration_ms\":500}",
-		    i == 0 ? "" : ",", i, i == 0 ? "h.example" : "127.0.0.5",
-		    i);
+		    "\"target_duration_ms\":500%s}",
+		    i == 0 ? "" : ",", i, i == 0 ? "h.example" : "127.0.0.5", i,
+		    i == ADVISED ? ",\"advice\":{\"decision_ms\":1}" : "");
 	g_string_prepend(routes, "{\"version\":3,\"routes\":[");
 	g_string_append(routes, "],\"services\":[],\"limits\":{}}");
 	g_string_replace(routes, "h.example0", "h.example", 1);
--- a/test/unit/sched.c
+++ b/test/unit/sched.c
@@ -448,3 +448,79 @@
 		sched_free(s);
 	}
 }
+
+static struct {
+	uint64_t id;
+	size_t nworkers;
+	int calls, orders;
+	char ticket[16];
+} approval;
+
+static void
+take_advise(void *ctx, const sched_advise_t *a)
+{
+	(void)ctx;
+	approval.id = a->id;
+	approval.nworkers = a->nworkers;
+	approval.calls++;
+}
+
+static void
+take_order(void *ctx, const sched_order_t *o)
+{
+	(void)ctx;
+	approval.orders++;
+	g_strlcpy(approval.ticket, o->ticket, sizeof(approval.ticket));
+}
+
+/* Pattern: a queue whose tasks run only where an outside service allows it. */
+Test(sched, a_task_waits_for_approval_of_its_worker)
+{
+	static const sched_ticket_t good[] = { { "b", "t1" } };
+	static const struct {
+		const char *what;
+		bool answered;
+		size_t ngood;
+		int64_t later_ms; /* until tasks are started */
+		int orders, calls;
+	} cases[] = {
+		{ "no answer yet", false, 0, 0, 0, 1 },
+		{ "one may", true, 1, 0, 1, 1 },
+		{ "none may", true, 0, 0, 0, 1 },
+		{ "the ticket has ended", true, 1, 2900, 0, 2 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = sched();
+		Sched__Step d = step_of("", 1000, false, 0);
+		sched_advice_t a = { good, cases[i].ngood, 3000 };
+		job_t *j;
+
+		memset(&approval, 0, sizeof(approval));
+		s->o.port.advise = take_advise;
+		s->o.port.order = take_order;
+		s->cell.state = CELL_OWNED;
+		s->cell.accounted = true;
+		s->now = 1000;
+		vm(s, "a");
+		vm(s, "b");
+		sched_queue(s, "q", "s", 0, 2, true, s->now);
+		j = job(s, "0000000000000001", &d, 0);
+		j->advised = true;
+		first_step(j)->ready = true;
+		queue_add(s, first_step(j));
+		run_waiting(s);
+		cr_expect_eq(approval.nworkers, 2, "%s", cases[i].what);
+		if (cases[i].answered)
+			sched_advised(s, approval.id, &a, s->now + 40);
+		s->now += cases[i].later_ms;
+		run_waiting(s);
+		cr_expect_eq(approval.orders, cases[i].orders, "%s: %d orders",
+		    cases[i].what, approval.orders);
+		cr_expect_eq(approval.calls, cases[i].calls, "%s: %d calls",
+		    cases[i].what, approval.calls);
+		if (cases[i].orders > 0)
+			cr_expect_str_eq(approval.ticket, "t1");
+		sched_free(s);
+	}
+}
