The footprint lies in 64 rows, of which only changed ones are written

Cause: all workers were in one row, and a row holds 64 KiB: at 3,000 workers it is about 120 KB, the store refuses the whole transaction of the owner, and the owner can renew nothing. The unit test (60, 3,000 and 29,000 workers) is of the new form.

--- a/sched/flush.c
+++ b/sched/flush.c
@@ -12,9 +12,12 @@
 #include "sched.h"
 #include "part.h"
 
-#define ROWS_MAX 90  /* of a transaction: the store takes 100 */
-#define GAP_MS	 25  /* between transactions, to write more in each */
-#define RENEW_MS 400 /* without one the claim is renewed */
+#define ROWS_MAX 90 /* of a transaction: the store takes 100 */
+/* Rows of the footprint: with 29,000 workers each stays below 64 KiB. */
+#define FOOTPRINT_ROWS	  64
+#define FOOTPRINT_AT_ONCE 16  /* in a transaction: the store takes 1 MB */
+#define GAP_MS		  25  /* between transactions, to write more in each */
+#define RENEW_MS	  400 /* without one the claim is renewed */
 
 static void
 put(GArray *puts, char *key, GByteArray *bytes)
@@ -87,43 +90,52 @@
 	return w->ends_ms != 0 ? w->ends_ms : vm_lease_end(w) + s->store_off_ms;
 }
 
+/* The row of the footprint that a worker is told of in. */
+static int32_t
+footprint_row(const vm_t *w)
+{
+	return (int32_t)(g_str_hash(w->id) % FOOTPRINT_ROWS);
+}
+
+/* Brings a worker's part of the footprint up to date; true when it changes. */
+static bool
+update_worker(const sched_t *s, vm_t *w)
+{
+	bool in = in_footprint(s, w);
+	int64_t ends = ends_ms(s, w);
+	bool changed =
+	    in != (w->store_flush != 0) || (in && ends != w->ends_ms);
+
+	w->ends_ms = ends;
+	w->store_flush = !in	? 0 :
+	    w->store_flush == 0 ? s->flush :
+				  w->store_flush;
+	w->stored = w->stored && in;
+	return changed;
+}
+
 static void
-put_footprint(sched_t *s, GArray *puts)
+put_footprint_row(sched_t *s, GArray *puts, int32_t row)
 {
 	Sched__Footprint f = SCHED__FOOTPRINT__INIT;
-	GByteArray *b;
-	bool changed = false;
+	GByteArray *b = g_byte_array_new();
 
 	f.workers = g_new0(char *, s->worker_list->len + 1);
 	f.born_ms = g_new0(int64_t, s->worker_list->len + 1);
 	f.until_ms = g_new0(int64_t, s->worker_list->len + 1);
 	for (guint i = 0; i < s->worker_list->len; i++) {
-		vm_t *w = g_ptr_array_index(s->worker_list, i);
-		bool in = in_footprint(s, w);
-
-		int64_t ends = ends_ms(s, w);
-
-		changed = changed || in != (w->store_flush != 0) ||
-		    (in && ends != w->ends_ms);
-		w->ends_ms = ends;
-		w->store_flush = !in	? 0 :
-		    w->store_flush == 0 ? s->flush :
-					  w->store_flush;
-		w->stored = w->stored && in;
-		if (!in)
+		const vm_t *w = g_ptr_array_index(s->worker_list, i);
+
+		if (w->store_flush == 0 || footprint_row(w) != row)
 			continue;
 		f.workers[f.n_workers++] =
 		    g_strconcat(w->id, " ", w->address, NULL);
 		f.born_ms[f.n_born_ms++] = w->born_ms;
-		f.until_ms[f.n_until_ms++] = ends;
-	}
-	if (changed) {
-		b = g_byte_array_new();
-		g_byte_array_set_size(
-		    b, (guint)sched__footprint__get_packed_size(&f));
-		sched__footprint__pack(&f, b->data);
-		put(puts, g_strdup(SCHED_KEY_FOOTPRINT), b);
+		f.until_ms[f.n_until_ms++] = w->ends_ms;
 	}
+	g_byte_array_set_size(b, (guint)sched__footprint__get_packed_size(&f));
+	sched__footprint__pack(&f, b->data);
+	put(puts, g_strdup_printf(SCHED_KEY_FOOTPRINT ".%02d", row), b);
 	for (size_t i = 0; i < f.n_workers; i++)
 		g_free(f.workers[i]);
 	g_free(f.workers);
@@ -131,6 +143,32 @@
 	g_free(f.until_ms);
 }
 
+/*
+ * Writes the rows of the footprint that have changed, a few in each
+ * transaction; the others follow in the next.
+ */
+static void
+put_footprint(sched_t *s, GArray *puts)
+{
+	bool changed[FOOTPRINT_ROWS] = { false };
+	int32_t rows = 0;
+
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		vm_t *w = g_ptr_array_index(s->worker_list, i);
+		int32_t row = footprint_row(w);
+
+		if (!changed[row] && rows == FOOTPRINT_AT_ONCE)
+			continue;
+		if (!update_worker(s, w) || changed[row])
+			continue;
+		changed[row] = true;
+		rows++;
+	}
+	for (int32_t i = 0; i < FOOTPRINT_ROWS; i++)
+		if (changed[i])
+			put_footprint_row(s, puts, i);
+}
+
 /* Workers that earlier owners may have left something on. */
 void
 flush_footprint(sched_t *s, const Sched__Footprint *f)
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -192,7 +192,7 @@
 	s->now = now_ms;
 	if (!loading && s->cell.state != CELL_OWNED)
 		return;
-	if (strcmp(row->key, SCHED_KEY_FOOTPRINT) == 0) {
+	if (g_str_has_prefix(row->key, SCHED_KEY_FOOTPRINT)) {
 		if (loading && row->bytes != NULL)
 			add_footprint(s, row);
 		return;
--- a/test/unit/sched.c
+++ b/test/unit/sched.c
@@ -524,3 +524,65 @@
 		sched_free(s);
 	}
 }
+
+static struct {
+	size_t rows, largest_bytes, footprint_rows;
+} written;
+
+static void
+take_write(void *ctx, int64_t version, const GArray *puts)
+{
+	(void)ctx;
+	(void)version;
+	written.rows = MAX(written.rows, puts->len);
+	for (guint i = 0; i < puts->len; i++) {
+		const sched_put_t *p = &g_array_index(puts, sched_put_t, i);
+
+		written.largest_bytes =
+		    MAX(written.largest_bytes, p->bytes->len);
+		written.footprint_rows +=
+		    g_str_has_prefix(p->key, SCHED_KEY_FOOTPRINT);
+	}
+}
+
+/* Pattern: as many workers as the target asks for come at once. */
+Test(sched, the_footprint_fits_the_rows_of_the_store)
+{
+	static const struct {
+		int workers, writes; /* until all may be used */
+	} cases[] = { { 60, 4 }, { 3000, 4 }, { 29000, 4 } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = sched();
+		int usable = 0;
+
+		memset(&written, 0, sizeof(written));
+		s->o.port.write = take_write;
+		s->cell.state = CELL_OWNED;
+		for (int k = 0; k < cases[i].workers; k++) {
+			g_autofree char *id = g_strdup_printf("i-%010x", k);
+
+			vm(s, id)->stored = false;
+		}
+		for (int k = 0; k < cases[i].writes; k++) {
+			s->now += 500;
+			flush_due(s);
+			sched_wrote(s, SCHED_WRITTEN, k + 1, s->now + 5);
+		}
+		for (guint k = 0; k < s->worker_list->len; k++)
+			usable +=
+			    vm_usable(s, g_ptr_array_index(s->worker_list, k));
+		cr_expect_eq(usable, cases[i].workers, "%d of %d are usable",
+		    usable, cases[i].workers);
+		cr_expect_leq(written.largest_bytes, 65536 * 3 / 4,
+		    "%d workers: a row of %zu bytes", cases[i].workers,
+		    written.largest_bytes);
+		cr_expect_leq(written.rows, 100);
+		/* A renewal without changes writes none of it again. */
+		written.footprint_rows = 0;
+		s->now += 500;
+		flush_due(s);
+		cr_expect_eq(written.footprint_rows, 0);
+		sched_free(s);
+	}
+}
