An empty address for approvals starts the process without them

Cause: the setting took no empty text, which a template gives where the platform names no such service; the process ended with a usage error. Found by the soak, whose entries have none: it accepted nothing and said so only in its last line. The soak now counts an entry that ends by itself, and a run that accepts under half of its jobs, as broken; test/serve.sh no_advice.

--- a/serve/cell.c
+++ b/serve/cell.c
@@ -374,6 +374,8 @@
 		.ctx = c };
 
 	c->node = n;
+	if (n->o.advice == NULL || n->o.advice[0] == '\0')
+		o.port.advise = NULL;
 	c->sched = sched_new(&o);
 	c->runs = follow_new(&runs);
 	c->jobs = follow_new(&jobs);
--- a/serve/node.c
+++ b/serve/node.c
@@ -336,7 +336,7 @@
 		{ "store", SET_TEXT, &o->store, NULL, 0, 0, "IP:PORT",
 		    "the platform's store" },
 		{ "advice", SET_TEXT, &o->advice, "", 0, 0, "IP:PORT",
-		    "what approves placements, if any" },
+		    "what approves placements, if any", .optional = true },
 		{ "metrics-port", SET_INT, &o->metrics_port, "9464", 0, 65535,
 		    "PORT", "for counters; 0 for none" },
 		{ "peer-port", SET_INT, &o->peer_port, "8002", 1, 65535, "PORT",
--- a/test/serve.sh
+++ b/test/serve.sh
@@ -40,6 +40,11 @@
 start_serve 1
 start_serve 2
 wait_for 10 ready 1 && wait_for 10 ready 2 || no ready "not ready"
+# No service for approvals: an empty address, as templates give it.
+start s3 "$B/tanagerspool" serve --name s3 --zone z --ip 127.0.0.53 \
+    --front 127.0.0.53:8000 --ready 127.0.0.53:8001 --store $STORE --advice=
+check no_advice "$(wait_for 10 ready 3 && echo ready)" ready
+kill -9 "$(pid_of s3)"
 check accepted "$(ask_code 1 POST /q/00000000000000a1 "$JOB")" 200
 check repeated "$(ask_code 2 POST /q/00000000000000a1 "$JOB")" 200
 wait_for 10 is_state 2 00000000000000a1 completed
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -156,6 +156,9 @@
 	    "entry %d ends: status %d, signal %d", e->index, (int)status, sig);
 	if (sig != 0 && sig != SIGKILL)
 		broken("entry %d ended by signal %d", e->index, sig);
+	if (e->stop_ms == 0 && sig == 0)
+		broken("entry %d ended by itself: status %d", e->index,
+		    (int)status);
 	if (e->stop_ms != 0 && sig == 0 &&
 	    now_ms() - e->stop_ms > STOP_BOUND_MS)
 		broken("entry %d took too long to stop", e->index);
@@ -553,6 +556,8 @@
 		broken("%s was accepted and has not ended: %d tasks done",
 		    j->id, j->done);
 	}
+	if (k.accepted * 2 < (int)k.order->len)
+		broken("%d of %u jobs were accepted", k.accepted, k.order->len);
 	for (int i = 0; i < k.entries; i++)
 		signal_entry(&k.entry[i], SIGKILL);
 	uv_process_kill(&k.platform, SIGKILL);
