What an owner has learned of harm is kept in a row for the next

Cause: each owner began with the prior, so that every change of owner cost the lasting tasks the time to learn anew. The row !harm is written every 3 s; a claim reads it.

--- a/proto/sched.pb-c.c
+++ b/proto/sched.pb-c.c
@@ -457,6 +457,96 @@
   assert(message->base.descriptor == &sched__silence__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sched__image_harm__init
+                     (Sched__ImageHarm         *message)
+{
+  static const Sched__ImageHarm init_value = SCHED__IMAGE_HARM__INIT;
+  *message = init_value;
+}
+size_t sched__image_harm__get_packed_size
+                     (const Sched__ImageHarm *message)
+{
+  assert(message->base.descriptor == &sched__image_harm__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sched__image_harm__pack
+                     (const Sched__ImageHarm *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sched__image_harm__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sched__image_harm__pack_to_buffer
+                     (const Sched__ImageHarm *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sched__image_harm__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sched__ImageHarm *
+       sched__image_harm__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sched__ImageHarm *)
+     protobuf_c_message_unpack (&sched__image_harm__descriptor,
+                                allocator, len, data);
+}
+void   sched__image_harm__free_unpacked
+                     (Sched__ImageHarm *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sched__image_harm__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sched__harms__init
+                     (Sched__Harms         *message)
+{
+  static const Sched__Harms init_value = SCHED__HARMS__INIT;
+  *message = init_value;
+}
+size_t sched__harms__get_packed_size
+                     (const Sched__Harms *message)
+{
+  assert(message->base.descriptor == &sched__harms__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sched__harms__pack
+                     (const Sched__Harms *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sched__harms__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sched__harms__pack_to_buffer
+                     (const Sched__Harms *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sched__harms__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sched__Harms *
+       sched__harms__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sched__Harms *)
+     protobuf_c_message_unpack (&sched__harms__descriptor,
+                                allocator, len, data);
+}
+void   sched__harms__free_unpacked
+                     (Sched__Harms *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sched__harms__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor sched__step__field_descriptors[18] =
 {
   {
@@ -1463,6 +1553,121 @@
   (ProtobufCMessageInit) sched__silence__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor sched__image_harm__field_descriptors[4] =
+{
+  {
+    "serving",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sched__ImageHarm, serving),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "low",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Sched__ImageHarm, low),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fillers",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Sched__ImageHarm, n_fillers),
+    offsetof(Sched__ImageHarm, fillers),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "harms",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Sched__ImageHarm, n_harms),
+    offsetof(Sched__ImageHarm, harms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sched__image_harm__field_indices_by_name[] = {
+  2,   /* field[2] = fillers */
+  3,   /* field[3] = harms */
+  1,   /* field[1] = low */
+  0,   /* field[0] = serving */
+};
+static const ProtobufCIntRange sched__image_harm__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor sched__image_harm__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sched.ImageHarm",
+  "ImageHarm",
+  "Sched__ImageHarm",
+  "sched",
+  sizeof(Sched__ImageHarm),
+  4,
+  sched__image_harm__field_descriptors,
+  sched__image_harm__field_indices_by_name,
+  1,  sched__image_harm__number_ranges,
+  (ProtobufCMessageInit) sched__image_harm__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sched__harms__field_descriptors[1] =
+{
+  {
+    "images",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sched__Harms, n_images),
+    offsetof(Sched__Harms, images),
+    &sched__image_harm__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sched__harms__field_indices_by_name[] = {
+  0,   /* field[0] = images */
+};
+static const ProtobufCIntRange sched__harms__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor sched__harms__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sched.Harms",
+  "Harms",
+  "Sched__Harms",
+  "sched",
+  sizeof(Sched__Harms),
+  1,
+  sched__harms__field_descriptors,
+  sched__harms__field_indices_by_name,
+  1,  sched__harms__number_ranges,
+  (ProtobufCMessageInit) sched__harms__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue sched__state__enum_values_by_number[5] =
 {
   { "PENDING", "SCHED__STATE__PENDING", 0 },
--- a/proto/sched.pb-c.h
+++ b/proto/sched.pb-c.h
@@ -25,6 +25,8 @@
 typedef struct Sched__Footprint Sched__Footprint;
 typedef struct Sched__Entry Sched__Entry;
 typedef struct Sched__Silence Sched__Silence;
+typedef struct Sched__ImageHarm Sched__ImageHarm;
+typedef struct Sched__Harms Sched__Harms;
 
 
 /* --- enums --- */
@@ -277,6 +279,41 @@
     , (char *)protobuf_c_empty_string, 0, 0 }
 
 
+/*
+ * How much filler images harm a serving image, as learned by an owner.
+ */
+struct  Sched__ImageHarm
+{
+  ProtobufCMessage base;
+  char *serving;
+  /*
+   * its headroom when busiest
+   */
+  double low;
+  size_t n_fillers;
+  char **fillers;
+  /*
+   * headroom lost to a whole worker's use
+   */
+  size_t n_harms;
+  double *harms;
+};
+#define SCHED__IMAGE_HARM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sched__image_harm__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL }
+
+
+struct  Sched__Harms
+{
+  ProtobufCMessage base;
+  size_t n_images;
+  Sched__ImageHarm **images;
+};
+#define SCHED__HARMS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sched__harms__descriptor) \
+    , 0,NULL }
+
+
 /* Sched__Step methods */
 void   sched__step__init
                      (Sched__Step         *message);
@@ -467,6 +504,44 @@
 void   sched__silence__free_unpacked
                      (Sched__Silence *message,
                       ProtobufCAllocator *allocator);
+/* Sched__ImageHarm methods */
+void   sched__image_harm__init
+                     (Sched__ImageHarm         *message);
+size_t sched__image_harm__get_packed_size
+                     (const Sched__ImageHarm   *message);
+size_t sched__image_harm__pack
+                     (const Sched__ImageHarm   *message,
+                      uint8_t             *out);
+size_t sched__image_harm__pack_to_buffer
+                     (const Sched__ImageHarm   *message,
+                      ProtobufCBuffer     *buffer);
+Sched__ImageHarm *
+       sched__image_harm__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sched__image_harm__free_unpacked
+                     (Sched__ImageHarm *message,
+                      ProtobufCAllocator *allocator);
+/* Sched__Harms methods */
+void   sched__harms__init
+                     (Sched__Harms         *message);
+size_t sched__harms__get_packed_size
+                     (const Sched__Harms   *message);
+size_t sched__harms__pack
+                     (const Sched__Harms   *message,
+                      uint8_t             *out);
+size_t sched__harms__pack_to_buffer
+                     (const Sched__Harms   *message,
+                      ProtobufCBuffer     *buffer);
+Sched__Harms *
+       sched__harms__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sched__harms__free_unpacked
+                     (Sched__Harms *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Sched__Step_Closure)
@@ -499,6 +574,12 @@
 typedef void (*Sched__Silence_Closure)
                  (const Sched__Silence *message,
                   void *closure_data);
+typedef void (*Sched__ImageHarm_Closure)
+                 (const Sched__ImageHarm *message,
+                  void *closure_data);
+typedef void (*Sched__Harms_Closure)
+                 (const Sched__Harms *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -516,6 +597,8 @@
 extern const ProtobufCMessageDescriptor sched__footprint__descriptor;
 extern const ProtobufCMessageDescriptor sched__entry__descriptor;
 extern const ProtobufCMessageDescriptor sched__silence__descriptor;
+extern const ProtobufCMessageDescriptor sched__image_harm__descriptor;
+extern const ProtobufCMessageDescriptor sched__harms__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/sched/flush.c
+++ b/sched/flush.c
@@ -199,6 +199,7 @@
 begin(sched_t *s)
 {
 	g_autoptr(GArray) puts = g_array_new(FALSE, FALSE, sizeof(sched_put_t));
+	GByteArray *harm;
 	GHashTableIter it;
 	void *v;
 
@@ -212,6 +213,9 @@
 		s->cell.releasing &&
 		    g_hash_table_size(s->dirty) <= ROWS_MAX / 3));
 	put_footprint(s, puts);
+	harm = recall_pack(s);
+	if (harm != NULL)
+		put(puts, g_strdup(SCHED_KEY_HARM), harm);
 	g_hash_table_iter_init(&it, s->dirty);
 	while (puts->len < ROWS_MAX && g_hash_table_iter_next(&it, &v, NULL)) {
 		job_t *j = v;
--- a/sched/harm.c
+++ b/sched/harm.c
@@ -24,6 +24,7 @@
 #define HARM_PRIOR   1.9   /* headroom lost to a whole worker's use */
 #define PRIOR_WEIGHT 0.005 /* as much as a report with a 14th in use */
 #define HARMLESS     2	   /* less leaves all tasks within their targets */
+#define KNOWN_WEIGHT 0.05  /* of reports, before they outweigh the prior */
 #define LOST_WEIGHT  1	   /* reports that no loss without fillers counts as */
 #define FORGET	     0.998 /* of the weight of reports, each solution */
 #define SWEEPS	     12	   /* of coordinate descent, a solution */
@@ -77,16 +78,46 @@
 	return m;
 }
 
-/* Headroom lost if the filler image used the whole worker; 0: harmless. */
+/* Headroom lost if the filler image used the whole worker, as estimated. */
+double
+harm_estimate(const sched_t *s, int32_t serving, int32_t filler)
+{
+	return s->harm[serving] == NULL ? HARM_PRIOR :
+					  s->harm[serving]->h[filler];
+}
+
+/* The same, and 0 where it is so little that all targets are kept. */
 double
 harm_of(const sched_t *s, int32_t serving, int32_t filler)
 {
-	double h =
-	    s->harm[serving] == NULL ? HARM_PRIOR : s->harm[serving]->h[filler];
+	double h = harm_estimate(s, serving, filler);
 
 	return h < HARMLESS ? 0 : h;
 }
 
+/* Whether reports tell of the pair, rather than the prior alone. */
+bool
+harm_known(const sched_t *s, int32_t serving, int32_t filler)
+{
+	return s->harm[serving] != NULL &&
+	    s->harm[serving]->xx[filler][filler] >= KNOWN_WEIGHT;
+}
+
+/* Takes over what an earlier owner had learned of a pair not known here. */
+void
+harm_recall(sched_t *s, int32_t serving, int32_t filler, double h, double low)
+{
+	harm_t *m;
+
+	if (filler < 0 || harm_known(s, serving, filler))
+		return;
+	m = harm_get(s, serving);
+	m->low = low;
+	m->h[filler] = h;
+	m->xx[filler][filler] += KNOWN_WEIGHT;
+	m->xy[filler] += KNOWN_WEIGHT * h;
+}
+
 /* Headroom of a serving image when it is busiest, without fillers. */
 double
 harm_low(const sched_t *s, int32_t serving)
--- a/sched/part.h
+++ b/sched/part.h
@@ -262,6 +262,7 @@
 	GPtrArray *flushing;	 /* jobs in the write under way */
 	bool pump;		 /* something may be startable */
 	int64_t sort_ms, load_ms;
+	int64_t recall_ms;	     /* when learned harm was last written */
 	int64_t store_off_ms;	     /* its clock less ours */
 	int64_t fed_ms[SCHED_FEEDS]; /* a table was last read up to then */
 	sched_stats_t stats;
@@ -343,12 +344,20 @@
 
 /* harm.c */
 int32_t harm_image(sched_t *s, const char *image);
+double harm_estimate(const sched_t *s, int32_t serving, int32_t filler);
+bool harm_known(const sched_t *s, int32_t serving, int32_t filler);
+void
+harm_recall(sched_t *s, int32_t serving, int32_t filler, double h, double low);
 double harm_of(const sched_t *s, int32_t serving, int32_t filler);
 double harm_low(const sched_t *s, int32_t serving);
 void harm_undisturbed(sched_t *s, int32_t serving, double headroom);
 void harm_learn(sched_t *s, int32_t serving, double lost, const double *use);
 void harm_solve(sched_t *s);
 
+/* recall.c */
+GByteArray *recall_pack(sched_t *s);
+void recall_row(sched_t *s, const sched_row_t *row);
+
 /* look.c */
 void look_tick(sched_t *s, vm_t *w);
 
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -197,6 +197,11 @@
 			add_footprint(s, row);
 		return;
 	}
+	if (strcmp(row->key, SCHED_KEY_HARM) == 0) {
+		if (loading && row->bytes != NULL)
+			recall_row(s, row);
+		return;
+	}
 	if (row->key[0] == '!' || strlen(row->key) < SCHED_JOB_ID_BYTES ||
 	    row->bytes == NULL)
 		return;
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -16,6 +16,7 @@
 /* Keys of rows in a cell; a job's rows begin with its id. */
 #define SCHED_KEY_OWNER	    "!owner"
 #define SCHED_KEY_FOOTPRINT "!workers" /* and a number */
+#define SCHED_KEY_HARM	    "!harm"
 #define SCHED_KEY_CANCEL    ".c"
 #define SCHED_KEY_PROGRESS  ".p"
 
--- a/test/unit/sched.c
+++ b/test/unit/sched.c
@@ -264,6 +264,39 @@
 	sched_free(s);
 }
 
+/* Pattern: an owner is killed, and the next has seen no tail yet. */
+Test(sched, harm_is_known_to_the_next_owner)
+{
+	sched_t *a = sched(), *b = sched();
+	Sched__Step bad = step_of("bad", 7000, true, 0);
+	int32_t serving = harm_image(a, "serve"), filler;
+	double use[IMAGES_MAX] = { 0 };
+	sched_row_t row = { .key = SCHED_KEY_HARM, .version = 9 };
+	g_autoptr(GByteArray) bytes = NULL;
+
+	filler = first_step(job(a, "0000000000000002", &bad, 0))->image;
+	use[filler] = 0.1;
+	for (int i = 0; i < 20; i++)
+		harm_learn(a, serving, 1.2, use);
+	harm_solve(a);
+	a->now = 10000;
+	bytes = recall_pack(a);
+	cr_assert_not_null(bytes);
+	cr_expect_null(recall_pack(a), "written twice at once");
+	row.bytes = bytes->data;
+	row.nbytes = bytes->len;
+	harm_image(b, "other"); /* images have other numbers there */
+	b->cell.state = CELL_LOADING;
+	sched_row(b, &row, 1);
+	cr_expect_float_eq(
+	    harm_of(b, harm_image(b, "serve"), harm_image(b, "bad")),
+	    harm_of(a, serving, filler), 0.01);
+	row.nbytes = 3;
+	sched_row(b, &row, 1);
+	sched_free(a);
+	sched_free(b);
+}
+
 /* Pattern: a burst of harmful fillers while serving tasks hold most workers. */
 Test(sched, harmful_fillers_go_where_nothing_serves)
 {
