Rows of ended jobs are removed

Cause: nothing removed them, so the store filled and each claim read the jobs of all times. 180 s after the end (as long as callers may ask, and a minute for late repeats) the rows of callers go, in one transaction a part and round; once that is known to be done, the owner's row: without it a job row would count as one that has not begun. Unit test for the order and for writes in doubt; by hand with the real daemon: after 2 s and a round of 30 s the job is answered 410 and its three rows are gone.

--- a/cmd/log.c
+++ b/cmd/log.c
@@ -62,6 +62,7 @@
 	{ 612, LOG4C_PRIORITY_INFO, "job_end" },
 	{ 613, LOG4C_PRIORITY_INFO, "job_cancel" },
 	{ 614, LOG4C_PRIORITY_WARN, "job_bad" },
+	{ 615, LOG4C_PRIORITY_INFO, "jobs_removed" },
 	{ 621, LOG4C_PRIORITY_INFO, "run_start" },
 	{ 622, LOG4C_PRIORITY_WARN, "run_start_failed" },
 	{ 623, LOG4C_PRIORITY_INFO, "run_stop" },
--- a/sched/flush.c
+++ b/sched/flush.c
@@ -199,6 +199,7 @@
 begin(sched_t *s)
 {
 	g_autoptr(GArray) puts = g_array_new(FALSE, FALSE, sizeof(sched_put_t));
+	g_autoptr(GPtrArray) old = NULL;
 	GByteArray *harm;
 	GHashTableIter it;
 	void *v;
@@ -216,6 +217,10 @@
 	harm = recall_pack(s);
 	if (harm != NULL)
 		put(puts, g_strdup(SCHED_KEY_HARM), harm);
+	old = purge_rows(s);
+	for (guint i = 0; i < old->len; i++)
+		put(puts, g_strdup(g_ptr_array_index(old, i)), NULL);
+	s->purging = old->len > 0;
 	g_hash_table_iter_init(&it, s->dirty);
 	while (puts->len < ROWS_MAX && g_hash_table_iter_next(&it, &v, NULL)) {
 		job_t *j = v;
@@ -259,7 +264,7 @@
 		}
 		if (j->stage == JOB_ENDING && !j->dirty) {
 			j->stage = JOB_ENDED;
-			g_hash_table_add(s->ended, g_strdup(j->id));
+			purge_add(s, j->id, s->wall);
 			if (j->runs == 0)
 				g_hash_table_remove(s->jobs, j->id);
 		}
@@ -296,6 +301,9 @@
 	if (!s->writing)
 		return;
 	s->writing = false;
+	if (s->purging)
+		purge_wrote(s, r == SCHED_WRITTEN);
+	s->purging = false;
 	if (s->cell.state != CELL_OWNED) {
 		g_ptr_array_set_size(s->flushing, 0);
 		return;
--- a/sched/part.h
+++ b/sched/part.h
@@ -249,7 +249,7 @@
 	GHashTable *advising; /* calls under way, by id */
 	GHashTable *zones;    /* evacuated, interned */
 	GHashTable *progress; /* while loading: id -> Sched__Progress */
-	GHashTable *ended;    /* ids of jobs whose end is stored */
+	GHashTable *ended;    /* jobs whose end is stored, by id: purge.c */
 	GSequence *ready;     /* of step_t */
 	GHashTable *dirty;    /* of job_t */
 	GPtrArray *timed;     /* jobs with occurrences to come */
@@ -262,6 +262,8 @@
 	GPtrArray *flushing;	 /* jobs in the write under way */
 	bool pump;		 /* something may be startable */
 	int64_t sort_ms, load_ms;
+	int64_t purge_ms;	     /* last round of removals */
+	bool purging;		     /* the write under way removes rows */
 	int64_t recall_ms;	     /* when learned harm was last written */
 	int64_t store_off_ms;	     /* its clock less ours */
 	int64_t fed_ms[SCHED_FEEDS]; /* a table was last read up to then */
@@ -354,6 +356,13 @@
 void harm_learn(sched_t *s, int32_t serving, double lost, const double *use);
 void harm_solve(sched_t *s);
 
+/* purge.c */
+GHashTable *purge_new(void);
+void purge_add(sched_t *s, const char *id, int64_t ended_ms);
+void purge_tick(sched_t *s);
+GPtrArray *purge_rows(sched_t *s);
+void purge_wrote(sched_t *s, bool ok);
+
 /* recall.c */
 GByteArray *recall_pack(sched_t *s);
 void recall_row(sched_t *s, const sched_row_t *row);
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -61,7 +61,7 @@
 	s->images = g_hash_table_new(g_str_hash, g_str_equal);
 	s->progress = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, free_progress);
-	s->ended = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	s->ended = purge_new();
 	s->advising = advice_calls_new();
 	s->zones = g_hash_table_new(g_direct_hash, g_direct_equal);
 	return s;
@@ -165,7 +165,7 @@
 		g_hash_table_insert(s->progress, g_strdup(id), p);
 		return;
 	}
-	g_hash_table_add(s->ended, g_strdup(id));
+	purge_add(s, id, p->ended_ms);
 	sched__progress__free_unpacked(p, NULL);
 }
 
@@ -491,6 +491,7 @@
 		run_waiting(s);
 	for (guint i = 0; i < s->worker_list->len; i++)
 		look_tick(s, g_ptr_array_index(s->worker_list, i));
+	purge_tick(s);
 	flush_due(s);
 	return s->pump || g_hash_table_size(s->dirty) > 0 ? TICK_SOON_MS :
 							    TICK_MS;
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -155,6 +155,7 @@
 	SCHED_EVT_JOB_ENDED = 612,
 	SCHED_EVT_JOB_CANCEL = 613,
 	SCHED_EVT_JOB_BAD = 614,
+	SCHED_EVT_PURGE = 615,
 	SCHED_EVT_START = 621,
 	SCHED_EVT_START_FAILED = 622,
 	SCHED_EVT_STOP = 623,
@@ -182,6 +183,8 @@
 	void (*write)(void *ctx, int64_t version, const GArray *puts);
 	void (*order)(void *ctx, const sched_order_t *o);
 	void (*look)(void *ctx, const sched_look_t *l);
+	/* Removes what callers wrote of jobs; NULL: all is kept. */
+	void (*purge)(void *ctx, const char *const *ids, size_t n);
 	/* NULL: no service approves placements. */
 	void (*advise)(void *ctx, const sched_advise_t *a);
 	void (*event)(
@@ -191,7 +194,8 @@
 typedef struct {
 	const char *name; /* of this process */
 	int64_t incarnation;
-	int32_t max_lease_ms; /* the longest a worker grants */
+	int32_t max_lease_ms;  /* the longest a worker grants */
+	int64_t keep_ended_ms; /* rows of a job that has ended */
 	sched_port_t port;
 	void *ctx;
 } sched_opts_t;
@@ -213,6 +217,9 @@
 void sched_row(sched_t *s, const sched_row_t *row, int64_t now_ms);
 void sched_wrote(sched_t *s, sched_write_t r, int64_t version, int64_t now_ms);
 
+/* The removal of a job's rows has ended. */
+void sched_purged(sched_t *s, const char *id, bool ok, int64_t now_ms);
+
 /* The platform's list: one entry, or an id that left it. */
 void sched_worker(sched_t *s, const sched_worker_info_t *w, int64_t now_ms);
 void sched_worker_left(sched_t *s, const char *id, int64_t now_ms);
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -100,8 +100,9 @@
 #define JOB_TABLE  "job0"
 #define JOB_PART   "j"
 #define JOB_PARTS  32 /* enough for 30 hand-ins/s in a store 60 times slower */
-/* The part that a job's row lies in; part has STORE_NAME_BYTES. */
-void job_part(const char *id, char *part);
+/* The part that a job's row lies in, and its number; part has
+ * STORE_NAME_BYTES. */
+int32_t job_part(const char *id, char *part);
 
 typedef struct {
 	char *name, *zone, *ip;
@@ -110,6 +111,7 @@
 	char *advice;	     /* ip:port, or "" */
 	int32_t metrics_port, peer_port;
 	int32_t max_hold_ms;
+	int32_t keep_ended_s, repeat_s;
 	int32_t grace_ms;
 	char *cpu_share, *link_mbps;
 	char *log_level;
--- a/test/cell/node.c
+++ b/test/cell/node.c
@@ -135,7 +135,7 @@
 {
 	sched_opts_t o = { .name = n->name,
 		.max_lease_ms = MAX_HOLD_MS,
-		.port = { do_claim, do_load, do_write, do_order, do_look,
+		.port = { do_claim, do_load, do_write, do_order, do_look, NULL,
 		    NULL, do_event },
 		.ctx = n };
 
--- a/test/unit/sched.c
+++ b/test/unit/sched.c
@@ -619,3 +619,71 @@
 		sched_free(s);
 	}
 }
+
+static struct {
+	int calls;
+	size_t jobs, removed;
+} purged;
+
+static void
+take_purge(void *ctx, const char *const *ids, size_t n)
+{
+	(void)ctx;
+	(void)ids;
+	purged.calls++;
+	purged.jobs += n;
+}
+
+static void
+count_removed(void *ctx, int64_t version, const GArray *puts)
+{
+	(void)ctx;
+	(void)version;
+	for (guint i = 0; i < puts->len; i++)
+		purged.removed +=
+		    g_array_index(puts, sched_put_t, i).bytes == NULL;
+}
+
+/* Pattern: jobs end all day long, and the store must not fill. */
+Test(sched, rows_of_ended_jobs_are_removed_in_order)
+{
+	static const struct {
+		const char *what;
+		int64_t age_ms;
+		bool callers_gone, stored;
+		size_t asked, removed, kept;
+	} cases[] = {
+		{ "too young", 100000, true, true, 0, 0, 1 },
+		{ "old", 200000, true, true, 1, 1, 0 },
+		{ "its first rows may be there", 200000, false, true, 1, 0, 1 },
+		{ "the write is in doubt", 200000, true, false, 1, 1, 1 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = sched();
+
+		memset(&purged, 0, sizeof(purged));
+		s->o.keep_ended_ms = 180000;
+		s->o.port.purge = take_purge;
+		s->o.port.write = count_removed;
+		s->cell.state = CELL_OWNED;
+		s->now = s->cell.confirmed_ms = 1000000;
+		for (int f = 0; f < SCHED_FEEDS; f++)
+			s->fed_ms[f] = s->now;
+		s->wall = 5000000;
+		purge_add(s, "0000000000000001", s->wall - cases[i].age_ms);
+		purge_tick(s);
+		purge_tick(s);
+		cr_expect_eq(purged.jobs, cases[i].asked, "%s", cases[i].what);
+		sched_purged(
+		    s, "0000000000000001", cases[i].callers_gone, s->now);
+		flush_due(s);
+		cr_expect_eq(
+		    purged.removed, cases[i].removed, "%s", cases[i].what);
+		sched_wrote(s, cases[i].stored ? SCHED_WRITTEN : SCHED_IN_DOUBT,
+		    2, s->now);
+		cr_expect_eq(g_hash_table_size(s->ended), cases[i].kept, "%s",
+		    cases[i].what);
+		sched_free(s);
+	}
+}
