--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -52,6 +52,13 @@
 
 static void step(ask_t *a);
 
+/* When a call is answered at the latest: before a graceful stop is over. */
+static int64_t
+answer_by(const ask_t *a)
+{
+	return MIN(a->until_ms, node_stop_by(a->node) - DEADLINE_SPARE_MS);
+}
+
 static void
 on_timer_closed(uv_handle_t *h)
 {
@@ -166,7 +173,7 @@
 		give_up(a, "the store does not answer");
 		return;
 	}
-	if (now + wait >= a->until_ms) {
+	if (now + wait >= answer_by(a)) {
 		give_up(a, "no answer of the store in time");
 		return;
 	}
@@ -221,7 +228,7 @@
 static int32_t
 time_left(const ask_t *a)
 {
-	return (int32_t)CLAMP(a->until_ms - node_now(a->node), 1, WRITE_MS);
+	return (int32_t)CLAMP(answer_by(a) - node_now(a->node), 1, WRITE_MS);
 }
 
 static void
--- a/serve/node.c
+++ b/serve/node.c
@@ -48,6 +48,13 @@
 	return g_get_real_time() / 1000;
 }
 
+int64_t
+node_stop_by(const node_t *n)
+{
+	return n->stopping ? n->stop_ms + n->o.grace_ms - LEAVE_SPARE_MS :
+			     INT64_MAX;
+}
+
 /* Time that also passes while the VM is suspended. */
 static int64_t
 boot_ms(void)
@@ -113,7 +120,7 @@
 	server_stop(n->front);
 	if (released && n->requests == 0 && server_open(n->front) == 0)
 		finish(n, "stopped");
-	if (since >= n->o.grace_ms - LEAVE_SPARE_MS && n->requests == 0)
+	if (now >= node_stop_by(n) && n->requests == 0)
 		finish(n, "grace over");
 }
 
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -150,6 +150,8 @@
 
 int64_t node_now(const node_t *n);
 int64_t node_wall(const node_t *n);
+/* When the process ends at the latest; INT64_MAX while it is not stopping. */
+int64_t node_stop_by(const node_t *n);
 /* Each answer of the store is told, so that its loss is noticed. */
 void node_store_answer(node_t *n, store_result_t r);
 /* Runs the scheduler soon, as something has changed. */
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -26,7 +26,7 @@
 #define WORKER_PORT   8601 /* the stand-in's own */
 #define PROXY_PORT    8640 /* to the workers; to the store from 8660 on */
 #define STORE_PROXIES 8660
-#define FRONT_PORT    8000
+#define FRONT_PORT    8010
 #define WORKERS	      4
 #define ENTRIES	      3
 #define ENTRIES_MAX   9 /* the stand-in knows so many hosts */
