Settings in seconds take fractions; the grace comes from the platform's bounds

A template may give 4.5 where the page shows 6: the process would have ended with a usage error, and a shorter grace than 6 s was not known to it.

--- a/serve/cell.c
+++ b/serve/cell.c
@@ -449,7 +449,7 @@
 		.incarnation = n->incarnation,
 		.max_lease_ms = n->o.max_hold_ms,
 		.keep_ended_ms =
-		    (n->o.keep_ended_s + n->o.repeat_s) * (int64_t)1000,
+		    n->o.keep_ended_ms + n->o.repeat_s * (int64_t)1000,
 		.port = { do_claim, do_load, do_write, do_order, do_look,
 		    do_purge, do_advise, do_event },
 		.ctx = c };
--- a/serve/node.c
+++ b/serve/node.c
@@ -25,6 +25,8 @@
 
 #define TICK_MS	       50
 #define SOON_MS	       2 /* to do several changes at once */
+#define SECONDS_MIN    1
+#define SECONDS_MAX    86400
 #define BODY_MAX_BYTES 262144
 #define PAUSE_MS       700  /* between ticks: less than a claim needs */
 #define STORE_LOST_MS  1500 /* without an answer, until one is told not ready */
@@ -323,12 +325,30 @@
 	return n->outage != NULL;
 }
 
+/* Reads seconds, which may have a fraction. */
+static bool
+seconds(const char *name, const char *text, int32_t *ms)
+{
+	char *end;
+	double s = g_ascii_strtod(text, &end);
+
+	if (end != text && *end == '\0' && s >= SECONDS_MIN &&
+	    s <= SECONDS_MAX) {
+		*ms = (int32_t)(s * 1000);
+		return true;
+	}
+	fprintf(stderr, "tanagerspool: --%s: must be seconds from %d to %d\n",
+	    name, SECONDS_MIN, SECONDS_MAX);
+	return false;
+}
+
 int
 serve_main(int argc, char **argv)
 {
 	static node_t n;
 	node_opts_t *o = &n.o;
 	g_autoptr(GError) err = NULL;
+	g_autofree char *keep_ended = NULL, *grace = NULL;
 	GStrv rest;
 	const setting_t set[] = {
 		{ "name", SET_TEXT, &o->name, NULL, 0, 0, "NAME",
@@ -350,11 +370,11 @@
 		    "for datagrams of other entries" },
 		{ "max-hold-ms", SET_INT, &o->max_hold_ms, "6000", 1000, 600000,
 		    "MS", "longest lease a worker grants" },
-		{ "keep-ended-s", SET_INT, &o->keep_ended_s, "120", 1, 86400,
-		    "S", "how long callers may ask for a job that has ended" },
+		{ "keep-ended-s", SET_TEXT, &keep_ended, "120", 0, 0, "S",
+		    "how long callers may ask for a job that has ended" },
 		{ "repeat-s", SET_INT, &o->repeat_s, "60", 1, 86400, "S",
 		    "how much later a hand-in may come again" },
-		{ "grace-ms", SET_INT, &o->grace_ms, "6000", 1000, 600000, "MS",
+		{ "grace-s", SET_TEXT, &grace, "6", 0, 0, "S",
 		    "longest graceful stop" },
 		{ "cpu-share", SET_TEXT, &o->cpu_share, "1", 0, 0, "CORES",
 		    "processor time this VM has" },
@@ -372,6 +392,9 @@
 		fprintf(stderr, "tanagerspool: --log-level: no such level\n");
 		return EXIT_USAGE;
 	}
+	if (!seconds("keep-ended-s", keep_ended, &o->keep_ended_ms) ||
+	    !seconds("grace-s", grace, &o->grace_ms))
+		return EXIT_USAGE;
 	n.loop = uv_default_loop();
 	log_start(n.loop);
 	signals(&n);
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -111,7 +111,7 @@
 	char *advice;	     /* ip:port, or "" */
 	int32_t metrics_port, peer_port;
 	int32_t max_hold_ms;
-	int32_t keep_ended_s, repeat_s;
+	int32_t keep_ended_ms, repeat_s;
 	int32_t grace_ms;
 	char *cpu_share, *link_mbps;
 	char *log_level;
