A leaving owner names its heir and tells when the cell is free

Now the owner's row names the entry that started last of those as strong, the others wait 0.7 s for it, and a datagram tells all to read.

--- a/proto/sched.pb-c.c
+++ b/proto/sched.pb-c.c
@@ -412,49 +412,49 @@
   assert(message->base.descriptor == &sched__entry__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   sched__silence__init
-                     (Sched__Silence         *message)
+void   sched__notice__init
+                     (Sched__Notice         *message)
 {
-  static const Sched__Silence init_value = SCHED__SILENCE__INIT;
+  static const Sched__Notice init_value = SCHED__NOTICE__INIT;
   *message = init_value;
 }
-size_t sched__silence__get_packed_size
-                     (const Sched__Silence *message)
+size_t sched__notice__get_packed_size
+                     (const Sched__Notice *message)
 {
-  assert(message->base.descriptor == &sched__silence__descriptor);
+  assert(message->base.descriptor == &sched__notice__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t sched__silence__pack
-                     (const Sched__Silence *message,
+size_t sched__notice__pack
+                     (const Sched__Notice *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &sched__silence__descriptor);
+  assert(message->base.descriptor == &sched__notice__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t sched__silence__pack_to_buffer
-                     (const Sched__Silence *message,
+size_t sched__notice__pack_to_buffer
+                     (const Sched__Notice *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &sched__silence__descriptor);
+  assert(message->base.descriptor == &sched__notice__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Sched__Silence *
-       sched__silence__unpack
+Sched__Notice *
+       sched__notice__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Sched__Silence *)
-     protobuf_c_message_unpack (&sched__silence__descriptor,
+  return (Sched__Notice *)
+     protobuf_c_message_unpack (&sched__notice__descriptor,
                                 allocator, len, data);
 }
-void   sched__silence__free_unpacked
-                     (Sched__Silence *message,
+void   sched__notice__free_unpacked
+                     (Sched__Notice *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &sched__silence__descriptor);
+  assert(message->base.descriptor == &sched__notice__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   sched__image_harm__init
@@ -1245,7 +1245,7 @@
   (ProtobufCMessageInit) sched__waiting__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sched__owner__field_descriptors[6] =
+static const ProtobufCFieldDescriptor sched__owner__field_descriptors[7] =
 {
   {
     "name",
@@ -1319,10 +1319,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "heir",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sched__Owner, heir),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sched__owner__field_indices_by_name[] = {
   3,   /* field[3] = beat */
   2,   /* field[2] = epoch */
+  6,   /* field[6] = heir */
   1,   /* field[1] = incarnation */
   0,   /* field[0] = name */
   4,   /* field[4] = released */
@@ -1331,7 +1344,7 @@
 static const ProtobufCIntRange sched__owner__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor sched__owner__descriptor =
 {
@@ -1341,7 +1354,7 @@
   "Sched__Owner",
   "sched",
   sizeof(Sched__Owner),
-  6,
+  7,
   sched__owner__field_descriptors,
   sched__owner__field_indices_by_name,
   1,  sched__owner__number_ranges,
@@ -1489,7 +1502,7 @@
   (ProtobufCMessageInit) sched__entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sched__silence__field_descriptors[3] =
+static const ProtobufCFieldDescriptor sched__notice__field_descriptors[4] =
 {
   {
     "name",
@@ -1497,7 +1510,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sched__Silence, name),
+    offsetof(Sched__Notice, name),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
@@ -1509,7 +1522,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Sched__Silence, incarnation),
+    offsetof(Sched__Notice, incarnation),
     NULL,
     NULL,
     0,             /* flags */
@@ -1521,36 +1534,49 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_INT32,
     0,   /* quantifier_offset */
-    offsetof(Sched__Silence, silent_ms),
+    offsetof(Sched__Notice, silent_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "released",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sched__Notice, released),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned sched__silence__field_indices_by_name[] = {
+static const unsigned sched__notice__field_indices_by_name[] = {
   1,   /* field[1] = incarnation */
   0,   /* field[0] = name */
+  3,   /* field[3] = released */
   2,   /* field[2] = silent_ms */
 };
-static const ProtobufCIntRange sched__silence__number_ranges[1 + 1] =
+static const ProtobufCIntRange sched__notice__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor sched__silence__descriptor =
+const ProtobufCMessageDescriptor sched__notice__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "sched.Silence",
-  "Silence",
-  "Sched__Silence",
+  "sched.Notice",
+  "Notice",
+  "Sched__Notice",
   "sched",
-  sizeof(Sched__Silence),
-  3,
-  sched__silence__field_descriptors,
-  sched__silence__field_indices_by_name,
-  1,  sched__silence__number_ranges,
-  (ProtobufCMessageInit) sched__silence__init,
+  sizeof(Sched__Notice),
+  4,
+  sched__notice__field_descriptors,
+  sched__notice__field_indices_by_name,
+  1,  sched__notice__number_ranges,
+  (ProtobufCMessageInit) sched__notice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor sched__image_harm__field_descriptors[4] =
--- a/proto/sched.pb-c.h
+++ b/proto/sched.pb-c.h
@@ -24,7 +24,7 @@
 typedef struct Sched__Owner Sched__Owner;
 typedef struct Sched__Footprint Sched__Footprint;
 typedef struct Sched__Entry Sched__Entry;
-typedef struct Sched__Silence Sched__Silence;
+typedef struct Sched__Notice Sched__Notice;
 typedef struct Sched__ImageHarm Sched__ImageHarm;
 typedef struct Sched__Harms Sched__Harms;
 
@@ -216,10 +216,14 @@
   protobuf_c_boolean released;
   size_t n_waiting;
   Sched__Waiting **waiting;
+  /*
+   * who is to claim what was released
+   */
+  char *heir;
 };
 #define SCHED__OWNER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sched__owner__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -264,19 +268,20 @@
 
 
 /*
- * Sent to all other entries, over and over, by one that the store does not
- * answer.
+ * Sent to all other entries: over and over by one that the store does not
+ * answer, and once by one that has released the cell.
  */
-struct  Sched__Silence
+struct  Sched__Notice
 {
   ProtobufCMessage base;
   char *name;
   int64_t incarnation;
   int32_t silent_ms;
+  protobuf_c_boolean released;
 };
-#define SCHED__SILENCE__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&sched__silence__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+#define SCHED__NOTICE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sched__notice__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
@@ -485,24 +490,24 @@
 void   sched__entry__free_unpacked
                      (Sched__Entry *message,
                       ProtobufCAllocator *allocator);
-/* Sched__Silence methods */
-void   sched__silence__init
-                     (Sched__Silence         *message);
-size_t sched__silence__get_packed_size
-                     (const Sched__Silence   *message);
-size_t sched__silence__pack
-                     (const Sched__Silence   *message,
+/* Sched__Notice methods */
+void   sched__notice__init
+                     (Sched__Notice         *message);
+size_t sched__notice__get_packed_size
+                     (const Sched__Notice   *message);
+size_t sched__notice__pack
+                     (const Sched__Notice   *message,
                       uint8_t             *out);
-size_t sched__silence__pack_to_buffer
-                     (const Sched__Silence   *message,
+size_t sched__notice__pack_to_buffer
+                     (const Sched__Notice   *message,
                       ProtobufCBuffer     *buffer);
-Sched__Silence *
-       sched__silence__unpack
+Sched__Notice *
+       sched__notice__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   sched__silence__free_unpacked
-                     (Sched__Silence *message,
+void   sched__notice__free_unpacked
+                     (Sched__Notice *message,
                       ProtobufCAllocator *allocator);
 /* Sched__ImageHarm methods */
 void   sched__image_harm__init
@@ -571,8 +576,8 @@
 typedef void (*Sched__Entry_Closure)
                  (const Sched__Entry *message,
                   void *closure_data);
-typedef void (*Sched__Silence_Closure)
-                 (const Sched__Silence *message,
+typedef void (*Sched__Notice_Closure)
+                 (const Sched__Notice *message,
                   void *closure_data);
 typedef void (*Sched__ImageHarm_Closure)
                  (const Sched__ImageHarm *message,
@@ -596,7 +601,7 @@
 extern const ProtobufCMessageDescriptor sched__owner__descriptor;
 extern const ProtobufCMessageDescriptor sched__footprint__descriptor;
 extern const ProtobufCMessageDescriptor sched__entry__descriptor;
-extern const ProtobufCMessageDescriptor sched__silence__descriptor;
+extern const ProtobufCMessageDescriptor sched__notice__descriptor;
 extern const ProtobufCMessageDescriptor sched__image_harm__descriptor;
 extern const ProtobufCMessageDescriptor sched__harms__descriptor;
 
--- a/sched/cell.c
+++ b/sched/cell.c
@@ -20,6 +20,7 @@
 #include "part.h"
 
 #define SILENT_MS	1200 /* three renewals missed */
+#define HEIR_MS		700  /* an heir has read the row by then, if it lives */
 #define READ_GAP_MS	1500 /* reads further apart say nothing of silence */
 #define START_MS	1150 /* no starts this long after the last confirmation */
 #define FRESH_MS	2000 /* cancels and leaving workers count within 2 s */
@@ -71,6 +72,8 @@
 	o.epoch = s->cell.epoch;
 	o.beat = s->cell.beat;
 	o.released = released;
+	if (released && s->cell.heir != NULL)
+		o.heir = (char *)s->cell.heir;
 	/* Before the jobs are read, what the last owner told still holds. */
 	if (s->cell.state != CELL_OWNED && s->cell.row != NULL) {
 		o.waiting = s->cell.row->waiting;
@@ -259,6 +262,16 @@
 	return true;
 }
 
+/* A cell that was released is left to its heir for a while. */
+static bool
+may_inherit(const sched_t *s)
+{
+	const char *heir = s->cell.row->heir;
+
+	return heir[0] == '\0' || strcmp(heir, s->o.name) == 0 ||
+	    s->now - s->cell.changed_ms >= HEIR_MS;
+}
+
 void
 cell_tick(sched_t *s)
 {
@@ -284,9 +297,10 @@
 		return;
 	if (c->row == NULL)
 		claim(s, "nobody owns it");
-	else if (c->row->released)
-		claim(s, "its owner released it");
-	else if (c->read_ms - c->changed_ms >= SILENT_MS + c->handicap_ms)
+	else if (c->row->released) {
+		if (may_inherit(s))
+			claim(s, "its owner released it");
+	} else if (c->read_ms - c->changed_ms >= SILENT_MS + c->handicap_ms)
 		claim(s, "its owner is silent");
 }
 
--- a/sched/part.h
+++ b/sched/part.h
@@ -228,6 +228,7 @@
 	bool clean;	/* ... but it gave the cell up in order */
 	bool lost;	/* what the owner knew is to be forgotten */
 	bool release_sent;
+	const char *heir;    /* interned; NULL or "" for anyone */
 	int32_t handicap_ms; /* left to stronger entries */
 	bool outage;	     /* the store is away for all entries */
 } cell_t;
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -518,6 +518,12 @@
 	s->cell.handicap_ms = ms;
 }
 
+void
+sched_heir(sched_t *s, const char *name)
+{
+	s->cell.heir = g_intern_string(name);
+}
+
 void
 sched_paused(sched_t *s, int64_t now_ms)
 {
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -261,6 +261,8 @@
 void sched_outage(sched_t *s, bool for_all, int64_t last_ms, int64_t now_ms);
 /* This entry leaves a free cell so long to those that can bear more. */
 void sched_handicap(sched_t *s, int32_t ms);
+/* Who is to claim the cell when it is released; "" for anyone. */
+void sched_heir(sched_t *s, const char *name);
 /* The process stood still: nothing is ordered before the row is read. */
 void sched_paused(sched_t *s, int64_t now_ms);
 
--- a/serve/cell.c
+++ b/serve/cell.c
@@ -37,6 +37,7 @@
 	follow_t *jobs;
 	follow_t *workers;
 	bool polling;
+	bool owned; /* at the last tick */
 	int64_t poll_next_ms;
 	int64_t row_version; /* of the owner's row, as last read */
 };
@@ -484,18 +485,27 @@
 	node_soon(c->node);
 }
 
+void
+cell_port_look(cell_port_t *c)
+{
+	c->poll_next_ms = 0;
+	node_soon(c->node);
+}
+
 void
 cell_port_tick(cell_port_t *c)
 {
 	int64_t now = node_now(c->node);
-	bool owned = sched_owns(c->sched);
 
 	if (!c->polling && now >= c->poll_next_ms)
 		poll_owner(c);
 	sched_tick(c->sched, now, node_wall(c->node));
-	if (owned && !sched_owns(c->sched)) {
+	if (c->owned && !sched_owns(c->sched)) {
+		if (c->node->stopping)
+			outage_released(c->node->outage);
 		follow_stop(c->runs);
 		follow_stop(c->jobs);
 		follow_stop(c->workers);
 	}
+	c->owned = sched_owns(c->sched);
 }
--- a/serve/node.c
+++ b/serve/node.c
@@ -235,6 +235,7 @@
 		return;
 	n->stopping = true;
 	n->stop_ms = node_now(n);
+	sched_heir(cell_port_sched(n->cell), outage_heir(n->outage));
 	outage_leave(n->outage);
 	log_event(TS_EVT_DRAIN, "signal=%d requests=%d", number, n->requests);
 	node_soon(n);
--- a/serve/outage.c
+++ b/serve/outage.c
@@ -45,6 +45,7 @@
 	int64_t heard_ms; /* last datagram */
 	int64_t store_ms; /* when the store last answered it */
 	int32_t strength;
+	int64_t incarnation;
 } entry_row_t;
 
 struct outage {
@@ -114,6 +115,7 @@
 	r->ip = g_strdup(e->ip);
 	r->port = e->port;
 	r->strength = e->strength;
+	r->incarnation = e->incarnation;
 	g_hash_table_replace(o->entries, g_strdup(row->key), r);
 	sched__entry__free_unpacked(e, NULL);
 	set_handicap(o);
@@ -123,7 +125,7 @@
 on_data(void *ctx, const uint8_t *data, size_t n)
 {
 	outage_t *o = ctx;
-	Sched__Silence *s = sched__silence__unpack(NULL, n, data);
+	Sched__Notice *s = sched__notice__unpack(NULL, n, data);
 	entry_row_t *r;
 
 	if (s == NULL) {
@@ -132,17 +134,19 @@
 		return;
 	}
 	r = g_hash_table_lookup(o->entries, s->name);
-	if (r != NULL) {
+	if (s->released)
+		cell_port_look(o->node->cell);
+	else if (r != NULL) {
 		r->heard_ms = node_now(o->node);
 		r->store_ms = r->heard_ms - s->silent_ms;
 	}
-	sched__silence__free_unpacked(s, NULL);
+	sched__notice__free_unpacked(s, NULL);
 }
 
 static void
-say(outage_t *o, int64_t silent_ms)
+say(outage_t *o, int64_t silent_ms, bool released)
 {
-	Sched__Silence s = SCHED__SILENCE__INIT;
+	Sched__Notice s = SCHED__NOTICE__INIT;
 	g_autofree uint8_t *b = NULL;
 	GHashTableIter it;
 	size_t n;
@@ -151,9 +155,10 @@
 	s.name = o->node->o.name;
 	s.incarnation = o->node->incarnation;
 	s.silent_ms = (int32_t)silent_ms;
-	n = sched__silence__get_packed_size(&s);
+	s.released = released;
+	n = sched__notice__get_packed_size(&s);
 	b = g_malloc(n);
-	sched__silence__pack(&s, b);
+	sched__notice__pack(&s, b);
 	g_hash_table_iter_init(&it, o->entries);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		const entry_row_t *r = v;
@@ -192,7 +197,7 @@
 	bool for_all = false;
 
 	if (silent >= SILENT_MS) {
-		say(o, silent);
+		say(o, silent, false);
 		for_all = all_miss_it(o, now, &last_ms);
 	}
 	if (for_all || o->for_all)
@@ -275,6 +280,38 @@
 	return o;
 }
 
+/*
+ * Who is to own the cell after this entry, which leaves: of those that can
+ * bear as much, the one that started last, as restarts go round.
+ */
+const char *
+outage_heir(const outage_t *o)
+{
+	int32_t own = strength(o->node);
+	const char *heir = "";
+	int64_t started = 0;
+	GHashTableIter it;
+	void *k, *v;
+
+	g_hash_table_iter_init(&it, o->entries);
+	while (g_hash_table_iter_next(&it, &k, &v)) {
+		const entry_row_t *r = v;
+
+		if (r->strength * STRONGER_PCT < own * 100 ||
+		    r->incarnation <= started)
+			continue;
+		started = r->incarnation;
+		heir = k;
+	}
+	return heir;
+}
+
+void
+outage_released(outage_t *o)
+{
+	say(o, 0, true);
+}
+
 /* The entry leaves in order: the others need not count on it. */
 static void
 on_removed(void *ctx, store_result_t r, const store_answer_t *a)
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -73,6 +73,8 @@
 cell_port_t *cell_port_new(node_t *n);
 sched_t *cell_port_sched(cell_port_t *c);
 void cell_port_tick(cell_port_t *c);
+/* Reads the owner's row at once. */
+void cell_port_look(cell_port_t *c);
 /* Applies tables and evacuations to the scheduler. */
 void cell_port_tables(cell_port_t *c, const platform_tables_t *t);
 void cell_port_fresh(cell_port_t *c); /* the operators' table */
@@ -84,6 +86,10 @@
 typedef struct outage outage_t;
 outage_t *outage_new(node_t *n, GError **err);
 void outage_leave(outage_t *o);
+/* Who is to own the cell after this entry, by name; "" for anyone. */
+const char *outage_heir(const outage_t *o);
+/* Tells the other entries that the cell has been released. */
+void outage_released(outage_t *o);
 
 /*
  * Requests of callers.
--- a/test/unit/sched.c
+++ b/test/unit/sched.c
@@ -687,3 +687,38 @@
 		sched_free(s);
 	}
 }
+
+/* Pattern: all entries are restarted in turn, and the owner names its heir. */
+Test(sched, a_released_cell_goes_to_its_heir)
+{
+	static const struct {
+		const char *heir;
+		int64_t now_ms; /* since the row was first seen */
+		int claims;
+	} cases[] = { { "", 50, 1 }, { "e", 50, 1 }, { "other", 600, 0 },
+		{ "other", 800, 1 } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_opts_t o = { .name = "e",
+			.max_lease_ms = 6000,
+			.port = { .event = ignore, .claim = count_claim } };
+		sched_t *s = sched_new(&o);
+		Sched__Owner owner = SCHED__OWNER__INIT;
+		uint8_t b[64];
+		sched_row_t row = {
+			.key = SCHED_KEY_OWNER, .version = 5, .bytes = b
+		};
+
+		owner.name = (char *)"old";
+		owner.released = true;
+		owner.heir = (char *)cases[i].heir;
+		row.nbytes = sched__owner__pack(&owner, b);
+		claims = 0;
+		for (int64_t t = 0; t <= cases[i].now_ms; t += 50) {
+			sched_owner_row(s, &row, 1000 + t);
+			sched_tick(s, 1000 + t, 0);
+		}
+		cr_expect_eq(claims, cases[i].claims, "case %zu", i);
+		sched_free(s);
+	}
+}
