--- a/Makefile
+++ b/Makefile
@@ -94,10 +94,11 @@
 asan:
 	$(MAKE) B=build-asan OPT="-O1 -g -fsanitize=address,undefined \
 	    -fno-sanitize-recover=all" build-asan/fuzz build-asan/check \
-	    build-asan/unit
+	    build-asan/unit build-asan/cells
 	build-asan/fuzz 1 100000
 	ASAN_OPTIONS=detect_leaks=0 build-asan/check 1 100
 	ASAN_OPTIONS=detect_leaks=0 build-asan/unit
+	ASAN_OPTIONS=detect_leaks=0 build-asan/cells 1 60
 lint:
 	clang-format --dry-run -Werror $(SRC)
 	cppcheck -q --std=c11 --enable=warning,performance,portability \
@@ -122,5 +123,6 @@
 clean:
 	rm -rf build*
 PHONY_TESTS = unit check cells scenes process soak
+SEED = 1
 .PHONY: all deps have run test $(PHONY_TESTS) mutants policy slopes bench \
 	asan lint fmt install clean
--- a/test/cell/world.c
+++ b/test/cell/world.c
@@ -137,8 +137,8 @@
 		sim_vm_t *v = &w->vms[i];
 
 		v->index = i;
-		snprintf(v->id, sizeof(v->id), "w%d", i);
-		snprintf(v->zone, sizeof(v->zone), "z%d", i % 3);
+		g_snprintf(v->id, sizeof(v->id), "w%d", i);
+		g_snprintf(v->zone, sizeof(v->zone), "z%d", i % 3);
 		v->cpu_milli = 16000;
 		v->mem_mb = 64000;
 		v->rate = 1 - g_rand_double(w->rand) * 0.02;
@@ -149,7 +149,7 @@
 
 		n->w = w;
 		n->index = i;
-		snprintf(n->name, sizeof(n->name), "e%d", i);
+		g_snprintf(n->name, sizeof(n->name), "e%d", i);
 		node_boot(w, n);
 	}
 	return w;
