A worker that is back gets tasks once its row no longer says that it is free

Cause: the footprint tells when a silent worker's leases have ended; when it answered again it got tasks at once, while the row, or a write in doubt, still said that nothing could run there. Had the owner died then and the worker been out of reach again, the successor would have started its tasks a second time.

--- a/sched/flush.c
+++ b/sched/flush.c
@@ -106,6 +106,12 @@
 	bool changed =
 	    in != (w->store_flush != 0) || (in && ends != w->ends_ms);
 
+	/* Extended again: new tasks only once no successor can read that its
+	 * leases have ended. */
+	if (in && w->ends_ms != 0 && ends == 0) {
+		w->stored = false;
+		w->store_flush = s->flush;
+	}
 	w->ends_ms = ends;
 	w->store_flush = !in	? 0 :
 	    w->store_flush == 0 ? s->flush :
--- a/sched/vm.c
+++ b/sched/vm.c
@@ -77,8 +77,9 @@
 bool
 vm_usable(const sched_t *s, const vm_t *w)
 {
-	return w->listed && !w->draining && w->stored && w->answered &&
-	    w->misses == 0 && !w->silent && w->hold_off_ms <= s->now &&
+	return w->listed && !w->draining && w->stored && w->ends_ms == 0 &&
+	    w->answered && w->misses == 0 && !w->silent &&
+	    w->hold_off_ms <= s->now &&
 	    !g_hash_table_contains(s->zones, w->zone);
 }
 
--- a/test/unit/sched.c
+++ b/test/unit/sched.c
@@ -722,3 +722,50 @@
 		sched_free(s);
 	}
 }
+
+/*
+ * Pattern: a worker is cut off for a while, and its owner dies right after it
+ * is back: the successor must not read that nothing can run there.
+ */
+Test(sched, a_worker_that_is_back_waits_for_its_row)
+{
+	static const struct {
+		bool back, written;
+		sched_write_t result;
+		bool usable;
+	} cases[] = {
+		{ false, false, SCHED_WRITTEN, false },
+		{ true, false, SCHED_WRITTEN, false },
+		{ true, true, SCHED_IN_DOUBT, false },
+		{ true, true, SCHED_WRITTEN, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = sched();
+		vm_t *w = vm(s, "w");
+
+		s->o.port.write = take_write;
+		s->cell.state = CELL_OWNED;
+		s->cell.accounted = true;
+		s->now = 10000;
+		w->lease.sent_ms = 9000;
+		w->stored = false;
+		flush_due(s);
+		sched_wrote(s, SCHED_WRITTEN, 2, s->now += 5);
+		cr_expect(vm_usable(s, w));
+		w->misses = 2;
+		s->now += 500;
+		flush_due(s);
+		sched_wrote(s, SCHED_WRITTEN, 3, s->now += 5);
+		cr_expect_neq(w->ends_ms, 0);
+		if (cases[i].back)
+			w->misses = 0;
+		s->now += 500;
+		if (cases[i].written) {
+			flush_due(s);
+			sched_wrote(s, cases[i].result, 4, s->now += 5);
+		}
+		cr_expect_eq(vm_usable(s, w), cases[i].usable, "case %zu", i);
+		sched_free(s);
+	}
+}
