--- a/sched/part.h
+++ b/sched/part.h
@@ -1,7 +1,8 @@
 /*
  * What the files of the scheduler share.  job, vm, harm and queue keep state;
- * place and noise decide on it; run, start, report, look and health act on
- * workers; flush and cell write to the store; sched is the outside.
+ * place, noise and advice decide on it; run, start, report, look and health act
+ * on workers; flush, recall, purge and cell deal with the store; load tells
+ * figures; sched is the outside.
  */
 #ifndef SCHED_PART_H
 #define SCHED_PART_H
@@ -364,6 +365,10 @@
 GPtrArray *purge_rows(sched_t *s);
 void purge_wrote(sched_t *s, bool ok);
 
+/* load.c */
+void load_count_waiting(sched_t *s);
+void load_log(sched_t *s);
+
 /* recall.c */
 GByteArray *recall_pack(sched_t *s);
 void recall_row(sched_t *s, const sched_row_t *row);
--- a/serve/cell.c
+++ b/serve/cell.c
@@ -27,7 +27,6 @@
 #define POLL_CALL_MS  900  /* for the answer to such a read */
 #define WRITE_MS      1500 /* for the answer to a write; the store may be slow */
 #define JOB_GAP_MS    20   /* between reads of new jobs */
-#define REMOVALS_MAX  45   /* jobs in a transaction: two rows each, of 100 */
 #define WORKER_GAP_MS 150  /* between reads of changes of workers */
 
 struct cell_port {
@@ -234,80 +233,12 @@
 	platform_look(c->node->platform, l, on_looked, c);
 }
 
-/* Jobs of one part whose rows are being removed. */
-typedef struct {
-	cell_port_t *cell;
-	char part[STORE_NAME_BYTES];
-	GPtrArray *ids, *keys;
-} removal_t;
-
-static void
-on_removed(void *ctx, store_result_t r, const store_answer_t *a)
-{
-	removal_t *x = ctx;
-
-	(void)a;
-	node_store_answer(x->cell->node, r);
-	for (guint i = 0; i < x->ids->len; i++)
-		sched_purged(x->cell->sched, g_ptr_array_index(x->ids, i),
-		    r == STORE_OK, node_now(x->cell->node));
-	g_ptr_array_unref(x->ids);
-	g_ptr_array_unref(x->keys);
-	g_free(x);
-}
-
-static void
-send_removal(removal_t *x)
-{
-	g_autofree store_put_t *rows = g_new0(store_put_t, x->keys->len);
-	store_tx_t tx = { .table = JOB_TABLE,
-		.part = x->part,
-		.puts = rows,
-		.nputs = x->keys->len,
-		.timeout_ms = WRITE_MS };
-
-	for (guint i = 0; i < x->keys->len; i++)
-		rows[i].key = g_ptr_array_index(x->keys, i);
-	store_tx(x->cell->node->platform, &tx, on_removed, x);
-}
-
-static removal_t *
-removal_new(cell_port_t *c, const char *part)
-{
-	removal_t *x = g_new0(removal_t, 1);
-
-	x->cell = c;
-	g_strlcpy(x->part, part, sizeof(x->part));
-	x->ids = g_ptr_array_new_with_free_func(g_free);
-	x->keys = g_ptr_array_new_with_free_func(g_free);
-	return x;
-}
-
-/* Rows of callers lie in many parts; a transaction has one. */
 static void
 do_purge(void *ctx, const char *const *ids, size_t n)
 {
 	cell_port_t *c = ctx;
-	removal_t *open[JOB_PARTS] = { NULL };
-
-	for (size_t i = 0; i < n; i++) {
-		char part[STORE_NAME_BYTES];
-		int32_t at = job_part(ids[i], part);
-
-		if (open[at] == NULL)
-			open[at] = removal_new(c, part);
-		g_ptr_array_add(open[at]->ids, g_strdup(ids[i]));
-		g_ptr_array_add(open[at]->keys, g_strdup(ids[i]));
-		g_ptr_array_add(open[at]->keys,
-		    g_strconcat(ids[i], SCHED_KEY_CANCEL, NULL));
-		if (open[at]->ids->len < REMOVALS_MAX)
-			continue;
-		send_removal(open[at]);
-		open[at] = NULL;
-	}
-	for (int32_t i = 0; i < JOB_PARTS; i++)
-		if (open[i] != NULL)
-			send_removal(open[i]);
+
+	removal_send(c->node, ids, n);
 }
 
 static void
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -80,6 +80,9 @@
 void cell_port_fresh(cell_port_t *c); /* the operators' table */
 void cell_port_zone(cell_port_t *c, const char *zone, bool evacuated);
 
+/* Removes what callers wrote of jobs, and tells the scheduler how it went. */
+void removal_send(node_t *n, const char *const *ids, size_t count);
+
 /*
  * Whether the store is away for all entries.
  */
--- a/test/fake/crew.c
+++ b/test/fake/crew.c
@@ -96,8 +96,8 @@
 	g_free(e);
 }
 
-static void
-reply(server_req_t *r, int32_t status, json_t *j)
+void
+crew_reply(server_req_t *r, int32_t status, json_t *j)
 {
 	char *text = json_dumps(j, JSON_COMPACT);
 
@@ -110,7 +110,7 @@
 static void
 refuse(server_req_t *r, const worker_t *w, const char *reason)
 {
-	reply(r, 409,
+	crew_reply(r, 409,
 	    json_pack("{s:I,s:s}", "clock_ms", (json_int_t)clock_ms(w),
 		"reason", reason));
 }
@@ -245,7 +245,7 @@
 	}
 	if (have != NULL && have->run == run) {
 		extend(w, deadline);
-		reply(r, 200,
+		crew_reply(r, 200,
 		    json_pack("{s:I}", "clock_ms", (json_int_t)clock_ms(w)));
 		return;
 	}
@@ -268,7 +268,8 @@
 	g_ptr_array_add(w->runs, have);
 	tell(w->crew, "start %s run %" PRId64 " on %d ticket %s", task, run,
 	    w->index, ticket == NULL ? "-" : ticket);
-	reply(r, 200, json_pack("{s:I}", "clock_ms", (json_int_t)clock_ms(w)));
+	crew_reply(
+	    r, 200, json_pack("{s:I}", "clock_ms", (json_int_t)clock_ms(w)));
 }
 
 static void
@@ -282,7 +283,8 @@
 		set_highest(w, task, run);
 	if (have != NULL && have->run <= run)
 		end_run(w, have, "stopped");
-	reply(r, 200, json_pack("{s:I}", "clock_ms", (json_int_t)clock_ms(w)));
+	crew_reply(
+	    r, 200, json_pack("{s:I}", "clock_ms", (json_int_t)clock_ms(w)));
 }
 
 static void
@@ -434,7 +436,7 @@
 
 		if (now < x->until_ms && w->ends->len == 0)
 			continue;
-		reply(x->req, 200, report(w));
+		crew_reply(x->req, 200, report(w));
 		g_ptr_array_remove_index_fast(w->waiters, i);
 	}
 }
--- a/test/fake/crew.h
+++ b/test/fake/crew.h
@@ -32,4 +32,7 @@
 /* Ends tasks and leases whose time has come, and answers who waits. */
 void crew_tick(crew_t *c);
 
+/* Answers a request with a JSON body, which it takes. */
+void crew_reply(server_req_t *r, int32_t status, json_t *j);
+
 #endif
--- a/test/standin/users.c
+++ b/test/standin/users.c
@@ -57,17 +57,6 @@
 	return (int64_t)(uv_hrtime() / 1000000);
 }
 
-static void
-reply(server_req_t *r, int32_t status, json_t *j)
-{
-	char *text = json_dumps(j, JSON_COMPACT);
-
-	server_reply(r, status, "content-type: application/json\r\n", text,
-	    strlen(text));
-	free(text);
-	json_decref(j);
-}
-
 static char *
 query(const char *path, const char *name)
 {
@@ -166,7 +155,7 @@
 			json_array_append_new(bad, json_object());
 	}
 	if (json_array_size(bad) > 0) {
-		reply(r, 412, answer(bad));
+		crew_reply(r, 412, answer(bad));
 		json_decref(j);
 		return;
 	}
@@ -182,7 +171,7 @@
 		row_put(
 		    text(e, "table"), text(e, "part"), text(e, "key"), NULL);
 	}
-	reply(r, 200, answer(json_array()));
+	crew_reply(r, 200, answer(json_array()));
 	json_decref(j);
 }
 
@@ -211,7 +200,7 @@
 		    (to[0] == '\0' || strcmp(o->key, to) < 0))
 			json_array_append_new(rows, row_json(o));
 	}
-	reply(r, 200, answer(rows));
+	crew_reply(r, 200, answer(rows));
 }
 
 static json_t *
@@ -262,7 +251,7 @@
 	{
 		json_array_append_new(good, json_pack("[O,s]", e, "t1"));
 	}
-	reply(r, 200,
+	crew_reply(r, 200,
 	    json_pack("{s:o,s:i}", "good", good, "valid_ms", TICKET_MS));
 	json_decref(j);
 }
@@ -299,7 +288,7 @@
 			json_decref(rows);
 			continue;
 		}
-		reply(x->req, 200, answer(rows));
+		crew_reply(x->req, 200, answer(rows));
 		g_free(x->table);
 		g_ptr_array_remove_index_fast(w.waiters, i);
 	}
--- a/test/unit/sched.c
+++ b/test/unit/sched.c
@@ -448,37 +448,66 @@
 	claims++;
 }
 
+/* Claims by an entry that sees the owner's row unchanged for a while. */
+static int
+claims_after(Sched__Owner *owner, int32_t handicap_ms, int64_t ms)
+{
+	sched_opts_t o = { .name = "e",
+		.max_lease_ms = 6000,
+		.port = { .event = ignore, .claim = count_claim } };
+	sched_t *s = sched_new(&o);
+	uint8_t b[64];
+	sched_row_t row = { .key = SCHED_KEY_OWNER, .version = 5, .bytes = b };
+
+	row.nbytes = sched__owner__pack(owner, b);
+	claims = 0;
+	sched_handicap(s, handicap_ms);
+	for (int64_t t = 0; t <= ms; t += 50) {
+		sched_owner_row(s, &row, 1000 + t);
+		sched_tick(s, 1000 + t, 0);
+	}
+	sched_free(s);
+	return claims;
+}
+
 /* Pattern: the owner dies and weak entries see it as soon as strong ones. */
 Test(sched, weak_entries_leave_the_cell_to_strong_ones)
 {
 	static const struct {
 		int32_t handicap_ms;
-		int64_t now_ms; /* since the row was first seen */
+		int64_t ms; /* since the row was first seen */
 		int claims;
 	} cases[] = { { 0, 1100, 0 }, { 0, 1300, 1 }, { 600, 1300, 0 },
 		{ 600, 1900, 1 } };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		sched_opts_t o = { .name = "e",
-			.max_lease_ms = 6000,
-			.port = { .event = ignore, .claim = count_claim } };
-		sched_t *s = sched_new(&o);
 		Sched__Owner owner = SCHED__OWNER__INIT;
-		uint8_t b[64];
-		sched_row_t row = {
-			.key = SCHED_KEY_OWNER, .version = 5, .bytes = b
-		};
 
 		owner.name = (char *)"other";
-		row.nbytes = sched__owner__pack(&owner, b);
-		claims = 0;
-		sched_handicap(s, cases[i].handicap_ms);
-		for (int64_t t = 0; t <= cases[i].now_ms; t += 100) {
-			sched_owner_row(s, &row, 1000 + t);
-			sched_tick(s, 1000 + t, 0);
-		}
-		cr_expect_eq(claims, cases[i].claims, "case %zu", i);
-		sched_free(s);
+		cr_expect_eq(
+		    claims_after(&owner, cases[i].handicap_ms, cases[i].ms),
+		    cases[i].claims, "case %zu", i);
+	}
+}
+
+/* Pattern: all entries are restarted in turn, and the owner names its heir. */
+Test(sched, a_released_cell_goes_to_its_heir)
+{
+	static const struct {
+		const char *heir;
+		int64_t ms; /* since the row was first seen */
+		int claims;
+	} cases[] = { { "", 50, 1 }, { "e", 50, 1 }, { "other", 600, 0 },
+		{ "other", 800, 1 } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		Sched__Owner owner = SCHED__OWNER__INIT;
+
+		owner.name = (char *)"old";
+		owner.released = true;
+		owner.heir = (char *)cases[i].heir;
+		cr_expect_eq(claims_after(&owner, 0, cases[i].ms),
+		    cases[i].claims, "case %zu", i);
 	}
 }
 
@@ -688,41 +717,6 @@
 	}
 }
 
-/* Pattern: all entries are restarted in turn, and the owner names its heir. */
-Test(sched, a_released_cell_goes_to_its_heir)
-{
-	static const struct {
-		const char *heir;
-		int64_t now_ms; /* since the row was first seen */
-		int claims;
-	} cases[] = { { "", 50, 1 }, { "e", 50, 1 }, { "other", 600, 0 },
-		{ "other", 800, 1 } };
-
-	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		sched_opts_t o = { .name = "e",
-			.max_lease_ms = 6000,
-			.port = { .event = ignore, .claim = count_claim } };
-		sched_t *s = sched_new(&o);
-		Sched__Owner owner = SCHED__OWNER__INIT;
-		uint8_t b[64];
-		sched_row_t row = {
-			.key = SCHED_KEY_OWNER, .version = 5, .bytes = b
-		};
-
-		owner.name = (char *)"old";
-		owner.released = true;
-		owner.heir = (char *)cases[i].heir;
-		row.nbytes = sched__owner__pack(&owner, b);
-		claims = 0;
-		for (int64_t t = 0; t <= cases[i].now_ms; t += 50) {
-			sched_owner_row(s, &row, 1000 + t);
-			sched_tick(s, 1000 + t, 0);
-		}
-		cr_expect_eq(claims, cases[i].claims, "case %zu", i);
-		sched_free(s);
-	}
-}
-
 /*
  * Pattern: a worker is cut off for a while, and its owner dies right after it
  * is back: the successor must not read that nothing can run there.
