--- a/sched/recall.c
+++ b/sched/recall.c
@@ -57,14 +57,23 @@
 	g_free(m->harms);
 }
 
+static GByteArray *
+pack(Sched__Harms *h)
+{
+	GByteArray *b = g_byte_array_new();
+
+	g_byte_array_set_size(b, (guint)sched__harms__get_packed_size(h));
+	sched__harms__pack(h, b->data);
+	return b;
+}
+
 /* The row when it is due to be written, or NULL. */
 GByteArray *
 recall_pack(sched_t *s)
 {
-	g_autofree Sched__ImageHarm *all = g_new0(Sched__ImageHarm, IMAGES_MAX);
-	Sched__ImageHarm *list[IMAGES_MAX];
+	Sched__ImageHarm all[IMAGES_MAX], *list[IMAGES_MAX];
 	Sched__Harms h = SCHED__HARMS__INIT;
-	GByteArray *b;
+	GByteArray *b = NULL;
 
 	if (s->now - s->recall_ms < GAP_MS)
 		return NULL;
@@ -75,11 +84,8 @@
 			list[h.n_images] = &all[h.n_images];
 			h.n_images++;
 		}
-	if (h.n_images == 0)
-		return NULL;
-	b = g_byte_array_new();
-	g_byte_array_set_size(b, (guint)sched__harms__get_packed_size(&h));
-	sched__harms__pack(&h, b->data);
+	if (h.n_images > 0)
+		b = pack(&h);
 	for (size_t i = 0; i < h.n_images; i++)
 		clear_image(&all[i]);
 	return b;
