--- a/serve/cell.c
+++ b/serve/cell.c
@@ -433,7 +433,7 @@
 	sched_tick(c->sched, now, node_wall(c->node));
 	if (c->owned && !sched_owns(c->sched)) {
 		if (c->node->stopping)
-			outage_released(c->node->outage);
+			entries_released(c->node->entries);
 		follow_stop(c->runs);
 		follow_stop(c->jobs);
 		follow_stop(c->workers);
--- a/serve/outage.c
+++ b/serve/entries.c
@@ -1,10 +1,11 @@
 /*
- * Whether the store is away for this entry only, or for all.
+ * The other entries: who they are, and what entries tell one another.
  *
- * Entries find one another by rows of the store.  One that the store does not
+ * They find one another by rows of the store.  One that the store does not
  * answer says so to all others, over and over; who hears that from nearly all
- * of them knows that nobody can claim what it owns.  Nothing is said while
- * the store answers.
+ * of them knows that the store is away for all, so that nobody can claim what
+ * it owns.  One that leaves names its heir among them, and tells them when
+ * the cell is free.
  */
 #include <inttypes.h>
 #include <stdbool.h>
@@ -48,11 +49,11 @@
 	int64_t incarnation;
 } entry_row_t;
 
-struct outage {
+struct entries {
 	node_t *node;
 	dgram_t *dgram;
 	follow_t *follow;
-	GHashTable *entries; /* name -> entry_row_t; without this one */
+	GHashTable *others; /* name -> entry_row_t; without this one */
 	uv_timer_t timer;
 	uv_timer_t retry;
 	bool for_all;
@@ -81,13 +82,13 @@
 
 /* An entry leaves the cell for a while to each that is much stronger. */
 static void
-set_handicap(outage_t *o)
+set_handicap(entries_t *o)
 {
 	int32_t own = strength(o->node), stronger = 0;
 	GHashTableIter it;
 	void *v;
 
-	g_hash_table_iter_init(&it, o->entries);
+	g_hash_table_iter_init(&it, o->others);
 	while (g_hash_table_iter_next(&it, NULL, &v))
 		stronger +=
 		    ((entry_row_t *)v)->strength * 100 > own * STRONGER_PCT;
@@ -98,7 +99,7 @@
 static void
 on_row(void *ctx, const store_row_t *row)
 {
-	outage_t *o = ctx;
+	entries_t *o = ctx;
 	Sched__Entry *e = NULL;
 	entry_row_t *r;
 
@@ -107,7 +108,7 @@
 	if (row->bytes != NULL)
 		e = sched__entry__unpack(NULL, row->nbytes, row->bytes);
 	if (e == NULL) {
-		g_hash_table_remove(o->entries, row->key);
+		g_hash_table_remove(o->others, row->key);
 		set_handicap(o);
 		return;
 	}
@@ -116,7 +117,7 @@
 	r->port = e->port;
 	r->strength = e->strength;
 	r->incarnation = e->incarnation;
-	g_hash_table_replace(o->entries, g_strdup(row->key), r);
+	g_hash_table_replace(o->others, g_strdup(row->key), r);
 	sched__entry__free_unpacked(e, NULL);
 	set_handicap(o);
 }
@@ -124,7 +125,7 @@
 static void
 on_data(void *ctx, const uint8_t *data, size_t n)
 {
-	outage_t *o = ctx;
+	entries_t *o = ctx;
 	Sched__Notice *s = sched__notice__unpack(NULL, n, data);
 	entry_row_t *r;
 
@@ -133,7 +134,7 @@
 		log_event(EVT_BAD_PEER, "why=\"datagram does not unpack\"");
 		return;
 	}
-	r = g_hash_table_lookup(o->entries, s->name);
+	r = g_hash_table_lookup(o->others, s->name);
 	if (s->released)
 		cell_port_look(o->node->cell);
 	else if (r != NULL) {
@@ -144,7 +145,7 @@
 }
 
 static void
-say(outage_t *o, int64_t silent_ms, bool released)
+say(entries_t *o, int64_t silent_ms, bool released)
 {
 	Sched__Notice s = SCHED__NOTICE__INIT;
 	g_autofree uint8_t *b = NULL;
@@ -159,7 +160,7 @@
 	n = sched__notice__get_packed_size(&s);
 	b = g_malloc(n);
 	sched__notice__pack(&s, b);
-	g_hash_table_iter_init(&it, o->entries);
+	g_hash_table_iter_init(&it, o->others);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		const entry_row_t *r = v;
 
@@ -169,13 +170,13 @@
 
 /* Nearly all others have said of late that they miss the store too. */
 static bool
-all_miss_it(const outage_t *o, int64_t now, int64_t *last_ms)
+all_miss_it(const entries_t *o, int64_t now, int64_t *last_ms)
 {
-	guint n = g_hash_table_size(o->entries), silent = 0;
+	guint n = g_hash_table_size(o->others), silent = 0;
 	GHashTableIter it;
 	void *v;
 
-	g_hash_table_iter_init(&it, o->entries);
+	g_hash_table_iter_init(&it, o->others);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		const entry_row_t *r = v;
 
@@ -190,7 +191,7 @@
 static void
 on_timer(uv_timer_t *t)
 {
-	outage_t *o = t->data;
+	entries_t *o = t->data;
 	node_t *n = o->node;
 	int64_t now = node_now(n), silent = now - n->store_ok_ms;
 	int64_t last_ms = 0;
@@ -205,7 +206,7 @@
 	o->for_all = for_all;
 }
 
-static void write_row(outage_t *o);
+static void write_row(entries_t *o);
 
 static void
 on_retry(uv_timer_t *t)
@@ -216,7 +217,7 @@
 static void
 on_written(void *ctx, store_result_t r, const store_answer_t *a)
 {
-	outage_t *o = ctx;
+	entries_t *o = ctx;
 
 	(void)a;
 	node_store_answer(o->node, r);
@@ -225,7 +226,7 @@
 }
 
 static void
-write_row(outage_t *o)
+write_row(entries_t *o)
 {
 	node_t *n = o->node;
 	Sched__Entry e = SCHED__ENTRY__INIT;
@@ -247,10 +248,10 @@
 	store_tx(n->platform, &tx, on_written, o);
 }
 
-outage_t *
-outage_new(node_t *n, GError **err)
+entries_t *
+entries_new(node_t *n, GError **err)
 {
-	outage_t *o = g_new0(outage_t, 1);
+	entries_t *o = g_new0(entries_t, 1);
 	dgram_opts_t d = { .loop = n->loop,
 		.ip = n->o.ip,
 		.port = n->o.peer_port,
@@ -265,7 +266,7 @@
 		.ctx = o };
 
 	o->node = n;
-	o->entries =
+	o->others =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, row_free);
 	o->dgram = dgram_new(&d, err);
 	if (o->dgram == NULL)
@@ -285,7 +286,7 @@
  * bear as much, the one that started last, as restarts go round.
  */
 const char *
-outage_heir(const outage_t *o)
+entries_heir(const entries_t *o)
 {
 	int32_t own = strength(o->node);
 	const char *heir = "";
@@ -293,7 +294,7 @@
 	GHashTableIter it;
 	void *k, *v;
 
-	g_hash_table_iter_init(&it, o->entries);
+	g_hash_table_iter_init(&it, o->others);
 	while (g_hash_table_iter_next(&it, &k, &v)) {
 		const entry_row_t *r = v;
 
@@ -307,7 +308,7 @@
 }
 
 void
-outage_released(outage_t *o)
+entries_released(entries_t *o)
 {
 	say(o, 0, true);
 }
@@ -321,7 +322,7 @@
 }
 
 void
-outage_leave(outage_t *o)
+entries_leave(entries_t *o)
 {
 	store_put_t put = { .key = o->node->o.name };
 	store_tx_t tx = { .table = ENTRY_TABLE,
--- a/serve/node.c
+++ b/serve/node.c
@@ -235,8 +235,8 @@
 		return;
 	n->stopping = true;
 	n->stop_ms = node_now(n);
-	sched_heir(cell_port_sched(n->cell), outage_heir(n->outage));
-	outage_leave(n->outage);
+	sched_heir(cell_port_sched(n->cell), entries_heir(n->entries));
+	entries_leave(n->entries);
 	log_event(TS_EVT_DRAIN, "signal=%d requests=%d", number, n->requests);
 	node_soon(n);
 }
@@ -319,11 +319,11 @@
 	n->cell = cell_port_new(n);
 	n->operators = follow_new(&fo);
 	follow_start(n->operators);
-	n->outage = outage_new(n, err);
+	n->entries = entries_new(n, err);
 	uv_timer_init(n->loop, &n->tick);
 	n->tick.data = n;
 	uv_timer_start(&n->tick, on_tick, 0, 0);
-	return n->outage != NULL;
+	return n->entries != NULL;
 }
 
 /* Reads seconds, which may have a fraction. */
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -84,15 +84,15 @@
 void removal_send(node_t *n, const char *const *ids, size_t count);
 
 /*
- * Whether the store is away for all entries.
+ * The other entries: whether the store is away for all, and who is the heir.
  */
-typedef struct outage outage_t;
-outage_t *outage_new(node_t *n, GError **err);
-void outage_leave(outage_t *o);
+typedef struct entries entries_t;
+entries_t *entries_new(node_t *n, GError **err);
+void entries_leave(entries_t *o);
 /* Who is to own the cell after this entry, by name; "" for anyone. */
-const char *outage_heir(const outage_t *o);
+const char *entries_heir(const entries_t *o);
 /* Tells the other entries that the cell has been released. */
-void outage_released(outage_t *o);
+void entries_released(entries_t *o);
 
 /*
  * Requests of callers.
@@ -141,7 +141,7 @@
 	platform_t *platform;
 	cell_port_t *cell;
 	follow_t *operators;
-	outage_t *outage;
+	entries_t *entries;
 	GPtrArray *follows; /* all, of follow_t */
 	platform_tables_t *tables;
 	GHashTable *zones; /* evacuated; interned */
