--- a/coord/batch.c
+++ b/coord/batch.c
@@ -471,6 +471,7 @@
 		b->j = row->u.job;
 		b->class = coloc_class(c, b->j.class);
 		b->version = row->version;
+		b->here_ms = c->now;
 		g_hash_table_insert(g->jobs, b->j.id, b);
 		apply(c, b);
 		return;
--- a/coord/coord.h
+++ b/coord/coord.h
@@ -142,6 +142,7 @@
 	int64_t start_by_ms;  /* our clock; 0 when adopted */
 	int64_t renew_ms;     /* its lease is not renewed before this */
 	int64_t wait_ms;      /* not before this */
+	int64_t here_ms;      /* known to this owner since */
 	int64_t evict_ms;     /* no eviction for it before this */
 	int64_t lease_end_ms; /* our clock, if never answered */
 	int32_t share_pct;    /* of its processors */
--- a/coord/start.c
+++ b/coord/start.c
@@ -16,9 +16,10 @@
 #define LOOK_MAX       32   /* queued jobs looked at in one pass */
 #define MOVE_WAIT_MS   1500 /* queued this long, a job may move */
 #define MOVE_URGENT_MS 300
-#define MOVES_MAX      8    /* in one pass */
-#define LATE_TURN      8    /* every so many passes late work goes first */
-#define EVICT_WAIT_MS  1000 /* between evictions for one urgent task */
+#define MOVE_QUOTA_MS  20000 /* ... while its team has used its quota up */
+#define MOVES_MAX      8     /* in one pass */
+#define LATE_TURN      8     /* every so many passes late work goes first */
+#define EVICT_WAIT_MS  1000  /* between evictions for one urgent task */
 
 /* Whether the worker could take the job now. */
 static bool
@@ -188,15 +189,17 @@
 	int64_t patience = b->j.urgent ? MOVE_URGENT_MS : MOVE_WAIT_MS;
 	const char *to;
 
-	/* A quota holds everywhere: elsewhere the job would only lose time. */
-	if (!within_quota(c, b))
+	/* A quota holds everywhere, and a job on the way can't use it; but the
+	 * workers here may be the slowest to free it. */
+	if (!within_quota(c, b) && c->now - b->here_ms < MOVE_QUOTA_MS)
 		return false;
 	if (c->now - MAX(b->j.submitted_ms, g->owned_ms) >= patience &&
 	    (to = submit_group(c, &b->j, g->name)) != NULL) {
 		move(c, b, to);
 		return true;
 	}
-	if (b->j.urgent && c->now >= b->evict_ms && p != NULL)
+	if (b->j.urgent && c->now >= b->evict_ms && p != NULL &&
+	    within_quota(c, b))
 		evict_for(c, b, p);
 	return false;
 }
