Scheduler: a whole read of the jobs during ownership starts nothing anew

Cause: the store dropped its history, the feed of jobs answered so, the table was read whole and sched_load_done() was called for an owner that had loaded long ago. It queued the ready steps of all jobs in memory, also of one whose end was stored and whose other runs were still being stopped. Ruled out: the bound on attempts (2 in the job and in the queue throughout), ends noted twice or under another run (both failures were counted), other owners.

Now only a load that completes a claim opens jobs, and only steps of open jobs are queued. The schedules got a store that drops its history, a check that no task starts after the end of its job is stored, workers that do not guard their capacity (so that the check of room can fail: mutant cell_fit_ignored), stalled tasks and cancels of lasting jobs.

--- a/sched/queue.c
+++ b/sched/queue.c
@@ -116,12 +116,14 @@
 }
 
 /*
- * Adds a step to the queue if it is ready, has waiting tasks and is not in it.
+ * Adds a step of an open job to the queue if it is ready, has waiting tasks and
+ * is not in it.
  */
 void
 queue_add_step(sched_t *s, step_t *st)
 {
-	if (st->queue_iter != NULL || st->nwaiting == 0 || !st->ready)
+	if (st->occ->job->stage != JOB_OPEN || st->queue_iter != NULL ||
+	    st->nwaiting == 0 || !st->ready)
 		return;
 	update_urgency(s, st);
 	st->queue_iter =
--- a/sched/run.c
+++ b/sched/run.c
@@ -124,8 +124,7 @@
 		return;
 	t->state = TASK_WAITING;
 	t->step->nwaiting++;
-	if (t->step->occ->job->stage == JOB_OPEN)
-		queue_add_step(s, t->step);
+	queue_add_step(s, t->step);
 }
 
 /* Frees a job if its end is stored and it has no runs left. */
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -253,13 +253,15 @@
 void
 sched_load_done(sched_t *s, int64_t now_ms)
 {
-	g_autoptr(GList) all = g_hash_table_get_values(s->jobs);
+	g_autoptr(GList) all = NULL;
 
 	s->now_ms = now_ms;
+	/* Rows that were read whole again during ownership change nothing. */
+	if (s->cell.state != CELL_LOADING)
+		return;
 	ownership_load_done(s);
 	g_hash_table_remove_all(s->loaded_progress);
-	if (s->cell.state != CELL_OWNED)
-		return;
+	all = g_hash_table_get_values(s->jobs);
 	for (GList *i = all; i != NULL; i = i->next)
 		open_loaded_job(s, i->data);
 	stats_count_waiting_jobs(s);
--- a/test/cell/cell.h
+++ b/test/cell/cell.h
@@ -62,6 +62,7 @@
 	char zone[4];
 	int32_t index;
 	bool up;
+	bool guards_capacity; /* it rejects starts that do not fit */
 	bool fails_all_tasks; /* each run ends as failed */
 	bool tasks_stall;     /* runs make no progress */
 	bool cut_from[ENTRIES_MAX];
@@ -114,7 +115,8 @@
 	bool cancelled;
 	int64_t cancelled_ms;
 	bool always_fails;
-	bool begun; /* one of its tasks was started */
+	bool begun;	  /* one of its tasks was started */
+	int64_t ended_ms; /* when its end was stored; 0: it was not */
 	int64_t accepted_ms;
 } sim_job_t;
 
@@ -132,6 +134,7 @@
 	int32_t store_latency_ms;  /* of a call, without the network */
 	double lost_write_share;   /* of writes that get no answer */
 	bool lost_writes_apply_late;
+	int64_t history_from; /* the feed keeps no changes up to this version */
 	/* Entries, workers, jobs. */
 	sim_entry_t entries[ENTRIES_MAX];
 	int32_t nentries;
--- a/test/cell/store.c
+++ b/test/cell/store.c
@@ -36,7 +36,7 @@
 	int64_t version;
 	GPtrArray *rows;       /* copies, of row_t */
 	int64_t after_version; /* of a feed */
-	bool late;	       /* unused */
+	bool feed;	       /* it began as CALL_FEED */
 } call_t;
 
 static void
@@ -121,6 +121,9 @@
 
 	g_strlcpy(id, key, sizeof(id));
 	job = g_hash_table_lookup(w->jobs, id);
+	if (job != NULL && p != NULL && job->ended_ms == 0 &&
+	    p->state != SCHED__STATE__RUNNING)
+		job->ended_ms = w->now_ms;
 	for (size_t i = 0; job != NULL && p != NULL && i < job->def->n_steps &&
 	     p->state == SCHED__STATE__COMPLETED;
 	     i++)
@@ -325,9 +328,9 @@
 			    en->sched, c->result, c->version, w->now_ms);
 	} else if (c->result == SCHED_WRITE_OK)
 		on_read(c);
-	else if (c->kind == CALL_LOAD)
+	else if (c->kind == CALL_LOAD && !c->feed)
 		store_load(en);
-	if (c->kind == CALL_FEED)
+	if (c->feed)
 		world_schedule(w, FEED_GAP_MS, on_feed_gap_over, en);
 	call_free(c);
 }
@@ -387,6 +390,9 @@
 		world_schedule(w, CALL_TIMEOUT_MS, on_timeout, c);
 		return;
 	}
+	/* Without the history since then, the table is read whole. */
+	if (c->kind == CALL_FEED && c->after_version < w->history_from)
+		c->kind = CALL_LOAD;
 	if (write)
 		apply_write(w, c);
 	else {
@@ -463,6 +469,7 @@
 		return;
 	en->feed_in_progress = true;
 	c = call_new(en, CALL_FEED);
+	c->feed = true;
 	c->after_version = en->feed_version;
 	send_call(c);
 }
--- a/test/cell/worker.c
+++ b/test/cell/worker.c
@@ -27,6 +27,8 @@
 #define EVACUATION_BOUND_MS 5000
 #define CANCEL_BOUND_MS	    3000
 #define AFTER_OUTAGE_MS	    3000
+/* An order that was sent before an end was stored may arrive so much later. */
+#define IN_FLIGHT_MS (2 * NETWORK_DELAY_MS)
 
 static int64_t
 worker_clock_ms(const world_t *w, const sim_worker_t *wk)
@@ -173,6 +175,32 @@
 		}
 }
 
+static sim_run_t *
+find_run(sim_worker_t *wk, const char *task)
+{
+	for (guint i = 0; i < wk->runs->len; i++) {
+		sim_run_t *run = g_ptr_array_index(wk->runs, i);
+
+		if (strcmp(run->task, task) == 0)
+			return run;
+	}
+	return NULL;
+}
+
+static bool
+fits(const sim_worker_t *wk, const Sched__Step *st)
+{
+	int64_t cpu = st->filler ? 0 : st->cpu_milli, mem = st->mem_mb;
+
+	for (guint i = 0; i < wk->runs->len; i++) {
+		const sim_run_t *run = g_ptr_array_index(wk->runs, i);
+
+		cpu += run->step->filler ? 0 : run->step->cpu_milli;
+		mem += run->step->mem_mb;
+	}
+	return cpu <= wk->cpu_milli && mem <= wk->mem_mb;
+}
+
 /*
  * Checks a start just before it takes effect.  late: the order was delayed, so
  * the time bounds do not apply.
@@ -184,7 +212,6 @@
 	ground_truth_t *truth = world_ground_truth(w, o->task);
 	const int64_t *since_ms =
 	    g_hash_table_lookup(w->evacuated_since, wk->zone);
-	int64_t used_cpu_milli = 0;
 
 	if (truth->running > 0 && !job->def->steps[step]->duplicates)
 		world_fail(w, "twice",
@@ -200,17 +227,15 @@
 		    "task %s: run %" PRId64 " exceeds its attempts", o->task,
 		    o->run);
 	check_dependencies(w, job, o->task, step);
-	for (guint i = 0; i < wk->runs->len; i++) {
-		const sim_run_t *run = g_ptr_array_index(wk->runs, i);
-
-		used_cpu_milli += run->step->filler ? 0 : run->step->cpu_milli;
-	}
-	if (used_cpu_milli > wk->cpu_milli)
+	if (!fits(wk, job->def->steps[step]))
 		world_fail(w, "limit",
 		    "task %s started on %s, which has no room", o->task,
 		    wk->id);
 	if (late)
 		return;
+	if (job->ended_ms != 0 && w->now_ms > job->ended_ms + IN_FLIGHT_MS)
+		world_fail(w, "ended",
+		    "task %s started after the end of its job", o->task);
 	/* The bounds below apply only while the store answers. */
 	if (w->store_down || w->now_ms < w->outage_changed_ms + AFTER_OUTAGE_MS)
 		return;
@@ -228,32 +253,6 @@
 		    o->task, wk->id);
 }
 
-static sim_run_t *
-find_run(sim_worker_t *wk, const char *task)
-{
-	for (guint i = 0; i < wk->runs->len; i++) {
-		sim_run_t *run = g_ptr_array_index(wk->runs, i);
-
-		if (strcmp(run->task, task) == 0)
-			return run;
-	}
-	return NULL;
-}
-
-static bool
-fits(const sim_worker_t *wk, const Sched__Step *st)
-{
-	int64_t cpu = st->filler ? 0 : st->cpu_milli, mem = st->mem_mb;
-
-	for (guint i = 0; i < wk->runs->len; i++) {
-		const sim_run_t *run = g_ptr_array_index(wk->runs, i);
-
-		cpu += run->step->filler ? 0 : run->step->cpu_milli;
-		mem += run->step->mem_mb;
-	}
-	return cpu <= wk->cpu_milli && mem <= wk->mem_mb;
-}
-
 /* Starts a run, unless the worker must reject it; extends the lease. */
 static sched_order_result_t
 start_run(world_t *w, sim_worker_t *wk, const sched_order_t *o, bool late)
@@ -279,7 +278,7 @@
 		return SCHED_ORDER_INVALID;
 	}
 	sscanf(o->task + SCHED_JOB_ID_BYTES, ".%*d.%d", &step);
-	if (!fits(wk, job->def->steps[step]))
+	if (wk->guards_capacity && !fits(wk, job->def->steps[step]))
 		return SCHED_ORDER_NO_ROOM;
 	/* Runs may have ended on workers that got no call lately. */
 	for (int32_t i = 0; i < w->nworkers; i++)
--- a/test/cell/world.c
+++ b/test/cell/world.c
@@ -143,6 +143,7 @@
 		g_snprintf(wk->zone, sizeof(wk->zone), "z%d", i % 3);
 		wk->cpu_milli = 16000;
 		wk->mem_mb = 64000;
+		wk->guards_capacity = seed % 2 == 0;
 		wk->clock_rate = 1 - g_rand_double(w->rand) * 0.02;
 		worker_boot(w, wk);
 	}
--- a/test/main/cells.c
+++ b/test/main/cells.c
@@ -31,10 +31,11 @@
 	WORKER_CUT_FROM_ALL,
 	WORKER_CUT_FROM_ONE,
 	WORKER_FAILS_TASKS,
+	WORKER_STALLS,
 	WORKER_LOSES_ORDERS,
 	WORKER_DRAINS
 };
-enum { STORE_DOWN, STORE_SLOW, STORE_LOSES_WRITES };
+enum { STORE_DOWN, STORE_SLOW, STORE_LOSES_WRITES, STORE_DROPS_HISTORY };
 
 static void
 make_step(world_t *w, Sched__Step *st)
@@ -94,22 +95,39 @@
 	world_submit(w, &d, !lasting && world_chance(w, 0.03));
 }
 
-/*
- * Returns the id of a random job.  NULL if there is none, or if the job is not
- * lasting though lasting_only is set.
- */
+/* Returns the id of a random job; NULL if there is none. */
 static const char *
-random_job(world_t *w, bool lasting_only)
+random_job(world_t *w)
 {
 	g_autoptr(GList) all = g_hash_table_get_values(w->jobs);
 	guint n = g_list_length(all);
-	sim_job_t *job;
+	const sim_job_t *job;
 
 	if (n == 0)
 		return NULL;
 	job =
 	    g_list_nth_data(all, (guint)world_random_int(w, 0, (int32_t)n - 1));
-	return lasting_only && !job->def->steps[0]->lasting ? NULL : job->id;
+	return job->id;
+}
+
+/* Returns the id of a random lasting job; NULL if there is none. */
+static const char *
+random_lasting_job(world_t *w)
+{
+	GHashTableIter it;
+	const char *id = NULL;
+	int32_t n = 0;
+	void *v;
+
+	g_hash_table_iter_init(&it, w->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const sim_job_t *job = v;
+
+		if (job->def->steps[0]->lasting &&
+		    world_random_int(w, 0, n++) == 0)
+			id = job->id;
+	}
+	return id;
 }
 
 /*
@@ -216,6 +234,9 @@
 	case WORKER_FAILS_TASKS:
 		wk->fails_all_tasks = true;
 		break;
+	case WORKER_STALLS:
+		wk->tasks_stall = true;
+		break;
 	case WORKER_LOSES_ORDERS:
 		wk->lost_order_share = 0.3;
 		break;
@@ -239,6 +260,8 @@
 		w->lost_write_share = 0.35;
 		w->lost_writes_apply_late = world_chance(w, 0.5);
 	}
+	if (kind == STORE_DROPS_HISTORY)
+		w->history_from = ++w->version;
 	world_schedule(w, ms, store_recover, NULL);
 }
 
@@ -295,8 +318,8 @@
 		    w, world_random_int(w, WORKER_CRASHED, WORKER_DRAINS), ms);
 		break;
 	case 6:
-		store_fault(
-		    w, world_random_int(w, STORE_DOWN, STORE_LOSES_WRITES), ms);
+		store_fault(w,
+		    world_random_int(w, STORE_DOWN, STORE_DROPS_HISTORY), ms);
 		break;
 	case 7:
 		z = world_random_int(w, 0, 2);
@@ -307,7 +330,8 @@
 		zone_fault(w, ms);
 		break;
 	default:
-		id = random_job(w, false);
+		id = world_chance(w, 0.3) ? random_lasting_job(w) :
+					    random_job(w);
 		/* A cancel is a write to the store. */
 		if (id != NULL && !w->store_down)
 			world_cancel(w, id);
