Log: whole lines in pieces that a pipe takes at once; entry never waits for its log

A flush wrote all that was pending in one call. Writes now end at a line and are no longer than PIPE_BUF. Tests: unit log.

--- a/cmd/entry.c
+++ b/cmd/entry.c
@@ -517,6 +517,7 @@
 		return EXIT_USAGE;
 	}
 	entry_init(&e);
+	log_attach_loop(e.loop);
 	core_opts.name = e.name;
 	core_opts.zone = zone;
 	core_opts.incarnation = e.incarnation;
@@ -532,5 +533,6 @@
 	    e.incarnation, TS_VERSION);
 	uv_run(e.loop, UV_RUN_DEFAULT);
 	log_event(EVT_EXIT, "name=%s", e.name);
+	log_flush();
 	return EXIT_OK;
 }
--- a/cmd/log.c
+++ b/cmd/log.c
@@ -4,6 +4,7 @@
  */
 #include <errno.h>
 #include <fcntl.h>
+#include <limits.h>
 #include <stdarg.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -141,13 +142,28 @@
 	return line;
 }
 
+/*
+ * Number of pending bytes to write at once: as many whole lines as a pipe takes
+ * in one piece, so that no other process that shares it writes between them.
+ */
+static size_t
+next_write_bytes(void)
+{
+	const char *end;
+
+	if (pending->len <= PIPE_BUF)
+		return pending->len;
+	end = g_strrstr_len(pending->str, PIPE_BUF, "\n");
+	return end == NULL ? PIPE_BUF : (size_t)(end - pending->str) + 1;
+}
+
 void
 log_flush(void)
 {
 	ssize_t n;
 
 	while (pending != NULL && pending->len > 0) {
-		n = write(STDOUT_FILENO, pending->str, pending->len);
+		n = write(STDOUT_FILENO, pending->str, next_write_bytes());
 		if (n < 0 && errno == EINTR)
 			continue;
 		if (n <= 0)
@@ -168,9 +184,8 @@
 {
 	(void)t;
 	if (dropped != dropped_reported && pending->len == 0) {
-		g_string_append_printf(pending,
-		    "event=%d name=log_dropped lines=%" G_GUINT64_FORMAT "\n",
-		    EVT_LOG_DROPPED, dropped - dropped_reported);
+		log_event(EVT_LOG_DROPPED, "lines=%" G_GUINT64_FORMAT,
+		    dropped - dropped_reported);
 		dropped_reported = dropped;
 	}
 	log_flush();
