Requests: an attempt at the store is not given up before its caller's deadline

Ruled out: lost answers (none was lost before or after), the store refusing (429 or 503: none in the log).

When to send, to wait and to give up is now decided in serve/attempts.c, without I/O: a late attempt stays in flight, another is sent beside it after 800 ms, the first answer counts. A cancel in doubt is told 504, as a submission is, since 503 says that nothing was done. A read is refused as soon as the store is known to be silent. ingress.c is split: requests that need the store are in request.c.

Tests: unit attempts (tables of slow, losing, refusing and silent stores).

--- a/serve/serve.h
+++ b/serve/serve.h
@@ -122,6 +122,19 @@
 
 /* Serves a request of a caller; ctx is the node. */
 void ingress_request(void *ctx, server_req_t *r);
+/* Answer with JSON; the first takes header lines that end in CR LF. */
+void reply_text(
+    server_req_t *r, int32_t status, const char *headers, const char *body);
+void reply_error(server_req_t *r, int32_t status, const char *why);
+
+typedef enum { REQUEST_SUBMIT, REQUEST_CANCEL, REQUEST_STATE } request_kind_t;
+/*
+ * Begins a request that needs calls to the store, and answers it in the end.  A
+ * submission is accepted once its row, which it takes over, is stored; row is
+ * NULL for other requests.
+ */
+void request_begin(node_t *n, server_req_t *r, request_kind_t kind,
+    const route_match_t *m, GByteArray *row);
 
 /*
  * Tables and partitions of the store.  An owner writes its rows in one
