Scheduler: a worker that fails tasks is tried with one at a time

Failures now also count when other tasks of the job have been done, and a suspect worker gets one task at a time, after a back-off of 0.4 to 3.2 s, until one is done (sched/suspect.c).

--- a/sched/cell_worker.c
+++ b/sched/cell_worker.c
@@ -90,7 +90,7 @@
 	return w->listed && !w->draining && w->footprint_stored &&
 	    w->lease_end_store_ms == 0 && w->has_answered &&
 	    w->missed_polls == 0 && !w->silent &&
-	    w->backoff_until_ms <= s->now_ms &&
+	    w->backoff_until_ms <= s->now_ms && suspect_allows_start(s, w) &&
 	    !g_hash_table_contains(s->evacuated_zones, w->zone);
 }
 
@@ -222,4 +222,5 @@
 	w->lease_end_store_ms = 0;
 	w->poll_id = 0;
 	w->next_poll_ms = s->now_ms;
+	suspect_forget(w);
 }
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -10,7 +10,7 @@
  * - poll.c, report.c: polling workers and processing their reports;
  * - interference.c, isolation.c: how much filler tasks slow down serving tasks,
  *   and keeping them from doing so;
- * - straggler.c: slow workers and late runs;
+ * - straggler.c, suspect.c: slow workers and late runs; workers that fail tasks;
  * - flush.c, interference_row.c, purge.c: rows written to and removed from the
  *   store;
  * - stats.c: counters and the periodic load event.
@@ -215,8 +215,11 @@
 	double relative_speed; /* progress made, as a share of that due */
 	bool slow;
 	int64_t backoff_until_ms; /* no task is started there before */
-	int32_t failed_jobs;	  /* distinct jobs that failed there in a row */
-	const char *last_failed_job; /* interned */
+	int32_t failures_in_row;  /* that the jobs do not explain; suspect.c */
+	const char *last_failed_job; /* interned, or NULL */
+	bool suspect;		     /* it is tried with one task at a time */
+	run_t *probe;		     /* the run that tries it, or NULL */
+	int64_t probe_after_ms;	     /* if suspect: no run starts before */
 	int32_t nserving;	     /* serving tasks on it */
 	int32_t fillers_pace_pct;    /* 100: no filler is slowed; else 0 */
 	int64_t pace_changed_ms;     /* unused */
@@ -443,6 +446,14 @@
 void isolation_report(sched_t *s, worker_t *w);
 void isolation_run_removed(const sched_t *s, const run_t *r);
 
+/* suspect.c */
+void suspect_run_failed(sched_t *s, worker_t *w, const task_t *t);
+void suspect_run_done(sched_t *s, worker_t *w);
+void suspect_forget(worker_t *w);
+void suspect_run_started(run_t *r);
+void suspect_run_removed(const run_t *r);
+bool suspect_allows_start(const sched_t *s, const worker_t *w);
+
 /* straggler.c */
 void straggler_run_done(sched_t *s, const run_t *r);
 void straggler_report(sched_t *s, worker_t *w);
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -127,7 +127,7 @@
 		w->missed_polls = 0;
 		w->poll_id = 0;
 		w->fillers_pace_pct = 100;
-		w->failed_jobs = 0;
+		suspect_forget(w);
 		/* Other owners may have extended leases until now. */
 		w->lease.deadline_sent_ms = s->now_ms;
 		w->lease.deadline_ms = 0;
--- a/sched/place.c
+++ b/sched/place.c
@@ -22,7 +22,7 @@
  * free for fillers.
  */
 #define COST_OTHER_RACK	 1000000 /* not in the rack of the step's data */
-#define COST_FAILED_JOB	 400000	 /* per job in a row that failed there */
+#define COST_FAILURE	 400000	 /* per failure in a row there */
 #define COST_COMPATIBLE	 600	 /* per percent of filler images that may run */
 #define COST_OTHER_IMAGE 200000	 /* per image compatible with other fillers */
 #define COST_NO_SERVING	 100000	 /* a serving task where there is none yet */
@@ -88,7 +88,7 @@
 
 	if (d->near_rack[0] != '\0' && strcmp(d->near_rack, w->rack) != 0)
 		sc -= COST_OTHER_RACK;
-	sc -= w->failed_jobs * COST_FAILED_JOB;
+	sc -= w->failures_in_row * COST_FAILURE;
 	sc -= w->slow ? COST_SLOW_WORKER : 0;
 	if (w->id == t->avoid_worker)
 		sc -= COST_AVOIDED;
--- a/sched/report.c
+++ b/sched/report.c
@@ -12,13 +12,11 @@
 #include "sched.h"
 #include "internal.h"
 
-#define RETRY_DELAY_MIN_MS  100 /* after a failed run; doubled each time */
-#define RETRY_DELAY_MAX_MS  800
-#define SUSPECT_FAILED_JOBS 3 /* failed in a row: the worker is suspect */
-#define SUSPECT_BACKOFF_MS  3000
-#define RUN_TIME_WEIGHT	    16 /* runs in the moving average of a queue */
-#define RUN_TIME_MIN_PCT    10
-#define RUN_TIME_MAX_PCT    1000
+#define RETRY_DELAY_MIN_MS 100 /* after a failed run; doubled each time */
+#define RETRY_DELAY_MAX_MS 800
+#define RUN_TIME_WEIGHT	   16 /* runs in the moving average of a queue */
+#define RUN_TIME_MIN_PCT   10
+#define RUN_TIME_MAX_PCT   1000
 
 /*
  * Updates the ratio of real to declared run time of a queue with a completed
@@ -121,26 +119,6 @@
 	return n;
 }
 
-/*
- * Counts a failed run against its worker.  When several distinct jobs have
- * failed there in a row, no task is started there for a while.
- */
-static void
-count_worker_failure(sched_t *s, worker_t *w, const job_t *j)
-{
-	const char *id = g_intern_string(j->id);
-
-	if (w->last_failed_job == id)
-		return;
-	w->last_failed_job = id;
-	if (++w->failed_jobs < SUSPECT_FAILED_JOBS)
-		return;
-	w->backoff_until_ms =
-	    MAX(w->backoff_until_ms, s->now_ms + SUSPECT_BACKOFF_MS);
-	LOG_EVENT(s, SCHED_EVT_WORKER_SUSPECT, w->id,
-	    "failed_jobs=%d backoff=%d", w->failed_jobs, SUSPECT_BACKOFF_MS);
-}
-
 /*
  * Handles a failed run: the task is tried again after a delay, or its job fails
  * when no attempt is left.  Lasting tasks are always restarted.
@@ -152,7 +130,7 @@
 	int32_t nfailed;
 
 	s->stats.failed++;
-	count_worker_failure(s, w, j);
+	suspect_run_failed(s, w, t);
 	t->avoid_worker = w->id;
 	if (t->step->def->lasting || !task_add_failed_run(t, run))
 		return;
@@ -203,8 +181,7 @@
 		run_mark_job_started(s, t->step->occ->job);
 		keep_checkpoint(t, e->checkpoint);
 		if (e->outcome == SCHED_RUN_DONE && !t->step->def->lasting) {
-			w->failed_jobs = 0;
-			w->last_failed_job = NULL;
+			suspect_run_done(s, w);
 			on_task_done(s, t, r);
 		} else if (e->outcome == SCHED_RUN_FAILED)
 			on_task_failed(s, t, w, e->run);
--- a/sched/run.c
+++ b/sched/run.c
@@ -145,6 +145,7 @@
 	task_t *t = r->task;
 	job_t *j = r->job;
 
+	suspect_run_removed(r);
 	if (r->holds_resources) {
 		isolation_run_removed(s, r);
 		cell_worker_count_task(r->worker, t->step, -1);
@@ -187,6 +188,7 @@
 	else
 		t->speculative_run = r;
 	run_set_state(s, r, RUN_STARTING);
+	suspect_run_started(r);
 	LOG_EVENT(s, SCHED_EVT_START, name,
 	    "run=%" PRId64 " worker=%s token=%" PRId64
 	    " latest_start_in=%" PRId64 " answer_age=%" PRId64,
--- /dev/null
+++ b/sched/suspect.c
@@ -0,0 +1,95 @@
+/*
+ * Workers that fail the tasks they are given.  A task may fail by its own
+ * fault, so that only failures of several tasks in a row, which their jobs do
+ * not explain, make a worker suspect.  A suspect worker is tried with one task
+ * at a time, after a back-off that doubles with each failure, until one is
+ * done.
+ */
+#include <inttypes.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "../proto/sched.pb-c.h"
+#include "sched.h"
+#include "internal.h"
+
+#define SUSPECT_FAILURES 3 /* in a row */
+#define BACKOFF_MIN_MS	 400
+#define BACKOFF_MAX_MS	 3200
+
+/*
+ * Whether a failure tells more about the worker than about the task: the last
+ * one was of another job, or other tasks of the job have been done.
+ */
+static bool
+is_evidence(const worker_t *w, const task_t *t)
+{
+	const job_t *j = t->step->occ->job;
+
+	return w->last_failed_job != g_intern_string(j->id) ||
+	    t->step->ndone > 0;
+}
+
+/* A run of a task has failed on a worker. */
+void
+suspect_run_failed(sched_t *s, worker_t *w, const task_t *t)
+{
+	bool counts = is_evidence(w, t);
+	int64_t backoff_ms;
+
+	w->last_failed_job = g_intern_string(t->step->occ->job->id);
+	if (!counts || ++w->failures_in_row < SUSPECT_FAILURES)
+		return;
+	backoff_ms = MIN(BACKOFF_MAX_MS,
+	    BACKOFF_MIN_MS << MIN(w->failures_in_row - SUSPECT_FAILURES, 8));
+	w->suspect = true;
+	w->probe_after_ms = s->now_ms + backoff_ms;
+	LOG_EVENT(s, SCHED_EVT_WORKER_SUSPECT, w->id,
+	    "failures=%d backoff=%" PRId64, w->failures_in_row, backoff_ms);
+}
+
+/* A run of a task has been done on a worker. */
+void
+suspect_run_done(sched_t *s, worker_t *w)
+{
+	if (w->suspect)
+		LOG_EVENT(s, SCHED_EVT_WORKER_SUSPECT, w->id, "failures=0");
+	suspect_forget(w);
+}
+
+/* Forgets the failures on a worker. */
+void
+suspect_forget(worker_t *w)
+{
+	w->suspect = false;
+	w->probe = NULL;
+	w->failures_in_row = 0;
+	w->last_failed_job = NULL;
+}
+
+/* A run is started: on a suspect worker it is the one that tries it. */
+void
+suspect_run_started(run_t *r)
+{
+	if (r->worker->suspect && r->worker->probe == NULL)
+		r->worker->probe = r;
+}
+
+/* A run is removed from its worker. */
+void
+suspect_run_removed(const run_t *r)
+{
+	if (r->worker->probe == r)
+		r->worker->probe = NULL;
+}
+
+/* Whether a task may be started on a worker, as far as its failures go. */
+bool
+suspect_allows_start(const sched_t *s, const worker_t *w)
+{
+	return !w->suspect ||
+	    (w->probe == NULL && s->now_ms >= w->probe_after_ms);
+}
--- a/test/unit/sched.c
+++ b/test/unit/sched.c
@@ -472,6 +472,55 @@
 	}
 }
 
+/*
+ * A worker fails all that it is given: after a few failures that tasks do not
+ * explain it is tried with one task at a time.  Each letter is a run that ends:
+ * the job's letter if it failed, '.' if it was done.
+ */
+Test(sched, a_worker_that_fails_tasks_is_tried_with_one)
+{
+	static const struct {
+		const char *ends;
+		bool suspect;
+	} cases[] = { { "a", false }, { "aaaaaaa", false }, { "ab", false },
+		{ "abc", true }, { "aba", true }, { "ab.c", false },
+		{ "abc.", false }, { "abcd", true }, { "aaab", false } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = new_sched();
+		worker_t *w = add_worker(s, "w");
+		Sched__Step d = step_def("", 1000, false, 0);
+		job_t *jobs[4];
+
+		for (int k = 0; k < 4; k++) {
+			g_autofree char *id = g_strdup_printf("%016d", k);
+
+			jobs[k] = add_job(s, id, &d, 0);
+		}
+		s->cell.state = CELL_OWNED;
+		s->now_ms = 1000;
+		for (const char *e = cases[i].ends; *e != '\0'; e++)
+			if (*e == '.')
+				suspect_run_done(s, w);
+			else
+				suspect_run_failed(s, w,
+				    &first_step(jobs[*e - 'a'])->tasks[0]);
+		cr_expect_eq(
+		    w->suspect, cases[i].suspect, "ends %s", cases[i].ends);
+		cr_expect_eq(cell_worker_usable(s, w), !cases[i].suspect,
+		    "ends %s", cases[i].ends);
+		/* After the back-off: one task, and no second one. */
+		s->now_ms += 10000;
+		cr_expect(cell_worker_usable(s, w), "ends %s", cases[i].ends);
+		run_new(s, "0000000000000000.0.0.0", w, 1);
+		suspect_run_started(
+		    g_hash_table_lookup(w->runs, "0000000000000000.0.0.0"));
+		cr_expect_eq(cell_worker_usable(s, w), !cases[i].suspect,
+		    "ends %s", cases[i].ends);
+		sched_free(s);
+	}
+}
+
 static int claims;
 
 static void
