Scheduler: placement looks at few workers; polls are not walked at each tick

Profile (perf, 1,000 workers of the stand-in): 18% in place_task, which looked at all workers for each task; with a long queue each pass looked at all workers for each of 200 steps that fit nowhere.

Polls that are due now are in a list, all workers are walked 20 times a second instead of at each tick. Sets of images are bit masks. The hack of a back-off that hid a run's own worker from placement is gone: a task is never placed where it has a run.

The unit tests of the scheduler share a fixture.

--- a/sched/approval.c
+++ b/sched/approval.c
@@ -250,6 +250,8 @@
 		store_approval(s, st, a->approved[i].worker,
 		    a->approved[i].ticket, r->sent_ms + a->valid_ms);
 	g_hash_table_remove(s->approval_requests, &id);
+	if (st != NULL)
+		st->unplaced_round = 0;
 	s->start_pass_due = true;
 }
 
--- a/sched/cell_worker.c
+++ b/sched/cell_worker.c
@@ -43,6 +43,7 @@
 	w->labels = g_ptr_array_new();
 	w->runs = g_hash_table_new(g_str_hash, g_str_equal);
 	w->fillers_pace_pct = 100;
+	w->footprint_row = (int32_t)(g_str_hash(w->id) % FOOTPRINT_ROWS);
 	g_hash_table_insert(s->workers, (void *)w->id, w);
 	g_ptr_array_add(s->worker_list, w);
 	return w;
@@ -91,7 +92,7 @@
 	    w->lease_end_store_ms == 0 && w->has_answered &&
 	    w->missed_polls == 0 && !w->silent &&
 	    w->backoff_until_ms <= s->now_ms && suspect_allows_start(s, w) &&
-	    !g_hash_table_contains(s->evacuated_zones, w->zone);
+	    !w->zone_evacuated;
 }
 
 /*
@@ -221,6 +222,6 @@
 	w->footprint_flush = 0;
 	w->lease_end_store_ms = 0;
 	w->poll_id = 0;
-	w->next_poll_ms = s->now_ms;
+	poll_soon(s, w);
 	suspect_forget(w);
 }
--- a/sched/flush.c
+++ b/sched/flush.c
@@ -17,9 +17,7 @@
 #include "sched.h"
 #include "internal.h"
 
-#define MAX_ROWS_PER_FLUSH 90 /* in a transaction; the store accepts 100 */
-/* Rows of the footprint; each is below 64 KiB with 29,000 workers. */
-#define FOOTPRINT_ROWS		 64
+#define MAX_ROWS_PER_FLUSH	 90 /* in a transaction; the store accepts 100 */
 #define FOOTPRINT_ROWS_PER_WRITE 16  /* a transaction has at most 1 MB */
 #define FLUSH_GAP_MS		 25  /* shortest, so that each writes more */
 #define RENEWAL_MS		 400 /* longest time without a flush */
@@ -116,13 +114,6 @@
 	    cell_worker_lease_end(w) + s->store_clock_offset_ms;
 }
 
-/* Number of the footprint row that has the worker. */
-static int32_t
-footprint_row_of(const worker_t *w)
-{
-	return (int32_t)(g_str_hash(w->id) % FOOTPRINT_ROWS);
-}
-
 /*
  * Updates what the footprint says about a worker for the flush that begins;
  * true when its row must be written.
@@ -162,7 +153,7 @@
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		const worker_t *w = g_ptr_array_index(s->worker_list, i);
 
-		if (w->footprint_flush == 0 || footprint_row_of(w) != row)
+		if (w->footprint_flush == 0 || w->footprint_row != row)
 			continue;
 		f.workers[f.n_workers++] =
 		    g_strconcat(w->id, " ", w->address, NULL);
@@ -191,7 +182,7 @@
 
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		worker_t *w = g_ptr_array_index(s->worker_list, i);
-		int32_t row = footprint_row_of(w);
+		int32_t row = w->footprint_row;
 
 		if (!changed[row] && rows == FOOTPRINT_ROWS_PER_WRITE)
 			continue;
@@ -341,7 +332,7 @@
 		    w->footprint_flush <= s->flushed_number &&
 		    !w->footprint_stored) {
 			w->footprint_stored = true;
-			s->start_pass_due = true;
+			scan_worker_changed(s, w);
 		}
 		if (w->ended_flush == 0 || w->ended_flush > s->flushed_number)
 			continue;
@@ -351,7 +342,7 @@
 		}
 		w->ended_flush = 0;
 		w->ended_stored_seq = w->ended_flush_seq;
-		w->next_poll_ms = s->now_ms;
+		poll_soon(s, w);
 	}
 }
 
--- a/sched/interference_row.c
+++ b/sched/interference_row.c
@@ -46,7 +46,7 @@
 	m->fillers = g_new0(char *, images);
 	m->harms = g_new0(double, images);
 	for (int32_t f = 0; f < images; f++) {
-		if (!s->is_filler_image[f] ||
+		if ((s->filler_images & IMAGE_BIT(f)) == 0 ||
 		    !interference_known(s, serving, f))
 			continue;
 		m->fillers[m->n_fillers++] = (char *)image_name(s, f);
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -5,7 +5,7 @@
  * - ownership.c: claiming, renewing and losing the cell;
  * - job.c, queue.c: jobs, steps and tasks, and the order of waiting steps;
  * - cell_worker.c: workers, their free resources, clocks and leases;
- * - place.c, approval.c: choice of a worker for a task;
+ * - place.c, scan.c, approval.c: choice of a worker for a task;
  * - start.c, run.c: starting and stopping runs of tasks;
  * - poll.c, report.c: polling workers and processing their reports;
  * - interference.c, isolation.c: how much filler tasks slow down serving tasks,
@@ -34,6 +34,17 @@
 
 #define IMAGES_MAX 64 /* images whose interference is learned */
 
+/* Rows of the footprint; each is below 64 KiB with 29,000 workers. */
+#define FOOTPRINT_ROWS 64
+
+/* Runs the statement that follows for each image i of a set. */
+#define FOREACH_IMAGE(i, set) \
+	for (uint64_t left_ = (set); \
+	     left_ != 0 && ((i) = __builtin_ctzll(left_), true); \
+	     left_ &= left_ - 1)
+/* The set with only this image. */
+#define IMAGE_BIT(i) ((uint64_t)1 << (i))
+
 typedef enum { TASK_WAITING, TASK_RUNNING, TASK_DONE } task_state_t;
 
 typedef struct {
@@ -75,12 +86,13 @@
 	/* Declared time of the longest chain of steps that starts here. */
 	int64_t critical_path_ms;
 	GSequenceIter *queue_iter; /* position in ready_steps, or NULL */
+	uint64_t unplaced_round;   /* round of scan.c without a worker for it */
+	uint64_t unmovable_round;  /* the same for a task that runs */
 	/* Wall clock: the latest start that can still meet the job's target. */
 	int64_t latest_start_ms;
 	bool misses_target;    /* latest_start_ms has passed */
 	bool past_late_limit;  /* too late even to count as a late job */
 	int64_t sort_key_ms;   /* lower goes first within a tier and priority */
-	int64_t gang_run;      /* unused */
 	char *gang_checkpoint; /* latest one that a task of a gang reported */
 	GHashTable *approvals; /* worker id -> approval_t; or NULL */
 	uint64_t approval_request_id; /* approval request in flight; 0: none */
@@ -173,34 +185,48 @@
 } lease_t;
 
 struct worker {
-	const char *id;			   /* interned */
-	char *address;			   /* "" until known */
+	const char *id; /* interned */
+	/* What placement looks at. */
 	const char *service, *zone, *rack; /* interned */
 	GPtrArray *labels;		   /* interned */
-	int64_t started_ms; /* start of its process, since 1970 */
-	int64_t cpu_milli, mem_mb;
-	int32_t gpu;
 	/* listed: in the platform's list; seen_in_list: since the last whole
 	 * read of the list. */
 	bool listed, seen_in_list, draining;
+	bool zone_evacuated;
 	bool footprint_stored; /* a footprint row with this worker is stored */
-	/* When its leases end by the store's clock, as last put in the
-	 * footprint; 0: they are being extended. */
-	int64_t lease_end_store_ms;
-	bool has_answered;    /* a poll with this owner's token */
-	bool silent;	      /* several polls in a row got no answer */
-	int32_t missed_polls; /* without an answer, in a row */
-	lease_t lease;
+	bool has_answered;     /* a poll with this owner's token */
+	bool silent;	       /* several polls in a row got no answer */
+	bool slow;	       /* its tasks make little progress */
+	bool suspect;	       /* it is tried with one task at a time */
+	bool changed;	       /* it is in s->scan.changed */
+	int32_t missed_polls;  /* without an answer, in a row */
+	int32_t gpu, used_gpu;
+	int64_t cpu_milli, mem_mb;
 	/* Resources used.  used_cpu_milli excludes fillers; serving_cpu_milli
 	 * is the part of it held by serving tasks. */
 	int64_t used_cpu_milli, used_mem_mb, filler_cpu_milli,
 	    serving_cpu_milli;
-	int32_t used_gpu;
-	GHashTable *runs; /* task name -> run_t */
+	int64_t backoff_until_ms; /* no task is started there before */
+	/* When its leases end by the store's clock, as last put in the
+	 * footprint; 0: they are being extended. */
+	int64_t lease_end_store_ms;
+	uint64_t serving_mask, filler_mask; /* images that have tasks there */
+	int32_t nserving;		    /* serving tasks on it */
+	/* Share of the filler images that may run beside its serving tasks. */
+	int32_t compatible_filler_pct;
+	int32_t failures_in_row; /* that the jobs do not explain; suspect.c */
+	run_t *probe;		/* if suspect: the run that tries it, or NULL */
+	int64_t probe_after_ms; /* if suspect: no run starts before */
+	GHashTable *runs;	/* task name -> run_t */
+	/* The rest. */
+	char *address;	    /* "" until known */
+	int64_t started_ms; /* start of its process, since 1970 */
+	lease_t lease;
 	/* Polls. */
 	uint64_t poll_id;     /* poll in flight; 0: none */
 	int64_t poll_sent_ms; /* when the last poll was sent */
 	int64_t next_poll_ms;
+	bool poll_soon;		  /* it is in s->polls_soon */
 	bool poll_without_wait;	  /* next poll returns at once */
 	int64_t ended_seq;	  /* highest sequence number processed */
 	int64_t ended_stored_seq; /* up to here the results are stored */
@@ -209,23 +235,14 @@
 	int64_t ended_flush_seq;
 	/* The flush that adds the worker to the footprint; 0: it is not in. */
 	uint64_t footprint_flush;
+	int32_t footprint_row; /* that has the worker */
 	/* Speed and failures. */
 	/* Decaying sums over completed runs: progress due and made. */
 	double history_due_pct, history_made_pct;
-	double relative_speed; /* progress made, as a share of that due */
-	bool slow;
-	int64_t backoff_until_ms; /* no task is started there before */
-	int32_t failures_in_row;  /* that the jobs do not explain; suspect.c */
+	double relative_speed;	     /* progress made, as a share of that due */
 	const char *last_failed_job; /* interned, or NULL */
-	bool suspect;		     /* it is tried with one task at a time */
-	run_t *probe;		     /* the run that tries it, or NULL */
-	int64_t probe_after_ms;	     /* if suspect: no run starts before */
-	int32_t nserving;	     /* serving tasks on it */
 	int32_t fillers_pace_pct;    /* 100: no filler is slowed; else 0 */
-	int64_t pace_changed_ms;     /* unused */
 	int64_t filler_moved_ms;     /* a filler was last moved away */
-	/* Share of the filler images that may run beside its serving tasks. */
-	int32_t compatible_filler_pct;
 	/* When a tail latency had last been over its target for so long that
 	 * the fillers were stopped (isolation.c); 0: never. */
 	int64_t target_exceeded_ms;
@@ -287,6 +304,13 @@
 	bool store_outage;
 } cell_t;
 
+/* Which workers a pass over the queue looks at; see scan.c. */
+typedef struct {
+	uint64_t round;	    /* the number of the present round */
+	GPtrArray *changed; /* of worker_t */
+	guint next;	    /* index of the first worker to look at */
+} scan_t;
+
 struct sched {
 	sched_opts_t opts;
 	int64_t now_ms, wall_ms; /* as handed to the current call */
@@ -301,7 +325,9 @@
 	GHashTable *images; /* name -> index */
 	/* By serving image; NULL until something is learned of it. */
 	interference_t *interference[IMAGES_MAX];
-	bool is_filler_image[IMAGES_MAX];
+	uint64_t filler_images; /* set of images of filler tasks */
+	/* By serving image: the filler images that may run beside it. */
+	uint64_t compatible_fillers[IMAGES_MAX];
 	GHashTable *approval_requests; /* in flight, by id */
 	GHashTable *evacuated_zones;   /* set of interned names */
 	GHashTable *loaded_progress; /* while loading: id -> Sched__Progress */
@@ -319,6 +345,9 @@
 	/* Since the last pass over waiting steps, something has changed that
 	 * may let a task start. */
 	bool start_pass_due;
+	scan_t scan;
+	GPtrArray *polls_soon; /* of worker_t, whose polls are due */
+	int64_t all_polled_ms; /* when all workers were last looked at */
 	/* When ready_steps was last sorted and the load event last logged. */
 	int64_t sorted_ms, stats_logged_ms;
 	int64_t purged_ms;	 /* when the last round of removals began */
@@ -362,9 +391,15 @@
 void cell_worker_restarted(sched_t *s, worker_t *w, int64_t started_ms);
 void cell_worker_clock_read(sched_t *s, worker_t *w, int64_t clock_ms);
 
+/* scan.c */
+void scan_worker_changed(sched_t *s, worker_t *w);
+void scan_begin_round(sched_t *s);
+void scan_end_pass(sched_t *s);
+const GPtrArray *scan_workers(const sched_t *s, const step_t *st);
+
 /* place.c */
-worker_t *
-place_task(sched_t *s, const step_t *st, const task_t *t, const char *rack);
+worker_t *place_task(sched_t *s, step_t *st, const task_t *t);
+worker_t *place_elsewhere(sched_t *s, const run_t *r);
 bool place_possible(const sched_t *s, const worker_t *w, const step_t *st);
 bool place_gang(sched_t *s, const step_t *st, worker_t **at);
 
@@ -435,7 +470,8 @@
 void interference_row_read(sched_t *s, const sched_row_t *row);
 
 /* poll.c */
-void poll_tick(sched_t *s, worker_t *w);
+void poll_soon(sched_t *s, worker_t *w);
+void poll_tick(sched_t *s);
 
 /* isolation.c */
 bool isolation_allows(const sched_t *s, const worker_t *w, const step_t *st);
--- a/sched/isolation.c
+++ b/sched/isolation.c
@@ -34,13 +34,12 @@
 
 /*
  * Share of the processors that the fillers of an image on a worker use at full
- * speed, with more_milli added to their declared use.
+ * speed, as declared.
  */
 static double
-filler_use(const worker_t *w, int32_t image, int64_t more_milli)
+filler_use(const worker_t *w, int32_t image)
 {
-	return (double)(w->filler_cpu_by_image[image] + more_milli) /
-	    (double)w->cpu_milli;
+	return (double)w->filler_cpu_by_image[image] / (double)w->cpu_milli;
 }
 
 /*
@@ -51,11 +50,10 @@
 headroom_loss(const sched_t *s, const worker_t *w, int32_t serving)
 {
 	double sum = 0;
+	int32_t f;
 
-	for (int32_t f = 0; f < IMAGES_MAX; f++)
-		if (w->filler_cpu_by_image[f] > 0)
-			sum += interference_coefficient(s, serving, f) *
-			    filler_use(w, f, 0);
+	FOREACH_IMAGE(f, w->filler_mask)
+	sum += interference_coefficient(s, serving, f) * filler_use(w, f);
 	return sum;
 }
 
@@ -84,14 +82,14 @@
 isolation_allows(const sched_t *s, const worker_t *w, const step_t *st)
 {
 	const Sched__Step *d = st->def;
+	int32_t i;
 
 	if (st->image < 0 || w->cpu_milli == 0 || !d->filler)
 		return true;
-	for (int32_t i = 0; i < IMAGES_MAX && w->nserving > 0; i++)
-		if (w->serving_by_image[i] > 0 &&
-		    !tolerates(s, w, i, st->image,
-			(double)d->cpu_milli / (double)w->cpu_milli))
-			return false;
+	FOREACH_IMAGE(i, w->serving_mask)
+	if (!tolerates(s, w, i, st->image,
+		(double)d->cpu_milli / (double)w->cpu_milli))
+		return false;
 	return true;
 }
 
@@ -114,39 +112,24 @@
 void
 isolation_update_compatibility(sched_t *s)
 {
+	int32_t images = (int32_t)g_hash_table_size(s->images), f, serving;
+	int32_t all = __builtin_popcountll(s->filler_images);
+
+	for (serving = 0; serving < images; serving++) {
+		s->compatible_fillers[serving] = 0;
+		FOREACH_IMAGE(f, s->filler_images)
+		if (compatible(s, serving, f))
+			s->compatible_fillers[serving] |= IMAGE_BIT(f);
+	}
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		worker_t *w = g_ptr_array_index(s->worker_list, i);
-		int32_t all = 0, may = 0;
-
-		for (int32_t f = 0; f < IMAGES_MAX; f++) {
-			bool ok = true;
-
-			if (!s->is_filler_image[f])
-				continue;
-			for (int32_t serving = 0; serving < IMAGES_MAX && ok;
-			     serving++)
-				ok = w->serving_by_image[serving] <= 0 ||
-				    compatible(s, serving, f);
-			all++;
-			may += ok;
-		}
-		w->compatible_filler_pct = all == 0 ? 100 : 100 * may / all;
-	}
-}
-
-/*
- * Number of filler images that are compatible with just one of two serving
- * images.
- */
-static int32_t
-compatibility_differences(const sched_t *s, int32_t a, int32_t b)
-{
-	int32_t n = 0;
+		uint64_t may = s->filler_images;
 
-	for (int32_t f = 0; f < IMAGES_MAX; f++)
-		n += s->is_filler_image[f] &&
-		    compatible(s, a, f) != compatible(s, b, f);
-	return n;
+		FOREACH_IMAGE(serving, w->serving_mask)
+		may &= s->compatible_fillers[serving];
+		w->compatible_filler_pct =
+		    all == 0 ? 100 : 100 * __builtin_popcountll(may) / all;
+	}
 }
 
 /*
@@ -160,14 +143,15 @@
 isolation_serving_cost(const sched_t *s, const worker_t *w, const step_t *st,
     int32_t *other_images)
 {
+	int32_t i;
+
 	*other_images = 0;
 	if (st->image < 0 || w->cpu_milli == 0)
 		return 0;
-	for (int32_t i = 0; i < IMAGES_MAX; i++)
-		if (w->serving_by_image[i] > 0 && i != st->image)
-			*other_images += s->interference[i] == NULL ||
-			    s->interference[st->image] == NULL ||
-			    compatibility_differences(s, i, st->image) > 0;
+	FOREACH_IMAGE(i, w->serving_mask & ~IMAGE_BIT(st->image))
+	*other_images += s->interference[i] == NULL ||
+	    s->interference[st->image] == NULL ||
+	    s->compatible_fillers[i] != s->compatible_fillers[st->image];
 	return MAX(0,
 	    MIN_HEADROOM + headroom_loss(s, w, st->image) -
 		interference_min_headroom(s, st->image));
@@ -179,12 +163,22 @@
 void
 isolation_count_task(worker_t *w, const step_t *st, int sign)
 {
+	uint64_t bit;
+
 	if (st->image < 0)
 		return;
-	if (st->def->filler)
+	bit = IMAGE_BIT(st->image);
+	if (st->def->filler) {
 		w->filler_cpu_by_image[st->image] += sign * st->def->cpu_milli;
-	else if (st->def->tail_target_ms > 0)
+		w->filler_mask &= ~bit;
+		if (w->filler_cpu_by_image[st->image] > 0)
+			w->filler_mask |= bit;
+	} else if (st->def->tail_target_ms > 0) {
 		w->serving_by_image[st->image] += sign;
+		w->serving_mask &= ~bit;
+		if (w->serving_by_image[st->image] > 0)
+			w->serving_mask |= bit;
+	}
 }
 
 /* Whether the run is a running filler task of a known image. */
@@ -365,20 +359,14 @@
  * still.
  */
 static bool
-can_move(sched_t *s, worker_t *w, const run_t *r)
+can_move(sched_t *s, const worker_t *w, const run_t *r)
 {
 	const task_t *t = r->task;
-	int64_t saved_ms = w->backoff_until_ms;
-	worker_t *to;
 
 	if (t->run != r || s->now_ms - w->filler_moved_ms < MOVE_GAP_MS ||
 	    (!t->step->def->checkpoints && r->wanted_pace_pct > 0))
 		return false;
-	/* So that place_task does not choose this worker again. */
-	w->backoff_until_ms = INT64_MAX;
-	to = place_task(s, t->step, t, NULL);
-	w->backoff_until_ms = saved_ms;
-	return to != NULL;
+	return place_elsewhere(s, r) != NULL;
 }
 
 /* Sets the wanted pace of a filler run; run_resend_orders sends it. */
--- a/sched/job.c
+++ b/sched/job.c
@@ -94,7 +94,7 @@
 		st->def = def->steps[i];
 		st->image = interference_image(s, st->def->image);
 		if (st->image >= 0 && st->def->filler)
-			s->is_filler_image[st->image] = true;
+			s->filler_images |= IMAGE_BIT(st->image);
 		st->ntasks = st->nwaiting = st->def->count;
 		st->tasks = g_new0(task_t, st->ntasks);
 		for (int32_t k = 0; k < st->ntasks; k++) {
--- a/sched/place.c
+++ b/sched/place.c
@@ -17,6 +17,8 @@
  * the rest is available to filler tasks.
  */
 #define SERVING_PEAK_USE_PCT 50
+/* So many workers that can take a task are compared, if there are more. */
+#define ENOUGH_WORKERS 64
 /*
  * Deductions from a worker's score, which counts thousandths of a core that are
  * free for fillers.
@@ -141,35 +143,60 @@
 	return n;
 }
 
+/* What find_best_worker looks for, and where. */
+typedef struct {
+	const step_t *step;
+	const task_t *task;
+	const GPtrArray *workers; /* to look at */
+	const char *rack;	  /* only workers in it (interned); or NULL */
+	/* Workers chosen for other tasks of its gang; they count against
+	 * per_worker. */
+	gang_placement_t gang;
+	guint enough; /* so many workers that can take it are compared */
+} query_t;
+
+/* Whether a worker can take a task of the step now. */
+static bool
+can_take(const sched_t *s, const worker_t *w, const query_t *q)
+{
+	const step_t *st = q->step;
+
+	if (!place_possible(s, w, st) || !approval_allows(s, st, w) ||
+	    (q->rack != NULL && w->rack != q->rack))
+		return false;
+	return st->def->per_worker == 0 ||
+	    step_tasks_on(w, st) + gang_tasks_on(&q->gang, w) <
+	    st->def->per_worker;
+}
+
 /*
- * Returns the worker with the highest score for a task, or NULL.  The workers
- * in gang, chosen for other tasks of its gang, count against per_worker.  rack:
- * if not NULL, only workers in it are considered (interned name).
+ * Returns the worker with the highest score for a task, or NULL.  Each search
+ * begins where the last one ended, so that those which end early share the
+ * workers evenly.
  */
 static worker_t *
-find_best_worker(sched_t *s, const step_t *st, const task_t *t,
-    const char *rack, const gang_placement_t *gang)
+find_best_worker(sched_t *s, const query_t *q)
 {
+	guint n = q->workers->len, found = 0;
+	guint first = q->enough < n ? s->scan.next % n : 0;
 	worker_t *best = NULL;
 	int64_t best_score = 0;
 	char name[64];
 
-	job_task_name(t, name, sizeof(name));
-	for (guint i = 0; i < s->worker_list->len; i++) {
-		worker_t *w = g_ptr_array_index(s->worker_list, i);
+	job_task_name(q->task, name, sizeof(name));
+	for (guint i = 0; i < n && found < q->enough; i++) {
+		worker_t *w = g_ptr_array_index(q->workers, (first + i) % n);
 		int64_t sc;
 
-		if (!place_possible(s, w, st) || !approval_allows(s, st, w) ||
-		    (rack != NULL && w->rack != rack))
+		s->stats.places++;
+		if (!can_take(s, w, q))
 			continue;
-		sc = score(s, w, st, t);
+		found++;
+		s->scan.next = first + i + 1;
+		sc = score(s, w, q->step, q->task);
 		if (best != NULL && sc <= best_score)
 			continue;
-		if (st->def->per_worker > 0 &&
-		    step_tasks_on(w, st) + gang_tasks_on(gang, w) >=
-			st->def->per_worker)
-			continue;
-		/* An earlier run of the task has not been removed yet. */
+		/* An earlier run of the task may not have been removed yet. */
 		if (g_hash_table_contains(w->runs, name))
 			continue;
 		best = w;
@@ -179,37 +206,86 @@
 }
 
 /*
- * Returns the best worker for a task that can start now, or NULL.  rack: if not
- * NULL, only workers in it are considered (interned name).
+ * Number of workers to compare for a task of the step.  All of them where a few
+ * suit much better than the others: near its data, or beside other serving
+ * tasks.
+ */
+static guint
+enough_workers(const step_t *st)
+{
+	return st->def->near_rack[0] != '\0' || st->def->tail_target_ms > 0 ?
+	    G_MAXUINT :
+	    ENOUGH_WORKERS;
+}
+
+/*
+ * Returns a worker for a waiting task, or NULL.  When none is found, the rest
+ * of the round looks only at workers that change.
+ */
+worker_t *
+place_task(sched_t *s, step_t *st, const task_t *t)
+{
+	query_t q = { .step = st,
+		.task = t,
+		.workers = scan_workers(s, st),
+		.enough = enough_workers(st) };
+	worker_t *w = find_best_worker(s, &q);
+
+	if (w == NULL)
+		st->unplaced_round = s->scan.round;
+	return w;
+}
+
+/*
+ * Returns a worker other than its own that could take the task of a run now, or
+ * NULL.  When there is none, none is looked for in the rest of the round.
  */
 worker_t *
-place_task(sched_t *s, const step_t *st, const task_t *t, const char *rack)
+place_elsewhere(sched_t *s, const run_t *r)
 {
-	gang_placement_t none = { NULL, 0 };
+	step_t *st = r->task->step;
+	query_t q = { .step = st,
+		.task = r->task,
+		.workers = s->worker_list,
+		.enough = enough_workers(st) };
+	worker_t *w;
 
-	return find_best_worker(s, st, t, rack, &none);
+	if (st->unmovable_round == s->scan.round)
+		return NULL;
+	w = find_best_worker(s, &q);
+	if (w == NULL)
+		st->unmovable_round = s->scan.round;
+	return w;
 }
 
 /*
- * Finds workers for all tasks of a gang; rack as for place_task.  Counts each
- * task at its worker while it looks for the next.  Returns true and sets at[i]
+ * Finds workers for all tasks of a gang; rack: if not NULL, only workers in it
+ * are considered (interned name).  Counts each task at its worker while it
+ * looks for the next.  Returns true and sets at[i]
  * for each task if all fit.
  */
 static bool
 place_gang_in_rack(
     sched_t *s, const step_t *st, const char *rack, worker_t **at)
 {
-	gang_placement_t p = { at, 0 };
+	query_t q = { .step = st,
+		.workers = s->worker_list,
+		.rack = rack,
+		.gang = { at, 0 },
+		.enough = G_MAXUINT };
+	int32_t n = 0;
 
-	while (p.n < st->ntasks) {
-		at[p.n] = find_best_worker(s, st, &st->tasks[p.n], rack, &p);
-		if (at[p.n] == NULL)
+	while (n < st->ntasks) {
+		q.task = &st->tasks[n];
+		q.gang.n = n;
+		at[n] = find_best_worker(s, &q);
+		if (at[n] == NULL)
 			break;
-		cell_worker_count_task(at[p.n++], st, 1);
+		cell_worker_count_task(at[n++], st, 1);
 	}
-	for (int32_t i = 0; i < p.n; i++)
+	for (int32_t i = 0; i < n; i++)
 		cell_worker_count_task(at[i], st, -1);
-	return p.n == st->ntasks;
+	return n == st->ntasks;
 }
 
 /*
--- a/sched/poll.c
+++ b/sched/poll.c
@@ -17,7 +17,19 @@
 #define POLL_RETRY_MS 300  /* after a poll without an answer */
 /* Longest delay of a poll while ended runs are being stored. */
 #define STORE_WAIT_MS 300
-#define SILENT_POLLS  2 /* unanswered in a row: the worker is silent */
+#define WALK_MS	      50 /* between two looks at all workers */
+#define SILENT_POLLS  2	 /* unanswered in a row: the worker is silent */
+
+/* Makes the next poll of a worker due now. */
+void
+poll_soon(sched_t *s, worker_t *w)
+{
+	w->next_poll_ms = s->now_ms;
+	if (w->poll_soon)
+		return;
+	w->poll_soon = true;
+	g_ptr_array_add(s->polls_soon, w);
+}
 
 /* Counts a poll without an answer; several in a row make the worker silent. */
 static void
@@ -47,7 +59,7 @@
 	if (w == NULL || w->poll_id != id || s->cell.state != CELL_OWNED)
 		return;
 	w->poll_id = 0;
-	w->next_poll_ms = now_ms;
+	poll_soon(s, w);
 	if (r == SCHED_ORDER_FENCED) {
 		ownership_lost(s, "a worker has seen a newer token");
 		return;
@@ -104,10 +116,10 @@
 
 /*
  * Removes the runs on a worker whose lease has expired, and polls the worker if
- * that is due.  Called for each worker at each tick.
+ * that is due.
  */
-void
-poll_tick(sched_t *s, worker_t *w)
+static void
+poll_if_due(sched_t *s, worker_t *w)
 {
 	if (g_hash_table_size(w->runs) > 0 && w->missed_polls > 0 &&
 	    cell_worker_lease_expired(s, w))
@@ -125,3 +137,24 @@
 		return;
 	send_poll(s, w);
 }
+
+/*
+ * Polls the workers that are due: those named to poll_soon() at each tick, all
+ * others a few times a second, as their times are not that exact.
+ */
+void
+poll_tick(sched_t *s)
+{
+	for (guint i = 0; i < s->polls_soon->len; i++) {
+		worker_t *w = g_ptr_array_index(s->polls_soon, i);
+
+		w->poll_soon = false;
+		poll_if_due(s, w);
+	}
+	g_ptr_array_set_size(s->polls_soon, 0);
+	if (s->now_ms - s->all_polled_ms < WALK_MS)
+		return;
+	s->all_polled_ms = s->now_ms;
+	for (guint i = 0; i < s->worker_list->len; i++)
+		poll_if_due(s, g_ptr_array_index(s->worker_list, i));
+}
--- a/sched/report.c
+++ b/sched/report.c
@@ -273,7 +273,7 @@
 	if (!w->has_answered || w->silent) {
 		LOG_EVENT(
 		    s, SCHED_EVT_WORKER_BACK, w->id, "silent=%d", w->silent);
-		s->start_pass_due = true;
+		scan_worker_changed(s, w);
 	}
 	w->has_answered = true;
 	w->silent = false;
--- a/sched/run.c
+++ b/sched/run.c
@@ -158,11 +158,11 @@
 		t->speculative_run = NULL;
 		requeue_task(s, t);
 	}
+	scan_worker_changed(s, r->worker);
 	g_hash_table_remove(r->worker->runs, r->name);
 	g_hash_table_remove(s->runs, &r->id);
 	if (j != NULL)
 		free_ended_job(s, j);
-	s->start_pass_due = true;
 }
 
 /*
@@ -341,7 +341,7 @@
 		 * run exists. */
 		if (r->first_seen_ms == 0) {
 			r->worker->poll_id = 0;
-			r->worker->next_poll_ms = s->now_ms;
+			poll_soon(s, r->worker);
 			r->worker->poll_without_wait = true;
 		}
 	}
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -60,6 +60,9 @@
 	s->workers = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, cell_worker_free);
 	s->worker_list = g_ptr_array_new();
+	s->scan.changed = g_ptr_array_new();
+	s->scan.round = 1;
+	s->polls_soon = g_ptr_array_new();
 	s->runs =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, run_free);
 	s->images = g_hash_table_new(g_str_hash, g_str_equal);
@@ -78,6 +81,8 @@
 	g_hash_table_unref(s->jobs);
 	g_hash_table_unref(s->workers);
 	g_ptr_array_unref(s->worker_list);
+	g_ptr_array_unref(s->scan.changed);
+	g_ptr_array_unref(s->polls_soon);
 	g_hash_table_unref(s->queues);
 	for (int32_t i = 0; i < IMAGES_MAX; i++)
 		g_free(s->interference[i]);
@@ -266,8 +271,7 @@
 		open_loaded_job(s, i->data);
 	stats_count_waiting_jobs(s);
 	for (guint i = 0; i < s->worker_list->len; i++)
-		((worker_t *)g_ptr_array_index(s->worker_list, i))
-		    ->next_poll_ms = now_ms;
+		poll_soon(s, g_ptr_array_index(s->worker_list, i));
 }
 
 void
@@ -284,6 +288,13 @@
 	}
 }
 
+/* Whether the data centre of a worker is evacuated. */
+static bool
+is_evacuated(const sched_t *s, const worker_t *w)
+{
+	return g_hash_table_contains(s->evacuated_zones, w->zone);
+}
+
 void
 sched_worker_listed(sched_t *s, const sched_worker_info_t *i, int64_t now_ms)
 {
@@ -313,7 +324,8 @@
 	w->gpu = i->gpu;
 	w->draining = i->draining;
 	w->listed = w->seen_in_list = true;
-	s->start_pass_due = true;
+	w->zone_evacuated = is_evacuated(s, w);
+	scan_worker_changed(s, w);
 }
 
 void
@@ -355,7 +367,12 @@
 		g_hash_table_add(s->evacuated_zones, z);
 	else
 		g_hash_table_remove(s->evacuated_zones, z);
-	s->start_pass_due = true;
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		worker_t *w = g_ptr_array_index(s->worker_list, i);
+
+		w->zone_evacuated = is_evacuated(s, w);
+	}
+	scan_begin_round(s);
 }
 
 void
@@ -397,7 +414,7 @@
 		j->max_attempts = max_attempts;
 		j->needs_approval = needs_approval;
 	}
-	s->start_pass_due = true;
+	scan_begin_round(s);
 }
 
 void
@@ -446,7 +463,7 @@
 		isolation_update_compatibility(s);
 		stats_count_waiting_jobs(s);
 		approval_expire_requests(s);
-		s->start_pass_due = true;
+		scan_begin_round(s);
 	}
 	if (now_ms - s->stats_logged_ms >= STATS_LOG_MS) {
 		s->stats_logged_ms = now_ms;
@@ -455,8 +472,7 @@
 	add_due_occurrences(s);
 	if (s->start_pass_due && ownership_may_start_tasks(s))
 		start_waiting_tasks(s);
-	for (guint i = 0; i < s->worker_list->len; i++)
-		poll_tick(s, g_ptr_array_index(s->worker_list, i));
+	poll_tick(s);
 	purge_tick(s);
 	flush_if_due(s);
 	return s->start_pass_due || g_hash_table_size(s->dirty_jobs) > 0 ?
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -354,12 +354,13 @@
  * no longer reports or whose lease has expired; adopted, runs taken over from
  * an earlier owner; orphans, runs found on a worker that no task needs, which
  * are stopped; deposed, ends of this entry's ownership, also by a release;
- * writes, flushes; paces, pace orders; queued, steps with tasks to be started;
+ * writes, flushes; paces, pace orders; places, workers that placement looked at; queued, steps with tasks to be started;
  * running, runs in any state.
  */
 typedef struct {
 	uint64_t starts, start_rejects, start_unknown, stops, done, failed,
-	    lost, adopted, orphans, claims, deposed, writes, polls, paces;
+	    lost, adopted, orphans, claims, deposed, writes, polls, paces,
+	    places;
 	int64_t jobs, queued, running, workers;
 } sched_stats_t;
 sched_stats_t sched_stats(const sched_t *s);
--- a/sched/start.c
+++ b/sched/start.c
@@ -75,7 +75,7 @@
 
 		if (t->state != TASK_WAITING || t->not_before_ms > s->now_ms)
 			continue;
-		w = place_task(s, st, t, NULL);
+		w = place_task(s, st, t);
 		if (w == NULL)
 			break;
 		run_start(s, t, w, start_run_number(s, t));
@@ -114,4 +114,6 @@
 		i = next;
 	}
 	s->start_pass_due = started >= STARTS_PER_PASS;
+	if (!s->start_pass_due)
+		scan_end_pass(s);
 }
--- a/sched/straggler.c
+++ b/sched/straggler.c
@@ -134,18 +134,11 @@
 	return here > there * MOVE_GAIN;
 }
 
-/* Whether another worker could take the task of a run now. */
-static bool
-has_place(sched_t *s, const run_t *r)
-{
-	return place_task(s, r->task->step, r->task, NULL) != NULL;
-}
-
 /* Starts a second run of the task on another worker, if one can take it. */
 static void
 start_speculative_run(sched_t *s, run_t *r)
 {
-	worker_t *w = place_task(s, r->task->step, r->task, NULL);
+	worker_t *w = place_elsewhere(s, r);
 
 	if (w == NULL)
 		return;
@@ -175,7 +168,8 @@
 		}
 		return false;
 	}
-	if (!w->slow || !better_elsewhere(s, w, r) || !has_place(s, r))
+	if (!w->slow || !better_elsewhere(s, w, r) ||
+	    place_elsewhere(s, r) == NULL)
 		return false;
 	r->task->avoid_worker = w->id;
 	run_stop(s, r, "the worker is slow");
@@ -201,7 +195,7 @@
 	    (100 - r->percent) * expected_ms(s, r->task->step) / 100 <
 		MIN_REMAINING_MS)
 		return false;
-	if (!has_place(s, r))
+	if (place_elsewhere(s, r) == NULL)
 		return false;
 	run_stop(s, r, "the worker is draining");
 	return true;
--- a/test/unit/sched.c
+++ b/test/unit/sched.c
@@ -14,99 +14,7 @@
 #include "../../proto/sched.pb-c.h"
 #include "../../sched/sched.h"
 #include "../../sched/internal.h"
-
-#define WORKER_CPU_MILLI 64000
-
-static void
-ignore_event(void *ctx, sched_evt_t n, const char *subject, char *fields)
-{
-	(void)ctx;
-	(void)n;
-	(void)subject;
-	g_free(fields);
-}
-
-static sched_t *
-new_sched(void)
-{
-	sched_opts_t o = { .name = "e",
-		.max_lease_ms = 6000,
-		.port = { .event = ignore_event } };
-
-	return sched_new(&o);
-}
-
-/* Adds a job with one step. */
-static job_t *
-add_job(
-    sched_t *s, const char *id, const Sched__Step *step, int64_t accepted_ms)
-{
-	Sched__Job d = SCHED__JOB__INIT;
-	Sched__Step *list[1] = { (Sched__Step *)step };
-	g_autofree uint8_t *b = NULL;
-	size_t n;
-	job_t *j;
-
-	d.queue = "q";
-	d.service = "s";
-	d.accepted_ms = accepted_ms;
-	d.max_attempts = 2;
-	d.stretch = 2;
-	d.target_ms = 1000;
-	d.n_steps = 1;
-	d.steps = list;
-	n = sched__job__get_packed_size(&d);
-	b = g_malloc(n);
-	sched__job__pack(&d, b);
-	j = job_new(s, id, sched__job__unpack(NULL, n, b));
-	g_hash_table_insert(s->jobs, j->id, j);
-	return j;
-}
-
-/* The first step of a job that does not repeat. */
-static step_t *
-first_step(job_t *j)
-{
-	return &((occurrence_t *)g_ptr_array_index(j->occs, 0))->steps[0];
-}
-
-/* Adds a worker on which tasks may be started at once. */
-static worker_t *
-add_worker(sched_t *s, const char *id)
-{
-	sched_worker_info_t i = { .id = id,
-		.service = "s",
-		.address = "a:1",
-		.zone = "z",
-		.rack = "r",
-		.cpu_milli = WORKER_CPU_MILLI,
-		.mem_mb = 256000,
-		.started_ms = 1 };
-	worker_t *w;
-
-	sched_worker_listed(s, &i, 0);
-	w = cell_worker_get(s, id);
-	w->footprint_stored = w->has_answered = true;
-	w->compatible_filler_pct = 100;
-	return w;
-}
-
-/* A step with one task; target: of its tail latency in ms, or 0. */
-static Sched__Step
-step_def(const char *image, int64_t cpu, bool filler, int64_t target)
-{
-	Sched__Step st = SCHED__STEP__INIT;
-
-	st.count = 1;
-	st.cpu_milli = cpu;
-	st.mem_mb = 1000;
-	st.estimate_ms = 1000;
-	st.image = (char *)image;
-	st.filler = filler;
-	st.tail_target_ms = target;
-	st.lasting = target > 0;
-	return st;
-}
+#include "sched_fixture.h"
 
 /* One of two filler images slows down a serving image, the other does not. */
 Test(sched, interference_is_learned_by_pair)
@@ -351,14 +259,14 @@
 	interference_solve(s);
 	isolation_update_compatibility(s);
 	cr_expect_eq(
-	    place_task(s, interfering_step, &interfering_step->tasks[0], NULL),
+	    place_task(s, interfering_step, &interfering_step->tasks[0]),
 	    empty);
 	/* A harmless filler leaves the empty worker to the other one. */
 	cr_expect_eq(
-	    place_task(s, harmless_step, &harmless_step->tasks[0], NULL), busy);
+	    place_task(s, harmless_step, &harmless_step->tasks[0]), busy);
 	empty->listed = false;
 	cr_expect_null(
-	    place_task(s, interfering_step, &interfering_step->tasks[0], NULL));
+	    place_task(s, interfering_step, &interfering_step->tasks[0]));
 	sched_free(s);
 }
 
--- /dev/null
+++ b/test/unit/sched_fixture.c
@@ -0,0 +1,120 @@
+/*
+ * Parts of a scheduler for unit tests; see sched_fixture.h.
+ */
+#include <stdbool.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "../../proto/sched.pb-c.h"
+#include "../../sched/sched.h"
+#include "../../sched/internal.h"
+#include "sched_fixture.h"
+
+void
+ignore_event(void *ctx, sched_evt_t n, const char *subject, char *fields)
+{
+	(void)ctx;
+	(void)n;
+	(void)subject;
+	g_free(fields);
+}
+
+sched_t *
+new_sched(void)
+{
+	sched_opts_t o = { .name = "e",
+		.max_lease_ms = 6000,
+		.port = { .event = ignore_event } };
+
+	return sched_new(&o);
+}
+
+static void
+ignore_order(void *ctx, const sched_order_t *o)
+{
+	(void)ctx;
+	(void)o;
+}
+
+sched_t *
+new_owner(void)
+{
+	sched_opts_t o = { .name = "e",
+		.max_lease_ms = 6000,
+		.port = { .event = ignore_event, .order = ignore_order } };
+	sched_t *s = sched_new(&o);
+
+	s->cell.state = CELL_OWNED;
+	s->cell.workers_accounted = true;
+	return s;
+}
+
+job_t *
+add_job(
+    sched_t *s, const char *id, const Sched__Step *step, int64_t accepted_ms)
+{
+	Sched__Job d = SCHED__JOB__INIT;
+	Sched__Step *list[1] = { (Sched__Step *)step };
+	g_autofree uint8_t *b = NULL;
+	size_t n;
+	job_t *j;
+
+	d.queue = "q";
+	d.service = "s";
+	d.accepted_ms = accepted_ms;
+	d.max_attempts = 2;
+	d.stretch = 2;
+	d.target_ms = 1000;
+	d.n_steps = 1;
+	d.steps = list;
+	n = sched__job__get_packed_size(&d);
+	b = g_malloc(n);
+	sched__job__pack(&d, b);
+	j = job_new(s, id, sched__job__unpack(NULL, n, b));
+	g_hash_table_insert(s->jobs, j->id, j);
+	return j;
+}
+
+step_t *
+first_step(job_t *j)
+{
+	return &((occurrence_t *)g_ptr_array_index(j->occs, 0))->steps[0];
+}
+
+worker_t *
+add_worker(sched_t *s, const char *id)
+{
+	sched_worker_info_t i = { .id = id,
+		.service = "s",
+		.address = "a:1",
+		.zone = "z",
+		.rack = "r",
+		.cpu_milli = WORKER_CPU_MILLI,
+		.mem_mb = 256000,
+		.started_ms = 1 };
+	worker_t *w;
+
+	sched_worker_listed(s, &i, 0);
+	w = cell_worker_get(s, id);
+	w->footprint_stored = w->has_answered = true;
+	w->compatible_filler_pct = 100;
+	return w;
+}
+
+Sched__Step
+step_def(const char *image, int64_t cpu, bool filler, int64_t target)
+{
+	Sched__Step st = SCHED__STEP__INIT;
+
+	st.count = 1;
+	st.cpu_milli = cpu;
+	st.mem_mb = 1000;
+	st.estimate_ms = 1000;
+	st.image = (char *)image;
+	st.filler = filler;
+	st.tail_target_ms = target;
+	st.lasting = target > 0;
+	return st;
+}
--- /dev/null
+++ b/test/unit/sched_fixture.h
@@ -0,0 +1,29 @@
+/*
+ * Parts of a scheduler for unit tests of its policies.
+ *
+ * Include <stdbool.h>, <stdint.h>, <glib.h>, sched.pb-c.h, sched.h and
+ * internal.h first.
+ */
+#ifndef SCHED_FIXTURE_H
+#define SCHED_FIXTURE_H
+
+#define WORKER_CPU_MILLI 64000
+
+/* Ignores an event; for sched_port_t. */
+void ignore_event(void *ctx, sched_evt_t n, const char *subject, char *fields);
+/* A scheduler that ignores events and can do nothing else. */
+sched_t *new_sched(void);
+/* A scheduler that owns the cell and ignores what it orders. */
+sched_t *new_owner(void);
+/* Adds a job with one step. */
+job_t *add_job(
+    sched_t *s, const char *id, const Sched__Step *step, int64_t accepted_ms);
+/* The first step of a job that does not repeat. */
+step_t *first_step(job_t *j);
+/* Adds a worker on which tasks may be started at once. */
+worker_t *add_worker(sched_t *s, const char *id);
+/* A step with one task; target: of its tail latency in ms, or 0. */
+Sched__Step
+step_def(const char *image, int64_t cpu, bool filler, int64_t target);
+
+#endif
