Interference: a filter for the load, contrasts within a step, unknown pairs tried first

sched/headroom.c: Kalman filter of level and slope for each serving step, for measurements that lag; sched/interference.c: coefficients with variances, corrected by contrasts within a step; isolation.c is split, pacing.c slows the filler that takes most first; pace orders are repeated while an earlier one may yet be carried out, and sent anew by a new owner.

--- a/sched/approval.c
+++ b/sched/approval.c
@@ -15,6 +15,7 @@
 
 #include "../proto/sched.pb-c.h"
 #include "sched.h"
+#include "headroom.h"
 #include "internal.h"
 
 #define MAX_WORKERS_PER_REQUEST 30   /* the service takes time for each */
--- a/sched/cell_worker.c
+++ b/sched/cell_worker.c
@@ -11,6 +11,7 @@
 
 #include "../proto/sched.pb-c.h"
 #include "sched.h"
+#include "headroom.h"
 #include "internal.h"
 
 /*
--- a/sched/flush.c
+++ b/sched/flush.c
@@ -15,6 +15,7 @@
 
 #include "../proto/sched.pb-c.h"
 #include "sched.h"
+#include "headroom.h"
 #include "internal.h"
 
 #define MAX_ROWS_PER_FLUSH	 90 /* in a transaction; the store accepts 100 */
--- a/sched/interference.c
+++ b/sched/interference.c
@@ -5,15 +5,16 @@
  * The model is linear in headroom, the latency target divided by the measured
  * tail latency.  By the usual law of queues a tail latency grows as
  * 1 / (1 - load), so headroom falls in proportion to load: the load of the
- * serving task itself, which changes over seconds, and the load that fillers
- * add.  A filler image adds its coefficient for the serving image times the
- * share of the worker's processors that it uses.
+ * serving task itself, which headroom.c follows for each step, and the load that
+ * fillers add.  A filler image adds its coefficient for the serving image times
+ * the share of the worker's processors that it uses.
  *
- * The coefficients of a serving image are found by least squares over its
- * recent reports, none below zero, together with a base loss that occurs
- * without fillers too: measurements are rough, and the highest one is the
- * reference for the loss.
+ * The coefficients are Gaussian estimates.  Each measurement that differs from
+ * what is expected corrects the step's headroom, and the coefficients of those
+ * fillers that the task has beside it more or less of than the other tasks of
+ * its step, which bear the same load; each in proportion to its uncertainty.
  */
+#include <math.h>
 #include <stdbool.h>
 #include <stdint.h>
 #include <string.h>
@@ -22,19 +23,26 @@
 
 #include "../proto/sched.pb-c.h"
 #include "sched.h"
+#include "headroom.h"
 #include "internal.h"
 
 /*
- * Headroom lost to a filler image that uses a whole worker, until learned.  As
- * it is below NEGLIGIBLE, interference_coefficient is 0 for an unknown pair.
+ * Headroom lost to a filler image that uses a whole worker, until learned: most
+ * images take about 1, some 12.
  */
-#define PRIOR_COEFFICIENT 1.9
-#define PRIOR_WEIGHT	  0.005 /* one report with 1/14 of the worker in use */
-#define NEGLIGIBLE	  2    /* coefficients below keep all tasks on target */
-#define MIN_WEIGHT	  0.05 /* of reports that outweigh the prior */
-#define BASE_LOSS_WEIGHT  1    /* in reports, of the prior: no base loss */
-#define DECAY		  0.998 /* of the weight of old reports per solution */
-#define SWEEPS		  12	/* of coordinate descent per solution */
+#define PRIOR_COEFFICIENT 3.0
+#define PRIOR_VARIANCE	  25.0
+#define KNOWN_VARIANCE	  4.0 /* smaller: the pair is known */
+#define RESTORED_VARIANCE 1.0
+/* How an image changes in a second: added to the variance. */
+#define DRIFT_PER_S	  0.002
+#define DRIFT_SHARE_PER_S 0.003 /* of the squared coefficient */
+#define MAX_COEFFICIENT	  25	/* a tenth of a worker takes all headroom */
+#define MEAN_USE_TIME_MS  1000	/* time constant of a step's mean use */
+#define MIN_USE		  1e-4	/* lower mean use counts as none */
+#define TRY_GAP_MS	  1200	/* between two tasks that try an unknown pair */
+/* Decisions assume a coefficient this many standard deviations above. */
+#define CAUTION 1.0
 /* The headroom of a serving image at its highest load, without fillers. */
 #define HEADROOM_START 1.6 /* until learned */
 /*
@@ -49,20 +57,14 @@
 #define HEADROOM_FALL_RATE 0.1
 #define HEADROOM_RISE_RATE 0.002
 
-#define BASE_LOSS_COL IMAGES_MAX /* column of the base loss */
-#define COLS	      (IMAGES_MAX + 1)
-
-/*
- * Model of one serving image: the sums of the normal equations (x: shares used
- * by filler images and 1 for the base loss; y: headroom lost) and their
- * solution.
- */
+/* Model of one serving image; by filler image. */
 struct interference {
-	double sum_xx[COLS][COLS];
-	double sum_xy[COLS];
-	double coefficient[COLS];
+	double coefficient[IMAGES_MAX];
+	double variance[IMAGES_MAX];
+	/* When a filler task was last placed beside the image while the pair
+	 * was not known; 0: never. */
+	int64_t tried_ms[IMAGES_MAX];
 	double min_headroom; /* at the highest load, without fillers */
-	bool changed;	     /* reports were added since the last solution */
 };
 
 /*
@@ -96,45 +98,69 @@
 	if (m != NULL)
 		return m;
 	m = s->interference[serving] = g_new0(interference_t, 1);
-	for (int32_t f = 0; f < IMAGES_MAX; f++)
+	for (int32_t f = 0; f < IMAGES_MAX; f++) {
 		m->coefficient[f] = PRIOR_COEFFICIENT;
+		m->variance[f] = PRIOR_VARIANCE;
+	}
 	m->min_headroom = HEADROOM_START;
 	return m;
 }
 
 /*
- * Estimated coefficient of a pair of images, however small: the headroom that
- * the serving image loses when the filler image uses a whole worker.  Until
- * something is learned of the pair it is PRIOR_COEFFICIENT.
+ * Estimated coefficient of a pair of images: the headroom that the serving image
+ * loses when the filler image uses a whole worker.  PRIOR_COEFFICIENT until
+ * something is learned of the pair.
  */
 double
-interference_raw_coefficient(const sched_t *s, int32_t serving, int32_t filler)
+interference_coefficient(const sched_t *s, int32_t serving, int32_t filler)
 {
 	return s->interference[serving] == NULL ?
 	    PRIOR_COEFFICIENT :
 	    s->interference[serving]->coefficient[filler];
 }
 
-/*
- * Like interference_raw_coefficient, but 0 if it is negligible.  All decisions
- * use this one.
- */
+static double
+variance_of(const sched_t *s, int32_t serving, int32_t filler)
+{
+	return s->interference[serving] == NULL ?
+	    PRIOR_VARIANCE :
+	    s->interference[serving]->variance[filler];
+}
+
+/* The coefficient that decisions assume: higher, the less is known. */
 double
-interference_coefficient(const sched_t *s, int32_t serving, int32_t filler)
+interference_cautious(const sched_t *s, int32_t serving, int32_t filler)
 {
-	double c = interference_raw_coefficient(s, serving, filler);
+	return interference_coefficient(s, serving, filler) +
+	    CAUTION * sqrt(variance_of(s, serving, filler));
+}
 
-	return c < NEGLIGIBLE ? 0 : c;
+/* Whether the coefficient of a pair of images has been learned. */
+bool
+interference_known(const sched_t *s, int32_t serving, int32_t filler)
+{
+	return variance_of(s, serving, filler) < KNOWN_VARIANCE;
 }
 
 /*
- * Whether the estimate for a pair of images rests on reports, not on the prior.
+ * Whether a filler task may be placed beside a serving image as far as the pair
+ * is known: as long as it is not, one task at a time tries it, whose effect the
+ * next reports show.
  */
 bool
-interference_known(const sched_t *s, int32_t serving, int32_t filler)
+interference_may_try(const sched_t *s, int32_t serving, int32_t filler)
+{
+	const interference_t *m = s->interference[serving];
+
+	return interference_known(s, serving, filler) || m == NULL ||
+	    s->now_ms - m->tried_ms[filler] >= TRY_GAP_MS;
+}
+
+/* A filler task has been placed beside a serving image. */
+void
+interference_tried(sched_t *s, int32_t serving, int32_t filler)
 {
-	return s->interference[serving] != NULL &&
-	    s->interference[serving]->sum_xx[filler][filler] >= MIN_WEIGHT;
+	model_of(s, serving)->tried_ms[filler] = s->now_ms;
 }
 
 /*
@@ -152,8 +178,7 @@
 	m = model_of(s, serving);
 	m->min_headroom = min_headroom;
 	m->coefficient[filler] = coefficient;
-	m->sum_xx[filler][filler] += MIN_WEIGHT;
-	m->sum_xy[filler] += MIN_WEIGHT * coefficient;
+	m->variance[filler] = RESTORED_VARIANCE;
 }
 
 /*
@@ -170,100 +195,88 @@
 
 /*
  * Updates the minimum headroom of a serving image with the headroom that one of
- * its tasks would have now without fillers.
+ * its steps has now without fillers.
  */
-void
-interference_learn_headroom(sched_t *s, int32_t serving, double headroom)
+static void
+learn_min_headroom(interference_t *m, double headroom)
 {
-	interference_t *m = model_of(s, serving);
-
 	m->min_headroom += (headroom - m->min_headroom) *
 	    (headroom < m->min_headroom ? HEADROOM_FALL_RATE :
 					  HEADROOM_RISE_RATE);
 }
 
-/*
- * Adds a measurement: a task of a serving image lost headroom while the filler
- * images used these shares of its worker's processors (indexed by image).
- */
-void
-interference_learn(sched_t *s, int32_t serving, double loss, const double *use)
+/* What is added to the variance of a coefficient in a time. */
+static double
+drift(double coefficient, int64_t ms)
 {
-	interference_t *m = model_of(s, serving);
-	int32_t col[COLS], n = 0;
-	double x[COLS];
-
-	for (int32_t f = 0; f < IMAGES_MAX; f++) {
-		if (use[f] <= 0)
-			continue;
-		col[n] = f;
-		x[n++] = use[f];
-	}
-	col[n] = BASE_LOSS_COL;
-	x[n++] = 1;
-	for (int32_t i = 0; i < n; i++) {
-		m->sum_xy[col[i]] += x[i] * loss;
-		for (int32_t k = 0; k < n; k++)
-			m->sum_xx[col[i]][col[k]] += x[i] * x[k];
-	}
-	m->changed = true;
+	return (DRIFT_PER_S + DRIFT_SHARE_PER_S * coefficient * coefficient) *
+	    (double)MIN(ms, 1000) / 1000;
 }
 
 /*
- * Sets one coefficient to what explains best the loss that the other
- * coefficients leave unexplained, with a prior of the given weight.
+ * Fills in how far each filler image's use beside a task differs from the mean
+ * beside the tasks of its step lately, and updates the mean.  Only such
+ * differences tell what a filler takes: what all tasks have beside them can't be
+ * told from the load.  Returns the set of images used here or there.
  */
-static void
-solve_column(
-    interference_t *m, int32_t images, int32_t col, double weight, double prior)
+static uint64_t
+differences(serving_load_t *l, uint64_t fillers, const double *use,
+    int64_t now_ms, double *differs)
 {
-	double unexplained = m->sum_xy[col] + weight * prior;
-
-	if (m->sum_xx[col][col] <= 0)
-		return;
-	for (int32_t k = 0; k < images; k++)
-		if (k != col)
-			unexplained -= m->sum_xx[col][k] * m->coefficient[k];
-	if (col != BASE_LOSS_COL)
-		unexplained -= m->sum_xx[col][BASE_LOSS_COL] *
-		    m->coefficient[BASE_LOSS_COL];
-	m->coefficient[col] =
-	    MAX(0, unexplained / (m->sum_xx[col][col] + weight));
-}
+	uint64_t all = fillers | l->fillers;
+	double rate =
+	    1 - exp(-(double)(now_ms - l->sampled_ms) / MEAN_USE_TIME_MS);
+	int32_t f;
 
-/* Lowers the weight of the reports so far. */
-static void
-decay_sums(interference_t *m)
-{
-	for (int32_t i = 0; i < COLS; i++) {
-		m->sum_xy[i] *= DECAY;
-		for (int32_t k = 0; k < COLS; k++)
-			m->sum_xx[i][k] *= DECAY;
+	l->sampled_ms = now_ms;
+	FOREACH_IMAGE (f, all) {
+		differs[f] = use[f] - l->mean_use[f];
+		l->mean_use[f] += rate * differs[f];
+		if (l->mean_use[f] < MIN_USE)
+			l->mean_use[f] = 0;
 	}
+	l->fillers = 0;
+	FOREACH_IMAGE (f, all)
+		if (l->mean_use[f] > 0)
+			l->fillers |= IMAGE_BIT(f);
+	return all;
 }
 
 /*
- * Solves the equations of all serving images that have new reports, by
- * coordinate descent.  Called a few times a second.
+ * Learns from a measurement of a task of a serving image with this load, beside
+ * which filler images used these shares of the worker's processors (0 unless in
+ * the set).  Fills in the expected loss of the sample.  False if it tells
+ * nothing.
  */
-void
-interference_solve(sched_t *s)
+bool
+interference_learn(sched_t *s, int32_t serving, serving_load_t *l,
+    headroom_sample_t *x, uint64_t fillers, const double *use)
 {
-	int32_t images = (int32_t)g_hash_table_size(s->images);
+	interference_t *m = model_of(s, serving);
+	double differs[IMAGES_MAX];
+	headroom_error_t err;
+	uint64_t all;
+	int32_t f;
 
-	for (int32_t serving = 0; serving < images; serving++) {
-		interference_t *m = s->interference[serving];
+	if (headroom_weight(x->age_ms) < HEADROOM_MIN_WEIGHT)
+		return false;
+	all = differences(l, fillers, use, s->now_ms, differs);
+	x->loss = x->loss_variance = 0;
+	FOREACH_IMAGE (f, all) {
+		x->loss += m->coefficient[f] * use[f];
+		x->loss_variance += m->variance[f] * differs[f] * differs[f];
+	}
+	headroom_update(&l->headroom, x, s->now_ms, &err);
+	FOREACH_IMAGE (f, all) {
+		double seen = err.weight * differs[f];
+		double gain = m->variance[f] * seen / err.variance;
 
-		if (m == NULL || !m->changed)
-			continue;
-		m->changed = false;
-		for (int32_t i = 0; i < SWEEPS; i++) {
-			for (int32_t f = 0; f < images; f++)
-				solve_column(m, images, f, PRIOR_WEIGHT,
-				    PRIOR_COEFFICIENT);
-			solve_column(
-			    m, images, BASE_LOSS_COL, BASE_LOSS_WEIGHT, 0);
-		}
-		decay_sums(m);
+		m->coefficient[f] = CLAMP(
+		    m->coefficient[f] - gain * err.error, 0, MAX_COEFFICIENT);
+		m->variance[f] = MIN(PRIOR_VARIANCE,
+		    m->variance[f] * (1 - gain * seen) +
+			drift(m->coefficient[f], x->age_ms));
 	}
+	learn_min_headroom(m, l->headroom.level);
+	return true;
 }
--- a/sched/interference_row.c
+++ b/sched/interference_row.c
@@ -11,6 +11,7 @@
 
 #include "../proto/sched.pb-c.h"
 #include "sched.h"
+#include "headroom.h"
 #include "internal.h"
 
 #define ROW_WRITE_GAP_MS 3000 /* between two writes: the values change slowly */
@@ -51,7 +52,7 @@
 			continue;
 		m->fillers[m->n_fillers++] = (char *)image_name(s, f);
 		m->harms[m->n_harms++] =
-		    interference_raw_coefficient(s, serving, f);
+		    interference_coefficient(s, serving, f);
 	}
 	return true;
 }
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -8,8 +8,8 @@
  * - place.c, scan.c, approval.c: choice of a worker for a task;
  * - start.c, run.c: starting and stopping runs of tasks;
  * - poll.c, report.c: polling workers and processing their reports;
- * - interference.c, isolation.c: how much filler tasks slow down serving tasks,
- *   and keeping them from doing so;
+ * - headroom.c, interference.c: how much filler tasks slow down serving tasks;
+ * - isolation.c, pacing.c: keeping them from doing so;
  * - straggler.c, suspect.c: slow workers and late runs; workers that fail tasks;
  * - flush.c, interference_row.c, purge.c: rows written to and removed from the
  *   store;
@@ -45,6 +45,15 @@
 /* The set with only this image. */
 #define IMAGE_BIT(i) ((uint64_t)1 << (i))
 
+/* What is known of the load of a serving step; see interference.c. */
+typedef struct {
+	headroom_t headroom; /* without fillers; updated_ms 0: not known yet */
+	/* Mean share of a worker that filler images use beside its tasks. */
+	double mean_use[IMAGES_MAX];
+	uint64_t fillers; /* set of images with a mean use */
+	int64_t sampled_ms;
+} serving_load_t;
+
 typedef enum { TASK_WAITING, TASK_RUNNING, TASK_DONE } task_state_t;
 
 typedef struct {
@@ -97,9 +106,7 @@
 	GHashTable *approvals; /* worker id -> approval_t; or NULL */
 	uint64_t approval_request_id; /* approval request in flight; 0: none */
 	int64_t approval_retry_ms;    /* no approval request before this time */
-	/* Serving steps: estimated headroom of the tasks without fillers. */
-	double headroom;
-	int64_t headroom_updated_ms; /* last update of headroom; 0: never */
+	serving_load_t *load; /* of a serving step of a known image; or NULL */
 };
 
 typedef enum {
@@ -142,6 +149,8 @@
 	RUN_STOPPING /* a stop is to be ordered or has been ordered */
 } run_state_t;
 
+#define PACE_UNKNOWN (-1)
+
 /* A run of a task on a worker. */
 struct run {
 	uint64_t id;
@@ -165,11 +174,19 @@
 	int64_t first_seen_ms;
 	int32_t first_seen_percent;
 	int64_t metric; /* as last reported; see sched_running_t */
+	/* A serving task: its first measured headroom, and the last one that
+	 * the model has learned from. */
+	int64_t first_measured_ms, measured_ms;
+	double measured;
 	/* When its tail latency rose above the target; 0: it is within. */
 	int64_t over_target_since_ms;
 	uint64_t last_report; /* number of the last report that listed it */
-	int32_t pace_pct;     /* pace that the worker last acknowledged */
+	int32_t pace_pct;     /* at the worker, or PACE_UNKNOWN */
 	int32_t wanted_pace_pct;
+	int32_t sent_pace_pct; /* of the last pace order */
+	int64_t pace_retry_ms; /* no pace order is sent before */
+	/* Until then, an earlier pace order may yet be carried out. */
+	int64_t pace_doubt_until_ms;
 	bool was_paced; /* a pace order has been sent */
 };
 
@@ -199,6 +216,7 @@
 	bool slow;	       /* its tasks make little progress */
 	bool suspect;	       /* it is tried with one task at a time */
 	bool changed;	       /* it is in s->scan.changed */
+	bool slack_stale;      /* slack must be updated before it is used */
 	int32_t missed_polls;  /* without an answer, in a row */
 	int32_t gpu, used_gpu;
 	int64_t cpu_milli, mem_mb;
@@ -244,13 +262,15 @@
 	int32_t fillers_pace_pct;    /* 100: no filler is slowed; else 0 */
 	int64_t filler_moved_ms;     /* a filler was last moved away */
 	/* When a tail latency had last been over its target for so long that
-	 * the fillers were stopped (isolation.c); 0: never. */
+	 * the fillers were stopped (pacing.c); 0: never. */
 	int64_t target_exceeded_ms;
 	int64_t filler_cpu_by_image[IMAGES_MAX]; /* declared, in milli */
 	/* Processor milli of fillers removed lately, as of filler_ended_ms. */
 	double ended_filler_cpu_by_image[IMAGES_MAX];
 	int64_t filler_ended_ms;
 	int32_t serving_by_image[IMAGES_MAX]; /* serving tasks */
+	/* By serving image on it: headroom that its tasks can lose yet. */
+	double slack[IMAGES_MAX];
 };
 
 /* A queue's settings and what has been learned of its jobs. */
@@ -400,7 +420,7 @@
 /* place.c */
 worker_t *place_task(sched_t *s, step_t *st, const task_t *t);
 worker_t *place_elsewhere(sched_t *s, const run_t *r);
-bool place_possible(const sched_t *s, const worker_t *w, const step_t *st);
+bool place_possible(const sched_t *s, worker_t *w, const step_t *st);
 bool place_gang(sched_t *s, const step_t *st, worker_t **at);
 
 /* approval.c */
@@ -441,18 +461,17 @@
 
 /* interference.c */
 int32_t interference_image(sched_t *s, const char *image);
-double
-interference_raw_coefficient(const sched_t *s, int32_t serving, int32_t filler);
 bool interference_known(const sched_t *s, int32_t serving, int32_t filler);
 void interference_restore(sched_t *s, int32_t serving, int32_t filler,
     double coefficient, double min_headroom);
 double
 interference_coefficient(const sched_t *s, int32_t serving, int32_t filler);
+double interference_cautious(const sched_t *s, int32_t serving, int32_t filler);
+bool interference_may_try(const sched_t *s, int32_t serving, int32_t filler);
+void interference_tried(sched_t *s, int32_t serving, int32_t filler);
 double interference_min_headroom(const sched_t *s, int32_t serving);
-void interference_learn_headroom(sched_t *s, int32_t serving, double headroom);
-void
-interference_learn(sched_t *s, int32_t serving, double loss, const double *use);
-void interference_solve(sched_t *s);
+bool interference_learn(sched_t *s, int32_t serving, serving_load_t *l,
+    headroom_sample_t *x, uint64_t fillers, const double *use);
 
 /* purge.c */
 GHashTable *purge_table_new(void);
@@ -474,13 +493,19 @@
 void poll_tick(sched_t *s);
 
 /* isolation.c */
-bool isolation_allows(const sched_t *s, const worker_t *w, const step_t *st);
+bool isolation_allows(const sched_t *s, worker_t *w, const step_t *st);
+void isolation_refresh(sched_t *s);
 double isolation_serving_cost(const sched_t *s, const worker_t *w,
     const step_t *st, int32_t *other_images);
 void isolation_update_compatibility(sched_t *s);
 void isolation_count_task(worker_t *w, const step_t *st, int sign);
-void isolation_report(sched_t *s, worker_t *w);
-void isolation_run_removed(const sched_t *s, const run_t *r);
+double isolation_filler_use(const worker_t *w, int32_t image);
+bool isolation_is_serving(const run_t *r);
+void isolation_update_slack(const sched_t *s, worker_t *w);
+
+/* pacing.c */
+void pacing_report(sched_t *s, worker_t *w);
+void pacing_run_removed(const sched_t *s, const run_t *r);
 
 /* suspect.c */
 void suspect_run_failed(sched_t *s, worker_t *w, const task_t *t);
--- a/sched/job.c
+++ b/sched/job.c
@@ -11,6 +11,7 @@
 
 #include "../proto/sched.pb-c.h"
 #include "sched.h"
+#include "headroom.h"
 #include "internal.h"
 
 #define MAX_STEP_TASKS	     10000 /* bounds what one job may take */
@@ -95,6 +96,8 @@
 		st->image = interference_image(s, st->def->image);
 		if (st->image >= 0 && st->def->filler)
 			s->filler_images |= IMAGE_BIT(st->image);
+		if (st->image >= 0 && st->def->tail_target_ms > 0)
+			st->load = g_new0(serving_load_t, 1);
 		st->ntasks = st->nwaiting = st->def->count;
 		st->tasks = g_new0(task_t, st->ntasks);
 		for (int32_t k = 0; k < st->ntasks; k++) {
@@ -123,6 +126,7 @@
 		queue_remove_step(st);
 		approval_step_free(st);
 		g_free(st->gang_checkpoint);
+		g_free(st->load);
 		g_free(st->tasks);
 	}
 	g_free(o->steps);
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -20,6 +20,7 @@
 
 #include "../proto/sched.pb-c.h"
 #include "sched.h"
+#include "headroom.h"
 #include "internal.h"
 
 #define SILENT_MS    1200 /* three renewals missed: owner counts as failed */
--- a/sched/place.c
+++ b/sched/place.c
@@ -10,6 +10,7 @@
 
 #include "../proto/sched.pb-c.h"
 #include "sched.h"
+#include "headroom.h"
 #include "internal.h"
 
 /*
@@ -119,7 +120,7 @@
  * approval service allows.
  */
 bool
-place_possible(const sched_t *s, const worker_t *w, const step_t *st)
+place_possible(const sched_t *s, worker_t *w, const step_t *st)
 {
 	return w->service == st->occ->job->service &&
 	    cell_worker_usable(s, w) && fits(w, st->def) &&
@@ -157,7 +158,7 @@
 
 /* Whether a worker can take a task of the step now. */
 static bool
-can_take(const sched_t *s, const worker_t *w, const query_t *q)
+can_take(const sched_t *s, worker_t *w, const query_t *q)
 {
 	const step_t *st = q->step;
 
--- a/sched/poll.c
+++ b/sched/poll.c
@@ -11,6 +11,7 @@
 
 #include "../proto/sched.pb-c.h"
 #include "sched.h"
+#include "headroom.h"
 #include "internal.h"
 
 #define POLL_WAIT_MS  1000 /* the worker holds a poll until a run ends */
@@ -46,7 +47,7 @@
 }
 
 /*
- * Processes the answer to a poll.  isolation_report and straggler_report decide
+ * Processes the answer to a poll.  pacing_report and straggler_report decide
  * on paces and stops before run_resend_orders sends the orders that are due.
  */
 void
@@ -74,7 +75,7 @@
 		return;
 	}
 	report_apply(s, w, report, w->poll_sent_ms);
-	isolation_report(s, w);
+	pacing_report(s, w);
 	straggler_report(s, w);
 	run_resend_orders(s, w);
 	flush_acknowledge_ended(s, w);
--- a/sched/purge.c
+++ b/sched/purge.c
@@ -10,6 +10,7 @@
 
 #include "../proto/sched.pb-c.h"
 #include "sched.h"
+#include "headroom.h"
 #include "internal.h"
 
 #define ROUND_GAP_MS	       30000 /* between rounds; one handles many jobs */
--- a/sched/queue.c
+++ b/sched/queue.c
@@ -9,6 +9,7 @@
 
 #include "../proto/sched.pb-c.h"
 #include "sched.h"
+#include "headroom.h"
 #include "internal.h"
 
 /* A job counts as late up to so many times the time allowed for it. */
--- a/sched/report.c
+++ b/sched/report.c
@@ -10,6 +10,7 @@
 
 #include "../proto/sched.pb-c.h"
 #include "sched.h"
+#include "headroom.h"
 #include "internal.h"
 
 #define RETRY_DELAY_MIN_MS 100 /* after a failed run; doubled each time */
@@ -215,6 +216,11 @@
 	if (t != NULL) {
 		run_reserve_resources(r, t);
 		t->last_run_number = MAX(t->last_run_number, entry->run);
+		/* An earlier owner may have slowed it. */
+		if (t->step->def->filler) {
+			r->pace_pct = PACE_UNKNOWN;
+			r->was_paced = true;
+		}
 	}
 	if (j != NULL && j->stage == JOB_OPEN && t->state == TASK_WAITING &&
 	    t->run == NULL) {
--- a/sched/run.c
+++ b/sched/run.c
@@ -17,9 +17,13 @@
 
 #include "../proto/sched.pb-c.h"
 #include "sched.h"
+#include "headroom.h"
 #include "internal.h"
 
 #define STOP_RETRY_MS 500 /* between stop orders for a run */
+#define PACE_RETRY_MS 500 /* after a pace order that may not have had effect */
+/* An order without an answer is carried out within this time or not at all. */
+#define PACE_DOUBT_MS 10000
 /* No task is started on a worker for so long after a failed start there. */
 #define NO_ROOM_BACKOFF_MS   300  /* it has not enough free resources */
 #define UNHEALTHY_BACKOFF_MS 1000 /* it is unhealthy or unreachable */
@@ -107,7 +111,7 @@
 	} else if (kind == SCHED_STOP)
 		s->stats.stops++;
 	else {
-		o.percent = r->wanted_pace_pct;
+		o.percent = r->sent_pace_pct = r->wanted_pace_pct;
 		r->was_paced = true;
 		s->stats.paces++;
 	}
@@ -147,7 +151,7 @@
 
 	suspect_run_removed(r);
 	if (r->holds_resources) {
-		isolation_run_removed(s, r);
+		pacing_run_removed(s, r);
 		cell_worker_count_task(r->worker, t->step, -1);
 		j->nruns--;
 	}
@@ -228,7 +232,7 @@
 {
 	r->wanted_pace_pct = percent;
 	if (r->state == RUN_RUNNING && !r->order_pending &&
-	    r->pace_pct != percent)
+	    r->pace_pct != percent && s->now_ms >= r->pace_retry_ms)
 		send_order(s, r, SCHED_PACE);
 }
 
@@ -347,6 +351,28 @@
 	}
 }
 
+/*
+ * Handles the result of a pace order, and sends the order that has become due
+ * meanwhile.  One without an answer may be carried out after later ones: they
+ * are repeated for a while.
+ */
+static void
+on_pace_done(sched_t *s, run_t *r, sched_order_result_t res)
+{
+	if (res == SCHED_ORDER_IN_DOUBT)
+		r->pace_doubt_until_ms = s->now_ms + PACE_DOUBT_MS;
+	if (res == SCHED_ORDER_OK && s->now_ms >= r->pace_doubt_until_ms)
+		r->pace_pct = r->sent_pace_pct;
+	else {
+		r->pace_pct = PACE_UNKNOWN;
+		r->pace_retry_ms = s->now_ms + PACE_RETRY_MS;
+	}
+	if (r->state == RUN_STOPPING)
+		run_stop(s, r, "again");
+	else
+		run_set_pace(s, r, r->wanted_pace_pct);
+}
+
 /*
  * Handles the result of the last order for a run; clock_ms is the worker's
  * clock, or 0.
@@ -363,10 +389,8 @@
 		on_start_done(s, r, res);
 	else if (r->last_order == SCHED_STOP)
 		on_stop_done(s, r, res);
-	else if (res == SCHED_ORDER_OK)
-		r->pace_pct = r->wanted_pace_pct;
-	else if (r->state == RUN_STOPPING)
-		run_stop(s, r, "again");
+	else
+		on_pace_done(s, r, res);
 }
 
 /*
--- a/sched/scan.c
+++ b/sched/scan.c
@@ -15,6 +15,7 @@
 
 #include "../proto/sched.pb-c.h"
 #include "sched.h"
+#include "headroom.h"
 #include "internal.h"
 
 /* Tasks may fit on a worker on which they did not fit before. */
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -11,6 +11,7 @@
 
 #include "../proto/sched.pb-c.h"
 #include "sched.h"
+#include "headroom.h"
 #include "internal.h"
 
 #define UPDATE_MS    250 /* between updates of the queue order and the models */
@@ -459,7 +460,7 @@
 	if (now_ms - s->sorted_ms >= UPDATE_MS) {
 		s->sorted_ms = now_ms;
 		queue_resort(s);
-		interference_solve(s);
+		isolation_refresh(s);
 		isolation_update_compatibility(s);
 		stats_count_waiting_jobs(s);
 		approval_expire_requests(s);
--- a/sched/start.c
+++ b/sched/start.c
@@ -10,6 +10,7 @@
 
 #include "../proto/sched.pb-c.h"
 #include "sched.h"
+#include "headroom.h"
 #include "internal.h"
 
 #define RUN_NUMBERS_PER_OWNER 1000 /* for the runs of a task by one owner */
--- a/sched/stats.c
+++ b/sched/stats.c
@@ -10,6 +10,7 @@
 
 #include "../proto/sched.pb-c.h"
 #include "sched.h"
+#include "headroom.h"
 #include "internal.h"
 
 /* Counts the open jobs of each queue that have not started. */
--- a/sched/straggler.c
+++ b/sched/straggler.c
@@ -14,6 +14,7 @@
 
 #include "../proto/sched.pb-c.h"
 #include "sched.h"
+#include "headroom.h"
 #include "internal.h"
 
 #define STARTUP_MS 300 /* approximate time until a task makes progress */
--- a/sched/suspect.c
+++ b/sched/suspect.c
@@ -14,6 +14,7 @@
 
 #include "../proto/sched.pb-c.h"
 #include "sched.h"
+#include "headroom.h"
 #include "internal.h"
 
 #define SUSPECT_FAILURES 3 /* in a row */
--- a/test/unit/scan.c
+++ b/test/unit/scan.c
@@ -11,6 +11,7 @@
 
 #include "../../proto/sched.pb-c.h"
 #include "../../sched/sched.h"
+#include "../../sched/headroom.h"
 #include "../../sched/internal.h"
 #include "sched_fixture.h"
 
