Feeds: age by the store's clock, not by when an answer was processed

Each answer carries the store's time: a feed now counts as known up to then (serve/store_clock.c), and only by an answer that is complete. The limit follows the platform's bound for draining (--drain-ms). The node's clock is CLOCK_BOOTTIME, so that all ages include a suspension of the VM: before, answers that were handled before the first timer after a suspension met ages without it.

--- a/proto/sched.pb-c.c
+++ b/proto/sched.pb-c.c
@@ -1245,7 +1245,7 @@
   (ProtobufCMessageInit) sched__waiting__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sched__owner__field_descriptors[7] =
+static const ProtobufCFieldDescriptor sched__owner__field_descriptors[8] =
 {
   {
     "name",
@@ -1331,6 +1331,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "waiting_stale",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sched__Owner, waiting_stale),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sched__owner__field_indices_by_name[] = {
   3,   /* field[3] = beat */
@@ -1340,11 +1352,12 @@
   0,   /* field[0] = name */
   4,   /* field[4] = released */
   5,   /* field[5] = waiting */
+  7,   /* field[7] = waiting_stale */
 };
 static const ProtobufCIntRange sched__owner__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor sched__owner__descriptor =
 {
@@ -1354,7 +1367,7 @@
   "Sched__Owner",
   "sched",
   sizeof(Sched__Owner),
-  7,
+  8,
   sched__owner__field_descriptors,
   sched__owner__field_indices_by_name,
   1,  sched__owner__number_ranges,
--- a/proto/sched.pb-c.h
+++ b/proto/sched.pb-c.h
@@ -249,10 +249,14 @@
    * Entry that is to claim the cell after a release; "": any.
    */
   char *heir;
+  /*
+   * The owner has not read the jobs for a while, so waiting may lack some.
+   */
+  protobuf_c_boolean waiting_stale;
 };
 #define SCHED__OWNER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sched__owner__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -374,7 +374,8 @@
 	bool write_removes_rows; /* the flush in flight removes progress rows */
 	int64_t interference_packed_ms; /* last write of the interference row */
 	int64_t store_clock_offset_ms;	/* store's clock less ours */
-	int64_t feed_read_ms[SCHED_NFEEDS]; /* feed was last read completely */
+	/* Up to when all changes of a feed are known. */
+	int64_t feed_read_ms[SCHED_NFEEDS];
 	sched_stats_t stats;
 };
 
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -32,9 +32,9 @@
  */
 #define START_LIMIT_MS	1150
 #define EXTEND_LIMIT_MS 2200
-/* No starts on older data: cancels and draining take effect within 2 s. */
-#define FEED_LIMIT_MS	      2000
-#define STORE_CLOCK_MARGIN_MS 600 /* the store's answer may take so long */
+
+#define STORE_CLOCK_MARGIN_MS 600  /* the store's answer may take so long */
+#define STALE_ROW_MS	      2000 /* numbers of waiting jobs are that old */
 /* LEASE_MS of cell_worker.c with clock drift and expiry margin, rounded up. */
 #define LEASE_WITH_MARGIN_MS 4300
 
@@ -93,8 +93,14 @@
 	if (s->cell.state != CELL_OWNED && s->cell.row != NULL) {
 		o.waiting = s->cell.row->waiting;
 		o.n_waiting = s->cell.row->n_waiting;
-	} else
+		o.waiting_stale = s->cell.row->waiting_stale ||
+		    s->now_ms - s->cell.row_changed_ms > STALE_ROW_MS;
+	} else {
+		stats_count_waiting_jobs(s);
 		waiting = o.waiting = pack_waiting(s, &o.n_waiting);
+		o.waiting_stale = s->now_ms - s->feed_read_ms[SCHED_FEED_JOBS] >
+		    s->opts.feed_limit_ms;
+	}
 	g_byte_array_set_size(b, (guint)sched__owner__get_packed_size(&o));
 	sched__owner__pack(&o, b->data);
 	for (size_t i = 0; waiting != NULL && i < o.n_waiting; i++)
@@ -382,7 +388,7 @@
 feeds_current(const sched_t *s)
 {
 	for (int32_t i = 0; i < SCHED_NFEEDS; i++)
-		if (s->now_ms - s->feed_read_ms[i] > FEED_LIMIT_MS)
+		if (s->now_ms - s->feed_read_ms[i] > s->opts.feed_limit_ms)
 			return false;
 	return true;
 }
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -384,10 +384,9 @@
 }
 
 void
-sched_feed_read(sched_t *s, sched_feed_t feed, int64_t now_ms)
+sched_feed_read(sched_t *s, sched_feed_t feed, int64_t as_of_ms)
 {
-	s->now_ms = now_ms;
-	s->feed_read_ms[feed] = now_ms;
+	s->feed_read_ms[feed] = MAX(s->feed_read_ms[feed], as_of_ms);
 }
 
 void
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -234,6 +234,8 @@
 } sched_port_t;
 
 typedef struct {
+	/* No task is started on older data of a feed. */
+	int32_t feed_limit_ms;
 	const char *name;	    /* of this entry */
 	int64_t incarnation;	    /* identifies this process of the entry */
 	int32_t max_lease_ms;	    /* longest lease that a worker accepts */
@@ -291,8 +293,11 @@
 	SCHED_FEED_OPERATORS
 } sched_feed_t;
 #define SCHED_NFEEDS 3
-/* All changes of a feed up to now have been passed in. */
-void sched_feed_read(sched_t *s, sched_feed_t feed, int64_t now_ms);
+/*
+ * All changes of a feed up to a time have been passed in.  When this is called
+ * says nothing: the process may have been delayed since it was read.
+ */
+void sched_feed_read(sched_t *s, sched_feed_t feed, int64_t as_of_ms);
 /* The store's steady clock, from an answer that has just arrived. */
 void sched_store_clock_read(sched_t *s, int64_t store_ms, int64_t now_ms);
 /*
@@ -343,9 +348,10 @@
 bool sched_is_owner(const sched_t *s);
 /*
  * Number of jobs of a queue that have not started: counted by the owner; other
- * entries return the number in the owner row that they last read.
+ * entries return the number in the owner row that they last read.  -1 when that
+ * number is too old, as after a long pause of the owner.
  */
-int32_t sched_waiting_jobs(const sched_t *s, const char *queue);
+int32_t sched_waiting_jobs(const sched_t *s, const char *queue, int64_t now_ms);
 
 /*
  * Counters since the start and present numbers, for the metrics page.
--- a/sched/stats.c
+++ b/sched/stats.c
@@ -13,6 +13,9 @@
 #include "headroom.h"
 #include "internal.h"
 
+/* Older numbers of waiting jobs are not given. */
+#define WAITING_LIMIT_MS 3500
+
 /* Counts the open jobs of each queue that have not started. */
 void
 stats_count_waiting_jobs(sched_t *s)
@@ -69,16 +72,22 @@
 }
 
 int32_t
-sched_waiting_jobs(const sched_t *s, const char *queue)
+sched_waiting_jobs(const sched_t *s, const char *queue, int64_t now_ms)
 {
 	const Sched__Owner *o = s->cell.row;
 
 	if (sched_is_owner(s)) {
 		const queue_t *q = g_hash_table_lookup(s->queues, queue);
 
+		if (now_ms - s->feed_read_ms[SCHED_FEED_JOBS] >
+		    WAITING_LIMIT_MS)
+			return -1;
 		return q == NULL ? 0 : q->waiting_jobs;
 	}
-	for (size_t i = 0; o != NULL && i < o->n_waiting; i++)
+	if (o == NULL || o->waiting_stale ||
+	    now_ms - s->cell.row_changed_ms > WAITING_LIMIT_MS)
+		return -1;
+	for (size_t i = 0; i < o->n_waiting; i++)
 		if (strcmp(o->waiting[i]->queue, queue) == 0)
 			return o->waiting[i]->jobs;
 	return 0;
--- a/serve/cell_driver.c
+++ b/serve/cell_driver.c
@@ -21,6 +21,7 @@
 #include "../sched/sched.h"
 #include "../platform/platform.h"
 #include "../cmd/cmd.h"
+#include "store_clock.h"
 #include "serve.h"
 
 /* Intervals between polls of the owner's row. */
@@ -32,6 +33,9 @@
 #define WRITE_TIMEOUT_MS      1500 /* the store may be slow */
 #define JOB_POLL_GAP_MS	      20
 #define WORKER_POLL_GAP_MS    150
+/* No task is started on older lists of jobs, workers and settings. */
+#define FEED_LIMIT_MS 2000
+#define START_MS      200 /* from the decision until the worker has the order */
 
 struct cell_driver {
 	node_t *node;
@@ -100,7 +104,7 @@
 	cell_driver_t *c = ctx;
 
 	c->polling_owner = false;
-	node_record_store_answer(c->node, r);
+	node_record_store_answer(c->node, r, a);
 	if (a->clock_ms != 0)
 		sched_store_clock_read(
 		    c->sched, a->clock_ms, node_now_ms(c->node));
@@ -142,7 +146,7 @@
 {
 	cell_driver_t *c = ctx;
 
-	node_record_store_answer(c->node, r);
+	node_record_store_answer(c->node, r, a);
 	sched_claim_done(
 	    c->sched, write_result(r), a->version, node_now_ms(c->node));
 	if (r == STORE_CONFLICT)
@@ -180,7 +184,7 @@
 {
 	cell_driver_t *c = ctx;
 
-	node_record_store_answer(c->node, r);
+	node_record_store_answer(c->node, r, a);
 	if (r == STORE_CONFLICT)
 		deliver_owner_row(c, a);
 	sched_write_done(
@@ -343,25 +347,25 @@
 }
 
 static void
-on_jobs_synced(void *ctx)
+on_jobs_synced(void *ctx, int64_t as_of_ms)
 {
 	cell_driver_t *c = ctx;
 
-	sched_feed_read(c->sched, SCHED_FEED_JOBS, node_now_ms(c->node));
+	sched_feed_read(c->sched, SCHED_FEED_JOBS, as_of_ms);
 }
 
 static void
-on_workers_synced(void *ctx)
+on_workers_synced(void *ctx, int64_t as_of_ms)
 {
 	cell_driver_t *c = ctx;
 
-	sched_feed_read(c->sched, SCHED_FEED_WORKERS, node_now_ms(c->node));
+	sched_feed_read(c->sched, SCHED_FEED_WORKERS, as_of_ms);
 }
 
 void
-cell_driver_operators_synced(cell_driver_t *c)
+cell_driver_operators_synced(cell_driver_t *c, int64_t as_of_ms)
 {
-	sched_feed_read(c->sched, SCHED_FEED_OPERATORS, node_now_ms(c->node));
+	sched_feed_read(c->sched, SCHED_FEED_OPERATORS, as_of_ms);
 }
 
 cell_driver_t *
@@ -393,7 +397,9 @@
 		.on_synced = on_workers_synced,
 		.ctx = c };
 	/* Rows of an ended job stay while its submission may be repeated. */
-	sched_opts_t o = { .name = n->opts.name,
+	sched_opts_t o = { .feed_limit_ms =
+			       MIN(FEED_LIMIT_MS, n->opts.drain_ms - START_MS),
+		.name = n->opts.name,
 		.incarnation = n->incarnation,
 		.max_lease_ms = n->opts.max_lease_ms,
 		.ended_retention_ms = n->opts.keep_ended_ms +
--- a/serve/entries.c
+++ b/serve/entries.c
@@ -24,6 +24,7 @@
 #include "../sched/sched.h"
 #include "../platform/platform.h"
 #include "../cmd/cmd.h"
+#include "store_clock.h"
 #include "serve.h"
 
 #define ENTRY_TABLE	  "entry"
@@ -247,8 +248,7 @@
 {
 	entries_t *es = ctx;
 
-	(void)a;
-	node_record_store_answer(es->node, r);
+	node_record_store_answer(es->node, r, a);
 	if (r != STORE_OK)
 		uv_timer_start(&es->retry_timer, on_retry, RETRY_GAP_MS, 0);
 }
@@ -347,8 +347,7 @@
 static void
 on_deregistered(void *ctx, store_result_t r, const store_answer_t *a)
 {
-	(void)a;
-	node_record_store_answer(ctx, r);
+	node_record_store_answer(ctx, r, a);
 }
 
 void
--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -19,6 +19,7 @@
 #include "../sched/sched.h"
 #include "../platform/platform.h"
 #include "../cmd/cmd.h"
+#include "store_clock.h"
 #include "serve.h"
 
 #define RETRY_AFTER_S 1
@@ -96,10 +97,16 @@
 static void
 reply_waiting_count(node_t *n, server_req_t *r, const route_match_t *m)
 {
-	g_autofree char *body = platform_waiting_count_body(sched_waiting_jobs(
-	    cell_driver_sched(n->cell_driver), m->queue->name));
+	int32_t jobs = sched_waiting_jobs(
+	    cell_driver_sched(n->cell_driver), m->queue->name, node_now_ms(n));
+	g_autofree char *body = NULL;
 
 	n->stats.queue_counts++;
+	if (jobs < 0) {
+		reply_error(r, 503, "the number is not known now");
+		return;
+	}
+	body = platform_waiting_count_body(jobs);
 	reply_text(r, 200, "", body);
 }
 
--- a/serve/job_removal.c
+++ b/serve/job_removal.c
@@ -17,6 +17,7 @@
 #include "../sched/sched.h"
 #include "../platform/platform.h"
 #include "../cmd/cmd.h"
+#include "store_clock.h"
 #include "serve.h"
 
 /* Jobs of a transaction: two rows each, and the store takes 100 rows. */
@@ -37,8 +38,7 @@
 {
 	removal_t *rm = ctx;
 
-	(void)a;
-	node_record_store_answer(rm->node, r);
+	node_record_store_answer(rm->node, r, a);
 	for (guint i = 0; i < rm->ids->len; i++)
 		sched_purge_done(cell_driver_sched(rm->node->cell_driver),
 		    g_ptr_array_index(rm->ids, i), r == STORE_OK,
--- a/serve/metrics.c
+++ b/serve/metrics.c
@@ -17,6 +17,7 @@
 #include "../sched/sched.h"
 #include "../platform/platform.h"
 #include "../cmd/cmd.h"
+#include "store_clock.h"
 #include "serve.h"
 
 static void
--- a/serve/node.c
+++ b/serve/node.c
@@ -22,6 +22,7 @@
 #include "../sched/sched.h"
 #include "../platform/platform.h"
 #include "../cmd/cmd.h"
+#include "store_clock.h"
 #include "serve.h"
 
 #define TICK_MS		     50
@@ -51,8 +52,11 @@
 int64_t
 node_now_ms(const node_t *n)
 {
+	struct timespec t;
+
 	(void)n;
-	return (int64_t)(uv_hrtime() / 1000000);
+	clock_gettime(CLOCK_BOOTTIME, &t);
+	return (int64_t)t.tv_sec * 1000 + t.tv_nsec / 1000000;
 }
 
 int64_t
@@ -70,16 +74,6 @@
 	    INT64_MAX;
 }
 
-/* Unlike node_now_ms, goes on while the VM is suspended. */
-static int64_t
-boot_ms(void)
-{
-	struct timespec t;
-
-	clock_gettime(CLOCK_BOOTTIME, &t);
-	return (int64_t)t.tv_sec * 1000 + t.tv_nsec / 1000000;
-}
-
 static void
 retry_watch(void *watch, void *ctx)
 {
@@ -88,13 +82,15 @@
 }
 
 void
-node_record_store_answer(node_t *n, store_result_t r)
+node_record_store_answer(node_t *n, store_result_t r, const store_answer_t *a)
 {
 	int64_t now = node_now_ms(n);
 	int64_t silent_ms = now - n->store_answered_ms;
 
 	if (r == STORE_REFUSED || r == STORE_IN_DOUBT)
 		return;
+	if (a->clock_ms != 0)
+		store_clock_read(&n->store_clock, a->clock_ms, now);
 	n->store_answered_ms = now;
 	if (silent_ms > STORE_GAP_MS)
 		g_ptr_array_foreach(n->watches, retry_watch, NULL);
@@ -153,16 +149,15 @@
 on_tick(uv_timer_t *t)
 {
 	node_t *n = t->data;
-	int64_t now = node_now_ms(n), boot_now = boot_ms();
-	int64_t gap_ms =
-	    MAX(now - n->last_tick_ms, boot_now - n->last_tick_boot_ms);
+	int64_t now = node_now_ms(n);
+	int64_t gap_ms = now - n->last_tick_ms;
 
 	if (n->last_tick_ms != 0 && gap_ms > PAUSE_MS) {
 		log_event(EVT_PAUSE, "gap_ms=%" PRId64, gap_ms);
 		sched_process_paused(cell_driver_sched(n->cell_driver), now);
 	}
 	n->last_tick_ms = now;
-	n->last_tick_boot_ms = boot_now;
+
 	cell_driver_tick(n->cell_driver);
 	detect_store_loss(n);
 	if (n->stopping)
@@ -218,11 +213,11 @@
 }
 
 static void
-on_operators_synced(void *ctx)
+on_operators_synced(void *ctx, int64_t as_of_ms)
 {
 	node_t *n = ctx;
 
-	cell_driver_operators_synced(n->cell_driver);
+	cell_driver_operators_synced(n->cell_driver, as_of_ms);
 }
 
 /* The balancer's probe. */
@@ -416,6 +411,8 @@
 		    "S", "how much later a submission may be repeated" },
 		{ "grace-s", SET_TEXT, &grace, "6", 0, 0, "S",
 		    "longest graceful stop" },
+		{ "drain-ms", SET_INT, &o->drain_ms, "2000", 1000, 60000, "MS",
+		    "after which a worker that leaves gets no more tasks" },
 		{ "cpu-share", SET_TEXT, &o->cpu_share, "1", 0, 0, "CORES",
 		    "processor cores this VM may use" },
 		{ "link-mbps", SET_TEXT, &o->link_mbps, "1000", 0, 0, "MBPS",
--- a/serve/request.c
+++ b/serve/request.c
@@ -24,6 +24,7 @@
 #include "../sched/sched.h"
 #include "../platform/platform.h"
 #include "../cmd/cmd.h"
+#include "store_clock.h"
 #include "serve.h"
 #include "attempts.h"
 
@@ -156,11 +157,11 @@
  * answered already.
  */
 static request_t *
-attempt_end(attempt_t *at, store_result_t r)
+attempt_end(attempt_t *at, store_result_t r, const store_answer_t *a)
 {
 	request_t *rq = at->request;
 
-	node_record_store_answer(at->node, r);
+	node_record_store_answer(at->node, r, a);
 	if (rq != NULL)
 		g_ptr_array_remove_fast(rq->in_flight, at);
 	g_free(at);
@@ -198,9 +199,8 @@
 static void
 on_submit_written(void *ctx, store_result_t r, const store_answer_t *ans)
 {
-	request_t *rq = attempt_end(ctx, r);
+	request_t *rq = attempt_end(ctx, r, ans);
 
-	(void)ans;
 	if (rq == NULL)
 		return;
 	if (r == STORE_OK)
@@ -215,9 +215,8 @@
 static void
 on_cancel_written(void *ctx, store_result_t r, const store_answer_t *ans)
 {
-	request_t *rq = attempt_end(ctx, r);
+	request_t *rq = attempt_end(ctx, r, ans);
 
-	(void)ans;
 	if (rq == NULL)
 		return;
 	if (r != STORE_OK && r != STORE_CONFLICT) {
@@ -280,7 +279,7 @@
 static void
 on_job_rows(void *ctx, store_result_t r, const store_answer_t *ans)
 {
-	request_t *rq = attempt_end(ctx, r);
+	request_t *rq = attempt_end(ctx, r, ans);
 	g_autofree char *key = NULL;
 
 	if (rq == NULL)
@@ -326,7 +325,7 @@
 static void
 on_progress_row(void *ctx, store_result_t r, const store_answer_t *ans)
 {
-	request_t *rq = attempt_end(ctx, r);
+	request_t *rq = attempt_end(ctx, r, ans);
 	const store_row_t *row;
 	Sched__Progress *p = NULL;
 
--- a/serve/route.c
+++ b/serve/route.c
@@ -16,6 +16,7 @@
 #include "../trans/trans.h"
 #include "../sched/sched.h"
 #include "../platform/platform.h"
+#include "store_clock.h"
 #include "serve.h"
 
 /* The queue with the longest matching prefix; ignores a port in host. */
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -4,7 +4,8 @@
  * scheduler of sched/; the entry that owns the cell schedules its jobs.  All
  * durable state is in the store, so a restarted entry reads everything again.
  *
- * Include what platform.h needs, then trans.h and platform.h, first.
+ * Include what platform.h needs, then trans.h, platform.h and store_clock.h,
+ * first.
  */
 #ifndef SERVE_H
 #define SERVE_H
@@ -51,9 +52,9 @@
 	void (*on_loaded)(void *ctx);
 	/*
 	 * Called after a whole read and after each answer of the feed: all
-	 * changes up to the start of that read or call were handed over.
+	 * changes up to this time (our clock) were handed over.
 	 */
-	void (*on_synced)(void *ctx);
+	void (*on_synced)(void *ctx, int64_t as_of_ms);
 	void *ctx;
 } table_watch_opts_t;
 
@@ -96,8 +97,8 @@
 void cell_driver_poll_owner(cell_driver_t *c);
 /* Hands the settings of all queues to the scheduler. */
 void cell_driver_set_queues(cell_driver_t *c, const platform_config_t *cfg);
-/* All changes of the operators' table so far were handed over. */
-void cell_driver_operators_synced(cell_driver_t *c);
+/* All changes of the operators' table up to a time were handed over. */
+void cell_driver_operators_synced(cell_driver_t *c, int64_t as_of_ms);
 void cell_driver_set_zone_evacuated(
     cell_driver_t *c, const char *zone, bool evacuated);
 
@@ -165,7 +166,8 @@
 	int32_t keep_ended_ms;
 	int32_t resubmit_window_s;
 	int32_t stop_grace_ms;
-	char *cpu_share; /* cores, as a decimal number */
+	int32_t drain_ms; /* after which a leaving worker gets no tasks */
+	char *cpu_share;  /* cores, as a decimal number */
 	char *link_mbps;
 	char *log_level;
 } node_opts_t;
@@ -197,23 +199,24 @@
 	entries_t *entries;
 	GPtrArray *watches;	   /* of table_watch_t; all of this process */
 	platform_config_t *config; /* NULL until it was read */
-	GHashTable *zones;	   /* unused */
-	server_t *front;	   /* requests of callers */
-	server_t *ready;	   /* probes of the balancer */
-	server_t *metrics;	   /* NULL: no metrics page */
+
+	server_t *front;   /* requests of callers */
+	server_t *ready;   /* probes of the balancer */
+	server_t *metrics; /* NULL: no metrics page */
 	uv_timer_t tick_timer;
 	uv_signal_t term, intr, hup; /* SIGTERM, SIGINT, SIGHUP */
 	bool stopping;		     /* a graceful stop has begun */
 	int64_t stop_began_ms;
 	int64_t store_answered_ms; /* when the store last answered */
-	bool store_lost;	   /* it has not answered for STORE_LOST_MS */
+	store_clock_t store_clock;
+	bool store_lost; /* it has not answered for STORE_LOST_MS */
 	int64_t last_tick_ms;
-	int64_t last_tick_boot_ms; /* by CLOCK_BOOTTIME */
-	int32_t open_requests;	   /* of callers, waiting for the store */
+	int32_t open_requests; /* of callers, waiting for the store */
 	node_stats_t stats;
 };
 
-int64_t node_now_ms(const node_t *n);  /* steady clock */
+/* A steady clock, which goes on while the VM is suspended. */
+int64_t node_now_ms(const node_t *n);
 int64_t node_wall_ms(const node_t *n); /* since 1970 */
 /*
  * Time from which a graceful stop waits no longer for the release of the cell
@@ -225,7 +228,8 @@
  * the last answer, and retries the change feeds when one comes after a gap.
  * STORE_REFUSED and STORE_IN_DOUBT don't count as answers.
  */
-void node_record_store_answer(node_t *n, store_result_t r);
+void
+node_record_store_answer(node_t *n, store_result_t r, const store_answer_t *a);
 /* Makes the next tick due within 2 ms, as the scheduler has new input. */
 void node_schedule_tick(node_t *n);
 /* The metrics page; free it. */
--- a/serve/table_watch.c
+++ b/serve/table_watch.c
@@ -20,6 +20,7 @@
 #include "../sched/sched.h"
 #include "../platform/platform.h"
 #include "../cmd/cmd.h"
+#include "store_clock.h"
 #include "serve.h"
 
 #define PAGE_ROWS	500  /* the most that the store returns */
@@ -41,6 +42,7 @@
 	int64_t version; /* up to which changes were handed over */
 	/* The lowest version of the pages read; the feed starts from it. */
 	int64_t read_version;
+	int64_t read_began_ms;	   /* the last whole read */
 	int32_t unread_partitions; /* partitions that are not read whole yet */
 	uv_timer_t feed_timer;
 };
@@ -50,7 +52,8 @@
 	table_watch_t *tw;
 	uint64_t generation;
 	char partition[STORE_NAME_BYTES];
-	char *next; /* first key of the next page */
+	char *next;	 /* first key of the next page */
+	int64_t sent_ms; /* of a call of the feed */
 	uv_timer_t retry;
 } watch_call_t;
 
@@ -119,6 +122,7 @@
 	tw->generation++;
 	tw->state = WATCH_READING;
 	tw->read_version = INT64_MAX;
+	tw->read_began_ms = node_now_ms(tw->opts.node);
 	tw->unread_partitions = MAX(1, tw->opts.partitions);
 	for (int32_t i = 0; i < tw->unread_partitions; i++) {
 		char partition[STORE_NAME_BYTES];
@@ -149,7 +153,7 @@
 	tw->version = tw->read_version;
 	tw->state = tw->opts.read_once ? WATCH_OFF : WATCH_FEEDING;
 	if (tw->opts.on_synced != NULL)
-		tw->opts.on_synced(tw->opts.ctx);
+		tw->opts.on_synced(tw->opts.ctx, tw->read_began_ms);
 	if (tw->opts.on_loaded != NULL)
 		tw->opts.on_loaded(tw->opts.ctx);
 	/* The callbacks may have stopped or restarted the watch. */
@@ -163,7 +167,7 @@
 	watch_call_t *c = ctx;
 	table_watch_t *tw = c->tw;
 
-	node_record_store_answer(tw->opts.node, r);
+	node_record_store_answer(tw->opts.node, r, a);
 	if (c->generation != tw->generation) {
 		call_free(c);
 		return;
@@ -204,10 +208,12 @@
 {
 	watch_call_t *c = ctx;
 	table_watch_t *tw = c->tw;
+	node_t *n = tw->opts.node;
 	bool stale = c->generation != tw->generation;
+	int64_t sent_ms = c->sent_ms, as_of_ms;
 
 	call_free(c);
-	node_record_store_answer(tw->opts.node, r);
+	node_record_store_answer(n, r, a);
 	if (stale)
 		return;
 	if (r == STORE_COMPACTED) {
@@ -221,11 +227,13 @@
 		return;
 	}
 	tw->version = MAX(tw->version, a->version);
+	as_of_ms = store_clock_local(
+	    &n->store_clock, a->clock_ms, sent_ms, node_now_ms(n));
 	deliver_rows(tw, a);
-	if (tw->opts.on_synced != NULL)
-		tw->opts.on_synced(tw->opts.ctx);
+	if (tw->opts.on_synced != NULL && !a->has_more)
+		tw->opts.on_synced(tw->opts.ctx, as_of_ms);
 	if (tw->state == WATCH_FEEDING)
-		read_changes_later(tw, tw->opts.poll_gap_ms);
+		read_changes_later(tw, a->has_more ? 0 : tw->opts.poll_gap_ms);
 }
 
 /* Asks the change feed for what is newer than tw->version. */
@@ -239,8 +247,10 @@
 		.wait_ms = wait_ms,
 		.timeout_ms = wait_ms + FEED_SLACK_MS };
 
-	store_feed(
-	    tw->opts.node->platform, &feed, on_changes, call_new(tw, ""));
+	watch_call_t *c = call_new(tw, "");
+
+	c->sent_ms = node_now_ms(tw->opts.node);
+	store_feed(tw->opts.node->platform, &feed, on_changes, c);
 }
 
 table_watch_t *
--- a/test/unit/platform.c
+++ b/test/unit/platform.c
@@ -18,6 +18,7 @@
 #include "../../trans/trans.h"
 #include "../../sched/sched.h"
 #include "../../platform/platform.h"
+#include "../../serve/store_clock.h"
 #include "../../serve/serve.h"
 
 Test(platform, jobs)
