Scheduler: a job's row is stored before its first start

Cause: after a change of owner all waiting tasks waited, up to 5 s, until each worker had reported or its leases had ended, as any of them could run unknown to the new owner. Ruled out: the load of the jobs (under 0.1 s), the claim itself.

A job's progress row is now written before its first task starts (for jobs at the head of the queue in advance), and the owner's row says that it was so. A new owner starts jobs without a row at once, and steps after one whose task it sees running; one whose owner was an older build assumes nothing.

Check of the waiting counts: an entry must have been owner for 600 ms.

Lint: the most interfering image of an empty set is -1.

--- a/proto/sched.pb-c.c
+++ b/proto/sched.pb-c.c
@@ -1130,7 +1130,7 @@
   (ProtobufCMessageInit) sched__step_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sched__progress__field_descriptors[3] =
+static const ProtobufCFieldDescriptor sched__progress__field_descriptors[4] =
 {
   {
     "steps",
@@ -1168,16 +1168,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "not_started",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sched__Progress, not_started),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sched__progress__field_indices_by_name[] = {
   2,   /* field[2] = ended_ms */
+  3,   /* field[3] = not_started */
   1,   /* field[1] = state */
   0,   /* field[0] = steps */
 };
 static const ProtobufCIntRange sched__progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor sched__progress__descriptor =
 {
@@ -1187,7 +1200,7 @@
   "Sched__Progress",
   "sched",
   sizeof(Sched__Progress),
-  3,
+  4,
   sched__progress__field_descriptors,
   sched__progress__field_indices_by_name,
   1,  sched__progress__number_ranges,
@@ -1245,7 +1258,7 @@
   (ProtobufCMessageInit) sched__waiting__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sched__owner__field_descriptors[8] =
+static const ProtobufCFieldDescriptor sched__owner__field_descriptors[9] =
 {
   {
     "name",
@@ -1343,6 +1356,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rows_before_starts",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sched__Owner, rows_before_starts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sched__owner__field_indices_by_name[] = {
   3,   /* field[3] = beat */
@@ -1351,13 +1376,14 @@
   1,   /* field[1] = incarnation */
   0,   /* field[0] = name */
   4,   /* field[4] = released */
+  8,   /* field[8] = rows_before_starts */
   5,   /* field[5] = waiting */
   7,   /* field[7] = waiting_stale */
 };
 static const ProtobufCIntRange sched__owner__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor sched__owner__descriptor =
 {
@@ -1367,7 +1393,7 @@
   "Sched__Owner",
   "sched",
   sizeof(Sched__Owner),
-  8,
+  9,
   sched__owner__field_descriptors,
   sched__owner__field_indices_by_name,
   1,  sched__owner__number_ranges,
--- a/proto/sched.pb-c.h
+++ b/proto/sched.pb-c.h
@@ -191,7 +191,7 @@
 
 
 /*
- * Progress of a job that has started, as stored by the owner of its cell.
+ * Progress of a job, as stored by the owner of its cell before it starts tasks.
  */
 struct  Sched__Progress
 {
@@ -206,10 +206,14 @@
    * since 1970
    */
   int64_t ended_ms;
+  /*
+   * No task had run when this was written; one may since.
+   */
+  protobuf_c_boolean not_started;
 };
 #define SCHED__PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sched__progress__descriptor) \
-    , 0,NULL, SCHED__STATE__PENDING, 0 }
+    , 0,NULL, SCHED__STATE__PENDING, 0, 0 }
 
 
 /*
@@ -253,10 +257,14 @@
    * The owner has not read the jobs for a while, so waiting may lack some.
    */
   protobuf_c_boolean waiting_stale;
+  /*
+   * No task of a job without a progress row can have been started.
+   */
+  protobuf_c_boolean rows_before_starts;
 };
 #define SCHED__OWNER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sched__owner__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
--- a/sched/cell_worker.c
+++ b/sched/cell_worker.c
@@ -85,7 +85,10 @@
 	}
 }
 
-/* Whether tasks may be started on a worker now, apart from its resources. */
+/*
+ * Whether tasks may be started on a worker now, apart from its resources.  Those
+ * are not known while it has a run of a job that is not known any more.
+ */
 bool
 cell_worker_usable(const sched_t *s, const worker_t *w)
 {
@@ -93,7 +96,7 @@
 	    w->lease_end_store_ms == 0 && w->has_answered &&
 	    w->missed_polls == 0 && !w->silent &&
 	    w->backoff_until_ms <= s->now_ms && suspect_allows_start(s, w) &&
-	    !w->zone_evacuated;
+	    !w->zone_evacuated && w->nunknown == 0;
 }
 
 /*
--- a/sched/flush.c
+++ b/sched/flush.c
@@ -45,13 +45,12 @@
 		g_byte_array_unref(u->bytes);
 }
 
-/* Marks a job's progress row as to be written; urgent is not used. */
+/* Marks a job's progress row as to be written. */
 void
-flush_mark_job(sched_t *s, job_t *j, bool urgent)
+flush_mark_job(sched_t *s, job_t *j)
 {
 	j->dirty = true;
 	g_hash_table_add(s->dirty_jobs, j);
-	s->urgent = s->urgent || urgent;
 }
 
 /*
@@ -267,13 +266,11 @@
 
 		add_job_row(s, puts, j);
 		j->dirty = false;
-		j->flush_number = s->flush_number;
 		g_hash_table_iter_remove(&it);
 		g_ptr_array_add(s->flushing_jobs, j);
 	}
 	/* Workers forget ended runs only after a flush with all dirty jobs. */
 	s->flush_partial = g_hash_table_size(s->dirty_jobs) > 0;
-	s->urgent = s->flush_partial;
 	s->stats.writes++;
 	s->opts.port.write(s->opts.ctx, s->cell.version, puts);
 }
@@ -306,9 +303,12 @@
 		job_t *j = g_ptr_array_index(s->flushing_jobs, i);
 
 		if (!ok) {
-			flush_mark_job(s, j, true);
+			flush_mark_job(s, j);
 			continue;
 		}
+		if (!j->row_stored)
+			s->start_pass_due = true;
+		j->row_stored = true;
 		if (j->stage == JOB_ENDING && !j->dirty) {
 			j->stage = JOB_ENDED;
 			purge_add_ended(s, j->id, s->wall_ms);
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -91,7 +91,10 @@
 	int32_t nwaiting; /* tasks in TASK_WAITING */
 	int32_t ndone;	  /* tasks in TASK_DONE */
 	bool ready;	  /* all steps that it depends on are done */
-	int32_t image;	  /* index of its image, or -1 */
+	/* A task of a step that it depends on was still running when this owner
+	 * took over, so that no earlier owner has started tasks of it. */
+	bool not_started_before;
+	int32_t image; /* index of its image, or -1 */
 	/* Declared time of the longest chain of steps that starts here. */
 	int64_t critical_path_ms;
 	GSequenceIter *queue_iter; /* position in ready_steps, or NULL */
@@ -130,11 +133,11 @@
 	Sched__State end_state; /* valid unless the job is open */
 	bool needs_approval;	/* its queue requires approval of placements */
 	bool cancelled;
-	bool started;	       /* a task runs or has run */
-	bool dirty;	       /* has progress that is not written yet */
-	uint64_t flush_number; /* last flush that wrote it; not read */
-	/* Accepted after this owner's claim, so no earlier owner ran it. */
-	bool accepted_after_claim;
+	bool started;	 /* a task runs or has run */
+	bool dirty;	 /* has progress that is not written yet */
+	bool row_stored; /* it has a progress row */
+	/* An earlier owner may have started tasks of it. */
+	bool maybe_started_before;
 	int32_t nruns;	    /* runs that hold resources on workers */
 	int64_t allowed_ms; /* time allowed from when an occurrence is due */
 	/* Declared work: the sum of cpu_milli x estimate_ms over all tasks. */
@@ -230,6 +233,7 @@
 	int64_t lease_end_store_ms;
 	uint64_t serving_mask, filler_mask; /* images that have tasks there */
 	int32_t nserving;		    /* serving tasks on it */
+	int32_t nunknown;		    /* runs whose needs are not known */
 	/* Share of the filler images that may run beside its serving tasks. */
 	int32_t compatible_filler_pct;
 	int32_t failures_in_row; /* that the jobs do not explain; suspect.c */
@@ -301,20 +305,22 @@
 	/* Since when reads have shown the row unchanged.  Starts anew after a
 	 * pause between reads, a claim by this entry or a loss of the cell. */
 	int64_t row_changed_ms;
-	int64_t row_read_ms;	   /* when the row was last read */
-	int64_t write_sent_ms;	   /* when the last claim or flush was sent */
-	int64_t token;		   /* fencing token: version of our claim */
-	int64_t epoch;		   /* claims of the cell so far */
-	int64_t renewals;	   /* writes of the row since our claim */
-	int64_t owned_ms;	   /* when loading ended; not read */
+	int64_t row_read_ms;   /* when the row was last read */
+	int64_t write_sent_ms; /* when the last claim or flush was sent */
+	int64_t token;	       /* fencing token: version of our claim */
+	int64_t epoch;	       /* claims of the cell so far */
+	int64_t renewals;      /* writes of the row since our claim */
+
 	int64_t confirmed_ms;	   /* when the last successful write was sent */
 	int64_t old_leases_end_ms; /* leases of earlier owners end before */
 	/* No run of an earlier owner can be unknown to this owner. */
 	bool workers_accounted;
-	bool paused;		   /* see sched_process_paused */
-	bool releasing;		   /* a graceful stop has begun */
-	bool row_read;		   /* at least once */
-	bool had_predecessor;	   /* an earlier owner may have started runs */
+	bool paused;	      /* see sched_process_paused */
+	bool releasing;	      /* a graceful stop has begun */
+	bool row_read;	      /* at least once */
+	bool had_predecessor; /* an earlier owner may have started runs */
+	/* Earlier owners stored a job's row before they started tasks of it. */
+	bool rows_before_starts;
 	bool predecessor_released; /* that owner released the cell */
 	bool forget_pending;   /* next tick discards what only an owner needs */
 	bool release_sent;     /* the last row sent releases the cell */
@@ -359,8 +365,7 @@
 	bool write_pending;
 	uint64_t flush_number, flushed_number; /* last begun, last stored */
 	int64_t flush_begun_ms;
-	bool urgent;	    /* an urgent job waits to be written; not read */
-	bool flush_partial; /* some dirty jobs did not fit */
+	bool flush_partial;	  /* some dirty jobs did not fit */
 	GPtrArray *flushing_jobs; /* jobs that it writes */
 	/* Since the last pass over waiting steps, something has changed that
 	 * may let a task start. */
@@ -521,7 +526,7 @@
 void straggler_report(sched_t *s, worker_t *w);
 
 /* flush.c */
-void flush_mark_job(sched_t *s, job_t *j, bool urgent);
+void flush_mark_job(sched_t *s, job_t *j);
 void flush_acknowledge_ended(sched_t *s, worker_t *w);
 void flush_footprint_read(sched_t *s, const Sched__Footprint *f);
 void flush_if_due(sched_t *s);
@@ -537,6 +542,6 @@
 void ownership_set_store_outage(sched_t *s, bool for_all, int64_t last_ms);
 bool ownership_may_start_tasks(const sched_t *s);
 GByteArray *ownership_pack_row(sched_t *s, bool released);
-bool ownership_may_start_job(sched_t *s, const job_t *j);
+bool ownership_may_start_step(const sched_t *s, const step_t *st);
 
 #endif
--- a/sched/job.c
+++ b/sched/job.c
@@ -321,14 +321,11 @@
 	}
 }
 
-/*
- * Applies a job's stored progress, after the job has been created.  A job with
- * stored progress has started.
- */
+/* Applies a job's stored progress, after the job has been created. */
 void
 job_apply_progress(job_t *j, const Sched__Progress *p)
 {
-	j->started = true;
+	j->started = !p->not_started;
 	for (size_t i = 0; i < p->n_steps; i++)
 		apply_step_progress(j, p->steps[i]);
 }
@@ -390,6 +387,7 @@
 
 	p.steps = g_new0(Sched__StepProgress *, n);
 	p.state = SCHED__STATE__RUNNING;
+	p.not_started = !j->started;
 	for (guint i = 0; i < j->occs->len; i++) {
 		occurrence_t *o = g_ptr_array_index(j->occs, i);
 
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -87,6 +87,9 @@
 	o.epoch = s->cell.epoch;
 	o.beat = s->cell.renewals;
 	o.released = released;
+	/* Owners before that did not, or nothing of theirs can be unknown. */
+	o.rows_before_starts =
+	    s->cell.rows_before_starts || s->cell.workers_accounted;
 	if (released && s->cell.successor != NULL)
 		o.heir = (char *)s->cell.successor;
 	/* Until the jobs are loaded, the last owner's numbers are kept. */
@@ -243,7 +246,8 @@
 	if (c->state != CELL_LOADING)
 		return;
 	c->state = CELL_OWNED;
-	c->owned_ms = s->now_ms;
+	/* The claim was written with the last owner's counts. */
+	s->flush_begun_ms = 0;
 	c->workers_accounted = false;
 	c->old_leases_end_ms = s->now_ms;
 	/* An owner that could not renew its claim may have extended leases
@@ -266,6 +270,7 @@
 	GByteArray *b;
 
 	c->had_predecessor = c->row != NULL;
+	c->rows_before_starts = c->row == NULL || c->row->rows_before_starts;
 	c->predecessor_released = c->row != NULL && c->row->released;
 	c->epoch = c->row == NULL ? 1 : c->row->epoch + 1;
 	c->renewals = 0;
@@ -420,11 +425,13 @@
 }
 
 /*
- * Whether no run of an earlier owner that is not known here can belong to the
- * job, so that its tasks may be started.
+ * Whether no task of the step can run unknown to this owner, so that its waiting
+ * tasks may be started; or two runs of a task may exist.
  */
 bool
-ownership_may_start_job(sched_t *s, const job_t *j)
+ownership_may_start_step(const sched_t *s, const step_t *st)
 {
-	return s->cell.workers_accounted || j->accepted_after_claim;
+	return s->cell.workers_accounted ||
+	    !st->occ->job->maybe_started_before || st->not_started_before ||
+	    st->def->duplicates;
 }
--- a/sched/pacing.c
+++ b/sched/pacing.c
@@ -173,17 +173,17 @@
 	return over;
 }
 
-/* The image of a set with the highest coefficient for a serving image. */
+/* The image of a set with the highest coefficient for a serving image, or -1. */
 static int32_t
 most_interfering(const sched_t *s, int32_t serving, uint64_t fillers)
 {
-	double most = -1;
+	double most = 0;
 	int32_t f, found = -1;
 
 	FOREACH_IMAGE (f, fillers) {
 		double c = interference_cautious(s, serving, f);
 
-		if (c <= most)
+		if (found >= 0 && c <= most)
 			continue;
 		most = c;
 		found = f;
@@ -212,10 +212,9 @@
 		FOREACH_IMAGE (f, w->filler_mask)
 			lack -= (1 - pace[f]) * isolation_filler_use(w, f) *
 			    interference_cautious(s, i, f);
-		while (lack > 0 && left != 0) {
+		while (lack > 0 && (f = most_interfering(s, i, left)) >= 0) {
 			double loss;
 
-			f = most_interfering(s, i, left);
 			left &= ~IMAGE_BIT(f);
 			loss = pace[f] * isolation_filler_use(w, f) *
 			    interference_cautious(s, i, f);
--- a/sched/report.c
+++ b/sched/report.c
@@ -106,7 +106,7 @@
 	if (j->occs_done >= MAX(1, j->def->repeats))
 		run_end_job(s, j, SCHED__STATE__COMPLETED);
 	else
-		flush_mark_job(s, j, t->step->ndone == t->step->ntasks);
+		flush_mark_job(s, j);
 }
 
 /* Number of failed runs, summed over the tasks of a gang. */
@@ -145,7 +145,7 @@
 	if (nfailed >= j->max_attempts)
 		run_end_job(s, j, SCHED__STATE__FAILED);
 	else
-		flush_mark_job(s, j, false);
+		flush_mark_job(s, j);
 }
 
 /* Returns the task with a name like JOB.OCCURRENCE.STEP.INDEX, or NULL. */
@@ -188,12 +188,36 @@
 			on_task_failed(s, t, w, e->run);
 		else if (e->checkpoint[0] != '\0' &&
 		    t->step->occ->job->stage == JOB_OPEN)
-			flush_mark_job(s, t->step->occ->job, false);
+			flush_mark_job(s, t->step->occ->job);
 	}
 	if (r != NULL)
 		run_remove(s, r);
 }
 
+/*
+ * Marks the steps that come after a step, whose task runs under this owner's
+ * token: no earlier owner can know it done.  With two runs of a task it may
+ * know the other.
+ */
+static void
+mark_later_steps(const step_t *st)
+{
+	occurrence_t *o = st->occ;
+
+	if (st->def->duplicates)
+		return;
+	for (size_t i = (size_t)st->number + 1; i < o->job->def->n_steps; i++) {
+		step_t *later = &o->steps[i];
+
+		for (size_t k = 0; k < later->def->n_after; k++) {
+			const step_t *p = &o->steps[later->def->after[k]];
+
+			later->not_started_before = later->not_started_before ||
+			    p == st || p->not_started_before;
+		}
+	}
+}
+
 /*
  * Handles a reported run that this owner does not know.  It becomes the current
  * run of its task if that waits for one, else it is stopped.  Returns the run,
@@ -213,7 +237,9 @@
 	r->first_seen_ms = s->now_ms;
 	r->first_seen_percent = MAX(1, entry->percent);
 	r->percent = entry->percent;
-	if (t != NULL) {
+	if (t == NULL)
+		w->nunknown++;
+	else {
 		run_reserve_resources(r, t);
 		t->last_run_number = MAX(t->last_run_number, entry->run);
 		/* An earlier owner may have slowed it. */
@@ -222,6 +248,8 @@
 			r->was_paced = true;
 		}
 	}
+	if (t != NULL && t->state != TASK_DONE)
+		mark_later_steps(t->step);
 	if (j != NULL && j->stage == JOB_OPEN && t->state == TASK_WAITING &&
 	    t->run == NULL) {
 		t->run = r;
--- a/sched/run.c
+++ b/sched/run.c
@@ -154,7 +154,8 @@
 		pacing_run_removed(s, r);
 		cell_worker_count_task(r->worker, t->step, -1);
 		j->nruns--;
-	}
+	} else
+		r->worker->nunknown--;
 	if (t != NULL && t->speculative_run == r)
 		t->speculative_run = NULL;
 	if (t != NULL && t->run == r) {
@@ -296,7 +297,7 @@
 		return;
 	j->started = true;
 	if (j->stage == JOB_OPEN)
-		flush_mark_job(s, j, false);
+		flush_mark_job(s, j);
 }
 
 /*
@@ -426,7 +427,7 @@
 	LOG_EVENT(s, SCHED_EVT_JOB_ENDED, j->id,
 	    "state=%d late=%" PRId64 " runs=%d", end,
 	    s->wall_ms - j->def->accepted_ms - j->allowed_ms, j->nruns);
-	flush_mark_job(s, j, true);
+	flush_mark_job(s, j);
 }
 
 /*
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -136,13 +136,15 @@
 		return;
 	}
 	j = job_new(s, id, def);
-	j->accepted_after_claim = row->version > s->cell.token;
 	g_hash_table_insert(s->jobs, j->id, j);
 	if (def->repeats > 0)
 		g_ptr_array_add(s->recurring_jobs, j);
 	p = g_hash_table_lookup(s->loaded_progress, id);
 	if (p != NULL)
 		job_apply_progress(j, p);
+	j->row_stored = p != NULL;
+	j->maybe_started_before = row->version <= s->cell.token &&
+	    (j->row_stored || !s->cell.rows_before_starts);
 	LOG_EVENT(s, SCHED_EVT_JOB_SEEN, id,
 	    "queue=%s steps=%zu version=%" PRId64 " age=%" PRId64, j->queue,
 	    def->n_steps, row->version, s->wall_ms - def->accepted_ms);
--- a/sched/start.c
+++ b/sched/start.c
@@ -15,6 +15,8 @@
 
 #define RUN_NUMBERS_PER_OWNER 1000 /* for the runs of a task by one owner */
 #define STARTS_PER_PASS	      64   /* so that other events get a turn */
+/* So many jobs at the head of the queue have their rows stored in advance. */
+#define STORED_AHEAD 32
 /* A pass ends after this many steps with tasks that could not be placed. */
 #define MAX_UNPLACED_STEPS 200
 
@@ -57,6 +59,17 @@
 	g_free(at);
 }
 
+/* The first waiting task of a step that has one. */
+static const task_t *
+first_waiting(const step_t *st)
+{
+	int32_t i = 0;
+
+	while (i + 1 < st->ntasks && st->tasks[i].state != TASK_WAITING)
+		i++;
+	return &st->tasks[i];
+}
+
 /*
  * Starts waiting tasks of a step while they fit, those of a gang all or none;
  * returns how many.
@@ -85,6 +98,23 @@
 	return n;
 }
 
+/*
+ * Whether the job of a step has its row in the store, without which no task of
+ * it is started: a successor takes a job without one for not started.  If it
+ * has not, has it stored when a task could start now, or when it is ahead in the
+ * queue and will start soon.
+ */
+static bool
+has_row(sched_t *s, step_t *st, bool ahead)
+{
+	job_t *j = st->occ->job;
+
+	if (!j->row_stored && !j->dirty &&
+	    (ahead || place_task(s, st, first_waiting(st)) != NULL))
+		flush_mark_job(s, j);
+	return j->row_stored;
+}
+
 /*
  * Makes one pass over the queued steps, in the order of the queue, and starts
  * tasks.  Requests approval for the workers of steps that need it.  After a
@@ -102,7 +132,8 @@
 		int32_t n = 0;
 
 		next = g_sequence_iter_next(i);
-		if (ownership_may_start_job(s, st->occ->job)) {
+		if (ownership_may_start_step(s, st) &&
+		    has_row(s, st, unplaced < STORED_AHEAD)) {
 			n = start_step(s, st);
 			if (st->nwaiting > 0)
 				approval_request_if_needed(s, st);
--- a/serve/request.c
+++ b/serve/request.c
@@ -321,7 +321,7 @@
 	store_scan(rq->node->platform, &scan, on_job_rows, at);
 }
 
-/* The row that owners write; it does not exist before a job's first change. */
+/* The row that owners write; a job that has not started may have none. */
 static void
 on_progress_row(void *ctx, store_result_t r, const store_answer_t *ans)
 {
@@ -338,12 +338,12 @@
 	row = find_row(ans, rq->id, SCHED_KEY_PROGRESS);
 	if (row != NULL)
 		p = sched__progress__unpack(NULL, row->nbytes, row->bytes);
-	if (p == NULL) {
+	if (p == NULL || p->not_started)
 		read_job_rows(attempt_new(rq));
-		return;
-	}
-	finish_state(rq, p->state);
-	sched__progress__free_unpacked(p, NULL);
+	else
+		finish_state(rq, p->state);
+	if (p != NULL)
+		sched__progress__free_unpacked(p, NULL);
 }
 
 static void
--- a/test/cell/cell.h
+++ b/test/cell/cell.h
@@ -99,6 +99,7 @@
 	int32_t list_lag_ms; /* from a read of the list of workers to its use */
 	int64_t list_as_of_ms; /* of the newest list in use */
 	int64_t last_tick_ms;
+	int64_t not_owner_ms;  /* when it last was not */
 	int64_t last_fault_ms; /* when check_waiting_count last saw a fault */
 } sim_entry_t;
 
@@ -106,6 +107,7 @@
 typedef struct {
 	int32_t running;	/* runs on workers that are up */
 	bool done_acked;	/* a successful end was acknowledged */
+	int64_t done_acked_ms;	/* when the first was */
 	int32_t failures_acked; /* failed ends that were acknowledged */
 	bool done;		/* a run ended successfully */
 	int32_t failures;	/* runs that failed */
--- a/test/main/cells.c
+++ b/test/main/cells.c
@@ -21,6 +21,7 @@
 #define RECOVERY_MS	  60000 /* after which all jobs must have ended */
 #define COUNTED_AFTER_MS  5000	/* a job that waits longer must be counted */
 #define FAULT_FREE_MS	  3000	/* before an entry's count is checked */
+#define OWNER_READ_MS	  600	/* all read the owner's row in this time */
 #define SLOW_STORE_MS	  10	/* slower answers count as a fault */
 #define UNLISTED_AFTER_MS 3300	/* a worker that crashed leaves the list */
 #define JOB_GAP_MS	  400	/* on average */
@@ -55,6 +56,7 @@
 	/* One task per worker must fit on the fewest workers there may be. */
 	st->per_worker = st->count <= 2 && world_chance(w, 0.4) ? 1 : 0;
 	st->checkpoints = world_chance(w, 0.5);
+	st->duplicates = world_chance(w, 0.15);
 	/* Few lasting steps, as each keeps its workers' resources for good. */
 	st->lasting = g_hash_table_size(w->jobs) < 12 && world_chance(w, 0.03);
 }
@@ -356,6 +358,7 @@
 		const sim_entry_t *en = &w->entries[i];
 
 		if (en->up && sched_is_owner(en->sched) &&
+		    w->now_ms - en->not_owner_ms >= OWNER_READ_MS &&
 		    w->now_ms - en->last_fault_ms >= FAULT_FREE_MS)
 			return true;
 	}
@@ -384,6 +387,8 @@
 	for (int32_t i = 0; i < w->nentries; i++) {
 		sim_entry_t *en = &w->entries[i];
 
+		if (!en->up || !sched_is_owner(en->sched))
+			en->not_owner_ms = w->now_ms;
 		if (!en->up || en->paused || en->store_cut ||
 		    w->store_latency_ms > SLOW_STORE_MS ||
 		    w->lost_write_share > 0)
--- a/test/unit/sched.c
+++ b/test/unit/sched.c
@@ -125,6 +125,96 @@
 	}
 }
 
+/*
+ * A worker has a run of a job that is not known any more, and whose needs are
+ * not either: nothing is started there until the run is gone.
+ */
+Test(sched, no_start_beside_a_run_whose_needs_are_unknown)
+{
+	sched_t *s = new_owner();
+	worker_t *w = add_worker(s, "w");
+	sched_running_t run = {
+		.task = "0000000000000009.0.0.0", .run = 1, .checkpoint = ""
+	};
+	sched_report_t report = {
+		.clock_ms = 1, .started_ms = 1, .running = &run, .nrunning = 1
+	};
+	Sched__Step d = step_def("", 1000, false, 0);
+	step_t *st;
+	run_t *r;
+
+	s->now_ms = 1000;
+	report_apply(s, w, &report, 900);
+	st = first_step(add_job(s, "0000000000000001", &d, 0));
+	st->ready = true;
+	queue_add_step(s, st);
+	start_waiting_tasks(s);
+	cr_expect_eq(s->stats.starts, 0);
+	cr_expect_eq(s->stats.stops, 1);
+	r = g_hash_table_lookup(w->runs, run.task);
+	cr_assert_not_null(r);
+	r->order_pending = false;
+	r->stop_acked_ms = s->now_ms = 1100;
+	report.nrunning = 0;
+	report_apply(s, w, &report, 1200);
+	start_waiting_tasks(s);
+	cr_expect_eq(s->stats.starts, 1);
+	sched_free(s);
+}
+
+/*
+ * A new owner learns that a task of the first of three steps still runs: no
+ * earlier owner can have started the later ones, unless two runs of the task
+ * may exist, of which it may know the other as done.
+ */
+Test(sched, a_running_task_shows_that_later_steps_have_not_started)
+{
+	static const struct {
+		const char *name;
+		bool duplicates, may_start;
+	} cases[] = {
+		{ "one run of a task", false, true },
+		{ "two runs may exist", true, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = new_owner();
+		worker_t *w = add_worker(s, "w");
+		int32_t after[] = { 0, 1 };
+		Sched__Step d[3], *steps[] = { &d[0], &d[1], &d[2] };
+		sched_running_t run = { .task = "0000000000000001.0.0.0",
+			.run = 1,
+			.checkpoint = "" };
+		sched_report_t report = { .clock_ms = 1,
+			.started_ms = 1,
+			.running = &run,
+			.nrunning = 1 };
+		step_t *st;
+		job_t *j;
+
+		for (size_t k = 0; k < 3; k++) {
+			d[k] = step_def("", 1000, false, 0);
+			d[k].n_after = k == 0 ? 0 : 1;
+			d[k].after = k == 0 ? NULL : &after[k - 1];
+		}
+		d[0].duplicates = cases[i].duplicates;
+		j = add_job_of(s, "0000000000000001", steps, 3, 0);
+		j->maybe_started_before = true;
+		s->cell.workers_accounted = false;
+		st = first_step(j);
+		for (int k = 1; k < 3; k++)
+			cr_expect_eq(ownership_may_start_step(s, &st[k]), false,
+			    "%s, before, step %d", cases[i].name, k);
+		s->now_ms = 1000;
+		report_apply(s, w, &report, 900);
+		for (int k = 1; k < 3; k++)
+			cr_expect_eq(ownership_may_start_step(s, &st[k]),
+			    cases[i].may_start, "%s, step %d", cases[i].name,
+			    k);
+		sched_free(s);
+	}
+}
+
 /*
  * A worker fails all that it is given: after a few failures that tasks do not
  * explain it is tried with one task at a time.  Each letter is a run that ends:
