Damaged input: nothing is concluded from rows that can't be read; fuzzers

Cause, found by a new fuzzer (test/main/fuzz_cell.c) and by reading: - A run that is reported before its job's row has been read, and ends after it, took the owner down (null job in learn_run_time). - A progress row with an unknown state indexed past a table in an entry. - An owner's row that doesn't unpack counted as no owner at all: epoch 1 again, no leases waited for. Workers in use that don't unpack were ignored without a log line. A job whose progress doesn't unpack started from the beginning. - A filler that declares no processor time, or a latency target as well, got a pace from uninitialised memory. - One job could ask for 2,000,000 tasks, or 2^31 occurrences at once; times, stretch and accelerators had no bounds, integers were narrowed.

Numbers are bounded in the adapter; a job has at most 200,000 tasks over all occurrences; an owner's row without readable contents counts as one of an unknown owner whose epoch is the row's version. Event 614 is now row_bad, as it is for all rows.

--- a/Makefile
+++ b/Makefile
@@ -25,9 +25,9 @@
 UNIT = $(call obj,test/unit/*.c)
 LIB = $(B)/libtanagerspool.a
 CMD_NO_MAIN = $(filter-out $(B)/cmd/main.o,$(call obj,cmd/*.c))
-TESTS = check scenarios fuzz
+TESTS = check scenarios fuzz fuzz_platform
 BENCH = policy scaling loadgen
-MAINS = $(TESTS) $(BENCH) embed cells soak
+MAINS = $(TESTS) $(BENCH) embed cells fuzz_cell soak
 BIN = $(B)/tanagerspool $(B)/standin-platform $(B)/standin-worker $(B)/standin-users \
 	$(addprefix $(B)/,$(MAINS))
 SRC = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard */*.[ch] */*/*.[ch]))
@@ -53,6 +53,8 @@
 	$(LINK)
 $(B)/cells: $(B)/test/main/cells.o $(CELL) $(LIB)
 	$(LINK)
+$(B)/fuzz_cell: $(B)/test/main/fuzz_cell.o $(LIB)
+	$(LINK)
 $(B)/unit: $(UNIT) $(CMD_NO_MAIN) $(SERVE) $(IO) $(FAKE) $(SIM) $(LIB)
 	$(LINK) -lcriterion
 $(B)/%.o: %.c
@@ -93,10 +95,14 @@
 bench: all
 	sh bench/bench.sh $(B)
 asan:
-	$(MAKE) B=build-asan OPT="-O1 -g -fsanitize=address,undefined \
+	$(MAKE) B=build-asan OPT="-O1 -g \
+	    -fsanitize=address,undefined,float-cast-overflow \
 	    -fno-sanitize-recover=all" build-asan/fuzz build-asan/check \
-	    build-asan/unit build-asan/cells
+	    build-asan/unit build-asan/cells build-asan/fuzz_cell \
+	    build-asan/fuzz_platform
 	build-asan/fuzz 1 100000
+	build-asan/fuzz_platform 1 5000
+	build-asan/fuzz_cell 1 3000
 	ASAN_OPTIONS=detect_leaks=0 build-asan/check 1 100
 	ASAN_OPTIONS=detect_leaks=0 build-asan/unit
 	ASAN_OPTIONS=detect_leaks=0 build-asan/cells 1 60
--- a/cmd/log.c
+++ b/cmd/log.c
@@ -67,7 +67,7 @@
 	{ 611, LOG4C_PRIORITY_INFO, "job_seen" },
 	{ 612, LOG4C_PRIORITY_INFO, "job_end" },
 	{ 613, LOG4C_PRIORITY_INFO, "job_cancel" },
-	{ 614, LOG4C_PRIORITY_WARN, "job_bad" },
+	{ 614, LOG4C_PRIORITY_WARN, "row_bad" },
 	{ 615, LOG4C_PRIORITY_INFO, "jobs_removed" },
 	{ 621, LOG4C_PRIORITY_INFO, "run_start" },
 	{ 622, LOG4C_PRIORITY_WARN, "run_start_failed" },
--- a/sched/flush.c
+++ b/sched/flush.c
@@ -198,17 +198,21 @@
 
 /*
  * Processes a footprint row while the cell is loaded: earlier owners may have
- * left runs on these workers.
+ * left runs on these workers.  False: it doesn't name all of them.
  */
-void
+bool
 flush_footprint_read(sched_t *s, const Sched__Footprint *f)
 {
+	bool complete = f->n_workers == f->n_born_ms;
+
 	for (size_t i = 0; i < f->n_workers && i < f->n_born_ms; i++) {
 		g_auto(GStrv) part = g_strsplit(f->workers[i], " ", 2);
 		worker_t *w;
 
-		if (part[0] == NULL || part[1] == NULL)
+		if (part[0] == NULL || part[1] == NULL) {
+			complete = false;
 			continue;
+		}
 		w = cell_worker_get(s, part[0]);
 		if (w->address[0] == '\0') {
 			g_free(w->address);
@@ -222,8 +226,14 @@
 			w->footprint_flush = 1;
 			w->lease_end_store_ms =
 			    i < f->n_until_ms ? f->until_ms[i] : 0;
+			if (w->lease_end_store_ms > SCHED_NUMBER_MAX ||
+			    w->lease_end_store_ms < 0) {
+				w->lease_end_store_ms = 0;
+				complete = false;
+			}
 		}
 	}
+	return complete;
 }
 
 /*
--- a/sched/interference.c
+++ b/sched/interference.c
@@ -173,10 +173,13 @@
 {
 	interference_t *m;
 
-	if (filler < 0 || interference_known(s, serving, filler))
+	/* What is not a number fails the comparisons. */
+	if (!(coefficient >= 0 && coefficient <= MAX_COEFFICIENT) ||
+	    !(min_headroom >= 0) || filler < 0 ||
+	    interference_known(s, serving, filler))
 		return;
 	m = model_of(s, serving);
-	m->min_headroom = min_headroom;
+	m->min_headroom = MIN(min_headroom, HEADROOM_MAX);
 	m->coefficient[filler] = coefficient;
 	m->variance[filler] = RESTORED_VARIANCE;
 }
--- a/sched/interference_row.c
+++ b/sched/interference_row.c
@@ -108,7 +108,7 @@
 	Sched__Harms *h = sched__harms__unpack(NULL, row->nbytes, row->bytes);
 
 	if (h == NULL) {
-		LOG_EVENT(s, SCHED_EVT_JOB_BAD, "harm",
+		LOG_EVENT(s, SCHED_EVT_ROW_BAD, "harm",
 		    "why=\"does not unpack\" version=%" PRId64, row->version);
 		return;
 	}
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -305,14 +305,14 @@
 	/* Since when reads have shown the row unchanged.  Starts anew after a
 	 * pause between reads, a claim by this entry or a loss of the cell. */
 	int64_t row_changed_ms;
-	int64_t row_read_ms;   /* when the row was last read */
-	int64_t write_sent_ms; /* when the last claim or flush was sent */
-	int64_t token;	       /* fencing token: version of our claim */
-	int64_t epoch;	       /* claims of the cell so far */
-	int64_t renewals;      /* writes of the row since our claim */
-
+	int64_t row_read_ms;	   /* when the row was last read */
+	int64_t write_sent_ms;	   /* when the last claim or flush was sent */
+	int64_t token;		   /* fencing token: version of our claim */
+	int64_t epoch;		   /* claims of the cell so far */
+	int64_t renewals;	   /* writes of the row since our claim */
 	int64_t confirmed_ms;	   /* when the last successful write was sent */
 	int64_t old_leases_end_ms; /* leases of earlier owners end before */
+	bool footprint_bad;	   /* earlier owners may have used any worker */
 	/* No run of an earlier owner can be unknown to this owner. */
 	bool workers_accounted;
 	bool paused;	      /* see sched_process_paused */
@@ -356,11 +356,13 @@
 	uint64_t compatible_fillers[IMAGES_MAX];
 	GHashTable *approval_requests; /* in flight, by id */
 	GHashTable *evacuated_zones;   /* set of interned names */
-	GHashTable *loaded_progress; /* while loading: id -> Sched__Progress */
-	GHashTable *ended_jobs;	     /* id -> ended_job_t of purge.c */
-	GSequence *ready_steps;	     /* step_t with waiting tasks, sorted */
-	GHashTable *dirty_jobs;	     /* set of job_t */
-	GPtrArray *recurring_jobs;   /* jobs that repeat */
+	/* While loading: id -> Sched__Progress; NULL for a row that can't be
+	 * read, which stays until the cell is lost. */
+	GHashTable *loaded_progress;
+	GHashTable *ended_jobs;	   /* id -> ended_job_t of purge.c */
+	GSequence *ready_steps;	   /* step_t with waiting tasks, sorted */
+	GHashTable *dirty_jobs;	   /* set of job_t */
+	GPtrArray *recurring_jobs; /* jobs that repeat */
 	/* The flush in flight. */
 	bool write_pending;
 	uint64_t flush_number, flushed_number; /* last begun, last stored */
@@ -528,7 +530,7 @@
 /* flush.c */
 void flush_mark_job(sched_t *s, job_t *j);
 void flush_acknowledge_ended(sched_t *s, worker_t *w);
-void flush_footprint_read(sched_t *s, const Sched__Footprint *f);
+bool flush_footprint_read(sched_t *s, const Sched__Footprint *f);
 void flush_if_due(sched_t *s);
 void flush_done(sched_t *s, sched_write_result_t r, int64_t version);
 
--- a/sched/job.c
+++ b/sched/job.c
@@ -14,11 +14,11 @@
 #include "headroom.h"
 #include "internal.h"
 
-#define MAX_STEP_TASKS	     10000 /* bounds what one job may take */
-#define MAX_STEPS	     200   /* of one job */
-#define MEAN_WORK_JOBS	     32	   /* jobs in the average work of a queue */
-#define INITIAL_RUN_TIME_PCT 100   /* of the declared time, until learned */
-#define MAX_AMOUNT	     1000000000 /* of milli-cores, MB or ms of a task */
+#define MAX_STEP_TASKS	     10000  /* bounds what one job may take */
+#define MAX_STEPS	     200    /* of one job */
+#define MEAN_WORK_JOBS	     32	    /* jobs in the average work of a queue */
+#define INITIAL_RUN_TIME_PCT 100    /* of the declared time, until learned */
+#define MAX_JOB_TASKS	     200000 /* of all occurrences of a job */
 
 /* Checks step n of a job; sets why to the fault if false is returned. */
 static bool
@@ -31,8 +31,10 @@
 		return false;
 	*why = "a step's size or time is out of range";
 	if (st->cpu_milli < 0 || st->mem_mb < 0 || st->gpu < 0 ||
-	    st->estimate_ms < 0 || st->cpu_milli > MAX_AMOUNT ||
-	    st->mem_mb > MAX_AMOUNT || st->estimate_ms > MAX_AMOUNT)
+	    st->estimate_ms < 0 || st->tail_target_ms < 0 ||
+	    st->cpu_milli > SCHED_AMOUNT_MAX || st->mem_mb > SCHED_AMOUNT_MAX ||
+	    st->gpu > SCHED_AMOUNT_MAX || st->estimate_ms > SCHED_AMOUNT_MAX ||
+	    st->tail_target_ms > SCHED_AMOUNT_MAX)
 		return false;
 	*why = "a step comes after one that is not before it";
 	for (size_t i = 0; i < st->n_after; i++)
@@ -41,15 +43,39 @@
 	return true;
 }
 
+/* Checks the times of a job, so that sums of them don't overflow. */
+static bool
+times_valid(const Sched__Job *def)
+{
+	return def->accepted_ms >= 0 && def->accepted_ms <= SCHED_NUMBER_MAX &&
+	    def->first_ms >= 0 && def->first_ms <= SCHED_NUMBER_MAX &&
+	    def->interval_ms >= 0 && def->interval_ms <= SCHED_SPAN_MAX_MS &&
+	    def->target_ms >= 0 && def->target_ms <= SCHED_SPAN_MAX_MS &&
+	    def->stretch >= 0 && def->stretch <= SCHED_STRETCH_MAX;
+}
+
 bool
 sched_job_valid(const Sched__Job *def, const char **why)
 {
+	int64_t ntasks = 0;
+
 	*why = "a job needs one step or more";
-	if (def->n_steps == 0 || def->n_steps > MAX_STEPS)
+	if (def->n_steps == 0)
+		return false;
+	*why = "a job has more steps than are allowed";
+	if (def->n_steps > MAX_STEPS)
 		return false;
-	for (size_t i = 0; i < def->n_steps; i++)
+	for (size_t i = 0; i < def->n_steps; i++) {
 		if (!step_valid(def, i, why))
 			return false;
+		ntasks += def->steps[i]->count;
+	}
+	*why = "a job has more tasks than are allowed";
+	if (ntasks * MAX(1, def->repeats) > MAX_JOB_TASKS)
+		return false;
+	*why = "a job's time is out of range";
+	if (!times_valid(def))
+		return false;
 	*why = "";
 	return true;
 }
@@ -96,7 +122,8 @@
 		st->image = interference_image(s, st->def->image);
 		if (st->image >= 0 && st->def->filler)
 			s->filler_images |= IMAGE_BIT(st->image);
-		if (st->image >= 0 && st->def->tail_target_ms > 0)
+		if (st->image >= 0 && st->def->tail_target_ms > 0 &&
+		    !st->def->filler)
 			st->load = g_new0(serving_load_t, 1);
 		st->ntasks = st->nwaiting = st->def->count;
 		st->tasks = g_new0(task_t, st->ntasks);
@@ -321,6 +348,19 @@
 	}
 }
 
+Sched__Progress *
+sched_progress_unpack(const uint8_t *bytes, size_t n)
+{
+	Sched__Progress *p = sched__progress__unpack(NULL, n, bytes);
+
+	if (p == NULL ||
+	    protobuf_c_enum_descriptor_get_value(
+		&sched__state__descriptor, (int)p->state) != NULL)
+		return p;
+	sched__progress__free_unpacked(p, NULL);
+	return NULL;
+}
+
 /* Applies a job's stored progress, after the job has been created. */
 void
 job_apply_progress(job_t *j, const Sched__Progress *p)
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -148,6 +148,7 @@
 	g_hash_table_remove_all(s->jobs);
 	g_hash_table_remove_all(s->loaded_progress);
 	g_hash_table_remove_all(s->ended_jobs);
+	s->cell.footprint_bad = false;
 }
 
 /*
@@ -182,6 +183,31 @@
 	s->opts.port.load(s->opts.ctx);
 }
 
+/*
+ * Decodes the owner row; NULL when there is none.  For one that can't be read,
+ * returns an owner without a name whose epoch is at least the real one, as each
+ * claim raises the row's version.
+ */
+static Sched__Owner *
+decode_owner(sched_t *s, const sched_row_t *row)
+{
+	Sched__Owner *o;
+
+	if (row->bytes == NULL)
+		return NULL;
+	o = sched__owner__unpack(NULL, row->nbytes, row->bytes);
+	if (o != NULL && o->epoch >= 0 && o->epoch < SCHED_NUMBER_MAX)
+		return o;
+	if (row->version != s->cell.version)
+		LOG_EVENT(s, SCHED_EVT_ROW_BAD, row->key,
+		    "why=\"does not unpack\" version=%" PRId64, row->version);
+	sched__owner__free_unpacked(o, NULL);
+	o = malloc(sizeof(*o));
+	sched__owner__init(o);
+	o->epoch = row->version;
+	return o;
+}
+
 /*
  * Processes the owner row as read: notes changes, and detects that the cell was
  * lost, or that a claim in doubt has succeeded.
@@ -190,10 +216,8 @@
 ownership_row_read(sched_t *s, const sched_row_t *row)
 {
 	cell_t *c = &s->cell;
-	Sched__Owner *o = NULL;
+	Sched__Owner *o = decode_owner(s, row);
 
-	if (row->bytes != NULL)
-		o = sched__owner__unpack(NULL, row->nbytes, row->bytes);
 	if (!c->row_read || s->now_ms - c->row_read_ms > READ_GAP_MS ||
 	    row->version != c->version)
 		c->row_changed_ms = s->now_ms;
@@ -304,6 +328,8 @@
 static bool
 all_workers_accounted(const sched_t *s)
 {
+	if (s->cell.footprint_bad)
+		return false;
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		const worker_t *w = g_ptr_array_index(s->worker_list, i);
 
--- a/sched/pacing.c
+++ b/sched/pacing.c
@@ -202,7 +202,8 @@
 	int32_t i, f;
 
 	isolation_update_slack(s, w);
-	FOREACH_IMAGE (f, w->filler_mask)
+	/* Also of a filler that declares no processor time. */
+	for (f = 0; f < IMAGES_MAX; f++)
 		pace[f] = 1;
 	FOREACH_IMAGE (i, w->serving_mask) {
 		uint64_t left = w->filler_mask;
--- a/sched/report.c
+++ b/sched/report.c
@@ -183,7 +183,9 @@
 		keep_checkpoint(t, e->checkpoint);
 		if (e->outcome == SCHED_RUN_DONE && !t->step->def->lasting) {
 			suspect_run_done(s, w);
-			on_task_done(s, t, r);
+			/* The run may be known for longer than its job. */
+			on_task_done(
+			    s, t, r != NULL && r->task == t ? r : NULL);
 		} else if (e->outcome == SCHED_RUN_FAILED)
 			on_task_failed(s, t, w, e->run);
 		else if (e->checkpoint[0] != '\0' &&
@@ -275,7 +277,11 @@
 	if (r->state == RUN_STOPPING && r->stop_acked_ms == 0)
 		run_stop(s, r, "again");
 	r->percent = MAX(r->percent, entry->percent);
-	r->metric = entry->metric;
+	/* A filler can't use more than its worker has. */
+	r->metric = CLAMP(entry->metric, 0,
+	    r->task != NULL && r->task->step->def->filler ?
+		r->worker->cpu_milli :
+		SCHED_AMOUNT_MAX);
 	if (r->task == NULL)
 		return;
 	run_mark_job_started(s, r->job);
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -125,11 +125,16 @@
 {
 	Sched__Job *def = sched__job__unpack(NULL, row->nbytes, row->bytes);
 	const char *why = "does not unpack";
-	const Sched__Progress *p;
+	void *p = NULL;
+	bool has_progress =
+	    g_hash_table_lookup_extended(s->loaded_progress, id, NULL, &p);
+	bool valid = def != NULL && sched_job_valid(def, &why);
 	job_t *j;
 
-	if (def == NULL || !sched_job_valid(def, &why)) {
-		LOG_EVENT(s, SCHED_EVT_JOB_BAD, id,
+	if (valid && has_progress && p == NULL)
+		why = "its progress is not known";
+	if (!valid || (has_progress && p == NULL)) {
+		LOG_EVENT(s, SCHED_EVT_ROW_BAD, id,
 		    "why=\"%s\" version=%" PRId64, why, row->version);
 		if (def != NULL)
 			sched__job__free_unpacked(def, NULL);
@@ -139,7 +144,6 @@
 	g_hash_table_insert(s->jobs, j->id, j);
 	if (def->repeats > 0)
 		g_ptr_array_add(s->recurring_jobs, j);
-	p = g_hash_table_lookup(s->loaded_progress, id);
 	if (p != NULL)
 		job_apply_progress(j, p);
 	j->row_stored = p != NULL;
@@ -173,10 +177,11 @@
 {
 	Sched__Progress *p;
 
-	p = sched__progress__unpack(NULL, row->nbytes, row->bytes);
+	p = sched_progress_unpack(row->bytes, row->nbytes);
 	if (p == NULL) {
-		LOG_EVENT(s, SCHED_EVT_JOB_BAD, id,
-		    "why=\"the progress row does not unpack\"");
+		LOG_EVENT(s, SCHED_EVT_ROW_BAD, row->key,
+		    "why=\"does not unpack\" version=%" PRId64, row->version);
+		g_hash_table_insert(s->loaded_progress, g_strdup(id), NULL);
 		return;
 	}
 	if (p->state == SCHED__STATE__RUNNING) {
@@ -187,16 +192,19 @@
 	sched__progress__free_unpacked(p, NULL);
 }
 
-/* Processes a row of the footprint; one that does not unpack is ignored. */
+/* Processes a row of the footprint. */
 static void
 load_footprint(sched_t *s, const sched_row_t *row)
 {
 	Sched__Footprint *f;
 
 	f = sched__footprint__unpack(NULL, row->nbytes, row->bytes);
-	if (f == NULL)
-		return;
-	flush_footprint_read(s, f);
+	if (f == NULL || !flush_footprint_read(s, f)) {
+		LOG_EVENT(s, SCHED_EVT_ROW_BAD, row->key,
+		    "why=\"not the workers in use\" version=%" PRId64,
+		    row->version);
+		s->cell.footprint_bad = true;
+	}
 	sched__footprint__free_unpacked(f, NULL);
 }
 
@@ -258,6 +266,15 @@
 		run_end_job(s, j, SCHED__STATE__COMPLETED);
 }
 
+/* Whether a progress row could be read; for a hash table. */
+static gboolean
+was_read(void *id, void *progress, void *ctx)
+{
+	(void)id;
+	(void)ctx;
+	return progress != NULL;
+}
+
 void
 sched_load_done(sched_t *s, int64_t now_ms)
 {
@@ -268,7 +285,7 @@
 	if (s->cell.state != CELL_LOADING)
 		return;
 	ownership_load_done(s);
-	g_hash_table_remove_all(s->loaded_progress);
+	g_hash_table_foreach_remove(s->loaded_progress, was_read, NULL);
 	all = g_hash_table_get_values(s->jobs);
 	for (GList *i = all; i != NULL; i = i->next)
 		open_loaded_job(s, i->data);
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -21,6 +21,12 @@
 #define SCHED_H
 
 #define SCHED_JOB_ID_BYTES 16 /* hexadecimal digits of a job's id */
+/* Numbers that are passed in are at most this, or its negative. */
+#define SCHED_NUMBER_MAX  ((int64_t)1 << 53)
+#define SCHED_SPAN_MAX_MS 1000000000000 /* of an interval or allowed time */
+#define SCHED_STRETCH_MAX 1000000
+/* Of milli-cores, MB, accelerators or ms of a task or worker. */
+#define SCHED_AMOUNT_MAX 1000000000
 
 /*
  * Row keys within a cell.  The row of a job has the job's id as its key; its
@@ -187,7 +193,7 @@
 	SCHED_EVT_JOB_SEEN = 611,
 	SCHED_EVT_JOB_ENDED = 612,
 	SCHED_EVT_JOB_CANCEL = 613,
-	SCHED_EVT_JOB_BAD = 614,
+	SCHED_EVT_ROW_BAD = 614,
 	SCHED_EVT_PURGE = 615,
 	SCHED_EVT_START = 621,
 	SCHED_EVT_START_FAILED = 622,
@@ -244,6 +250,8 @@
 	void *ctx;
 } sched_opts_t;
 
+/* Decodes a progress row; NULL when it does not unpack or has no known state. */
+Sched__Progress *sched_progress_unpack(const uint8_t *bytes, size_t n);
 /* Checks a job's definition; sets why to the fault if false is returned. */
 bool sched_job_valid(const Sched__Job *def, const char **why);
 
--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -59,11 +59,6 @@
 
 	if (job == NULL)
 		return NULL;
-	if (!sched_job_valid(job, &why)) {
-		g_set_error(err, SERVE_ERROR, SERVE_INVALID_JOB, "%s", why);
-		sched__job__free_unpacked(job, NULL);
-		return NULL;
-	}
 	job->queue = strdup(queue->name);
 	job->service = strdup(queue->service);
 	job->priority = queue->priority;
@@ -71,6 +66,11 @@
 	job->stretch = queue->stretch;
 	job->target_ms = queue->target_ms;
 	job->accepted_ms = node_wall_ms(n);
+	if (!sched_job_valid(job, &why)) {
+		g_set_error(err, SERVE_ERROR, SERVE_INVALID_JOB, "%s", why);
+		sched__job__free_unpacked(job, NULL);
+		return NULL;
+	}
 	b = g_byte_array_new();
 	g_byte_array_set_size(b, (guint)sched__job__get_packed_size(job));
 	sched__job__pack(job, b->data);
--- a/serve/request.c
+++ b/serve/request.c
@@ -337,8 +337,13 @@
 	}
 	row = find_row(ans, rq->id, SCHED_KEY_PROGRESS);
 	if (row != NULL)
-		p = sched__progress__unpack(NULL, row->nbytes, row->bytes);
-	if (p == NULL || p->not_started)
+		p = sched_progress_unpack(row->bytes, row->nbytes);
+	if (row != NULL && p == NULL) {
+		log_event(EVT_BAD_ROW, "table=jobs key=%s why=\"%s\"", row->key,
+		    "not the progress of a job");
+		finish(rq, 500,
+		    "{\"error\":\"the job's stored state is damaged\"}");
+	} else if (p == NULL || p->not_started)
 		read_job_rows(attempt_new(rq));
 	else
 		finish_state(rq, p->state);
--- a/test/main/fuzz.c
+++ b/test/main/fuzz.c
@@ -16,6 +16,7 @@
 #include "../../proto/peer.pb-c.h"
 #include "tanagerspool.h"
 #include "../../proto/proto.h"
+#include "../fake/damage.h"
 
 static const char rows_seed[] =
     "{\"rows\":[{\"key\":\"job/g/1\","
@@ -120,39 +121,6 @@
 	return b;
 }
 
-/* Overwrites, flips, removes, cuts off or repeats bytes, up to five times. */
-static void
-damage(GRand *r, GByteArray *b)
-{
-	int times = g_rand_int_range(r, 0, 6);
-	uint8_t repeated[8];
-
-	while (times-- > 0 && b->len > 0) {
-		guint at = (guint)g_rand_int_range(r, 0, (gint32)b->len);
-		guint n = (guint)g_rand_int_range(r, 1, 9);
-
-		switch (g_rand_int_range(r, 0, 5)) {
-		case 0:
-			b->data[at] = (uint8_t)g_rand_int(r);
-			break;
-		case 1:
-			b->data[at] ^=
-			    (uint8_t)(1U << g_rand_int_range(r, 0, 8));
-			break;
-		case 2:
-			g_byte_array_remove_range(b, at, MIN(n, b->len - at));
-			break;
-		case 3:
-			g_byte_array_set_size(b, at);
-			break;
-		default:
-			n = MIN(n, b->len - at);
-			memcpy(repeated, b->data + at, n);
-			g_byte_array_append(b, repeated, n);
-		}
-	}
-}
-
 int
 main(int argc, char **argv)
 {
@@ -179,7 +147,7 @@
 
 		g_byte_array_append(
 		    b, (const uint8_t *)parsers[k].seed, (guint)parsers[k].len);
-		damage(r, b);
+		damage_bytes(r, b);
 		parsers[k].parse((char *)b->data, b->len);
 		g_byte_array_free(b, TRUE);
 	}
--- a/test/unit/sched.c
+++ b/test/unit/sched.c
@@ -162,6 +162,41 @@
 	sched_free(s);
 }
 
+/*
+ * A worker reports a run whose job's row has not been read yet, then the row
+ * is read, then the run ends: the task is done.
+ */
+Test(sched, a_run_that_is_known_before_its_job_ends)
+{
+	sched_t *s = new_owner();
+	worker_t *w = add_worker(s, "w");
+	sched_running_t run = {
+		.task = "0000000000000001.0.0.0", .run = 1, .checkpoint = ""
+	};
+	sched_ended_t end = { .seq = 1,
+		.task = run.task,
+		.run = 1,
+		.outcome = SCHED_RUN_DONE,
+		.checkpoint = "" };
+	sched_report_t report = {
+		.clock_ms = 1, .started_ms = 1, .running = &run, .nrunning = 1
+	};
+	Sched__Step d = step_def("", 1000, false, 0);
+	job_t *j;
+
+	s->now_ms = 1000;
+	report_apply(s, w, &report, 900);
+	j = add_job(s, "0000000000000001", &d, 0);
+	report.nrunning = 0;
+	report.ended = &end;
+	report.nended = 1;
+	report_apply(s, w, &report, 950);
+	cr_expect_eq(j->end_state, SCHED__STATE__COMPLETED);
+	cr_expect_neq(j->stage, JOB_OPEN);
+	cr_expect_eq(g_hash_table_size(w->runs), 0);
+	sched_free(s);
+}
+
 /*
  * A new owner learns that a task of the first of three steps still runs: no
  * earlier owner can have started the later ones, unless two runs of the task
