Reports: ended runs that a worker could not list prove nothing

Cause (operators: "work that had run was run again"): a worker lists at most 500 ended runs at a time, and they are acknowledged once stored. With the store dark for some seconds more can wait; a run that had ended was then in neither list, was taken for lost and started again. After a change of owner such a worker counted as accounted for.

--- a/sched/cell_worker.c
+++ b/sched/cell_worker.c
@@ -222,7 +222,7 @@
 	cell_worker_assume_longest_lease(s, w);
 	w->lease.answered_ms = 0;
 	w->lease.deadline_ms = 0;
-	w->has_answered = w->footprint_stored = false;
+	w->has_answered = w->footprint_stored = w->ended_cut = false;
 	w->footprint_flush = 0;
 	w->lease_end_store_ms = 0;
 	w->poll_id = 0;
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -215,6 +215,7 @@
 	bool zone_evacuated;
 	bool footprint_stored; /* a footprint row with this worker is stored */
 	bool has_answered;     /* a poll with this owner's token */
+	bool ended_cut;	       /* its last report did not list all ended runs */
 	bool silent;	       /* several polls in a row got no answer */
 	bool slow;	       /* its tasks make little progress */
 	bool suspect;	       /* it is tried with one task at a time */
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -132,6 +132,7 @@
 		memset(
 		    w->filler_cpu_by_image, 0, sizeof(w->filler_cpu_by_image));
 		w->footprint_stored = w->has_answered = w->silent = false;
+		w->ended_cut = false;
 		w->footprint_flush = w->ended_flush = 0;
 		w->ended_seq = w->ended_stored_seq = 0;
 		w->lease_end_store_ms = 0;
@@ -323,17 +324,22 @@
 
 /*
  * Whether each worker that earlier owners used has answered a poll, has been
- * replaced by another process, or is free of their leases.
+ * replaced by another process, or is free of their leases, and none has ended
+ * runs that it has yet to list.
  */
 static bool
 all_workers_accounted(const sched_t *s)
 {
-	if (s->cell.footprint_bad)
+	bool leases_ended = s->now_ms >= s->cell.old_leases_end_ms;
+
+	if (s->cell.footprint_bad && !leases_ended)
 		return false;
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		const worker_t *w = g_ptr_array_index(s->worker_list, i);
 
-		if (w->footprint_stored && !w->has_answered &&
+		if (w->ended_cut && !w->silent)
+			return false;
+		if (w->footprint_stored && !w->has_answered && !leases_ended &&
 		    !old_lease_ended(s, w))
 			return false;
 	}
@@ -367,7 +373,7 @@
 		forget_state(s);
 	}
 	if (c->state == CELL_OWNED && !c->workers_accounted &&
-	    (s->now_ms >= c->old_leases_end_ms || all_workers_accounted(s))) {
+	    all_workers_accounted(s)) {
 		c->workers_accounted = true;
 		s->start_pass_due = true;
 	}
--- a/sched/poll.c
+++ b/sched/poll.c
@@ -130,7 +130,7 @@
 		return;
 	/* A worker that left the list is polled while runs may be there. */
 	if (!w->listed && g_hash_table_size(w->runs) == 0 &&
-	    (w->has_answered || !w->footprint_stored))
+	    ((w->has_answered && !w->ended_cut) || !w->footprint_stored))
 		return;
 	/* Ended runs are being stored: the poll is delayed so that it can
 	 * acknowledge them. */
--- a/sched/report.c
+++ b/sched/report.c
@@ -355,6 +355,10 @@
 		if (r != NULL && r->number == entry->run)
 			update_run(s, r, entry);
 	}
+	/* A run that is not listed may be among the ends that are not. */
+	w->ended_cut = report->ended_cut;
+	if (w->ended_cut)
+		return;
 	all = g_hash_table_get_values(w->runs);
 	for (GList *i = all; i != NULL; i = i->next) {
 		run_t *r = i->data;
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -104,6 +104,7 @@
 	size_t nrunning;
 	const sched_ended_t *ended;
 	size_t nended;
+	bool ended_cut; /* more runs have ended than are listed */
 } sched_report_t;
 
 /* How an order to a worker ended. */
