--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 
 all: $(BIN)
 $(LIB): $(CORE)
-	@echo "  AR $@"; ar rcs $@ $^
+	@echo "  AR $@"; rm -f $@; ar rcs $@ $^
 $(B)/tanagerspool: $(call obj,cmd/*.c) $(SERVE) $(IO) $(LIB)
 	$(LINK)
 $(B)/standin-%: $(B)/test/standin/%.o $(FAKE) $(IO) $(LIB)
--- a/bench/policy.c
+++ b/bench/policy.c
@@ -154,7 +154,6 @@
 	int64_t p50, p99, p999; /* latency, us */
 	int64_t work_ms;
 	int evictions;
-	uint64_t not_answered;
 } noise_result_t;
 
 /* Sums the evictions of all jobs; worst is the highest of one job. */
@@ -215,7 +214,6 @@
 	n.p99 = sim_quantile(s->latency_us, 0.99);
 	n.p999 = sim_quantile(s->latency_us, 0.999);
 	n.evictions = evictions(s, &worst);
-	n.not_answered = s->refused + s->unknown;
 	if (s->violation != NULL)
 		expect("noise", false, "%s", s->violation);
 	sim_free(s);
--- a/bench/scaling.c
+++ b/bench/scaling.c
@@ -24,7 +24,6 @@
 
 #define TOKEN		 "00000000000000000000000000000000000000000000000000000000000000aa"
 #define WORKERS_PER_RACK 8
-#define TASKS_PER_WORKER 16 /* 461,000 tasks on 29,000 workers */
 #define TEAMS		 250
 
 /* An action that waits for its answer. */
--- a/cmd/entry.c
+++ b/cmd/entry.c
@@ -425,7 +425,7 @@
 {
 	signal(SIGPIPE, SIG_IGN);
 	e->loop = uv_default_loop();
-	e->clock = clock_system(e->loop);
+	e->clock = clock_system();
 	e->incarnation = clock_now(&e->clock);
 	e->requests = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, request_free);
--- a/coord/coord.h
+++ b/coord/coord.h
@@ -25,6 +25,11 @@
  */
 #define GONE_MIN_REFUSALS 3
 #define GONE_MIN_SPAN_MS  600
+/*
+ * A peer not heard from for this long gets no forwards, counts as absent in
+ * assignments, and its connection no longer proves that it is running.
+ */
+#define SILENT_PEER_MS 3000
 /* An owner missing from the VM list is gone if its claim is this old. */
 #define GONE_UNLISTED_MS       60000
 #define HOLD_FAILED_WORKERS    3 /* workers a job fails on before it is held */
@@ -196,7 +201,6 @@
 	const char *pool;
 	const char *from_peer; /* that forwarded it; NULL: from a caller */
 	uint64_t peer_req_id;  /* its id at that peer */
-	int64_t arrived_ms;
 	int64_t deadline_ms;
 	int64_t sent_ms;
 	bool idempotent;
@@ -242,7 +246,6 @@
 	uint64_t tag;	      /* for done */
 	int64_t version;      /* UPDATE_OK: of the rows written */
 	guint conflict_index; /* UPDATE_CONFLICT: index in rows */
-	int32_t tries;
 };
 
 /* A transaction of the store. */
--- a/coord/member.c
+++ b/coord/member.c
@@ -13,11 +13,6 @@
 #include "coord.h"
 
 #define DIGEST_GROUPS_MAX 16 /* in a digest: the groups with most free */
-/*
- * A peer not heard from for this long gets no forwards, and its connection no
- * longer proves that it is running.
- */
-#define SILENT_PEER_MS 3000
 
 /* The state of a peer, created at first use. */
 peer_t *
--- a/coord/owner.c
+++ b/coord/owner.c
@@ -20,8 +20,6 @@
 #define ASSIGN_INTERVAL_MS 250
 /* A group owned this long may be released to even out the shares. */
 #define REBALANCE_MIN_OWNED_MS 1500
-/* A peer not heard from for this long counts as absent in assignments. */
-#define SILENT_PEER_MS 3000
 
 /*
  * The state of a group, created when it is first seen in the store or the list
--- a/coord/request.c
+++ b/coord/request.c
@@ -306,7 +306,6 @@
 
 	r->id = id;
 	r->pool = g_intern_string(pool);
-	r->arrived_ms = c->now_ms;
 	r->deadline_ms = c->now_ms + left_ms;
 	g_hash_table_insert(c->reqs, &r->id, r);
 	return r;
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -32,7 +32,8 @@
 typedef struct worker worker_t;
 typedef struct interference interference_t;
 
-#define IMAGES_MAX 64 /* images whose interference is learned */
+#define IMAGES_MAX	      64   /* images whose interference is learned */
+#define RUN_NUMBERS_PER_OWNER 1000 /* for the runs of a task by one owner */
 
 /* Rows of the footprint; each is below 64 KiB with 29,000 workers. */
 #define FOOTPRINT_ROWS 64
@@ -77,7 +78,6 @@
 	int32_t number;
 	int64_t due_wall_ms; /* when its steps may start */
 	int32_t steps_done;
-	bool done;
 	step_t *steps;
 } occurrence_t;
 
--- a/sched/job.c
+++ b/sched/job.c
@@ -309,10 +309,8 @@
 	if (st->ndone < st->ntasks)
 		return;
 	o->steps_done++;
-	if ((size_t)o->steps_done == o->job->def->n_steps) {
-		o->done = true;
+	if ((size_t)o->steps_done == o->job->def->n_steps)
 		o->job->occs_done++;
-	}
 }
 
 /* Applies the stored progress of one step; ignores one that does not exist. */
--- a/sched/run.c
+++ b/sched/run.c
@@ -30,7 +30,6 @@
 #define NO_ANSWER_BACKOFF_MS 700  /* it did not answer */
 /* Time until a task that a worker rejected as invalid is tried again. */
 #define INVALID_TASK_DELAY_MS 2000
-#define RUN_NUMBERS_PER_OWNER 1000 /* for the runs of a task by one owner */
 
 /* Frees a run; for the table of runs. */
 void
--- a/sched/start.c
+++ b/sched/start.c
@@ -13,8 +13,7 @@
 #include "headroom.h"
 #include "internal.h"
 
-#define RUN_NUMBERS_PER_OWNER 1000 /* for the runs of a task by one owner */
-#define STARTS_PER_PASS	      64   /* so that other events get a turn */
+#define STARTS_PER_PASS 64 /* so that other events get a turn */
 /* So many jobs at the head of the queue have their rows stored in advance. */
 #define STORED_AHEAD 32
 /* A pass ends after this many steps with tasks that could not be placed. */
--- a/trans/clock.c
+++ b/trans/clock.c
@@ -14,7 +14,6 @@
 #include "trans.h"
 
 typedef struct {
-	uv_loop_t *loop;
 	int64_t offset_ms; /* from the monotonic clock to the wall clock */
 } clock_ctx_t;
 
@@ -27,12 +26,11 @@
 }
 
 ts_clock_t
-clock_system(uv_loop_t *loop)
+clock_system(void)
 {
 	clock_ctx_t *c = g_new0(clock_ctx_t, 1);
 	ts_clock_t clock = { now_ms, c };
 
-	c->loop = loop;
 	c->offset_ms =
 	    g_get_real_time() / 1000 - (int64_t)(uv_hrtime() / 1000000);
 	return clock;
--- a/trans/trans.h
+++ b/trans/trans.h
@@ -25,7 +25,7 @@
  * A clock in milliseconds since 1970 that never goes back while the process
  * runs: it follows the monotonic clock, not later steps of the wall clock.
  */
-ts_clock_t clock_system(uv_loop_t *loop);
+ts_clock_t clock_system(void);
 int64_t clock_now(const ts_clock_t *clock);
 
 /*
