Calls: an answer that arrived during a pause of the process is read

Cause: after a pause libuv handles timers before sockets, so that calls whose time had run out ended in doubt though their answers had arrived: starts that had succeeded were stopped again, writes that were done counted as in doubt. Now a timer that is 50 ms late waits for one more read. A connection that is established after the call's time sends nothing (not run); connecting counts towards the time. Unit: "before a pause of the caller's process", failed first.

--- a/test/unit/backend.c
+++ b/test/unit/backend.c
@@ -18,7 +18,8 @@
 #include "tanagerspool.h"
 #include "../../trans/trans.h"
 
-#define PORT 18733
+#define PORT	   18733
+#define TIMEOUT_MS 300 /* of a call */
 
 typedef struct {
 	const char *name;
@@ -29,6 +30,7 @@
 	const char *body;     /* NULL: not checked */
 	bool conn_reused;     /* by the next call */
 	size_t request_bytes; /* size of the request's body */
+	int pause_ms;	      /* of this process, after the server's answer */
 } server_case_t;
 
 #define OK "HTTP/1.1 200 OK\r\n"
@@ -66,6 +68,12 @@
 	{ "longer than its length", OK "Content-Length: 2\r\n\r\nhello", false,
 	    1, TS_OUTCOME_ANSWERED, "he", false },
 	{ "no answer", NULL, false, 1, TS_OUTCOME_UNKNOWN, NULL, false },
+	/* The answer waits in the socket as the time for it runs out. */
+	{ "before a pause of the caller's process",
+	    OK "Content-Length: 5\r\n\r\nhello", false, 1, TS_OUTCOME_ANSWERED,
+	    "hello", true, 0, TIMEOUT_MS * 2 },
+	{ "no answer, and a pause", NULL, false, 1, TS_OUTCOME_UNKNOWN, NULL,
+	    false, 0, TIMEOUT_MS * 2 },
 	/* The server refuses while the request is still being written. */
 	{ "before the request was completely sent",
 	    "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", false, 1,
@@ -129,6 +137,8 @@
 		uv_try_write(st, &out, 1);
 		at += len;
 	}
+	if (c->pause_ms > 0)
+		g_usleep((gulong)c->pause_ms * 1000);
 	if (c->closes) {
 		uv_read_stop(st);
 		uv_close((uv_handle_t *)st, on_closed);
@@ -172,7 +182,7 @@
 	size_t n = f->server_case == NULL ? 0 : f->server_case->request_bytes;
 	g_autofree char *body = g_malloc0(n);
 	backend_call_t call = { "127.0.0.1", port, 4, n > 0 ? "POST" : "GET",
-		"/", "", body, n, 300 };
+		"/", "", body, n, TIMEOUT_MS };
 
 	backends_send(f->backends, 1, 1, &call);
 	uv_run(&f->loop, UV_RUN_DEFAULT);
--- a/trans/backend.c
+++ b/trans/backend.c
@@ -20,6 +20,8 @@
 #define BODY_MAX_BYTES	   (8 * 1024 * 1024) /* of an answer */
 #define HEADERS_MAX_BYTES  (64 * 1024)	     /* of an answer */
 #define CONNECT_TIMEOUT_MS 1000
+#define PAUSE_MS	   50 /* a timer that is later: the process stood still */
+#define READ_WAIT_MS	   1 /* for what has arrived in a pause */
 #define READ_BUF_BYTES	   (64 * 1024)
 
 /* A backend server. */
@@ -52,7 +54,8 @@
 	int open_handles; /* that still have to close before conn is freed */
 	uint64_t req;	  /* of the call in progress */
 	int32_t attempt;  /* of the call in progress */
-	int32_t timeout_ms;
+	uint64_t due_ms;  /* by the loop's clock: the call's time is over */
+	bool overdue;	  /* one more read has been waited for since */
 } conn_t;
 
 struct backends {
@@ -250,12 +253,22 @@
 		end_call(conn, TS_OUTCOME_UNKNOWN);
 }
 
-/* The request cannot have run if the connection was never established. */
+/*
+ * The request cannot have run if the connection was never established.  After
+ * a pause of this process the timers are handled before the sockets: an answer
+ * that has arrived meanwhile is read first.
+ */
 static void
 on_timeout(uv_timer_t *t)
 {
 	conn_t *conn = t->data;
 
+	if (!conn->overdue &&
+	    uv_now(conn->backends->loop) >= conn->due_ms + PAUSE_MS) {
+		conn->overdue = true;
+		uv_timer_start(t, on_timeout, READ_WAIT_MS, 0);
+		return;
+	}
 	end_call(
 	    conn, conn->connected ? TS_OUTCOME_UNKNOWN : TS_OUTCOME_NOT_RUN);
 }
@@ -268,7 +281,8 @@
 
 	conn->write.data = conn;
 	conn->writing = true;
-	uv_timer_start(&conn->timer, on_timeout, (uint64_t)conn->timeout_ms, 0);
+	uv_timer_start(&conn->timer, on_timeout,
+	    conn->due_ms - MIN(conn->due_ms, uv_now(conn->backends->loop)), 0);
 	if (uv_write(&conn->write, (uv_stream_t *)&conn->tcp, &buf, 1,
 		on_request_written) !=
 	    0) /* reported from the loop, like a timeout */
@@ -282,7 +296,8 @@
 
 	if (conn->closing)
 		return;
-	if (status != 0) {
+	/* The request is not sent after its time. */
+	if (status != 0 || uv_now(conn->backends->loop) >= conn->due_ms) {
 		end_call(conn, TS_OUTCOME_NOT_RUN);
 		return;
 	}
@@ -337,7 +352,9 @@
 	conn->parser.data = conn;
 	conn->in_header_value = conn->complete = conn->keep_alive = false;
 	conn->is_head = strcmp(c->method, "HEAD") == 0;
-	conn->timeout_ms = c->timeout_ms;
+	conn->due_ms =
+	    uv_now(conn->backends->loop) + (uint64_t)MAX(0, c->timeout_ms);
+	conn->overdue = false;
 	conn->in_call = true;
 }
 
