--- a/Makefile
+++ b/Makefile
@@ -88,6 +88,8 @@
 	sh test/soak.sh $(B) $(SEED)
 mutants: $(B)/check $(B)/cells
 	sh test/mutants.sh $(B)
+soak-mutants: $(BIN)
+	sh test/mutants.sh $(B) '' test/soak-mutants.txt
 policy: $(B)/policy
 	sh test/red.sh $(B)/policy
 scaling: $(B)/scaling
@@ -131,5 +133,5 @@
 	rm -rf build*
 PHONY_TESTS = unit check cells scenarios process soak
 SEED = 1
-.PHONY: all deps ensure-deps run test $(PHONY_TESTS) mutants policy scaling \
+.PHONY: all deps ensure-deps run test $(PHONY_TESTS) mutants soak-mutants policy scaling \
 	bench asan lint fmt install clean
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -1,11 +1,20 @@
 #!/bin/sh
-# Mutation test: applies each entry of test/mutants.txt to a copy of the tree,
-# builds it, and runs random schedules until one prints the expected violation.
-# usage: mutants.sh BUILD-FOLDER [NAME]
+# Mutation test: applies each entry of a list to a copy of the tree, builds it,
+# and runs random schedules, or the soak, until one prints the expected violation.
+# usage: mutants.sh BUILD-FOLDER [NAME [LIST]]
 B=$1
 only=${2:-}
+list=${3:-test/mutants.txt}
 mkdir -p "$B/mutants"
 
+try() {	# PROGRAM FOLDER FIRST-SEED
+	case $1 in
+	check) "$2/check" "$3" 50 ;;
+	cells) "$2/cells" "$3" $(($3 + 49)) ;;
+	soak) "$2/soak" "$2" "$3" 3 15 ;;
+	esac
+}
+
 mutant() {	# NAME FILES SED WANT SEEDS
 	d=$B/mutants/$1
 	rm -rf "$d"
@@ -23,10 +32,15 @@
 		echo "FAIL $1: the expression changes nothing"
 		return
 	fi
-	# Mutants of the cell scheduler are run by build/cells.
-	prog=check
-	case $1 in cell_*) prog=cells ;; esac
-	if ! make -s -C "$d" B=build-own WARN=-w build-own/$prog \
+	# Mutants of the cell scheduler are run by build/cells, others with real
+	# processes by build/soak.
+	prog=check more= step=50
+	case $1 in
+	cell_*) prog=cells ;;
+	soak_*) prog=soak step=1
+		more='build-own/tanagerspool build-own/standin-users' ;;
+	esac
+	if ! make -s -C "$d" B=build-own WARN=-w build-own/$prog $more \
 	    >"$d/log" 2>&1; then
 		echo "FAIL $1: does not build"
 		tail -n 3 "$d/log"
@@ -34,12 +48,10 @@
 	fi
 	at=1
 	while [ $at -le "$5" ]; do
-		n=50
-		[ $prog = check ] || n=$((at + 49)) # takes FIRST LAST, not COUNT
-		"$d/build-own/$prog" $at $n >"$d/out" 2>&1
+		try $prog "$d/build-own" $at >"$d/out" 2>&1
 		hit=$(grep -m1 "$4" "$d/out")
 		[ -z "$hit" ] || break
-		at=$((at + 50))
+		at=$((at + step))
 	done
 	if [ -n "$hit" ]; then
 		echo "ok   $1: $hit"
@@ -60,11 +72,13 @@
 	    >"$B/mutants/$name.result"
 }
 
-# One background job per processor, each with every nth entry.
+# One background job per processor, each with every nth entry; one for the soak,
+# whose ports are fixed.
 n=$(nproc)
+case $list in *soak*) n=1 ;; esac
 i=0
 while [ $i -lt "$n" ]; do
-	grep -v '^#' test/mutants.txt | awk -v n="$n" -v i=$i 'NR % n == i' |
+	grep -v '^#' "$list" | awk -v n="$n" -v i=$i 'NR % n == i' |
 	    while IFS= read -r line; do
 		case $line in "$only"*) run_entry "$line" ;; esac
 	    done &
