--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -203,7 +203,7 @@
 		LOG_EVENT(s, SCHED_EVT_ROW_BAD, row->key,
 		    "why=\"does not unpack\" version=%" PRId64, row->version);
 	sched__owner__free_unpacked(o, NULL);
-	o = malloc(sizeof(*o));
+	o = malloc(sizeof(*o)); /* protobuf-c frees it with free(3) */
 	sched__owner__init(o);
 	o->epoch = row->version;
 	return o;
