Scheduler: a job points to its queue

Steps looked their queue up by name at each update of the order (four times a second for each waiting step). Queues live as long as the scheduler.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -118,11 +118,24 @@
 	JOB_ENDED   /* end state stored */
 } job_stage_t;
 
+/* A queue's settings and what has been learned of its jobs. */
+typedef struct {
+	const char *name;
+	const char *service;
+	int32_t priority;
+	int32_t max_attempts;
+	bool configured;      /* in the configuration now in force */
+	bool needs_approval;  /* approval service must allow placements */
+	int64_t run_time_pct; /* average real run time / declared run time */
+	double mean_work_milli_ms; /* of its jobs; moving average */
+	int32_t waiting_jobs;	   /* open jobs that have not started */
+} queue_t;
+
 struct job {
 	sched_t *sched;
 	char id[SCHED_JOB_ID_BYTES + 1];
 	Sched__Job *def;
-	const char *queue; /* interned */
+	queue_t *queue; /* lives as long as the scheduler */
 	/* Interned: service whose workers run the job, by the queue's current
 	 * settings. */
 	const char *service;
@@ -278,19 +291,6 @@
 	double slack[IMAGES_MAX];
 };
 
-/* A queue's settings and what has been learned of its jobs. */
-typedef struct {
-	const char *name;
-	const char *service;
-	int32_t priority;
-	int32_t max_attempts;
-	bool configured;      /* in the configuration now in force */
-	bool needs_approval;  /* approval service must allow placements */
-	int64_t run_time_pct; /* average real run time / declared run time */
-	double mean_work_milli_ms; /* of its jobs; moving average */
-	int32_t waiting_jobs;	   /* open jobs that have not started */
-} queue_t;
-
 typedef enum {
 	CELL_FOLLOWING, /* another entry owns the cell, or none does */
 	CELL_CLAIMING,	/* our conditional write is in flight */
@@ -404,7 +404,7 @@
 void job_mark_task_done(task_t *t);
 int32_t task_failed_runs(const task_t *t);
 bool task_add_failed_run(task_t *t, int64_t run);
-int64_t job_critical_path_ms(const sched_t *s, const step_t *st);
+int64_t job_critical_path_ms(const step_t *st);
 queue_t *queue_get(sched_t *s, const char *name);
 
 /* cell_worker.c */
--- a/sched/job.c
+++ b/sched/job.c
@@ -190,7 +190,7 @@
 	g_strlcpy(j->id, id, sizeof(j->id));
 	j->sched = s;
 	j->def = def;
-	j->queue = q->name;
+	j->queue = q;
 	j->service = q->configured ? q->service : g_intern_string(def->service);
 	j->priority = q->configured ? q->priority : def->priority;
 	j->max_attempts = q->configured ? q->max_attempts : def->max_attempts;
@@ -465,10 +465,7 @@
  * declared one, corrected by the run times learned for the queue.
  */
 int64_t
-job_critical_path_ms(const sched_t *s, const step_t *st)
+job_critical_path_ms(const step_t *st)
 {
-	const queue_t *q = g_hash_table_lookup(s->queues, st->occ->job->queue);
-
-	return st->critical_path_ms *
-	    (q == NULL ? INITIAL_RUN_TIME_PCT : q->run_time_pct) / 100;
+	return st->critical_path_ms * st->occ->job->queue->run_time_pct / 100;
 }
--- a/sched/queue.c
+++ b/sched/queue.c
@@ -77,12 +77,11 @@
  * is a fixed share of the mean plus the rest in proportion to the job's work.
  */
 static double
-density(const sched_t *s, const occurrence_t *o)
+density(const occurrence_t *o)
 {
-	const queue_t *q = g_hash_table_lookup(s->queues, o->job->queue);
-	double mean = q == NULL || q->mean_work_milli_ms <= 0 ?
-	    o->job->work_milli_ms :
-	    q->mean_work_milli_ms;
+	const queue_t *q = o->job->queue;
+	double mean = q->mean_work_milli_ms <= 0 ? o->job->work_milli_ms :
+						   q->mean_work_milli_ms;
 
 	return (FIXED_VALUE_SHARE * mean +
 		   (1 - FIXED_VALUE_SHARE) * o->job->work_milli_ms) /
@@ -99,7 +98,7 @@
 update_urgency(sched_t *s, step_t *st)
 {
 	const occurrence_t *o = st->occ;
-	int64_t path_ms = job_critical_path_ms(s, st);
+	int64_t path_ms = job_critical_path_ms(st);
 	double gain;
 
 	st->latest_start_ms = o->due_wall_ms + o->job->allowed_ms - path_ms;
@@ -111,7 +110,7 @@
 		st->sort_key_ms = path_ms;
 		return;
 	}
-	gain = CLAMP(density(s, o) - 1, MIN_DENSITY_GAIN, MAX_DENSITY_GAIN);
+	gain = CLAMP(density(o) - 1, MIN_DENSITY_GAIN, MAX_DENSITY_GAIN);
 	st->sort_key_ms =
 	    st->latest_start_ms - (int64_t)(gain * DENSITY_ADVANCE_MS);
 }
--- a/sched/report.c
+++ b/sched/report.c
@@ -26,10 +26,10 @@
 static void
 learn_run_time(sched_t *s, const run_t *r)
 {
-	queue_t *q = g_hash_table_lookup(s->queues, r->job->queue);
+	queue_t *q = r->job->queue;
 	int64_t estimate = r->task->step->def->estimate_ms, pct;
 
-	if (q == NULL || estimate <= 0 || r->first_seen_ms == 0 ||
+	if (estimate <= 0 || r->first_seen_ms == 0 ||
 	    r->first_seen_percent > 0 || r->worker->slow || r->was_paced)
 		return;
 	pct = (s->now_ms - r->first_seen_ms) * 100 / estimate;
--- a/sched/rows.c
+++ b/sched/rows.c
@@ -48,8 +48,9 @@
 	j->maybe_started_before = row->version <= s->cell.token &&
 	    (j->row_stored || !s->cell.rows_before_starts);
 	LOG_EVENT(s, SCHED_EVT_JOB_SEEN, id,
-	    "queue=%s steps=%zu version=%" PRId64 " age=%" PRId64, j->queue,
-	    def->n_steps, row->version, s->wall_ms - def->accepted_ms);
+	    "queue=%s steps=%zu version=%" PRId64 " age=%" PRId64,
+	    j->queue->name, def->n_steps, row->version,
+	    s->wall_ms - def->accepted_ms);
 	if (s->cell.state == CELL_OWNED && def->repeats == 0)
 		run_add_ready_steps(s, g_ptr_array_index(j->occs, 0));
 }
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -248,7 +248,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		job_t *j = v;
 
-		if (j->queue != q->name)
+		if (j->queue != q)
 			continue;
 		j->service = q->service;
 		j->priority = priority;
--- a/sched/stats.c
+++ b/sched/stats.c
@@ -31,7 +31,7 @@
 		const job_t *j = v;
 
 		if (!j->started && j->stage == JOB_OPEN)
-			queue_get(s, j->queue)->waiting_jobs++;
+			j->queue->waiting_jobs++;
 	}
 }
 
--- a/sched/straggler.c
+++ b/sched/straggler.c
@@ -33,12 +33,10 @@
 
 /* Expected run time of a task of a step at full speed. */
 static int64_t
-expected_ms(const sched_t *s, const step_t *st)
+expected_ms(const step_t *st)
 {
-	const queue_t *q = g_hash_table_lookup(s->queues, st->occ->job->queue);
-
 	return MAX(100,
-	    st->def->estimate_ms * (q == NULL ? 100 : q->run_time_pct) / 100);
+	    st->def->estimate_ms * st->occ->job->queue->run_time_pct / 100);
 }
 
 /*
@@ -66,7 +64,7 @@
 	*due = ms <= 0 ?
 	    0 :
 	    MIN(100 - r->first_seen_percent,
-		100.0 * (double)ms / (double)expected_ms(s, r->task->step));
+		100.0 * (double)ms / (double)expected_ms(r->task->step));
 	*made = MIN(*due, MAX(0, r->percent - r->first_seen_percent));
 }
 
@@ -123,9 +121,9 @@
  * earlier than waiting for the run.
  */
 static bool
-better_elsewhere(const sched_t *s, const worker_t *w, const run_t *r)
+better_elsewhere(const worker_t *w, const run_t *r)
 {
-	double whole = (double)expected_ms(s, r->task->step);
+	double whole = (double)expected_ms(r->task->step);
 	double here = whole * (100 - r->percent) / 100 /
 	    MAX(MIN_SPEED, w->relative_speed);
 	double there = whole + RESTART_MS;
@@ -161,15 +159,15 @@
 		return false;
 	if (d->duplicates) {
 		if (r->task->speculative_run == NULL &&
-		    (double)ms > SPECULATE_TIMES *
-				(double)expected_ms(s, r->task->step) +
+		    (double)ms >
+			SPECULATE_TIMES * (double)expected_ms(r->task->step) +
 			    STARTUP_MS) {
 			start_speculative_run(s, r);
 			return true;
 		}
 		return false;
 	}
-	if (!w->slow || !better_elsewhere(s, w, r) ||
+	if (!w->slow || !better_elsewhere(w, r) ||
 	    place_elsewhere(s, r) == NULL)
 		return false;
 	r->task->avoid_worker = w->id;
@@ -193,7 +191,7 @@
 	    (!d->lasting && !d->checkpoints))
 		return false;
 	if (!d->lasting &&
-	    (100 - r->percent) * expected_ms(s, r->task->step) / 100 <
+	    (100 - r->percent) * expected_ms(r->task->step) / 100 <
 		MIN_REMAINING_MS)
 		return false;
 	if (place_elsewhere(s, r) == NULL)
