--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -37,8 +37,10 @@
 #define SUBMIT_INTERVAL_MS 120
 #define FAULT_INTERVAL_MS  900
 #define CALL_TIMEOUT_MS	   4000
-#define TASKS_PER_JOB	   5	/* three in step 0, two in step 1 */
-#define STOP_MAX_MS	   6000 /* bound for a graceful stop */
+#define TASKS_PER_JOB	   5 /* three in step 0, two in step 1 */
+/* Of a task, in thousandths of a core: a worker has room for five. */
+#define TASK_CPU    "3000"
+#define STOP_MAX_MS 6000 /* bound for a graceful stop */
 
 typedef enum {
 	JOB_SUBMITTED,
@@ -284,7 +286,7 @@
 	g_autofree char *port = g_strdup_printf("%d", STORE_PORT);
 	g_autofree char *workers = g_strdup_printf("%d", WORKERS);
 	g_autofree char *proxy_port = g_strdup_printf("%d", WORKER_PROXY_PORT);
-	char *args[] = { bin, port, workers, proxy_port, NULL };
+	char *args[] = { bin, port, workers, proxy_port, TASK_CPU, NULL };
 	uv_stdio_container_t io[2] = { { .flags = UV_IGNORE },
 		{ .flags = UV_CREATE_PIPE | UV_WRITABLE_PIPE } };
 	uv_process_options_t o = { .file = bin,
@@ -309,8 +311,9 @@
 send_call(job_t *j, bool submit)
 {
 	static const char body[] =
-	    "{\"spec\":\"x\",\"steps\":[{\"count\":3,\"cpu\":500,\"mem_mb\":10,"
-	    "\"estimate_ms\":300},{\"count\":2,\"cpu\":500,\"mem_mb\":10,"
+	    "{\"spec\":\"x\",\"steps\":[{\"count\":3,\"cpu\":" TASK_CPU
+	    ",\"mem_mb\":10,\"estimate_ms\":300},"
+	    "{\"count\":2,\"cpu\":" TASK_CPU ",\"mem_mb\":10,"
 	    "\"estimate_ms\":300,\"after\":[0]}]}";
 	call_t *c = g_new0(call_t, 1);
 	entry_t *e = &soak.entry[rand_below(soak.entries)];
--- a/test/standin/users.c
+++ b/test/standin/users.c
@@ -4,10 +4,10 @@
  * task takes TASK_MS.  Prints one line for each start and end of a run at a
  * worker.  SIGUSR1 restarts the next worker.
  *
- * usage: standin-users PORT [WORKERS [PORT-IN-ROWS]]
+ * usage: standin-users PORT [WORKERS [PORT-IN-ROWS [CPU]]]
  *
  * PORT-IN-ROWS is the first worker's port in the table of workers, when that is
- * not PORT + 1.
+ * not PORT + 1.  CPU is what each task declares, in thousandths of a core.
  */
 #include <inttypes.h>
 #include <signal.h>
@@ -445,13 +445,14 @@
 		.advertised_port = argc > 3 ? atoi(argv[3]) : port + 1,
 		.workers = argc > 2 ? atoi(argv[2]) : 1,
 		.task_ms = TASK_MS,
-		.task_cpu_milli = TASK_CPU_MILLI,
+		.task_cpu_milli = argc > 4 ? atoi(argv[4]) : TASK_CPU_MILLI,
 		.first_step_tasks = FIRST_STEP_TASKS,
 		.on_line = print_line };
 
 	if (port <= 0 || o.workers <= 0) {
 		fprintf(stderr,
-		    "usage: standin-users PORT [WORKERS [PORT-IN-ROWS]]\n");
+		    "usage: standin-users PORT [WORKERS [PORT-IN-ROWS "
+		    "[CPU]]]\n");
 		return 2;
 	}
 	o.loop = standin.loop = uv_default_loop();
