--- a/test/unit/bad_rows.c
+++ b/test/unit/bad_rows.c
@@ -1,6 +1,6 @@
 /*
  * Rows of the store that don't unpack: nothing may be concluded from them that
- * would let a task run twice.
+ * would let a task run twice.  And what a claim takes over of the owner's row.
  */
 #include <stdbool.h>
 #include <stdint.h>
@@ -112,6 +112,27 @@
 	sched_free(s);
 }
 
+/* While the jobs are loaded, others read the last owner's number of them. */
+Test(bad_rows, a_claim_keeps_the_counts)
+{
+	Sched__Waiting w = SCHED__WAITING__INIT, *list[] = { &w };
+	Sched__Owner o = SCHED__OWNER__INIT;
+	sched_t *s = new_entry();
+	uint8_t row[64];
+
+	w.queue = (char *)"q";
+	w.jobs = 7;
+	o.name = (char *)"other";
+	o.waiting = list;
+	o.n_waiting = 1;
+	claim(s, 40, row, sched__owner__pack(&o, row));
+	cr_assert_eq(claims, 1);
+	cr_assert_eq(claimed->n_waiting, 1);
+	cr_expect_eq(claimed->waiting[0]->jobs, 7);
+	sched__owner__free_unpacked(claimed, NULL);
+	sched_free(s);
+}
+
 /* Owns the cell after another owner, having read one more row. */
 static sched_t *
 owner_after(const char *key, const uint8_t *bytes, size_t n)
