--- a/sched/internal.h
+++ b/sched/internal.h
@@ -275,10 +275,10 @@
 	/* Speed and failures. */
 	/* Decaying sums over completed runs: progress due and made. */
 	double history_due_pct, history_made_pct;
-	double relative_speed;	     /* progress made, as a share of that due */
-	const char *last_failed_job; /* interned, or NULL */
-	int32_t fillers_pace_pct;    /* 100: no filler is slowed; else 0 */
-	int64_t filler_moved_ms;     /* a filler was last moved away */
+	double relative_speed; /* progress made, as a share of that due */
+	char last_failed_job[SCHED_JOB_ID_BYTES + 1]; /* "": none */
+	int32_t fillers_pace_pct; /* 100: no filler is slowed; else 0 */
+	int64_t filler_moved_ms;  /* a filler was last moved away */
 	/* When a tail latency had last been over its target for so long that
 	 * the fillers were stopped (pacing.c); 0: never. */
 	int64_t target_exceeded_ms;
--- a/sched/report.c
+++ b/sched/report.c
@@ -221,9 +221,9 @@
 }
 
 /*
- * Handles a reported run that this owner does not know.  It becomes the current
- * run of its task if that waits for one, else it is stopped.  Returns the run,
- * or NULL while another run of the task is still on the worker.
+ * Handles a reported run of a task of which this owner knows no run on the
+ * worker.  It becomes the current run of its task if that waits for one, else
+ * it is stopped.  Returns the run.
  */
 static run_t *
 on_unknown_run(sched_t *s, worker_t *w, const sched_running_t *entry)
@@ -232,8 +232,6 @@
 	job_t *j = t == NULL ? NULL : t->step->occ->job;
 	run_t *r;
 
-	if (g_hash_table_contains(w->runs, entry->task))
-		return NULL; /* another run of the task is not removed yet */
 	r = run_new(s, entry->task, w, entry->run);
 	run_set_state(s, r, RUN_RUNNING);
 	r->first_seen_ms = s->now_ms;
@@ -352,7 +350,7 @@
 
 		if (r == NULL)
 			r = on_unknown_run(s, w, entry);
-		if (r != NULL && r->number == entry->run)
+		if (r->number == entry->run)
 			update_run(s, r, entry);
 	}
 	/* A run that is not listed may be among the ends that are not. */
--- a/sched/suspect.c
+++ b/sched/suspect.c
@@ -30,8 +30,7 @@
 {
 	const job_t *j = t->step->occ->job;
 
-	return w->last_failed_job != g_intern_string(j->id) ||
-	    t->step->ndone > 0;
+	return strcmp(w->last_failed_job, j->id) != 0 || t->step->ndone > 0;
 }
 
 /* A run of a task has failed on a worker. */
@@ -41,7 +40,8 @@
 	bool counts = is_evidence(w, t);
 	int64_t backoff_ms;
 
-	w->last_failed_job = g_intern_string(t->step->occ->job->id);
+	g_strlcpy(w->last_failed_job, t->step->occ->job->id,
+	    sizeof(w->last_failed_job));
 	if (!counts || ++w->failures_in_row < SUSPECT_FAILURES)
 		return;
 	backoff_ms = MIN(BACKOFF_MAX_MS,
@@ -68,7 +68,7 @@
 	w->suspect = false;
 	w->probe = NULL;
 	w->failures_in_row = 0;
-	w->last_failed_job = NULL;
+	w->last_failed_job[0] = '\0';
 }
 
 /* A run is started: on a suspect worker it is the one that tries it. */
