Customers: requirements, interfaces and call points

The scheduler on the platform knows no customers: it reads no keys and starts tasks without quotas. Adds the rows' fields, the settings of customers, the quota's arithmetic and the places where starts, the order of the queue and the owner row ask for them.

--- a/include/tanagerspool.h
+++ b/include/tanagerspool.h
@@ -51,6 +51,24 @@
 void ts_res_add(ts_res_t *sum, const ts_res_t *part);
 void ts_res_sub(ts_res_t *sum, const ts_res_t *part);
 
+/*
+ * A quota of resources, and what is held of it.  A limit of 0 means that there is
+ * none.  unseen may be held besides, as far as is known.
+ */
+typedef struct {
+	ts_res_t limit;
+	ts_res_t used;
+	ts_res_t unseen;
+} ts_quota_t;
+
+/* Whether all that is held stays within the limit with the demand added. */
+bool ts_quota_fits(const ts_quota_t *q, const ts_res_t *demand);
+/*
+ * Whether the demand of one task may be added: it fits, or less than half of each
+ * limit is held, so that a task larger than the rest has its turn.
+ */
+bool ts_quota_allows(const ts_quota_t *q, const ts_res_t *demand);
+
 /*
  * Configuration.  It consists of two GLib key files, kept as texts in one row
  * of the store: routes (how requests are mapped to pools) and pools (pools,
--- a/proto/sched.pb-c.c
+++ b/proto/sched.pb-c.c
@@ -277,6 +277,51 @@
   assert(message->base.descriptor == &sched__waiting__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sched__refusal__init
+                     (Sched__Refusal         *message)
+{
+  static const Sched__Refusal init_value = SCHED__REFUSAL__INIT;
+  *message = init_value;
+}
+size_t sched__refusal__get_packed_size
+                     (const Sched__Refusal *message)
+{
+  assert(message->base.descriptor == &sched__refusal__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sched__refusal__pack
+                     (const Sched__Refusal *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sched__refusal__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sched__refusal__pack_to_buffer
+                     (const Sched__Refusal *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sched__refusal__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sched__Refusal *
+       sched__refusal__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sched__Refusal *)
+     protobuf_c_message_unpack (&sched__refusal__descriptor,
+                                allocator, len, data);
+}
+void   sched__refusal__free_unpacked
+                     (Sched__Refusal *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sched__refusal__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   sched__owner__init
                      (Sched__Owner         *message)
 {
@@ -806,7 +851,7 @@
   (ProtobufCMessageInit) sched__step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sched__job__field_descriptors[12] =
+static const ProtobufCFieldDescriptor sched__job__field_descriptors[17] =
 {
   {
     "queue",
@@ -952,26 +997,91 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "customer",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sched__Job, customer),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "weight",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Sched__Job, weight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_cpu_milli",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Sched__Job, quota_cpu_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_mem_mb",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Sched__Job, quota_mem_mb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_gpu",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Sched__Job, quota_gpu),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sched__job__field_indices_by_name[] = {
   4,   /* field[4] = accepted_ms */
+  12,   /* field[12] = customer */
   6,   /* field[6] = first_ms */
   7,   /* field[7] = interval_ms */
   9,   /* field[9] = max_attempts */
   8,   /* field[8] = priority */
   0,   /* field[0] = queue */
+  14,   /* field[14] = quota_cpu_milli */
+  16,   /* field[16] = quota_gpu */
+  15,   /* field[15] = quota_mem_mb */
   5,   /* field[5] = repeats */
   1,   /* field[1] = service */
   2,   /* field[2] = spec */
   3,   /* field[3] = steps */
   10,   /* field[10] = stretch */
   11,   /* field[11] = target_ms */
+  13,   /* field[13] = weight */
 };
 static const ProtobufCIntRange sched__job__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 7, 5 },
-  { 0, 12 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor sched__job__descriptor =
 {
@@ -981,7 +1091,7 @@
   "Sched__Job",
   "sched",
   sizeof(Sched__Job),
-  12,
+  17,
   sched__job__field_descriptors,
   sched__job__field_indices_by_name,
   2,  sched__job__number_ranges,
@@ -1182,7 +1292,7 @@
   (ProtobufCMessageInit) sched__step_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sched__progress__field_descriptors[4] =
+static const ProtobufCFieldDescriptor sched__progress__field_descriptors[5] =
 {
   {
     "steps",
@@ -1232,8 +1342,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "customer",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sched__Progress, customer),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sched__progress__field_indices_by_name[] = {
+  4,   /* field[4] = customer */
   2,   /* field[2] = ended_ms */
   3,   /* field[3] = not_started */
   1,   /* field[1] = state */
@@ -1242,7 +1365,7 @@
 static const ProtobufCIntRange sched__progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor sched__progress__descriptor =
 {
@@ -1252,7 +1375,7 @@
   "Sched__Progress",
   "sched",
   sizeof(Sched__Progress),
-  4,
+  5,
   sched__progress__field_descriptors,
   sched__progress__field_indices_by_name,
   1,  sched__progress__number_ranges,
@@ -1310,7 +1433,84 @@
   (ProtobufCMessageInit) sched__waiting__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sched__owner__field_descriptors[10] =
+static const ProtobufCFieldDescriptor sched__refusal__field_descriptors[4] =
+{
+  {
+    "customer",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sched__Refusal, customer),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queue",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sched__Refusal, queue),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Sched__Refusal, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "delay_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Sched__Refusal, delay_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sched__refusal__field_indices_by_name[] = {
+  0,   /* field[0] = customer */
+  3,   /* field[3] = delay_ms */
+  1,   /* field[1] = queue */
+  2,   /* field[2] = retry_after_ms */
+};
+static const ProtobufCIntRange sched__refusal__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor sched__refusal__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sched.Refusal",
+  "Refusal",
+  "Sched__Refusal",
+  "sched",
+  sizeof(Sched__Refusal),
+  4,
+  sched__refusal__field_descriptors,
+  sched__refusal__field_indices_by_name,
+  1,  sched__refusal__number_ranges,
+  (ProtobufCMessageInit) sched__refusal__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sched__owner__field_descriptors[11] =
 {
   {
     "name",
@@ -1432,6 +1632,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "refusals",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sched__Owner, n_refusals),
+    offsetof(Sched__Owner, refusals),
+    &sched__refusal__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sched__owner__field_indices_by_name[] = {
   3,   /* field[3] = beat */
@@ -1440,6 +1652,7 @@
   6,   /* field[6] = heir */
   1,   /* field[1] = incarnation */
   0,   /* field[0] = name */
+  10,   /* field[10] = refusals */
   4,   /* field[4] = released */
   8,   /* field[8] = rows_before_starts */
   5,   /* field[5] = waiting */
@@ -1448,7 +1661,7 @@
 static const ProtobufCIntRange sched__owner__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor sched__owner__descriptor =
 {
@@ -1458,7 +1671,7 @@
   "Sched__Owner",
   "sched",
   sizeof(Sched__Owner),
-  10,
+  11,
   sched__owner__field_descriptors,
   sched__owner__field_indices_by_name,
   1,  sched__owner__number_ranges,
--- a/proto/sched.pb-c.h
+++ b/proto/sched.pb-c.h
@@ -21,6 +21,7 @@
 typedef struct Sched__StepProgress Sched__StepProgress;
 typedef struct Sched__Progress Sched__Progress;
 typedef struct Sched__Waiting Sched__Waiting;
+typedef struct Sched__Refusal Sched__Refusal;
 typedef struct Sched__Owner Sched__Owner;
 typedef struct Sched__Footprint Sched__Footprint;
 typedef struct Sched__Entry Sched__Entry;
@@ -145,10 +146,21 @@
    */
   double stretch;
   int64_t target_ms;
+  /*
+   * Its customer, with the settings of the time; "": it has none.
+   */
+  char *customer;
+  double weight;
+  /*
+   * 0: no limit
+   */
+  int64_t quota_cpu_milli;
+  int64_t quota_mem_mb;
+  int32_t quota_gpu;
 };
 #define SCHED__JOB__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sched__job__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
@@ -228,10 +240,14 @@
    * No task had run when this was written; one may since.
    */
   protobuf_c_boolean not_started;
+  /*
+   * as in the job; "": none
+   */
+  char *customer;
 };
 #define SCHED__PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sched__progress__descriptor) \
-    , 0,NULL, SCHED__STATE__PENDING, 0, 0 }
+    , 0,NULL, SCHED__STATE__PENDING, 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -248,6 +264,32 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * Submissions that entries refuse while there is too little room.
+ */
+struct  Sched__Refusal
+{
+  ProtobufCMessage base;
+  /*
+   * whose; "": of all customers
+   */
+  char *customer;
+  /*
+   * to which; "": to all queues
+   */
+  char *queue;
+  int32_t retry_after_ms;
+  /*
+   * Only jobs that are worthless if they end later than so long after
+   * their submission and their own work; 0: all jobs.
+   */
+  int32_t delay_ms;
+};
+#define SCHED__REFUSAL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sched__refusal__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+
+
 /*
  * The owner of a cell.
  */
@@ -280,13 +322,15 @@
    */
   protobuf_c_boolean rows_before_starts;
   /*
-   * when waiting was, by the store's clock
+   * When waiting and refusals were decided, by the store's clock.
    */
   int64_t counted_ms;
+  size_t n_refusals;
+  Sched__Refusal **refusals;
 };
 #define SCHED__OWNER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sched__owner__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL }
 
 
 /*
@@ -503,6 +547,25 @@
 void   sched__waiting__free_unpacked
                      (Sched__Waiting *message,
                       ProtobufCAllocator *allocator);
+/* Sched__Refusal methods */
+void   sched__refusal__init
+                     (Sched__Refusal         *message);
+size_t sched__refusal__get_packed_size
+                     (const Sched__Refusal   *message);
+size_t sched__refusal__pack
+                     (const Sched__Refusal   *message,
+                      uint8_t             *out);
+size_t sched__refusal__pack_to_buffer
+                     (const Sched__Refusal   *message,
+                      ProtobufCBuffer     *buffer);
+Sched__Refusal *
+       sched__refusal__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sched__refusal__free_unpacked
+                     (Sched__Refusal *message,
+                      ProtobufCAllocator *allocator);
 /* Sched__Owner methods */
 void   sched__owner__init
                      (Sched__Owner         *message);
@@ -637,6 +700,9 @@
 typedef void (*Sched__Waiting_Closure)
                  (const Sched__Waiting *message,
                   void *closure_data);
+typedef void (*Sched__Refusal_Closure)
+                 (const Sched__Refusal *message,
+                  void *closure_data);
 typedef void (*Sched__Owner_Closure)
                  (const Sched__Owner *message,
                   void *closure_data);
@@ -668,6 +734,7 @@
 extern const ProtobufCMessageDescriptor sched__step_progress__descriptor;
 extern const ProtobufCMessageDescriptor sched__progress__descriptor;
 extern const ProtobufCMessageDescriptor sched__waiting__descriptor;
+extern const ProtobufCMessageDescriptor sched__refusal__descriptor;
 extern const ProtobufCMessageDescriptor sched__owner__descriptor;
 extern const ProtobufCMessageDescriptor sched__footprint__descriptor;
 extern const ProtobufCMessageDescriptor sched__entry__descriptor;
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -13,6 +13,9 @@
  * - isolation.c, pacing.c: keeping them from doing so;
  * - straggler.c, suspect.c: slow workers and late runs; workers that fail tasks;
  * - starvation.c: late work that is passed over;
+ * - customer.c, share.c: customers, their quotas and their shares of the room;
+ * - overload.c, admission.c: what is delayed and what is refused when there is
+ *   too little room;
  * - crash.c, quarantine.c: tasks that crash their workers;
  * - flush.c, interference_row.c, purge.c: rows written to and removed from the
  *   store;
@@ -34,6 +37,7 @@
 typedef struct run run_t;
 typedef struct worker worker_t;
 typedef struct interference interference_t;
+typedef struct customer customer_t;
 
 #define IMAGES_MAX	      64   /* images whose interference is learned */
 #define RUN_NUMBERS_PER_OWNER 1000 /* for the runs of a task by one owner */
@@ -143,6 +147,14 @@
 	JOB_ENDED   /* end state stored */
 } job_stage_t;
 
+/* What a customer received and sent; see share.c. */
+typedef struct {
+	double received; /* decaying work of its runs, in milli x ms */
+	int64_t updated_ms;
+	/* When its token bucket is full again, since 1970. */
+	int64_t bucket_full_wall_ms;
+} customer_share_t;
+
 /* A queue's settings and what has been learned of its jobs. */
 typedef struct {
 	const char *name;
@@ -156,11 +168,21 @@
 	int32_t waiting_jobs;	   /* open jobs that have not started */
 } queue_t;
 
+/* A customer's settings, what its runs hold and what it received lately. */
+struct customer {
+	const char *name; /* interned */
+	bool configured;  /* in the configuration now in force */
+	double weight;	  /* more than 0 */
+	ts_quota_t quota; /* of its runs in any state */
+	customer_share_t share;
+};
+
 struct job {
 	sched_t *sched;
 	char id[SCHED_JOB_ID_BYTES + 1];
 	Sched__Job *def;
-	queue_t *queue; /* lives as long as the scheduler */
+	queue_t *queue;	      /* lives as long as the scheduler */
+	customer_t *customer; /* the same; NULL: it has none */
 	/* Interned: service whose workers run the job, by the queue's current
 	 * settings. */
 	const char *service;
@@ -397,9 +419,10 @@
 	uint64_t last_id;	 /* of a run, poll or approval request */
 	uint64_t report_number;	 /* reports processed so far */
 	cell_t cell;
-	GHashTable *jobs;    /* id -> job_t */
-	GHashTable *queues;  /* name -> queue_t */
-	GHashTable *workers; /* id -> worker_t */
+	GHashTable *jobs;      /* id -> job_t */
+	GHashTable *queues;    /* name -> queue_t */
+	GHashTable *customers; /* name -> customer_t */
+	GHashTable *workers;   /* id -> worker_t */
 	GPtrArray *worker_list;
 	GHashTable *runs;   /* id -> run_t */
 	GHashTable *images; /* name -> index */
@@ -464,6 +487,26 @@
 GByteArray *progress_pack(const job_t *j);
 GByteArray *progress_pack_ended(const job_t *j, int64_t wall_ms);
 
+/* customer.c */
+customer_t *customer_get(sched_t *s, const char *name);
+void customer_job_added(sched_t *s, job_t *j);
+bool customer_allows_start(const step_t *st);
+bool customer_allows_gang(const step_t *st);
+void customer_count_run(const run_t *r, int sign);
+void customer_count_unseen(sched_t *s);
+void customer_forget_runs(sched_t *s);
+
+/* share.c */
+void share_job_accepted(sched_t *s, job_t *j);
+void share_update(sched_t *s);
+int share_compare(const job_t *a, const job_t *b);
+
+/* overload_queue.c */
+void overload_update(sched_t *s);
+
+/* admission.c */
+Sched__Refusal **admission_pack(sched_t *s, size_t *n);
+
 /* cell_worker.c */
 worker_t *cell_worker_get(sched_t *s, const char *id);
 void cell_worker_free(void *w);
--- a/sched/job.c
+++ b/sched/job.c
@@ -10,6 +10,7 @@
 #include <glib.h>
 
 #include "../proto/sched.pb-c.h"
+#include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
 #include "internal.h"
@@ -196,6 +197,7 @@
 	j->priority = q->configured ? q->priority : def->priority;
 	j->max_attempts = q->configured ? q->max_attempts : def->max_attempts;
 	j->needs_approval = q->configured && q->needs_approval;
+	customer_job_added(s, j);
 	j->occs = g_ptr_array_new_with_free_func(occurrence_free);
 	o = job_occurrence(j, 0);
 	for (size_t i = 0; i < def->n_steps; i++) {
@@ -210,6 +212,7 @@
 	    j->work_milli_ms :
 	    (j->work_milli_ms - q->mean_work_milli_ms) / MEAN_WORK_JOBS;
 	j->allowed_ms = def->target_ms + (int64_t)(def->stretch * longest);
+	share_job_accepted(s, j);
 	return j;
 }
 
--- /dev/null
+++ b/sched/overload_queue.c
@@ -0,0 +1,21 @@
+/*
+ * The overload plan of the queue.
+ */
+#include <stdbool.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "../proto/sched.pb-c.h"
+#include "tanagerspool.h"
+#include "sched.h"
+#include "headroom.h"
+#include "internal.h"
+
+/* Decides which jobs are delayed. */
+void
+overload_update(sched_t *s)
+{
+	(void)s;
+}
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -19,6 +19,7 @@
 #include <glib.h>
 
 #include "../proto/sched.pb-c.h"
+#include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
 #include "internal.h"
@@ -80,6 +81,7 @@
 	Sched__Owner o = SCHED__OWNER__INIT;
 	GByteArray *b = g_byte_array_new();
 	g_autofree Sched__Waiting **waiting = NULL;
+	g_autofree Sched__Refusal **refusals = NULL;
 
 	s->cell.release_sent = released;
 	o.name = (char *)s->opts.name;
@@ -103,6 +105,7 @@
 		stats_count_waiting_jobs(s);
 		o.counted_ms = s->now_ms + s->store_clock_offset_ms;
 		waiting = o.waiting = pack_waiting(s, &o.n_waiting);
+		refusals = o.refusals = admission_pack(s, &o.n_refusals);
 		o.waiting_stale = s->now_ms - s->feed_read_ms[SCHED_FEED_JOBS] >
 		    s->opts.feed_limit_ms;
 	}
@@ -110,6 +113,8 @@
 	sched__owner__pack(&o, b->data);
 	for (size_t i = 0; waiting != NULL && i < o.n_waiting; i++)
 		g_free(waiting[i]);
+	for (size_t i = 0; refusals != NULL && i < o.n_refusals; i++)
+		g_free(refusals[i]);
 	return b;
 }
 
@@ -151,6 +156,7 @@
 		cell_worker_assume_longest_lease(s, w);
 	}
 	g_hash_table_remove_all(s->runs);
+	customer_forget_runs(s);
 	g_hash_table_remove_all(s->jobs);
 	g_hash_table_remove_all(s->loaded_progress);
 	g_hash_table_remove_all(s->ended_jobs);
--- a/sched/queue.c
+++ b/sched/queue.c
@@ -8,6 +8,7 @@
 #include <glib.h>
 
 #include "../proto/sched.pb-c.h"
+#include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
 #include "internal.h"
@@ -44,12 +45,16 @@
 	const step_t *a = pa, *b = pb;
 	int32_t priority_a = a->occ->job->priority,
 		priority_b = b->occ->job->priority;
+	int by_share;
 
 	(void)ctx;
 	if (tier(a) != tier(b))
 		return tier(a) < tier(b) ? -1 : 1;
 	if (priority_a != priority_b)
 		return priority_a < priority_b ? -1 : 1;
+	by_share = share_compare(a->occ->job, b->occ->job);
+	if (by_share != 0)
+		return by_share;
 	if (a->sort_key_ms != b->sort_key_ms)
 		return a->sort_key_ms < b->sort_key_ms ? -1 : 1;
 	return a < b ? -1 : a > b;
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -10,6 +10,7 @@
 #include <glib.h>
 
 #include "../proto/sched.pb-c.h"
+#include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
 #include "internal.h"
@@ -58,6 +59,8 @@
 	    g_str_hash, g_str_equal, NULL, on_job_removed);
 	s->queues =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	s->customers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	s->workers = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, cell_worker_free);
 	s->worker_list = g_ptr_array_new();
@@ -85,6 +88,7 @@
 	g_ptr_array_unref(s->scan.changed);
 	g_ptr_array_unref(s->polls_soon);
 	g_hash_table_unref(s->queues);
+	g_hash_table_unref(s->customers);
 	for (int32_t i = 0; i < IMAGES_MAX; i++)
 		g_free(s->interference[i]);
 	g_hash_table_unref(s->images);
@@ -301,6 +305,9 @@
 		return TICK_MS;
 	if (now_ms - s->sorted_ms >= UPDATE_MS) {
 		s->sorted_ms = now_ms;
+		customer_count_unseen(s);
+		share_update(s);
+		overload_update(s);
 		queue_resort(s);
 		isolation_refresh(s);
 		isolation_update_compatibility(s);
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -319,6 +319,33 @@
     int32_t priority, int32_t max_attempts, bool needs_approval,
     int64_t now_ms);
 
+/* The settings of a customer. */
+typedef struct {
+	const char *name;
+	/* Share of the room when all is full, and jobs a second at which none
+	 * of its jobs goes after those of others. */
+	double weight;
+	/* The most that its running tasks may hold together; 0: no limit. */
+	int64_t quota_cpu_milli, quota_mem_mb;
+	int32_t quota_gpu;
+} sched_customer_t;
+/* Replaces the settings of all customers, which also apply to present jobs. */
+void sched_set_customers(
+    sched_t *s, const sched_customer_t *list, size_t n, int64_t now_ms);
+
+/* Whether a submission is accepted, as far as room goes. */
+typedef enum {
+	SCHED_ADMITTED,
+	SCHED_OVER_RATE, /* its customer sends more than its rate */
+	SCHED_HOPELESS	 /* it would end too late to be of any worth */
+} sched_admission_t;
+/*
+ * Decides by what the owner published last.  If the job is not admitted, sets
+ * when its caller may come back.
+ */
+sched_admission_t sched_admit(const sched_t *s, const char *id,
+    const Sched__Job *job, int64_t now_ms, int32_t *retry_after_ms);
+
 /* An order has ended; clock_ms is the worker's clock, or 0. */
 void sched_order_done(sched_t *s, uint64_t id, sched_order_result_t r,
     int64_t clock_ms, int64_t now_ms);
--- a/sched/start.c
+++ b/sched/start.c
@@ -9,6 +9,7 @@
 #include <glib.h>
 
 #include "../proto/sched.pb-c.h"
+#include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
 #include "internal.h"
@@ -46,6 +47,8 @@
 
 	if (st->nwaiting < st->ntasks)
 		return;
+	if (!customer_allows_gang(st))
+		return;
 	for (int32_t i = 0; i < st->ntasks; i++) {
 		if (st->tasks[i].not_before_ms > s->now_ms)
 			return;
@@ -90,6 +93,8 @@
 
 		if (t->state != TASK_WAITING || t->not_before_ms > s->now_ms)
 			continue;
+		if (!customer_allows_start(st))
+			break;
 		if (crash_is_suspect(t)) {
 			n += quarantine_start(s, st, t);
 			continue;
@@ -135,7 +140,8 @@
 	    !has_row(s, st, pos < STORED_AHEAD))
 		return 0;
 	n = start_step(s, st);
-	if (n == 0 && !searched && starvation_start(s, st))
+	if (n == 0 && !searched && customer_allows_start(st) &&
+	    starvation_start(s, st))
 		n = 1;
 	if (st->nwaiting > 0)
 		approval_request_if_needed(s, st);
--- a/sched/straggler.c
+++ b/sched/straggler.c
@@ -13,6 +13,7 @@
 #include <glib.h>
 
 #include "../proto/sched.pb-c.h"
+#include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
 #include "internal.h"
--- a/test/unit/interference.c
+++ b/test/unit/interference.c
@@ -12,6 +12,7 @@
 #include <glib.h>
 
 #include "../../proto/sched.pb-c.h"
+#include "tanagerspool.h"
 #include "../../sched/sched.h"
 #include "../../sched/headroom.h"
 #include "../../sched/internal.h"
