Starts in doubt are settled by a poll instead of a stop

Cause: a start order without an answer within 400 ms was stopped and the task started elsewhere, 0.8 to 3.3 s later, although the worker had mostly carried it out.

Change: after the timeout the worker is polled at once. A run that the report lists is kept; one that it does not list, or whose worker does not answer, is stopped as before.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -211,7 +211,9 @@
 	sched_order_kind_t last_order;
 	bool unwanted; /* to be stopped and removed once proved absent */
 	int64_t state_since_ms;
-	int64_t ordered_ms;    /* its start, by this owner; 0: by another */
+	int64_t ordered_ms; /* its start, by this owner; 0: by another */
+	/* Its start order got no answer; 0: it did, or a report has told since. */
+	int64_t in_doubt_ms;
 	int64_t stop_acked_ms; /* the worker acknowledged a stop; 0: not yet */
 	int64_t stop_retry_ms; /* no stop order is sent before this time */
 	int32_t percent;       /* progress as last reported */
@@ -524,6 +526,8 @@
 void run_set_pace(sched_t *s, run_t *r, int32_t percent);
 void run_order_done(
     sched_t *s, run_t *r, sched_order_result_t res, int64_t clock_ms);
+void run_listed(sched_t *s, run_t *r);
+void run_stop_in_doubt(sched_t *s, run_t *r);
 void report_apply(sched_t *s, worker_t *w, const sched_report_t *report,
     int64_t poll_sent_ms);
 void run_worker_lost(sched_t *s, worker_t *w, const char *why);
--- a/sched/poll.c
+++ b/sched/poll.c
@@ -49,6 +49,10 @@
 static void
 on_poll_missed(sched_t *s, worker_t *w)
 {
+	g_autoptr(GList) all = g_hash_table_get_values(w->runs);
+
+	for (GList *i = all; i != NULL; i = i->next)
+		run_stop_in_doubt(s, i->data);
 	w->next_poll_ms = s->now_ms + POLL_RETRY_MS;
 	if (++w->missed_polls != SILENT_POLLS)
 		return;
--- a/sched/report.c
+++ b/sched/report.c
@@ -264,6 +264,7 @@
 	if (r->state == RUN_STOPPING && r->stop_acked_ms == 0)
 		run_stop(s, r, "again");
 	r->percent = MAX(r->percent, entry->percent);
+	run_listed(s, r);
 	/* A filler can't use more than its worker has. */
 	r->metric = CLAMP(entry->metric, 0,
 	    r->task != NULL && r->task->step->def->filler ?
@@ -356,8 +357,11 @@
 	for (GList *i = all; i != NULL; i = i->next) {
 		run_t *r = i->data;
 
-		if (r->last_report == s->report_number ||
-		    !proves_absent(r, poll_sent_ms))
+		if (r->last_report == s->report_number)
+			continue;
+		if (r->in_doubt_ms != 0 && poll_sent_ms >= r->in_doubt_ms)
+			run_stop_in_doubt(s, r);
+		if (!proves_absent(r, poll_sent_ms))
 			continue;
 		if (r->state == RUN_RUNNING) {
 			s->stats.lost++;
--- a/sched/run.c
+++ b/sched/run.c
@@ -304,22 +304,56 @@
 		flush_mark_job(s, j);
 }
 
+/* The worker has acknowledged a start, or its report lists the run. */
+static void
+on_started(sched_t *s, run_t *r)
+{
+	if (r->state == RUN_STARTING)
+		run_set_state(s, r, RUN_RUNNING);
+	r->in_doubt_ms = 0;
+	r->first_seen_ms = s->now_ms;
+	run_mark_job_started(s, r->job);
+	if (r->unwanted)
+		run_stop(s, r, "no longer needed");
+	else /* starvation.c may want it slowed from its start */
+		run_set_pace(s, r, r->wanted_pace_pct);
+}
+
+/* A report of its worker lists the run: a start in doubt was carried out. */
+void
+run_listed(sched_t *s, run_t *r)
+{
+	if (r->in_doubt_ms == 0 || r->state != RUN_STARTING)
+		return;
+	/* It is not known how long it has run. */
+	r->first_seen_percent = MAX(1, r->percent);
+	on_started(s, r);
+}
+
+/*
+ * Stops a run whose start is in doubt and which a later report does not list, so
+ * that the task can be started elsewhere: the worker may yet carry the order out,
+ * but none for a run that it was told to stop.
+ */
+void
+run_stop_in_doubt(sched_t *s, run_t *r)
+{
+	if (r->in_doubt_ms == 0 || r->state != RUN_STARTING)
+		return;
+	r->in_doubt_ms = 0;
+	run_stop(s, r, "start order unanswered");
+}
+
 /*
- * Handles the result of a start order.  A start in doubt is stopped, so that
- * the task can be started elsewhere.
+ * Handles the result of a start order.  After one in doubt a poll tells if the
+ * run exists: a worker may have carried out the order and lost the answer, and a
+ * stop would throw that work away.
  */
 static void
 on_start_done(sched_t *s, run_t *r, sched_order_result_t res)
 {
 	if (res == SCHED_ORDER_OK) {
-		if (r->state == RUN_STARTING)
-			run_set_state(s, r, RUN_RUNNING);
-		r->first_seen_ms = s->now_ms;
-		run_mark_job_started(s, r->job);
-		if (r->unwanted)
-			run_stop(s, r, "no longer needed");
-		else /* starvation.c may want it slowed from its start */
-			run_set_pace(s, r, r->wanted_pace_pct);
+		on_started(s, r);
 		return;
 	}
 	if (res != SCHED_ORDER_IN_DOUBT) {
@@ -332,7 +366,17 @@
 	LOG_EVENT(s, SCHED_EVT_START_FAILED, r->name,
 	    "run=%" PRId64 " worker=%s result=in_doubt", r->number,
 	    r->worker->id);
-	run_stop(s, r, "start order unanswered");
+	if (r->unwanted) {
+		run_stop(s, r, "start order unanswered");
+		return;
+	}
+	r->in_doubt_ms = s->now_ms;
+	if (r->last_report != 0) {
+		run_listed(s, r);
+		return;
+	}
+	poll_abandon(s, r->worker);
+	r->worker->poll_without_wait = true;
 }
 
 /*
