Polls: an answer that is lost hides ended runs for less time

Cause: a poll without an answer was given up 800 ms after its wait and repeated 300 ms later, so that ends of runs were learned 1.6 to 2.7 s late while answers were lost.

--- a/sched/poll.c
+++ b/sched/poll.c
@@ -53,7 +53,9 @@
 
 	for (GList *i = all; i != NULL; i = i->next)
 		run_stop_in_doubt(s, i->data);
-	w->next_poll_ms = s->now_ms + POLL_RETRY_MS;
+	/* The first may have lost its answer only. */
+	if (w->missed_polls > 0)
+		w->next_poll_ms = s->now_ms + POLL_RETRY_MS;
 	if (++w->missed_polls != SILENT_POLLS)
 		return;
 	w->silent = true;
