--- a/sched/poll.c
+++ b/sched/poll.c
@@ -50,7 +50,13 @@
 static void
 on_poll_missed(sched_t *s, worker_t *w)
 {
-	w->next_poll_ms = s->now_ms + POLL_RETRY_MS;
+	g_autoptr(GList) all = g_hash_table_get_values(w->runs);
+
+	for (GList *i = all; i != NULL; i = i->next)
+		run_stop_in_doubt(s, i->data);
+	/* The first may have lost its answer only. */
+	if (w->missed_polls > 0)
+		w->next_poll_ms = s->now_ms + POLL_RETRY_MS;
 	if (++w->missed_polls != SILENT_POLLS)
 		return;
 	w->silent = true;
