Platform: customers and their keys are decoded

The operators' configuration may list customers with keys, weight and quota, and mark routes as public. A configuration with a faulty customer is rejected whole, with an error that names the customer and no key. A weight or cap that is absent means 1 and no limit. Progress rows name the customer of their job.

--- a/sched/progress.c
+++ b/sched/progress.c
@@ -145,6 +145,7 @@
 	p.steps = g_new0(Sched__StepProgress *, n);
 	p.state = SCHED__STATE__RUNNING;
 	p.not_started = !j->started;
+	p.customer = j->def->customer;
 	for (guint i = 0; i < j->occs->len; i++) {
 		occurrence_t *o = g_ptr_array_index(j->occs, i);
 
@@ -174,6 +175,7 @@
 
 	p.state = j->end_state;
 	p.ended_ms = wall_ms;
+	p.customer = j->def->customer;
 	g_byte_array_set_size(b, (guint)sched__progress__get_packed_size(&p));
 	sched__progress__pack(&p, b->data);
 	return b;
--- a/test/main/fuzz_platform.c
+++ b/test/main/fuzz_platform.c
@@ -2,7 +2,8 @@
  * Fuzzes what the adapter decodes: rows of operators and workers, bodies of
  * jobs, and the answers of the store, of workers and of the approval service,
  * which come over HTTP from a server here that damages them.  Run under the
- * sanitizers: a crash, a leak, or a call that ends twice or never fails.
+ * sanitizers: a crash, a leak, a call that ends twice or never, or a customer
+ * with settings that the scheduler can't use fails.
  * usage: fuzz_platform SEED COUNT
  */
 #include <inttypes.h>
@@ -30,7 +31,11 @@
     "{\"version\":3,\"routes\":[{\"name\":\"q\",\"host\":\"h\","
     "\"prefix\":\"/p/\",\"service\":\"s\",\"priority\":1,\"max_attempts\":3,"
     "\"stretch\":2.5,\"target_duration_ms\":900,\"timeout_ms\":5,"
-    "\"advice\":{\"decision_ms\":1}}],\"limits\":{\"max_header_bytes\":4096,"
+    "\"public\":true,\"advice\":{\"decision_ms\":1}}],\"tenants\":["
+    "{\"name\":\"a\",\"api_keys\":[\"k1\",\"k2\"],\"priority\":1,"
+    "\"weight\":1.5,\"cap\":{\"cpu\":4000,\"mem_mb\":9,\"gpu\":1}},"
+    "{\"name\":\"b\",\"api_keys\":[\"k3\"],\"weight\":2}],\"limits\":{\"max_"
+    "header_bytes\":4096,"
     "\"max_body_bytes\":1,\"header_timeout_ms\":9,\"idle_timeout_ms\":9}}";
 static const char worker_seed[] =
     "{\"service\":\"s\",\"address\":\"127.0.0.1:80\",\"zone\":\"z\","
@@ -62,7 +67,7 @@
 	GRand *rnd;
 	uint8_t *answered; /* by number of a call: how often it ended */
 	uint32_t ncalls, begun, ended, ok, bad;
-	int failed;	  /* calls that ended more than once */
+	int failed;	  /* calls that ended twice, and bad customers */
 	uint64_t touched; /* sum of all that was decoded, so that it is read */
 	uv_idle_t idle;
 } fuzz_t;
@@ -123,6 +128,17 @@
 		touch_text(f, q->name);
 		touch_text(f, q->prefix);
 	}
+	for (guint i = 0; cfg != NULL && i < cfg->customers->len; i++) {
+		sched_customer_t *c =
+		    &g_array_index(cfg->customers, sched_customer_t, i);
+
+		touch_text(f, c->name);
+		f->failed += c->name[0] == '\0' || !(c->weight > 0) ||
+		    c->quota_cpu_milli < 0 || c->quota_mem_mb < 0 ||
+		    c->quota_gpu < 0;
+	}
+	if (cfg != NULL && platform_find_customer(cfg, "k1") != NULL)
+		f->touched++;
 	platform_config_free(cfg);
 }
 
--- a/test/unit/platform.c
+++ b/test/unit/platform.c
@@ -19,6 +19,7 @@
 #include "../../sched/sched.h"
 #include "../../platform/platform.h"
 #include "../../serve/store_clock.h"
+#include "../../serve/auth.h"
 #include "../../serve/serve.h"
 
 Test(platform, jobs)
@@ -184,7 +185,144 @@
 		cr_expect_str_eq(m.queue->name, cases[i].queue, "case %zu", i);
 		cr_expect_str_eq(m.id, cases[i].id, "case %zu", i);
 	}
+	for (guint i = 0; i < cfg->queues->len; i++)
+		cr_expect_not(
+		    g_array_index(cfg->queues, platform_queue_t, i).is_public);
+	cr_expect_eq(cfg->customers->len, 0);
+	cr_expect_null(platform_find_customer(cfg, "k"));
 	platform_config_free(cfg);
 	cr_expect_null(platform_config_parse((const uint8_t *)"{}", 2, NULL));
 	cr_expect_null(platform_config_parse((const uint8_t *)"\xff", 1, NULL));
 }
+
+static platform_config_t *
+parse_customers(const char *list, GError **err)
+{
+	g_autofree char *row = g_strdup_printf(
+	    "{\"version\":1,\"routes\":[],\"tenants\":%s}", list);
+
+	return platform_config_parse((const uint8_t *)row, strlen(row), err);
+}
+
+Test(platform, customers)
+{
+	/* Names of the customers that must be found; NULL: none. */
+	static const struct {
+		const char *key, *customer;
+	} cases[] = { { "k1", "a" }, { "k2", "a" }, { "k3", "b" },
+		{ "k4", NULL }, { "K1", NULL }, { "k1 ", NULL }, { "k", NULL },
+		{ "", NULL }, { "a", NULL }, { NULL, NULL } };
+	static const char row[] =
+	    "{\"version\":7,\"routes\":[{\"name\":\"p\",\"public\":true},"
+	    "{\"name\":\"q\",\"public\":false},{\"name\":\"r\"}],"
+	    "\"tenants\":[{\"name\":\"a\",\"api_keys\":[\"k1\",\"k2\",\"k1\"],"
+	    "\"priority\":3,\"weight\":2.5,"
+	    "\"cap\":{\"cpu\":4000,\"mem_mb\":0.2,\"gpu\":2}},"
+	    "{\"name\":\"b\",\"api_keys\":[\"k3\"],\"weight\":1,"
+	    "\"cap\":{\"cpu\":9e18}},{\"name\":\"c\"}]}";
+	platform_config_t *cfg =
+	    platform_config_parse((const uint8_t *)row, strlen(row), NULL);
+	const sched_customer_t *c;
+
+	cr_assert_not_null(cfg);
+	cr_expect_eq(cfg->customers->len, 3);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		c = platform_find_customer(cfg, cases[i].key);
+		cr_expect_str_eq(c == NULL ? "" : c->name,
+		    cases[i].customer == NULL ? "" : cases[i].customer,
+		    "case %zu", i);
+	}
+	for (guint i = 0; i < 3; i++)
+		cr_expect_eq(
+		    g_array_index(cfg->queues, platform_queue_t, i).is_public,
+		    i == 0, "route %u", i);
+	c = platform_find_customer(cfg, "k1");
+	cr_expect(c->weight == 2.5 && c->quota_cpu_milli == 4000);
+	/* Rounded down, it would be no limit. */
+	cr_expect(c->quota_mem_mb == 1 && c->quota_gpu == 2);
+	c = platform_find_customer(cfg, "k3");
+	cr_expect(c->weight == 1 && c->quota_cpu_milli == SCHED_AMOUNT_MAX);
+	cr_expect(c->quota_mem_mb == 0 && c->quota_gpu == 0);
+	c = &g_array_index(cfg->customers, sched_customer_t, 2);
+	cr_expect(c->weight > 0 && c->quota_cpu_milli == 0);
+	platform_config_free(cfg);
+}
+
+Test(platform, rejects_bad_customers)
+{
+	static const struct {
+		const char *list;
+		const char *named; /* the customer that the error names */
+	} cases[] = {
+		{ "[{\"name\":\"a\",\"api_keys\":[\"sesame\"]},"
+		  "{\"name\":\"b\",\"api_keys\":[\"x\",\"sesame\"]}]",
+		    "'b'" },
+		{ "[{\"name\":\"a\"},{\"name\":\"a\"}]", "'a'" },
+		{ "[{\"name\":\"\",\"api_keys\":[\"sesame\"]}]", "''" },
+		{ "[{\"api_keys\":[\"sesame\"]}]", "''" },
+		{ "[7]", "''" },
+		{ "[{\"name\":\"a\",\"api_keys\":[\"sesame\",\"\"]}]", "'a'" },
+		{ "[{\"name\":\"a\",\"api_keys\":[\"sesame\",7]}]", "'a'" },
+		{ "[{\"name\":\"a\",\"api_keys\":\"sesame\"}]", "'a'" },
+		{ "[{\"name\":\"a\",\"weight\":0}]", "'a'" },
+		{ "[{\"name\":\"a\",\"weight\":-1}]", "'a'" },
+		{ "[{\"name\":\"a\",\"weight\":\"1\"}]", "'a'" },
+		{ "[{\"name\":\"a\",\"cap\":{\"cpu\":-1}}]", "'a'" },
+		{ "[{\"name\":\"a\",\"cap\":{\"mem_mb\":-0.5}}]", "'a'" },
+		{ "[{\"name\":\"a\",\"cap\":{\"gpu\":-9e18}}]", "'a'" },
+		{ "[{\"name\":\"a\",\"cap\":{\"gpu\":\"1\"}}]", "'a'" },
+		{ "[{\"name\":\"a\",\"cap\":5}]", "'a'" },
+		{ "{\"name\":\"a\"}", "not a list" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autoptr(GError) err = NULL;
+		platform_config_t *cfg = parse_customers(cases[i].list, &err);
+
+		cr_expect_null(cfg, "case %zu", i);
+		platform_config_free(cfg);
+		if (err == NULL) {
+			cr_expect_not_null(err, "case %zu", i);
+			continue;
+		}
+		cr_expect_not_null(strstr(err->message, cases[i].named),
+		    "case %zu: %s", i, err->message);
+		/* A log line with the error must not tell a key. */
+		cr_expect_null(strstr(err->message, "sesame"), "case %zu", i);
+	}
+}
+
+/* Keys must be found by their digests alone, also among thousands. */
+Test(platform, many_keys)
+{
+	enum { CUSTOMERS = 20, KEYS = 500 };
+	GString *list = g_string_new("[");
+	platform_config_t *cfg;
+
+	for (int c = 0; c < CUSTOMERS; c++) {
+		g_string_append_printf(list,
+		    "%s{\"name\":\"c%d\",\"api_keys\":[\"first%d\"",
+		    c == 0 ? "" : ",", c, c);
+		for (int k = 0; k < KEYS; k++)
+			g_string_append_printf(list, ",\"key-%d-%d\"", c, k);
+		g_string_append(list, "]}");
+	}
+	g_string_append(list, "]");
+	cfg = parse_customers(list->str, NULL);
+	cr_assert_not_null(cfg);
+	cr_expect_eq(g_hash_table_size(cfg->keys), CUSTOMERS * (KEYS + 1));
+	for (int c = 0; c < CUSTOMERS; c++) {
+		g_autofree char *name = g_strdup_printf("c%d", c);
+		g_autofree char *key =
+		    g_strdup_printf("key-%d-%d", c, KEYS - 1);
+		g_autofree char *none = g_strdup_printf("key-%d-%d", c, KEYS);
+		const sched_customer_t *found =
+		    platform_find_customer(cfg, key);
+
+		cr_assert_not_null(found);
+		cr_expect_str_eq(found->name, name);
+		cr_expect_null(platform_find_customer(cfg, none));
+	}
+	platform_config_free(cfg);
+	g_string_free(list, TRUE);
+}
