Serve: calls need a customer's key unless their route is public

A job's row has its customer, with weight and quota. A state or cancel for another customer's job is answered 410, a submission under its id 409; the row is taken from the answer of the conflicting write. A gang larger than its customer's quota is refused with 400. Submissions pass sched_admit, and reply_error takes the Retry-After.

--- a/cmd/log.c
+++ b/cmd/log.c
@@ -95,6 +95,7 @@
 	{ 663, LOG4C_PRIORITY_WARN, "job_unsettled" },
 	{ 664, LOG4C_PRIORITY_INFO, "cancel_stored" },
 	{ 665, LOG4C_PRIORITY_WARN, "state_unreadable" },
+	{ 666, LOG4C_PRIORITY_WARN, "call_rejected" },
 	{ 671, LOG4C_PRIORITY_INFO, "reload" },
 	{ 672, LOG4C_PRIORITY_WARN, "pause" },
 };
--- a/serve/cell_driver.c
+++ b/serve/cell_driver.c
@@ -22,6 +22,7 @@
 #include "../platform/platform.h"
 #include "../cmd/cmd.h"
 #include "store_clock.h"
+#include "auth.h"
 #include "serve.h"
 
 /* Intervals between polls of the owner's row. */
@@ -429,6 +430,9 @@
 		sched_set_queue(c->sched, q->name, q->service, q->priority,
 		    q->max_attempts, q->needs_approval, node_now_ms(c->node));
 	}
+	sched_set_customers(c->sched,
+	    (const sched_customer_t *)cfg->customers->data, cfg->customers->len,
+	    node_now_ms(c->node));
 	node_schedule_tick(c->node);
 }
 
--- a/serve/entries.c
+++ b/serve/entries.c
@@ -25,6 +25,7 @@
 #include "../platform/platform.h"
 #include "../cmd/cmd.h"
 #include "store_clock.h"
+#include "auth.h"
 #include "serve.h"
 
 #define ENTRY_TABLE	  "entry"
--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -20,9 +20,21 @@
 #include "../platform/platform.h"
 #include "../cmd/cmd.h"
 #include "store_clock.h"
+#include "auth.h"
 #include "serve.h"
 
-#define RETRY_AFTER_S 1
+#define DEFAULT_TIMEOUT_MS 3000 /* for a request that names none */
+
+int32_t
+request_timeout_ms(const server_req_t *r)
+{
+	g_autofree char *s = server_header(r, platform_deadline_header);
+	int64_t ms = 0;
+
+	if (s == NULL || !g_ascii_string_to_signed(s, 10, 1, 600000, &ms, NULL))
+		return DEFAULT_TIMEOUT_MS;
+	return (int32_t)ms;
+}
 
 void
 reply_text(
@@ -35,63 +47,168 @@
 }
 
 void
-reply_error(server_req_t *r, int32_t status, const char *why)
+reply_error(
+    server_req_t *r, int32_t status, const char *why, int32_t retry_after_ms)
 {
+	int32_t retry_after_s = retry_after_ms / 1000 +
+	    (retry_after_ms % 1000 > 0 || retry_after_ms < 1000);
 	g_autofree char *headers =
-	    g_strdup_printf("retry-after: %d\r\n", RETRY_AFTER_S);
+	    g_strdup_printf("retry-after: %d\r\n", retry_after_s);
 	g_autofree char *body = g_strdup_printf("{\"error\":\"%s\"}", why);
 
 	reply_text(
 	    r, status, status == 429 || status == 503 ? headers : "", body);
 }
 
+void
+log_rejected_call(node_t *n, const char *queue, const char *id, const char *why)
+{
+	int64_t skipped;
+
+	if (auth_log_due(&n->rejected_log, node_now_ms(n), &skipped))
+		log_event(EVT_CALL_REJECTED,
+		    "id=%s queue=%s why=\"%s\" skipped=%" PRId64, id, queue,
+		    why, skipped);
+}
+
 /*
- * The row of a submitted job: the caller's job, completed with the settings of
- * its queue.  NULL when the job is malformed or could never run.
+ * Allows the call, or answers it.  If it is allowed, sets its customer, or NULL
+ * if it has none.
  */
-static GByteArray *
-pack_job(
-    node_t *n, server_req_t *r, const platform_queue_t *queue, GError **err)
+static bool
+authenticate(node_t *n, server_req_t *r, const route_match_t *m,
+    const sched_customer_t **customer)
 {
-	Sched__Job *job = platform_job_parse(r->body, r->body_bytes, err);
-	const char *why;
-	GByteArray *b;
+	g_autofree char *key = server_header(r, platform_key_header);
+	auth_call_t call = { .config = n->config,
+		.queue = m->queue,
+		.key = key,
+		.table_age_ms = node_now_ms(n) - n->operators_as_of_ms };
 
-	if (job == NULL)
-		return NULL;
+	switch (auth_check(&call, customer)) {
+	case AUTH_ALLOWED:
+		return true;
+	case AUTH_UNAUTHORIZED:
+		n->stats.unauthorized++;
+		log_rejected_call(n, m->queue->name, m->id,
+		    key == NULL ? "no key" : "unknown key");
+		reply_error(r, 401, "no or unknown key", 0);
+		return false;
+	case AUTH_STALE:
+		break;
+	}
+	n->stats.auth_stale++;
+	log_rejected_call(
+	    n, m->queue->name, m->id, "the operators' table is too old");
+	reply_error(r, 503, "the keys can't be checked now", RETRY_AFTER_MS);
+	return false;
+}
+
+/* Completes a job with the settings of its queue and of its customer. */
+static void
+complete_job(Sched__Job *job, const platform_queue_t *queue,
+    const sched_customer_t *customer)
+{
 	job->queue = strdup(queue->name);
 	job->service = strdup(queue->service);
 	job->priority = queue->priority;
 	job->max_attempts = queue->max_attempts;
 	job->stretch = queue->stretch;
 	job->target_ms = queue->target_ms;
+	if (customer == NULL)
+		return;
+	job->customer = strdup(customer->name);
+	job->weight = customer->weight;
+	job->quota_cpu_milli = customer->quota_cpu_milli;
+	job->quota_mem_mb = customer->quota_mem_mb;
+	job->quota_gpu = customer->quota_gpu;
+}
+
+/* Returns the submitted job; NULL when it is malformed or could never run. */
+static Sched__Job *
+decode_job(node_t *n, server_req_t *r, const platform_queue_t *queue,
+    const sched_customer_t *customer, GError **err)
+{
+	Sched__Job *job = platform_job_parse(r->body, r->body_bytes, err);
+	const char *why;
+
+	if (job == NULL)
+		return NULL;
+	complete_job(job, queue, customer);
 	job->accepted_ms = node_wall_ms(n);
-	if (!sched_job_valid(job, &why)) {
+	if (!sched_job_valid(job, &why))
 		g_set_error(err, SERVE_ERROR, SERVE_INVALID_JOB, "%s", why);
-		sched__job__free_unpacked(job, NULL);
-		return NULL;
-	}
-	b = g_byte_array_new();
+	else if (auth_gang_exceeds_quota(job, customer))
+		g_set_error(err, SERVE_ERROR, SERVE_OVER_QUOTA,
+		    "a gang is larger than its customer's quota");
+	else
+		return job;
+	sched__job__free_unpacked(job, NULL);
+	return NULL;
+}
+
+static GByteArray *
+pack_job(const Sched__Job *job)
+{
+	GByteArray *b = g_byte_array_new();
+
 	g_byte_array_set_size(b, (guint)sched__job__get_packed_size(job));
 	sched__job__pack(job, b->data);
-	sched__job__free_unpacked(job, NULL);
 	return b;
 }
 
+/* Answers a submission that is malformed or could never run. */
 static void
-submit_job(node_t *n, server_req_t *r, const route_match_t *m)
+reply_bad_job(
+    node_t *n, server_req_t *r, const route_match_t *m, const GError *err)
+{
+	bool over_quota = g_error_matches(err, SERVE_ERROR, SERVE_OVER_QUOTA);
+
+	n->stats.refused_malformed++;
+	log_event(EVT_REFUSED, "id=%s queue=%s why=\"%s\"", m->id,
+	    m->queue->name, err->message);
+	reply_error(r, 400, over_quota ? err->message : "not a job", 0);
+}
+
+/* Admits a submission, as far as there is room, or answers it. */
+static bool
+admit(node_t *n, server_req_t *r, const route_match_t *m, const Sched__Job *job)
+{
+	int32_t retry_after_ms = RETRY_AFTER_MS;
+	sched_admission_t a = sched_admit(cell_driver_sched(n->cell_driver),
+	    m->id, job, node_now_ms(n), &retry_after_ms);
+	bool over_rate = a == SCHED_OVER_RATE;
+	const char *why = over_rate ?
+	    "more jobs than the rate of the customer" :
+	    "it would end too late";
+
+	if (a == SCHED_ADMITTED)
+		return true;
+	if (over_rate)
+		n->stats.over_rate++;
+	else
+		n->stats.hopeless++;
+	log_event(EVT_REFUSED, "id=%s queue=%s retry_after_ms=%d why=\"%s\"",
+	    m->id, m->queue->name, retry_after_ms, why);
+	reply_error(r, over_rate ? 429 : 503, why, retry_after_ms);
+	return false;
+}
+
+static void
+submit_job(node_t *n, server_req_t *r, const route_match_t *m,
+    const sched_customer_t *customer)
 {
 	g_autoptr(GError) err = NULL;
-	GByteArray *row = pack_job(n, r, m->queue, &err);
+	Sched__Job *job = decode_job(n, r, m->queue, customer, &err);
 
-	if (row == NULL) {
-		n->stats.refused_malformed++;
-		log_event(EVT_REFUSED, "id=%s queue=%s why=\"%s\"", m->id,
-		    m->queue->name, err->message);
-		reply_text(r, 400, "", "{\"error\":\"not a job\"}");
+	if (job == NULL) {
+		reply_bad_job(n, r, m, err);
 		return;
 	}
-	request_begin(n, r, REQUEST_SUBMIT, m, row);
+	if (admit(n, r, m, job))
+		request_begin(n, r, REQUEST_SUBMIT, m,
+		    customer == NULL ? "" : customer->name, pack_job(job));
+	sched__job__free_unpacked(job, NULL);
 }
 
 static void
@@ -103,37 +220,54 @@
 
 	n->stats.queue_counts++;
 	if (jobs < 0) {
-		reply_error(r, 503, "the number is not known now");
+		reply_error(
+		    r, 503, "the number is not known now", RETRY_AFTER_MS);
 		return;
 	}
 	body = platform_waiting_count_body(jobs);
 	reply_text(r, 200, "", body);
 }
 
+/* Handles a call that is allowed. */
+static void
+serve_call(node_t *n, server_req_t *r, const route_match_t *m,
+    const sched_customer_t *customer)
+{
+	const char *name = customer == NULL ? "" : customer->name;
+	bool for_job = m->id[0] != '\0';
+
+	if (!for_job && strcmp(r->method, "GET") == 0)
+		reply_waiting_count(n, r, m);
+	else if (for_job && strcmp(r->method, "POST") == 0)
+		submit_job(n, r, m, customer);
+	else if (for_job && strcmp(r->method, "GET") == 0)
+		request_begin(n, r, REQUEST_STATE, m, name, NULL);
+	else if (for_job && strcmp(r->method, "DELETE") == 0)
+		request_begin(n, r, REQUEST_CANCEL, m, name, NULL);
+	else
+		reply_text(r, 405, "", "{\"error\":\"no such method\"}");
+}
+
 void
 ingress_request(void *ctx, server_req_t *r)
 {
 	node_t *n = ctx;
-	route_match_t m;
+	const sched_customer_t *customer;
+	route_match_t m = { 0 };
+	route_result_t found;
 
 	if (n->config == NULL) {
 		n->stats.refused_no_config++;
-		reply_error(r, 503, "no tables yet");
+		reply_error(r, 503, "no tables yet", RETRY_AFTER_MS);
 		return;
 	}
-	if (route_find(n->config, r->host, r->path, &m) != ROUTE_FOUND) {
+	found = route_find(n->config, r->host, r->path, &m);
+	if (found != ROUTE_NOT_FOUND && !authenticate(n, r, &m, &customer))
+		return;
+	if (found != ROUTE_FOUND) {
 		n->stats.no_route++;
 		reply_text(r, 404, "", "{\"error\":\"no such queue\"}");
 		return;
 	}
-	if (m.id[0] == '\0' && strcmp(r->method, "GET") == 0)
-		reply_waiting_count(n, r, &m);
-	else if (m.id[0] != '\0' && strcmp(r->method, "POST") == 0)
-		submit_job(n, r, &m);
-	else if (m.id[0] != '\0' && strcmp(r->method, "GET") == 0)
-		request_begin(n, r, REQUEST_STATE, &m, NULL);
-	else if (m.id[0] != '\0' && strcmp(r->method, "DELETE") == 0)
-		request_begin(n, r, REQUEST_CANCEL, &m, NULL);
-	else
-		reply_text(r, 405, "", "{\"error\":\"no such method\"}");
+	serve_call(n, r, &m, customer);
 }
--- a/serve/job_removal.c
+++ b/serve/job_removal.c
@@ -18,6 +18,7 @@
 #include "../platform/platform.h"
 #include "../cmd/cmd.h"
 #include "store_clock.h"
+#include "auth.h"
 #include "serve.h"
 
 /* Jobs of a transaction: two rows each, and the store takes 100 rows. */
--- a/serve/metrics.c
+++ b/serve/metrics.c
@@ -18,6 +18,7 @@
 #include "../platform/platform.h"
 #include "../cmd/cmd.h"
 #include "store_clock.h"
+#include "auth.h"
 #include "serve.h"
 
 static void
@@ -27,6 +28,16 @@
 	    page, "tanagerspool_%s %" PRId64 "\n", name, value);
 }
 
+void
+node_record_accept_latency(node_t *n, int64_t ms)
+{
+	size_t i = 0;
+
+	while (i + 1 < G_N_ELEMENTS(n->stats.accept_latency) && ms >= (1 << i))
+		i++;
+	n->stats.accept_latency[i]++;
+}
+
 static void
 put_requests(GString *page, const node_stats_t *stats)
 {
@@ -46,6 +57,11 @@
 	put_metric(page, "states_unreadable", (int64_t)stats->state_unreadable);
 	put_metric(page, "cancels", (int64_t)stats->cancels);
 	put_metric(page, "counts", (int64_t)stats->queue_counts);
+	put_metric(page, "unauthorized", (int64_t)stats->unauthorized);
+	put_metric(page, "auth_stale", (int64_t)stats->auth_stale);
+	put_metric(page, "foreign", (int64_t)stats->foreign);
+	put_metric(page, "jobs_over_rate", (int64_t)stats->over_rate);
+	put_metric(page, "jobs_hopeless", (int64_t)stats->hopeless);
 	put_metric(page, "bad_input", (int64_t)stats->bad_input);
 	for (size_t i = 0; i < G_N_ELEMENTS(stats->accept_latency); i++) {
 		total += (int64_t)stats->accept_latency[i];
--- a/serve/node.c
+++ b/serve/node.c
@@ -23,6 +23,7 @@
 #include "../platform/platform.h"
 #include "../cmd/cmd.h"
 #include "store_clock.h"
+#include "auth.h"
 #include "serve.h"
 
 #define TICK_MS		     50
@@ -205,8 +206,8 @@
 		return;
 	}
 	log_event(TS_LOG_CONF_ADOPTED,
-	    "version=%" PRId64 " queues=%u row_version=%" PRId64, cfg->version,
-	    cfg->queues->len, row->version);
+	    "version=%" PRId64 " queues=%u customers=%u row_version=%" PRId64,
+	    cfg->version, cfg->queues->len, cfg->customers->len, row->version);
 	platform_config_free(n->config);
 	n->config = cfg;
 	cell_driver_set_queues(n->cell_driver, cfg);
@@ -217,6 +218,7 @@
 {
 	node_t *n = ctx;
 
+	n->operators_as_of_ms = MAX(n->operators_as_of_ms, as_of_ms);
 	cell_driver_operators_synced(n->cell_driver, as_of_ms);
 }
 
--- a/serve/request.c
+++ b/serve/request.c
@@ -25,11 +25,12 @@
 #include "../platform/platform.h"
 #include "../cmd/cmd.h"
 #include "store_clock.h"
+#include "auth.h"
 #include "serve.h"
 #include "attempts.h"
 
-#define DEFAULT_TIMEOUT_MS 3000 /* for a request that names none */
-#define REPLY_RESERVE_MS   150	/* of the timeout, for the answer's way back */
+#define REPLY_RESERVE_MS 150 /* of the timeout, for the answer's way back */
+#define NO_SUCH_JOB	 "{\"error\":\"no such job\"}"
 
 /* A request in progress. */
 typedef struct {
@@ -37,7 +38,8 @@
 	server_req_t *req;
 	request_kind_t kind;
 	char id[SCHED_JOB_ID_BYTES + 1];
-	const char *queue; /* interned */
+	const char *queue;    /* interned */
+	const char *customer; /* interned; "": none */
 	GByteArray *row;
 	int64_t began_ms;
 	int64_t deadline_ms;
@@ -53,6 +55,8 @@
 } attempt_t;
 
 static void proceed(request_t *rq);
+static attempt_t *attempt_new(request_t *rq);
+static void read_job_rows(attempt_t *at);
 
 /* A request is answered by its deadline, and before a graceful stop ends. */
 static int64_t
@@ -72,16 +76,6 @@
 	g_free(rq);
 }
 
-static void
-record_latency(node_t *n, int64_t ms)
-{
-	size_t i = 0;
-
-	while (i + 1 < G_N_ELEMENTS(n->stats.accept_latency) && ms >= (1 << i))
-		i++;
-	n->stats.accept_latency[i]++;
-}
-
 /*
  * Answers a request and frees it; answers to its attempts that are still to
  * come are dropped.  For 503 and 504 body is the error's text.
@@ -93,11 +87,11 @@
 
 	n->open_requests--;
 	if (status == 503 || status == 504)
-		reply_error(rq->req, status, body);
+		reply_error(rq->req, status, body, RETRY_AFTER_MS);
 	else
 		reply_text(rq->req, status, "", body);
 	if (rq->kind == REQUEST_SUBMIT)
-		record_latency(n, node_now_ms(n) - rq->began_ms);
+		node_record_accept_latency(n, node_now_ms(n) - rq->began_ms);
 	for (guint i = 0; i < rq->in_flight->len; i++)
 		((attempt_t *)g_ptr_array_index(rq->in_flight, i))->request =
 		    NULL;
@@ -196,6 +190,60 @@
 	return NULL;
 }
 
+/* Ends a request for a job of another customer. */
+static void
+finish_foreign(request_t *rq)
+{
+	bool submitted = rq->kind == REQUEST_SUBMIT;
+
+	rq->node->stats.foreign++;
+	log_rejected_call(
+	    rq->node, rq->queue, rq->id, "a job of another customer");
+	/* To a read or a cancel the job must look like one that isn't there. */
+	finish(rq, submitted ? 409 : 410,
+	    submitted ? "{\"error\":\"the id is in use\"}" : NO_SUCH_JOB);
+}
+
+static void
+finish_damaged(request_t *rq, const char *key, const char *why)
+{
+	log_event(EVT_BAD_ROW, "table=jobs key=%s why=\"%s\"", key, why);
+	finish(rq, 500, "{\"error\":\"the job's stored state is damaged\"}");
+}
+
+/*
+ * Whether the request may go on for the job of this row.  If not, the request
+ * has been ended.
+ */
+static bool
+check_access(request_t *rq, const store_row_t *row)
+{
+	Sched__Job *job = sched__job__unpack(NULL, row->nbytes, row->bytes);
+	bool allowed =
+	    job != NULL && auth_may_access(rq->customer, job->customer);
+
+	if (job == NULL)
+		finish_damaged(rq, row->key, "not a job");
+	else if (!allowed)
+		finish_foreign(rq);
+	if (job != NULL)
+		sched__job__free_unpacked(job, NULL);
+	return allowed;
+}
+
+/* The row of a submitted job exists: by another attempt, or from earlier. */
+static void
+on_submit_conflict(request_t *rq, const store_answer_t *ans)
+{
+	const store_row_t *row = find_row(ans, rq->id, "");
+
+	if (row == NULL)
+		/* The answer doesn't tell whose job it is. */
+		read_job_rows(attempt_new(rq));
+	else if (check_access(rq, row))
+		finish_accepted(rq, rq->attempts.sent == 1);
+}
+
 static void
 on_submit_written(void *ctx, store_result_t r, const store_answer_t *ans)
 {
@@ -206,8 +254,7 @@
 	if (r == STORE_OK)
 		finish_accepted(rq, false);
 	else if (r == STORE_CONFLICT)
-		/* The row exists: by another attempt, or from earlier. */
-		finish_accepted(rq, rq->attempts.sent == 1);
+		on_submit_conflict(rq, ans);
 	else
 		on_write_failed(rq, r);
 }
@@ -280,20 +327,33 @@
 on_job_rows(void *ctx, store_result_t r, const store_answer_t *ans)
 {
 	request_t *rq = attempt_end(ctx, r, ans);
+	const store_row_t *row;
 	g_autofree char *key = NULL;
 
 	if (rq == NULL)
 		return;
-	if (r != STORE_OK) {
-		/* A read that failed leaves nothing in doubt. */
-		on_failed(rq, ATTEMPT_REFUSED);
+	row = find_row(ans, rq->id, "");
+	if (r != STORE_OK || (row == NULL && rq->kind == REQUEST_SUBMIT)) {
+		/*
+		 * A read that failed leaves nothing in doubt, but a submission
+		 * has met a row that may be its own.
+		 */
+		on_failed(rq,
+		    rq->kind == REQUEST_SUBMIT ? ATTEMPT_UNANSWERED :
+						 ATTEMPT_REFUSED);
 		return;
 	}
 	key = g_strconcat(rq->id, SCHED_KEY_CANCEL, NULL);
-	if (find_row(ans, rq->id, "") == NULL) {
+	if (row == NULL) {
 		rq->node->stats.state_unknown_job++;
-		finish(rq, 410, "{\"error\":\"no such job\"}");
-	} else if (rq->kind == REQUEST_CANCEL)
+		finish(rq, 410, NO_SUCH_JOB);
+		return;
+	}
+	if (!check_access(rq, row))
+		return;
+	if (rq->kind == REQUEST_SUBMIT)
+		finish_accepted(rq, rq->attempts.sent == 1);
+	else if (rq->kind == REQUEST_CANCEL)
 		write_row(attempt_new(rq), key, (const uint8_t *)"c", 1,
 		    on_cancel_written);
 	else
@@ -338,12 +398,11 @@
 	row = find_row(ans, rq->id, SCHED_KEY_PROGRESS);
 	if (row != NULL)
 		p = sched_progress_unpack(row->bytes, row->nbytes);
-	if (row != NULL && p == NULL) {
-		log_event(EVT_BAD_ROW, "table=jobs key=%s why=\"%s\"", row->key,
-		    "not the progress of a job");
-		finish(rq, 500,
-		    "{\"error\":\"the job's stored state is damaged\"}");
-	} else if (p == NULL || p->not_started)
+	if (row != NULL && p == NULL)
+		finish_damaged(rq, row->key, "not the progress of a job");
+	else if (p != NULL && !auth_may_access(rq->customer, p->customer))
+		finish_foreign(rq);
+	else if (p == NULL || p->not_started)
 		read_job_rows(attempt_new(rq));
 	else
 		finish_state(rq, p->state);
@@ -408,22 +467,11 @@
 	uv_timer_start(&rq->timer, on_timer, (uint64_t)wait_ms, 0);
 }
 
-static int32_t
-caller_timeout_ms(const server_req_t *r)
-{
-	g_autofree char *s = server_header(r, platform_deadline_header);
-	int64_t ms = 0;
-
-	if (s == NULL || !g_ascii_string_to_signed(s, 10, 1, 600000, &ms, NULL))
-		return DEFAULT_TIMEOUT_MS;
-	return (int32_t)ms;
-}
-
 void
 request_begin(node_t *n, server_req_t *r, request_kind_t kind,
-    const route_match_t *m, GByteArray *row)
+    const route_match_t *m, const char *customer, GByteArray *row)
 {
-	int32_t timeout_ms = caller_timeout_ms(r);
+	int32_t timeout_ms = request_timeout_ms(r);
 	request_t *rq = g_new0(request_t, 1);
 
 	rq->node = n;
@@ -431,6 +479,7 @@
 	rq->kind = kind;
 	g_strlcpy(rq->id, m->id, sizeof(rq->id));
 	rq->queue = m->queue->name;
+	rq->customer = customer;
 	rq->row = row;
 	rq->began_ms = node_now_ms(n);
 	rq->deadline_ms =
--- a/serve/route.c
+++ b/serve/route.c
@@ -17,6 +17,7 @@
 #include "../sched/sched.h"
 #include "../platform/platform.h"
 #include "store_clock.h"
+#include "auth.h"
 #include "serve.h"
 
 /* The queue with the longest matching prefix; ignores a port in host. */
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -4,8 +4,8 @@
  * scheduler of sched/; the entry that owns the cell schedules its jobs.  All
  * durable state is in the store, so a restarted entry reads everything again.
  *
- * Include what platform.h needs, then trans.h, platform.h and store_clock.h,
- * first.
+ * Include what platform.h needs, then trans.h, platform.h, store_clock.h and
+ * auth.h, first.
  */
 #ifndef SERVE_H
 #define SERVE_H
@@ -20,13 +20,15 @@
 #define EVT_UNSETTLED	     663
 #define EVT_CANCEL_STORED    664
 #define EVT_STATE_UNREADABLE 665
+#define EVT_CALL_REJECTED    666
 #define EVT_RELOAD	     671
 #define EVT_PAUSE	     672
 
 #define SERVE_ERROR serve_error_quark()
 GQuark serve_error_quark(void);
 typedef enum {
-	SERVE_INVALID_JOB /* well-formed, but no worker could ever run it */
+	SERVE_INVALID_JOB, /* well-formed, but no worker could ever run it */
+	SERVE_OVER_QUOTA   /* its customer's quota never lets it run */
 } serve_error_t;
 
 typedef struct node node_t;
@@ -95,7 +97,7 @@
 void cell_driver_tick(cell_driver_t *c);
 /* Makes the next read of the owner's row due now. */
 void cell_driver_poll_owner(cell_driver_t *c);
-/* Hands the settings of all queues to the scheduler. */
+/* Hands the settings of all queues and customers to the scheduler. */
 void cell_driver_set_queues(cell_driver_t *c, const platform_config_t *cfg);
 /* All changes of the operators' table up to a time were handed over. */
 void cell_driver_operators_synced(cell_driver_t *c, int64_t as_of_ms);
@@ -123,19 +125,30 @@
 
 /* Serves a request of a caller; ctx is the node. */
 void ingress_request(void *ctx, server_req_t *r);
-/* Answer with JSON; the first takes header lines that end in CR LF. */
+/*
+ * Answer with JSON.  The first takes header lines that end in CR LF; the second
+ * adds a Retry-After to 429 and 503, in whole seconds rounded up.
+ */
 void reply_text(
     server_req_t *r, int32_t status, const char *headers, const char *body);
-void reply_error(server_req_t *r, int32_t status, const char *why);
+void reply_error(
+    server_req_t *r, int32_t status, const char *why, int32_t retry_after_ms);
+#define RETRY_AFTER_MS 1000 /* when nothing tells more */
+/* Logs a call that was rejected because of its key, unless there are many. */
+void log_rejected_call(
+    node_t *n, const char *queue, const char *id, const char *why);
+
+/* How long the caller waits for its answer. */
+int32_t request_timeout_ms(const server_req_t *r);
 
 typedef enum { REQUEST_SUBMIT, REQUEST_CANCEL, REQUEST_STATE } request_kind_t;
 /*
  * Begins a request that needs calls to the store, and answers it in the end.  A
  * submission is accepted once its row, which it takes over, is stored; row is
- * NULL for other requests.
+ * NULL for other requests.  customer is the caller's, interned; "": none.
  */
 void request_begin(node_t *n, server_req_t *r, request_kind_t kind,
-    const route_match_t *m, GByteArray *row);
+    const route_match_t *m, const char *customer, GByteArray *row);
 
 /*
  * Tables and partitions of the store.  An owner writes its rows in one
@@ -174,14 +187,17 @@
 
 /*
  * Counters of requests of callers, by their result.  refused_store and
- * state_unknown_job also count cancels.  bad_input counts malformed input from
+ * state_unknown_job also count cancels.  unauthorized and auth_stale count all
+ * calls answered 401, and 503 as the operators' table was too old; foreign,
+ * those for a job of another customer.  over_rate and hopeless count
+ * submissions that were not admitted.  bad_input counts malformed input from
  * the platform and from other entries, none of callers.
  */
 typedef struct {
 	uint64_t accepted, resubmitted, refused_store, refused_no_config,
 	    refused_malformed, in_doubt, no_route, state_reads,
 	    state_unknown_job, state_unreadable, cancels, queue_counts,
-	    bad_input;
+	    unauthorized, auth_stale, foreign, over_rate, hopeless, bad_input;
 	/*
 	 * Submissions by the time to their answer: element i counts those below
 	 * 1 << i ms that no lower element counts, and the last all slower ones.
@@ -199,6 +215,9 @@
 	entries_t *entries;
 	GPtrArray *watches;	   /* of table_watch_t; all of this process */
 	platform_config_t *config; /* NULL until it was read */
+	/* All changes of the operators' table up to this time were read. */
+	int64_t operators_as_of_ms;
+	auth_log_limit_t rejected_log;
 
 	server_t *front;   /* requests of callers */
 	server_t *ready;   /* probes of the balancer */
@@ -232,6 +251,8 @@
 node_record_store_answer(node_t *n, store_result_t r, const store_answer_t *a);
 /* Makes the next tick due within 2 ms, as the scheduler has new input. */
 void node_schedule_tick(node_t *n);
+/* Counts a submission that is answered, by the time since it came. */
+void node_record_accept_latency(node_t *n, int64_t ms);
 /* The metrics page; free it. */
 char *node_metrics_text(node_t *n);
 
--- a/serve/table_watch.c
+++ b/serve/table_watch.c
@@ -21,6 +21,7 @@
 #include "../platform/platform.h"
 #include "../cmd/cmd.h"
 #include "store_clock.h"
+#include "auth.h"
 #include "serve.h"
 
 #define PAGE_ROWS	500  /* the most that the store returns */
