Test: keys and customers with real processes

The stand-in's configuration has two customers and the host k.example whose route is not public; the routes of the present tests are public, so they see what they saw. SIGUSR2 changes a key of customer one. Guards against: a call without or with an unknown key that is served, a job that another customer can read, cancel or take over by its id, a revoked key that works on a connection kept open, and a decision on an old table while the store does not answer.

--- a/test/serve.sh
+++ b/test/serve.sh
@@ -113,6 +113,84 @@
 wait_for 10 ready "$o"
 wait_for 10 is_state "$o" 00000000000000a4 completed
 check after_restart "$(state "$o" 00000000000000a4)" completed
+
+# Customers: their calls to k.example need a key, as its route is not public.
+keyed() { # KEY METHOD PATH [BODY]: the status code; no header if KEY is ""
+	code -X "$2" -H 'Host: k.example' ${1:+-H "Tanagerspool-Key: $1"} \
+	    ${4:+-d "$4"} "http://127.0.0.5$o:8000$3"
+}
+keyed_state() { # KEY ID
+	curl -s -m 5 -H 'Host: k.example' -H "Tanagerspool-Key: $1" \
+	    "http://127.0.0.5$o:8000/q/$2" | sed 's/.*"state":"\([a-z]*\)".*/\1/'
+}
+keyed_is() { [ "$(keyed_state "$1" "$2")" = "$3" ]; }
+answers() { [ "$(keyed "$1" GET /q/)" = "$2" ]; }
+GANG='{"spec":"x","steps":[{"count":5,"gang":true,"cpu":1000,"mem_mb":10,"estimate_ms":300}]}'
+LARGE='{"spec":"x","steps":[{"count":1,"cpu":5000,"mem_mb":10,"estimate_ms":300}]}'
+wait_for 10 answers secret-one 200
+check no_key "$(keyed '' POST /q/00000000000000c1 "$JOB")" 401
+check no_key_no_body "$(keyed '' GET /q/)" 401
+check no_key_bad_id "$(keyed '' GET /q/x)" 401
+check unknown_key "$(keyed secret-9 POST /q/00000000000000c1 "$JOB")" 401
+check unknown_key_state "$(keyed secret-9 GET /q/00000000000000a1)" 401
+check unknown_key_cancel "$(keyed secret-9 DELETE /q/00000000000000a1)" 401
+check not_stored "$(keyed secret-one GET /q/00000000000000c1)" 410
+check right_key "$(keyed secret-one POST /q/00000000000000c1 "$JOB")" 200
+check own_repeated "$(keyed secret-0 POST /q/00000000000000c1 "$JOB")" 200
+check foreign_id "$(keyed secret-two POST /q/00000000000000c1 "$JOB")" 409
+check foreign_id_public "$(call_code "$o" POST /q/00000000000000c1 "$JOB")" 409
+check foreign_state "$(keyed secret-two GET /q/00000000000000c1)" 410
+check foreign_cancel "$(keyed secret-two DELETE /q/00000000000000c1)" 410
+check foreign_public "$(call_code "$o" GET /q/00000000000000c1)" 410
+wait_for 10 keyed_is secret-one 00000000000000c1 completed
+check own_completed "$(keyed_state secret-one 00000000000000c1)" completed
+check foreign_ended "$(keyed secret-two GET /q/00000000000000c1)" 410
+check own_long "$(keyed secret-two POST /q/00000000000000c2 "$LONG")" 200
+check foreign_long "$(keyed secret-one DELETE /q/00000000000000c2)" 410
+check foreign_running "$(keyed secret-one GET /q/00000000000000c2)" 410
+check own_cancel "$(keyed secret-two DELETE /q/00000000000000c2)" 200
+wait_for 10 keyed_is secret-two 00000000000000c2 cancelled
+check own_cancelled "$(keyed_state secret-two 00000000000000c2)" cancelled
+check public_no_key "$(call_code "$o" POST /q/00000000000000c3 "$JOB")" 200
+wait_for 10 is_state "$o" 00000000000000c3 completed
+check no_customer "$(keyed_state secret-two 00000000000000c3)" completed
+check large_gang "$(keyed secret-two POST /q/00000000000000c4 "$GANG")" 400
+check large_gang_no_quota "$(keyed secret-one POST /q/00000000000000c4 "$GANG")" 200
+check large_task "$(keyed secret-two POST /q/00000000000000c5 "$LARGE")" 200
+
+# A key is withdrawn while its caller keeps a connection open.
+request() { # KEY
+	printf 'GET /q/ HTTP/1.1\r\nHost: k.example\r\nTanagerspool-Key: %s\r\n\r\n' "$1"
+}
+two_requests() {
+	request secret-0
+	sleep 0.5
+	kill -USR2 "$(pid_of store)"
+	sleep 3
+	request secret-0
+	sleep 0.5
+}
+check withdrawn "$(two_requests | curl -s -m 5 "telnet://127.0.0.5$o:8000" |
+    grep -o 'HTTP/1.1 [0-9]*' | tr '\n' ' ')" "HTTP/1.1 200 HTTP/1.1 401 "
+check added "$(keyed secret-1 GET /q/)" 200
+
+# A key is withdrawn while the entry can't reach the store: nothing is known of
+# the keys then.
+kill -STOP "$(pid_of store)"
+kill -USR2 "$(pid_of store)"
+wait_for 5 answers secret-1 503
+check unreachable "$(keyed secret-1 GET /q/)" 503
+check unreachable_unknown "$(keyed secret-9 GET /q/)" 503
+check retry_after "$(curl -s -m 5 -D - -H 'Host: k.example' \
+    "http://127.0.0.5$o:8000/q/" | grep -ci '^retry-after: 1')" 1
+kill -CONT "$(pid_of store)"
+wait_for 5 answers secret-1 401
+check withdrawn_later "$(keyed secret-1 GET /q/)" 401
+check added_later "$(keyed secret-2 GET /q/)" 200
+curl -s -m 5 "http://127.0.0.5$o:9464/metrics" >"$T/metrics"
+check auth_metrics "$(grep -c '^tanagerspool_\(unauthorized\|auth_stale\|foreign\) [1-9]' "$T/metrics")" 3
+check rejections_logged "$(grep -q name=call_rejected "$T/s$o.out" && echo yes)" yes
+check keys_not_told "$(grep -l 'secret-' "$T"/s*.out "$T"/s*.log "$T/metrics")" ""
 check flags "$("$B/tanagerspool" serve --name x --metrics-port nine 2>&1 | head -n 1)" \
     "tanagerspool: --zone or TANAGERSPOOL_ZONE must be given: its data centre"
 echo "serve: $passed passed, $failed failed"
--- a/test/standin/users.c
+++ b/test/standin/users.c
@@ -2,7 +2,8 @@
  * A stand-in of the users' platform for process tests, on loopback: the store
  * and the approval service at PORT, and workers at the ports after it.  Each
  * task takes TASK_MS.  Prints one line for each start and end of a run at a
- * worker.  SIGUSR1 restarts the next worker.
+ * worker.  SIGUSR1 restarts the next worker.  SIGUSR2 writes a configuration in
+ * which the changing key of customer "one" is the next: secret-0, secret-1...
  *
  * usage: standin-users PORT [WORKERS [PORT-IN-ROWS [CPU]]]
  *
@@ -25,14 +26,12 @@
 #include "tanagerspool.h"
 #include "../../trans/trans.h"
 #include "../fake/http_workers.h"
+#include "../fake/platform_config.h"
 
-#define IP	       "127.0.0.1"
-#define TASK_MS	       300
-#define TICK_MS	       20
-#define BODY_MAX_BYTES (1024 * 1024)
-/* Hosts: h.example, and addresses of entries, 127.0.0.51, 127.0.0.52... */
-#define QUEUES		 10
-#define APPROVAL_QUEUE	 9 /* its placements need approval */
+#define IP		 "127.0.0.1"
+#define TASK_MS		 300
+#define TICK_MS		 20
+#define BODY_MAX_BYTES	 (1024 * 1024)
 #define FEED_ROWS	 2 /* in an answer of the change feed, if there are more */
 #define TASK_CPU_MILLI	 500
 #define TICKET_VALID_MS	 3000
@@ -59,6 +58,7 @@
 	http_workers_t *http_workers;
 	int nworkers;
 	int restarts;	       /* of workers, so far */
+	int key_changes;       /* so far */
 	GPtrArray *feed_calls; /* of feed_call_t */
 } standin;
 
@@ -370,6 +370,14 @@
 	put_row_text("servers", id, row);
 }
 
+static void
+put_config(void)
+{
+	g_autofree char *config = platform_config_text(standin.key_changes);
+
+	put_row_text("op", "config", config);
+}
+
 /*
  * Writes the operators' configuration and the rows of the workers, one of them
  * malformed.
@@ -377,27 +385,21 @@
 static void
 seed_rows(void)
 {
-	GString *routes = g_string_new(NULL);
-
-	for (int i = 0; i < QUEUES; i++)
-		g_string_append_printf(routes,
-		    "%s{\"name\":\"q%d\",\"host\":\"%s%d\","
-		    "\"prefix\":\"/q/\",\"service\":\"s\",\"priority\":0,"
-		    "\"max_attempts\":2,\"stretch\":2.0,"
-		    "\"target_duration_ms\":500%s}",
-		    i == 0 ? "" : ",", i, i == 0 ? "h.example" : "127.0.0.5", i,
-		    i == APPROVAL_QUEUE ? ",\"advice\":{\"decision_ms\":1}" :
-					  "");
-	g_string_prepend(routes, "{\"version\":3,\"routes\":[");
-	g_string_append(routes, "],\"services\":[],\"limits\":{}}");
-	g_string_replace(routes, "h.example0", "h.example", 1);
-	put_row_text("op", "config", routes->str);
-	g_string_free(routes, TRUE);
+	put_config();
 	for (int i = 0; i < standin.nworkers; i++)
 		put_worker(i);
 	put_row_text("servers", "i-bad", "{\"state\":\"odd\"}");
 }
 
+static void
+on_key_signal(uv_signal_t *sig, int number)
+{
+	(void)sig;
+	(void)number;
+	standin.key_changes++;
+	put_config();
+}
+
 /* Restarts one worker, the next at each signal. */
 static void
 on_restart_signal(uv_signal_t *sig, int number)
@@ -439,7 +441,7 @@
 {
 	int port = argc > 1 ? atoi(argv[1]) : 0;
 	static uv_timer_t tick;
-	static uv_signal_t restart;
+	static uv_signal_t restart, change_key;
 	http_workers_opts_t o = { .ip = IP,
 		.port = port + 1,
 		.advertised_port = argc > 3 ? atoi(argv[3]) : port + 1,
@@ -465,6 +467,8 @@
 	seed_rows();
 	uv_signal_init(standin.loop, &restart);
 	uv_signal_start(&restart, on_restart_signal, SIGUSR1);
+	uv_signal_init(standin.loop, &change_key);
+	uv_signal_start(&change_key, on_key_signal, SIGUSR2);
 	uv_timer_init(standin.loop, &tick);
 	uv_timer_start(&tick, on_tick, TICK_MS, TICK_MS);
 	return uv_run(standin.loop, UV_RUN_DEFAULT);
