--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -50,8 +50,8 @@
 reply_error(
     server_req_t *r, int32_t status, const char *why, int32_t retry_after_ms)
 {
-	int32_t retry_after_s = retry_after_ms / 1000 +
-	    (retry_after_ms % 1000 > 0 || retry_after_ms < 1000);
+	int32_t retry_after_s =
+	    MAX(1, retry_after_ms / 1000 + (retry_after_ms % 1000 > 0));
 	g_autofree char *headers =
 	    g_strdup_printf("retry-after: %d\r\n", retry_after_s);
 	g_autofree char *body = g_strdup_printf("{\"error\":\"%s\"}", why);
@@ -252,7 +252,7 @@
 ingress_request(void *ctx, server_req_t *r)
 {
 	node_t *n = ctx;
-	const sched_customer_t *customer;
+	const sched_customer_t *customer = NULL;
 	route_match_t m = { 0 };
 	route_result_t found;
 
--- a/test/serve.sh
+++ b/test/serve.sh
@@ -187,6 +187,19 @@
 wait_for 5 answers secret-1 401
 check withdrawn_later "$(keyed secret-1 GET /q/)" 401
 check added_later "$(keyed secret-2 GET /q/)" 200
+# A key is withdrawn while the entry stands still; the call that waits for it is
+# decided after the pause.
+kill -STOP "$(pid_of "s$o")"
+kill -USR2 "$(pid_of store)"
+sleep 3.2
+keyed secret-2 GET /q/ >"$T/paused" &
+waiting=$!
+sleep 0.3
+kill -CONT "$(pid_of "s$o")"
+wait $waiting
+check pause "$(grep -c '^\(401\|503\)$' "$T/paused")" 1
+wait_for 5 answers secret-2 401
+check withdrawn_in_pause "$(keyed secret-2 GET /q/)" 401
 curl -s -m 5 "http://127.0.0.5$o:9464/metrics" >"$T/metrics"
 check auth_metrics "$(grep -c '^tanagerspool_\(unauthorized\|auth_stale\|foreign\) [1-9]' "$T/metrics")" 3
 check rejections_logged "$(grep -q name=call_rejected "$T/s$o.out" && echo yes)" yes
