--- a/test/serve.sh
+++ b/test/serve.sh
@@ -186,6 +186,8 @@
 kill -CONT "$(pid_of store)"
 wait_for 5 answers secret-1 401
 check withdrawn_later "$(keyed secret-1 GET /q/)" 401
+# The number of waiting jobs is not known until the owner has renewed its row.
+wait_for 5 answers secret-2 200
 check added_later "$(keyed secret-2 GET /q/)" 200
 # A key is withdrawn while the entry stands still; the call that waits for it is
 # decided after the pause.
