Quotas: every start asks its customer's quota, unseen runs count

Now second runs, quarantine, slowed starts, moves and run_start itself ask; runs of earlier owners count until all workers are accounted for, as the smaller of the tasks that may run and of the room of the workers not seen; runs reported before their job is read count once it is. A held step costs one comparison a pass, takes no place at the head of the queue and is not marked as searched. A step held first for 2 s makes later ones of its customer wait, so that small tasks don't pass a large one for ever. coord/ uses ts_quota_t with what peers report as unseen.

--- a/cmd/log.c
+++ b/cmd/log.c
@@ -86,6 +86,7 @@
 	{ 636, LOG4C_PRIORITY_WARN, "task_given_up" },
 	{ 641, LOG4C_PRIORITY_INFO, "zone" },
 	{ 642, LOG4C_PRIORITY_INFO, "load" },
+	{ 645, LOG4C_PRIORITY_INFO, "quota" },
 	{ 651, LOG4C_PRIORITY_WARN, "store_lost" },
 	{ 652, LOG4C_PRIORITY_INFO, "store_back" },
 	{ 653, LOG4C_PRIORITY_WARN, "bad_row" },
--- a/coord/start.c
+++ b/coord/start.c
@@ -75,22 +75,23 @@
 }
 
 /*
- * Processor thousandths that a team's tasks hold in the whole system: here, and
- * at the peers by their last digests.
+ * The quota of a team, which limits processor time only, and what its tasks hold
+ * of it in the whole system: here, and unseen at the peers by their last digests.
  */
-static int64_t
-team_usage(const ts_core_t *c, const char *team)
+static ts_quota_t
+team_quota(const ts_core_t *c, const ts_team_t *t, const char *team)
 {
-	int64_t *here = g_hash_table_lookup(c->team_cpu_milli, team);
-	int64_t used = here == NULL ? 0 : *here;
+	const int64_t *here = g_hash_table_lookup(c->team_cpu_milli, team);
+	ts_quota_t q = { .limit = { .cpu_milli = t->quota_cpu_milli },
+		.used = { .cpu_milli = here == NULL ? 0 : *here } };
 	GHashTableIter it;
 	void *v;
 
 	g_hash_table_iter_init(&it, c->peers);
 	while (g_hash_table_iter_next(&it, NULL, &v))
-		used += GPOINTER_TO_INT(
+		q.unseen.cpu_milli += GPOINTER_TO_INT(
 		    g_hash_table_lookup(((peer_t *)v)->team_cpu_milli, team));
-	return used;
+	return q;
 }
 
 /* Whether starting the job keeps its team within its quota. */
@@ -98,10 +99,17 @@
 within_quota(ts_core_t *c, const job_t *job)
 {
 	const ts_team_t *t = ts_conf_find_team(c->conf, job->row.team);
+	ts_res_t demand = { .cpu_milli = job->row.size.cpu_milli };
+	ts_quota_t q;
 
-	return t == NULL ||
-	    team_usage(c, job->row.team) + job->row.size.cpu_milli <=
-	    t->quota_cpu_milli;
+	if (t == NULL)
+		return true;
+	q = team_quota(c, t, job->row.team);
+	/* A team may be given nothing, where ts_quota_t has no limit. */
+	if (t->quota_cpu_milli == 0)
+		return q.used.cpu_milli + q.unseen.cpu_milli +
+		    demand.cpu_milli <= 0;
+	return ts_quota_fits(&q, &demand);
 }
 
 /*
--- a/include/tanagerspool.h
+++ b/include/tanagerspool.h
@@ -51,6 +51,9 @@
 void ts_res_add(ts_res_t *sum, const ts_res_t *part);
 void ts_res_sub(ts_res_t *sum, const ts_res_t *part);
 
+/* Adds n times a part; an amount too large for its type is its largest value. */
+void ts_res_add_times(ts_res_t *sum, const ts_res_t *part, int64_t n);
+
 /*
  * A quota of resources, and what is held of it.  A limit of 0 means that there is
  * none.  unseen may be held besides, as far as is known.
@@ -63,6 +66,8 @@
 
 /* Whether all that is held stays within the limit with the demand added. */
 bool ts_quota_fits(const ts_quota_t *q, const ts_res_t *demand);
+/* Whether less than half of each limit is held. */
+bool ts_quota_below_half(const ts_quota_t *q);
 /*
  * Whether the demand of one task may be added: it fits, or less than half of each
  * limit is held, so that a task larger than the rest has its turn.
--- a/sched/customer.c
+++ b/sched/customer.c
@@ -2,10 +2,17 @@
  * Customers: their settings, and the quotas that their runs hold.
  *
  * A run counts from its order until it is proved to be over, so also one that is
- * stopping or in doubt.  After a change of owner, runs of earlier owners may be
- * unseen until all workers are accounted for; as much as there may be of them
- * counts as held.
+ * stopping or in doubt.  Runs of earlier owners that are not seen yet are counted
+ * by unseen.c.
+ *
+ * Pattern: a customer at its quota, with small tasks waiting behind a large one
+ * that does not fit into the rest.  Whatever a run frees goes to a small task, so
+ * that usage never falls below half of the quota, from where the large one may
+ * start.  Therefore, a step that has been the first to be held for DRAIN_AFTER_MS
+ * makes the customer's steps behind it wait, as long as half of the quota or
+ * more is held.
  */
+#include <inttypes.h>
 #include <stdbool.h>
 #include <stdint.h>
 #include <string.h>
@@ -20,10 +27,17 @@
 
 #define MB_BYTES       ((int64_t)1024 * 1024)
 #define WEIGHT_UNKNOWN 1.0 /* of a customer without settings */
+/* Tasks that end within a second or two are waited for without that. */
+#define DRAIN_AFTER_MS 2000
+/* Counted of one run: the sum of 200,000 of them fits into an int32_t. */
+#define COUNTED_GPUS_MAX 10000
+/* A customer counts as held for so long after a step was; as between two load
+ * events, which report it. */
+#define HELD_MS 1000
 
 /* What a task of the step holds while it runs. */
-static ts_res_t
-demand_of(const step_t *st)
+ts_res_t
+customer_task_demand(const step_t *st)
 {
 	ts_res_t r = { .cpu_milli = st->def->cpu_milli,
 		.mem_bytes = st->def->mem_mb * MB_BYTES,
@@ -32,6 +46,53 @@
 	return r;
 }
 
+/* What all tasks of a step hold. */
+static ts_res_t
+gang_demand(const Sched__Step *d)
+{
+	ts_res_t one = { .cpu_milli = d->cpu_milli,
+		.mem_bytes = d->mem_mb * MB_BYTES,
+		.accel = d->gpu };
+	ts_res_t sum = { 0 };
+
+	ts_res_add_times(&sum, &one, d->count);
+	return sum;
+}
+
+/* A limit in a row or the configuration; no amount is larger than the greatest. */
+static int64_t
+limit_of(int64_t amount)
+{
+	return CLAMP(amount, 0, SCHED_AMOUNT_MAX);
+}
+
+/* Sets the limits of a quota. */
+static void
+set_limits(ts_quota_t *q, int64_t cpu_milli, int64_t mem_mb, int64_t gpu)
+{
+	q->limit.cpu_milli = limit_of(cpu_milli);
+	q->limit.mem_bytes = limit_of(mem_mb) * MB_BYTES;
+	q->limit.accel = limit_of(gpu);
+}
+
+bool
+sched_gangs_fit_quota(const Sched__Job *def, const char **why)
+{
+	ts_quota_t q = { 0 };
+
+	set_limits(
+	    &q, def->quota_cpu_milli, def->quota_mem_mb, def->quota_gpu);
+	*why = "a gang is larger than the customer's quota";
+	for (size_t i = 0; i < def->n_steps; i++) {
+		ts_res_t demand = gang_demand(def->steps[i]);
+
+		if (def->steps[i]->gang && !ts_quota_fits(&q, &demand))
+			return false;
+	}
+	*why = "";
+	return true;
+}
+
 /* Returns the customer with this name; creates it if there is none. */
 customer_t *
 customer_get(sched_t *s, const char *name)
@@ -49,7 +110,8 @@
 
 /*
  * Sets the customer of a new job.  Settings of one that is not in the
- * configuration are those of its jobs' rows.
+ * configuration are those of its last accepted job's row: rows are read in no
+ * order.
  */
 void
 customer_job_added(sched_t *s, job_t *j)
@@ -60,12 +122,21 @@
 	if (def->customer[0] == '\0')
 		return;
 	c = j->customer = customer_get(s, def->customer);
-	if (c->configured)
+	if (c->configured || def->accepted_ms < c->settings_ms)
 		return;
+	c->settings_ms = def->accepted_ms;
 	c->weight = def->weight > 0 ? def->weight : WEIGHT_UNKNOWN;
-	c->quota.limit.cpu_milli = def->quota_cpu_milli;
-	c->quota.limit.mem_bytes = def->quota_mem_mb * MB_BYTES;
-	c->quota.limit.accel = def->quota_gpu;
+	set_limits(&c->quota, def->quota_cpu_milli, def->quota_mem_mb,
+	    def->quota_gpu);
+}
+
+/* Whether a step of the customer behind the held one may start tasks. */
+static bool
+not_drained(const customer_t *c, const step_t *st)
+{
+	return !c->drains || c->first_held == st ||
+	    c->held_pass != st->occ->job->sched->scan.pass ||
+	    ts_quota_below_half(&c->quota);
 }
 
 /* Whether the quota of its customer lets a task of the step start. */
@@ -73,9 +144,10 @@
 customer_allows_start(const step_t *st)
 {
 	const customer_t *c = st->occ->job->customer;
-	ts_res_t demand = demand_of(st);
+	ts_res_t demand = customer_task_demand(st);
 
-	return c == NULL || ts_quota_allows(&c->quota, &demand);
+	return c == NULL ||
+	    (ts_quota_allows(&c->quota, &demand) && not_drained(c, st));
 }
 
 /* Whether the quota of its customer lets all tasks of a gang start. */
@@ -83,34 +155,111 @@
 customer_allows_gang(const step_t *st)
 {
 	const customer_t *c = st->occ->job->customer;
-	ts_res_t demand = demand_of(st);
+	ts_res_t demand = gang_demand(st->def);
+
+	return c == NULL ||
+	    (ts_quota_fits(&c->quota, &demand) && not_drained(c, st));
+}
+
+/*
+ * Whether the task of a run could start again once the run has been stopped:
+ * after its quota was lowered, it could not.
+ */
+bool
+customer_allows_move(const run_t *r)
+{
+	const customer_t *c = r->job->customer;
+	ts_res_t demand = customer_task_demand(r->task->step);
+	ts_quota_t after;
+
+	if (c == NULL)
+		return true;
+	after = c->quota;
+	ts_res_sub(&after.used, &demand);
+	return ts_quota_allows(&after, &demand);
+}
+
+/*
+ * Whether a held step can start once the customer's other tasks have ended,
+ * except those that last.
+ */
+static bool
+drain_helps(const customer_t *c, const step_t *st)
+{
+	ts_quota_t after = c->quota;
+	ts_res_t demand = st->def->gang ? gang_demand(st->def) :
+					  customer_task_demand(st);
 
-	demand.cpu_milli *= st->ntasks;
-	demand.mem_bytes *= st->ntasks;
-	demand.accel *= st->ntasks;
-	return c == NULL || ts_quota_fits(&c->quota, &demand);
+	after.used = c->lasting;
+	return st->def->gang ? ts_quota_fits(&after, &demand) :
+			       ts_quota_allows(&after, &demand);
 }
 
-/* Counts what a run holds at its customer (sign 1), or no longer (-1). */
+/* Notes that a step is held in this pass. */
+static void
+note_held(sched_t *s, customer_t *c, step_t *st)
+{
+	if (c->held_pass != s->scan.pass) {
+		if (c->first_held != st) {
+			c->first_held = st;
+			c->first_held_ms = s->now_ms;
+		}
+		c->drains = s->now_ms - c->first_held_ms >= DRAIN_AFTER_MS &&
+		    drain_helps(c, st);
+	}
+	c->held_pass = s->scan.pass;
+	c->held_ms = s->now_ms;
+	s->stats.quota_waits += !st->quota_held;
+	/* Workers may change while it is held. */
+	st->unplaced_round = 0;
+	st->isolated = false;
+}
+
+/*
+ * Whether the quota of its customer holds a waiting step in this pass; then it
+ * counts as not offered any worker.
+ */
+bool
+customer_holds(sched_t *s, step_t *st)
+{
+	customer_t *c = st->occ->job->customer;
+	bool held = c != NULL &&
+	    !(st->def->gang ? customer_allows_gang(st) :
+			      customer_allows_start(st));
+
+	if (held)
+		note_held(s, c, st);
+	st->quota_held = held;
+	return held;
+}
+
+/*
+ * Counts what a run holds at its customer (sign 1), or no longer (-1).  The sum
+ * of memory does not overflow with fewer than 8,000 runs of the largest size.
+ */
 void
 customer_count_run(const run_t *r, int sign)
 {
+	const step_t *st = r->task->step;
 	customer_t *c = r->job->customer;
-	ts_res_t demand = demand_of(r->task->step);
+	ts_res_t demand = customer_task_demand(st);
 
 	if (c == NULL)
 		return;
-	if (sign > 0)
+	demand.accel = MIN(demand.accel, COUNTED_GPUS_MAX);
+	if (sign > 0) {
 		ts_res_add(&c->quota.used, &demand);
-	else
+		if (st->def->lasting)
+			ts_res_add(&c->lasting, &demand);
+	} else {
 		ts_res_sub(&c->quota.used, &demand);
-}
-
-/* Updates what runs of earlier owners that were not seen yet may hold. */
-void
-customer_count_unseen(sched_t *s)
-{
-	(void)s;
+		if (st->def->lasting)
+			ts_res_sub(&c->lasting, &demand);
+	}
+	if (sign > 0 && c->first_held == st) {
+		c->first_held = NULL;
+		c->drains = false;
+	}
 }
 
 /* Forgets what runs hold, as all runs are discarded. */
@@ -126,6 +275,39 @@
 
 		memset(&c->quota.used, 0, sizeof(c->quota.used));
 		memset(&c->quota.unseen, 0, sizeof(c->quota.unseen));
+		memset(&c->lasting, 0, sizeof(c->lasting));
+		memset(&c->may_ended, 0, sizeof(c->may_ended));
+		c->first_held = NULL;
+		c->drains = c->held = false;
+		c->held_ms = 0;
+	}
+	s->unseen_counted = false;
+}
+
+/* Logs which customers have begun or ceased to be held.  Called once a second. */
+void
+customer_log_held(sched_t *s)
+{
+	GHashTableIter it;
+	void *v;
+
+	g_hash_table_iter_init(&it, s->customers);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		customer_t *c = v;
+		const ts_quota_t *q = &c->quota;
+		bool held =
+		    c->held_ms != 0 && s->now_ms - c->held_ms < HELD_MS;
+
+		if (held == c->held)
+			continue;
+		c->held = held;
+		LOG_EVENT(s, SCHED_EVT_QUOTA, c->name,
+		    "held=%d cpu=%" PRId64 "/%" PRId64 " mem_mb=%" PRId64
+		    "/%" PRId64 " gpu=%d/%d"
+		    " unseen_cpu=%" PRId64,
+		    held, q->used.cpu_milli, q->limit.cpu_milli,
+		    q->used.mem_bytes / MB_BYTES, q->limit.mem_bytes / MB_BYTES,
+		    q->used.accel, q->limit.accel, q->unseen.cpu_milli);
 	}
 }
 
@@ -145,9 +327,8 @@
 
 		c->configured = true;
 		c->weight = list[i].weight;
-		c->quota.limit.cpu_milli = list[i].quota_cpu_milli;
-		c->quota.limit.mem_bytes = list[i].quota_mem_mb * MB_BYTES;
-		c->quota.limit.accel = list[i].quota_gpu;
+		set_limits(&c->quota, list[i].quota_cpu_milli,
+		    list[i].quota_mem_mb, list[i].quota_gpu);
 	}
 	if (n > 0)
 		scan_begin_round(s);
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -13,7 +13,8 @@
  * - isolation.c, pacing.c: keeping them from doing so;
  * - straggler.c, suspect.c: slow workers and late runs; workers that fail tasks;
  * - starvation.c: late work that is passed over;
- * - customer.c, share.c: customers, their quotas and their shares of the room;
+ * - customer.c, unseen.c, share.c: customers, their quotas and their shares of
+ *   the room;
  * - overload.c, admission.c: what is delayed and what is refused when there is
  *   too little room;
  * - crash.c, quarantine.c: tasks that crash their workers;
@@ -42,6 +43,10 @@
 #define IMAGES_MAX	      64   /* images whose interference is learned */
 #define RUN_NUMBERS_PER_OWNER 1000 /* for the runs of a task by one owner */
 
+/* A slowed start may bring what a worker's fillers declare to so many times its
+ * processors. */
+#define PLACE_FILLER_CPU_TIMES 2
+
 /* Rows of the footprint; each is below 64 KiB with 29,000 workers. */
 #define FOOTPRINT_ROWS 64
 
@@ -128,6 +133,7 @@
 	uint64_t unmovable_round;  /* the same for a task that runs */
 	/* In unplaced_round, only isolation.c kept it from some worker. */
 	bool isolated;
+	bool quota_held; /* in the last pass, by its customer's quota */
 	/* Wall clock: the latest start that can still meet the job's target. */
 	int64_t latest_start_ms;
 	bool misses_target;    /* latest_start_ms has passed */
@@ -168,12 +174,30 @@
 	int32_t waiting_jobs;	   /* open jobs that have not started */
 } queue_t;
 
+/* What tasks hold if they run; the processor time of fillers apart. */
+typedef struct {
+	ts_res_t res;
+	int64_t filler_cpu_milli;
+} task_sum_t;
+
 /* A customer's settings, what its runs hold and what it received lately. */
 struct customer {
-	const char *name; /* interned */
-	bool configured;  /* in the configuration now in force */
-	double weight;	  /* more than 0 */
-	ts_quota_t quota; /* of its runs in any state */
+	const char *name;     /* interned */
+	bool configured;      /* in the configuration now in force */
+	int64_t settings_ms;  /* if not: when the job was accepted whose row
+			       * they come from, since 1970 */
+	double weight;	      /* more than 0 */
+	ts_quota_t quota;     /* of its runs in any state */
+	ts_res_t lasting;     /* held by its lasting tasks */
+	task_sum_t may_run;   /* tasks that may run unseen; see unseen.c */
+	task_sum_t may_ended; /* the same, of jobs that are removed */
+	/* Steps held by the quota; see customer.c. */
+	const step_t *first_held;  /* in the last pass.  Never dereferenced. */
+	int64_t first_held_ms;	   /* since when it is the first */
+	uint64_t held_pass;	   /* last pass that held a step */
+	int64_t held_ms;	   /* when that was; 0: never */
+	bool drains;		   /* its other steps wait for first_held */
+	bool held;		   /* as last logged */
 	customer_share_t share;
 };
 
@@ -405,6 +429,7 @@
 /* Which workers a pass over the queue looks at; see scan.c. */
 typedef struct {
 	uint64_t round;	    /* the number of the present round */
+	uint64_t pass;	    /* the number of the present or last pass */
 	GPtrArray *changed; /* of worker_t */
 	guint next;	    /* index of the first worker to look at */
 	/* Values of stats.places when the round and the pass began. */
@@ -422,6 +447,9 @@
 	GHashTable *jobs;      /* id -> job_t */
 	GHashTable *queues;    /* name -> queue_t */
 	GHashTable *customers; /* name -> customer_t */
+	bool unseen_stale;     /* unseen.c is to count before the next pass */
+	bool unseen_counted;   /* some customer may have unseen runs */
+	guint nunknown;	       /* runs whose job is not known */
 	GHashTable *workers;   /* id -> worker_t */
 	GPtrArray *worker_list;
 	GHashTable *runs;   /* id -> run_t */
@@ -490,11 +518,19 @@
 /* customer.c */
 customer_t *customer_get(sched_t *s, const char *name);
 void customer_job_added(sched_t *s, job_t *j);
+ts_res_t customer_task_demand(const step_t *st);
 bool customer_allows_start(const step_t *st);
 bool customer_allows_gang(const step_t *st);
+bool customer_allows_move(const run_t *r);
+bool customer_holds(sched_t *s, step_t *st);
 void customer_count_run(const run_t *r, int sign);
-void customer_count_unseen(sched_t *s);
 void customer_forget_runs(sched_t *s);
+void customer_log_held(sched_t *s);
+
+/* unseen.c */
+void customer_count_unseen(sched_t *s);
+void customer_job_loaded(sched_t *s, job_t *j);
+void customer_job_removed(sched_t *s, const job_t *j);
 
 /* share.c */
 void share_job_accepted(sched_t *s, job_t *j);
@@ -560,13 +596,14 @@
 void run_set_state(sched_t *s, run_t *r, run_state_t state);
 void run_remove(sched_t *s, run_t *r);
 void run_mark_job_started(sched_t *s, job_t *j);
-void run_start(sched_t *s, task_t *t, worker_t *w, int64_t number);
+bool run_start(sched_t *s, task_t *t, worker_t *w, int64_t number);
 void start_waiting_tasks(sched_t *s);
 int64_t start_run_number(sched_t *s, const task_t *t);
 void run_stop(sched_t *s, run_t *r, const char *why);
 void run_set_pace(sched_t *s, run_t *r, int32_t percent);
 void run_order_done(
     sched_t *s, run_t *r, sched_order_result_t res, int64_t clock_ms);
+void report_job_known(sched_t *s, job_t *j);
 void report_apply(sched_t *s, worker_t *w, const sched_report_t *report,
     int64_t poll_sent_ms);
 void run_worker_lost(sched_t *s, worker_t *w, const char *why);
@@ -637,7 +674,7 @@
 bool starvation_is_starved(const sched_t *s, const step_t *st);
 bool starvation_may_slow(const sched_t *s, const step_t *st);
 void starvation_job_idle(job_t *j);
-void starvation_run_start(
+bool starvation_run_start(
     sched_t *s, const step_t *st, task_t *t, worker_t *w, int64_t number);
 bool starvation_start(sched_t *s, step_t *st);
 
@@ -687,6 +724,7 @@
 void ownership_set_store_outage(sched_t *s, bool for_all, int64_t last_ms);
 bool ownership_may_start_tasks(const sched_t *s);
 GByteArray *ownership_pack_row(sched_t *s, bool released);
+bool ownership_worker_unseen(const sched_t *s, const worker_t *w);
 bool ownership_may_start_step(const sched_t *s, const step_t *st);
 
 #endif
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -156,8 +156,9 @@
 		cell_worker_assume_longest_lease(s, w);
 	}
 	g_hash_table_remove_all(s->runs);
-	customer_forget_runs(s);
+	s->nunknown = 0;
 	g_hash_table_remove_all(s->jobs);
+	customer_forget_runs(s);
 	g_hash_table_remove_all(s->loaded_progress);
 	g_hash_table_remove_all(s->ended_jobs);
 	s->cell.footprint_bad = false;
@@ -335,6 +336,14 @@
 	    w->lease_end_store_ms + STORE_CLOCK_MARGIN_MS;
 }
 
+/* Whether a worker may have runs of earlier owners that are not known here. */
+bool
+ownership_worker_unseen(const sched_t *s, const worker_t *w)
+{
+	return w->footprint_stored && !w->has_answered &&
+	    s->now_ms < s->cell.old_leases_end_ms && !old_lease_ended(s, w);
+}
+
 /*
  * Whether each worker that earlier owners used has answered a poll, has been
  * replaced by another process, or is free of their leases, and none has ended
@@ -352,8 +361,7 @@
 
 		if (w->ended_cut && !w->silent)
 			return false;
-		if (w->footprint_stored && !w->has_answered && !leases_ended &&
-		    !old_lease_ended(s, w))
+		if (ownership_worker_unseen(s, w))
 			return false;
 	}
 	return true;
@@ -388,6 +396,7 @@
 	if (c->state == CELL_OWNED && !c->workers_accounted &&
 	    all_workers_accounted(s)) {
 		c->workers_accounted = true;
+		s->unseen_stale = true;
 		s->start_pass_due = true;
 	}
 	if (c->state != CELL_FOLLOWING || c->releasing || !c->row_read ||
--- a/sched/pacing.c
+++ b/sched/pacing.c
@@ -241,7 +241,7 @@
 	if (t->run != r || s->now_ms - w->filler_moved_ms < MOVE_GAP_MS ||
 	    (!t->step->def->checkpoints && r->wanted_pace_pct > 0))
 		return false;
-	return place_elsewhere(s, r) != NULL;
+	return customer_allows_move(r) && place_elsewhere(s, r) != NULL;
 }
 
 /* Sets the wanted pace of a filler run; run_resend_orders sends it. */
--- a/sched/place.c
+++ b/sched/place.c
@@ -19,9 +19,6 @@
  * the rest is available to filler tasks.
  */
 #define SERVING_PEAK_USE_PCT 50
-/* A slowed start may bring what a worker's fillers declare to so many times its
- * processors. */
-#define SLOWED_CPU_TIMES 2
 /* So many workers that can take a task are compared, if there are more. */
 #define ENOUGH_WORKERS 64
 /*
@@ -86,7 +83,7 @@
 		return false;
 	if (d->filler)
 		return w->filler_cpu_milli + d->cpu_milli <=
-		    (slowed ? SLOWED_CPU_TIMES * w->cpu_milli :
+		    (slowed ? PLACE_FILLER_CPU_TIMES * w->cpu_milli :
 			      filler_capacity(w));
 	return w->used_cpu_milli + d->cpu_milli <= w->cpu_milli;
 }
--- a/sched/quarantine.c
+++ b/sched/quarantine.c
@@ -136,7 +136,11 @@
 quarantine_start(sched_t *s, step_t *st, task_t *t)
 {
 	worker_t *reserved = reserved_worker(s, t), *w = NULL;
+	bool started;
 
+	/* No worker is reserved, nor a run stored, for a start that must wait. */
+	if (!customer_allows_start(st))
+		return false;
 	/* A row can't be stored during an outage of the store. */
 	if (!s->cell.store_outage && (reserved != NULL || may_reserve(s)))
 		w = place_alone(s, st, t, reserved);
@@ -153,10 +157,11 @@
 	if (has_new_runs(w) || !trial_stored(s, t) ||
 	    s->now_ms - w->lease.answered_ms > ANSWERED_MS)
 		return false;
-	if (starvation_may_slow(s, st))
-		starvation_run_start(s, st, t, w, t->crashes->trial_run);
-	else
-		run_start(s, t, w, t->crashes->trial_run);
+	started = starvation_may_slow(s, st) ?
+	    starvation_run_start(s, st, t, w, t->crashes->trial_run) :
+	    run_start(s, t, w, t->crashes->trial_run);
+	if (!started)
+		return false;
 	w->quarantined_run = t->run;
 	w->reserved_until_ms = 0;
 	return true;
--- a/sched/report.c
+++ b/sched/report.c
@@ -225,9 +225,10 @@
 	r->first_seen_ms = s->now_ms;
 	r->first_seen_percent = MAX(1, entry->percent);
 	r->percent = entry->percent;
-	if (t == NULL)
+	if (t == NULL) {
 		w->nunknown++;
-	else {
+		s->nunknown++;
+	} else {
 		run_reserve_resources(r, t);
 		crash_run_listed(s, t, entry->run);
 		t->last_run_number = MAX(t->last_run_number, entry->run);
@@ -256,6 +257,35 @@
 	return r;
 }
 
+/*
+ * The row of a job is read: runs of it that were reported before, which are
+ * being stopped, hold resources that are now known.
+ */
+void
+report_job_known(sched_t *s, job_t *j)
+{
+	GHashTableIter it;
+	void *v;
+
+	if (s->nunknown == 0)
+		return;
+	g_hash_table_iter_init(&it, s->runs);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		run_t *r = v;
+		task_t *t;
+
+		if (r->task != NULL || !g_str_has_prefix(r->name, j->id))
+			continue;
+		t = job_find_task(j, r->name);
+		if (t == NULL)
+			continue;
+		r->worker->nunknown--;
+		s->nunknown--;
+		run_reserve_resources(r, t);
+		t->last_run_number = MAX(t->last_run_number, r->number);
+	}
+}
+
 /* Updates a run with its entry in the present report. */
 static void
 update_run(sched_t *s, run_t *r, const sched_running_t *entry)
@@ -305,6 +335,7 @@
 	if (!w->has_answered || w->silent) {
 		LOG_EVENT(
 		    s, SCHED_EVT_WORKER_BACK, w->id, "silent=%d", w->silent);
+		s->unseen_stale = true;
 		scan_worker_changed(s, w);
 	}
 	w->has_answered = true;
--- a/sched/rows.c
+++ b/sched/rows.c
@@ -48,6 +48,7 @@
 	j->row_stored = p != NULL;
 	j->maybe_started_before = row->version <= s->cell.token &&
 	    (j->row_stored || !s->cell.rows_before_starts);
+	customer_job_loaded(s, j);
 	LOG_EVENT(s, SCHED_EVT_JOB_SEEN, id,
 	    "queue=%s steps=%zu version=%" PRId64 " age=%" PRId64,
 	    j->queue->name, def->n_steps, row->version,
@@ -190,6 +191,7 @@
 	all = g_hash_table_get_values(s->jobs);
 	for (GList *i = all; i != NULL; i = i->next)
 		open_loaded_job(s, i->data);
+	customer_count_unseen(s);
 	stats_count_waiting_jobs(s);
 	for (guint i = 0; i < s->worker_list->len; i++)
 		poll_soon(s, g_ptr_array_index(s->worker_list, i));
--- a/sched/run.c
+++ b/sched/run.c
@@ -160,8 +160,10 @@
 			j->idle_since_ms = s->now_ms;
 			starvation_job_idle(j);
 		}
-	} else
+	} else {
 		r->worker->nunknown--;
+		s->nunknown--;
+	}
 	if (t != NULL && t->speculative_run == r)
 		t->speculative_run = NULL;
 	if (t != NULL && t->run == r) {
@@ -178,14 +180,16 @@
 
 /*
  * Creates a run of a waiting task, or a speculative run of one that has a run,
- * and orders the worker to start it.
+ * and orders the worker to start it.  False: the customer's quota forbids it.
  */
-void
+bool
 run_start(sched_t *s, task_t *t, worker_t *w, int64_t number)
 {
 	char name[64];
 	run_t *r;
 
+	if (!customer_allows_start(t->step))
+		return false;
 	job_task_name(t, name, sizeof(name));
 	r = run_new(s, name, w, number);
 	run_reserve_resources(r, t);
@@ -207,6 +211,7 @@
 	    number, w->id, s->cell.token, t->step->latest_start_ms - s->wall_ms,
 	    s->now_ms - w->lease.answered_ms);
 	send_order(s, r, SCHED_START);
+	return true;
 }
 
 /*
--- a/sched/scan.c
+++ b/sched/scan.c
@@ -54,6 +54,7 @@
 void
 scan_begin_pass(sched_t *s)
 {
+	s->scan.pass++;
 	s->scan.pass_looks = s->stats.places;
 	s->scan.stopped_at = 0;
 }
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -24,6 +24,7 @@
 static void
 remove_job(sched_t *s, job_t *j)
 {
+	customer_job_removed(s, j);
 	g_hash_table_remove(s->dirty_jobs, j);
 	g_ptr_array_remove(s->recurring_jobs, j);
 	job_free(j);
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -212,7 +212,8 @@
 	SCHED_EVT_TASK_SUSPECT = 635,
 	SCHED_EVT_TASK_GIVEN_UP = 636,
 	SCHED_EVT_ZONE = 641,
-	SCHED_EVT_LOAD = 642
+	SCHED_EVT_LOAD = 642,
+	SCHED_EVT_QUOTA = 645
 } sched_evt_t;
 
 /* Calls from the scheduler to the embedding program. */
@@ -333,6 +334,12 @@
 void sched_set_customers(
     sched_t *s, const sched_customer_t *list, size_t n, int64_t now_ms);
 
+/*
+ * Checks that each gang of a job is within its customer's quota, as given in the
+ * job: a larger one can never start.  Sets why if false is returned.
+ */
+bool sched_gangs_fit_quota(const Sched__Job *def, const char **why);
+
 /* Whether a submission is accepted, as far as room goes. */
 typedef enum {
 	SCHED_ADMITTED,
@@ -398,13 +405,14 @@
  * no longer reports or whose lease has expired; adopted, runs taken over from
  * an earlier owner; orphans, runs found on a worker that no task needs, which
  * are stopped; deposed, ends of this entry's ownership, also by a release;
- * writes, flushes; paces, pace orders; places, workers that placement looked at; queued, steps with tasks to be started;
+ * writes, flushes; paces, pace orders; places, workers that placement looked at; quota_waits, times
+ * that a step began to wait for its customer's quota; queued, steps with tasks to be started;
  * running, runs in any state.
  */
 typedef struct {
 	uint64_t starts, start_rejects, start_unknown, stops, done, failed,
 	    lost, adopted, orphans, claims, deposed, writes, polls, paces,
-	    places;
+	    places, quota_waits;
 	int64_t jobs, queued, running, workers;
 } sched_stats_t;
 sched_stats_t sched_stats(const sched_t *s);
--- a/sched/start.c
+++ b/sched/start.c
@@ -102,8 +102,7 @@
 		w = place_task(s, st, t);
 		if (w == NULL)
 			break;
-		run_start(s, t, w, start_run_number(s, t));
-		n++;
+		n += run_start(s, t, w, start_run_number(s, t));
 	}
 	return n;
 }
@@ -140,14 +139,25 @@
 	    !has_row(s, st, pos < STORED_AHEAD))
 		return 0;
 	n = start_step(s, st);
-	if (n == 0 && !searched && customer_allows_start(st) &&
-	    starvation_start(s, st))
+	if (n == 0 && !searched && starvation_start(s, st))
 		n = 1;
 	if (st->nwaiting > 0)
 		approval_request_if_needed(s, st);
 	return n;
 }
 
+/*
+ * Whether only its customer's quota keeps a queued step from being offered
+ * workers.  Such a step takes no place at the head of the queue, and its job no
+ * row that is stored in advance.
+ */
+static bool
+waits_for_quota(sched_t *s, step_t *st)
+{
+	return st->nwaiting > 0 && ownership_may_start_step(s, st) &&
+	    customer_holds(s, st);
+}
+
 /*
  * Makes one pass over the queued steps, in the order of the queue, and starts
  * tasks.  After a pass that reaches a limit, the next tick makes another.
@@ -158,6 +168,8 @@
 	GSequenceIter *i = g_sequence_get_begin_iter(s->ready_steps), *next;
 	int32_t started = 0, pos = 0, searches = 0;
 
+	if (s->unseen_stale)
+		customer_count_unseen(s);
 	scan_begin_pass(s);
 	while (!g_sequence_iter_is_end(i) && started < STARTS_PER_PASS &&
 	    searches < SEARCHES_PER_PASS) {
@@ -165,6 +177,10 @@
 		bool searched = scan_has_searched(s, st);
 
 		next = g_sequence_iter_next(i);
+		if (waits_for_quota(s, st)) {
+			i = next;
+			continue;
+		}
 		if (scan_offers(s, st, pos))
 			started += offer_step(s, st, pos);
 		searches += !searched && scan_has_searched(s, st);
--- a/sched/starvation.c
+++ b/sched/starvation.c
@@ -60,19 +60,24 @@
 	}
 }
 
-/* Starts a task on a worker, slowed if the serving tasks there need that. */
-void
+/*
+ * Starts a task on a worker, slowed if the serving tasks there need that.  False:
+ * the customer's quota forbids it.
+ */
+bool
 starvation_run_start(
     sched_t *s, const step_t *st, task_t *t, worker_t *w, int64_t number)
 {
 	bool full_speed = isolation_margin(s, w, st) >= 0;
 
-	run_start(s, t, w, number);
+	if (!run_start(s, t, w, number))
+		return false;
 	/* It starts standing still; pacing.c raises the pace as it can. */
 	if (!full_speed)
 		t->run->wanted_pace_pct = 0;
 	/* Makes pacing_report set paces even if none was slowed before. */
 	w->fillers_pace_pct = 0;
+	return true;
 }
 
 /*
@@ -85,7 +90,7 @@
 	task_t *t = NULL;
 	worker_t *w;
 
-	if (!starvation_may_slow(s, st))
+	if (!starvation_may_slow(s, st) || !customer_allows_start(st))
 		return false;
 	for (int32_t i = 0; t == NULL && i < st->ntasks; i++)
 		if (st->tasks[i].state == TASK_WAITING &&
@@ -95,6 +100,5 @@
 	w = t == NULL ? NULL : place_slowed(s, st, t);
 	if (w == NULL)
 		return false;
-	starvation_run_start(s, st, t, w, start_run_number(s, t));
-	return true;
+	return starvation_run_start(s, st, t, w, start_run_number(s, t));
 }
--- a/sched/stats.c
+++ b/sched/stats.c
@@ -41,7 +41,7 @@
 stats_log(sched_t *s)
 {
 	int64_t waiting = 0, past_target = 0, cpu = 0, used = 0, filler = 0;
-	int64_t isolated = 0, longest_idle_ms = 0;
+	int64_t isolated = 0, quota_blocked = 0, longest_idle_ms = 0;
 	int32_t usable = 0, slowed = 0;
 	GHashTableIter it;
 	void *v;
@@ -53,6 +53,7 @@
 		waiting += st->nwaiting;
 		past_target += st->misses_target ? st->nwaiting : 0;
 		isolated += st->isolated ? st->nwaiting : 0;
+		quota_blocked += st->quota_held ? st->nwaiting : 0;
 		if (st->occ->job->nruns == 0)
 			longest_idle_ms = MAX(longest_idle_ms,
 			    s->now_ms - st->occ->job->idle_since_ms);
@@ -71,11 +72,14 @@
 	LOG_EVENT(s, SCHED_EVT_LOAD, "cell",
 	    "jobs=%u runs=%u waiting=%d past_target=%d isolated=%d "
 	    "longest_idle=%" PRId64 " workers=%u usable=%d "
-	    "cpu=%d used=%d filler=%d slowed=%d workers_accounted=%d",
+	    "cpu=%d used=%d filler=%d slowed=%d workers_accounted=%d "
+	    "quota_blocked=%d",
 	    g_hash_table_size(s->jobs), g_hash_table_size(s->runs),
 	    (int)waiting, (int)past_target, (int)isolated, longest_idle_ms,
 	    s->worker_list->len, usable, (int)(cpu / 1000), (int)(used / 1000),
-	    (int)(filler / 1000), slowed, s->cell.workers_accounted);
+	    (int)(filler / 1000), slowed, s->cell.workers_accounted,
+	    (int)quota_blocked);
+	customer_log_held(s);
 }
 
 int32_t
--- a/sched/straggler.c
+++ b/sched/straggler.c
@@ -138,8 +138,11 @@
 static void
 start_speculative_run(sched_t *s, run_t *r)
 {
-	worker_t *w = place_elsewhere(s, r);
+	worker_t *w;
 
+	if (!customer_allows_start(r->task->step))
+		return;
+	w = place_elsewhere(s, r);
 	if (w == NULL)
 		return;
 	run_start(s, r->task, w, start_run_number(s, r->task));
@@ -169,7 +172,7 @@
 		}
 		return false;
 	}
-	if (!w->slow || !better_elsewhere(w, r) ||
+	if (!w->slow || !better_elsewhere(w, r) || !customer_allows_move(r) ||
 	    place_elsewhere(s, r) == NULL)
 		return false;
 	r->task->avoid_worker = w->id;
@@ -196,7 +199,7 @@
 	    (100 - r->percent) * expected_ms(r->task->step) / 100 <
 		MIN_REMAINING_MS)
 		return false;
-	if (place_elsewhere(s, r) == NULL)
+	if (!customer_allows_move(r) || place_elsewhere(s, r) == NULL)
 		return false;
 	run_stop(s, r, "the worker is draining");
 	return true;
--- /dev/null
+++ b/sched/unseen.c
@@ -0,0 +1,188 @@
+/*
+ * What runs of earlier owners may hold of a customer's quota while this owner has
+ * not seen them all.
+ *
+ * A worker that has answered a poll has shown all its runs.  The others that
+ * earlier owners used may run, together, any task that is not known to be over:
+ * each customer's unseen usage is at most that of such tasks, and at most what
+ * these workers have room for.
+ */
+#include <stdbool.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "../proto/sched.pb-c.h"
+#include "tanagerspool.h"
+#include "sched.h"
+#include "headroom.h"
+#include "internal.h"
+
+#define MB_BYTES ((int64_t)1024 * 1024)
+
+/*
+ * Number of runs of a step's tasks that an earlier owner may have started, and
+ * that are neither known nor known to be over.  Where two runs of a task may
+ * exist, one that is known does not exclude others; and when a task is done, its
+ * other run may still have to be stopped.
+ */
+static int64_t
+max_unseen_runs(const step_t *st)
+{
+	if (!st->occ->job->maybe_started_before || st->not_started_before)
+		return 0;
+	if (!st->def->duplicates)
+		return st->nwaiting;
+	return (int64_t)2 * (st->ntasks - st->ndone) + st->ndone;
+}
+
+/* Adds the unseen runs that a job may have. */
+static void
+add_job(task_sum_t *sum, const job_t *j)
+{
+	for (guint i = 0; i < j->occs->len; i++) {
+		const occurrence_t *o = g_ptr_array_index(j->occs, i);
+
+		for (size_t k = 0; k < j->def->n_steps; k++) {
+			const step_t *st = &o->steps[k];
+			int64_t n = max_unseen_runs(st);
+			ts_res_t d = customer_task_demand(st);
+
+			if (st->def->filler) {
+				ts_res_t cpu = { sum->filler_cpu_milli, 0, 0 };
+
+				ts_res_add_times(&cpu, &d, n);
+				sum->filler_cpu_milli = cpu.cpu_milli;
+				d.cpu_milli = 0;
+			}
+			ts_res_add_times(&sum->res, &d, n);
+		}
+	}
+}
+
+/*
+ * Sums what the workers have that may have unseen runs.  No limit is known if the
+ * set of these workers is not, or the resources of one.
+ */
+static task_sum_t
+unseen_capacity(const sched_t *s)
+{
+	static const task_sum_t unlimited = {
+		{ INT64_MAX, INT64_MAX, INT32_MAX }, INT64_MAX
+	};
+	task_sum_t sum = { 0 };
+	ts_res_t fillers = { 0 };
+
+	if (s->cell.footprint_bad && s->now_ms < s->cell.old_leases_end_ms)
+		return unlimited;
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		const worker_t *w = g_ptr_array_index(s->worker_list, i);
+		ts_res_t has = { w->cpu_milli, w->mem_mb * MB_BYTES, w->gpu };
+
+		if (!ownership_worker_unseen(s, w))
+			continue;
+		if (w->cpu_milli == 0)
+			return unlimited;
+		ts_res_add_times(&sum.res, &has, 1);
+		ts_res_add_times(&fillers, &has, PLACE_FILLER_CPU_TIMES);
+	}
+	sum.filler_cpu_milli = fillers.cpu_milli;
+	return sum;
+}
+
+/* Sets the unseen usage of a customer; capacity: of the workers not seen. */
+static void
+set_unseen(customer_t *c, const task_sum_t *capacity)
+{
+	const task_sum_t *m = &c->may_run;
+	ts_res_t fillers = { MIN(m->filler_cpu_milli,
+				 capacity->filler_cpu_milli),
+		0, 0 };
+	ts_res_t *u = &c->quota.unseen;
+
+	u->cpu_milli = MIN(m->res.cpu_milli, capacity->res.cpu_milli);
+	u->mem_bytes = MIN(m->res.mem_bytes, capacity->res.mem_bytes);
+	u->accel = MIN(m->res.accel, capacity->res.accel);
+	ts_res_add_times(u, &fillers, 1);
+}
+
+/* Updates the unseen usage of all customers from the jobs. */
+static void
+count_all(sched_t *s)
+{
+	task_sum_t capacity = unseen_capacity(s);
+	GHashTableIter it;
+	void *v;
+
+	g_hash_table_iter_init(&it, s->customers);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		((customer_t *)v)->may_run = ((customer_t *)v)->may_ended;
+	g_hash_table_iter_init(&it, s->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const job_t *j = v;
+
+		if (j->customer != NULL && j->maybe_started_before)
+			add_job(&j->customer->may_run, j);
+	}
+	g_hash_table_iter_init(&it, s->customers);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		set_unseen(v, &capacity);
+}
+
+/* Nothing of earlier owners can be unseen any more. */
+static void
+clear_all(sched_t *s)
+{
+	GHashTableIter it;
+	void *v;
+
+	g_hash_table_iter_init(&it, s->customers);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		customer_t *c = v;
+
+		memset(&c->quota.unseen, 0, sizeof(c->quota.unseen));
+		memset(&c->may_ended, 0, sizeof(c->may_ended));
+	}
+}
+
+/*
+ * Updates what runs of earlier owners that were not seen yet may hold.  Called a
+ * few times a second, and before a pass if a worker has answered for the first
+ * time since.
+ */
+void
+customer_count_unseen(sched_t *s)
+{
+	s->unseen_stale = false;
+	if (s->cell.workers_accounted) {
+		if (s->unseen_counted)
+			clear_all(s);
+		s->unseen_counted = false;
+		return;
+	}
+	if (g_hash_table_size(s->customers) == 0)
+		return;
+	s->unseen_counted = true;
+	s->start_pass_due = true;
+	count_all(s);
+}
+
+/* The row of a job was read, perhaps after its runs or after the takeover. */
+void
+customer_job_loaded(sched_t *s, job_t *j)
+{
+	report_job_known(s, j);
+	if (s->cell.state == CELL_OWNED && j->customer != NULL &&
+	    j->maybe_started_before)
+		customer_count_unseen(s);
+}
+
+/* Unseen runs of a job count also when the job itself is no longer kept. */
+void
+customer_job_removed(sched_t *s, const job_t *j)
+{
+	if (s->cell.state == CELL_OWNED && !s->cell.workers_accounted &&
+	    j->customer != NULL)
+		add_job(&j->customer->may_ended, j);
+}
--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -66,7 +66,7 @@
 	job->stretch = queue->stretch;
 	job->target_ms = queue->target_ms;
 	job->accepted_ms = node_wall_ms(n);
-	if (!sched_job_valid(job, &why)) {
+	if (!sched_job_valid(job, &why) || !sched_gangs_fit_quota(job, &why)) {
 		g_set_error(err, SERVE_ERROR, SERVE_INVALID_JOB, "%s", why);
 		sched__job__free_unpacked(job, NULL);
 		return NULL;
