Quotas: runs of a stopped job count after a takeover

A job that was cancelled or failed is not loaded by a new owner, while a worker that does not answer may still have its runs. Its row is read for them if it ended within 15 s.

--- a/sched/customer.c
+++ b/sched/customer.c
@@ -37,11 +37,11 @@
 
 /* What a task of the step holds while it runs. */
 ts_res_t
-customer_task_demand(const step_t *st)
+customer_task_demand(const Sched__Step *d)
 {
-	ts_res_t r = { .cpu_milli = st->def->cpu_milli,
-		.mem_bytes = st->def->mem_mb * MB_BYTES,
-		.accel = st->def->gpu };
+	ts_res_t r = { .cpu_milli = d->cpu_milli,
+		.mem_bytes = d->mem_mb * MB_BYTES,
+		.accel = d->gpu };
 
 	return r;
 }
@@ -50,9 +50,7 @@
 static ts_res_t
 gang_demand(const Sched__Step *d)
 {
-	ts_res_t one = { .cpu_milli = d->cpu_milli,
-		.mem_bytes = d->mem_mb * MB_BYTES,
-		.accel = d->gpu };
+	ts_res_t one = customer_task_demand(d);
 	ts_res_t sum = { 0 };
 
 	ts_res_add_times(&sum, &one, d->count);
@@ -144,7 +142,7 @@
 customer_allows_start(const step_t *st)
 {
 	const customer_t *c = st->occ->job->customer;
-	ts_res_t demand = customer_task_demand(st);
+	ts_res_t demand = customer_task_demand(st->def);
 
 	return c == NULL ||
 	    (ts_quota_allows(&c->quota, &demand) && not_drained(c, st));
@@ -169,7 +167,7 @@
 customer_allows_move(const run_t *r)
 {
 	const customer_t *c = r->job->customer;
-	ts_res_t demand = customer_task_demand(r->task->step);
+	ts_res_t demand = customer_task_demand(r->task->step->def);
 	ts_quota_t after;
 
 	if (c == NULL)
@@ -188,7 +186,7 @@
 {
 	ts_quota_t after = c->quota;
 	ts_res_t demand = st->def->gang ? gang_demand(st->def) :
-					  customer_task_demand(st);
+					  customer_task_demand(st->def);
 
 	after.used = c->lasting;
 	return st->def->gang ? ts_quota_fits(&after, &demand) :
@@ -242,7 +240,7 @@
 {
 	const step_t *st = r->task->step;
 	customer_t *c = r->job->customer;
-	ts_res_t demand = customer_task_demand(st);
+	ts_res_t demand = customer_task_demand(st->def);
 
 	if (c == NULL)
 		return;
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -466,6 +466,8 @@
 	 * read, which stays until the cell is lost. */
 	GHashTable *loaded_progress;
 	GHashTable *ended_jobs;	   /* id -> ended_job_t of purge.c */
+	/* While loading: ids of jobs whose runs may be being stopped. */
+	GHashTable *stopped_jobs;
 	GSequence *ready_steps;	   /* step_t with waiting tasks, sorted */
 	GHashTable *dirty_jobs;	   /* set of job_t */
 	GPtrArray *recurring_jobs; /* jobs that repeat */
@@ -518,7 +520,7 @@
 /* customer.c */
 customer_t *customer_get(sched_t *s, const char *name);
 void customer_job_added(sched_t *s, job_t *j);
-ts_res_t customer_task_demand(const step_t *st);
+ts_res_t customer_task_demand(const Sched__Step *d);
 bool customer_allows_start(const step_t *st);
 bool customer_allows_gang(const step_t *st);
 bool customer_allows_move(const run_t *r);
@@ -531,6 +533,10 @@
 void customer_count_unseen(sched_t *s);
 void customer_job_loaded(sched_t *s, job_t *j);
 void customer_job_removed(sched_t *s, const job_t *j);
+void customer_ended_job_loaded(
+    sched_t *s, const char *id, const Sched__Progress *p);
+void customer_ended_job_read(
+    sched_t *s, const char *id, const sched_row_t *row);
 
 /* share.c */
 void share_job_accepted(sched_t *s, job_t *j);
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -161,6 +161,7 @@
 	customer_forget_runs(s);
 	g_hash_table_remove_all(s->loaded_progress);
 	g_hash_table_remove_all(s->ended_jobs);
+	g_hash_table_remove_all(s->stopped_jobs);
 	s->cell.footprint_bad = false;
 }
 
--- a/sched/rows.c
+++ b/sched/rows.c
@@ -90,6 +90,7 @@
 		return;
 	}
 	purge_add_ended(s, id, p->ended_ms);
+	customer_ended_job_loaded(s, id, p);
 	sched__progress__free_unpacked(p, NULL);
 }
 
@@ -139,10 +140,12 @@
 	if (strcmp(kind, SCHED_KEY_PROGRESS) == 0) {
 		if (loading)
 			load_progress(s, id, row);
-	} else if (kind[0] == '\0' && j == NULL &&
-	    !g_hash_table_contains(s->ended_jobs, id))
-		add_job(s, id, row);
-	else if (j != NULL && strcmp(kind, SCHED_KEY_CANCEL) == 0)
+	} else if (kind[0] == '\0' && j == NULL) {
+		if (g_hash_table_contains(s->ended_jobs, id))
+			customer_ended_job_read(s, id, row);
+		else
+			add_job(s, id, row);
+	} else if (j != NULL && strcmp(kind, SCHED_KEY_CANCEL) == 0)
 		cancel_job(s, j);
 }
 
@@ -188,6 +191,7 @@
 		return;
 	ownership_load_done(s);
 	g_hash_table_foreach_remove(s->loaded_progress, was_read, NULL);
+	g_hash_table_remove_all(s->stopped_jobs);
 	all = g_hash_table_get_values(s->jobs);
 	for (GList *i = all; i != NULL; i = i->next)
 		open_loaded_job(s, i->data);
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -74,6 +74,8 @@
 	s->loaded_progress = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, progress_free);
 	s->ended_jobs = purge_table_new();
+	s->stopped_jobs =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	s->approval_requests = approval_requests_new();
 	s->evacuated_zones = g_hash_table_new(g_direct_hash, g_direct_equal);
 	return s;
@@ -95,6 +97,7 @@
 	g_hash_table_unref(s->images);
 	g_hash_table_unref(s->loaded_progress);
 	g_hash_table_unref(s->ended_jobs);
+	g_hash_table_unref(s->stopped_jobs);
 	g_hash_table_unref(s->approval_requests);
 	g_hash_table_unref(s->evacuated_zones);
 	g_hash_table_unref(s->dirty_jobs);
--- a/sched/unseen.c
+++ b/sched/unseen.c
@@ -20,6 +20,9 @@
 #include "internal.h"
 
 #define MB_BYTES ((int64_t)1024 * 1024)
+/* Runs of a job that was stopped earlier are over, or known to its workers'
+ * leases, which are shorter; a start may be carried out 12 s late. */
+#define STOPPED_MS 15000
 
 /*
  * Number of runs of a step's tasks that an earlier owner may have started, and
@@ -37,6 +40,22 @@
 	return (int64_t)2 * (st->ntasks - st->ndone) + st->ndone;
 }
 
+/* Adds n runs of a step's tasks. */
+static void
+add_runs(task_sum_t *sum, const Sched__Step *def, int64_t n)
+{
+	ts_res_t d = customer_task_demand(def);
+
+	if (def->filler) {
+		ts_res_t cpu = { sum->filler_cpu_milli, 0, 0 };
+
+		ts_res_add_times(&cpu, &d, n);
+		sum->filler_cpu_milli = cpu.cpu_milli;
+		d.cpu_milli = 0;
+	}
+	ts_res_add_times(&sum->res, &d, n);
+}
+
 /* Adds the unseen runs that a job may have. */
 static void
 add_job(task_sum_t *sum, const job_t *j)
@@ -46,17 +65,8 @@
 
 		for (size_t k = 0; k < j->def->n_steps; k++) {
 			const step_t *st = &o->steps[k];
-			int64_t n = max_unseen_runs(st);
-			ts_res_t d = customer_task_demand(st);
-
-			if (st->def->filler) {
-				ts_res_t cpu = { sum->filler_cpu_milli, 0, 0 };
 
-				ts_res_add_times(&cpu, &d, n);
-				sum->filler_cpu_milli = cpu.cpu_milli;
-				d.cpu_milli = 0;
-			}
-			ts_res_add_times(&sum->res, &d, n);
+			add_runs(sum, st->def, max_unseen_runs(st));
 		}
 	}
 }
@@ -186,3 +196,40 @@
 	    j->customer != NULL)
 		add_job(&j->customer->may_ended, j);
 }
+
+/*
+ * The end of a job was read while loading.  One that did not complete may have
+ * runs that are still being stopped: its row is to be read for what they hold.
+ */
+void
+customer_ended_job_loaded(
+    sched_t *s, const char *id, const Sched__Progress *p)
+{
+	if (p->state != SCHED__STATE__COMPLETED &&
+	    s->wall_ms - p->ended_ms < STOPPED_MS)
+		g_hash_table_add(s->stopped_jobs, g_strdup(id));
+}
+
+/* The row of an ended job was read: counts the runs that it may have. */
+void
+customer_ended_job_read(sched_t *s, const char *id, const sched_row_t *row)
+{
+	Sched__Job *def;
+	const char *why;
+
+	if (!g_hash_table_remove(s->stopped_jobs, id))
+		return;
+	def = sched__job__unpack(NULL, row->nbytes, row->bytes);
+	if (def != NULL && def->customer[0] != '\0' &&
+	    sched_job_valid(def, &why)) {
+		customer_t *c = customer_get(s, def->customer);
+
+		for (size_t i = 0; i < def->n_steps; i++) {
+			int64_t runs = def->steps[i]->duplicates ? 2 : 1;
+
+			add_runs(&c->may_ended, def->steps[i],
+			    runs * def->steps[i]->count * MAX(1, def->repeats));
+		}
+	}
+	sched__job__free_unpacked(def, NULL);
+}
--- a/test/unit/quota_fixture.c
+++ b/test/unit/quota_fixture.c
@@ -163,6 +163,23 @@
 	return g_hash_table_lookup(s->jobs, id);
 }
 
+void
+read_end(sched_t *s, const char *id, Sched__State state, int64_t ended_ms)
+{
+	Sched__Progress p = SCHED__PROGRESS__INIT;
+	g_autofree char *key = g_strconcat(id, SCHED_KEY_PROGRESS, NULL);
+	g_autofree uint8_t *b = NULL;
+	sched_row_t row = { .key = key, .version = 1 };
+
+	p.state = state;
+	p.ended_ms = ended_ms;
+	row.nbytes = sched__progress__get_packed_size(&p);
+	b = g_malloc(row.nbytes);
+	sched__progress__pack(&p, b);
+	row.bytes = b;
+	sched_row_read(s, &row, s->now_ms);
+}
+
 sched_t *
 quota_successor(void)
 {
--- a/test/unit/quota_fixture.h
+++ b/test/unit/quota_fixture.h
@@ -33,6 +33,9 @@
 /* Reads the row of a job of the customer c, with its settings. */
 job_t *read_job(sched_t *s, const char *id, const Sched__Step *d,
     const sched_customer_t *c, int64_t version);
+/* Reads the progress row of a job that has ended. */
+void
+read_end(sched_t *s, const char *id, Sched__State state, int64_t ended_ms);
 /* Begins to load the cell after an earlier owner; ends with sched_load_done. */
 sched_t *quota_successor(void);
 
--- a/test/unit/quota_takeover.c
+++ b/test/unit/quota_takeover.c
@@ -166,6 +166,45 @@
 	sched_free(s);
 }
 
+/*
+ * A job is cancelled, its end stored and its owner lost while a worker still has
+ * to stop its runs; a job that completed has none.
+ */
+Test(quota_takeover, runs_of_a_stopped_job_count)
+{
+	static const struct {
+		const char *what;
+		Sched__State state;
+		int64_t ended_ago_ms;
+		int64_t unseen_cpu_milli;
+	} cases[] = {
+		{ "cancelled", SCHED__STATE__CANCELLED, 1000, 4000 },
+		{ "failed", SCHED__STATE__FAILED, 12000, 4000 },
+		{ "long ago", SCHED__STATE__CANCELLED, 60000, 0 },
+		{ "completed", SCHED__STATE__COMPLETED, 1000, 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = quota_successor();
+		sched_customer_t c = { .quota_cpu_milli = 5000 };
+		Sched__Step d = step_def("", 1000, false, 0);
+
+		add_silent_worker(s, "a", 8000);
+		read_end(s, JOB_A, cases[i].state,
+		    s->wall_ms - cases[i].ended_ago_ms);
+		d.count = 4;
+		cr_expect_null(read_job(s, JOB_A, &d, &c, OLD_VERSION));
+		sched_load_done(s, s->now_ms);
+		cr_expect_eq(unseen_cpu(s), cases[i].unseen_cpu_milli, "%s",
+		    cases[i].what);
+		s->now_ms = s->cell.old_leases_end_ms;
+		ownership_tick(s);
+		customer_count_unseen(s);
+		cr_expect_eq(unseen_cpu(s), 0, "%s, at last", cases[i].what);
+		sched_free(s);
+	}
+}
+
 /* The row of an old job is read only after the takeover. */
 Test(quota_takeover, an_old_job_read_late_counts)
 {
