--- a/coord/start.c
+++ b/coord/start.c
@@ -108,7 +108,8 @@
 	/* A team may be given nothing, where ts_quota_t has no limit. */
 	if (t->quota_cpu_milli == 0)
 		return q.used.cpu_milli + q.unseen.cpu_milli +
-		    demand.cpu_milli <= 0;
+		    demand.cpu_milli <=
+		    0;
 	return ts_quota_fits(&q, &demand);
 }
 
--- a/sched/customer.c
+++ b/sched/customer.c
@@ -78,8 +78,7 @@
 {
 	ts_quota_t q = { 0 };
 
-	set_limits(
-	    &q, def->quota_cpu_milli, def->quota_mem_mb, def->quota_gpu);
+	set_limits(&q, def->quota_cpu_milli, def->quota_mem_mb, def->quota_gpu);
 	*why = "a gang is larger than the customer's quota";
 	for (size_t i = 0; i < def->n_steps; i++) {
 		ts_res_t demand = gang_demand(def->steps[i]);
@@ -124,8 +123,8 @@
 		return;
 	c->settings_ms = def->accepted_ms;
 	c->weight = def->weight > 0 ? def->weight : WEIGHT_UNKNOWN;
-	set_limits(&c->quota, def->quota_cpu_milli, def->quota_mem_mb,
-	    def->quota_gpu);
+	set_limits(
+	    &c->quota, def->quota_cpu_milli, def->quota_mem_mb, def->quota_gpu);
 }
 
 /* Whether a step of the customer behind the held one may start tasks. */
@@ -293,8 +292,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		customer_t *c = v;
 		const ts_quota_t *q = &c->quota;
-		bool held =
-		    c->held_ms != 0 && s->now_ms - c->held_ms < HELD_MS;
+		bool held = c->held_ms != 0 && s->now_ms - c->held_ms < HELD_MS;
 
 		if (held == c->held)
 			continue;
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -192,12 +192,12 @@
 	task_sum_t may_run;   /* tasks that may run unseen; see unseen.c */
 	task_sum_t may_ended; /* the same, of jobs that are removed */
 	/* Steps held by the quota; see customer.c. */
-	const step_t *first_held;  /* in the last pass.  Never dereferenced. */
-	int64_t first_held_ms;	   /* since when it is the first */
-	uint64_t held_pass;	   /* last pass that held a step */
-	int64_t held_ms;	   /* when that was; 0: never */
-	bool drains;		   /* its other steps wait for first_held */
-	bool held;		   /* as last logged */
+	const step_t *first_held; /* in the last pass.  Never dereferenced. */
+	int64_t first_held_ms;	  /* since when it is the first */
+	uint64_t held_pass;	  /* last pass that held a step */
+	int64_t held_ms;	  /* when that was; 0: never */
+	bool drains;		  /* its other steps wait for first_held */
+	bool held;		  /* as last logged */
 	customer_share_t share;
 };
 
@@ -465,7 +465,7 @@
 	/* While loading: id -> Sched__Progress; NULL for a row that can't be
 	 * read, which stays until the cell is lost. */
 	GHashTable *loaded_progress;
-	GHashTable *ended_jobs;	   /* id -> ended_job_t of purge.c */
+	GHashTable *ended_jobs; /* id -> ended_job_t of purge.c */
 	/* While loading: ids of jobs whose runs may be being stopped. */
 	GHashTable *stopped_jobs;
 	GSequence *ready_steps;	   /* step_t with waiting tasks, sorted */
@@ -533,10 +533,10 @@
 void customer_count_unseen(sched_t *s);
 void customer_job_loaded(sched_t *s, job_t *j);
 void customer_job_removed(sched_t *s, const job_t *j);
-void customer_ended_job_loaded(
-    sched_t *s, const char *id, const Sched__Progress *p);
-void customer_ended_job_read(
-    sched_t *s, const char *id, const sched_row_t *row);
+void
+customer_ended_job_loaded(sched_t *s, const char *id, const Sched__Progress *p);
+void
+customer_ended_job_read(sched_t *s, const char *id, const sched_row_t *row);
 
 /* share.c */
 void share_job_accepted(sched_t *s, job_t *j);
--- a/sched/unseen.c
+++ b/sched/unseen.c
@@ -106,9 +106,9 @@
 set_unseen(customer_t *c, const task_sum_t *capacity)
 {
 	const task_sum_t *m = &c->may_run;
-	ts_res_t fillers = { MIN(m->filler_cpu_milli,
-				 capacity->filler_cpu_milli),
-		0, 0 };
+	ts_res_t fillers = {
+		MIN(m->filler_cpu_milli, capacity->filler_cpu_milli), 0, 0
+	};
 	ts_res_t *u = &c->quota.unseen;
 
 	u->cpu_milli = MIN(m->res.cpu_milli, capacity->res.cpu_milli);
@@ -202,8 +202,7 @@
  * runs that are still being stopped: its row is to be read for what they hold.
  */
 void
-customer_ended_job_loaded(
-    sched_t *s, const char *id, const Sched__Progress *p)
+customer_ended_job_loaded(sched_t *s, const char *id, const Sched__Progress *p)
 {
 	if (p->state != SCHED__STATE__COMPLETED &&
 	    s->wall_ms - p->ended_ms < STOPPED_MS)
--- a/test/unit/quota.c
+++ b/test/unit/quota.c
@@ -36,8 +36,8 @@
 		    true },
 		{ "up to the limit", { { 4, 4, 4 }, { 3, 3, 3 }, { 0 } },
 		    { 1, 1, 1 }, true, true },
-		{ "one more", { { 4, 4, 4 }, { 3, 3, 3 }, { 0 } },
-		    { 1, 2, 1 }, false, false },
+		{ "one more", { { 4, 4, 4 }, { 3, 3, 3 }, { 0 } }, { 1, 2, 1 },
+		    false, false },
 		{ "unseen counts", { { 4, 0, 0 }, { 1, 0, 0 }, { 2, 0, 0 } },
 		    { 2, 0, 0 }, false, false },
 		{ "larger than the limit", { { 4, 0, 0 }, { 0 }, { 0 } },
@@ -121,8 +121,7 @@
 		d.quota_mem_mb = cases[i].quota_mem_mb;
 		cr_expect_eq(sched_gangs_fit_quota(&d, &why), cases[i].ok, "%s",
 		    cases[i].what);
-		cr_expect_eq(
-		    why[0] == '\0', cases[i].ok, "%s", cases[i].what);
+		cr_expect_eq(why[0] == '\0', cases[i].ok, "%s", cases[i].what);
 	}
 }
 
@@ -205,8 +204,8 @@
 		s->now_ms += 10000;
 		for (int k = 0; k < 3; k++)
 			quota_pass(s);
-		cr_expect_eq(st->nwaiting, cases[i].starts ? 0 : 4, "%s",
-		    cases[i].what);
+		cr_expect_eq(
+		    st->nwaiting, cases[i].starts ? 0 : 4, "%s", cases[i].what);
 		if (!cases[i].starts)
 			cr_expect_eq(other->nwaiting, 0, "%s", cases[i].what);
 		sched_free(s);
@@ -288,6 +287,26 @@
 	}
 }
 
+/* A way to start a run that does not ask by itself. */
+Test(quota, run_start_asks)
+{
+	sched_t *s = quota_owner();
+	sched_customer_t c = { .quota_cpu_milli = 1000 };
+	Sched__Step d = step_def("", 1000, false, 0);
+	worker_t *w = add_worker_now(s, "w");
+	step_t *st;
+
+	set_customer(s, &c);
+	d.count = 2;
+	st = queue_step(s, JOB_A, "c", &d);
+	cr_expect(run_start(s, &st->tasks[0], w, 1));
+	cr_expect_not(run_start(s, &st->tasks[1], w, 1));
+	cr_expect_eq(sent.starts, 1);
+	cr_expect_eq(st->nwaiting, 1);
+	cr_expect_eq(g_hash_table_size(s->runs), 1);
+	sched_free(s);
+}
+
 /*
  * Late work starts slowed, and a task that may crash its worker in quarantine:
  * neither goes over the limit, reserves a worker or has a run stored meanwhile.
--- a/test/unit/quota_fixture.h
+++ b/test/unit/quota_fixture.h
@@ -34,8 +34,7 @@
 job_t *read_job(sched_t *s, const char *id, const Sched__Step *d,
     const sched_customer_t *c, int64_t version);
 /* Reads the progress row of a job that has ended. */
-void
-read_end(sched_t *s, const char *id, Sched__State state, int64_t ended_ms);
+void read_end(sched_t *s, const char *id, Sched__State state, int64_t ended_ms);
 /* Begins to load the cell after an earlier owner; ends with sched_load_done. */
 sched_t *quota_successor(void);
 
--- a/test/unit/quota_held.c
+++ b/test/unit/quota_held.c
@@ -51,8 +51,8 @@
 		s->stats.places = 0;
 		quota_pass(s);
 		cr_expect_eq(other->nwaiting, 0, "behind %d", counts[i]);
-		cr_expect_leq(s->stats.places, 1, "%d places",
-		    (int)s->stats.places);
+		cr_expect_leq(
+		    s->stats.places, 1, "%d places", (int)s->stats.places);
 		cr_expect_eq(g_hash_table_size(s->dirty_jobs), 0);
 		cr_expect_not(s->start_pass_due, "the pass is complete");
 		cr_expect_eq(s->stats.quota_waits, (uint64_t)counts[i]);
@@ -123,7 +123,8 @@
 		sched_t *s = quota_owner();
 		sched_customer_t c = { .quota_cpu_milli = 4000 };
 		Sched__Step small = step_def("", 1000, false, 0);
-		Sched__Step large = step_def("", cases[i].large_milli, false, 0);
+		Sched__Step large =
+		    step_def("", cases[i].large_milli, false, 0);
 		step_t *st, *rest;
 		int32_t before, oldest = 0;
 
@@ -151,8 +152,8 @@
 				end_run(s, &rest->tasks[oldest]);
 			quota_pass(s);
 		}
-		cr_expect_eq(st->nwaiting == 0, cases[i].starts, "%s",
-		    cases[i].what);
+		cr_expect_eq(
+		    st->nwaiting == 0, cases[i].starts, "%s", cases[i].what);
 		before = rest->nwaiting;
 		cr_expect_leq(before, cases[i].starts ? 199 : 150,
 		    "%s: small ones wait: %d", cases[i].what, before);
--- a/test/unit/quota_takeover.c
+++ b/test/unit/quota_takeover.c
@@ -83,8 +83,8 @@
 		d.duplicates = cases[i].duplicates;
 		read_job(s, JOB_A, &d, &c, cases[i].version);
 		sched_load_done(s, s->now_ms);
-		cr_expect_eq(unseen_cpu(s), cases[i].unseen_cpu_milli,
-		    "%s: %d", cases[i].what, (int)unseen_cpu(s));
+		cr_expect_eq(unseen_cpu(s), cases[i].unseen_cpu_milli, "%s: %d",
+		    cases[i].what, (int)unseen_cpu(s));
 		s->now_ms = s->cell.old_leases_end_ms;
 		ownership_tick(s);
 		customer_count_unseen(s);
