--- a/sched/sched.c
+++ b/sched/sched.c
@@ -24,6 +24,7 @@
 static void
 remove_job(sched_t *s, job_t *j)
 {
+	customer_job_removed(s, j);
 	g_hash_table_remove(s->dirty_jobs, j);
 	g_ptr_array_remove(s->recurring_jobs, j);
 	job_free(j);
@@ -73,6 +74,8 @@
 	s->loaded_progress = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, progress_free);
 	s->ended_jobs = purge_table_new();
+	s->stopped_jobs =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	s->approval_requests = approval_requests_new();
 	s->evacuated_zones = g_hash_table_new(g_direct_hash, g_direct_equal);
 	return s;
@@ -94,6 +97,7 @@
 	g_hash_table_unref(s->images);
 	g_hash_table_unref(s->loaded_progress);
 	g_hash_table_unref(s->ended_jobs);
+	g_hash_table_unref(s->stopped_jobs);
 	g_hash_table_unref(s->approval_requests);
 	g_hash_table_unref(s->evacuated_zones);
 	g_hash_table_unref(s->dirty_jobs);
--- a/serve/auth.c
+++ b/serve/auth.c
@@ -39,27 +39,6 @@
 	return job_customer[0] == '\0' || strcmp(caller, job_customer) == 0;
 }
 
-static bool
-exceeds(int64_t amount, int32_t tasks, int64_t limit)
-{
-	return limit > 0 && amount > limit / tasks;
-}
-
-bool
-auth_gang_exceeds_quota(const Sched__Job *job, const sched_customer_t *c)
-{
-	for (size_t i = 0; c != NULL && i < job->n_steps; i++) {
-		const Sched__Step *st = job->steps[i];
-
-		if (st->gang &&
-		    (exceeds(st->cpu_milli, st->count, c->quota_cpu_milli) ||
-			exceeds(st->mem_mb, st->count, c->quota_mem_mb) ||
-			exceeds(st->gpu, st->count, c->quota_gpu)))
-			return true;
-	}
-	return false;
-}
-
 bool
 auth_log_due(auth_log_limit_t *l, int64_t now_ms, int64_t *skipped)
 {
--- a/serve/auth.h
+++ b/serve/auth.h
@@ -40,9 +40,6 @@
  */
 bool auth_may_access(const char *caller, const char *job_customer);
 
-/* Whether a gang of the job is larger than the customer's quota. */
-bool auth_gang_exceeds_quota(const Sched__Job *job, const sched_customer_t *c);
-
 /* Limits how often rejected calls are logged; starts with zeroes. */
 typedef struct {
 	int64_t logged_ms;
--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -138,9 +138,8 @@
 	job->accepted_ms = node_wall_ms(n);
 	if (!sched_job_valid(job, &why))
 		g_set_error(err, SERVE_ERROR, SERVE_INVALID_JOB, "%s", why);
-	else if (auth_gang_exceeds_quota(job, customer))
-		g_set_error(err, SERVE_ERROR, SERVE_OVER_QUOTA,
-		    "a gang is larger than its customer's quota");
+	else if (!sched_gangs_fit_quota(job, &why))
+		g_set_error(err, SERVE_ERROR, SERVE_OVER_QUOTA, "%s", why);
 	else
 		return job;
 	sched__job__free_unpacked(job, NULL);
--- a/test/unit/auth.c
+++ b/test/unit/auth.c
@@ -108,56 +108,6 @@
 		    cases[i].want, "case %zu", i);
 }
 
-Test(auth, gangs)
-{
-	/* A customer with this quota, and a job with one step. */
-	static const struct {
-		int64_t quota_cpu_milli, quota_mem_mb;
-		int32_t quota_gpu;
-		bool gang;
-		int32_t count;
-		int64_t cpu_milli, mem_mb;
-		int32_t gpu;
-		bool exceeds;
-	} cases[] = {
-		{ 0, 0, 0, true, 9, 1000, 10, 1, false },
-		{ 8000, 0, 0, true, 8, 1000, 10, 1, false },
-		{ 8000, 0, 0, true, 8, 1001, 10, 1, true },
-		{ 7999, 0, 0, true, 8, 1000, 10, 1, true },
-		{ 0, 80, 0, true, 8, 1000, 10, 1, false },
-		{ 0, 79, 0, true, 8, 1000, 10, 1, true },
-		{ 0, 0, 7, true, 8, 1000, 10, 1, true },
-		{ 0, 0, 8, true, 8, 1000, 10, 1, false },
-		/* The products would not fit into 64 bits in bytes. */
-		{ SCHED_AMOUNT_MAX, SCHED_AMOUNT_MAX, 0, true, 10000,
-		    SCHED_AMOUNT_MAX, SCHED_AMOUNT_MAX, 0, true },
-		/* Single tasks run one after another, the largest alone. */
-		{ 1000, 0, 0, false, 8, 1000, 10, 1, false },
-		{ 1000, 0, 0, false, 1, 5000, 10, 1, false },
-	};
-
-	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		sched_customer_t c = { .name = "a",
-			.quota_cpu_milli = cases[i].quota_cpu_milli,
-			.quota_mem_mb = cases[i].quota_mem_mb,
-			.quota_gpu = cases[i].quota_gpu };
-		Sched__Step step = SCHED__STEP__INIT, *steps = &step;
-		Sched__Job job = SCHED__JOB__INIT;
-
-		step.gang = cases[i].gang;
-		step.count = cases[i].count;
-		step.cpu_milli = cases[i].cpu_milli;
-		step.mem_mb = cases[i].mem_mb;
-		step.gpu = cases[i].gpu;
-		job.steps = &steps;
-		job.n_steps = 1;
-		cr_expect_eq(auth_gang_exceeds_quota(&job, &c),
-		    cases[i].exceeds, "case %zu", i);
-		cr_expect_not(
-		    auth_gang_exceeds_quota(&job, NULL), "case %zu", i);
-	}
-}
-
 /* Callers with a wrong key must not be able to fill the log. */
 Test(auth, log_limit)
 {
