--- a/sched/internal.h
+++ b/sched/internal.h
@@ -608,6 +608,7 @@
 void start_waiting_tasks(sched_t *s);
 int64_t start_run_number(sched_t *s, const task_t *t);
 void run_stop(sched_t *s, run_t *r, const char *why);
+void run_discard(sched_t *s, run_t *r, const char *why);
 void run_set_pace(sched_t *s, run_t *r, int32_t percent);
 void run_order_done(
     sched_t *s, run_t *r, sched_order_result_t res, int64_t clock_ms);
--- a/sched/report.c
+++ b/sched/report.c
@@ -71,9 +71,7 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(runs); i++) {
 		if (runs[i] == NULL || runs[i] == except)
 			continue;
-		runs[i]->unwanted = true;
-		if (runs[i]->state == RUN_RUNNING)
-			run_stop(s, runs[i], "another run of the task is done");
+		run_discard(s, runs[i], "another run of the task is done");
 	}
 }
 
--- a/sched/run.c
+++ b/sched/run.c
@@ -223,6 +223,7 @@
 void
 run_stop(sched_t *s, run_t *r, const char *why)
 {
+	r->in_doubt_ms = 0;
 	if (r->state != RUN_STOPPING) {
 		run_set_state(s, r, RUN_STOPPING);
 		LOG_EVENT(s, SCHED_EVT_STOP, r->name,
@@ -236,6 +237,18 @@
 	send_order(s, r, SCHED_STOP);
 }
 
+/*
+ * Stops a run that is no longer needed.  One whose start order is in flight is
+ * stopped when that has ended.
+ */
+void
+run_discard(sched_t *s, run_t *r, const char *why)
+{
+	r->unwanted = true;
+	if (r->state == RUN_RUNNING || r->in_doubt_ms != 0)
+		run_stop(s, r, why);
+}
+
 /*
  * Sets the pace that a run shall have, and orders it from the worker if the run
  * has another pace and no order is in flight.
@@ -348,7 +361,6 @@
 {
 	if (r->in_doubt_ms == 0 || r->state != RUN_STARTING)
 		return;
-	r->in_doubt_ms = 0;
 	run_stop(s, r, "start order unanswered");
 }
 
@@ -478,9 +490,7 @@
 
 		if (r->job != j)
 			continue;
-		r->unwanted = true;
-		if (r->state == RUN_RUNNING)
-			run_stop(s, r, "the job has ended");
+		run_discard(s, r, "the job has ended");
 	}
 	LOG_EVENT(s, SCHED_EVT_JOB_ENDED, j->id,
 	    "state=%d late=%" PRId64 " runs=%d", end,
