Serve: a submission that is rejected may repeat an accepted one

A caller whose first answer was lost must not be told that its job will never run. The job's row is read before the answer; without an answer of the store the result is 504.

--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -169,44 +169,25 @@
 	reply_error(r, 400, over_quota ? err->message : "not a job", 0);
 }
 
-/* Admits a submission, as far as there is room, or answers it. */
-static bool
-admit(node_t *n, server_req_t *r, const route_match_t *m, const Sched__Job *job)
-{
-	int32_t retry_after_ms = RETRY_AFTER_MS;
-	sched_admission_t a = sched_admit(cell_driver_sched(n->cell_driver),
-	    m->id, job, node_now_ms(n), &retry_after_ms);
-	bool over_rate = a == SCHED_OVER_RATE;
-	const char *why = over_rate ?
-	    "more jobs than the rate of the customer" :
-	    "it would end too late";
-
-	if (a == SCHED_ADMITTED)
-		return true;
-	if (over_rate)
-		n->stats.over_rate++;
-	else
-		n->stats.hopeless++;
-	log_event(EVT_REFUSED, "id=%s queue=%s retry_after_ms=%d why=\"%s\"",
-	    m->id, m->queue->name, retry_after_ms, why);
-	reply_error(r, over_rate ? 429 : 503, why, retry_after_ms);
-	return false;
-}
-
 static void
 submit_job(node_t *n, server_req_t *r, const route_match_t *m,
     const sched_customer_t *customer)
 {
 	g_autoptr(GError) err = NULL;
 	Sched__Job *job = decode_job(n, r, m->queue, customer, &err);
+	const char *name = customer == NULL ? "" : customer->name;
+	rejection_t why = { .retry_after_ms = RETRY_AFTER_MS };
 
 	if (job == NULL) {
 		reply_bad_job(n, r, m, err);
 		return;
 	}
-	if (admit(n, r, m, job))
-		request_begin(n, r, REQUEST_SUBMIT, m,
-		    customer == NULL ? "" : customer->name, pack_job(job));
+	why.reason = sched_admit(cell_driver_sched(n->cell_driver), m->id, job,
+	    node_now_ms(n), &why.retry_after_ms);
+	if (why.reason == SCHED_ADMITTED)
+		request_begin(n, r, REQUEST_SUBMIT, m, name, pack_job(job));
+	else
+		request_reject(n, r, m, name, &why);
 	sched__job__free_unpacked(job, NULL);
 }
 
--- a/serve/request.c
+++ b/serve/request.c
@@ -41,6 +41,7 @@
 	const char *queue;    /* interned */
 	const char *customer; /* interned; "": none */
 	GByteArray *row;
+	rejection_t rejection; /* its reason only of REQUEST_REJECT */
 	int64_t began_ms;
 	int64_t deadline_ms;
 	attempts_t attempts;
@@ -78,7 +79,7 @@
 
 /*
  * Answers a request and frees it; answers to its attempts that are still to
- * come are dropped.  For 503 and 504 body is the error's text.
+ * come are dropped.  For 429, 503 and 504 body is the error's text.
  */
 static void
 finish(request_t *rq, int32_t status, const char *body)
@@ -86,8 +87,9 @@
 	node_t *n = rq->node;
 
 	n->open_requests--;
-	if (status == 503 || status == 504)
-		reply_error(rq->req, status, body, RETRY_AFTER_MS);
+	if (status == 429 || status == 503 || status == 504)
+		reply_error(
+		    rq->req, status, body, rq->rejection.retry_after_ms);
 	else
 		reply_text(rq->req, status, "", body);
 	if (rq->kind == REQUEST_SUBMIT)
@@ -126,7 +128,8 @@
 	    "no answer of the store in time" :
 	    "the store does not answer";
 
-	if (attempts_unsettled(&rq->attempts)) {
+	/* What can't be read may have been accepted before. */
+	if (attempts_unsettled(&rq->attempts) || rq->kind == REQUEST_REJECT) {
 		n->stats.in_doubt++;
 		log_event(EVT_UNSETTLED,
 		    "id=%s queue=%s tries=%d store_silent_ms=%" PRId64
@@ -190,11 +193,31 @@
 	return NULL;
 }
 
+/* Rejects a submission that has no row: it was never accepted. */
+static void
+finish_rejected(request_t *rq)
+{
+	node_t *n = rq->node;
+	bool over_rate = rq->rejection.reason == SCHED_OVER_RATE;
+	const char *why = over_rate ?
+	    "more jobs than the rate of the customer" :
+	    "it would end too late";
+
+	if (over_rate)
+		n->stats.over_rate++;
+	else
+		n->stats.hopeless++;
+	log_event(EVT_REFUSED, "id=%s queue=%s retry_after_ms=%d why=\"%s\"",
+	    rq->id, rq->queue, rq->rejection.retry_after_ms, why);
+	finish(rq, over_rate ? 429 : 503, why);
+}
+
 /* Ends a request for a job of another customer. */
 static void
 finish_foreign(request_t *rq)
 {
-	bool submitted = rq->kind == REQUEST_SUBMIT;
+	bool submitted =
+	    rq->kind == REQUEST_SUBMIT || rq->kind == REQUEST_REJECT;
 
 	rq->node->stats.foreign++;
 	log_rejected_call(
@@ -344,6 +367,10 @@
 		return;
 	}
 	key = g_strconcat(rq->id, SCHED_KEY_CANCEL, NULL);
+	if (row == NULL && rq->kind == REQUEST_REJECT) {
+		finish_rejected(rq);
+		return;
+	}
 	if (row == NULL) {
 		rq->node->stats.state_unknown_job++;
 		finish(rq, 410, NO_SUCH_JOB);
@@ -353,6 +380,8 @@
 		return;
 	if (rq->kind == REQUEST_SUBMIT)
 		finish_accepted(rq, rq->attempts.sent == 1);
+	else if (rq->kind == REQUEST_REJECT)
+		finish_accepted(rq, true);
 	else if (rq->kind == REQUEST_CANCEL)
 		write_row(attempt_new(rq), key, (const uint8_t *)"c", 1,
 		    on_cancel_written);
@@ -434,7 +463,7 @@
 	if (rq->kind == REQUEST_SUBMIT)
 		write_row(
 		    at, rq->id, rq->row->data, rq->row->len, on_submit_written);
-	else if (rq->kind == REQUEST_CANCEL)
+	else if (rq->kind == REQUEST_CANCEL || rq->kind == REQUEST_REJECT)
 		read_job_rows(at);
 	else
 		read_progress(at);
@@ -467,9 +496,9 @@
 	uv_timer_start(&rq->timer, on_timer, (uint64_t)wait_ms, 0);
 }
 
-void
-request_begin(node_t *n, server_req_t *r, request_kind_t kind,
-    const route_match_t *m, const char *customer, GByteArray *row)
+static request_t *
+request_new(node_t *n, server_req_t *r, request_kind_t kind,
+    const route_match_t *m, const char *customer)
 {
 	int32_t timeout_ms = request_timeout_ms(r);
 	request_t *rq = g_new0(request_t, 1);
@@ -480,14 +509,35 @@
 	g_strlcpy(rq->id, m->id, sizeof(rq->id));
 	rq->queue = m->queue->name;
 	rq->customer = customer;
-	rq->row = row;
 	rq->began_ms = node_now_ms(n);
 	rq->deadline_ms =
 	    rq->began_ms + MAX(timeout_ms - REPLY_RESERVE_MS, timeout_ms / 2);
-	rq->attempts.is_write = kind != REQUEST_STATE;
+	rq->attempts.is_write =
+	    kind == REQUEST_SUBMIT || kind == REQUEST_CANCEL;
+	rq->rejection.retry_after_ms = RETRY_AFTER_MS;
 	rq->in_flight = g_ptr_array_new();
 	uv_timer_init(n->loop, &rq->timer);
 	rq->timer.data = rq;
 	n->open_requests++;
+	return rq;
+}
+
+void
+request_begin(node_t *n, server_req_t *r, request_kind_t kind,
+    const route_match_t *m, const char *customer, GByteArray *row)
+{
+	request_t *rq = request_new(n, r, kind, m, customer);
+
+	rq->row = row;
+	proceed(rq);
+}
+
+void
+request_reject(node_t *n, server_req_t *r, const route_match_t *m,
+    const char *customer, const rejection_t *why)
+{
+	request_t *rq = request_new(n, r, REQUEST_REJECT, m, customer);
+
+	rq->rejection = *why;
 	proceed(rq);
 }
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -141,7 +141,12 @@
 /* How long the caller waits for its answer. */
 int32_t request_timeout_ms(const server_req_t *r);
 
-typedef enum { REQUEST_SUBMIT, REQUEST_CANCEL, REQUEST_STATE } request_kind_t;
+typedef enum {
+	REQUEST_SUBMIT,
+	REQUEST_REJECT, /* a submission that is to be rejected */
+	REQUEST_CANCEL,
+	REQUEST_STATE
+} request_kind_t;
 /*
  * Begins a request that needs calls to the store, and answers it in the end.  A
  * submission is accepted once its row, which it takes over, is stored; row is
@@ -149,6 +154,17 @@
  */
 void request_begin(node_t *n, server_req_t *r, request_kind_t kind,
     const route_match_t *m, const char *customer, GByteArray *row);
+/* Why and until when a submission is rejected. */
+typedef struct {
+	sched_admission_t reason;
+	int32_t retry_after_ms;
+} rejection_t;
+/*
+ * Begins to reject a submission: it is accepted all the same if its row is stored,
+ * as it may repeat one that was accepted and whose answer was lost.
+ */
+void request_reject(node_t *n, server_req_t *r, const route_match_t *m,
+    const char *customer, const rejection_t *why);
 
 /*
  * Tables and partitions of the store.  An owner writes its rows in one
