Shares: order, rates and refusals of customers

A customer that sends more than the others took the room in proportion to what it sent. Within a tier and priority, steps now go by the received work of their customers for their weight, jobs beyond a customer's rate go last, and while jobs within their rates are late the owner publishes who is beyond its rate, so that entries refuse its submissions.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -149,12 +149,30 @@
 
 /* What a customer received and sent; see share.c. */
 typedef struct {
-	double received; /* decaying work of its runs, in milli x ms */
-	int64_t updated_ms;
-	/* When its token bucket is full again, since 1970. */
-	int64_t bucket_full_wall_ms;
+	double received;    /* decaying work of its runs, in milli x ms */
+	int64_t updated_ms; /* as of then */
+	int64_t used_milli; /* by its runs now */
+	int32_t rank;	    /* place in the queue, as of the last update */
+	bool waiting;	    /* it has a step that waits for room */
+	bool active;	    /* it had runs or such a step at the last update */
+	/* When its token bucket is full again, since 1970, and the weight for
+	 * which that holds. */
+	double bucket_full_wall_ms, bucket_weight;
+	int64_t accepted_wall_ms; /* the latest acceptance in the bucket */
+	bool refused;		  /* its submissions are refused */
 } customer_share_t;
 
+/* Whether room is short, and what is refused because of it; see admission.c. */
+typedef struct {
+	bool room_short;
+	bool plan_defers; /* set by the overload plan: it delays jobs */
+	/* When a job was last seen to wait past its latest start, and since
+	 * when that has been so without a long gap; 0: it has not. */
+	int64_t late_seen_ms, late_since_ms;
+	GPtrArray *refusals; /* of Sched__Refusal, as of decided_ms */
+	int64_t decided_ms;
+} admission_t;
+
 /* A queue's settings and what has been learned of its jobs. */
 typedef struct {
 	const char *name;
@@ -193,6 +211,7 @@
 	Sched__State end_state; /* valid unless the job is open */
 	bool needs_approval;	/* its queue requires approval of placements */
 	bool cancelled;
+	bool over_rate;	 /* accepted beyond its customer's rate */
 	bool started;	 /* a task runs or has run */
 	bool dirty;	 /* has progress that is not written yet */
 	bool row_stored; /* it has a progress row */
@@ -419,10 +438,12 @@
 	uint64_t last_id;	 /* of a run, poll or approval request */
 	uint64_t report_number;	 /* reports processed so far */
 	cell_t cell;
-	GHashTable *jobs;      /* id -> job_t */
-	GHashTable *queues;    /* name -> queue_t */
-	GHashTable *customers; /* name -> customer_t */
-	GHashTable *workers;   /* id -> worker_t */
+	GHashTable *jobs;	  /* id -> job_t */
+	GHashTable *queues;	  /* name -> queue_t */
+	GHashTable *customers;	  /* name -> customer_t */
+	customer_share_t unowned; /* of all jobs without a customer */
+	admission_t admission;
+	GHashTable *workers; /* id -> worker_t */
 	GPtrArray *worker_list;
 	GHashTable *runs;   /* id -> run_t */
 	GHashTable *images; /* name -> index */
@@ -498,13 +519,21 @@
 
 /* share.c */
 void share_job_accepted(sched_t *s, job_t *j);
+void share_load_done(sched_t *s);
+void share_forget(sched_t *s);
+void share_count_run(const run_t *r, int sign);
 void share_update(sched_t *s);
 int share_compare(const job_t *a, const job_t *b);
+double share_time_to_room(const sched_t *s, customer_t *c);
+double share_time_to_spare(const sched_t *s, customer_t *c);
 
 /* overload_queue.c */
 void overload_update(sched_t *s);
+void overload_append_refusals(sched_t *s, GPtrArray *refusals);
 
 /* admission.c */
+void admission_update(sched_t *s);
+void admission_forget(sched_t *s);
 Sched__Refusal **admission_pack(sched_t *s, size_t *n);
 
 /* cell_worker.c */
@@ -537,6 +566,7 @@
 worker_t *
 place_alone(sched_t *s, step_t *st, const task_t *t, worker_t *reserved);
 bool place_possible(const sched_t *s, worker_t *w, const step_t *st);
+bool place_fits_empty(const sched_t *s, const worker_t *w, const step_t *st);
 bool place_gang(sched_t *s, const step_t *st, worker_t **at);
 
 /* approval.c */
--- a/sched/overload_queue.c
+++ b/sched/overload_queue.c
@@ -13,6 +13,14 @@
 #include "headroom.h"
 #include "internal.h"
 
+/* Appends what the plan has refused, each to be freed by g_free. */
+void
+overload_append_refusals(sched_t *s, GPtrArray *refusals)
+{
+	(void)s;
+	(void)refusals;
+}
+
 /* Decides which jobs are delayed. */
 void
 overload_update(sched_t *s)
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -99,6 +99,8 @@
 		o.counted_ms = s->cell.row->counted_ms;
 		o.waiting = s->cell.row->waiting;
 		o.n_waiting = s->cell.row->n_waiting;
+		o.refusals = s->cell.row->refusals;
+		o.n_refusals = s->cell.row->n_refusals;
 		o.waiting_stale = s->cell.row->waiting_stale ||
 		    s->now_ms - s->cell.row_written_ms > STALE_ROW_MS;
 	} else {
@@ -158,6 +160,8 @@
 	g_hash_table_remove_all(s->runs);
 	customer_forget_runs(s);
 	g_hash_table_remove_all(s->jobs);
+	admission_forget(s);
+	share_forget(s);
 	g_hash_table_remove_all(s->loaded_progress);
 	g_hash_table_remove_all(s->ended_jobs);
 	s->cell.footprint_bad = false;
--- a/sched/place.c
+++ b/sched/place.c
@@ -144,6 +144,18 @@
 	return has_room(s, w, st, false) && isolation_allows(s, w, st);
 }
 
+/* Whether a worker could run a task of the step if it ran nothing else. */
+bool
+place_fits_empty(const sched_t *s, const worker_t *w, const step_t *st)
+{
+	const Sched__Step *d = st->def;
+
+	return w->service == st->occ->job->service &&
+	    cell_worker_usable(s, w) && d->cpu_milli <= w->cpu_milli &&
+	    d->mem_mb <= w->mem_mb && d->gpu <= w->gpu &&
+	    has_label(w, d->label);
+}
+
 /* Workers chosen so far for the first n tasks of a gang. */
 typedef struct {
 	worker_t **at;
--- a/sched/rows.c
+++ b/sched/rows.c
@@ -187,6 +187,7 @@
 		return;
 	ownership_load_done(s);
 	g_hash_table_foreach_remove(s->loaded_progress, was_read, NULL);
+	share_load_done(s);
 	all = g_hash_table_get_values(s->jobs);
 	for (GList *i = all; i != NULL; i = i->next)
 		open_loaded_job(s, i->data);
--- a/sched/run.c
+++ b/sched/run.c
@@ -71,6 +71,7 @@
 	r->holds_resources = true;
 	cell_worker_count_task(r->worker, t->step, 1);
 	customer_count_run(r, 1);
+	share_count_run(r, 1);
 }
 
 /* Sets the state of a run and the time since which it is in it. */
@@ -156,6 +157,7 @@
 		pacing_run_removed(s, r);
 		cell_worker_count_task(r->worker, t->step, -1);
 		customer_count_run(r, -1);
+		share_count_run(r, -1);
 		if (--j->nruns == 0 && r->first_seen_ms != 0) {
 			j->idle_since_ms = s->now_ms;
 			starvation_job_idle(j);
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -61,6 +61,7 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	s->customers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	s->admission.refusals = g_ptr_array_new_with_free_func(g_free);
 	s->workers = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, cell_worker_free);
 	s->worker_list = g_ptr_array_new();
@@ -89,6 +90,7 @@
 	g_ptr_array_unref(s->polls_soon);
 	g_hash_table_unref(s->queues);
 	g_hash_table_unref(s->customers);
+	g_ptr_array_unref(s->admission.refusals);
 	for (int32_t i = 0; i < IMAGES_MAX; i++)
 		g_free(s->interference[i]);
 	g_hash_table_unref(s->images);
@@ -308,6 +310,7 @@
 		customer_count_unseen(s);
 		share_update(s);
 		overload_update(s);
+		admission_update(s);
 		queue_resort(s);
 		isolation_refresh(s);
 		isolation_update_compatibility(s);
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -212,7 +212,9 @@
 	SCHED_EVT_TASK_SUSPECT = 635,
 	SCHED_EVT_TASK_GIVEN_UP = 636,
 	SCHED_EVT_ZONE = 641,
-	SCHED_EVT_LOAD = 642
+	SCHED_EVT_LOAD = 642,
+	SCHED_EVT_REFUSAL_BEGUN = 645,
+	SCHED_EVT_REFUSAL_ENDED = 646
 } sched_evt_t;
 
 /* Calls from the scheduler to the embedding program. */
@@ -340,11 +342,11 @@
 	SCHED_HOPELESS	 /* it would end too late to be of any worth */
 } sched_admission_t;
 /*
- * Decides by what the owner published last.  If the job is not admitted, sets
- * when its caller may come back.
+ * Decides by what the owner published last.  If the job is not admitted, counts
+ * that and sets when its caller may come back, in whole seconds.
  */
-sched_admission_t sched_admit(const sched_t *s, const char *id,
-    const Sched__Job *job, int64_t now_ms, int32_t *retry_after_ms);
+sched_admission_t sched_admit(sched_t *s, const char *id, const Sched__Job *job,
+    int64_t now_ms, int32_t *retry_after_ms);
 
 /* An order has ended; clock_ms is the worker's clock, or 0. */
 void sched_order_done(sched_t *s, uint64_t id, sched_order_result_t r,
@@ -398,14 +400,16 @@
  * no longer reports or whose lease has expired; adopted, runs taken over from
  * an earlier owner; orphans, runs found on a worker that no task needs, which
  * are stopped; deposed, ends of this entry's ownership, also by a release;
- * writes, flushes; paces, pace orders; places, workers that placement looked at; queued, steps with tasks to be started;
+ * over_rate, jobs accepted beyond their customer's rate, and refused_*,
+ * submissions that sched_admit refused; refused_customers, those of whom the
+ * owner has them refused; writes, flushes; paces, pace orders; places, workers that placement looked at; queued, steps with tasks to be started;
  * running, runs in any state.
  */
 typedef struct {
 	uint64_t starts, start_rejects, start_unknown, stops, done, failed,
 	    lost, adopted, orphans, claims, deposed, writes, polls, paces,
-	    places;
-	int64_t jobs, queued, running, workers;
+	    places, over_rate, refused_over_rate, refused_hopeless;
+	int64_t jobs, queued, running, workers, refused_customers;
 } sched_stats_t;
 sched_stats_t sched_stats(const sched_t *s);
 
--- a/serve/metrics.c
+++ b/serve/metrics.c
@@ -72,6 +72,11 @@
 	put_metric(page, "deposed", (int64_t)stats->deposed);
 	put_metric(page, "progress_writes", (int64_t)stats->writes);
 	put_metric(page, "looks", (int64_t)stats->polls);
+	put_metric(page, "jobs_over_rate", (int64_t)stats->over_rate);
+	put_metric(
+	    page, "refused_over_rate", (int64_t)stats->refused_over_rate);
+	put_metric(page, "refused_hopeless", (int64_t)stats->refused_hopeless);
+	put_metric(page, "refused_customers", stats->refused_customers);
 	put_metric(page, "jobs_open", stats->jobs);
 	put_metric(page, "steps_queued", stats->queued);
 	put_metric(page, "runs", stats->running);
