Shares: queued and running work rank a customer's further jobs

Also: a shortage begins only while jobs are late, and a refusal that goes on and off with each job is logged once.

--- a/sched/admission.c
+++ b/sched/admission.c
@@ -23,6 +23,9 @@
  * for so long, as with a full cell some are late in some updates only. */
 #define SHORT_AFTER_MS	   1000
 #define NOT_SHORT_AFTER_MS 2000
+/* A customer that sends too much is refused again and again; that is logged as
+ * one refusal unless it was not refused for so long. */
+#define REFUSAL_GAP_MS 5000
 /* Steps of which it is looked up whether any worker could run them. */
 #define FIT_CHECKS_MAX 16
 
@@ -104,33 +107,54 @@
 
 	if (!ownership_may_start_tasks(s))
 		return;
-	if (a->plan_defers || some_job_is_late(s)) {
-		a->late_seen_ms = s->now_ms;
-		if (a->late_since_ms == 0)
-			a->late_since_ms = s->now_ms;
-	}
-	if (s->now_ms - a->late_seen_ms >= NOT_SHORT_AFTER_MS)
+	if (!a->plan_defers && !some_job_is_late(s)) {
+		if (s->now_ms - a->late_seen_ms < NOT_SHORT_AFTER_MS)
+			return;
 		a->late_since_ms = 0;
-	if (a->late_since_ms == 0)
 		a->room_short = false;
-	else if (s->now_ms - a->late_since_ms >= SHORT_AFTER_MS)
+		return;
+	}
+	a->late_seen_ms = s->now_ms;
+	if (a->late_since_ms == 0)
+		a->late_since_ms = s->now_ms;
+	if (s->now_ms - a->late_since_ms >= SHORT_AFTER_MS)
 		a->room_short = true;
 }
 
-/* Begins or ends the refusal of a customer's submissions. */
+/* Logs that submissions of a customer are refused no longer. */
+static void
+log_end(sched_t *s, customer_t *c, const char *why)
+{
+	if (!c->share.refusal_logged)
+		return;
+	c->share.refusal_logged = false;
+	LOG_EVENT(s, SCHED_EVT_REFUSAL_ENDED, c->name, "why=\"%s\"", why);
+}
+
+/* Decides whether submissions of a customer are refused. */
 static void
-set_refused(sched_t *s, customer_t *c, bool refused, const char *why)
+update_refused(sched_t *s, customer_t *c)
 {
-	if (c->share.refused == refused)
+	customer_share_t *h = &c->share;
+
+	if (!s->admission.room_short || share_time_to_spare(s, c) <= 0)
+		h->refused = false;
+	else if (share_time_to_room(s, c) > 0)
+		h->refused = true;
+	if (!h->refused) {
+		if (s->now_ms - h->refused_ms >= REFUSAL_GAP_MS)
+			log_end(s, c,
+			    s->admission.room_short ? "within its rate" :
+						      "room is not short");
+		return;
+	}
+	h->refused_ms = s->now_ms;
+	if (h->refusal_logged)
 		return;
-	c->share.refused = refused;
-	if (refused)
-		LOG_EVENT(s, SCHED_EVT_REFUSAL_BEGUN, c->name,
-		    "weight=%g retry_after_ms=%" PRId64, c->weight,
-		    (int64_t)share_time_to_spare(s, c));
-	else
-		LOG_EVENT(
-		    s, SCHED_EVT_REFUSAL_ENDED, c->name, "why=\"%s\"", why);
+	h->refusal_logged = true;
+	LOG_EVENT(s, SCHED_EVT_REFUSAL_BEGUN, c->name,
+	    "weight=%g retry_after_ms=%" PRId64, c->weight,
+	    (int64_t)share_time_to_spare(s, c));
 }
 
 /* Appends the refusal of a customer until its bucket has room. */
@@ -162,12 +186,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		customer_t *c = v;
 
-		if (!s->admission.room_short)
-			set_refused(s, c, false, "room is not short");
-		else if (share_time_to_spare(s, c) <= 0)
-			set_refused(s, c, false, "within its rate");
-		else if (share_time_to_room(s, c) > 0)
-			set_refused(s, c, true, "");
+		update_refused(s, c);
 		if (!c->share.refused)
 			continue;
 		s->stats.refused_customers++;
@@ -186,7 +205,7 @@
 
 	g_hash_table_iter_init(&it, s->customers);
 	while (g_hash_table_iter_next(&it, NULL, &v))
-		set_refused(s, v, false, "ownership changes");
+		log_end(s, v, "ownership changes");
 	g_ptr_array_set_size(refusals, 0);
 	memset(&s->admission, 0, sizeof(s->admission));
 	s->admission.refusals = refusals;
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -152,16 +152,30 @@
 	double received;    /* decaying work of its runs, in milli x ms */
 	int64_t updated_ms; /* as of then */
 	int64_t used_milli; /* by its runs now */
-	int32_t rank;	    /* place in the queue, as of the last update */
-	bool waiting;	    /* it has a step that waits for room */
-	bool active;	    /* it had runs or such a step at the last update */
+	/* As of the last update: its weight, the work left to its runs, that of
+	 * its waiting tasks, and its place in the queue, the lowest first. */
+	double weight, committed, queued;
+	int32_t rank;
+	bool waiting; /* it has a step that waits for room */
+	bool active;  /* it had runs or such a step at the last update */
 	/* When its token bucket is full again, since 1970, and the weight for
 	 * which that holds. */
 	double bucket_full_wall_ms, bucket_weight;
 	int64_t accepted_wall_ms; /* the latest acceptance in the bucket */
 	bool refused;		  /* its submissions are refused */
+	/* When they were at last, and whether that was logged to begin. */
+	int64_t refused_ms;
+	bool refusal_logged;
 } customer_share_t;
 
+/* Sums over the customers with runs or steps that wait for room. */
+typedef struct {
+	double received, weight; /* received: also what their runs will do */
+	double
+	    least_level; /* received by weight; of those that waited before */
+	int32_t n;
+} share_totals_t;
+
 /* Whether room is short, and what is refused because of it; see admission.c. */
 typedef struct {
 	bool room_short;
@@ -211,6 +225,9 @@
 	Sched__State end_state; /* valid unless the job is open */
 	bool needs_approval;	/* its queue requires approval of placements */
 	bool cancelled;
+	/* Among jobs of its tier and priority, as of that update; see share.c. */
+	int32_t rank;
+	uint64_t ranked_update;
 	bool over_rate;	 /* accepted beyond its customer's rate */
 	bool started;	 /* a task runs or has run */
 	bool dirty;	 /* has progress that is not written yet */
@@ -442,6 +459,9 @@
 	GHashTable *queues;	  /* name -> queue_t */
 	GHashTable *customers;	  /* name -> customer_t */
 	customer_share_t unowned; /* of all jobs without a customer */
+	share_totals_t share_totals;
+	double mean_weight; /* of the active customers; 0: none was yet */
+	uint64_t share_updates;
 	admission_t admission;
 	GHashTable *workers; /* id -> worker_t */
 	GPtrArray *worker_list;
--- a/sched/share.c
+++ b/sched/share.c
@@ -31,13 +31,20 @@
 #define RANK_STEP 0.2
 #define RANK_MAX  1000
 
+/* Queued work ranks a customer's later jobs up to this part of all that was
+ * received: more is not started before the next update, and work that fits on no
+ * worker must not hold back what is behind it. */
+#define QUEUED_MAX 0.25
+
 /* What a bucket holds: so long at the customer's rate, but at least so many
  * jobs, as a bucket of less than one would never have room. */
 #define BURST_MS       4000.0
 #define BURST_MIN_JOBS 2
-/* A refused customer is admitted again when so much of its bucket is free, so
- * that the refusal does not end and begin with each update. */
-#define SPARE_BURST 0.5
+/* A refused customer is admitted again once its bucket has room for the jobs of
+ * so long, and for so many: the refusal does not end and begin with each job, and
+ * costs one that is beyond its rate for a moment few of them. */
+#define SPARE_MS   1000.0
+#define SPARE_JOBS 2
 /* Rounding of wall times with fractions of a millisecond. */
 #define ROUNDING_MS 0.01
 
@@ -65,19 +72,27 @@
 }
 
 /*
- * Brings the bucket to a wall time: at most empty, also if the clock was set
- * back, and with the same number of jobs in it if the weight has changed.
+ * Corrects the bucket at a wall time if the weight has changed, which leaves it
+ * as many jobs, or the clock was set back: it is at most empty.
  */
 static void
-bucket_bring_to(customer_t *c, double wall_ms)
+bucket_correct(customer_t *c, double wall_ms)
 {
 	customer_share_t *h = &c->share;
 	double weight = weight_of(c), left = h->bucket_full_wall_ms - wall_ms;
 
-	if (h->bucket_weight > 0)
+	if (left > 0 && h->bucket_weight > 0)
 		left *= h->bucket_weight / weight;
 	h->bucket_weight = weight;
-	h->bucket_full_wall_ms = wall_ms + CLAMP(left, 0, burst_ms(c));
+	h->bucket_full_wall_ms = wall_ms + MIN(left, burst_ms(c));
+}
+
+/* Time from wall_ms until the bucket has room for a job; 0 or less: it has. */
+static double
+time_to_room(const customer_t *c, double wall_ms)
+{
+	return MAX(c->share.bucket_full_wall_ms, wall_ms) + interval_ms(c) -
+	    wall_ms - burst_ms(c) - ROUNDING_MS;
 }
 
 /*
@@ -94,11 +109,11 @@
 	int64_t at = MAX(j->def->accepted_ms, h->accepted_wall_ms);
 
 	at = h->accepted_wall_ms = MIN(at, s->wall_ms);
-	bucket_bring_to(c, (double)at);
-	j->over_rate = h->bucket_full_wall_ms + interval_ms(c) - (double)at >
-	    burst_ms(c) + ROUNDING_MS;
+	bucket_correct(c, (double)at);
+	j->over_rate = time_to_room(c, (double)at) > 0;
 	if (!j->over_rate)
-		h->bucket_full_wall_ms += interval_ms(c);
+		h->bucket_full_wall_ms =
+		    MAX(h->bucket_full_wall_ms, (double)at) + interval_ms(c);
 }
 
 /*
@@ -159,16 +174,15 @@
 double
 share_time_to_room(const sched_t *s, customer_t *c)
 {
-	bucket_bring_to(c, (double)s->wall_ms);
-	return c->share.bucket_full_wall_ms + interval_ms(c) -
-	    (double)s->wall_ms - burst_ms(c) - ROUNDING_MS;
+	bucket_correct(c, (double)s->wall_ms);
+	return time_to_room(c, (double)s->wall_ms);
 }
 
-/* Time until a good part of the bucket is free; 0 or less: it is. */
+/* Time until the bucket has room for more than one; 0 or less: it has. */
 double
 share_time_to_spare(const sched_t *s, customer_t *c)
 {
-	double spare_ms = MAX(interval_ms(c), SPARE_BURST * burst_ms(c));
+	double spare_ms = MAX(SPARE_JOBS * interval_ms(c), SPARE_MS);
 
 	return share_time_to_room(s, c) + spare_ms - interval_ms(c);
 }
@@ -204,6 +218,67 @@
 	h->used_milli += sign * MAX(1, r->task->step->def->cpu_milli);
 }
 
+/* Runs fn for what each customer received, and all jobs without one. */
+static void
+for_each(sched_t *s, void (*fn)(sched_t *, customer_share_t *))
+{
+	GHashTableIter it;
+	void *v;
+
+	g_hash_table_iter_init(&it, s->customers);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		customer_t *c = v;
+
+		bucket_correct(c, (double)s->wall_ms);
+		c->share.weight = weight_of(c);
+		fn(s, &c->share);
+	}
+	fn(s, &s->unowned);
+}
+
+/* Begins an update of a customer. */
+static void
+begin_update(sched_t *s, customer_share_t *h)
+{
+	add_work_done(h, s->now_ms);
+	h->waiting = false;
+	h->committed = h->queued = 0;
+	h->rank = 0;
+}
+
+/* Adds what the present runs still have to do, up to RECEIVED_DECAY_MS of it. */
+static void
+add_committed(sched_t *s)
+{
+	GHashTableIter it;
+	void *v;
+
+	g_hash_table_iter_init(&it, s->runs);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const run_t *r = v;
+		const Sched__Step *d;
+		double left_ms = RECEIVED_DECAY_MS;
+
+		if (!r->holds_resources)
+			continue;
+		d = r->task->step->def;
+		if (!d->lasting)
+			left_ms = CLAMP((double)(r->state_since_ms +
+					    d->estimate_ms - s->now_ms),
+			    0, RECEIVED_DECAY_MS);
+		share_of(s, r->job)->committed +=
+		    (double)d->cpu_milli * left_ms;
+	}
+}
+
+/* Whether its customer's quota holds a step, so that it asks for no room now. */
+static bool
+is_held(const step_t *st)
+{
+	return st->def->gang ? !customer_allows_gang(st) :
+			       !customer_allows_start(st);
+}
+
 /* Sets for all customers whether they have a step that waits for room. */
 static void
 find_waiting(sched_t *s)
@@ -214,36 +289,58 @@
 		const step_t *st = g_sequence_get(i);
 		customer_share_t *h = share_of(s, st->occ->job);
 
-		/* One that its quota holds does not compete for room. */
 		if (!h->waiting)
-			h->waiting = st->def->gang ? customer_allows_gang(st) :
-						     customer_allows_start(st);
+			h->waiting = !is_held(st);
 	}
 }
 
-/* Sums over the active customers. */
-typedef struct {
-	double received, weight, least_level;
-	int32_t n;
-} totals_t;
-
 static bool
 is_active(const customer_share_t *h)
 {
 	return h->waiting || h->used_milli > 0;
 }
 
-/* Adds a customer's part to the sums if it is active. */
+/* What a customer has received, and will by its present runs, for its weight. */
+static double
+level(const customer_share_t *h)
+{
+	return (h->received + h->committed) / h->weight;
+}
+
+/* Adds a customer's part to the sums over the active customers. */
 static void
-add_to_totals(totals_t *t, const customer_share_t *h, double weight)
+add_to_totals(sched_t *s, customer_share_t *h)
 {
+	share_totals_t *t = &s->share_totals;
+
 	if (!is_active(h))
 		return;
-	t->received += h->received;
-	t->weight += weight;
+	t->received += h->received + h->committed;
+	t->weight += h->weight;
 	t->n++;
 	if (h->waiting && h->active)
-		t->least_level = MIN(t->least_level, h->received / weight);
+		t->least_level = MIN(t->least_level, level(h));
+}
+
+/* The difference of levels that makes a rank. */
+static double
+rank_step(const sched_t *s)
+{
+	const share_totals_t *t = &s->share_totals;
+
+	return t->weight > 0 ? t->received / t->weight * RANK_STEP : 0;
+}
+
+/* The rank of a customer's job that goes after queued work of the customer. */
+static int32_t
+rank_after(const sched_t *s, const customer_share_t *h, double queued)
+{
+	double step = rank_step(s);
+
+	if (step <= 0)
+		return 0;
+	return (int32_t)MIN(
+	    RANK_MAX, round((level(h) + queued / h->weight) / step));
 }
 
 /*
@@ -252,55 +349,79 @@
  * in which it asked for nothing.
  */
 static void
-set_rank(customer_share_t *h, double weight, double mean, double least_level)
+set_rank(sched_t *s, customer_share_t *h)
 {
-	double step = mean * RANK_STEP;
+	double least = s->share_totals.least_level;
 
-	if (!h->active && least_level < INFINITY)
-		h->received = MAX(h->received, weight * (least_level - step));
-	h->rank = 0;
-	if (step > 0)
-		h->rank =
-		    (int32_t)MIN(RANK_MAX, round(h->received / weight / step));
+	if (!h->active && least < INFINITY)
+		h->received =
+		    MAX(h->received, h->weight * (least - rank_step(s)));
+	h->rank = rank_after(s, h, 0);
 	h->active = is_active(h);
 }
 
 /*
- * Updates what each customer received and the order of customers, which then
- * stays the same until the next update, as the queue is sorted by it.
+ * Ranks the queued jobs, which are in the order in which each customer's are
+ * started: each counts as received for those behind it, so that a pass starts
+ * jobs of all customers by their weights.
+ */
+static void
+rank_jobs(sched_t *s)
+{
+	GSequenceIter *i = g_sequence_get_begin_iter(s->ready_steps);
+	double limit = s->share_totals.received * QUEUED_MAX;
+
+	for (; !g_sequence_iter_is_end(i); i = g_sequence_iter_next(i)) {
+		const step_t *st = g_sequence_get(i);
+		job_t *j = st->occ->job;
+		customer_share_t *h = share_of(s, j);
+
+		if (is_held(st))
+			continue;
+		if (j->ranked_update != s->share_updates)
+			j->rank = rank_after(s, h, MIN(h->queued, limit));
+		j->ranked_update = s->share_updates;
+		h->queued += (double)st->nwaiting * (double)st->def->cpu_milli *
+		    MIN((double)st->def->estimate_ms, RECEIVED_DECAY_MS);
+	}
+}
+
+/*
+ * Updates what each customer received and the ranks, which then stay the same
+ * until the next update, as the queue is sorted by them.  The caller sorts it.
  */
 void
 share_update(sched_t *s)
 {
-	totals_t t = { .least_level = INFINITY };
-	double unowned_weight;
-	GHashTableIter it;
-	void *v;
+	share_totals_t *t = &s->share_totals;
 
 	if (g_hash_table_size(s->customers) == 0)
 		return;
-	g_hash_table_iter_init(&it, s->customers);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		add_work_done(&((customer_t *)v)->share, s->now_ms);
-		((customer_t *)v)->share.waiting = false;
-	}
-	add_work_done(&s->unowned, s->now_ms);
-	s->unowned.waiting = false;
+	/* Forgets the ranks of jobs: without any, the queue has the jobs of
+	 * each customer in their order. */
+	s->share_updates++;
+	for_each(s, begin_update);
+	queue_resort(s);
+	add_committed(s);
 	find_waiting(s);
-	g_hash_table_iter_init(&it, s->customers);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		add_to_totals(&t, &((customer_t *)v)->share, weight_of(v));
+	memset(t, 0, sizeof(*t));
+	t->least_level = INFINITY;
 	/* Jobs without a customer share the room as one of mean weight. */
-	unowned_weight = t.n == 0 ? 1 : t.weight / t.n;
-	add_to_totals(&t, &s->unowned, unowned_weight);
-	if (t.n == 0)
-		t.weight = 1;
-	g_hash_table_iter_init(&it, s->customers);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		set_rank(&((customer_t *)v)->share, weight_of(v),
-		    t.received / t.weight, t.least_level);
-	set_rank(
-	    &s->unowned, unowned_weight, t.received / t.weight, t.least_level);
+	s->unowned.weight = s->mean_weight > 0 ? s->mean_weight : 1;
+	for_each(s, add_to_totals);
+	if (t->n > 0)
+		s->mean_weight = t->weight / t->n;
+	for_each(s, set_rank);
+	rank_jobs(s);
+}
+
+/* The rank of a job; one that came after the update has its customer's. */
+static int32_t
+rank_of(const job_t *j)
+{
+	return j->ranked_update == j->sched->share_updates ?
+	    j->rank :
+	    share_of(j->sched, j)->rank;
 }
 
 /*
@@ -314,10 +435,8 @@
 
 	if (a->over_rate != b->over_rate)
 		return a->over_rate ? 1 : -1;
-	if (a->customer == b->customer)
-		return 0;
-	rank_a = share_of(a->sched, a)->rank;
-	rank_b = share_of(b->sched, b)->rank;
+	rank_a = rank_of(a);
+	rank_b = rank_of(b);
 	if (rank_a != rank_b)
 		return rank_a < rank_b ? -1 : 1;
 	return 0;
