--- a/sched/admission.c
+++ b/sched/admission.c
@@ -279,7 +279,7 @@
 static bool
 is_hopeless(const Sched__Job *job, int64_t delay_ms)
 {
-	g_autofree int64_t *path_ms = g_new0(int64_t, job->n_steps);
+	int64_t *path_ms = g_new0(int64_t, job->n_steps);
 	int64_t longest_ms = 0, allowed_ms;
 
 	for (size_t i = 0; i < job->n_steps; i++) {
@@ -292,6 +292,7 @@
 		path_ms[i] += st->estimate_ms;
 		longest_ms = MAX(longest_ms, path_ms[i]);
 	}
+	g_free(path_ms);
 	allowed_ms =
 	    job->target_ms + (int64_t)(job->stretch * (double)longest_ms);
 	return delay_ms + longest_ms > LATE_LIMIT_TIMES * allowed_ms;
@@ -336,7 +337,8 @@
 
 	*retry_after_ms = 0;
 	/* A job that was accepted before may run, and is not refused. */
-	if (d.age_ms > ROW_LIMIT_MS || g_hash_table_contains(s->jobs, id))
+	if (d.age_ms > ROW_LIMIT_MS || g_hash_table_contains(s->jobs, id) ||
+	    g_hash_table_contains(s->ended_jobs, id))
 		return SCHED_ADMITTED;
 	for (size_t i = 0; i < d.n; i++) {
 		const Sched__Refusal *r = d.list[i];
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -152,9 +152,9 @@
 	double received;    /* decaying work of its runs, in milli x ms */
 	int64_t updated_ms; /* as of then */
 	int64_t used_milli; /* by its runs now */
-	/* As of the last update: its weight, the work left to its runs, that of
-	 * its waiting tasks, and its place in the queue, the lowest first. */
-	double weight, committed, queued;
+	/* As of the last update: its weight, the work of its waiting tasks, and
+	 * its place in the queue, the lowest first. */
+	double weight, queued;
 	int32_t rank;
 	bool waiting; /* it has a step that waits for room */
 	bool active;  /* it had runs or such a step at the last update */
@@ -170,7 +170,7 @@
 
 /* Sums over the customers with runs or steps that wait for room. */
 typedef struct {
-	double received, weight; /* received: also what their runs will do */
+	double received, weight; /* received: as expected */
 	double
 	    least_level; /* received by weight; of those that waited before */
 	int32_t n;
--- a/sched/share.c
+++ b/sched/share.c
@@ -27,6 +27,9 @@
 /* Received work counts for about so long: a burst is remembered for some tasks
  * of usual length, and an earlier one does not delay a customer for ever. */
 #define RECEIVED_DECAY_MS 5000.0
+/* Ranks are by received work at this time ahead if the present runs go on: else a
+ * start would show only slowly, and that of a long task too late. */
+#define HORIZON_MS 1000.0
 /* Customers whose received work differs by less of the mean are about even. */
 #define RANK_STEP 0.2
 #define RANK_MAX  1000
@@ -242,35 +245,10 @@
 {
 	add_work_done(h, s->now_ms);
 	h->waiting = false;
-	h->committed = h->queued = 0;
+	h->queued = 0;
 	h->rank = 0;
 }
 
-/* Adds what the present runs still have to do, up to RECEIVED_DECAY_MS of it. */
-static void
-add_committed(sched_t *s)
-{
-	GHashTableIter it;
-	void *v;
-
-	g_hash_table_iter_init(&it, s->runs);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		const run_t *r = v;
-		const Sched__Step *d;
-		double left_ms = RECEIVED_DECAY_MS;
-
-		if (!r->holds_resources)
-			continue;
-		d = r->task->step->def;
-		if (!d->lasting)
-			left_ms = CLAMP((double)(r->state_since_ms +
-					    d->estimate_ms - s->now_ms),
-			    0, RECEIVED_DECAY_MS);
-		share_of(s, r->job)->committed +=
-		    (double)d->cpu_milli * left_ms;
-	}
-}
-
 /* Whether its customer's quota holds a step, so that it asks for no room now. */
 static bool
 is_held(const step_t *st)
@@ -300,11 +278,32 @@
 	return h->waiting || h->used_milli > 0;
 }
 
-/* What a customer has received, and will by its present runs, for its weight. */
+/* Part of the received work that is left of it at the horizon. */
+static double
+kept_at_horizon(void)
+{
+	return exp(-HORIZON_MS / RECEIVED_DECAY_MS);
+}
+
+/* What a use of processors from now on adds to received work by the horizon. */
+static double
+added_at_horizon(double milli)
+{
+	return milli * RECEIVED_DECAY_MS * (1 - kept_at_horizon());
+}
+
+/* Received work at the horizon if the present runs go on. */
+static double
+expected(const customer_share_t *h)
+{
+	return h->received * kept_at_horizon() +
+	    added_at_horizon((double)h->used_milli);
+}
+
 static double
 level(const customer_share_t *h)
 {
-	return (h->received + h->committed) / h->weight;
+	return expected(h) / h->weight;
 }
 
 /* Adds a customer's part to the sums over the active customers. */
@@ -315,7 +314,7 @@
 
 	if (!is_active(h))
 		return;
-	t->received += h->received + h->committed;
+	t->received += expected(h);
 	t->weight += h->weight;
 	t->n++;
 	if (h->waiting && h->active)
@@ -354,8 +353,8 @@
 	double least = s->share_totals.least_level;
 
 	if (!h->active && least < INFINITY)
-		h->received =
-		    MAX(h->received, h->weight * (least - rank_step(s)));
+		h->received = MAX(h->received,
+		    h->weight * (least - rank_step(s)) / kept_at_horizon());
 	h->rank = rank_after(s, h, 0);
 	h->active = is_active(h);
 }
@@ -375,14 +374,16 @@
 		const step_t *st = g_sequence_get(i);
 		job_t *j = st->occ->job;
 		customer_share_t *h = share_of(s, j);
+		double work;
 
 		if (is_held(st))
 			continue;
 		if (j->ranked_update != s->share_updates)
 			j->rank = rank_after(s, h, MIN(h->queued, limit));
 		j->ranked_update = s->share_updates;
-		h->queued += (double)st->nwaiting * (double)st->def->cpu_milli *
-		    MIN((double)st->def->estimate_ms, RECEIVED_DECAY_MS);
+		work = (double)(st->def->cpu_milli * st->def->estimate_ms);
+		h->queued += (double)st->nwaiting *
+		    MIN(work, added_at_horizon((double)st->def->cpu_milli));
 	}
 }
 
@@ -402,7 +403,6 @@
 	s->share_updates++;
 	for_each(s, begin_update);
 	queue_resort(s);
-	add_committed(s);
 	find_waiting(s);
 	memset(t, 0, sizeof(*t));
 	t->least_level = INFINITY;
