--- a/test/unit/admission.c
+++ b/test/unit/admission.c
@@ -133,6 +133,33 @@
 	}
 }
 
+/* A customer that sends in bursts is refused again and again: logged once. */
+Test(admission, a_refusal_that_comes_again_is_logged_once)
+{
+	sched_t *s = shares_owner(1, 1, 1);
+	bool was = false;
+	int times = 0;
+
+	shares_add_worker(s, "w");
+	overload(s, LATE_MS);
+	for (int t = 0; t < 30000; t += STEP_MS) {
+		bool now;
+
+		if (t % 3000 == 0)
+			for (int i = 0; i < 10; i++)
+				shares_add_job(
+				    s, "a", 2000 + t + i, s->wall_ms);
+		shares_pass(s, STEP_MS);
+		now = shares_of(s, "a")->refused;
+		times += now && !was;
+		was = now;
+	}
+	cr_expect_gt(times, 5, "%d times", times);
+	cr_expect_eq(refusal_events.begun, 1);
+	cr_expect_eq(refusal_events.ended, 0);
+	sched_free(s);
+}
+
 /* A refusal ends when the bucket has room, room is there, or the cell is lost. */
 Test(admission, a_refusal_ends)
 {
@@ -362,6 +389,33 @@
 	sched_free(s);
 }
 
+/* The row says what is left of the time when it is written. */
+Test(admission, the_row_counts_from_its_write)
+{
+	static const int32_t later_ms[] = { 0, 200, 60000 };
+	sched_t *s = shares_owner(1, 1, 1);
+
+	shares_add_worker(s, "w");
+	overload(s, LATE_MS);
+	send_on(s, 3000);
+	shares_update(s);
+	cr_assert_eq(s->admission.refusals->len, 1);
+	for (size_t i = 0; i < G_N_ELEMENTS(later_ms); i++) {
+		const Sched__Refusal *r =
+		    g_ptr_array_index(s->admission.refusals, 0);
+		g_autofree Sched__Refusal **list = NULL;
+		size_t n;
+
+		s->now_ms = s->admission.decided_ms + later_ms[i];
+		list = admission_pack(s, &n);
+		cr_assert_eq(n, 1);
+		cr_expect_eq(list[0]->retry_after_ms,
+		    MAX(1, r->retry_after_ms - later_ms[i]), "case %zu", i);
+		g_free(list[0]);
+	}
+	sched_free(s);
+}
+
 /* Callers that were refused together do not come back together. */
 Test(admission, callers_come_back_spread)
 {
