--- a/sched/internal.h
+++ b/sched/internal.h
@@ -155,12 +155,44 @@
 
 /* What a customer received and sent; see share.c. */
 typedef struct {
-	double received; /* decaying work of its runs, in milli x ms */
-	int64_t updated_ms;
-	/* When its token bucket is full again, since 1970. */
-	int64_t bucket_full_wall_ms;
+	double received;    /* decaying work of its runs, in milli x ms */
+	int64_t updated_ms; /* as of then */
+	int64_t used_milli; /* by its runs now */
+	/* As of the last update: its weight, the work of its waiting tasks, and
+	 * its place in the queue, the lowest first. */
+	double weight, queued;
+	int32_t rank;
+	bool waiting; /* it has a step that waits for room */
+	bool active;  /* it had runs or such a step at the last update */
+	/* When its token bucket is full again, since 1970, and the weight for
+	 * which that holds. */
+	double bucket_full_wall_ms, bucket_weight;
+	int64_t accepted_wall_ms; /* the latest acceptance in the bucket */
+	bool refused;		  /* its submissions are refused */
+	/* When they were at last, and whether that was logged to begin. */
+	int64_t refused_ms;
+	bool refusal_logged;
 } customer_share_t;
 
+/* Sums over the customers with runs or steps that wait for room. */
+typedef struct {
+	double received, weight; /* received: as expected */
+	double
+	    least_level; /* received by weight; of those that waited before */
+	int32_t n;
+} share_totals_t;
+
+/* Whether room is short, and what is refused because of it; see admission.c. */
+typedef struct {
+	bool room_short;
+	bool plan_defers; /* set by the overload plan: it delays jobs */
+	/* When a job was last seen to wait past its latest start, and since
+	 * when that has been so without a long gap; 0: it has not. */
+	int64_t late_seen_ms, late_since_ms;
+	GPtrArray *refusals; /* of Sched__Refusal, as of decided_ms */
+	int64_t decided_ms;
+} admission_t;
+
 /* A queue's settings and what has been learned of its jobs. */
 typedef struct {
 	const char *name;
@@ -217,6 +249,10 @@
 	Sched__State end_state; /* valid unless the job is open */
 	bool needs_approval;	/* its queue requires approval of placements */
 	bool cancelled;
+	/* Among jobs of its tier and priority, as of that update; see share.c. */
+	int32_t rank;
+	uint64_t ranked_update;
+	bool over_rate;	 /* accepted beyond its customer's rate */
 	bool started;	 /* a task runs or has run */
 	bool dirty;	 /* has progress that is not written yet */
 	bool row_stored; /* it has a progress row */
@@ -452,7 +488,12 @@
 	bool unseen_stale;     /* unseen.c is to count before the next pass */
 	bool unseen_counted;   /* some customer may have unseen runs */
 	guint nunknown;	       /* runs whose job is not known */
-	GHashTable *workers;   /* id -> worker_t */
+	customer_share_t unowned; /* of all jobs without a customer */
+	share_totals_t share_totals;
+	double mean_weight; /* of the active customers; 0: none was yet */
+	uint64_t share_updates;
+	admission_t admission;
+	GHashTable *workers; /* id -> worker_t */
 	GPtrArray *worker_list;
 	GHashTable *runs;   /* id -> run_t */
 	GHashTable *images; /* name -> index */
@@ -542,13 +583,21 @@
 
 /* share.c */
 void share_job_accepted(sched_t *s, job_t *j);
+void share_load_done(sched_t *s);
+void share_forget(sched_t *s);
+void share_count_run(const run_t *r, int sign);
 void share_update(sched_t *s);
 int share_compare(const job_t *a, const job_t *b);
+double share_time_to_room(const sched_t *s, customer_t *c);
+double share_time_to_spare(const sched_t *s, customer_t *c);
 
 /* overload_queue.c */
 void overload_update(sched_t *s);
+void overload_append_refusals(sched_t *s, GPtrArray *refusals);
 
 /* admission.c */
+void admission_update(sched_t *s);
+void admission_forget(sched_t *s);
 Sched__Refusal **admission_pack(sched_t *s, size_t *n);
 
 /* cell_worker.c */
@@ -581,6 +630,7 @@
 worker_t *
 place_alone(sched_t *s, step_t *st, const task_t *t, worker_t *reserved);
 bool place_possible(const sched_t *s, worker_t *w, const step_t *st);
+bool place_fits_empty(const sched_t *s, const worker_t *w, const step_t *st);
 bool place_gang(sched_t *s, const step_t *st, worker_t **at);
 
 /* approval.c */
--- a/sched/rows.c
+++ b/sched/rows.c
@@ -192,6 +192,7 @@
 	ownership_load_done(s);
 	g_hash_table_foreach_remove(s->loaded_progress, was_read, NULL);
 	g_hash_table_remove_all(s->stopped_jobs);
+	share_load_done(s);
 	all = g_hash_table_get_values(s->jobs);
 	for (GList *i = all; i != NULL; i = i->next)
 		open_loaded_job(s, i->data);
--- a/serve/metrics.c
+++ b/serve/metrics.c
@@ -60,8 +60,6 @@
 	put_metric(page, "unauthorized", (int64_t)stats->unauthorized);
 	put_metric(page, "auth_stale", (int64_t)stats->auth_stale);
 	put_metric(page, "foreign", (int64_t)stats->foreign);
-	put_metric(page, "jobs_over_rate", (int64_t)stats->over_rate);
-	put_metric(page, "jobs_hopeless", (int64_t)stats->hopeless);
 	put_metric(page, "bad_input", (int64_t)stats->bad_input);
 	for (size_t i = 0; i < G_N_ELEMENTS(stats->accept_latency); i++) {
 		total += (int64_t)stats->accept_latency[i];
@@ -89,6 +87,11 @@
 	put_metric(page, "deposed", (int64_t)stats->deposed);
 	put_metric(page, "progress_writes", (int64_t)stats->writes);
 	put_metric(page, "looks", (int64_t)stats->polls);
+	put_metric(page, "jobs_over_rate", (int64_t)stats->over_rate);
+	put_metric(
+	    page, "refused_over_rate", (int64_t)stats->refused_over_rate);
+	put_metric(page, "refused_hopeless", (int64_t)stats->refused_hopeless);
+	put_metric(page, "refused_customers", stats->refused_customers);
 	put_metric(page, "jobs_open", stats->jobs);
 	put_metric(page, "steps_queued", stats->queued);
 	put_metric(page, "runs", stats->running);
--- a/serve/request.c
+++ b/serve/request.c
@@ -197,16 +197,11 @@
 static void
 finish_rejected(request_t *rq)
 {
-	node_t *n = rq->node;
 	bool over_rate = rq->rejection.reason == SCHED_OVER_RATE;
 	const char *why = over_rate ?
 	    "more jobs than the rate of the customer" :
 	    "it would end too late";
 
-	if (over_rate)
-		n->stats.over_rate++;
-	else
-		n->stats.hopeless++;
 	log_event(EVT_REFUSED, "id=%s queue=%s retry_after_ms=%d why=\"%s\"",
 	    rq->id, rq->queue, rq->rejection.retry_after_ms, why);
 	finish(rq, over_rate ? 429 : 503, why);
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -205,15 +205,14 @@
  * Counters of requests of callers, by their result.  refused_store and
  * state_unknown_job also count cancels.  unauthorized and auth_stale count all
  * calls answered 401, and 503 as the operators' table was too old; foreign,
- * those for a job of another customer.  over_rate and hopeless count
- * submissions that were not admitted.  bad_input counts malformed input from
+ * those for a job of another customer.  bad_input counts malformed input from
  * the platform and from other entries, none of callers.
  */
 typedef struct {
 	uint64_t accepted, resubmitted, refused_store, refused_no_config,
 	    refused_malformed, in_doubt, no_route, state_reads,
 	    state_unknown_job, state_unreadable, cancels, queue_counts,
-	    unauthorized, auth_stale, foreign, over_rate, hopeless, bad_input;
+	    unauthorized, auth_stale, foreign, bad_input;
 	/*
 	 * Submissions by the time to their answer: element i counts those below
 	 * 1 << i ms that no lower element counts, and the last all slower ones.
