--- a/sched/unseen.c
+++ b/sched/unseen.c
@@ -205,7 +205,7 @@
 customer_ended_job_loaded(sched_t *s, const char *id, const Sched__Progress *p)
 {
 	if (p->state != SCHED__STATE__COMPLETED &&
-	    s->wall_ms - p->ended_ms < STOPPED_MS)
+	    p->ended_ms > s->wall_ms - STOPPED_MS)
 		g_hash_table_add(s->stopped_jobs, g_strdup(id));
 }
 
--- a/test/unit/quota_takeover.c
+++ b/test/unit/quota_takeover.c
@@ -182,6 +182,7 @@
 		{ "failed", SCHED__STATE__FAILED, 12000, 4000 },
 		{ "long ago", SCHED__STATE__CANCELLED, 60000, 0 },
 		{ "completed", SCHED__STATE__COMPLETED, 1000, 0 },
+		{ "a time out of range", SCHED__STATE__CANCELLED, -1, 0 },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -191,7 +192,9 @@
 
 		add_silent_worker(s, "a", 8000);
 		read_end(s, JOB_A, cases[i].state,
-		    s->wall_ms - cases[i].ended_ago_ms);
+		    cases[i].ended_ago_ms < 0 ?
+			INT64_MIN :
+			s->wall_ms - cases[i].ended_ago_ms);
 		d.count = 4;
 		cr_expect_null(read_job(s, JOB_A, &d, &c, OLD_VERSION));
 		sched_load_done(s, s->now_ms);
