Sched: a lost cell forgets runs whose job is unknown

w->nunknown was kept when the runs were discarded, so that the worker took no task of this entry's next ownership: the new test fails without the change.

--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -133,7 +133,7 @@
 		g_hash_table_remove_all(w->runs);
 		w->used_cpu_milli = w->used_mem_mb = w->filler_cpu_milli =
 		    w->serving_cpu_milli = 0;
-		w->used_gpu = w->nserving = 0;
+		w->used_gpu = w->nserving = w->nunknown = 0;
 		w->serving_mask = w->filler_mask = 0;
 		memset(w->serving_by_image, 0, sizeof(w->serving_by_image));
 		memset(
--- a/test/unit/quota_takeover.c
+++ b/test/unit/quota_takeover.c
@@ -248,6 +248,30 @@
 	sched_free(s);
 }
 
+/*
+ * The cell is lost while a worker has a run of an unknown job, and claimed again
+ * later: the worker must not stay out of use for a run that is forgotten.
+ */
+Test(quota_takeover, unknown_runs_are_forgotten_with_the_others)
+{
+	sched_t *s = quota_owner();
+	worker_t *w = add_worker_now(s, "w");
+	sched_running_t run = {
+		.task = JOB_A ".0.0.0", .run = 1, .checkpoint = ""
+	};
+	sched_report_t report = {
+		.clock_ms = 1, .started_ms = 1, .running = &run, .nrunning = 1
+	};
+
+	report_apply(s, w, &report, s->now_ms);
+	cr_expect_eq(w->nunknown, 1);
+	ownership_lost(s, "test");
+	ownership_tick(s);
+	cr_expect_eq(w->nunknown, 0);
+	cr_expect_eq(s->nunknown, 0);
+	sched_free(s);
+}
+
 /*
  * A customer that is not in the configuration: its jobs must run on, within the
  * limits of its newest job in whatever order rows are read, and those of the
