--- a/test/unit/quota_takeover.c
+++ b/test/unit/quota_takeover.c
@@ -182,6 +182,7 @@
 		{ "failed", SCHED__STATE__FAILED, 12000, 4000 },
 		{ "long ago", SCHED__STATE__CANCELLED, 60000, 0 },
 		{ "completed", SCHED__STATE__COMPLETED, 1000, 0 },
+		{ "a time out of range", SCHED__STATE__CANCELLED, -1, 0 },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -191,7 +192,9 @@
 
 		add_silent_worker(s, "a", 8000);
 		read_end(s, JOB_A, cases[i].state,
-		    s->wall_ms - cases[i].ended_ago_ms);
+		    cases[i].ended_ago_ms < 0 ?
+			INT64_MIN :
+			s->wall_ms - cases[i].ended_ago_ms);
 		d.count = 4;
 		cr_expect_null(read_job(s, JOB_A, &d, &c, OLD_VERSION));
 		sched_load_done(s, s->now_ms);
@@ -245,6 +248,30 @@
 	sched_free(s);
 }
 
+/*
+ * The cell is lost while a worker has a run of an unknown job, and claimed again
+ * later: the worker must not stay out of use for a run that is forgotten.
+ */
+Test(quota_takeover, unknown_runs_are_forgotten_with_the_others)
+{
+	sched_t *s = quota_owner();
+	worker_t *w = add_worker_now(s, "w");
+	sched_running_t run = {
+		.task = JOB_A ".0.0.0", .run = 1, .checkpoint = ""
+	};
+	sched_report_t report = {
+		.clock_ms = 1, .started_ms = 1, .running = &run, .nrunning = 1
+	};
+
+	report_apply(s, w, &report, s->now_ms);
+	cr_expect_eq(w->nunknown, 1);
+	ownership_lost(s, "test");
+	ownership_tick(s);
+	cr_expect_eq(w->nunknown, 0);
+	cr_expect_eq(s->nunknown, 0);
+	sched_free(s);
+}
+
 /*
  * A customer that is not in the configuration: its jobs must run on, within the
  * limits of its newest job in whatever order rows are read, and those of the
