Cells: customers with quotas

The random schedules knew no customers. At each start the workers check what the customer's runs hold; without faults a customer below half of its quota gets a start in time.

--- a/test/cell/cell.h
+++ b/test/cell/cell.h
@@ -14,6 +14,8 @@
 #define STORE_LATENCY_MS 4 /* without a fault */
 #define MAX_LEASE_MS	 6000
 #define MAX_STOP_MS	 400 /* that a run takes to stop */
+#define CUSTOMERS_MAX	 4
+#define CUSTOMER_SEEDS	 5 /* every so many seeds have customers */
 /* A worker that crashed leaves the list after so long, unless it is back. */
 #define UNLISTED_AFTER_MS 3300
 
@@ -43,6 +45,7 @@
 	bool stopping;
 	int64_t stops_at_ms; /* if stopping */
 	const Sched__Step *step;
+	const struct sim_job *job;
 } sim_run_t;
 
 /* The end of a run, as its worker reports it until it is acknowledged. */
@@ -102,7 +105,9 @@
 	int64_t feed_version;
 	bool feed_in_progress;
 	int32_t list_lag_ms; /* from a read of the list of workers to its use */
-	int64_t list_as_of_ms; /* of the newest list in use */
+	int64_t list_as_of_ms;	     /* of the newest list in use */
+	guint config_version;	     /* of the customers in use; 0: none yet */
+	int64_t slow_reads_until_ms; /* of the operators' table */
 	int64_t last_tick_ms;
 	int64_t not_owner_ms;  /* when it last was not */
 	int64_t last_fault_ms; /* when check_waiting_count last saw a fault */
@@ -117,12 +122,25 @@
 	bool done;		/* a run ended successfully */
 	int32_t failures;	/* runs that failed */
 	int32_t crashes;	/* of workers on which it was running */
+	bool start_unanswered;	/* an order to start it had no answer */
 	/* After CRASHES_MAX of them, by the owner with this token. */
 	int32_t starts_after_crashes;
 	int64_t starts_token;
 } ground_truth_t;
 
+/* What a customer's tasks may hold; 0: no limit. */
 typedef struct {
+	int64_t cpu_milli, mem_mb;
+} sim_quota_t;
+
+/* A version of the operators' table. */
+typedef struct {
+	int64_t from_ms; /* in force since */
+	bool listed[CUSTOMERS_MAX];
+	sim_quota_t quota[CUSTOMERS_MAX];
+} sim_config_t;
+
+typedef struct sim_job {
 	char id[SCHED_JOB_ID_BYTES + 1];
 	Sched__Job *def;
 	bool cancelled;
@@ -147,6 +165,7 @@
 	int64_t version;
 	bool store_down;
 	int64_t outage_changed_ms; /* when the last outage began or ended */
+	int64_t outage_began_ms;   /* when the last one did */
 	int32_t store_latency_ms;  /* of a call, without the network */
 	double lost_write_share;   /* of writes that get no answer */
 	bool lost_writes_apply_late;
@@ -159,6 +178,13 @@
 	GHashTable *jobs;	     /* id -> sim_job_t */
 	GHashTable *ground_truth;    /* task -> ground_truth_t */
 	GHashTable *evacuated_since; /* zone -> int64_t, in ms */
+	/* Customers. */
+	GRand *customer_rand;
+	int32_t ncustomers;
+	GArray *configs; /* of sim_config_t; the last is the newest */
+	int64_t faults_end_ms, config_changes_end_ms;
+	/* Of a customer: its last start, or when none was due. */
+	int64_t customer_started_ms[CUSTOMERS_MAX];
 	/* The first check that failed, or NULL. */
 	const char *violated_check;
 	char violation_detail[256];
@@ -210,6 +236,19 @@
 /* Brings the worker's lease and runs up to the present. */
 void worker_advance(world_t *w, sim_worker_t *wk);
 
+/* customer.c */
+void customers_init(world_t *w);
+void customers_free(world_t *w);
+/* Schedules changes of quotas, and the checks of progress from quiet_ms on. */
+void customers_run(world_t *w, int64_t faults_end_ms, int64_t quiet_ms,
+    int64_t changes_end_ms);
+void customers_entry_booted(world_t *w, sim_entry_t *en);
+/* Gives some jobs that are not lasting a customer. */
+void customers_set_job(world_t *w, Sched__Job *def);
+/* Checks the quota before a run begins. */
+void customers_check_start(
+    world_t *w, const sim_job_t *job, const char *task, int64_t sent_ms);
+
 /* entry.c */
 void entry_boot(world_t *w, sim_entry_t *en);
 void entry_kill(sim_entry_t *en);
--- a/test/cell/entry.c
+++ b/test/cell/entry.c
@@ -90,8 +90,11 @@
 		en->last_tick_ms = w->now_ms;
 		next_ms =
 		    MIN(next_ms, sched_tick(en->sched, w->now_ms, w->now_ms));
-		/* Zones come directly, not through the store, so never lag. */
-		sched_feed_read(en->sched, SCHED_FEED_OPERATORS, w->now_ms);
+		/* Zones come directly, not through the store, so never lag;
+		 * customers do. */
+		if (w->ncustomers == 0)
+			sched_feed_read(
+			    en->sched, SCHED_FEED_OPERATORS, w->now_ms);
 		sched_set_store_outage(
 		    en->sched, w->store_down, w->outage_changed_ms, w->now_ms);
 		if (sched_is_owner(en->sched))
@@ -164,6 +167,7 @@
 	world_schedule(w, en->index, on_tick, entry_timer_new(en));
 	world_schedule(w, en->index, on_owner_poll, entry_timer_new(en));
 	world_schedule(w, en->index, on_list, entry_timer_new(en));
+	customers_entry_booted(w, en);
 }
 
 void
--- a/test/cell/worker.c
+++ b/test/cell/worker.c
@@ -301,13 +301,14 @@
 }
 
 /*
- * Checks a start just before it takes effect.  late: the order was delayed, so
- * the time bounds do not apply.
+ * Checks a start just before it takes effect.  The time bounds do not apply to
+ * an order that was delayed.
  */
 static void
 check_start(world_t *w, sim_worker_t *wk, const sched_order_t *o,
-    sim_job_t *job, int32_t step, bool late)
+    sim_job_t *job, int32_t step, int64_t sent_ms)
 {
+	bool late = w->now_ms - sent_ms > NETWORK_DELAY_MS;
 	ground_truth_t *truth = world_ground_truth(w, o->task);
 	const int64_t *since_ms =
 	    g_hash_table_lookup(w->evacuated_since, wk->zone);
@@ -369,7 +370,7 @@
 
 /* Starts a run, unless the worker must reject it; extends the lease. */
 static sched_order_result_t
-start_run(world_t *w, sim_worker_t *wk, const sched_order_t *o, bool late)
+start_run(world_t *w, sim_worker_t *wk, const sched_order_t *o, int64_t sent_ms)
 {
 	sim_job_t *job = job_of(w, o->task);
 	const int64_t *rejected =
@@ -397,11 +398,13 @@
 	/* Runs may have ended on workers that got no call lately. */
 	for (int32_t i = 0; i < w->nworkers; i++)
 		worker_advance(w, &w->workers[i]);
-	check_start(w, wk, o, job, step, late);
+	check_start(w, wk, o, job, step, sent_ms);
+	customers_check_start(w, job, o->task, sent_ms);
 	run = g_new0(sim_run_t, 1);
 	g_strlcpy(run->task, o->task, sizeof(run->task));
 	run->run = o->run;
 	run->step = job->def->steps[step];
+	run->job = job;
 	/* A run takes 0.5 to 1.5 times the estimate of its step. */
 	factor = 0.5 + (double)(g_str_hash(o->task) % 100) / 100;
 	run->work_left_ms = (int64_t)((double)run->step->estimate_ms * factor);
@@ -418,7 +421,8 @@
 }
 
 static sched_order_result_t
-execute_order(world_t *w, sim_worker_t *wk, const sched_order_t *o, bool late)
+execute_order(
+    world_t *w, sim_worker_t *wk, const sched_order_t *o, int64_t sent_ms)
 {
 	sim_run_t *run = find_run(wk, o->task);
 
@@ -426,7 +430,7 @@
 		return SCHED_ORDER_FENCED;
 	wk->token = o->token;
 	if (o->kind == SCHED_START)
-		return start_run(w, wk, o, late);
+		return start_run(w, wk, o, sent_ms);
 	if (o->kind == SCHED_PACE)
 		return run == NULL ? SCHED_ORDER_INVALID : SCHED_ORDER_OK;
 	reject_runs_up_to(wk, o->task, o->run);
@@ -446,7 +450,8 @@
 	int64_t started_ms; /* of the worker process that is called */
 	bool to_former;	    /* it names an earlier process */
 	sched_order_t order;
-	char task[64]; /* of order, whose own string is the caller's */
+	int64_t sent_ms; /* of order */
+	char task[64];	 /* of order, whose own string is the caller's */
 	sched_poll_t poll;
 	sched_order_result_t result;
 	int64_t clock_ms;
@@ -477,6 +482,8 @@
 {
 	worker_call_t *c = arg;
 
+	if (c->order.kind == SCHED_START && c->result == SCHED_ORDER_IN_DOUBT)
+		world_ground_truth(w, c->task)->start_unanswered = true;
 	if (entry_is_alive(c->entry, c->generation) && c->entry->paused) {
 		world_schedule(w, PAUSED_RETRY_MS, on_order_answer, c);
 		return;
@@ -497,7 +504,7 @@
 
 	if (c->worker->up && c->worker->started_ms == c->started_ms) {
 		worker_advance(w, c->worker);
-		execute_order(w, c->worker, &c->order, true);
+		execute_order(w, c->worker, &c->order, c->sent_ms);
 	}
 	call_free(c);
 }
@@ -544,7 +551,7 @@
 		world_schedule(w, ORDER_TIMEOUT_MS, on_order_answer, c);
 		return;
 	}
-	c->result = execute_order(w, wk, &c->order, false);
+	c->result = execute_order(w, wk, &c->order, c->sent_ms);
 	c->clock_ms = worker_clock_ms(w, wk);
 	if (crashes_at_once(w, wk, &c->order)) {
 		c->result = SCHED_ORDER_IN_DOUBT;
@@ -582,6 +589,7 @@
 	c->started_ms = c->worker->started_ms;
 	c->to_former = strcmp(c->worker->id, o->worker) != 0;
 	c->order = *o;
+	c->sent_ms = en->world->now_ms;
 	g_strlcpy(c->task, o->task, sizeof(c->task));
 	c->order.task = c->task;
 	c->order.spec = c->order.checkpoint = "";
--- a/test/cell/world.c
+++ b/test/cell/world.c
@@ -135,6 +135,7 @@
 	w->store_latency_ms = STORE_LATENCY_MS;
 	w->nentries = nentries;
 	w->nworkers = nworkers;
+	customers_init(w);
 	for (int32_t i = 0; i < nworkers; i++) {
 		sim_worker_t *wk = &w->workers[i];
 
@@ -178,6 +179,7 @@
 	g_hash_table_unref(w->ground_truth);
 	g_hash_table_unref(w->evacuated_since);
 	g_rand_free(w->rand);
+	customers_free(w);
 	g_free(w);
 }
 
--- a/test/main/cells.c
+++ b/test/main/cells.c
@@ -17,14 +17,18 @@
 #include "../../sched/sched.h"
 #include "../cell/cell.h"
 
-#define FAULTS_END_MS	 25000 /* no more faults and new jobs */
-#define RECOVERY_MS	 60000 /* after which all jobs must have ended */
-#define COUNTED_AFTER_MS 5000  /* a job that waits longer must be counted */
-#define FAULT_FREE_MS	 3000  /* before an entry's count is checked */
-#define OWNER_READ_MS	 600   /* all read the owner's row in this time */
-#define SLOW_STORE_MS	 10    /* slower answers count as a fault */
-#define JOB_GAP_MS	 400   /* on average */
-#define DEADLY_SHARE	 0.02  /* of jobs: a task crashes its workers */
+#define FAULTS_END_MS 25000 /* no more faults and new jobs */
+#define RECOVERY_MS   60000 /* after which all jobs must have ended */
+/* The same where quotas may leave one task at a time. */
+#define QUOTA_RECOVERY_MS 120000
+#define QUOTA_QUIET_MS	  20000 /* from FAULTS_END_MS: no effects of faults */
+#define QUOTA_CHANGES_MS  50000 /* the same: quotas change no more */
+#define COUNTED_AFTER_MS  5000	/* a job that waits longer must be counted */
+#define FAULT_FREE_MS	  3000	/* before an entry's count is checked */
+#define OWNER_READ_MS	  600	/* all read the owner's row in this time */
+#define SLOW_STORE_MS	  10	/* slower answers count as a fault */
+#define JOB_GAP_MS	  400	/* on average */
+#define DEADLY_SHARE	  0.02	/* of jobs: a task crashes its workers */
 
 enum {
 	ENTRY_KILLED,
@@ -110,6 +114,7 @@
 		d.n_steps = 1;
 		steps[0].lasting = true;
 	}
+	customers_set_job(w, &d);
 	job = world_submit(w, &d, !lasting && world_chance(w, 0.03));
 	if (!world_chance(w, DEADLY_SHARE))
 		return;
@@ -265,8 +270,10 @@
 store_fault(world_t *w, int32_t kind, int64_t ms)
 {
 	if (kind == STORE_DOWN) {
-		w->store_down = true;
+		if (!w->store_down)
+			w->outage_began_ms = w->now_ms;
 		w->outage_changed_ms = w->now_ms;
+		w->store_down = true;
 	}
 	if (kind == STORE_SLOW)
 		w->store_latency_ms = world_random_int(w, 50, 450);
@@ -458,8 +465,12 @@
 	world_schedule(w, 1500, submit, NULL);
 	world_schedule(w, 3000, fault, NULL);
 	world_schedule(w, 3000, check_waiting_count, NULL);
+	customers_run(w, FAULTS_END_MS, FAULTS_END_MS + QUOTA_QUIET_MS,
+	    FAULTS_END_MS + QUOTA_CHANGES_MS);
 	world_run_until(w, FAULTS_END_MS);
-	world_run_until(w, FAULTS_END_MS + RECOVERY_MS);
+	world_run_until(w,
+	    FAULTS_END_MS +
+		(w->ncustomers > 0 ? QUOTA_RECOVERY_MS : RECOVERY_MS));
 	g_hash_table_iter_init(&it, w->jobs);
 	for (int32_t i = 0; i < w->nworkers; i++)
 		worker_advance(w, &w->workers[i]);
