--- a/test/cell/cell.h
+++ b/test/cell/cell.h
@@ -245,12 +245,19 @@
 void customers_entry_booted(world_t *w, sim_entry_t *en);
 /* Gives some jobs that are not lasting a customer. */
 void customers_set_job(world_t *w, Sched__Job *def);
+const char *customers_name(int32_t c);
+/* A version of the configuration; the first is 0. */
+sim_config_t *customers_config(const world_t *w, guint version);
+
+/* quota_check.c */
+/* Begins to check that no customer is passed over, as all faults are over. */
+void quotas_begin_checks(world_t *w, void *arg);
 /* Checks the quota before a run begins. */
-void customers_check_start(
+void quotas_check_start(
     world_t *w, const sim_job_t *job, const char *task, int64_t sent_ms);
 
 /* A run may or may not be under way, and rightly counts until its lease ends. */
-void customers_run_in_doubt(world_t *w, const sim_job_t *job);
+void quotas_run_in_doubt(world_t *w, const sim_job_t *job);
 
 /* entry.c */
 void entry_boot(world_t *w, sim_entry_t *en);
--- a/test/cell/worker.c
+++ b/test/cell/worker.c
@@ -98,14 +98,14 @@
 
 		world_ground_truth(w, run->task)->running--;
 		world_ground_truth(w, run->task)->crashes++;
-		customers_run_in_doubt(w, run->job);
+		quotas_run_in_doubt(w, run->job);
 	}
 	/* Runs whose ends no owner was told of count too. */
 	for (guint i = 0; i < wk->ended->len; i++) {
 		const sim_ended_t *ended = g_ptr_array_index(wk->ended, i);
 
 		world_ground_truth(w, ended->task)->crashes++;
-		customers_run_in_doubt(w, job_of(w, ended->task));
+		quotas_run_in_doubt(w, job_of(w, ended->task));
 	}
 	world_schedule(w, UNLISTED_AFTER_MS, on_unlist, wk);
 	g_ptr_array_set_size(wk->runs, 0);
@@ -401,7 +401,7 @@
 	for (int32_t i = 0; i < w->nworkers; i++)
 		worker_advance(w, &w->workers[i]);
 	check_start(w, wk, o, job, step, sent_ms);
-	customers_check_start(w, job, o->task, sent_ms);
+	quotas_check_start(w, job, o->task, sent_ms);
 	run = g_new0(sim_run_t, 1);
 	g_strlcpy(run->task, o->task, sizeof(run->task));
 	run->run = o->run;
@@ -486,7 +486,7 @@
 
 	if (c->order.kind == SCHED_START && c->result == SCHED_ORDER_IN_DOUBT) {
 		world_ground_truth(w, c->task)->start_unanswered = true;
-		customers_run_in_doubt(w, job_of(w, c->task));
+		quotas_run_in_doubt(w, job_of(w, c->task));
 	}
 	if (entry_is_alive(c->entry, c->generation) && c->entry->paused) {
 		world_schedule(w, PAUSED_RETRY_MS, on_order_answer, c);
