--- a/test/cell/cell.h
+++ b/test/cell/cell.h
@@ -108,6 +108,7 @@
 	int64_t list_as_of_ms;	     /* of the newest list in use */
 	guint config_version;	     /* of the customers in use; 0: none yet */
 	int64_t slow_reads_until_ms; /* of the operators' table */
+	int32_t slow_read_ms;	     /* how long they take */
 	int64_t last_tick_ms;
 	int64_t not_owner_ms;  /* when it last was not */
 	int64_t last_fault_ms; /* when check_waiting_count last saw a fault */
--- a/test/cell/customer.c
+++ b/test/cell/customer.c
@@ -159,10 +159,14 @@
 {
 	bool faults = w->now_ms < w->faults_end_ms;
 
-	if (faults && chance(w, SLOW_READS_SHARE))
-		en->slow_reads_until_ms = w->now_ms + random_int(w, 500, 5000);
+	if (faults && w->now_ms >= en->slow_reads_until_ms &&
+	    chance(w, SLOW_READS_SHARE)) {
+		en->slow_reads_until_ms = w->now_ms + random_int(w, 500, 8000);
+		en->slow_read_ms = random_int(w, 200, 5000);
+	}
+	/* Some overtake others. */
 	if (w->now_ms < en->slow_reads_until_ms)
-		return random_int(w, 200, 4000);
+		return en->slow_read_ms + random_int(w, 0, 1000);
 	return random_int(w, NETWORK_DELAY_MS, 40);
 }
 
