Soak: callers with keys that are replaced

The soak's callers had no keys. Three jobs in ten now go to a route that needs one; the store replaces a key every 5 s on average while connections stay open, and calls are made with the present key, the one before and one that stays. A withdrawn key may not be accepted 3,000 ms after the change was stored, nor a valid one be answered 401. The stand-in's entries have such a route each, and it tells when it has stored a change.

--- a/test/fake/platform_config.c
+++ b/test/fake/platform_config.c
@@ -26,6 +26,13 @@
 		    i == APPROVAL_QUEUE ? ",\"advice\":{\"decision_ms\":1}" :
 					  "");
 	g_string_replace(config, "h.example0", "h.example", 1);
+	for (int i = 1; i < QUEUES; i++)
+		g_string_append_printf(config,
+		    "{\"name\":\"k%d\",\"host\":\"127.0.0.5%d\","
+		    "\"prefix\":\"/k/\",\"service\":\"s\",\"priority\":0,"
+		    "\"max_attempts\":2,\"stretch\":2.0,"
+		    "\"target_duration_ms\":500},",
+		    i, i);
 	g_string_append(config,
 	    "{\"name\":\"keyed\",\"host\":\"k.example\",\"prefix\":\"/q/\","
 	    "\"service\":\"s\",\"priority\":0,\"max_attempts\":2,"
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -39,8 +39,11 @@
 #define CALL_TIMEOUT_MS	   4000
 #define TASKS_PER_JOB	   5 /* three in step 0, two in step 1 */
 /* Of a task, in thousandths of a core: a worker has room for five. */
-#define TASK_CPU    "3000"
-#define STOP_MAX_MS 6000 /* bound for a graceful stop */
+#define TASK_CPU      "3000"
+#define STOP_MAX_MS   6000 /* bound for a graceful stop */
+#define KEY_BOUND_MS  3000 /* for a change of keys to be in force */
+#define KEY_CHANGE_MS 5000 /* between two, on average */
+#define KEYED_PER_TEN 3	   /* jobs that are submitted with a key */
 
 typedef enum {
 	JOB_SUBMITTED,
@@ -52,6 +55,7 @@
 /* A job's state in its caller's view, and what the workers saw of the job. */
 typedef struct {
 	char id[17];
+	bool keyed; /* submitted by customer "one" */
 	job_state_t state;
 	bool started;	/* a worker has started a task of it */
 	bool completed; /* an entry has reported it as completed */
@@ -75,6 +79,10 @@
 	entry_t *entry;
 	bool submission;
 	int64_t sent_ms;
+	/* Whether the entry must have known its key as withdrawn, or as valid if
+	 * that is number valid_key yet. */
+	bool key_withdrawn, key_valid;
+	int valid_key; /* -1: the key never changes */
 } call_t;
 
 static struct {
@@ -89,7 +97,13 @@
 	uv_pipe_t platform_pipe;
 	GString *partial_line;
 	uv_timer_t call_timer, fault_timer, end_timer, platform_resume_timer,
-	    worker_heal_timer[WORKERS], store_heal_timer[ENTRIES_MAX];
+	    worker_heal_timer[WORKERS], store_heal_timer[ENTRIES_MAX],
+	    key_timer;
+	/* The valid one of the keys that change, and when the store had it. */
+	int key;
+	int64_t key_since_ms;
+	bool key_changing; /* the store was told to change it */
+	int unauthorized;
 	GHashTable *jobs;     /* id -> job_t */
 	GPtrArray *submitted; /* the same jobs, in order of submission */
 	backends_t *backends;
@@ -233,6 +247,13 @@
 	}
 	if (words[0] == NULL || words[1] == NULL)
 		return;
+	if (strcmp(words[0], "keys") == 0) {
+		trace("key %s replaces the one before", words[1]);
+		soak.key = atoi(words[1]);
+		soak.key_since_ms = now_ms();
+		soak.key_changing = false;
+		return;
+	}
 	j = find_job(words[1]);
 	if (j == NULL) {
 		violation("a task of an unknown job: %s", line);
@@ -306,6 +327,44 @@
 /*
  * Callers.
  */
+/*
+ * Sets a call's key: mostly the present one, else the one before or one that
+ * never changes.  Returns the header; free it.
+ */
+static char *
+choose_key(call_t *c)
+{
+	bool in_force = now_ms() - soak.key_since_ms > KEY_BOUND_MS;
+	int n = rand_below(10);
+
+	c->key_withdrawn = n < 3 && in_force;
+	c->key_valid = n >= 8 || (n >= 3 && in_force);
+	c->valid_key = n >= 8 ? -1 : soak.key;
+	if (n >= 8)
+		return g_strdup("Tanagerspool-Key: secret-one\r\n");
+	return g_strdup_printf(
+	    "Tanagerspool-Key: secret-%d\r\n", soak.key - (n < 3));
+}
+
+/*
+ * A key that was withdrawn is not accepted, and a valid one is not answered 401,
+ * once the change must be in force.
+ */
+static void
+check_key(const call_t *c, const backend_answer_t *a)
+{
+	if (!c->job->keyed || a->outcome != TS_OUTCOME_ANSWERED)
+		return;
+	if (c->key_withdrawn && (a->status == 200 || a->status == 410))
+		violation("entry %d accepted a withdrawn key: %d",
+		    c->entry->index, a->status);
+	soak.unauthorized += a->status == 401;
+	if (c->key_valid && a->status == 401 &&
+	    (c->valid_key < 0 ||
+		(c->valid_key == soak.key && !soak.key_changing)))
+		violation("entry %d refused a valid key", c->entry->index);
+}
+
 /* Submits a job, or asks for its state, at a random entry. */
 static void
 send_call(job_t *j, bool submit)
@@ -318,13 +377,17 @@
 	call_t *c = g_new0(call_t, 1);
 	entry_t *e = &soak.entry[rand_below(soak.entries)];
 	g_autofree char *ip = g_strdup_printf("127.0.0.5%d", e->index);
-	g_autofree char *path = g_strdup_printf("/q/%s", j->id);
+	g_autofree char *path =
+	    g_strdup_printf("/%s/%s", j->keyed ? "k" : "q", j->id);
+	g_autofree char *key = j->keyed ? choose_key(c) : g_strdup("");
+	g_autofree char *headers =
+	    g_strconcat("Content-Type: application/json\r\n", key, NULL);
 	backend_call_t b = { .ip = ip,
 		.port = FRONT_PORT,
 		.max_conns = 32,
 		.method = submit ? "POST" : "GET",
 		.path = path,
-		.headers = "Content-Type: application/json\r\n",
+		.headers = headers,
 		.body = submit ? body : "",
 		.body_bytes = submit ? sizeof(body) - 1 : 0,
 		.timeout_ms = CALL_TIMEOUT_MS };
@@ -363,7 +426,7 @@
 		soak.accepted++;
 	} else if (a->outcome == TS_OUTCOME_NOT_RUN ||
 	    (a->outcome == TS_OUTCOME_ANSWERED &&
-		(a->status == 503 || a->status == 429))) {
+		(a->status == 503 || a->status == 429 || a->status == 401))) {
 		/* Final only if no earlier attempt is in doubt. */
 		j->state = j->state == JOB_SUBMITTED ? JOB_REFUSED : j->state;
 		if (j->state == JOB_REFUSED && j->started)
@@ -409,6 +472,7 @@
 	c->job->call_pending = false;
 	c->job->next_call_ms = now_ms() + 700;
 	check_graceful_stop(c, a);
+	check_key(c, a);
 	if (c->submission)
 		on_submit_reply(c->job, a);
 	else
@@ -428,6 +492,7 @@
 		j = g_new0(job_t, 1);
 		g_snprintf(j->id, sizeof(j->id), "%08x%08x",
 		    g_rand_int(soak.rand), g_rand_int(soak.rand));
+		j->keyed = rand_below(10) < KEYED_PER_TEN;
 		g_hash_table_insert(soak.jobs, j->id, j);
 		g_ptr_array_add(soak.submitted, j);
 		send_call(j, true);
@@ -442,6 +507,18 @@
 	}
 }
 
+/* Operators replace a key of customer "one", while connections stay open. */
+static void
+on_key_timer(uv_timer_t *t)
+{
+	uv_timer_start(t, on_key_timer,
+	    (uint64_t)(KEY_CHANGE_MS / 2 + rand_below(KEY_CHANGE_MS)), 0);
+	if (soak.in_recovery || soak.key_changing)
+		return;
+	soak.key_changing = true;
+	uv_process_kill(&soak.platform, SIGUSR2);
+}
+
 /*
  * Faults.
  */
@@ -606,9 +683,10 @@
 		signal_entry(&soak.entry[i], SIGKILL);
 	uv_process_kill(&soak.platform, SIGKILL);
 	printf("soak: seed %" PRIu64 " faults %d jobs %u accepted %d refused "
-	       "%d unknown %d left %u broken %d\n",
+	       "%d unauthorized %d unknown %d left %u broken %d\n",
 	    soak.seed, soak.faults_injected, soak.submitted->len, soak.accepted,
-	    soak.refused, soak.unknown, left, soak.violations);
+	    soak.refused, soak.unauthorized, soak.unknown, left,
+	    soak.violations);
 	exit(soak.violations == 0 ? 0 : 1);
 }
 
@@ -642,7 +720,7 @@
 start_timers(int seconds)
 {
 	uv_timer_t *timers[] = { &soak.call_timer, &soak.fault_timer,
-		&soak.end_timer, &soak.platform_resume_timer };
+		&soak.end_timer, &soak.platform_resume_timer, &soak.key_timer };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(timers); i++)
 		uv_timer_init(soak.loop, timers[i]);
@@ -653,6 +731,7 @@
 	uv_timer_start(
 	    &soak.call_timer, on_call_timer, 2500, SUBMIT_INTERVAL_MS);
 	uv_timer_start(&soak.fault_timer, on_fault, 3500, 0);
+	uv_timer_start(&soak.key_timer, on_key_timer, KEY_CHANGE_MS, 0);
 	uv_timer_start(&soak.end_timer, on_end, (uint64_t)seconds * 1000, 0);
 }
 
--- a/test/standin/users.c
+++ b/test/standin/users.c
@@ -3,7 +3,8 @@
  * and the approval service at PORT, and workers at the ports after it.  Each
  * task takes TASK_MS.  Prints one line for each start and end of a run at a
  * worker.  SIGUSR1 restarts the next worker.  SIGUSR2 writes a configuration in
- * which the changing key of customer "one" is the next: secret-0, secret-1...
+ * which the changing key of customer "one" is the next: secret-0, secret-1...; it
+ * prints "keys" and the number.
  *
  * usage: standin-users PORT [WORKERS [PORT-IN-ROWS [CPU]]]
  *
@@ -398,6 +399,8 @@
 	(void)number;
 	standin.key_changes++;
 	put_config();
+	printf("keys %d\n", standin.key_changes);
+	fflush(stdout);
 }
 
 /* Restarts one worker, the next at each signal. */
