Overload: jobs that don't fit are deferred

Deferred jobs go between those on time and late ones. Adds event 643, the gauge jobs_deferred, the refusals of queues of which no job fits, and the test whether a job is hopeless under one.

--- a/cmd/log.c
+++ b/cmd/log.c
@@ -29,7 +29,7 @@
 } event_t;
 
 /*
- * Events 601 to 642 are those of sched/, numbered in sched.h; those from 651 on
+ * Events 601 to 643 are those of sched/, numbered in sched.h; those from 651 on
  * are those of serve/, numbered in serve.h.
  */
 static const event_t events[] = {
@@ -86,6 +86,7 @@
 	{ 636, LOG4C_PRIORITY_WARN, "task_given_up" },
 	{ 641, LOG4C_PRIORITY_INFO, "zone" },
 	{ 642, LOG4C_PRIORITY_INFO, "load" },
+	{ 643, LOG4C_PRIORITY_WARN, "overload" },
 	{ 651, LOG4C_PRIORITY_WARN, "store_lost" },
 	{ 652, LOG4C_PRIORITY_INFO, "store_back" },
 	{ 653, LOG4C_PRIORITY_WARN, "bad_row" },
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -14,8 +14,8 @@
  * - straggler.c, suspect.c: slow workers and late runs; workers that fail tasks;
  * - starvation.c: late work that is passed over;
  * - customer.c, share.c: customers, their quotas and their shares of the room;
- * - overload.c, admission.c: what is delayed and what is refused when there is
- *   too little room;
+ * - overload.c, overload_queue.c, admission.c: what is delayed and what is
+ *   refused when there is too little room;
  * - crash.c, quarantine.c: tasks that crash their workers;
  * - flush.c, interference_row.c, purge.c: rows written to and removed from the
  *   store;
@@ -38,6 +38,7 @@
 typedef struct worker worker_t;
 typedef struct interference interference_t;
 typedef struct customer customer_t;
+typedef struct overload overload_t;
 
 #define IMAGES_MAX	      64   /* images whose interference is learned */
 #define RUN_NUMBERS_PER_OWNER 1000 /* for the runs of a task by one owner */
@@ -45,6 +46,9 @@
 /* Rows of the footprint; each is below 64 KiB with 29,000 workers. */
 #define FOOTPRINT_ROWS 64
 
+/* A job counts as late up to so many times the time allowed for it. */
+#define LATE_LIMIT_TIMES 3
+
 /* Runs the statement that follows for each image i of a set. */
 #define FOREACH_IMAGE(i, set) \
 	for (uint64_t left_ = (set); \
@@ -105,6 +109,9 @@
 	int64_t due_wall_ms; /* when its steps may start */
 	int32_t steps_done;
 	step_t *steps;
+	/* Late for the sake of others, by the last plan; see overload_queue.c. */
+	bool deferred;
+	double running_work; /* of its runs, at the last plan */
 } occurrence_t;
 
 /* A step of one occurrence: a set of like tasks. */
@@ -155,6 +162,17 @@
 	int64_t bucket_full_wall_ms;
 } customer_share_t;
 
+/* What the last plan says of the jobs of a queue; see overload_queue.c. */
+typedef struct {
+	int32_t planned, deferred, hopeless, waiting; /* jobs */
+	int32_t fillers;			      /* those of filler work */
+	double deferred_work;			      /* in milli x ms */
+	int32_t priority;			      /* of its jobs */
+	/* Since when none of its jobs was planned to be on time; 0: some was. */
+	int64_t none_planned_since_ms;
+	bool logged; /* the last load event said that jobs are deferred */
+} queue_plan_t;
+
 /* A queue's settings and what has been learned of its jobs. */
 typedef struct {
 	const char *name;
@@ -166,6 +184,7 @@
 	int64_t run_time_pct; /* average real run time / declared run time */
 	double mean_work_milli_ms; /* of its jobs; moving average */
 	int32_t waiting_jobs;	   /* open jobs that have not started */
+	queue_plan_t plan;
 } queue_t;
 
 /* A customer's settings, what its runs hold and what it received lately. */
@@ -256,7 +275,8 @@
 	int64_t pace_retry_ms; /* no pace order is sent before */
 	/* Until then, an earlier pace order may yet be carried out. */
 	int64_t pace_doubt_until_ms;
-	bool was_paced; /* a pace order has been sent */
+	bool was_paced;		 /* a pace order has been sent */
+	int32_t counted_percent; /* progress that the throughput includes */
 	/* Another process with the same id answers for its worker, of which the
 	 * one before is known to have been up with the run for up_ms. */
 	bool worker_restarted;
@@ -461,6 +481,7 @@
 	int64_t store_clock_offset_ms;	/* store's clock less ours */
 	/* Up to when all changes of a feed are known. */
 	int64_t feed_read_ms[SCHED_NFEEDS];
+	overload_t *overload;
 	sched_stats_t stats;
 };
 
@@ -502,7 +523,15 @@
 int share_compare(const job_t *a, const job_t *b);
 
 /* overload_queue.c */
+overload_t *overload_new(void);
+void overload_free(overload_t *o);
 void overload_update(sched_t *s);
+void overload_run_removed(sched_t *s, const run_t *r);
+void overload_log(sched_t *s);
+int64_t overload_deferred_jobs(const sched_t *s);
+void overload_add_refusals(sched_t *s, GPtrArray *refusals);
+/* overload_refusal.c */
+bool overload_is_hopeless(const Sched__Refusal *r, const Sched__Job *job);
 
 /* admission.c */
 Sched__Refusal **admission_pack(sched_t *s, size_t *n);
@@ -553,6 +582,7 @@
 void queue_add_step(sched_t *s, step_t *st);
 void queue_remove_step(step_t *st);
 void queue_resort(sched_t *s);
+double queue_job_value(const job_t *j);
 
 /* run.c, start.c, report.c */
 run_t *run_new(sched_t *s, const char *name, worker_t *w, int64_t number);
--- a/sched/queue.c
+++ b/sched/queue.c
@@ -13,8 +13,6 @@
 #include "headroom.h"
 #include "internal.h"
 
-/* A job counts as late up to so many times the time allowed for it. */
-#define LATE_LIMIT_TIMES 3
 /* A job of twice the mean value density is treated as due earlier by this. */
 #define DENSITY_ADVANCE_MS 1500
 /* Limits of this effect, in multiples of DENSITY_ADVANCE_MS. */
@@ -25,8 +23,9 @@
 /*
  * Main sort key, lower first: short work, neither lasting nor filler, that can
  * meet its target; lasting tasks, as they keep their resources for good; filler
- * work that can meet its target; late work; and work that is too late even to
- * count as late, of which starved jobs go first.
+ * work that can meet its target; work that could, but is deferred for the sake of
+ * others (overload_queue.c); late work; and work that is too late even to count
+ * as late, of which starved jobs go first.
  */
 static int
 tier(const step_t *st)
@@ -34,7 +33,9 @@
 	if (st->def->lasting)
 		return 1;
 	if (st->misses_target)
-		return !st->past_late_limit ? 3 : st->starved ? 4 : 5;
+		return !st->past_late_limit ? 4 : st->starved ? 5 : 6;
+	if (st->occ->deferred)
+		return 3;
 	return st->def->filler ? 2 : 0;
 }
 
@@ -76,21 +77,29 @@
 	return MAX(1, sum);
 }
 
+/*
+ * Value of a job, as work: a fixed share of the mean of its queue plus the rest
+ * in proportion to its own work.
+ */
+double
+queue_job_value(const job_t *j)
+{
+	double mean = j->queue->mean_work_milli_ms <= 0 ?
+	    j->work_milli_ms :
+	    j->queue->mean_work_milli_ms;
+
+	return FIXED_VALUE_SHARE * mean +
+	    (1 - FIXED_VALUE_SHARE) * j->work_milli_ms;
+}
+
 /*
  * Value density of an occurrence: its value per unit of work that is left,
- * relative to that of a mean job of its queue that has not started.  The value
- * is a fixed share of the mean plus the rest in proportion to the job's work.
+ * relative to that of a mean job of its queue that has not started.
  */
 static double
 density(const occurrence_t *o)
 {
-	const queue_t *q = o->job->queue;
-	double mean = q->mean_work_milli_ms <= 0 ? o->job->work_milli_ms :
-						   q->mean_work_milli_ms;
-
-	return (FIXED_VALUE_SHARE * mean +
-		   (1 - FIXED_VALUE_SHARE) * o->job->work_milli_ms) /
-	    work_left(o);
+	return queue_job_value(o->job) / work_left(o);
 }
 
 /*
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -75,6 +75,7 @@
 	s->ended_jobs = purge_table_new();
 	s->approval_requests = approval_requests_new();
 	s->evacuated_zones = g_hash_table_new(g_direct_hash, g_direct_equal);
+	s->overload = overload_new();
 	return s;
 }
 
@@ -100,6 +101,7 @@
 	g_ptr_array_unref(s->recurring_jobs);
 	g_ptr_array_unref(s->flushing_jobs);
 	g_sequence_free(s->ready_steps);
+	overload_free(s->overload);
 	if (s->cell.row != NULL)
 		sched__owner__free_unpacked(s->cell.row, NULL);
 	g_free(s);
@@ -318,6 +320,7 @@
 	if (now_ms - s->stats_logged_ms >= STATS_LOG_MS) {
 		s->stats_logged_ms = now_ms;
 		stats_log(s);
+		overload_log(s);
 	}
 	add_due_occurrences(s);
 	if (s->start_pass_due && ownership_may_start_tasks(s))
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -212,7 +212,8 @@
 	SCHED_EVT_TASK_SUSPECT = 635,
 	SCHED_EVT_TASK_GIVEN_UP = 636,
 	SCHED_EVT_ZONE = 641,
-	SCHED_EVT_LOAD = 642
+	SCHED_EVT_LOAD = 642,
+	SCHED_EVT_OVERLOAD = 643
 } sched_evt_t;
 
 /* Calls from the scheduler to the embedding program. */
@@ -399,13 +400,14 @@
  * an earlier owner; orphans, runs found on a worker that no task needs, which
  * are stopped; deposed, ends of this entry's ownership, also by a release;
  * writes, flushes; paces, pace orders; places, workers that placement looked at; queued, steps with tasks to be started;
- * running, runs in any state.
+ * running, runs in any state; deferred_jobs, jobs that the plan for an overload
+ * defers.
  */
 typedef struct {
 	uint64_t starts, start_rejects, start_unknown, stops, done, failed,
 	    lost, adopted, orphans, claims, deposed, writes, polls, paces,
 	    places;
-	int64_t jobs, queued, running, workers;
+	int64_t jobs, queued, running, workers, deferred_jobs;
 } sched_stats_t;
 sched_stats_t sched_stats(const sched_t *s);
 
--- a/sched/stats.c
+++ b/sched/stats.c
@@ -114,5 +114,6 @@
 	st.running = g_hash_table_size(s->runs);
 	st.workers = s->worker_list->len;
 	st.queued = g_sequence_get_length(s->ready_steps);
+	st.deferred_jobs = overload_deferred_jobs(s);
 	return st;
 }
--- a/serve/metrics.c
+++ b/serve/metrics.c
@@ -75,6 +75,7 @@
 	put_metric(page, "jobs_open", stats->jobs);
 	put_metric(page, "steps_queued", stats->queued);
 	put_metric(page, "runs", stats->running);
+	put_metric(page, "jobs_deferred", stats->deferred_jobs);
 	put_metric(page, "workers", stats->workers);
 }
 
