Overload: jobs with little slack are deferred first

When the plan had to leave out jobs, it kept those with almost no slack: they ended late all the same, and their work was lost. Now a job that was not begun needs half the time of its steps as slack, or half of what it had at first, but only if not all jobs fit. Deferred jobs come back below 0.8 of the throughput.

--- a/sched/overload.c
+++ b/sched/overload.c
@@ -4,6 +4,10 @@
  * priority and, among them, of the least value for their work are taken out.
  * As that may take out more than is needed, jobs that fit after all are put back
  * afterwards, the best first.
+ *
+ * If jobs must be taken out, those that were not begun and have little slack left
+ * are first: most of them would end late after all, and the work done for them be
+ * lost to others.
  */
 #include <math.h>
 #include <stdbool.h>
@@ -15,17 +19,23 @@
 
 #include "overload.h"
 
-/*
- * A plan may exceed the throughput by this, as both are estimates; jobs that were
- * deferred come back only below the throughput, so that they don't alternate.
- */
+/* A plan may exceed the throughput by this, as both are estimates. */
 #define TOLERANCE 0.05
+/* Deferred jobs come back below this share of it, so that they don't alternate. */
+#define RETURN_SHARE 0.8
 /* So many times as good must a job be to take the place of one planned before. */
 #define KEEP_GAIN 2
 /* Pauses and bursts shorter than this change the mean rate little. */
 #define RATE_TIME_CONSTANT_MS 5000.0
 /* Before this the mean is of too few tasks, and the backlog may be a burst. */
 #define RATE_MIN_MS 2000
+/*
+ * Slack that a job needs to be begun, as a share of the time that its steps take,
+ * since they wait for room and for the slowest of their tasks.
+ */
+#define MIN_SLACK 0.5
+/* No job needs more than this share of the slack that it had at first. */
+#define MAX_SLACK_NEEDED 0.5
 /* After a longer time without a backlog, the rate is learned anew. */
 #define RATE_FORGET_MS 20000
 
@@ -178,13 +188,16 @@
 	slack_update_parents(t, node);
 }
 
-/* Takes entries out until the others end on time. */
-static void
+/*
+ * Takes entries out until the others end on time; returns whether it took any.
+ */
+static bool
 take_out(entry_t *all, size_t n, double base)
 {
 	entry_t **heap = g_new(entry_t *, MAX(n, 1));
 	size_t nheap = 0;
 	double sum = base;
+	bool any = false;
 
 	for (size_t i = 0; i < n; i++) {
 		all[i].planned = true;
@@ -195,10 +208,12 @@
 			entry_t *worst = heap_pop(heap, &nheap);
 
 			worst->planned = false;
+			any = true;
 			sum -= work_waiting(worst->item);
 		}
 	}
 	g_free(heap);
+	return any;
 }
 
 /* Puts back entries that fit after all, the best first. */
@@ -278,41 +293,74 @@
 	}
 }
 
-/* Whether a job would be on time if it were the only one. */
+/* Whether a job would be on time if it waited no more. */
 static bool
 can_be_on_time(const overload_item_t *it)
 {
 	return it->shortest_ms <= it->due_ms;
 }
 
-void
-overload_plan(
-    overload_item_t *items, size_t n, double rate, overload_sums_t *sums)
+/*
+ * Whether a job would probably be on time if it waited little.  One that was begun
+ * is worth finishing if it can be.
+ */
+static bool
+has_slack(const overload_item_t *it)
+{
+	double need = MIN((double)it->shortest_ms * MIN_SLACK,
+	    (double)it->slack_ms * MAX_SLACK_NEEDED);
+
+	if (it->begun)
+		need = 0;
+	return (double)(it->due_ms - it->shortest_ms) >= MAX(0, need);
+}
+
+/*
+ * Fills in the entries: first the candidates, by due time, then the others.
+ * Returns how many are candidates; sets the work that runs of the others.
+ */
+static size_t
+fill(entry_t *all, overload_item_t *items, size_t n, double rate,
+    bool (*is_candidate)(const overload_item_t *), double *base)
 {
-	entry_t *all = g_new0(entry_t, MAX(n, 1));
 	size_t nfirst = 0, nlast = n;
-	double base = 0;
 
-	*sums = (overload_sums_t){ 0 };
+	*base = 0;
 	for (size_t i = 0; i < n; i++) {
-		bool candidate = can_be_on_time(&items[i]);
+		bool candidate = is_candidate(&items[i]);
 		entry_t *e = &all[candidate ? nfirst++ : --nlast];
 
 		e->item = &items[i];
+		e->planned = false;
 		e->worth = items[i].value / MAX(1, work_waiting(&items[i])) *
 		    (items[i].was_deferred ? 1 : KEEP_GAIN);
 		e->limit = rate * (double)items[i].due_ms *
-		    (items[i].was_deferred ? 1 : 1 + TOLERANCE);
+		    (items[i].was_deferred ? RETURN_SHARE : 1 + TOLERANCE);
 		if (!candidate)
-			base += items[i].work_running;
+			*base += items[i].work_running;
 	}
 	qsort(all, nfirst, sizeof(*all), compare_due);
 	for (size_t i = 0; i < nfirst; i++)
 		all[i].pos = i;
-	take_out(all, nfirst, base);
-	put_back(all, nfirst, base);
-	mark(all, n, nfirst, base, rate, sums);
-	g_free(all);
+	return nfirst;
+}
+
+void
+overload_plan(
+    overload_item_t *items, size_t n, double rate, overload_sums_t *sums)
+{
+	g_autofree entry_t *all = g_new0(entry_t, MAX(n, 1));
+	size_t ncandidates;
+	double base;
+
+	*sums = (overload_sums_t){ 0 };
+	ncandidates = fill(all, items, n, rate, can_be_on_time, &base);
+	if (take_out(all, ncandidates, base)) {
+		ncandidates = fill(all, items, n, rate, has_slack, &base);
+		take_out(all, ncandidates, base);
+		put_back(all, ncandidates, base);
+	}
+	mark(all, n, ncandidates, base, rate, sums);
 }
 
 void
--- a/sched/overload.h
+++ b/sched/overload.h
@@ -21,10 +21,12 @@
 	int64_t due_ms;	     /* when it must have ended for its full value */
 	int64_t late_ms;     /* when it must have ended to be worth anything */
 	int64_t shortest_ms; /* time that it needs if it waits no more */
+	int64_t slack_ms;    /* that it had at first, besides shortest_ms */
 	double work_left;
 	double work_running; /* part of work_left that has been started */
 	double value;
 	int32_t priority;  /* lower goes first */
+	bool begun;	   /* part of it runs or is done */
 	bool was_deferred; /* by the plan before this one */
 	/* Results. */
 	overload_mark_t mark;
--- a/sched/overload_queue.c
+++ b/sched/overload_queue.c
@@ -201,6 +201,7 @@
 		.late_ms = o->due_wall_ms +
 		    LATE_LIMIT_TIMES * o->job->allowed_ms - s->wall_ms,
 		.shortest_ms = shortest_ms(o),
+		.slack_ms = o->job->allowed_ms,
 		.work_left = o->running_work,
 		.work_running = o->running_work,
 		.value = queue_job_value(o->job),
@@ -213,6 +214,9 @@
 
 		if (st->def->lasting)
 			return;
+		it.slack_ms = MIN(
+		    it.slack_ms, o->job->allowed_ms - job_critical_path_ms(st));
+		it.begun |= st->nwaiting < st->ntasks;
 		work[step_pool(st)] += task_work(st) * (st->ntasks - st->ndone);
 		it.work_left += task_work(st) * st->nwaiting;
 	}
--- a/test/unit/overload_model.h
+++ b/test/unit/overload_model.h
@@ -39,7 +39,8 @@
 	double worth, most; /* of the jobs; most: if all were on time */
 	int32_t jobs, on_time, late, too_late, not_ended;
 	int32_t on_time_of[MODEL_KINDS], jobs_of[MODEL_KINDS];
-	int32_t changes; /* of marks between on time and deferred */
+	int32_t unstable; /* jobs deferred more than twice */
+	int32_t changes;  /* of marks between on time and deferred */
 } model_result_t;
 
 model_result_t
