Overload: a queue is refused only if its new jobs are deferred, too

A queue was refused once all its waiting jobs were deferred, also if none had come lately: a new one might have fitted. Now several jobs must have come within the last 3 s and been deferred, and the delay counts only work that waits and goes before. The throughput is learned only while tasks may start, since an owner that waits for workers would take its own pause for a lack of room. The refusals are in a file of their own.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -14,8 +14,8 @@
  * - straggler.c, suspect.c: slow workers and late runs; workers that fail tasks;
  * - starvation.c: late work that is passed over;
  * - customer.c, share.c: customers, their quotas and their shares of the room;
- * - overload.c, overload_queue.c, admission.c: what is delayed and what is
- *   refused when there is too little room;
+ * - overload.c, overload_queue.c, overload_refusal.c, admission.c: what is
+ *   delayed and what is refused when there is too little room;
  * - crash.c, quarantine.c: tasks that crash their workers;
  * - flush.c, interference_row.c, purge.c: rows written to and removed from the
  *   store;
@@ -164,10 +164,11 @@
 
 /* What the last plan says of the jobs of a queue; see overload_queue.c. */
 typedef struct {
-	int32_t planned, deferred, hopeless, waiting; /* jobs */
-	int32_t fillers;			      /* those of filler work */
-	double deferred_work;			      /* in milli x ms */
-	int32_t priority;			      /* of its jobs */
+	int32_t planned, deferred, hopeless; /* jobs */
+	int32_t fresh;	      /* deferred ones that have just come */
+	int32_t fillers;      /* those of filler work */
+	double deferred_work; /* in milli x ms */
+	int32_t priority;     /* of its jobs */
 	/* Since when none of its jobs was planned to be on time; 0: some was. */
 	int64_t none_planned_since_ms;
 	bool logged; /* the last load event said that jobs are deferred */
@@ -529,8 +530,9 @@
 void overload_run_removed(sched_t *s, const run_t *r);
 void overload_log(sched_t *s);
 int64_t overload_deferred_jobs(const sched_t *s);
-void overload_add_refusals(sched_t *s, GPtrArray *refusals);
+
 /* overload_refusal.c */
+void overload_add_refusals(sched_t *s, GPtrArray *refusals);
 bool overload_is_hopeless(const Sched__Refusal *r, const Sched__Job *job);
 
 /* admission.c */
--- a/sched/overload_queue.c
+++ b/sched/overload_queue.c
@@ -1,6 +1,6 @@
 /*
- * The overload plan of the queue: gives overload.c the open jobs, marks those
- * that it defers, and says which submissions would end too late.
+ * The overload plan of the queue: gives overload.c the open jobs, and marks
+ * those that it defers.
  *
  * Pattern: more work comes than can be done.  Every job waits a little, and all
  * end late.  Instead some are deferred at once, so that the others end on time.
@@ -24,41 +24,12 @@
 #include "headroom.h"
 #include "internal.h"
 #include "overload.h"
+#include "overload_queue.h"
 
 /* Waiting work below this share of what runs is no shortage. */
 #define MIN_BACKLOG 0.1
 /* After a longer time between updates, as in a pause, no rate is learned. */
 #define UPDATE_GAP_MAX_MS 1000
-/*
- * A refusal is for a job that would be accepted later, too: only this share of
- * the expected delay is published, after no job of its queue could be planned
- * for a while.
- */
-#define REFUSE_DELAY_SHARE 0.5
-#define REFUSE_AFTER_MS	   3000
-#define REFUSE_MIN_JOBS	   8 /* fewer say little of the jobs of a queue */
-/* Entries apply the declared run times: not if real ones are below these. */
-#define REFUSE_MIN_RUN_TIME_PCT 90
-#define RETRY_MIN_MS		1000
-#define RETRY_MAX_MS		30000
-
-typedef enum { POOL_SHORT, POOL_FILLER, NPOOLS } pool_t;
-
-/* The work of one pool. */
-typedef struct {
-	overload_rate_t rate;
-	double done; /* work since the last update */
-	double waiting, running;
-	bool had_backlog; /* at the last update */
-	GArray *items;	  /* overload_item_t; ctx: occurrence_t */
-	overload_sums_t sums;
-} pool_state_t;
-
-struct overload {
-	pool_state_t pools[NPOOLS];
-	int64_t updated_ms;
-	int64_t deferred_jobs;
-};
 
 overload_t *
 overload_new(void)
@@ -79,15 +50,15 @@
 	g_free(o);
 }
 
-static pool_t
-step_pool(const step_t *st)
+pool_t
+overload_pool(const step_t *st)
 {
 	return st->def->filler ? POOL_FILLER : POOL_SHORT;
 }
 
 /* Expected work of one task of a step, by the run times of its queue. */
-static double
-task_work(const step_t *st)
+double
+overload_task_work(const step_t *st)
 {
 	return (double)st->def->cpu_milli * (double)st->def->estimate_ms *
 	    (double)st->occ->job->queue->run_time_pct / 100;
@@ -97,7 +68,8 @@
 static void
 count_progress(overload_t *o, const step_t *st, int32_t from, int32_t to)
 {
-	o->pools[step_pool(st)].done += task_work(st) * MAX(0, to - from) / 100;
+	o->pools[overload_pool(st)].done +=
+	    overload_task_work(st) * MAX(0, to - from) / 100;
 }
 
 /* The progress of a run up to which it has been counted. */
@@ -135,23 +107,30 @@
 			continue;
 		count_progress(s->overload, st, counted_percent(r), r->percent);
 		r->counted_percent = MAX(r->counted_percent, r->percent);
-		left = task_work(st) * (100 - CLAMP(r->percent, 0, 100)) / 100;
+		left = overload_task_work(st) *
+		    (100 - CLAMP(r->percent, 0, 100)) / 100;
 		st->occ->running_work += left;
-		s->overload->pools[step_pool(st)].running += left;
+		s->overload->pools[overload_pool(st)].running += left;
 	}
 }
 
-/* Adds up the waiting work that only lacks room. */
+/*
+ * Adds up the waiting work that only lacks room.  What waits for other reasons
+ * says nothing of the rate at which work can be done.
+ */
 static void
 count_waiting(sched_t *s)
 {
+	if (!ownership_may_start_tasks(s))
+		return;
 	for (GSequenceIter *i = g_sequence_get_begin_iter(s->ready_steps);
 	     !g_sequence_iter_is_end(i); i = g_sequence_iter_next(i)) {
 		const step_t *st = g_sequence_get(i);
 
-		if (!st->def->lasting && customer_allows_start(st))
-			s->overload->pools[step_pool(st)].waiting +=
-			    task_work(st) * st->nwaiting;
+		if (!st->def->lasting && customer_allows_start(st) &&
+		    ownership_may_start_step(s, st))
+			s->overload->pools[overload_pool(st)].waiting +=
+			    overload_task_work(st) * st->nwaiting;
 	}
 }
 
@@ -217,8 +196,9 @@
 		it.slack_ms = MIN(
 		    it.slack_ms, o->job->allowed_ms - job_critical_path_ms(st));
 		it.begun |= st->nwaiting < st->ntasks;
-		work[step_pool(st)] += task_work(st) * (st->ntasks - st->ndone);
-		it.work_left += task_work(st) * st->nwaiting;
+		work[overload_pool(st)] +=
+		    overload_task_work(st) * (st->ntasks - st->ndone);
+		it.work_left += overload_task_work(st) * st->nwaiting;
 	}
 	p = work[POOL_FILLER] > work[POOL_SHORT] ? POOL_FILLER : POOL_SHORT;
 	if (work[p] > 0 && !is_held_by_quota(o))
@@ -263,7 +243,6 @@
 	queue_plan_t *q = &o->job->queue->plan;
 
 	q->priority = o->job->priority;
-	q->waiting += !o->job->started;
 	q->fillers += p == POOL_FILLER;
 	q->planned += it->mark == OVERLOAD_ON_TIME;
 	o->deferred = it->mark != OVERLOAD_ON_TIME;
@@ -271,6 +250,7 @@
 	if (!o->deferred || it->shortest_ms > it->due_ms)
 		return;
 	q->deferred++;
+	q->fresh += s->wall_ms - o->due_wall_ms < FRESH_MS;
 	q->hopeless += it->mark == OVERLOAD_HOPELESS;
 	q->deferred_work += it->work_left;
 	s->overload->deferred_jobs++;
@@ -333,7 +313,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		queue_plan_t *q = &((queue_t *)v)->plan;
 
-		if (q->planned > 0 || q->deferred < REFUSE_MIN_JOBS)
+		if (q->planned > 0 || q->deferred == 0)
 			q->none_planned_since_ms = 0;
 		else if (q->none_planned_since_ms == 0)
 			q->none_planned_since_ms = s->now_ms;
@@ -364,90 +344,6 @@
 	update_queues(s);
 }
 
-/* Work that goes before a new job of a queue that is deferred. */
-static double
-work_ahead(const pool_state_t *p, int32_t priority)
-{
-	double sum = p->sums.on_time_work;
-
-	for (guint i = 0; i < p->items->len; i++) {
-		const overload_item_t *it =
-		    &g_array_index(p->items, overload_item_t, i);
-
-		if (it->mark == OVERLOAD_DEFERRED && it->priority < priority)
-			sum += it->work_left;
-	}
-	return sum;
-}
-
-/* All work in the plan of a priority and of those before it. */
-static double
-work_up_to(const pool_state_t *p, int32_t priority)
-{
-	double sum = 0;
-
-	for (guint i = 0; i < p->items->len; i++) {
-		const overload_item_t *it =
-		    &g_array_index(p->items, overload_item_t, i);
-
-		sum += it->priority <= priority ? it->work_left : 0;
-	}
-	return sum;
-}
-
-static const pool_state_t *
-queue_pool(const sched_t *s, const queue_plan_t *q)
-{
-	int32_t jobs = q->planned + q->deferred;
-
-	return &s->overload
-		    ->pools[2 * q->fillers > jobs ? POOL_FILLER : POOL_SHORT];
-}
-
-/* Expected delay of a new job of a queue that is deferred; 0: not known. */
-static double
-expected_delay_ms(const sched_t *s, const queue_plan_t *q)
-{
-	const pool_state_t *p = queue_pool(s, q);
-	double rate = overload_rate(&p->rate);
-
-	return rate <= 0 ? 0 : work_ahead(p, q->priority) / rate;
-}
-
-/*
- * Appends a refusal (Sched__Refusal, allocated with g_new) for each queue of
- * which no job can be on time.
- */
-void
-overload_add_refusals(sched_t *s, GPtrArray *refusals)
-{
-	GHashTableIter it;
-	void *v;
-
-	g_hash_table_iter_init(&it, s->queues);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		const queue_t *q = v;
-		const queue_plan_t *plan = &q->plan;
-		double delay = expected_delay_ms(s, plan) * REFUSE_DELAY_SHARE;
-		Sched__Refusal *r;
-
-		if (plan->none_planned_since_ms == 0 ||
-		    s->now_ms - plan->none_planned_since_ms < REFUSE_AFTER_MS ||
-		    q->run_time_pct < REFUSE_MIN_RUN_TIME_PCT || delay < 1)
-			continue;
-		r = g_new(Sched__Refusal, 1);
-		sched__refusal__init(r);
-		r->customer = g_strdup("");
-		r->queue = g_strdup(q->name);
-		r->delay_ms = (int32_t)MIN(delay, INT32_MAX);
-		r->retry_after_ms = (int32_t)CLAMP(
-		    work_up_to(queue_pool(s, plan), plan->priority) /
-			overload_rate(&queue_pool(s, plan)->rate),
-		    RETRY_MIN_MS, RETRY_MAX_MS);
-		g_ptr_array_add(refusals, r);
-	}
-}
-
 /* Jobs that the last plans defer. */
 int64_t
 overload_deferred_jobs(const sched_t *s)
@@ -474,7 +370,7 @@
 			    "delay=%d short_rate=%d filler_rate=%d",
 			    p->deferred, p->hopeless, p->planned,
 			    (int)(p->deferred_work / 1e6),
-			    (int)MIN(expected_delay_ms(s, p), INT32_MAX),
+			    (int)MIN(overload_delay_ms(s, p), INT32_MAX),
 			    (int)(overload_rate(&pools[POOL_SHORT].rate) /
 				1000),
 			    (int)(overload_rate(&pools[POOL_FILLER].rate) /
--- a/test/unit/overload_queue.c
+++ b/test/unit/overload_queue.c
@@ -59,6 +59,7 @@
 	worker_t *w = add_worker(s, "w");
 
 	s->now_ms = s->wall_ms = START_MS;
+	s->cell.store_outage = true; /* starts need no renewals */
 	for (int i = 0; i < RUNS; i++) {
 		g_autofree char *id = g_strdup_printf("%016x", 0xa000 + i);
 
@@ -100,14 +101,16 @@
 	}
 }
 
-/* Makes the jobs in the queue come now. */
+/* Makes the jobs in the queue come now, but not those of priority 2 if old. */
 static void
-renew_jobs(sched_t *s)
+renew_jobs(sched_t *s, bool old)
 {
 	for (GSequenceIter *i = g_sequence_get_begin_iter(s->ready_steps);
 	     !g_sequence_iter_is_end(i); i = g_sequence_iter_next(i)) {
 		occurrence_t *o = ((step_t *)g_sequence_get(i))->occ;
 
+		if (old && o->job->priority == 2)
+			continue;
 		o->due_wall_ms = s->wall_ms;
 		o->deferred = false;
 	}
@@ -162,7 +165,7 @@
 
 		queue_jobs(s, cases[i].jobs, &d, 1);
 		pass_updates(s, cases[i].updates, PERCENT);
-		renew_jobs(s);
+		renew_jobs(s, false);
 		n = count_deferred(s);
 		cr_expect(
 		    n >= cases[i].min_deferred && n <= cases[i].max_deferred,
@@ -185,7 +188,7 @@
 		queue_jobs(s, 1, &d, 5 - i);
 	}
 	pass_updates(s, LEARN, PERCENT);
-	renew_jobs(s);
+	renew_jobs(s, false);
 	with = queue_order(s);
 	overload_free(s->overload);
 	s->overload = overload_new();
@@ -204,7 +207,7 @@
 
 	queue_jobs(s, 30, &d, 1);
 	pass_updates(s, LEARN, PERCENT);
-	renew_jobs(s);
+	renew_jobs(s, false);
 	queue_jobs(s, 5, &d, 0);
 	first_step(g_hash_table_lookup(s->jobs, "0000000000010000"))
 	    ->occ->due_wall_ms = s->wall_ms - 3500;
@@ -232,7 +235,7 @@
 
 	queue_jobs(s, 40, &d, 1);
 	pass_updates(s, LEARN, PERCENT);
-	renew_jobs(s);
+	renew_jobs(s, false);
 	cr_expect_gt(count_deferred(s), 0);
 	while (g_sequence_get_length(s->ready_steps) > 1)
 		queue_remove_step(
@@ -267,11 +270,27 @@
 		((job_t *)g_hash_table_lookup(s->jobs, id))->customer = c;
 	}
 	pass_updates(s, LEARN, PERCENT);
-	renew_jobs(s);
+	renew_jobs(s, false);
 	cr_expect_eq(count_deferred(s), 0);
 	sched_free(s);
 }
 
+/* Guards against a rate that is too low, as learned while no task may start. */
+Test(overload_queue, nothing_is_learned_while_no_task_may_start)
+{
+	sched_t *s = owner_with_runs(true);
+	Sched__Step d = task_def(true);
+
+	queue_jobs(s, 40, &d, 1);
+	s->cell.paused = true;
+	pass_updates(s, LEARN, 0);
+	s->cell.paused = false;
+	pass_updates(s, LEARN, PERCENT);
+	renew_jobs(s, false);
+	cr_expect_leq(count_deferred(s), 35, "%d", count_deferred(s));
+	sched_free(s);
+}
+
 /* Guards against a refusal of jobs that may be of worth. */
 Test(overload_queue, a_queue_is_refused_only_if_none_of_its_jobs_fits)
 {
@@ -280,13 +299,17 @@
 		int first, second; /* jobs of the two queues */
 		int updates;	   /* with renewed jobs */
 		int32_t run_time_pct;
+		bool old;     /* jobs of the second queue came long ago */
 		bool refused; /* the second */
 	} cases[] = {
-		{ "goes after more than can be done", 40, 20, 16, 100, true },
-		{ "not for long", 40, 20, 4, 100, false },
-		{ "some of its jobs fit", 2, 20, 16, 100, false },
-		{ "few jobs", 40, 4, 16, 100, false },
-		{ "declares too much", 40, 20, 16, 50, false },
+		{ "goes after more than can be done", 40, 20, 16, 100, false,
+		    true },
+		{ "not for long", 40, 20, 4, 100, false, false },
+		{ "some of its jobs fit", 2, 20, 16, 100, false, false },
+		{ "few jobs", 40, 4, 16, 100, false, false },
+		{ "declares too much", 40, 20, 16, 50, false, false },
+		{ "those that wait are late, and none has come", 40, 20, 16,
+		    100, true, false },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -307,7 +330,7 @@
 		pass_updates(s, LEARN, PERCENT);
 		for (int k = 0; k < cases[i].updates; k++) {
 			pass_updates(s, 1, PERCENT);
-			renew_jobs(s);
+			renew_jobs(s, cases[i].old);
 		}
 		overload_add_refusals(s, refusals);
 		for (guint k = 0; k < refusals->len; k++) {
