Overload: it lasts until there is room for more

A plan that fits by a little let all deferred jobs back, although others come before they end. Once jobs are deferred, those with little slack stay so until all that are present need less than 0.6 of the throughput.

--- a/sched/overload.c
+++ b/sched/overload.c
@@ -23,6 +23,11 @@
 #define TOLERANCE 0.05
 /* Deferred jobs come back below this share of it, so that they don't alternate. */
 #define RETURN_SHARE 0.8
+/*
+ * Once jobs are deferred, the overload lasts until all that are present need less
+ * than this share of it, since others come before they end.
+ */
+#define END_SHARE 0.6
 /* So many times as good must a job be to take the place of one planned before. */
 #define KEEP_GAIN 2
 /* Pauses and bursts shorter than this change the mean rate little. */
@@ -345,6 +350,27 @@
 	return nfirst;
 }
 
+/* Whether the plan before deferred jobs that could be on time. */
+static bool
+was_overloaded(const overload_item_t *items, size_t n)
+{
+	for (size_t i = 0; i < n; i++)
+		if (items[i].was_deferred && can_be_on_time(&items[i]))
+			return true;
+	return false;
+}
+
+/* Whether not all jobs can be on time. */
+static bool
+is_overloaded(entry_t *all, overload_item_t *items, size_t n, double rate)
+{
+	double share = was_overloaded(items, n) ? END_SHARE : 1, base;
+	size_t ncandidates =
+	    fill(all, items, n, rate * share, can_be_on_time, &base);
+
+	return take_out(all, ncandidates, base);
+}
+
 void
 overload_plan(
     overload_item_t *items, size_t n, double rate, overload_sums_t *sums)
@@ -354,11 +380,14 @@
 	double base;
 
 	*sums = (overload_sums_t){ 0 };
-	ncandidates = fill(all, items, n, rate, can_be_on_time, &base);
-	if (take_out(all, ncandidates, base)) {
+	if (is_overloaded(all, items, n, rate)) {
 		ncandidates = fill(all, items, n, rate, has_slack, &base);
 		take_out(all, ncandidates, base);
 		put_back(all, ncandidates, base);
+	} else {
+		ncandidates = fill(all, items, n, rate, can_be_on_time, &base);
+		for (size_t i = 0; i < ncandidates; i++)
+			all[i].planned = true;
 	}
 	mark(all, n, ncandidates, base, rate, sums);
 }
