--- a/sched/admission.c
+++ b/sched/admission.c
@@ -30,9 +30,8 @@
 #define FIT_CHECKS_MAX 16
 
 /* The owner writes its row twice a second; an older one is not used. */
-#define ROW_LIMIT_MS	 3500
-#define RETRY_UNIT_MS	 1000 /* Retry-After is in seconds */
-#define LATE_LIMIT_TIMES 3    /* as in queue.c */
+#define ROW_LIMIT_MS  3500
+#define RETRY_UNIT_MS 1000 /* Retry-After is in seconds */
 
 /* Whether a task of the step could be started now if a worker had room. */
 static bool
@@ -107,7 +106,7 @@
 
 	if (!ownership_may_start_tasks(s))
 		return;
-	if (!a->plan_defers && !some_job_is_late(s)) {
+	if (overload_deferred_jobs(s) == 0 && !some_job_is_late(s)) {
 		if (s->now_ms - a->late_seen_ms < NOT_SHORT_AFTER_MS)
 			return;
 		a->late_since_ms = 0;
@@ -192,7 +191,7 @@
 		s->stats.refused_customers++;
 		append_customer(s, c);
 	}
-	overload_append_refusals(s, s->admission.refusals);
+	overload_add_refusals(s, s->admission.refusals);
 }
 
 /* Discards all decisions, as the cell was lost or is loaded anew. */
@@ -272,32 +271,6 @@
 	return d;
 }
 
-/*
- * Whether a job would be worthless, as it ends later than delay_ms after its
- * submission and its own work.
- */
-static bool
-is_hopeless(const Sched__Job *job, int64_t delay_ms)
-{
-	int64_t *path_ms = g_new0(int64_t, job->n_steps);
-	int64_t longest_ms = 0, allowed_ms;
-
-	for (size_t i = 0; i < job->n_steps; i++) {
-		const Sched__Step *st = job->steps[i];
-
-		for (size_t k = 0; k < st->n_after; k++)
-			if (st->after[k] >= 0 && (size_t)st->after[k] < i)
-				path_ms[i] =
-				    MAX(path_ms[i], path_ms[st->after[k]]);
-		path_ms[i] += st->estimate_ms;
-		longest_ms = MAX(longest_ms, path_ms[i]);
-	}
-	g_free(path_ms);
-	allowed_ms =
-	    job->target_ms + (int64_t)(job->stretch * (double)longest_ms);
-	return delay_ms + longest_ms > LATE_LIMIT_TIMES * allowed_ms;
-}
-
 /* Whether a refusal is of this job. */
 static bool
 refuses(const Sched__Refusal *r, const Sched__Job *job, int64_t age_ms)
@@ -309,7 +282,7 @@
 	/* The customer's bucket has room again. */
 	if (r->customer[0] != '\0' && r->retry_after_ms <= age_ms)
 		return false;
-	return r->delay_ms == 0 || is_hopeless(job, r->delay_ms);
+	return r->delay_ms == 0 || overload_is_hopeless(r, job);
 }
 
 /*
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -213,6 +213,7 @@
 	SCHED_EVT_TASK_GIVEN_UP = 636,
 	SCHED_EVT_ZONE = 641,
 	SCHED_EVT_LOAD = 642,
+	SCHED_EVT_OVERLOAD = 643,
 	SCHED_EVT_QUOTA = 645,
 	SCHED_EVT_REFUSAL_BEGUN = 646,
 	SCHED_EVT_REFUSAL_ENDED = 647
@@ -412,13 +413,15 @@
  * owner has them refused; writes, flushes; paces, pace orders; places, workers
  * that placement looked at; quota_waits, times that a step began to wait for its
  * customer's quota; queued, steps with tasks to be started;
- * running, runs in any state.
+ * running, runs in any state; deferred_jobs, jobs that the plan for an overload
+ * defers.
  */
 typedef struct {
 	uint64_t starts, start_rejects, start_unknown, stops, done, failed,
 	    lost, adopted, orphans, claims, deposed, writes, polls, paces,
 	    places, quota_waits, over_rate, refused_over_rate, refused_hopeless;
-	int64_t jobs, queued, running, workers, refused_customers;
+	int64_t jobs, queued, running, workers, refused_customers,
+	    deferred_jobs;
 } sched_stats_t;
 sched_stats_t sched_stats(const sched_t *s);
 
