Run times: what declared ones tell is learned

Cause: declared run times are off by factors. So latest starts and the overload plan were mostly noise: in an overload nearly all waiting tasks counted as late, and 1 to 6 jobs were deferred.

Change: a regression in logarithms a queue, with a decay; completed runs of a step count more than that. Allowed times and longest chains follow it. While jobs are deferred, value density counts for more than urgency.

--- a/sched/admission.c
+++ b/sched/admission.c
@@ -17,6 +17,7 @@
 #include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
+#include "run_time.h"
 #include "internal.h"
 
 /* Room is short once jobs have been late for so long, and until none has been
--- a/sched/approval.c
+++ b/sched/approval.c
@@ -17,6 +17,7 @@
 #include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
+#include "run_time.h"
 #include "internal.h"
 
 #define MAX_WORKERS_PER_REQUEST 30   /* the service takes time for each */
--- a/sched/crash.c
+++ b/sched/crash.c
@@ -26,6 +26,7 @@
 #include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
+#include "run_time.h"
 #include "internal.h"
 
 #define HARMLESS_MS   30000 /* a run that was up for so long did no harm */
--- a/sched/customer.c
+++ b/sched/customer.c
@@ -23,6 +23,7 @@
 #include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
+#include "run_time.h"
 #include "internal.h"
 
 #define MB_BYTES       ((int64_t)1024 * 1024)
--- a/sched/flush.c
+++ b/sched/flush.c
@@ -17,6 +17,7 @@
 #include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
+#include "run_time.h"
 #include "internal.h"
 
 #define MAX_ROWS_PER_FLUSH	 90 /* in a transaction; the store accepts 100 */
--- a/sched/interference_row.c
+++ b/sched/interference_row.c
@@ -13,6 +13,7 @@
 #include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
+#include "run_time.h"
 #include "internal.h"
 
 #define ROW_WRITE_GAP_MS 3000 /* between two writes: the values change slowly */
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -128,13 +128,16 @@
 	int32_t ntasks;
 	int32_t nwaiting; /* tasks in TASK_WAITING */
 	int32_t ndone;	  /* tasks in TASK_DONE */
-	bool ready;	  /* all steps that it depends on are done */
+	/* Completed runs that show how long a task takes, and their time. */
+	int32_t done_runs;
+	int64_t done_runs_ms;
+	bool ready; /* all steps that it depends on are done */
 	/* A task of a step that it depends on was still running when this owner
 	 * took over, so that no earlier owner has started tasks of it. */
 	bool not_started_before;
 	int32_t image; /* index of its image, or -1 */
-	/* Declared time of the longest chain of steps that starts here. */
-	int64_t critical_path_ms;
+	/* Expected time of the longest chain of steps that starts here. */
+	int64_t path_ms;
 	GSequenceIter *queue_iter; /* position in ready_steps, or NULL */
 	uint64_t unplaced_round;   /* round of scan.c without a worker for it */
 	uint64_t unmovable_round;  /* the same for a task that runs */
@@ -220,6 +223,7 @@
 	bool configured;      /* in the configuration now in force */
 	bool needs_approval;  /* approval service must allow placements */
 	int64_t run_time_pct; /* average real run time / declared run time */
+	run_time_t run_time;
 	double mean_work_milli_ms; /* of its jobs; moving average */
 	int32_t waiting_jobs;	   /* open jobs that have not started */
 	queue_plan_t plan;
@@ -573,7 +577,8 @@
 void job_mark_task_done(task_t *t);
 int32_t task_failed_runs(const task_t *t);
 bool task_add_failed_run(task_t *t, int64_t run);
-int64_t job_critical_path_ms(const step_t *st);
+int64_t job_task_ms(const step_t *st);
+void job_update_paths(occurrence_t *o);
 queue_t *queue_get(sched_t *s, const char *name);
 
 /* progress.c */
--- a/sched/isolation.c
+++ b/sched/isolation.c
@@ -17,6 +17,7 @@
 #include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
+#include "run_time.h"
 #include "internal.h"
 
 #define HORIZON_MS	   1500
--- a/sched/job.c
+++ b/sched/job.c
@@ -13,6 +13,7 @@
 #include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
+#include "run_time.h"
 #include "internal.h"
 
 #define MAX_STEP_TASKS	     10000  /* bounds what one job may take */
@@ -82,23 +83,44 @@
 }
 
 /*
- * Fills in the declared time of the longest chain of steps that starts at each
- * step.  A step depends on steps with lower numbers only.
+ * Expected run time of a task of a step at full speed.  Tasks of a step are alike,
+ * so that its completed runs count more than what is expected of its queue.
  */
-static void
-fill_critical_paths(occurrence_t *o, const Sched__Job *def)
+int64_t
+job_task_ms(const step_t *st)
+{
+	int64_t prior_ms = run_time_expected(
+	    &st->occ->job->queue->run_time, st->def->estimate_ms);
+
+	return (prior_ms + st->done_runs_ms) / (1 + st->done_runs);
+}
+
+/*
+ * Updates the expected time of the longest chain of steps that starts at each step
+ * of an occurrence, and the time allowed for it.  A step depends on steps with
+ * lower numbers only.
+ */
+void
+job_update_paths(occurrence_t *o)
 {
+	const Sched__Job *def = o->job->def;
+	int64_t longest_ms = 0;
+
+	for (size_t i = 0; i < def->n_steps; i++)
+		o->steps[i].path_ms = 0;
 	for (size_t i = def->n_steps; i-- > 0;) {
 		step_t *st = &o->steps[i];
 
-		st->critical_path_ms += def->steps[i]->estimate_ms;
+		st->path_ms += job_task_ms(st);
+		longest_ms = MAX(longest_ms, st->path_ms);
 		for (size_t k = 0; k < st->def->n_after; k++) {
 			step_t *p = &o->steps[st->def->after[k]];
 
-			p->critical_path_ms =
-			    MAX(p->critical_path_ms, st->critical_path_ms);
+			p->path_ms = MAX(p->path_ms, st->path_ms);
 		}
 	}
+	o->job->allowed_ms =
+	    def->target_ms + (int64_t)(def->stretch * (double)longest_ms);
 }
 
 /* Creates an occurrence whose tasks are all waiting. */
@@ -133,7 +155,6 @@
 			st->tasks[k].index = k;
 		}
 	}
-	fill_critical_paths(o, def);
 	return o;
 }
 
@@ -186,7 +207,6 @@
 {
 	job_t *j = g_new0(job_t, 1);
 	queue_t *q = queue_get(s, def->queue);
-	int64_t longest = 0;
 	occurrence_t *o;
 
 	g_strlcpy(j->id, id, sizeof(j->id));
@@ -203,7 +223,6 @@
 	for (size_t i = 0; i < def->n_steps; i++) {
 		if (def->steps[i]->filler)
 			s->filler_job_ms = s->now_ms;
-		longest = MAX(longest, o->steps[i].critical_path_ms);
 		j->work_milli_ms += (double)def->steps[i]->count *
 		    (double)def->steps[i]->cpu_milli *
 		    (double)def->steps[i]->estimate_ms;
@@ -211,7 +230,7 @@
 	q->mean_work_milli_ms += q->mean_work_milli_ms <= 0 ?
 	    j->work_milli_ms :
 	    (j->work_milli_ms - q->mean_work_milli_ms) / MEAN_WORK_JOBS;
-	j->allowed_ms = def->target_ms + (int64_t)(def->stretch * longest);
+	job_update_paths(o);
 	share_job_accepted(s, j);
 	return j;
 }
@@ -332,13 +351,3 @@
 	if ((size_t)o->steps_done == o->job->def->n_steps)
 		o->job->occs_done++;
 }
-
-/*
- * Expected time from the start of a step to the end of its occurrence: the
- * declared one, corrected by the run times learned for the queue.
- */
-int64_t
-job_critical_path_ms(const step_t *st)
-{
-	return st->critical_path_ms * st->occ->job->queue->run_time_pct / 100;
-}
--- a/sched/overload_queue.c
+++ b/sched/overload_queue.c
@@ -22,6 +22,7 @@
 #include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
+#include "run_time.h"
 #include "internal.h"
 #include "overload.h"
 #include "overload_queue.h"
@@ -60,8 +61,7 @@
 double
 overload_task_work(const step_t *st)
 {
-	return (double)st->def->cpu_milli * (double)st->def->estimate_ms *
-	    (double)st->occ->job->queue->run_time_pct / 100;
+	return (double)st->def->cpu_milli * (double)job_task_ms(st);
 }
 
 /* Adds the progress of a run since it was last counted. */
@@ -145,13 +145,12 @@
 
 	for (size_t i = 0; i < o->job->def->n_steps; i++) {
 		const step_t *st = &o->steps[i];
-		int64_t path = job_critical_path_ms(st);
+		int64_t path = st->path_ms;
 
 		if (st->ndone == st->ntasks)
 			continue;
 		if (st->nwaiting == 0)
-			path -= st->def->estimate_ms *
-			    o->job->queue->run_time_pct / 100;
+			path -= job_task_ms(st);
 		longest = MAX(longest, path);
 	}
 	return longest;
@@ -193,8 +192,8 @@
 
 		if (st->def->lasting)
 			return;
-		it.slack_ms = MIN(
-		    it.slack_ms, o->job->allowed_ms - job_critical_path_ms(st));
+		it.slack_ms =
+		    MIN(it.slack_ms, o->job->allowed_ms - st->path_ms);
 		it.begun |= st->nwaiting < st->ntasks;
 		work[overload_pool(st)] +=
 		    overload_task_work(st) * (st->ntasks - st->ndone);
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -22,6 +22,7 @@
 #include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
+#include "run_time.h"
 #include "internal.h"
 
 #define SILENT_MS    1200 /* three renewals missed: owner counts as failed */
--- a/sched/pacing.c
+++ b/sched/pacing.c
@@ -14,6 +14,7 @@
 #include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
+#include "run_time.h"
 #include "internal.h"
 
 #define YOUNG_MS	 1000 /* the metric of a task tells little so long */
--- a/sched/place.c
+++ b/sched/place.c
@@ -12,6 +12,7 @@
 #include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
+#include "run_time.h"
 #include "internal.h"
 
 /*
--- a/sched/poll.c
+++ b/sched/poll.c
@@ -13,6 +13,7 @@
 #include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
+#include "run_time.h"
 #include "internal.h"
 
 #define POLL_WAIT_MS  1000 /* the worker holds a poll until a run ends */
--- a/sched/progress.c
+++ b/sched/progress.c
@@ -12,6 +12,7 @@
 #include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
+#include "run_time.h"
 #include "internal.h"
 
 /* Applies the stored progress of one step; ignores one that does not exist. */
--- a/sched/purge.c
+++ b/sched/purge.c
@@ -12,6 +12,7 @@
 #include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
+#include "run_time.h"
 #include "internal.h"
 
 #define ROUND_GAP_MS	       30000 /* between rounds; one handles many jobs */
--- a/sched/quarantine.c
+++ b/sched/quarantine.c
@@ -17,6 +17,7 @@
 #include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
+#include "run_time.h"
 #include "internal.h"
 
 #define RESERVED_MS 3000  /* a worker, while its newest runs grow old enough */
--- a/sched/queue.c
+++ b/sched/queue.c
@@ -11,11 +11,14 @@
 #include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
+#include "run_time.h"
 #include "internal.h"
 
 /* A job of twice the mean value density is treated as due earlier by this. */
 #define DENSITY_ADVANCE_MS 1500
-/* Limits of this effect, in multiples of DENSITY_ADVANCE_MS. */
+/* The same while jobs are deferred: density counts for more than urgency. */
+#define OVERLOAD_ADVANCE_MS 9000
+/* Limits of this effect, in multiples of these. */
 #define MIN_DENSITY_GAIN  (-1.0)
 #define MAX_DENSITY_GAIN  2.0
 #define FIXED_VALUE_SHARE 0.3 /* of a job's value; the rest follows its work */
@@ -113,9 +116,15 @@
 update_urgency(sched_t *s, step_t *st)
 {
 	const occurrence_t *o = st->occ;
-	int64_t path_ms = job_critical_path_ms(st);
+	int64_t path_ms;
+	/* Expected times are too rough to start each job just in time. */
+	int64_t advance_ms = overload_deferred_jobs(s) > 0 ?
+	    OVERLOAD_ADVANCE_MS :
+	    DENSITY_ADVANCE_MS;
 	double gain;
 
+	job_update_paths(st->occ);
+	path_ms = st->path_ms;
 	st->latest_start_ms = o->due_wall_ms + o->job->allowed_ms - path_ms;
 	st->misses_target = st->latest_start_ms < s->wall_ms;
 	st->past_late_limit =
@@ -130,7 +139,7 @@
 	}
 	gain = CLAMP(density(o) - 1, MIN_DENSITY_GAIN, MAX_DENSITY_GAIN);
 	st->sort_key_ms =
-	    st->latest_start_ms - (int64_t)(gain * DENSITY_ADVANCE_MS);
+	    st->latest_start_ms - (int64_t)(gain * (double)advance_ms);
 }
 
 /*
--- a/sched/report.c
+++ b/sched/report.c
@@ -12,6 +12,7 @@
 #include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
+#include "run_time.h"
 #include "internal.h"
 
 #define RETRY_DELAY_MIN_MS 100 /* after a failed run; doubled each time */
@@ -36,6 +37,9 @@
 	pct = (s->now_ms - r->first_seen_ms) * 100 / estimate;
 	pct = CLAMP(pct, RUN_TIME_MIN_PCT, RUN_TIME_MAX_PCT);
 	q->run_time_pct += (pct - q->run_time_pct) / RUN_TIME_WEIGHT;
+	run_time_learn(&q->run_time, estimate, s->now_ms - r->first_seen_ms);
+	r->task->step->done_runs++;
+	r->task->step->done_runs_ms += s->now_ms - r->first_seen_ms;
 }
 
 /* Keeps the latest checkpoint of a task, or of its gang. */
--- a/sched/run.c
+++ b/sched/run.c
@@ -19,6 +19,7 @@
 #include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
+#include "run_time.h"
 #include "internal.h"
 
 #define STOP_RETRY_MS 500 /* between stop orders for a run */
--- a/sched/scan.c
+++ b/sched/scan.c
@@ -21,6 +21,7 @@
 #include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
+#include "run_time.h"
 #include "internal.h"
 
 #define HEAD_STEPS 200 /* of the queue */
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -13,6 +13,7 @@
 #include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
+#include "run_time.h"
 #include "internal.h"
 
 #define UPDATE_MS    250 /* between updates of the queue order and the models */
--- a/sched/share.c
+++ b/sched/share.c
@@ -22,6 +22,7 @@
 #include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
+#include "run_time.h"
 #include "internal.h"
 
 /* Received work counts for about so long: a burst is remembered for some tasks
--- a/sched/starvation.c
+++ b/sched/starvation.c
@@ -19,6 +19,7 @@
 #include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
+#include "run_time.h"
 #include "internal.h"
 
 /* A late job without a run for so long is starved. */
--- a/sched/straggler.c
+++ b/sched/straggler.c
@@ -16,6 +16,7 @@
 #include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
+#include "run_time.h"
 #include "internal.h"
 
 #define STARTUP_MS 300 /* approximate time until a task makes progress */
@@ -32,12 +33,11 @@
 #define MIN_REMAINING_MS 1500
 #define MOVES_PER_REPORT 4 /* also counts attempts at speculative runs */
 
-/* Expected run time of a task of a step at full speed. */
+/* Expected run time of a task of a step at full speed; never 0. */
 static int64_t
 expected_ms(const step_t *st)
 {
-	return MAX(100,
-	    st->def->estimate_ms * st->occ->job->queue->run_time_pct / 100);
+	return MAX(100, job_task_ms(st));
 }
 
 /*
--- a/sched/suspect.c
+++ b/sched/suspect.c
@@ -16,6 +16,7 @@
 #include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
+#include "run_time.h"
 #include "internal.h"
 
 #define SUSPECT_FAILURES 3 /* in a row */
--- a/test/unit/interference.c
+++ b/test/unit/interference.c
@@ -15,6 +15,7 @@
 #include "tanagerspool.h"
 #include "../../sched/sched.h"
 #include "../../sched/headroom.h"
+#include "../../sched/run_time.h"
 #include "../../sched/internal.h"
 #include "sched_fixture.h"
 
--- a/test/unit/share_fixture.c
+++ b/test/unit/share_fixture.c
@@ -11,6 +11,7 @@
 #include "tanagerspool.h"
 #include "../../sched/sched.h"
 #include "../../sched/headroom.h"
+#include "../../sched/run_time.h"
 #include "../../sched/internal.h"
 #include "sched_fixture.h"
 #include "share_fixture.h"
--- a/test/unit/share_load.c
+++ b/test/unit/share_load.c
@@ -15,6 +15,7 @@
 #include "tanagerspool.h"
 #include "../../sched/sched.h"
 #include "../../sched/headroom.h"
+#include "../../sched/run_time.h"
 #include "../../sched/internal.h"
 #include "sched_fixture.h"
 #include "share_fixture.h"
@@ -95,7 +96,7 @@
 	}
 	j = shares_add_job_of(l->s, l->names[i], l->number, &d, l->s->wall_ms);
 	if (src->allowed_ms != 0)
-		j->allowed_ms = src->allowed_ms;
+		j->def->target_ms = src->allowed_ms;
 	shares_enqueue(l->s, j);
 }
 
