--- a/test/unit/overload_queue.c
+++ b/test/unit/overload_queue.c
@@ -291,6 +291,30 @@
 	sched_free(s);
 }
 
+/* Guards against a rate without the work of runs that end between two reports. */
+Test(overload_queue, the_end_of_a_run_counts_as_progress)
+{
+	sched_t *s = owner_with_runs(true);
+	Sched__Step d = task_def(true);
+
+	queue_jobs(s, 40, &d, 1);
+	for (int i = 0; i < RUNS - 1; i++) {
+		g_autofree char *id = g_strdup_printf("%016x", 0xa000 + i);
+		job_t *j = g_hash_table_lookup(s->jobs, id);
+		task_t *t = &first_step(j)->tasks[0];
+		run_t *r = t->run;
+
+		job_mark_task_done(t);
+		run_remove(s, r);
+		pass_updates(s, 1, 0);
+	}
+	renew_jobs(s, false);
+	/* 4 tasks a second end: 12 of 40 in 3 s, with the one that runs. */
+	cr_expect_geq(count_deferred(s), 28, "%d", count_deferred(s));
+	cr_expect_leq(count_deferred(s), 30, "%d", count_deferred(s));
+	sched_free(s);
+}
+
 /* Guards against a refusal of jobs that may be of worth. */
 Test(overload_queue, a_queue_is_refused_only_if_none_of_its_jobs_fits)
 {
@@ -299,7 +323,7 @@
 		int first, second; /* jobs of the two queues */
 		int updates;	   /* with renewed jobs */
 		int32_t run_time_pct;
-		bool old;     /* jobs of the second queue came long ago */
+		bool old;     /* the second came long ago; all have 20 s */
 		bool refused; /* the second */
 	} cases[] = {
 		{ "goes after more than can be done", 40, 20, 16, 100, false,
@@ -308,8 +332,7 @@
 		{ "some of its jobs fit", 2, 20, 16, 100, false, false },
 		{ "few jobs", 40, 4, 16, 100, false, false },
 		{ "declares too much", 40, 20, 16, 50, false, false },
-		{ "those that wait are late, and none has come", 40, 20, 16,
-		    100, true, false },
+		{ "none has come lately", 60, 20, 16, 100, true, false },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -323,9 +346,14 @@
 		queue_jobs(s, cases[i].first, &d, 1);
 		queue_jobs(s, cases[i].second, &d, 2);
 		g_hash_table_iter_init(&it, s->jobs);
-		while (g_hash_table_iter_next(&it, NULL, &v))
-			if (((job_t *)v)->priority == 2)
-				((job_t *)v)->queue = queue_get(s, "second");
+		while (g_hash_table_iter_next(&it, NULL, &v)) {
+			job_t *j = v;
+
+			if (j->priority == 2)
+				j->queue = queue_get(s, "second");
+			if (cases[i].old)
+				j->allowed_ms = 20000;
+		}
 		queue_get(s, "second")->run_time_pct = cases[i].run_time_pct;
 		pass_updates(s, LEARN, PERCENT);
 		for (int k = 0; k < cases[i].updates; k++) {
