--- a/sched/internal.h
+++ b/sched/internal.h
@@ -170,9 +170,9 @@
 
 /* Sums over the customers with runs or steps that wait for room. */
 typedef struct {
-	double received, weight; /* received: as expected */
-	double
-	    least_level; /* received by weight; of those that waited before */
+	double received, weight; /* received: as expected at the horizon */
+	/* The least of received by weight, of those that waited before. */
+	double least_level;
 	int32_t n;
 } share_totals_t;
 
