Outage: no starts by settings that were old when it began (QUOTA)

Cause: during an outage of the store tasks are started although no table can be read, as nothing can change then.

Change: starts go on only if all feeds were current when the store last answered an entry. Leases are extended as before.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -486,6 +486,8 @@
 	int32_t claim_delay_ms; /* see sched_set_claim_delay */
 	/* The owner goes on without renewals, as the store answers no entry. */
 	bool store_outage;
+	/* All feeds were current when the outage began. */
+	bool outage_may_start;
 } cell_t;
 
 /* Which workers a pass over the queue looks at; see scan.c. */
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -424,6 +424,19 @@
 		send_claim(s, "its owner is silent");
 }
 
+/*
+ * Whether all changes of jobs, workers and operators' settings are known up to
+ * a short while before a time.
+ */
+static bool
+feeds_current(const sched_t *s, int64_t at_ms)
+{
+	for (int32_t i = 0; i < SCHED_NFEEDS; i++)
+		if (at_ms - s->feed_read_ms[i] > s->opts.feed_limit_ms)
+			return false;
+	return true;
+}
+
 /*
  * Lets the owner go on without renewals while the store answers none of the
  * entries (for_all).  Condition: no other entry can have seen the claim
@@ -434,6 +447,7 @@
 ownership_set_store_outage(sched_t *s, bool for_all, int64_t last_ms)
 {
 	cell_t *c = &s->cell;
+	bool was_on = c->store_outage;
 	bool on = for_all && c->state == CELL_OWNED &&
 	    (c->store_outage || last_ms - c->confirmed_ms < START_LIMIT_MS);
 
@@ -443,25 +457,15 @@
 		    " confirmed_age=%" PRId64,
 		    on, s->now_ms - last_ms, s->now_ms - c->confirmed_ms);
 	c->store_outage = on;
-}
-
-/*
- * Whether all changes of jobs, workers and operators' settings are known up to
- * a short while ago.
- */
-static bool
-feeds_current(const sched_t *s)
-{
-	for (int32_t i = 0; i < SCHED_NFEEDS; i++)
-		if (s->now_ms - s->feed_read_ms[i] > s->opts.feed_limit_ms)
-			return false;
-	return true;
+	if (on && !was_on)
+		c->outage_may_start = feeds_current(s, last_ms);
 }
 
 /*
  * Whether tasks may be started, and moved between workers.  (Stops, polls and
  * paces may be ordered as long as the cell is owned.)  During a store outage
- * nothing can be cancelled or taken out of service, so old data does no harm.
+ * nothing can be cancelled or taken out of service, so that data which was current
+ * when it began does no harm.
  */
 bool
 ownership_may_start_tasks(const sched_t *s)
@@ -470,8 +474,9 @@
 
 	if (c->state != CELL_OWNED || c->paused || c->releasing)
 		return false;
-	return c->store_outage ||
-	    (s->now_ms - c->confirmed_ms < START_LIMIT_MS && feeds_current(s));
+	return (c->store_outage && c->outage_may_start) ||
+	    (s->now_ms - c->confirmed_ms < START_LIMIT_MS &&
+		feeds_current(s, s->now_ms));
 }
 
 /* Whether polls may extend the leases of workers. */
--- a/test/unit/overload_queue.c
+++ b/test/unit/overload_queue.c
@@ -60,7 +60,8 @@
 	worker_t *w = add_worker(s, "w");
 
 	s->now_ms = s->wall_ms = START_MS;
-	s->cell.store_outage = true; /* starts need no renewals */
+	/* Starts need no renewals. */
+	s->cell.store_outage = s->cell.outage_may_start = true;
 	for (int i = 0; i < RUNS; i++) {
 		g_autofree char *id = g_strdup_printf("%016x", 0xa000 + i);
 
