--- a/sched/customer.c
+++ b/sched/customer.c
@@ -106,6 +106,21 @@
 	return c;
 }
 
+/*
+ * Takes the settings of a customer that is not in the configuration from a job's
+ * row, if it was accepted after the others.
+ */
+static void
+adopt_settings(customer_t *c, const Sched__Job *def)
+{
+	if (def->accepted_ms < c->settings_ms)
+		return;
+	c->settings_ms = def->accepted_ms;
+	c->weight = def->weight > 0 ? def->weight : WEIGHT_UNKNOWN;
+	set_limits(
+	    &c->quota, def->quota_cpu_milli, def->quota_mem_mb, def->quota_gpu);
+}
+
 /*
  * Sets the customer of a new job.  Settings of one that is not in the
  * configuration are those of its last accepted job's row: rows are read in no
@@ -120,12 +135,8 @@
 	if (def->customer[0] == '\0')
 		return;
 	c = j->customer = customer_get(s, def->customer);
-	if (c->configured || def->accepted_ms < c->settings_ms)
-		return;
-	c->settings_ms = def->accepted_ms;
-	c->weight = def->weight > 0 ? def->weight : WEIGHT_UNKNOWN;
-	set_limits(
-	    &c->quota, def->quota_cpu_milli, def->quota_mem_mb, def->quota_gpu);
+	if (!c->configured)
+		adopt_settings(c, def);
 }
 
 /* Whether a step of the customer behind the held one may start tasks. */
@@ -308,6 +319,26 @@
 	}
 }
 
+/*
+ * Gives customers that are no longer in the configuration the settings of their
+ * jobs' rows: versions between may have lowered them, and a new owner would know
+ * no others.
+ */
+static void
+adopt_settings_of_removed(sched_t *s)
+{
+	GHashTableIter it;
+	void *v;
+
+	g_hash_table_iter_init(&it, s->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const job_t *j = v;
+
+		if (j->customer != NULL && !j->customer->configured)
+			adopt_settings(j->customer, j->def);
+	}
+}
+
 void
 sched_set_customers(
     sched_t *s, const sched_customer_t *list, size_t n, int64_t now_ms)
@@ -317,8 +348,13 @@
 
 	s->now_ms = now_ms;
 	g_hash_table_iter_init(&it, s->customers);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		((customer_t *)v)->configured = false;
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		customer_t *c = v;
+
+		if (c->configured)
+			c->settings_ms = 0;
+		c->configured = false;
+	}
 	for (size_t i = 0; i < n; i++) {
 		customer_t *c = customer_get(s, list[i].name);
 
@@ -327,6 +363,7 @@
 		set_limits(&c->quota, list[i].quota_cpu_milli,
 		    list[i].quota_mem_mb, list[i].quota_gpu);
 	}
+	adopt_settings_of_removed(s);
 	if (n > 0)
 		scan_begin_round(s);
 }
--- a/test/unit/quota.c
+++ b/test/unit/quota.c
@@ -453,3 +453,33 @@
 	cr_expect_eq(st->nwaiting, 0);
 	sched_free(s);
 }
+
+/*
+ * A customer that is removed after a version that was not read has the settings
+ * of its jobs' rows, not those of the last version that was read.
+ */
+Test(quota, removed_customer)
+{
+	static const struct {
+		const char *what;
+		int64_t row_quota, want;
+	} cases[] = {
+		{ "lower in the row", 1000, 1000 },
+		{ "none in the row", 0, 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = quota_owner();
+		sched_customer_t c = { .quota_cpu_milli = 4000 };
+		Sched__Step d = step_def("", 1000, false, 0);
+		step_t *st;
+
+		set_customer(s, &c);
+		st = queue_step(s, JOB_A, "c", &d);
+		st->occ->job->def->quota_cpu_milli = cases[i].row_quota;
+		sched_set_customers(s, NULL, 0, s->now_ms);
+		cr_expect_eq(customer_get(s, "c")->quota.limit.cpu_milli,
+		    cases[i].want, "%s", cases[i].what);
+		sched_free(s);
+	}
+}
