--- a/sched/internal.h
+++ b/sched/internal.h
@@ -15,8 +15,8 @@
  * - starvation.c: late work that is passed over;
  * - customer.c, unseen.c, share.c: customers, their quotas and their shares of
  *   the room;
- * - overload.c, admission.c: what is delayed and what is refused when there is
- *   too little room;
+ * - overload.c, overload_queue.c, overload_refusal.c, admission.c: what is
+ *   delayed and what is refused when there is too little room;
  * - crash.c, quarantine.c: tasks that crash their workers;
  * - flush.c, interference_row.c, purge.c: rows written to and removed from the
  *   store;
@@ -39,6 +39,7 @@
 typedef struct worker worker_t;
 typedef struct interference interference_t;
 typedef struct customer customer_t;
+typedef struct overload overload_t;
 
 #define IMAGES_MAX	      64   /* images whose interference is learned */
 #define RUN_NUMBERS_PER_OWNER 1000 /* for the runs of a task by one owner */
@@ -50,6 +51,9 @@
 /* Rows of the footprint; each is below 64 KiB with 29,000 workers. */
 #define FOOTPRINT_ROWS 64
 
+/* A job counts as late up to so many times the time allowed for it. */
+#define LATE_LIMIT_TIMES 3
+
 /* Runs the statement that follows for each image i of a set. */
 #define FOREACH_IMAGE(i, set) \
 	for (uint64_t left_ = (set); \
@@ -110,6 +114,9 @@
 	int64_t due_wall_ms; /* when its steps may start */
 	int32_t steps_done;
 	step_t *steps;
+	/* Late for the sake of others, by the last plan; see overload_queue.c. */
+	bool deferred;
+	double running_work; /* of its runs, at the last plan */
 } occurrence_t;
 
 /* A step of one occurrence: a set of like tasks. */
@@ -121,13 +128,16 @@
 	int32_t ntasks;
 	int32_t nwaiting; /* tasks in TASK_WAITING */
 	int32_t ndone;	  /* tasks in TASK_DONE */
-	bool ready;	  /* all steps that it depends on are done */
+	/* Completed runs that show how long a task takes, and their time. */
+	int32_t done_runs;
+	int64_t done_runs_ms;
+	bool ready; /* all steps that it depends on are done */
 	/* A task of a step that it depends on was still running when this owner
 	 * took over, so that no earlier owner has started tasks of it. */
 	bool not_started_before;
 	int32_t image; /* index of its image, or -1 */
-	/* Declared time of the longest chain of steps that starts here. */
-	int64_t critical_path_ms;
+	/* Expected time of the longest chain of steps that starts here. */
+	int64_t path_ms;
 	GSequenceIter *queue_iter; /* position in ready_steps, or NULL */
 	uint64_t unplaced_round;   /* round of scan.c without a worker for it */
 	uint64_t unmovable_round;  /* the same for a task that runs */
@@ -176,16 +186,15 @@
 
 /* Sums over the customers with runs or steps that wait for room. */
 typedef struct {
-	double received, weight; /* received: as expected */
-	double
-	    least_level; /* received by weight; of those that waited before */
+	double received, weight; /* received: as expected at the horizon */
+	/* The least of received by weight, of those that waited before. */
+	double least_level;
 	int32_t n;
 } share_totals_t;
 
 /* Whether room is short, and what is refused because of it; see admission.c. */
 typedef struct {
 	bool room_short;
-	bool plan_defers; /* set by the overload plan: it delays jobs */
 	/* When a job was last seen to wait past its latest start, and since
 	 * when that has been so without a long gap; 0: it has not. */
 	int64_t late_seen_ms, late_since_ms;
@@ -193,6 +202,18 @@
 	int64_t decided_ms;
 } admission_t;
 
+/* What the last plan says of the jobs of a queue; see overload_queue.c. */
+typedef struct {
+	int32_t planned, deferred, hopeless; /* jobs */
+	int32_t fresh;	      /* deferred ones that have just come */
+	int32_t fillers;      /* those of filler work */
+	double deferred_work; /* in milli x ms */
+	int32_t priority;     /* of its jobs */
+	/* Since when none of its jobs was planned to be on time; 0: some was. */
+	int64_t none_planned_since_ms;
+	bool logged; /* the last load event said that jobs are deferred */
+} queue_plan_t;
+
 /* A queue's settings and what has been learned of its jobs. */
 typedef struct {
 	const char *name;
@@ -202,8 +223,10 @@
 	bool configured;      /* in the configuration now in force */
 	bool needs_approval;  /* approval service must allow placements */
 	int64_t run_time_pct; /* average real run time / declared run time */
+	run_time_t run_time;
 	double mean_work_milli_ms; /* of its jobs; moving average */
 	int32_t waiting_jobs;	   /* open jobs that have not started */
+	queue_plan_t plan;
 } queue_t;
 
 /* What tasks hold if they run; the processor time of fillers apart. */
@@ -318,7 +341,8 @@
 	int64_t pace_retry_ms; /* no pace order is sent before */
 	/* Until then, an earlier pace order may yet be carried out. */
 	int64_t pace_doubt_until_ms;
-	bool was_paced; /* a pace order has been sent */
+	bool was_paced;		 /* a pace order has been sent */
+	int32_t counted_percent; /* progress that the throughput includes */
 	/* Another process with the same id answers for its worker, of which the
 	 * one before is known to have been up with the run for up_ms. */
 	bool worker_restarted;
@@ -462,6 +486,8 @@
 	int32_t claim_delay_ms; /* see sched_set_claim_delay */
 	/* The owner goes on without renewals, as the store answers no entry. */
 	bool store_outage;
+	/* All feeds were current when the outage began. */
+	bool outage_may_start;
 } cell_t;
 
 /* Which workers a pass over the queue looks at; see scan.c. */
@@ -534,6 +560,7 @@
 	int64_t store_clock_offset_ms;	/* store's clock less ours */
 	/* Up to when all changes of a feed are known. */
 	int64_t feed_read_ms[SCHED_NFEEDS];
+	overload_t *overload;
 	sched_stats_t stats;
 };
 
@@ -552,7 +579,8 @@
 void job_mark_task_done(task_t *t);
 int32_t task_failed_runs(const task_t *t);
 bool task_add_failed_run(task_t *t, int64_t run);
-int64_t job_critical_path_ms(const step_t *st);
+int64_t job_task_ms(const step_t *st);
+void job_update_paths(occurrence_t *o);
 queue_t *queue_get(sched_t *s, const char *name);
 
 /* progress.c */
@@ -592,8 +620,16 @@
 double share_time_to_spare(const sched_t *s, customer_t *c);
 
 /* overload_queue.c */
+overload_t *overload_new(void);
+void overload_free(overload_t *o);
 void overload_update(sched_t *s);
-void overload_append_refusals(sched_t *s, GPtrArray *refusals);
+void overload_run_removed(sched_t *s, const run_t *r);
+void overload_log(sched_t *s);
+int64_t overload_deferred_jobs(const sched_t *s);
+
+/* overload_refusal.c */
+void overload_add_refusals(sched_t *s, GPtrArray *refusals);
+bool overload_is_hopeless(const Sched__Refusal *r, const Sched__Job *job);
 
 /* admission.c */
 void admission_update(sched_t *s);
@@ -647,6 +683,7 @@
 void queue_add_step(sched_t *s, step_t *st);
 void queue_remove_step(step_t *st);
 void queue_resort(sched_t *s);
+double queue_job_value(const job_t *j);
 
 /* run.c, start.c, report.c */
 run_t *run_new(sched_t *s, const char *name, worker_t *w, int64_t number);
--- a/sched/queue.c
+++ b/sched/queue.c
@@ -11,13 +11,14 @@
 #include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
+#include "run_time.h"
 #include "internal.h"
 
-/* A job counts as late up to so many times the time allowed for it. */
-#define LATE_LIMIT_TIMES 3
 /* A job of twice the mean value density is treated as due earlier by this. */
 #define DENSITY_ADVANCE_MS 1500
-/* Limits of this effect, in multiples of DENSITY_ADVANCE_MS. */
+/* The same while jobs are deferred: density counts for more than urgency. */
+#define OVERLOAD_ADVANCE_MS 9000
+/* Limits of this effect, in multiples of these. */
 #define MIN_DENSITY_GAIN  (-1.0)
 #define MAX_DENSITY_GAIN  2.0
 #define FIXED_VALUE_SHARE 0.3 /* of a job's value; the rest follows its work */
@@ -25,8 +26,9 @@
 /*
  * Main sort key, lower first: short work, neither lasting nor filler, that can
  * meet its target; lasting tasks, as they keep their resources for good; filler
- * work that can meet its target; late work; and work that is too late even to
- * count as late, of which starved jobs go first.
+ * work that can meet its target; work that could, but is deferred for the sake of
+ * others (overload_queue.c); late work; and work that is too late even to count
+ * as late, of which starved jobs go first.
  */
 static int
 tier(const step_t *st)
@@ -34,7 +36,9 @@
 	if (st->def->lasting)
 		return 1;
 	if (st->misses_target)
-		return !st->past_late_limit ? 3 : st->starved ? 4 : 5;
+		return !st->past_late_limit ? 4 : st->starved ? 5 : 6;
+	if (st->occ->deferred)
+		return 3;
 	return st->def->filler ? 2 : 0;
 }
 
@@ -76,21 +80,29 @@
 	return MAX(1, sum);
 }
 
+/*
+ * Value of a job, as work: a fixed share of the mean of its queue plus the rest
+ * in proportion to its own work.
+ */
+double
+queue_job_value(const job_t *j)
+{
+	double mean = j->queue->mean_work_milli_ms <= 0 ?
+	    j->work_milli_ms :
+	    j->queue->mean_work_milli_ms;
+
+	return FIXED_VALUE_SHARE * mean +
+	    (1 - FIXED_VALUE_SHARE) * j->work_milli_ms;
+}
+
 /*
  * Value density of an occurrence: its value per unit of work that is left,
- * relative to that of a mean job of its queue that has not started.  The value
- * is a fixed share of the mean plus the rest in proportion to the job's work.
+ * relative to that of a mean job of its queue that has not started.
  */
 static double
 density(const occurrence_t *o)
 {
-	const queue_t *q = o->job->queue;
-	double mean = q->mean_work_milli_ms <= 0 ? o->job->work_milli_ms :
-						   q->mean_work_milli_ms;
-
-	return (FIXED_VALUE_SHARE * mean +
-		   (1 - FIXED_VALUE_SHARE) * o->job->work_milli_ms) /
-	    work_left(o);
+	return queue_job_value(o->job) / work_left(o);
 }
 
 /*
@@ -104,9 +116,15 @@
 update_urgency(sched_t *s, step_t *st)
 {
 	const occurrence_t *o = st->occ;
-	int64_t path_ms = job_critical_path_ms(st);
+	int64_t path_ms;
+	/* Expected times are too rough to start each job just in time. */
+	int64_t advance_ms = overload_deferred_jobs(s) > 0 ?
+	    OVERLOAD_ADVANCE_MS :
+	    DENSITY_ADVANCE_MS;
 	double gain;
 
+	job_update_paths(st->occ);
+	path_ms = st->path_ms;
 	st->latest_start_ms = o->due_wall_ms + o->job->allowed_ms - path_ms;
 	st->misses_target = st->latest_start_ms < s->wall_ms;
 	st->past_late_limit =
@@ -121,7 +139,7 @@
 	}
 	gain = CLAMP(density(o) - 1, MIN_DENSITY_GAIN, MAX_DENSITY_GAIN);
 	st->sort_key_ms =
-	    st->latest_start_ms - (int64_t)(gain * DENSITY_ADVANCE_MS);
+	    st->latest_start_ms - (int64_t)(gain * (double)advance_ms);
 }
 
 /*
--- a/sched/run.c
+++ b/sched/run.c
@@ -19,6 +19,7 @@
 #include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
+#include "run_time.h"
 #include "internal.h"
 
 #define STOP_RETRY_MS 500 /* between stop orders for a run */
@@ -154,6 +155,7 @@
 	suspect_run_removed(r);
 	crash_run_removed(s, r);
 	if (r->holds_resources) {
+		overload_run_removed(s, r);
 		pacing_run_removed(s, r);
 		cell_worker_count_task(r->worker, t->step, -1);
 		customer_count_run(r, -1);
--- a/sched/stats.c
+++ b/sched/stats.c
@@ -12,6 +12,7 @@
 #include "tanagerspool.h"
 #include "sched.h"
 #include "headroom.h"
+#include "run_time.h"
 #include "internal.h"
 
 /* Older numbers of waiting jobs are not given. */
@@ -118,5 +119,6 @@
 	st.running = g_hash_table_size(s->runs);
 	st.workers = s->worker_list->len;
 	st.queued = g_sequence_get_length(s->ready_steps);
+	st.deferred_jobs = overload_deferred_jobs(s);
 	return st;
 }
