Retry-After: in an outage it grows with it, and callers are spread

Cause: every 503 said 1 s, so that callers returned together, and had used up their retries before an outage of the store ended.

Change: the store's silence so far, 8 s at most, and by a hash of the job's ID up to as much again; the same spread as for refusals (sched_retry_after_ms).

--- a/sched/admission.c
+++ b/sched/admission.c
@@ -286,15 +286,10 @@
 	return r->delay_ms == 0 || overload_is_hopeless(r, job);
 }
 
-/*
- * When a caller is to come back: after the time that is left, and by a hash of
- * the job's ID up to as much again, so that not all come back together.
- */
-static int32_t
-retry_ms(const Sched__Refusal *r, const char *id, int64_t age_ms)
+int32_t
+sched_retry_after_ms(const char *id, int64_t wait_ms)
 {
-	int64_t left_ms = MAX(1, r->retry_after_ms - age_ms);
-	int64_t units = (left_ms + RETRY_UNIT_MS - 1) / RETRY_UNIT_MS;
+	int64_t units = (MAX(1, wait_ms) + RETRY_UNIT_MS - 1) / RETRY_UNIT_MS;
 	/* The low bits of the hash depend on few characters. */
 	uint32_t hash = (g_str_hash(id) * 2654435761U) >> 8;
 
@@ -319,7 +314,8 @@
 
 		if (!refuses(r, job, d.age_ms))
 			continue;
-		*retry_after_ms = retry_ms(r, id, d.age_ms);
+		*retry_after_ms =
+		    sched_retry_after_ms(id, r->retry_after_ms - d.age_ms);
 		if (r->customer[0] == '\0' || r->delay_ms > 0) {
 			s->stats.refused_hopeless++;
 			return SCHED_HOPELESS;
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -356,6 +356,13 @@
 sched_admission_t sched_admit(sched_t *s, const char *id, const Sched__Job *job,
     int64_t now_ms, int32_t *retry_after_ms);
 
+/*
+ * When a caller is to come back that is expected to be served after wait_ms: in
+ * whole seconds, and by a hash of the job's ID up to as much again, so that not
+ * all come back together.
+ */
+int32_t sched_retry_after_ms(const char *id, int64_t wait_ms);
+
 /* An order has ended; clock_ms is the worker's clock, or 0. */
 void sched_order_done(sched_t *s, uint64_t id, sched_order_result_t r,
     int64_t clock_ms, int64_t now_ms);
--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -100,7 +100,8 @@
 	n->stats.auth_stale++;
 	log_rejected_call(
 	    n, m->queue->name, m->id, "the operators' table is too old");
-	reply_error(r, 503, "the keys can't be checked now", RETRY_AFTER_MS);
+	reply_error(r, 503, "the keys can't be checked now",
+	    sched_retry_after_ms(m->id, RETRY_AFTER_MS));
 	return false;
 }
 
--- a/serve/request.c
+++ b/serve/request.c
@@ -29,8 +29,9 @@
 #include "serve.h"
 #include "attempts.h"
 
-#define REPLY_RESERVE_MS 150 /* of the timeout, for the answer's way back */
-#define NO_SUCH_JOB	 "{\"error\":\"no such job\"}"
+#define OUTAGE_RETRY_MAX_MS 8000 /* without the spread over callers */
+#define REPLY_RESERVE_MS    150	 /* of the timeout, for the answer's way back */
+#define NO_SUCH_JOB	    "{\"error\":\"no such job\"}"
 
 /* A request in progress. */
 typedef struct {
@@ -138,6 +139,9 @@
 		finish(rq, 504, why);
 		return;
 	}
+	/* An outage goes on for about as long again as it has lasted. */
+	rq->rejection.retry_after_ms =
+	    sched_retry_after_ms(rq->id, MIN(silent_ms, OUTAGE_RETRY_MAX_MS));
 	if (rq->kind == REQUEST_STATE)
 		n->stats.state_unreadable++;
 	else
