Overload plan: remove sums that nothing reads

on_time_work, deferred_work and nhopeless of a plan, and the copy that each pool kept, were written only.

--- a/sched/overload.c
+++ b/sched/overload.c
@@ -221,31 +221,41 @@
 	return any;
 }
 
-/* Puts back entries that fit after all, the best first. */
+/* Sets the slack of all positions by the entries that are planned. */
 static void
-put_back(entry_t *all, size_t n, double base)
+slack_init(slack_t *t, const entry_t *all, size_t n, double base)
 {
-	g_autoptr(GPtrArray) out = g_ptr_array_new();
-	slack_t t = { .size = 1 };
 	double sum = base;
 
-	while (t.size < n)
-		t.size *= 2;
-	t.min = g_new(double, 2 * t.size);
-	t.add = g_new0(double, 2 * t.size);
-	for (size_t i = 0; i < 2 * t.size; i++)
-		t.min[i] = INFINITY;
+	t->size = 1;
+	while (t->size < n)
+		t->size *= 2;
+	t->min = g_new(double, 2 * t->size);
+	t->add = g_new0(double, 2 * t->size);
+	for (size_t i = 0; i < 2 * t->size; i++)
+		t->min[i] = INFINITY;
 	for (size_t i = 0; i < n; i++) {
 		sum += all[i].planned ? all[i].item->work_left :
 					all[i].item->work_running;
-		t.add[t.size + i] = all[i].limit - sum;
+		t->add[t->size + i] = all[i].limit - sum;
 		if (all[i].planned)
-			t.min[t.size + i] = t.add[t.size + i];
-		else
-			g_ptr_array_add(out, &all[i]);
+			t->min[t->size + i] = t->add[t->size + i];
 	}
-	for (size_t i = t.size; i-- > 1;)
-		t.min[i] = MIN(t.min[2 * i], t.min[2 * i + 1]);
+	for (size_t i = t->size; i-- > 1;)
+		t->min[i] = MIN(t->min[2 * i], t->min[2 * i + 1]);
+}
+
+/* Puts back entries that fit after all, the best first. */
+static void
+put_back(entry_t *all, size_t n, double base)
+{
+	g_autoptr(GPtrArray) out = g_ptr_array_new();
+	slack_t t;
+
+	slack_init(&t, all, n, base);
+	for (size_t i = 0; i < n; i++)
+		if (!all[i].planned)
+			g_ptr_array_add(out, &all[i]);
 	g_ptr_array_sort(out, compare_best);
 	for (guint i = 0; i < out->len; i++) {
 		entry_t *e = g_ptr_array_index(out, i);
@@ -281,7 +291,6 @@
 		sum += it->work_left;
 		it->mark = OVERLOAD_ON_TIME;
 		it->end_ms = MAX(it->shortest_ms, (int64_t)(sum / rate));
-		sums->on_time_work += it->work_left;
 	}
 	g_ptr_array_sort(out, compare_deferred);
 	for (guint i = 0; i < out->len; i++) {
@@ -292,9 +301,7 @@
 		it->end_ms = MAX(it->shortest_ms, (int64_t)(sum / rate));
 		it->mark = it->end_ms > it->late_ms ? OVERLOAD_HOPELESS :
 						      OVERLOAD_DEFERRED;
-		sums->deferred_work += it->work_left;
 		sums->ndeferred++;
-		sums->nhopeless += it->mark == OVERLOAD_HOPELESS;
 	}
 }
 
--- a/sched/overload.h
+++ b/sched/overload.h
@@ -35,8 +35,7 @@
 
 /* Sums over the items of a plan. */
 typedef struct {
-	double on_time_work, deferred_work;
-	int32_t ndeferred, nhopeless; /* jobs; the latter can yet be late */
+	int32_t ndeferred; /* jobs, the hopeless ones among them */
 } overload_sums_t;
 
 /*
--- a/sched/overload_queue.c
+++ b/sched/overload_queue.c
@@ -261,12 +261,12 @@
 {
 	pool_state_t *st = &s->overload->pools[p];
 	double rate = overload_rate(&st->rate);
+	overload_sums_t sums;
 
-	st->sums = (overload_sums_t){ 0 };
 	if (rate <= 0)
 		return;
 	overload_plan((overload_item_t *)(void *)st->items->data,
-	    st->items->len, rate, &st->sums);
+	    st->items->len, rate, &sums);
 	for (guint i = 0; i < st->items->len; i++)
 		apply_mark(s, &g_array_index(st->items, overload_item_t, i), p);
 }
--- a/sched/overload_queue.h
+++ b/sched/overload_queue.h
@@ -18,7 +18,6 @@
 	double waiting, running;
 	bool had_backlog; /* at the last update */
 	GArray *items;	  /* overload_item_t; ctx: occurrence_t */
-	overload_sums_t sums;
 } pool_state_t;
 
 struct overload {
