Customers: one function says whether a quota lets a step start

The choice between a task and a gang stood in admission.c, customer.c and share.c, MB_BYTES in two files. share.c set weights and buckets three times in an update, as a side effect of its loop; it now does so once, at the start. The list of files in internal.h lacked rows.c and run_time.c.

--- a/sched/admission.c
+++ b/sched/admission.c
@@ -63,10 +63,7 @@
 		return false;
 	if (!ownership_may_start_step(s, st))
 		return false;
-	if (!(st->def->gang ? customer_allows_gang(st) :
-			      customer_allows_start(st)))
-		return false;
-	return has_startable_task(s, st);
+	return customer_allows_step(st) && has_startable_task(s, st);
 }
 
 /* Whether some worker could run a task of the step if it ran nothing else. */
--- a/sched/customer.c
+++ b/sched/customer.c
@@ -26,14 +26,13 @@
 #include "run_time.h"
 #include "internal.h"
 
-#define MB_BYTES       ((int64_t)1024 * 1024)
 #define WEIGHT_UNKNOWN 1.0 /* of a customer without settings */
-/* Tasks that end within a second or two are waited for without that. */
+/* A shorter wait needs no drain, as tasks that end soon free the quota. */
 #define DRAIN_AFTER_MS 2000
 /* Counted of one run: the sum of 200,000 of them fits into an int32_t. */
 #define COUNTED_GPUS_MAX 10000
-/* A customer counts as held for so long after a step was; as between two load
- * events, which report it. */
+/* A customer counts as held for so long after a step was held: the interval
+ * at which that is logged. */
 #define HELD_MS 1000
 
 /* What a task of the step holds while it runs. */
@@ -58,14 +57,13 @@
 	return sum;
 }
 
-/* A limit in a row or the configuration; no amount is larger than the greatest. */
+/* A limit from a row or the configuration, within the range of amounts. */
 static int64_t
 limit_of(int64_t amount)
 {
 	return CLAMP(amount, 0, SCHED_AMOUNT_MAX);
 }
 
-/* Sets the limits of a quota. */
 static void
 set_limits(ts_quota_t *q, int64_t cpu_milli, int64_t mem_mb, int64_t gpu)
 {
@@ -170,6 +168,14 @@
 	    (ts_quota_fits(&c->quota, &demand) && not_drained(c, st));
 }
 
+/* Whether the quota lets a task of the step start, or its gang as a whole. */
+bool
+customer_allows_step(const step_t *st)
+{
+	return st->def->gang ? customer_allows_gang(st) :
+			       customer_allows_start(st);
+}
+
 /*
  * Whether the task of a run could start again once the run has been stopped:
  * after its quota was lowered, it could not.
@@ -232,9 +238,7 @@
 customer_holds(sched_t *s, step_t *st)
 {
 	customer_t *c = st->occ->job->customer;
-	bool held = c != NULL &&
-	    !(st->def->gang ? customer_allows_gang(st) :
-			      customer_allows_start(st));
+	bool held = !customer_allows_step(st);
 
 	if (held)
 		note_held(s, c, st);
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -3,8 +3,10 @@
  *
  * - sched.c: entry points of sched.h and the periodic tick;
  * - ownership.c: claiming, renewing and losing the cell;
+ * - rows.c: rows read from the store;
  * - job.c, progress.c, queue.c: jobs, steps and tasks, their rows, and the order
  *   of waiting steps;
+ * - run_time.c: how long tasks are expected to take;
  * - cell_worker.c: workers, their free resources, clocks and leases;
  * - place.c, scan.c, approval.c: choice of a worker for a task;
  * - start.c, run.c: starting and stopping runs of tasks;
@@ -48,6 +50,8 @@
  * processors. */
 #define PLACE_FILLER_CPU_TIMES 2
 
+#define MB_BYTES ((int64_t)1024 * 1024)
+
 /* Rows of the footprint; each is below 64 KiB with 29,000 workers. */
 #define FOOTPRINT_ROWS 64
 
@@ -594,6 +598,7 @@
 ts_res_t customer_task_demand(const Sched__Step *d);
 bool customer_allows_start(const step_t *st);
 bool customer_allows_gang(const step_t *st);
+bool customer_allows_step(const step_t *st);
 bool customer_allows_move(const run_t *r);
 bool customer_holds(sched_t *s, step_t *st);
 void customer_count_run(const run_t *r, int sign);
--- a/sched/share.c
+++ b/sched/share.c
@@ -222,9 +222,9 @@
 	h->used_milli += sign * MAX(1, r->task->step->def->cpu_milli);
 }
 
-/* Runs fn for what each customer received, and all jobs without one. */
+/* Applies the present weights to the shares and the buckets. */
 static void
-for_each(sched_t *s, void (*fn)(sched_t *, customer_share_t *))
+update_weights(sched_t *s)
 {
 	GHashTableIter it;
 	void *v;
@@ -235,8 +235,19 @@
 
 		bucket_correct(c, (double)s->wall_ms);
 		c->share.weight = weight_of(c);
-		fn(s, &c->share);
 	}
+}
+
+/* Calls fn for the share of each customer and that of jobs without one. */
+static void
+for_each_share(sched_t *s, void (*fn)(sched_t *, customer_share_t *))
+{
+	GHashTableIter it;
+	void *v;
+
+	g_hash_table_iter_init(&it, s->customers);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		fn(s, &((customer_t *)v)->share);
 	fn(s, &s->unowned);
 }
 
@@ -250,14 +261,6 @@
 	h->rank = 0;
 }
 
-/* Whether its customer's quota holds a step, so that it asks for no room now. */
-static bool
-is_held(const step_t *st)
-{
-	return st->def->gang ? !customer_allows_gang(st) :
-			       !customer_allows_start(st);
-}
-
 /* Sets for all customers whether they have a step that waits for room. */
 static void
 find_waiting(sched_t *s)
@@ -269,7 +272,7 @@
 		customer_share_t *h = share_of(s, st->occ->job);
 
 		if (!h->waiting)
-			h->waiting = !is_held(st);
+			h->waiting = customer_allows_step(st);
 	}
 }
 
@@ -301,6 +304,7 @@
 	    added_at_horizon((double)h->used_milli);
 }
 
+/* What customers are ranked by: expected received work for their weight. */
 static double
 level(const customer_share_t *h)
 {
@@ -377,7 +381,7 @@
 		customer_share_t *h = share_of(s, j);
 		double work;
 
-		if (is_held(st))
+		if (!customer_allows_step(st))
 			continue;
 		if (j->ranked_update != s->share_updates)
 			j->rank = rank_after(s, h, MIN(h->queued, limit));
@@ -402,17 +406,18 @@
 	/* Forgets the ranks of jobs: without any, the queue has the jobs of
 	 * each customer in their order. */
 	s->share_updates++;
-	for_each(s, begin_update);
+	update_weights(s);
+	for_each_share(s, begin_update);
 	queue_resort(s);
 	find_waiting(s);
 	memset(t, 0, sizeof(*t));
 	t->least_level = INFINITY;
 	/* Jobs without a customer share the room as one of mean weight. */
 	s->unowned.weight = s->mean_weight > 0 ? s->mean_weight : 1;
-	for_each(s, add_to_totals);
+	for_each_share(s, add_to_totals);
 	if (t->n > 0)
 		s->mean_weight = t->weight / t->n;
-	for_each(s, set_rank);
+	for_each_share(s, set_rank);
 	rank_jobs(s);
 }
 
--- a/sched/unseen.c
+++ b/sched/unseen.c
@@ -20,9 +20,8 @@
 #include "run_time.h"
 #include "internal.h"
 
-#define MB_BYTES ((int64_t)1024 * 1024)
-/* Runs of a job that was stopped earlier are over, or known to its workers'
- * leases, which are shorter; a start may be carried out 12 s late. */
+/* No run of a job that was stopped earlier is left: a start is carried out 12 s
+ * late at most, and leases are shorter. */
 #define STOPPED_MS 15000
 
 /*
