--- a/sched/overload_refusal.c
+++ b/sched/overload_refusal.c
@@ -109,8 +109,8 @@
 }
 
 /*
- * Appends a refusal (Sched__Refusal, allocated with g_new; its names are not owned) for each queue of
- * which no job can be on time.
+ * Appends a refusal for each queue of which no job can be on time: a
+ * Sched__Refusal from g_new, which does not own its names.
  */
 void
 overload_add_refusals(sched_t *s, GPtrArray *refusals)
--- a/sched/queue.c
+++ b/sched/queue.c
@@ -16,9 +16,10 @@
 
 /* A job of twice the mean value density is treated as due earlier by this. */
 #define DENSITY_ADVANCE_MS 1500
-/* The same while jobs are deferred: density counts for more than urgency. */
+/* The same while jobs are deferred: density counts for more than urgency, as
+ * expected run times are too rough to start each job just in time. */
 #define OVERLOAD_ADVANCE_MS 9000
-/* Limits of this effect, in multiples of these. */
+/* Limits of this effect, in multiples of the advance. */
 #define MIN_DENSITY_GAIN  (-1.0)
 #define MAX_DENSITY_GAIN  2.0
 #define FIXED_VALUE_SHARE 0.3 /* of a job's value; the rest follows its work */
@@ -117,7 +118,6 @@
 {
 	const occurrence_t *o = st->occ;
 	int64_t path_ms;
-	/* Expected times are too rough to start each job just in time. */
 	int64_t advance_ms = overload_deferred_jobs(s) > 0 ?
 	    OVERLOAD_ADVANCE_MS :
 	    DENSITY_ADVANCE_MS;
--- a/sched/run_time.c
+++ b/sched/run_time.c
@@ -8,10 +8,10 @@
 
 #include "run_time.h"
 
-#define MEMORY_RUNS 512 /* the weight of a run halves over about so many */
+#define MEMORY_RUNS 512 /* the mean is over about so many */
 /* So many runs count as much as the declared time itself. */
 #define PRIOR_RUNS 30
-#define MIN_MS	   50
+#define MIN_MS	   50 /* shorter times count as this, so that logarithms exist */
 #define MAX_FACTOR 10 /* between the declared and the expected time */
 
 static double
@@ -39,15 +39,15 @@
 int64_t
 run_time_expected(const run_time_t *t, int64_t declared_ms)
 {
-	double x = log_ms(declared_ms), slope = 0, rest = 0, y, trust;
+	double x = log_ms(declared_ms), slope = 0, residual_var, y, trust;
 
 	if (t->n == 0)
 		return declared_ms;
 	if (t->declared_var > 0)
 		slope = CLAMP(t->covariance / t->declared_var, 0, 1);
-	rest = MAX(0, t->real_var - slope * t->covariance);
+	residual_var = MAX(0, t->real_var - slope * t->covariance);
 	/* The mean of a log-normal distribution is above its median. */
-	y = t->real + slope * (x - t->declared) + rest / 2;
+	y = t->real + slope * (x - t->declared) + residual_var / 2;
 	trust = t->n / (t->n + PRIOR_RUNS);
 	y = x +
 	    trust *
--- a/sched/run_time.h
+++ b/sched/run_time.h
@@ -3,8 +3,9 @@
  * No I/O.
  *
  * A linear regression in logarithms with a decay, as declared times are off by
- * factors.  Where they tell little, its slope is near 0 and all tasks are expected to
- * take about as long; where they are exact it is 1.
+ * factors.  Where they tell little, its slope is near 0 and all tasks are
+ * expected to take about as long; where they are exact it is 1.
+ * docs/design/overload.md has the reasons.
  *
  * Include <stdint.h> first.
  */
@@ -13,7 +14,7 @@
 
 typedef struct {
 	double n; /* runs so far */
-	/* Decaying means of the logarithms, their variances and covariance. */
+	/* Of the logarithms: decaying means, variances and covariance. */
 	double declared, real, declared_var, real_var, covariance;
 } run_time_t;
 
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -412,9 +412,8 @@
  * submissions that sched_admit refused; refused_customers, those of whom the
  * owner has them refused; writes, flushes; paces, pace orders; places, workers
  * that placement looked at; quota_waits, times that a step began to wait for its
- * customer's quota; queued, steps with tasks to be started;
- * running, runs in any state; deferred_jobs, jobs that the plan for an overload
- * defers.
+ * customer's quota; queued, steps with tasks to be started; running, runs in any
+ * state; deferred_jobs, jobs that the plan for an overload defers.
  */
 typedef struct {
 	uint64_t starts, start_rejects, start_unknown, stops, done, failed,
