--- a/test/unit/quota_fixture.c
+++ b/test/unit/quota_fixture.c
@@ -139,19 +139,11 @@
 read_job(sched_t *s, const char *id, const Sched__Step *d,
     const sched_customer_t *c, int64_t version)
 {
-	Sched__Job def = SCHED__JOB__INIT;
 	Sched__Step *list[1] = { (Sched__Step *)d };
+	Sched__Job def = job_def(list, 1, s->wall_ms);
 	g_autofree uint8_t *b = NULL;
 	sched_row_t row = { .key = id, .version = version };
 
-	def.queue = "q";
-	def.service = "s";
-	def.accepted_ms = s->wall_ms;
-	def.max_attempts = 2;
-	def.stretch = 2;
-	def.target_ms = 1000;
-	def.n_steps = 1;
-	def.steps = list;
 	def.customer = "c";
 	def.quota_cpu_milli = c->quota_cpu_milli;
 	def.quota_mem_mb = c->quota_mem_mb;
--- a/test/unit/sched_fixture.c
+++ b/test/unit/sched_fixture.c
@@ -56,14 +56,10 @@
 	return s;
 }
 
-job_t *
-add_job_of(sched_t *s, const char *id, Sched__Step **steps, size_t nsteps,
-    int64_t accepted_ms)
+Sched__Job
+job_def(Sched__Step **steps, size_t nsteps, int64_t accepted_ms)
 {
 	Sched__Job d = SCHED__JOB__INIT;
-	g_autofree uint8_t *b = NULL;
-	size_t n;
-	job_t *j;
 
 	d.queue = "q";
 	d.service = "s";
@@ -73,15 +69,32 @@
 	d.target_ms = 1000;
 	d.n_steps = nsteps;
 	d.steps = steps;
-	n = sched__job__get_packed_size(&d);
-	b = g_malloc(n);
-	sched__job__pack(&d, b);
+	return d;
+}
+
+job_t *
+add_job_def(sched_t *s, const char *id, const Sched__Job *d)
+{
+	size_t n = sched__job__get_packed_size(d);
+	g_autofree uint8_t *b = g_malloc(n);
+	job_t *j;
+
+	sched__job__pack(d, b);
 	j = job_new(s, id, sched__job__unpack(NULL, n, b));
 	g_hash_table_insert(s->jobs, j->id, j);
 	j->row_stored = true;
 	return j;
 }
 
+job_t *
+add_job_of(sched_t *s, const char *id, Sched__Step **steps, size_t nsteps,
+    int64_t accepted_ms)
+{
+	Sched__Job d = job_def(steps, nsteps, accepted_ms);
+
+	return add_job_def(s, id, &d);
+}
+
 job_t *
 add_job(
     sched_t *s, const char *id, const Sched__Step *step, int64_t accepted_ms)
--- a/test/unit/sched_fixture.h
+++ b/test/unit/sched_fixture.h
@@ -15,7 +15,11 @@
 sched_t *new_sched(void);
 /* A scheduler that owns the cell and ignores what it orders. */
 sched_t *new_owner(void);
+/* A job of queue "q" and service "s" without a customer. */
+Sched__Job job_def(Sched__Step **steps, size_t nsteps, int64_t accepted_ms);
 /* Adds a job whose progress row is in the store. */
+job_t *add_job_def(sched_t *s, const char *id, const Sched__Job *d);
+/* The same with the steps of a job_def. */
 job_t *add_job_of(sched_t *s, const char *id, Sched__Step **steps,
     size_t nsteps, int64_t accepted_ms);
 /* The same with one step. */
--- a/test/unit/share_fixture.c
+++ b/test/unit/share_fixture.c
@@ -61,30 +61,13 @@
 shares_add_job_of(sched_t *s, const char *customer, int number,
     const Sched__Step *step, int64_t accepted_ms)
 {
-	Sched__Job d = SCHED__JOB__INIT;
 	Sched__Step *steps[1] = { (Sched__Step *)step };
+	Sched__Job d = job_def(steps, 1, accepted_ms);
 	g_autofree char *id = g_strdup_printf("%016x", number);
-	g_autofree uint8_t *b = NULL;
-	size_t n;
-	job_t *j;
 
-	d.queue = "q";
-	d.service = "s";
 	d.customer = (char *)customer;
 	d.weight = 1;
-	d.accepted_ms = accepted_ms;
-	d.max_attempts = 2;
-	d.stretch = 2;
-	d.target_ms = 1000;
-	d.n_steps = 1;
-	d.steps = steps;
-	n = sched__job__get_packed_size(&d);
-	b = g_malloc(n);
-	sched__job__pack(&d, b);
-	j = job_new(s, id, sched__job__unpack(NULL, n, b));
-	g_hash_table_insert(s->jobs, j->id, j);
-	j->row_stored = true;
-	return j;
+	return add_job_def(s, id, &d);
 }
 
 job_t *
