--- a/sched/overload_queue.c
+++ b/sched/overload_queue.c
@@ -14,7 +14,6 @@
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
-#include <string.h>
 
 #include <glib.h>
 
--- a/test/unit/admission.c
+++ b/test/unit/admission.c
@@ -5,7 +5,6 @@
 #include <stdbool.h>
 #include <stdint.h>
 #include <stdlib.h>
-#include <string.h>
 
 #include <criterion/criterion.h>
 #include <glib.h>
--- a/test/unit/overload.c
+++ b/test/unit/overload.c
@@ -6,7 +6,6 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <stdio.h>
-#include <string.h>
 
 #include <criterion/criterion.h>
 #include <glib.h>
--- a/test/unit/overload_model.c
+++ b/test/unit/overload_model.c
@@ -4,8 +4,6 @@
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
-#include <stdlib.h>
-#include <string.h>
 
 #include <glib.h>
 
