--- a/sched/admission.c
+++ b/sched/admission.c
@@ -3,8 +3,8 @@
  * what the owner publishes, and how entries apply it.
  *
  * Pattern: a customer sends far more than its rate while the cell is full.  What
- * is beyond the rate would wait behind all else until it is worthless.  Its
- * callers learn at once that they must come back later, and when.
+ * is beyond the rate would wait behind all else until it is worthless.  It is
+ * refused at once, with the time after which to try again.
  */
 #include <inttypes.h>
 #include <stdbool.h>
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -326,8 +326,8 @@
 /* The settings of a customer. */
 typedef struct {
 	const char *name;
-	/* Share of the room when all is full, and jobs a second at which none
-	 * of its jobs goes after those of others. */
+	/* Its share of the capacity when that is short, and its rate in jobs a
+	 * second: jobs beyond it go after those of others. */
 	double weight;
 	/* The most that its running tasks may hold together; 0: no limit. */
 	int64_t quota_cpu_milli, quota_mem_mb;
--- a/test/unit/share_fixture.h
+++ b/test/unit/share_fixture.h
@@ -9,7 +9,7 @@
 #define START_MS 1000000000 /* wall clock and steady clock of the first event */
 #define STEP_MS	 250	    /* between updates */
 
-/* Refusals that begun and ended, by the events since the last shares_owner_of. */
+/* Refusals that began and ended, by the events since the last shares_owner_of. */
 typedef struct {
 	int begun, ended;
 } refusal_events_t;
