--- a/sched/admission.c
+++ b/sched/admission.c
@@ -3,8 +3,8 @@
  * what the owner publishes, and how entries apply it.
  *
  * Pattern: a customer sends far more than its rate while the cell is full.  What
- * is beyond the rate would wait behind all else until it is worthless.  Its
- * callers learn at once that they must come back later, and when.
+ * is beyond the rate would wait behind all else until it is worthless.  It is
+ * refused at once, with the time after which to try again.
  */
 #include <inttypes.h>
 #include <stdbool.h>
@@ -63,10 +63,7 @@
 		return false;
 	if (!ownership_may_start_step(s, st))
 		return false;
-	if (!(st->def->gang ? customer_allows_gang(st) :
-			      customer_allows_start(st)))
-		return false;
-	return has_startable_task(s, st);
+	return customer_allows_step(st) && has_startable_task(s, st);
 }
 
 /* Whether some worker could run a task of the step if it ran nothing else. */
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -326,8 +326,8 @@
 /* The settings of a customer. */
 typedef struct {
 	const char *name;
-	/* Share of the room when all is full, and jobs a second at which none
-	 * of its jobs goes after those of others. */
+	/* Its share of the capacity when that is short, and its rate in jobs a
+	 * second: jobs beyond it go after those of others. */
 	double weight;
 	/* The most that its running tasks may hold together; 0: no limit. */
 	int64_t quota_cpu_milli, quota_mem_mb;
@@ -419,9 +419,8 @@
  * submissions that sched_admit refused; refused_customers, those of whom the
  * owner has them refused; writes, flushes; paces, pace orders; places, workers
  * that placement looked at; quota_waits, times that a step began to wait for its
- * customer's quota; queued, steps with tasks to be started;
- * running, runs in any state; deferred_jobs, jobs that the plan for an overload
- * defers.
+ * customer's quota; queued, steps with tasks to be started; running, runs in any
+ * state; deferred_jobs, jobs that the plan for an overload defers.
  */
 typedef struct {
 	uint64_t starts, start_rejects, start_unknown, stops, done, failed,
