--- a/test/main/fuzz_platform.c
+++ b/test/main/fuzz_platform.c
@@ -34,7 +34,8 @@
     "\"public\":true,\"advice\":{\"decision_ms\":1}}],\"tenants\":["
     "{\"name\":\"a\",\"api_keys\":[\"k1\",\"k2\"],\"priority\":1,"
     "\"weight\":1.5,\"cap\":{\"cpu\":4000,\"mem_mb\":9,\"gpu\":1}},"
-    "{\"name\":\"b\",\"api_keys\":[\"k3\"],\"weight\":2}],\"limits\":{\"max_"
+    "{\"name\":\"b\",\"api_keys\":[\"k3\"],\"weight\":2}],"
+    "\"services\":[{\"name\":\"s\",\"size\":1.5},\"t\"],\"limits\":{\"max_"
     "header_bytes\":4096,"
     "\"max_body_bytes\":1,\"header_timeout_ms\":9,\"idle_timeout_ms\":9}}";
 static const char worker_seed[] =
