config-check: check a configuration before it is sent

Operators learned of a mistake in op/config only after the write, by event 653 or by calls that failed.

--- a/cmd/cmd.h
+++ b/cmd/cmd.h
@@ -53,6 +53,7 @@
 int zone_main(int argc, char **argv);
 int job_main(int argc, char **argv);
 int status_main(int argc, char **argv);
+int config_check_main(int argc, char **argv);
 int version_main(int argc, char **argv);
 
 /*
--- a/cmd/main.c
+++ b/cmd/main.c
@@ -26,6 +26,8 @@
 	{ "zone", zone_main,
 	    "take a data centre out of service or bring it back" },
 	{ "job", job_main, "submit, show, cancel or list batch jobs" },
+	{ "config-check", config_check_main,
+	    "check a configuration of the users' platform" },
 	{ "status", status_main, "show the state of an entry" },
 	{ "version", version_main, "print the version" },
 };
@@ -44,7 +46,7 @@
 {
 	fprintf(f, "usage: tanagerspool command [flags] [arguments]\n");
 	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
-		fprintf(f, "  %-8s %s\n", commands[i].name, commands[i].help);
+		fprintf(f, "  %-12s %s\n", commands[i].name, commands[i].help);
 	fprintf(f, "'tanagerspool command --help' lists its flags\n");
 }
 
