--- a/sched/admission.c
+++ b/sched/admission.c
@@ -18,6 +18,8 @@
 #include "sched.h"
 #include "headroom.h"
 #include "run_time.h"
+#include "types.h"
+#include "customer.h"
 #include "internal.h"
 
 /* Room is short once jobs have been late for so long, and until none has been
--- a/sched/approval.c
+++ b/sched/approval.c
@@ -18,6 +18,8 @@
 #include "sched.h"
 #include "headroom.h"
 #include "run_time.h"
+#include "types.h"
+#include "customer.h"
 #include "internal.h"
 
 #define MAX_WORKERS_PER_REQUEST 30   /* the service takes time for each */
--- a/sched/crash.c
+++ b/sched/crash.c
@@ -27,6 +27,8 @@
 #include "sched.h"
 #include "headroom.h"
 #include "run_time.h"
+#include "types.h"
+#include "customer.h"
 #include "internal.h"
 
 #define HARMLESS_MS   30000 /* a run that was up for so long did no harm */
--- a/sched/customer.c
+++ b/sched/customer.c
@@ -24,6 +24,8 @@
 #include "sched.h"
 #include "headroom.h"
 #include "run_time.h"
+#include "types.h"
+#include "customer.h"
 #include "internal.h"
 
 #define WEIGHT_UNKNOWN 1.0 /* of a customer without settings */
--- a/sched/flush.c
+++ b/sched/flush.c
@@ -18,6 +18,8 @@
 #include "sched.h"
 #include "headroom.h"
 #include "run_time.h"
+#include "types.h"
+#include "customer.h"
 #include "internal.h"
 
 #define MAX_ROWS_PER_FLUSH	 90 /* in a transaction; the store accepts 100 */
--- a/sched/interference_row.c
+++ b/sched/interference_row.c
@@ -14,6 +14,8 @@
 #include "sched.h"
 #include "headroom.h"
 #include "run_time.h"
+#include "types.h"
+#include "customer.h"
 #include "internal.h"
 
 #define ROW_WRITE_GAP_MS 3000 /* between two writes: the values change slowly */
--- a/sched/job.c
+++ b/sched/job.c
@@ -14,6 +14,8 @@
 #include "sched.h"
 #include "headroom.h"
 #include "run_time.h"
+#include "types.h"
+#include "customer.h"
 #include "internal.h"
 
 #define MAX_STEP_TASKS	     10000  /* bounds what one job may take */
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -23,6 +23,8 @@
 #include "sched.h"
 #include "headroom.h"
 #include "run_time.h"
+#include "types.h"
+#include "customer.h"
 #include "internal.h"
 
 #define SILENT_MS    1200 /* three renewals missed: owner counts as failed */
--- a/sched/pacing.c
+++ b/sched/pacing.c
@@ -15,6 +15,8 @@
 #include "sched.h"
 #include "headroom.h"
 #include "run_time.h"
+#include "types.h"
+#include "customer.h"
 #include "internal.h"
 
 #define YOUNG_MS	 1000 /* the metric of a task tells little so long */
--- a/sched/poll.c
+++ b/sched/poll.c
@@ -14,6 +14,8 @@
 #include "sched.h"
 #include "headroom.h"
 #include "run_time.h"
+#include "types.h"
+#include "customer.h"
 #include "internal.h"
 
 #define POLL_WAIT_MS  1000 /* the worker holds a poll until a run ends */
--- a/sched/progress.c
+++ b/sched/progress.c
@@ -13,6 +13,8 @@
 #include "sched.h"
 #include "headroom.h"
 #include "run_time.h"
+#include "types.h"
+#include "customer.h"
 #include "internal.h"
 
 /* Applies the stored progress of one step; ignores one that does not exist. */
--- a/sched/purge.c
+++ b/sched/purge.c
@@ -13,6 +13,8 @@
 #include "sched.h"
 #include "headroom.h"
 #include "run_time.h"
+#include "types.h"
+#include "customer.h"
 #include "internal.h"
 
 #define ROUND_GAP_MS	       30000 /* between rounds; one handles many jobs */
--- a/sched/quarantine.c
+++ b/sched/quarantine.c
@@ -18,6 +18,8 @@
 #include "sched.h"
 #include "headroom.h"
 #include "run_time.h"
+#include "types.h"
+#include "customer.h"
 #include "internal.h"
 
 #define RESERVED_MS 3000  /* a worker, while its newest runs grow old enough */
--- a/sched/queue.c
+++ b/sched/queue.c
@@ -12,6 +12,8 @@
 #include "sched.h"
 #include "headroom.h"
 #include "run_time.h"
+#include "types.h"
+#include "customer.h"
 #include "internal.h"
 
 /* A job of twice the mean value density is treated as due earlier by this. */
--- a/sched/report.c
+++ b/sched/report.c
@@ -13,6 +13,8 @@
 #include "sched.h"
 #include "headroom.h"
 #include "run_time.h"
+#include "types.h"
+#include "customer.h"
 #include "internal.h"
 
 #define RETRY_DELAY_MIN_MS 100 /* after a failed run; doubled each time */
--- a/sched/rows.c
+++ b/sched/rows.c
@@ -14,6 +14,8 @@
 #include "sched.h"
 #include "headroom.h"
 #include "run_time.h"
+#include "types.h"
+#include "customer.h"
 #include "internal.h"
 
 /*
--- a/sched/run.c
+++ b/sched/run.c
@@ -20,6 +20,8 @@
 #include "sched.h"
 #include "headroom.h"
 #include "run_time.h"
+#include "types.h"
+#include "customer.h"
 #include "internal.h"
 
 #define STOP_RETRY_MS 500 /* between stop orders for a run */
--- a/sched/scan.c
+++ b/sched/scan.c
@@ -22,6 +22,8 @@
 #include "sched.h"
 #include "headroom.h"
 #include "run_time.h"
+#include "types.h"
+#include "customer.h"
 #include "internal.h"
 
 #define HEAD_STEPS 200 /* of the queue */
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -14,6 +14,8 @@
 #include "sched.h"
 #include "headroom.h"
 #include "run_time.h"
+#include "types.h"
+#include "customer.h"
 #include "internal.h"
 
 #define UPDATE_MS    250 /* between updates of the queue order and the models */
--- a/sched/share.c
+++ b/sched/share.c
@@ -23,6 +23,8 @@
 #include "sched.h"
 #include "headroom.h"
 #include "run_time.h"
+#include "types.h"
+#include "customer.h"
 #include "internal.h"
 
 /* Received work counts for about so long: a burst is remembered for some tasks
--- a/sched/start.c
+++ b/sched/start.c
@@ -13,6 +13,8 @@
 #include "sched.h"
 #include "headroom.h"
 #include "run_time.h"
+#include "types.h"
+#include "customer.h"
 #include "internal.h"
 
 #define STARTS_PER_PASS 64 /* so that other events get a turn */
--- a/sched/starvation.c
+++ b/sched/starvation.c
@@ -20,6 +20,8 @@
 #include "sched.h"
 #include "headroom.h"
 #include "run_time.h"
+#include "types.h"
+#include "customer.h"
 #include "internal.h"
 
 /* A late job without a run for so long is starved. */
--- a/sched/stats.c
+++ b/sched/stats.c
@@ -13,6 +13,8 @@
 #include "sched.h"
 #include "headroom.h"
 #include "run_time.h"
+#include "types.h"
+#include "customer.h"
 #include "internal.h"
 
 /* Older numbers of waiting jobs are not given. */
--- a/sched/straggler.c
+++ b/sched/straggler.c
@@ -17,6 +17,8 @@
 #include "sched.h"
 #include "headroom.h"
 #include "run_time.h"
+#include "types.h"
+#include "customer.h"
 #include "internal.h"
 
 #define STARTUP_MS 300 /* approximate time until a task makes progress */
--- a/sched/suspect.c
+++ b/sched/suspect.c
@@ -17,6 +17,8 @@
 #include "sched.h"
 #include "headroom.h"
 #include "run_time.h"
+#include "types.h"
+#include "customer.h"
 #include "internal.h"
 
 #define SUSPECT_FAILURES 3 /* in a row */
--- /dev/null
+++ b/sched/types.h
@@ -0,0 +1,416 @@
+/*
+ * Private types of the scheduler: jobs, steps, tasks, runs, workers and the state
+ * of the cell.  internal.h explains the terms.
+ *
+ * Include what sched.h needs, "tanagerspool.h", "sched.h", "headroom.h" and
+ * "run_time.h" first.
+ */
+#ifndef SCHED_TYPES_H
+#define SCHED_TYPES_H
+
+typedef struct job job_t;
+typedef struct step step_t;
+typedef struct run run_t;
+typedef struct worker worker_t;
+typedef struct interference interference_t;
+typedef struct customer customer_t;
+typedef struct overload overload_t;
+
+#define IMAGES_MAX	      64   /* images whose interference is learned */
+#define RUN_NUMBERS_PER_OWNER 1000 /* for the runs of a task by one owner */
+
+/* A slowed start may bring what a worker's fillers declare to so many times its
+ * processors. */
+#define PLACE_FILLER_CPU_TIMES 2
+
+#define MB_BYTES ((int64_t)1024 * 1024)
+
+/* Rows of the footprint; each is below 64 KiB with 29,000 workers. */
+#define FOOTPRINT_ROWS 64
+
+/* A job counts as late up to so many times the time allowed for it. */
+#define LATE_LIMIT_TIMES 3
+
+/* Runs the statement that follows for each image i of a set. */
+#define FOREACH_IMAGE(i, set) \
+	for (uint64_t left_ = (set); \
+	     left_ != 0 && ((i) = __builtin_ctzll(left_), true); \
+	     left_ &= left_ - 1)
+/* The set with only this image. */
+#define IMAGE_BIT(i) ((uint64_t)1 << (i))
+
+/* What is known of the load of a serving step; see interference.c. */
+typedef struct {
+	headroom_t headroom; /* without fillers; updated_ms 0: not known yet */
+	/* Mean share of a worker that filler images use beside its tasks. */
+	double mean_use[IMAGES_MAX];
+	uint64_t fillers; /* set of images with a mean use */
+	int64_t sampled_ms;
+} serving_load_t;
+
+typedef enum { TASK_WAITING, TASK_RUNNING, TASK_DONE } task_state_t;
+
+/* So shortly after its start a crash may be a task's doing. */
+#define CRASH_SOON_MS 1500
+
+/* Crashes of workers that ran a task; see crash.c. */
+typedef struct {
+	/* int64_t run numbers, no duplicates; may be empty. */
+	GArray *runs;
+	/* Of the last crash that was counted: it came soon after the start, and
+	 * the start was acknowledged. */
+	bool soon, start_acked;
+	guint unproved; /* how many are not proved: the worker may be cut off */
+	worker_t *reserved; /* for its next run, if reserved_for says so */
+	/* The run in quarantine, stored by that write of the job's row; 0: none.
+	 * It is among runs. */
+	int64_t trial_run;
+	uint64_t trial_write;
+} crashes_t;
+
+typedef struct {
+	step_t *step;
+	int32_t index;
+	task_state_t state;
+	GArray *failed_runs; /* int64_t run numbers, no duplicates; or NULL */
+	int64_t last_run_number; /* highest run number used so far */
+	char *checkpoint;	 /* latest one reported, or NULL */
+	run_t *run;		 /* current run, or NULL */
+	run_t *speculative_run;	 /* second run of a straggling task, or NULL */
+	/* Interned id of the worker that the task last failed on, crashed or was moved
+	 * away from, which placement avoids; or NULL. */
+	const char *avoid_worker;
+	int64_t not_before_ms; /* not started before this time */
+	crashes_t *crashes;    /* or NULL */
+} task_t;
+
+/* One occurrence of a job; a job that does not repeat has exactly one. */
+typedef struct {
+	job_t *job;
+	int32_t number;
+	int64_t due_wall_ms; /* when its steps may start */
+	int32_t steps_done;
+	step_t *steps;
+	/* Late for the sake of others, by the last plan; see overload_queue.c. */
+	bool deferred;
+	double running_work; /* of its runs, at the last plan */
+} occurrence_t;
+
+/* A step of one occurrence: a set of like tasks. */
+struct step {
+	occurrence_t *occ;
+	int32_t number;
+	const Sched__Step *def;
+	task_t *tasks;
+	int32_t ntasks;
+	int32_t nwaiting; /* tasks in TASK_WAITING */
+	int32_t ndone;	  /* tasks in TASK_DONE */
+	/* Completed runs that show how long a task takes, and their time. */
+	int32_t done_runs;
+	int64_t done_runs_ms;
+	bool ready; /* all steps that it depends on are done */
+	/* A task of a step that it depends on was still running when this owner
+	 * took over, so that no earlier owner has started tasks of it. */
+	bool not_started_before;
+	int32_t image; /* index of its image, or -1 */
+	/* Expected time of the longest chain of steps that starts here. */
+	int64_t path_ms;
+	GSequenceIter *queue_iter; /* position in ready_steps, or NULL */
+	uint64_t unplaced_round;   /* round of scan.c without a worker for it */
+	uint64_t unmovable_round;  /* the same for a task that runs */
+	/* In unplaced_round, only isolation.c kept it from some worker. */
+	bool isolated;
+	bool quota_held; /* in the last pass, by its customer's quota */
+	/* Wall clock: the latest start that can still meet the job's target. */
+	int64_t latest_start_ms;
+	bool misses_target;    /* latest_start_ms has passed */
+	bool starved;	       /* starvation_is_starved() at the last sort */
+	bool past_late_limit;  /* too late even to count as a late job */
+	int64_t sort_key_ms;   /* lower goes first within a tier and priority */
+	char *gang_checkpoint; /* latest one that a task of a gang reported */
+	GHashTable *approvals; /* worker id -> approval_t; or NULL */
+	uint64_t approval_request_id; /* approval request in flight; 0: none */
+	int64_t approval_retry_ms;    /* no approval request before this time */
+	serving_load_t *load; /* of a serving step of a known image; or NULL */
+};
+
+typedef enum {
+	JOB_OPEN,
+	JOB_ENDING, /* end state decided; its runs are being stopped */
+	JOB_ENDED   /* end state stored */
+} job_stage_t;
+
+/* What the last plan says of the jobs of a queue; see overload_queue.c. */
+typedef struct {
+	int32_t planned, deferred, hopeless; /* jobs */
+	int32_t fresh;	      /* deferred ones that have just come */
+	int32_t fillers;      /* those of filler work */
+	double deferred_work; /* in milli x ms */
+	int32_t priority;     /* of its jobs */
+	/* Since when none of its jobs was planned to be on time; 0: some was. */
+	int64_t none_planned_since_ms;
+	bool logged; /* the last load event said that jobs are deferred */
+} queue_plan_t;
+
+/* A queue's settings and what has been learned of its jobs. */
+typedef struct {
+	const char *name;
+	const char *service;
+	int32_t priority;
+	int32_t max_attempts;
+	bool configured;      /* in the configuration now in force */
+	bool needs_approval;  /* approval service must allow placements */
+	int64_t run_time_pct; /* average real run time / declared run time */
+	run_time_t run_time;
+	double mean_work_milli_ms; /* of its jobs; moving average */
+	int32_t waiting_jobs;	   /* open jobs that have not started */
+	queue_plan_t plan;
+} queue_t;
+
+struct job {
+	sched_t *sched;
+	char id[SCHED_JOB_ID_BYTES + 1];
+	Sched__Job *def;
+	queue_t *queue;	      /* lives as long as the scheduler */
+	customer_t *customer; /* the same; NULL: it has none */
+	/* Interned: service whose workers run the job, by the queue's current
+	 * settings. */
+	const char *service;
+	int32_t priority; /* lower goes first */
+	int32_t max_attempts;
+	GPtrArray *occs; /* of occurrence_t */
+	job_stage_t stage;
+	Sched__State end_state; /* valid unless the job is open */
+	bool needs_approval;	/* its queue requires approval of placements */
+	bool cancelled;
+	/* Among jobs of its tier and priority, as of that update; see share.c. */
+	int32_t rank;
+	uint64_t ranked_update;
+	bool over_rate;	 /* accepted beyond its customer's rate */
+	bool started;	 /* a task runs or has run */
+	bool dirty;	 /* has progress that is not written yet */
+	bool row_stored; /* it has a progress row */
+	/* Writes of that row so far, and the last one that was stored. */
+	uint64_t rows_packed, rows_stored;
+	/* An earlier owner may have started tasks of it. */
+	bool maybe_started_before;
+	int32_t nruns; /* runs that hold resources on workers */
+	/* When its last run that was seen ended or, without one, its first step
+	 * became ready. */
+	int64_t idle_since_ms;
+	int64_t allowed_ms; /* time allowed from when an occurrence is due */
+	/* Declared work: the sum of cpu_milli x estimate_ms over all tasks. */
+	double work_milli_ms;
+	int32_t occs_done;
+	int32_t occs_made_ready; /* occurrences whose due time has come */
+};
+
+typedef enum {
+	RUN_STARTING, /* the start order is not acknowledged yet */
+	RUN_RUNNING,
+	RUN_STOPPING /* a stop is to be ordered or has been ordered */
+} run_state_t;
+
+#define PACE_UNKNOWN (-1)
+
+/* A run of a task on a worker. */
+struct run {
+	uint64_t id;
+	char name[64]; /* of the task: JOB.OCCURRENCE.STEP.INDEX */
+	task_t *task;  /* NULL when the job is not known */
+	job_t *job;
+	worker_t *worker;
+	int64_t number; /* increases with each run of the task */
+	run_state_t state;
+	bool holds_resources; /* they are counted as used at the worker */
+	bool order_pending;   /* an order has been sent and not been answered */
+	sched_order_kind_t last_order;
+	bool unwanted; /* to be stopped and removed once proved absent */
+	int64_t state_since_ms;
+	int64_t ordered_ms; /* its start, by this owner; 0: by another */
+	/* Its start order got no answer; 0: it did, or a report has told since. */
+	int64_t in_doubt_ms;
+	int64_t stop_acked_ms; /* the worker acknowledged a stop; 0: not yet */
+	int64_t stop_retry_ms; /* no stop order is sent before this time */
+	int32_t percent;       /* progress as last reported */
+	/* When the start was acknowledged or, for a run that this owner did not
+	 * start, first reported (0: neither), and its progress then: 0, or at
+	 * least 1 for a run first seen in a report, which may be older. */
+	int64_t first_seen_ms;
+	int32_t first_seen_percent;
+	int64_t metric; /* as last reported; see sched_running_t */
+	/* A serving task: its first measured headroom, and the last one that
+	 * the model has learned from. */
+	int64_t first_measured_ms, measured_ms;
+	double measured;
+	/* When its tail latency rose above the target; 0: it is within. */
+	int64_t over_target_since_ms;
+	uint64_t last_report; /* number of the last report that listed it */
+	int32_t pace_pct;     /* at the worker, or PACE_UNKNOWN */
+	int32_t wanted_pace_pct;
+	int32_t sent_pace_pct; /* of the last pace order */
+	int64_t pace_retry_ms; /* no pace order is sent before */
+	/* Until then, an earlier pace order may yet be carried out. */
+	int64_t pace_doubt_until_ms;
+	bool was_paced;		 /* a pace order has been sent */
+	int32_t counted_percent; /* progress that the throughput includes */
+	/* Another process with the same id answers for its worker, of which the
+	 * one before is known to have been up with the run for up_ms. */
+	bool worker_restarted;
+	int64_t up_ms;
+};
+
+/* This owner's view of a worker's clock and of the leases granted to it. */
+typedef struct {
+	int64_t worker_clock_ms; /* the worker's clock at its last answer */
+	int64_t answered_ms; /* our clock at that answer; 0: clock not known */
+	int64_t deadline_ms; /* latest deadline sent; worker's clock */
+	/* When one was last sent, perhaps by another owner; our clock. */
+	int64_t deadline_sent_ms;
+	/* No lease counts as expired before then; our clock. */
+	int64_t no_expiry_before_ms;
+} lease_t;
+
+struct worker {
+	const char *id; /* interned */
+	/* What placement looks at. */
+	const char *service, *zone, *rack; /* interned */
+	GPtrArray *labels;		   /* interned */
+	/* listed: in the platform's list; seen_in_list: since the last whole
+	 * read of the list. */
+	bool listed, seen_in_list, draining;
+	bool zone_evacuated;
+	bool footprint_stored; /* a footprint row with this worker is stored */
+	bool has_answered;     /* a poll with this owner's token */
+	bool ended_cut;	       /* its last report did not list all ended runs */
+	bool silent;	       /* several polls in a row got no answer */
+	bool slow;	       /* its tasks make little progress */
+	bool suspect;	       /* it is tried with one task at a time */
+	bool changed;	       /* it is in s->scan.changed */
+	bool slack_stale;      /* slack must be updated before it is used */
+	int32_t missed_polls;  /* without an answer, in a row */
+	int32_t gpu, used_gpu;
+	int64_t cpu_milli, mem_mb;
+	/* Resources used.  used_cpu_milli excludes fillers; serving_cpu_milli
+	 * is the part of it held by serving tasks. */
+	int64_t used_cpu_milli, used_mem_mb, filler_cpu_milli,
+	    serving_cpu_milli;
+	int64_t backoff_until_ms; /* no task is started there before */
+	/* When its leases end by the store's clock, as last put in the
+	 * footprint; 0: they are being extended. */
+	int64_t lease_end_store_ms;
+	uint64_t serving_mask, filler_mask; /* images that have tasks there */
+	int32_t nserving;		    /* serving tasks on it */
+	int32_t nunknown;		    /* runs whose needs are not known */
+	/* Share of the filler images that may run beside its serving tasks. */
+	int32_t compatible_filler_pct;
+	int32_t failures_in_row; /* that the jobs do not explain; suspect.c */
+	run_t *probe;		/* if suspect: the run that tries it, or NULL */
+	int64_t probe_after_ms; /* if suspect: no run starts before */
+	/* The run in quarantine, beside which nothing is started; or NULL. */
+	run_t *quarantined_run;
+	bool
+	    zone_down; /* most of its data centre, as it last seemed to crash */
+	/* Nothing but this task is started until then.  Never dereferenced. */
+	const task_t *reserved_for;
+	int64_t reserved_until_ms;
+	GHashTable *runs; /* task name -> run_t */
+	/* The rest. */
+	/* Runs that were lost with its lease at lost_ms (lost_run_t of crash.c),
+	 * while it is open if it has crashed; or NULL. */
+	GArray *lost_runs;
+	int64_t lost_ms;
+	char *address;	    /* "" until known */
+	int64_t started_ms; /* start of its process, since 1970 */
+	lease_t lease;
+	/* Polls. */
+	uint64_t poll_id;     /* poll in flight; 0: none */
+	int64_t poll_sent_ms; /* when the last poll was sent */
+	int64_t next_poll_ms;
+	int64_t reported_ms;	  /* when its process last sent a report */
+	bool poll_soon;		  /* it is in s->polls_soon */
+	bool poll_without_wait;	  /* next poll returns at once */
+	bool poll_unanswered;	  /* one was given up since the last answer */
+	int64_t ended_seq;	  /* highest sequence number processed */
+	int64_t ended_stored_seq; /* up to here the results are stored */
+	/* The flush after which ended_flush_seq is stored too; 0: none. */
+	uint64_t ended_flush;
+	int64_t ended_flush_seq;
+	/* The flush that adds the worker to the footprint; 0: it is not in. */
+	uint64_t footprint_flush;
+	int32_t footprint_row; /* that has the worker */
+	/* Speed and failures. */
+	/* Decaying sums over completed runs: progress due and made. */
+	double history_due_pct, history_made_pct;
+	double relative_speed; /* progress made, as a share of that due */
+	char last_failed_job[SCHED_JOB_ID_BYTES + 1]; /* "": none */
+	int32_t fillers_pace_pct; /* 100: no filler is slowed; else 0 */
+	int64_t filler_moved_ms;  /* a filler was last moved away */
+	/* When a tail latency had last been over its target for so long that
+	 * the fillers were stopped (pacing.c); 0: never. */
+	int64_t target_exceeded_ms;
+	int64_t filler_cpu_by_image[IMAGES_MAX]; /* declared, in milli */
+	/* Processor milli of fillers removed lately, as of filler_ended_ms. */
+	double ended_filler_cpu_by_image[IMAGES_MAX];
+	int64_t filler_ended_ms;
+	int32_t serving_by_image[IMAGES_MAX]; /* serving tasks */
+	/* By serving image on it: headroom that its tasks can lose yet. */
+	double slack[IMAGES_MAX];
+};
+
+typedef enum {
+	CELL_FOLLOWING, /* another entry owns the cell, or none does */
+	CELL_CLAIMING,	/* our conditional write is in flight */
+	CELL_LOADING,	/* claimed; its rows are being read */
+	CELL_OWNED
+} cell_state_t;
+
+/* This entry's view of the cell's ownership. */
+typedef struct {
+	cell_state_t state;
+	int64_t version; /* highest known version of the owner's row */
+	Sched__Owner *row;
+	/* Since when reads have shown the row unchanged.  Starts anew after a
+	 * pause between reads, a claim by this entry or a loss of the cell. */
+	int64_t row_changed_ms;
+	int64_t row_read_ms;	   /* when the row was last read */
+	int64_t row_written_ms;	   /* when a read first showed its version */
+	int64_t write_sent_ms;	   /* when the last claim or flush was sent */
+	int64_t token;		   /* fencing token: version of our claim */
+	int64_t epoch;		   /* claims of the cell so far */
+	int64_t renewals;	   /* writes of the row since our claim */
+	int64_t confirmed_ms;	   /* when the last successful write was sent */
+	int64_t old_leases_end_ms; /* leases of earlier owners end before */
+	bool footprint_bad;	   /* earlier owners may have used any worker */
+	/* No run of an earlier owner can be unknown to this owner. */
+	bool workers_accounted;
+	bool paused;	      /* see sched_process_paused */
+	bool releasing;	      /* a graceful stop has begun */
+	bool row_read;	      /* at least once */
+	bool had_predecessor; /* an earlier owner may have started runs */
+	/* Earlier owners stored a job's row before they started tasks of it. */
+	bool rows_before_starts;
+	bool predecessor_released; /* that owner released the cell */
+	bool forget_pending;   /* next tick discards what only an owner needs */
+	bool release_sent;     /* the last row sent releases the cell */
+	const char *successor; /* interned; NULL or "": any entry */
+	int32_t claim_delay_ms; /* see sched_set_claim_delay */
+	/* The owner goes on without renewals, as the store answers no entry. */
+	bool store_outage;
+	/* All feeds were current when the outage began. */
+	bool outage_may_start;
+} cell_t;
+
+/* Which workers a pass over the queue looks at; see scan.c. */
+typedef struct {
+	uint64_t round;	    /* the number of the present round */
+	uint64_t pass;	    /* the number of the present or last pass */
+	GPtrArray *changed; /* of worker_t */
+	guint next;	    /* index of the first worker to look at */
+	/* Values of stats.places when the round and the pass began. */
+	uint64_t round_looks, pass_looks;
+	int32_t resume_at; /* the steps before were offered in the last round */
+	int32_t stopped_at; /* position of the first that was not; 0: none */
+} scan_t;
+
+#endif
--- a/sched/unseen.c
+++ b/sched/unseen.c
@@ -18,6 +18,8 @@
 #include "sched.h"
 #include "headroom.h"
 #include "run_time.h"
+#include "types.h"
+#include "customer.h"
 #include "internal.h"
 
 /* No run of a job that was stopped earlier is left: a start is carried out 12 s
--- a/test/unit/share_fixture.c
+++ b/test/unit/share_fixture.c
@@ -12,6 +12,8 @@
 #include "../../sched/sched.h"
 #include "../../sched/headroom.h"
 #include "../../sched/run_time.h"
+#include "../../sched/types.h"
+#include "../../sched/customer.h"
 #include "../../sched/internal.h"
 #include "sched_fixture.h"
 #include "share_fixture.h"
