--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -46,8 +46,11 @@
 		tail -n 3 "$d/log"
 		return
 	fi
-	at=1
-	while [ $at -le "$5" ]; do
+	at=1 last=$5
+	case $5 in
+	*-*) at=${5%-*} last=${5#*-} ;;
+	esac
+	while [ "$at" -le "$last" ]; do
 		try $prog "$d/build-own" $at >"$d/out" 2>&1
 		hit=$(grep -m1 "$4" "$d/out")
 		[ -z "$hit" ] || break
@@ -56,7 +59,7 @@
 	if [ -n "$hit" ]; then
 		echo "ok   $1: $hit"
 	else
-		echo "FAIL $1: not caught in $5 seeds"
+		echo "FAIL $1: not caught in seeds $5"
 		grep -m1 seed "$d/out"
 	fi
 	rm -rf "$d"
