Moves of serving tasks that give waiting fillers room

Serving tasks hold 0.8 to 0.92 of the processors for as long as they last and were placed before it was known which fillers slow down which of them.

Change: sched/regroup.c chooses the task whose leaving a worker gives the most room to fillers that get less than they ask for, and its new worker, in exchange for another task where all are full; sched/serving_move.c stops the tasks and keeps the workers for them. A step's may_miss is respected here, and now also when tasks leave a slow worker; without it at most one task of a step is away.

--- a/proto/sched.pb-c.c
+++ b/proto/sched.pb-c.c
@@ -592,7 +592,7 @@
   assert(message->base.descriptor == &sched__harms__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor sched__step__field_descriptors[18] =
+static const ProtobufCFieldDescriptor sched__step__field_descriptors[19] =
 {
   {
     "count",
@@ -810,6 +810,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "has_miss_limit",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sched__Step, has_miss_limit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sched__step__field_indices_by_name[] = {
   5,   /* field[5] = after */
@@ -821,6 +833,7 @@
   16,   /* field[16] = filler */
   7,   /* field[7] = gang */
   3,   /* field[3] = gpu */
+  18,   /* field[18] = has_miss_limit */
   14,   /* field[14] = image */
   9,   /* field[9] = label */
   13,   /* field[13] = lasting */
@@ -834,7 +847,7 @@
 static const ProtobufCIntRange sched__step__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor sched__step__descriptor =
 {
@@ -844,7 +857,7 @@
   "Sched__Step",
   "sched",
   sizeof(Sched__Step),
-  18,
+  19,
   sched__step__field_descriptors,
   sched__step__field_indices_by_name,
   1,  sched__step__number_ranges,
--- a/proto/sched.pb-c.h
+++ b/proto/sched.pb-c.h
@@ -101,14 +101,15 @@
    */
   protobuf_c_boolean filler;
   /*
-   * Number of tasks that may be stopped at the same time; not read by
-   * the scheduler.
+   * So many of its tasks may be away at a time when the scheduler takes one
+   * away; 0: none, unless the caller has set no limit.
    */
   int32_t may_miss;
+  protobuf_c_boolean has_miss_limit;
 };
 #define SCHED__STEP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sched__step__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -13,6 +13,8 @@
  * - poll.c, report.c: polling workers and processing their reports;
  * - headroom.c, interference.c: how much filler tasks slow down serving tasks;
  * - isolation.c, pacing.c: keeping them from doing so;
+ * - regroup.c, serving_move.c, may_miss.c: moves of serving tasks that give
+ *   fillers room;
  * - straggler.c, suspect.c: slow workers and late runs; workers that fail tasks;
  * - starvation.c: late work that is passed over;
  * - customer.c, unseen.c, share.c: customers, their quotas and their shares of
@@ -62,6 +64,8 @@
 	int64_t filler_job_ms;	/* when a job with filler tasks last came */
 	/* By serving image: the filler images that may run beside it. */
 	uint64_t compatible_fillers[IMAGES_MAX];
+	/* By filler image: mean processor milli that its tasks ask for. */
+	double wanted_fillers[IMAGES_MAX];
 	GHashTable *approval_requests; /* in flight, by id */
 	GHashTable *evacuated_zones;   /* set of interned names */
 	/* While loading: id -> Sched__Progress; NULL for a row that can't be
@@ -164,6 +168,8 @@
 place_alone(sched_t *s, step_t *st, const task_t *t, worker_t *reserved);
 bool place_possible(const sched_t *s, worker_t *w, const step_t *st);
 bool place_fits_empty(const sched_t *s, const worker_t *w, const step_t *st);
+int64_t place_filler_capacity(const worker_t *w);
+bool place_allowed(const sched_t *s, const step_t *st, const worker_t *w);
 bool place_gang(sched_t *s, const step_t *st, worker_t **at);
 
 /* approval.c */
@@ -244,6 +250,7 @@
 /* isolation.c */
 bool isolation_allows(const sched_t *s, worker_t *w, const step_t *st);
 double isolation_margin(const sched_t *s, worker_t *w, const step_t *st);
+double isolation_share(const sched_t *s, int32_t serving, int32_t filler);
 void isolation_refresh(sched_t *s);
 double isolation_serving_cost(const sched_t *s, const worker_t *w,
     const step_t *st, int32_t *other_images);
@@ -253,6 +260,14 @@
 bool isolation_is_serving(const run_t *r);
 void isolation_update_slack(const sched_t *s, worker_t *w);
 
+/* may_miss.c */
+bool may_miss_allows(const sched_t *s, const task_t *t);
+bool may_miss_allows_any(const sched_t *s, const task_t *t);
+
+/* serving_move.c */
+void serving_move_update(sched_t *s, int64_t since_ms);
+worker_t *serving_move_place(sched_t *s, step_t *st, task_t *t, bool *moving);
+
 /* pacing.c */
 void pacing_report(sched_t *s, worker_t *w);
 void pacing_run_removed(const sched_t *s, const run_t *r);
--- a/sched/isolation.c
+++ b/sched/isolation.c
@@ -16,6 +16,7 @@
 #include "../proto/sched.pb-c.h"
 #include "tanagerspool.h"
 #include "sched.h"
+#include "image_set.h"
 #include "headroom.h"
 #include "run_time.h"
 #include "types.h"
@@ -122,6 +123,21 @@
 	    TYPICAL_LOSS_MAX;
 }
 
+/*
+ * Share of a worker that fillers of an image can use beside serving tasks of
+ * another image at their highest load; 0 if that is less than a typical task.
+ */
+double
+isolation_share(const sched_t *s, int32_t serving, int32_t filler)
+{
+	double loss = interference_coefficient(s, serving, filler);
+	double spare = interference_min_headroom(s, serving) - MARGIN;
+
+	if (loss * TYPICAL_FILLER_USE > spare)
+		return 0;
+	return loss <= spare ? 1 : spare / loss;
+}
+
 /*
  * Whether the serving tasks on a worker tolerate a task of the step there: true
  * for all tasks but fillers.
--- a/sched/place.c
+++ b/sched/place.c
@@ -11,6 +11,7 @@
 #include "../proto/sched.pb-c.h"
 #include "tanagerspool.h"
 #include "sched.h"
+#include "image_set.h"
 #include "headroom.h"
 #include "run_time.h"
 #include "types.h"
@@ -67,8 +68,8 @@
 }
 
 /* Processor amount on a worker that all its filler tasks together may use. */
-static int64_t
-filler_capacity(const worker_t *w)
+int64_t
+place_filler_capacity(const worker_t *w)
 {
 	return w->cpu_milli - w->used_cpu_milli +
 	    w->serving_cpu_milli * (100 - SERVING_PEAK_USE_PCT) / 100;
@@ -87,7 +88,7 @@
 	if (d->filler)
 		return w->filler_cpu_milli + d->cpu_milli <=
 		    (slowed ? PLACE_FILLER_CPU_TIMES * w->cpu_milli :
-			      filler_capacity(w));
+			      place_filler_capacity(w));
 	return w->used_cpu_milli + d->cpu_milli <= w->cpu_milli;
 }
 
@@ -97,7 +98,7 @@
 {
 	const Sched__Step *d = st->def;
 	int32_t other_images;
-	int64_t sc = filler_capacity(w) - w->filler_cpu_milli;
+	int64_t sc = place_filler_capacity(w) - w->filler_cpu_milli;
 
 	if (d->near_rack[0] != '\0' && strcmp(d->near_rack, w->rack) != 0)
 		sc -= COST_OTHER_RACK;
@@ -120,7 +121,7 @@
 		sc -= w->nserving == 0 ? COST_NO_SERVING : 0;
 		/* Reverses the score: the less capacity there is for fillers,
 		 * the better. */
-		sc -= 2 * filler_capacity(w);
+		sc -= 2 * place_filler_capacity(w);
 	}
 	return sc;
 }
@@ -156,6 +157,18 @@
 	    has_label(w, d->label);
 }
 
+/*
+ * Whether a worker may run one more task of the step, regardless of its free
+ * resources and of the other images there.
+ */
+bool
+place_allowed(const sched_t *s, const step_t *st, const worker_t *w)
+{
+	return place_fits_empty(s, w, st) && approval_allows(s, st, w) &&
+	    (st->def->per_worker == 0 ||
+		step_tasks_on(w, st) < st->def->per_worker);
+}
+
 /* Workers chosen so far for the first n tasks of a gang. */
 typedef struct {
 	worker_t **at;
--- a/sched/run.c
+++ b/sched/run.c
@@ -18,6 +18,7 @@
 #include "../proto/sched.pb-c.h"
 #include "tanagerspool.h"
 #include "sched.h"
+#include "image_set.h"
 #include "headroom.h"
 #include "run_time.h"
 #include "types.h"
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -12,6 +12,7 @@
 #include "../proto/sched.pb-c.h"
 #include "tanagerspool.h"
 #include "sched.h"
+#include "image_set.h"
 #include "headroom.h"
 #include "run_time.h"
 #include "types.h"
@@ -325,6 +326,7 @@
 		isolation_update_compatibility(s);
 		stats_count_waiting_jobs(s);
 		approval_expire_requests(s);
+		serving_move_update(s, UPDATE_MS);
 		scan_begin_round(s);
 	}
 	if (now_ms - s->stats_logged_ms >= STATS_LOG_MS) {
--- /dev/null
+++ b/sched/serving_move.c
@@ -0,0 +1,242 @@
+/*
+ * Moves of serving tasks, as regroup.c chooses them.
+ *
+ * Pattern: serving tasks hold most of the processors for a long time, and were
+ * placed before it was known which fillers slow down which of them.  Some filler
+ * images find no worker any more, though most of them have idle processors.
+ *
+ * A task is moved only if its step allows one to be away and none is.  The
+ * worker that it goes to is reserved for it until it has started there.
+ */
+#include <math.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "../proto/sched.pb-c.h"
+#include "tanagerspool.h"
+#include "sched.h"
+#include "image_set.h"
+#include "headroom.h"
+#include "run_time.h"
+#include "types.h"
+#include "customer.h"
+#include "internal.h"
+#include "regroup.h"
+
+#define WANTED_TIME_MS 2000 /* time constant of the mean of wanted_fillers */
+#define WANTED_MIN     1000 /* milli; less counts as none */
+#define RESERVED_MS    1500 /* to stop a task and start it elsewhere */
+/* At most one worker in this many takes part in moves at a time. */
+#define WORKERS_PER_MOVE 8
+
+/*
+ * Adds up the processor amount that the filler tasks of each image ask for: those
+ * that run and those that wait.
+ */
+static void
+count_wanted(const sched_t *s, double *wanted)
+{
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		const worker_t *w = g_ptr_array_index(s->worker_list, i);
+		int32_t f;
+
+		FOREACH_IMAGE (f, w->filler_mask)
+			wanted[f] += (double)w->filler_cpu_by_image[f];
+	}
+	for (GSequenceIter *i = g_sequence_get_begin_iter(s->ready_steps);
+	     !g_sequence_iter_is_end(i); i = g_sequence_iter_next(i)) {
+		const step_t *st = g_sequence_get(i);
+
+		if (st->def->filler && st->image >= 0)
+			wanted[st->image] +=
+			    (double)(st->nwaiting * st->def->cpu_milli);
+	}
+}
+
+/* Follows the processor amount that fillers ask for. */
+static void
+update_wanted(sched_t *s, int64_t since_ms)
+{
+	double wanted[IMAGES_MAX] = { 0 };
+	double rate = 1 - exp(-(double)since_ms / WANTED_TIME_MS);
+
+	count_wanted(s, wanted);
+	for (int32_t f = 0; f < IMAGES_MAX; f++)
+		s->wanted_fillers[f] +=
+		    rate * (wanted[f] - s->wanted_fillers[f]);
+}
+
+/* Whether a serving task may be stopped now to be started elsewhere. */
+static bool
+is_movable(const sched_t *s, const run_t *r)
+{
+	return isolation_is_serving(r) && r->task->step->def->lasting &&
+	    !r->task->step->def->gang && r->task->run == r &&
+	    r->task->crashes == NULL && r->job->stage == JOB_OPEN &&
+	    customer_allows_move(r) && may_miss_allows_any(s, r->task);
+}
+
+/* Whether tasks may be moved to or from a worker now. */
+static bool
+is_available(const sched_t *s, const worker_t *w)
+{
+	return cell_worker_usable(s, w) && w->quarantined_run == NULL &&
+	    s->now_ms >= w->reserved_until_ms;
+}
+
+static bool
+may_run(void *ctx, const regroup_task_t *t, const regroup_worker_t *w)
+{
+	const run_t *r = t->run;
+
+	return place_allowed(ctx, r->task->step, w->worker);
+}
+
+/* Describes a worker; its tasks are added to an array. */
+static void
+describe_worker(
+    const sched_t *s, worker_t *w, GArray *tasks, regroup_worker_t *to)
+{
+	GHashTableIter it;
+	void *v;
+
+	memset(to, 0, sizeof(*to));
+	to->worker = w;
+	to->usable = is_available(s, w);
+	to->cpu_milli = w->cpu_milli;
+	to->free_cpu_milli = w->cpu_milli - w->used_cpu_milli;
+	to->free_mem_mb = w->mem_mb - w->used_mem_mb;
+	to->free_gpu = w->gpu - w->used_gpu;
+	to->filler_milli = place_filler_capacity(w);
+	g_hash_table_iter_init(&it, w->runs);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		run_t *r = v;
+		regroup_task_t t = { .run = r, .movable = is_movable(s, r) };
+
+		if (r->task == NULL || r->task->step->image < 0 ||
+		    r->task->step->def->tail_target_ms == 0)
+			continue;
+		t.image = r->task->step->image;
+		t.cpu_milli = r->task->step->def->cpu_milli;
+		t.mem_mb = r->task->step->def->mem_mb;
+		t.gpu = r->task->step->def->gpu;
+		g_array_append_val(tasks, t);
+		to->ntasks++;
+	}
+}
+
+/* Reserves a worker for the next run of a task, and stops its present one. */
+static void
+move(sched_t *s, run_t *r, worker_t *to)
+{
+	to->reserved_for = r->task;
+	to->reserved_until_ms = s->now_ms + RESERVED_MS;
+	r->task->move_to = to;
+	run_stop(s, r, "moved for waiting fillers");
+}
+
+/* Workers that are reserved, for moves or for suspect tasks. */
+static guint
+busy_workers(const sched_t *s)
+{
+	guint n = 0;
+
+	for (guint i = 0; i < s->worker_list->len; i++)
+		n += s->now_ms <
+		    ((worker_t *)g_ptr_array_index(s->worker_list, i))
+			->reserved_until_ms;
+	return n;
+}
+
+/*
+ * Describes the images: what each pair leaves to fillers, and how much these
+ * want.
+ */
+static void
+describe_images(
+    const sched_t *s, const regroup_worker_t *workers, regroup_images_t *g)
+{
+	int32_t images = (int32_t)g_hash_table_size(s->images);
+	int32_t f;
+
+	FOREACH_IMAGE (f, s->filler_images) {
+		if (s->wanted_fillers[f] >= WANTED_MIN)
+			g->wanted_milli[f] = s->wanted_fillers[f];
+		for (int32_t i = 0; i < images; i++)
+			g->share[i][f] = isolation_share(s, i, f);
+	}
+	regroup_set_prices(g, workers, s->worker_list->len);
+}
+
+/* Chooses a move and begins it; false if none pays. */
+static bool
+begin_move(sched_t *s)
+{
+	g_autoptr(GArray) tasks =
+	    g_array_new(FALSE, FALSE, sizeof(regroup_task_t));
+	g_autofree regroup_worker_t *workers =
+	    g_new0(regroup_worker_t, s->worker_list->len);
+	g_autofree regroup_images_t *images = g_new0(regroup_images_t, 1);
+	regroup_state_t r = { .workers = workers,
+		.nworkers = s->worker_list->len,
+		.images = images,
+		.may_run = may_run,
+		.ctx = s };
+	regroup_move_t m;
+	size_t next = 0;
+
+	for (guint i = 0; i < s->worker_list->len; i++)
+		describe_worker(s, g_ptr_array_index(s->worker_list, i), tasks,
+		    &workers[i]);
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		workers[i].tasks = &g_array_index(tasks, regroup_task_t, next);
+		next += workers[i].ntasks;
+	}
+	describe_images(s, workers, images);
+	if (!regroup_choose(&r, &m))
+		return false;
+	move(s, m.task->run, m.to->worker);
+	if (m.exchanged != NULL)
+		move(s, m.exchanged->run, m.from->worker);
+	return true;
+}
+
+/* Begins the moves that pay now. */
+void
+serving_move_update(sched_t *s, int64_t since_ms)
+{
+	update_wanted(s, since_ms);
+	if (!ownership_may_start_tasks(s))
+		return;
+	while (busy_workers(s) * WORKERS_PER_MOVE < s->worker_list->len &&
+	    begin_move(s))
+		;
+}
+
+/*
+ * Returns the worker for a waiting task that is being moved, and ends its
+ * reservation; NULL: it has to wait.  Sets moving to false if the task is not
+ * being moved, or took too long.
+ */
+worker_t *
+serving_move_place(sched_t *s, step_t *st, task_t *t, bool *moving)
+{
+	worker_t *w = t->move_to;
+
+	*moving = w != NULL && w->reserved_for == t &&
+	    s->now_ms < w->reserved_until_ms;
+	if (!*moving) {
+		t->move_to = NULL;
+		return NULL;
+	}
+	if (place_alone(s, st, t, w) == NULL)
+		return NULL;
+	t->move_to = NULL;
+	w->reserved_until_ms = 0;
+	scan_worker_changed(s, w);
+	return w;
+}
--- a/sched/start.c
+++ b/sched/start.c
@@ -11,6 +11,7 @@
 #include "../proto/sched.pb-c.h"
 #include "tanagerspool.h"
 #include "sched.h"
+#include "image_set.h"
 #include "headroom.h"
 #include "run_time.h"
 #include "types.h"
@@ -85,6 +86,7 @@
 start_step(sched_t *s, step_t *st)
 {
 	int32_t n = 0;
+	bool moving;
 
 	if (st->def->gang) {
 		start_gang(s, st);
@@ -102,7 +104,11 @@
 			n += quarantine_start(s, st, t);
 			continue;
 		}
-		w = place_task(s, st, t);
+		w = serving_move_place(s, st, t, &moving);
+		if (w == NULL && moving)
+			continue;
+		if (w == NULL)
+			w = place_task(s, st, t);
 		if (w == NULL)
 			break;
 		n += run_start(s, t, w, start_run_number(s, t));
--- a/sched/straggler.c
+++ b/sched/straggler.c
@@ -15,6 +15,7 @@
 #include "../proto/sched.pb-c.h"
 #include "tanagerspool.h"
 #include "sched.h"
+#include "image_set.h"
 #include "headroom.h"
 #include "run_time.h"
 #include "types.h"
@@ -175,7 +176,7 @@
 		return false;
 	}
 	if (!w->slow || !better_elsewhere(w, r) || !customer_allows_move(r) ||
-	    place_elsewhere(s, r) == NULL)
+	    !may_miss_allows(s, r->task) || place_elsewhere(s, r) == NULL)
 		return false;
 	r->task->avoid_worker = w->id;
 	run_stop(s, r, "the worker is slow");
--- a/sched/types.h
+++ b/sched/types.h
@@ -2,8 +2,8 @@
  * Private types of the scheduler: jobs, steps, tasks, runs, workers and the state
  * of the cell.  internal.h explains the terms.
  *
- * Include what sched.h needs, "tanagerspool.h", "sched.h", "headroom.h" and
- * "run_time.h" first.
+ * Include what sched.h needs, "tanagerspool.h", "sched.h", "image_set.h",
+ * "headroom.h" and "run_time.h" first.
  */
 #ifndef SCHED_TYPES_H
 #define SCHED_TYPES_H
@@ -16,7 +16,6 @@
 typedef struct customer customer_t;
 typedef struct overload overload_t;
 
-#define IMAGES_MAX	      64   /* images whose interference is learned */
 #define RUN_NUMBERS_PER_OWNER 1000 /* for the runs of a task by one owner */
 
 /* A slowed start may bring what a worker's fillers declare to so many times its
@@ -31,14 +30,6 @@
 /* A job counts as late up to so many times the time allowed for it. */
 #define LATE_LIMIT_TIMES 3
 
-/* Runs the statement that follows for each image i of a set. */
-#define FOREACH_IMAGE(i, set) \
-	for (uint64_t left_ = (set); \
-	     left_ != 0 && ((i) = __builtin_ctzll(left_), true); \
-	     left_ &= left_ - 1)
-/* The set with only this image. */
-#define IMAGE_BIT(i) ((uint64_t)1 << (i))
-
 /* What is known of the load of a serving step; see interference.c. */
 typedef struct {
 	headroom_t headroom; /* without fillers; updated_ms 0: not known yet */
@@ -80,6 +71,7 @@
 	/* Interned id of the worker that the task last failed on, crashed or was moved
 	 * away from, which placement avoids; or NULL. */
 	const char *avoid_worker;
+	worker_t *move_to; /* reserved for its next run; see serving_move.c */
 	int64_t not_before_ms; /* not started before this time */
 	crashes_t *crashes;    /* or NULL */
 } task_t;
--- a/test/main/fuzz_cell.c
+++ b/test/main/fuzz_cell.c
@@ -224,6 +224,7 @@
 	st->image = image();
 	st->tail_target_ms = number();
 	st->filler = chance(30);
+	st->has_miss_limit = chance(50);
 	st->may_miss = (int32_t)number();
 }
 
--- a/test/unit/crash.c
+++ b/test/unit/crash.c
@@ -11,6 +11,7 @@
 #include "../../proto/sched.pb-c.h"
 #include "tanagerspool.h"
 #include "../../sched/sched.h"
+#include "../../sched/image_set.h"
 #include "../../sched/headroom.h"
 #include "../../sched/run_time.h"
 #include "../../sched/types.h"
--- a/test/unit/platform.c
+++ b/test/unit/platform.c
@@ -89,7 +89,8 @@
 	cr_expect(s->gpu == 1 && s->estimate_ms == 70 && s->checkpoints);
 	cr_expect(s->gang && s->same_rack && s->per_worker == 2);
 	cr_expect(s->duplicates && s->lasting && s->filler);
-	cr_expect(s->tail_target_ms == 40 && s->may_miss == 1);
+	cr_expect(s->tail_target_ms == 40);
+	cr_expect(s->has_miss_limit && s->may_miss == 1);
 	cr_expect_str_eq(s->label, "l");
 	cr_expect_str_eq(s->near_rack, "r1");
 	cr_expect_str_eq(s->image, "i");
