--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 B = build
 PREFIX = /usr/local
 SEEDS = 2000
+COMPARE = ../shared/compare
 CELL_SEEDS = 1500
 PKGS = glib-2.0 libuv libh2o libprotobuf-c log4c jansson libcurl openssl
 DEBS = gcc make pkg-config clang clang-format clang-tidy cppcheck curl man-db \
@@ -94,6 +95,9 @@
 	sh test/red.sh $(B)/policy
 scaling: $(B)/scaling
 	$(B)/scaling
+# Needs the users' bench and their program that compares builds.
+ablation:
+	bench/ablation.sh $(COMPARE) $(SITE) $(ONLY)
 bench: all
 	sh bench/bench.sh $(B)
 asan:
@@ -134,4 +138,4 @@
 PHONY_TESTS = unit check cells scenarios process soak
 SEED = 1
 .PHONY: all deps ensure-deps run test $(PHONY_TESTS) mutants soak-mutants policy scaling \
-	bench asan lint fmt install clean
+	ablation bench asan lint fmt install clean
