--- a/sched/internal.h
+++ b/sched/internal.h
@@ -64,8 +64,10 @@
 	int64_t filler_job_ms;	/* when a job with filler tasks last came */
 	/* By serving image: the filler images that may run beside it. */
 	uint64_t compatible_fillers[IMAGES_MAX];
-	/* By filler image: mean processor milli that its tasks ask for. */
+	/* By filler image: mean processor milli that its tasks ask for, and the
+	 * service of those that waited last (interned). */
 	double wanted_fillers[IMAGES_MAX];
+	const char *filler_service[IMAGES_MAX];
 	GHashTable *approval_requests; /* in flight, by id */
 	GHashTable *evacuated_zones;   /* set of interned names */
 	/* While loading: id -> Sched__Progress; NULL for a row that can't be
--- a/sched/serving_move.c
+++ b/sched/serving_move.c
@@ -35,11 +35,13 @@
 
 /*
  * Adds up the processor amount that the filler tasks of each image ask for: those
- * that run and those that wait.
+ * that run and those that wait.  Returns the images of those that wait.
  */
-static void
-count_wanted(const sched_t *s, double *wanted)
+static uint64_t
+count_wanted(sched_t *s, double *wanted)
 {
+	uint64_t waiting = 0;
+
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		const worker_t *w = g_ptr_array_index(s->worker_list, i);
 		int32_t f;
@@ -51,23 +53,31 @@
 	     !g_sequence_iter_is_end(i); i = g_sequence_iter_next(i)) {
 		const step_t *st = g_sequence_get(i);
 
-		if (st->def->filler && st->image >= 0)
-			wanted[st->image] +=
-			    (double)(st->nwaiting * st->def->cpu_milli);
+		if (!st->def->filler || st->image < 0)
+			continue;
+		waiting |= IMAGE_BIT(st->image);
+		wanted[st->image] +=
+		    (double)(st->nwaiting * st->def->cpu_milli);
+		s->filler_service[st->image] = st->occ->job->service;
 	}
+	return waiting;
 }
 
-/* Follows the processor amount that fillers ask for. */
-static void
+/*
+ * Follows the processor amount that fillers ask for; returns the images of those
+ * that wait.
+ */
+static uint64_t
 update_wanted(sched_t *s, int64_t since_ms)
 {
 	double wanted[IMAGES_MAX] = { 0 };
 	double rate = 1 - exp(-(double)since_ms / WANTED_TIME_MS);
+	uint64_t waiting = count_wanted(s, wanted);
 
-	count_wanted(s, wanted);
 	for (int32_t f = 0; f < IMAGES_MAX; f++)
 		s->wanted_fillers[f] +=
 		    rate * (wanted[f] - s->wanted_fillers[f]);
+	return waiting;
 }
 
 /* Whether a serving task may be stopped now to be started elsewhere. */
@@ -153,50 +163,66 @@
 }
 
 /*
- * Describes the images: what each pair leaves to fillers, and how much these
- * want.
+ * Describes the images: what each pair leaves to fillers, and how much those of a
+ * service want.
  */
 static void
-describe_images(
-    const sched_t *s, const regroup_worker_t *workers, regroup_images_t *g)
+describe_images(const sched_t *s, const char *service, regroup_images_t *g)
 {
 	int32_t images = (int32_t)g_hash_table_size(s->images);
 	int32_t f;
 
 	FOREACH_IMAGE (f, s->filler_images) {
-		if (s->wanted_fillers[f] >= WANTED_MIN)
+		if (s->filler_service[f] == service &&
+		    s->wanted_fillers[f] >= WANTED_MIN)
 			g->wanted_milli[f] = s->wanted_fillers[f];
 		for (int32_t i = 0; i < images; i++)
 			g->share[i][f] = isolation_share(s, i, f);
 	}
-	regroup_set_prices(g, workers, s->worker_list->len);
 }
 
-/* Chooses a move and begins it; false if none pays. */
+/* Describes the workers of a service, and their tasks. */
+static GArray *
+describe_workers(const sched_t *s, const char *service, GArray *tasks)
+{
+	GArray *all = g_array_new(FALSE, FALSE, sizeof(regroup_worker_t));
+	size_t next = 0;
+
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		worker_t *w = g_ptr_array_index(s->worker_list, i);
+		regroup_worker_t d;
+
+		if (w->service != service)
+			continue;
+		describe_worker(s, w, tasks, &d);
+		g_array_append_val(all, d);
+	}
+	for (guint i = 0; i < all->len; i++) {
+		regroup_worker_t *w = &g_array_index(all, regroup_worker_t, i);
+
+		w->tasks = &g_array_index(tasks, regroup_task_t, next);
+		next += w->ntasks;
+	}
+	return all;
+}
+
+/* Chooses a move on the workers of a service and begins it; false if none pays. */
 static bool
-begin_move(sched_t *s)
+begin_move(sched_t *s, const char *service)
 {
 	g_autoptr(GArray) tasks =
 	    g_array_new(FALSE, FALSE, sizeof(regroup_task_t));
-	g_autofree regroup_worker_t *workers =
-	    g_new0(regroup_worker_t, s->worker_list->len);
+	g_autoptr(GArray) workers = describe_workers(s, service, tasks);
 	g_autofree regroup_images_t *images = g_new0(regroup_images_t, 1);
-	regroup_state_t r = { .workers = workers,
-		.nworkers = s->worker_list->len,
+	regroup_state_t r = { .workers = (regroup_worker_t *)workers->data,
+		.nworkers = workers->len,
 		.images = images,
 		.may_run = may_run,
 		.ctx = s };
 	regroup_move_t m;
-	size_t next = 0;
 
-	for (guint i = 0; i < s->worker_list->len; i++)
-		describe_worker(s, g_ptr_array_index(s->worker_list, i), tasks,
-		    &workers[i]);
-	for (guint i = 0; i < s->worker_list->len; i++) {
-		workers[i].tasks = &g_array_index(tasks, regroup_task_t, next);
-		next += workers[i].ntasks;
-	}
-	describe_images(s, workers, images);
+	describe_images(s, service, images);
+	regroup_set_prices(images, r.workers, r.nworkers);
 	if (!regroup_choose(&r, &m))
 		return false;
 	move(s, m.task->run, m.to->worker);
@@ -205,16 +231,26 @@
 	return true;
 }
 
-/* Begins the moves that pay now. */
+/* Begins the moves that pay now; since_ms: the time since the last call. */
 void
 serving_move_update(sched_t *s, int64_t since_ms)
 {
-	update_wanted(s, since_ms);
+	uint64_t waiting = update_wanted(s, since_ms);
+	const char *service;
+	int32_t f;
+
 	if (!ownership_may_start_tasks(s))
 		return;
-	while (busy_workers(s) * WORKERS_PER_MOVE < s->worker_list->len &&
-	    begin_move(s))
-		;
+	while (waiting != 0) {
+		service = s->filler_service[__builtin_ctzll(waiting)];
+		while (
+		    busy_workers(s) * WORKERS_PER_MOVE < s->worker_list->len &&
+		    begin_move(s, service))
+			;
+		FOREACH_IMAGE (f, waiting)
+			if (s->filler_service[f] == service)
+				waiting &= ~IMAGE_BIT(f);
+	}
 }
 
 /*
--- a/test/unit/regroup.c
+++ b/test/unit/regroup.c
@@ -293,3 +293,17 @@
 	cr_expect_not(moving);
 	sched_free(c.s);
 }
+
+/* Fillers that run on workers of another service gain nothing from a move. */
+Test(regroup, waiting_fillers_of_another_service_do_not_count)
+{
+	Sched__Step limits = SCHED__STEP__INIT;
+	mixed_cell_t c;
+
+	mixed_cell_init(&c, &limits);
+	c.filler->occ->job->service = g_intern_string("t");
+	for (int k = 0; k < 8; k++)
+		serving_move_update(c.s, 250);
+	cr_expect_eq(c.b->tasks[0].run->state, RUN_RUNNING);
+	sched_free(c.s);
+}
