Placement: fillers go where serving tasks keep slack

The choice of a worker saw which images are compatible, not how much of their headroom is left.

Change: the headroom that the serving tasks would keep beside the filler, up to 1, counts in the score of a worker.

The test fails without the term.

--- a/sched/place.c
+++ b/sched/place.c
@@ -26,12 +26,13 @@
 /* So many workers that can take a task are compared, if there are more. */
 #define ENOUGH_WORKERS 64
 /*
- * Deductions from a worker's score, which counts thousandths of a core that are
- * free for fillers.
+ * Deductions from a worker's score, and additions to it.  It counts thousandths
+ * of a core that are free for fillers.
  */
 #define COST_OTHER_RACK	 1000000 /* not in the rack of the step's data */
 #define COST_FAILURE	 400000	 /* per failure in a row there */
 #define COST_COMPATIBLE	 600	 /* per percent of filler images that may run */
+#define VALUE_SLACK	 60000	 /* per unit of headroom left, up to 1 */
 #define COST_OTHER_IMAGE 200000	 /* per image compatible with other fillers */
 #define COST_NO_SERVING	 100000	 /* a serving task where there is none yet */
 #define COST_HEADROOM	 400000	 /* per unit of headroom that is missing */
@@ -94,7 +95,7 @@
 
 /* Suitability of a worker for a task that fits there; higher is better. */
 static int64_t
-score(const sched_t *s, const worker_t *w, const step_t *st, const task_t *t)
+score(const sched_t *s, worker_t *w, const step_t *st, const task_t *t)
 {
 	const Sched__Step *d = st->def;
 	int32_t other_images;
@@ -123,6 +124,10 @@
 		 * the better. */
 		sc -= 2 * place_filler_capacity(w);
 	}
+	/* Beside serving tasks with slack, a filler is not soon slowed. */
+	if (d->filler && w->nserving > 0)
+		sc += (int64_t)(CLAMP(isolation_margin(s, w, st), 0, 1) *
+		    VALUE_SLACK);
 	return sc;
 }
 
--- a/sched/regroup.c
+++ b/sched/regroup.c
@@ -290,6 +290,7 @@
 	size_t n = find_candidates(r, list);
 	double gain = 0;
 
+	/* A candidate with a lower gain than a move found hardly beats it. */
 	for (size_t i = 0; i < n && list[i].gain > gain; i++) {
 		const regroup_worker_t *w = list[i].worker;
 
--- a/test/unit/interference.c
+++ b/test/unit/interference.c
@@ -391,3 +391,45 @@
 	cr_expect(bad_slowed);
 	sched_free(c.s);
 }
+
+/*
+ * Two workers that tolerate a filler; the load of the serving task on one of them
+ * is near its highest.  The filler would soon be slowed there.
+ */
+Test(interference, fillers_go_where_serving_tasks_have_slack)
+{
+	static const struct {
+		const char *name;
+		double headroom[2];
+		size_t expected;
+	} cases[] = {
+		{ "the first is busy", { 2, 5 }, 1 },
+		{ "the second is busy", { 5, 2 }, 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = new_owner();
+		Sched__Step serve = step_def("serve", 13000, false, TARGET_MS);
+		Sched__Step fill = step_def("fill", FILLER_MILLI, true, 0);
+		worker_t *w[2] = { add_worker(s, "w0"), add_worker(s, "w1") };
+		step_t *filler;
+
+		s->now_ms = 1000;
+		for (int k = 0; k < 2; k++) {
+			g_autofree char *id = g_strdup_printf("%016d", 1 + k);
+			step_t *st = first_step(add_job(s, id, &serve, 0));
+
+			add_running(s, st, 0, w[k]);
+			headroom_start(&st->load->headroom,
+			    cases[i].headroom[k], s->now_ms);
+		}
+		filler = first_step(add_job(s, "0000000000000003", &fill, 0));
+		interference_restore(s, interference_image(s, "serve"),
+		    interference_image(s, "fill"), 1, 1.5);
+		isolation_refresh(s);
+		s->scan.round++;
+		cr_expect_eq(place_task(s, filler, &filler->tasks[0]),
+		    w[cases[i].expected], "%s", cases[i].name);
+		sched_free(s);
+	}
+}
--- a/test/unit/regroup.c
+++ b/test/unit/regroup.c
@@ -166,23 +166,6 @@
 	step_t *a, *b, *filler;
 } mixed_cell_t;
 
-static run_t *
-add_serving_run(mixed_cell_t *c, step_t *st, int32_t index, worker_t *w)
-{
-	char name[64];
-	run_t *r;
-
-	job_task_name(&st->tasks[index], name, sizeof(name));
-	r = run_new(c->s, name, w, 1);
-	run_reserve_resources(r, &st->tasks[index]);
-	st->tasks[index].state = TASK_RUNNING;
-	st->tasks[index].run = r;
-	st->nwaiting--;
-	run_set_state(c->s, r, RUN_RUNNING);
-	r->percent = 100;
-	return r;
-}
-
 /*
  * The fillers may run beside image a, not beside b; of the tasks of b one is on
  * the worker of a, as if both had been placed before that was known.
@@ -208,9 +191,9 @@
 	c->mixed = add_worker(c->s, "mixed");
 	c->other = add_worker(c->s, "other");
 	for (int32_t i = 0; i < 3; i++)
-		add_serving_run(c, c->a, i, c->mixed);
-	add_serving_run(c, c->b, 0, c->mixed);
-	add_serving_run(c, c->b, 1, c->other);
+		add_running(c->s, c->a, i, c->mixed);
+	add_running(c->s, c->b, 0, c->mixed);
+	add_running(c->s, c->b, 1, c->other);
 	interference_restore(c->s, c->a->image, c->filler->image, 0.5, 2);
 	interference_restore(c->s, c->b->image, c->filler->image, 20, 2);
 	run_add_ready_steps(c->s, c->filler->occ);
--- a/test/unit/sched_fixture.c
+++ b/test/unit/sched_fixture.c
@@ -133,6 +133,24 @@
 	return w;
 }
 
+run_t *
+add_running(sched_t *s, step_t *st, int32_t index, worker_t *w)
+{
+	task_t *t = &st->tasks[index];
+	char name[64];
+	run_t *r;
+
+	job_task_name(t, name, sizeof(name));
+	r = run_new(s, name, w, 1);
+	run_reserve_resources(r, t);
+	t->state = TASK_RUNNING;
+	t->run = r;
+	st->nwaiting--;
+	run_set_state(s, r, RUN_RUNNING);
+	r->percent = 100;
+	return r;
+}
+
 Sched__Step
 step_def(const char *image, int64_t cpu, bool filler, int64_t target)
 {
