--- a/sched/regroup.c
+++ b/sched/regroup.c
@@ -14,7 +14,9 @@
 /* So many workers from which tasks could be moved are tried in one choice. */
 #define CANDIDATES   12
 #define PRICE_ROUNDS 12 /* until the prices have settled */
-#define PRICE_MAX    20 /* of an image for which there is no room at all */
+/* What gets half of what it asks for, or less, counts as lacking room in full:
+ * to shift room among such images gains nothing. */
+#define PRICE_MAX 2
 
 /* A worker that gains room if its tasks of an image leave it. */
 typedef struct {
