--- a/test/unit/sched_fixture.c
+++ b/test/unit/sched_fixture.c
@@ -134,7 +134,7 @@
 }
 
 run_t *
-add_running(sched_t *s, step_t *st, int32_t index, worker_t *w)
+add_run(sched_t *s, step_t *st, int32_t index, worker_t *w)
 {
 	task_t *t = &st->tasks[index];
 	char name[64];
@@ -146,6 +146,14 @@
 	t->state = TASK_RUNNING;
 	t->run = r;
 	st->nwaiting--;
+	return r;
+}
+
+run_t *
+add_running(sched_t *s, step_t *st, int32_t index, worker_t *w)
+{
+	run_t *r = add_run(s, st, index, w);
+
 	run_set_state(s, r, RUN_RUNNING);
 	r->percent = 100;
 	return r;
--- a/test/unit/sched_fixture.h
+++ b/test/unit/sched_fixture.h
@@ -29,6 +29,8 @@
 step_t *first_step(job_t *j);
 /* Adds a worker on which tasks may be started at once. */
 worker_t *add_worker(sched_t *s, const char *id);
+/* A run of a waiting task that is being started on a worker, without orders. */
+run_t *add_run(sched_t *s, step_t *st, int32_t index, worker_t *w);
 /* A run of a waiting task that is at work on a worker, without orders. */
 run_t *add_running(sched_t *s, step_t *st, int32_t index, worker_t *w);
 /* A step with one task; target: of its tail latency in ms, or 0. */
--- a/test/unit/share_fixture.c
+++ b/test/unit/share_fixture.c
@@ -95,17 +95,7 @@
 run_t *
 shares_add_run(sched_t *s, job_t *j, worker_t *w)
 {
-	task_t *t = &first_step(j)->tasks[0];
-	char name[64];
-	run_t *r;
-
-	job_task_name(t, name, sizeof(name));
-	r = run_new(s, name, w, 1);
-	run_reserve_resources(r, t);
-	t->run = r;
-	t->state = TASK_RUNNING;
-	t->step->nwaiting--;
-	return r;
+	return add_run(s, first_step(j), 0, w);
 }
 
 void
