--- /dev/null
+++ b/test/unit/takeover.c
@@ -0,0 +1,234 @@
+/*
+ * What a new owner takes for the end of leases that earlier owners granted.
+ */
+#include <stdbool.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <criterion/criterion.h>
+#include <glib.h>
+
+#include "../../proto/sched.pb-c.h"
+#include "tanagerspool.h"
+#include "../../sched/sched.h"
+#include "../../sched/image_set.h"
+#include "../../sched/headroom.h"
+#include "../../sched/run_time.h"
+#include "../../sched/types.h"
+#include "../../sched/customer.h"
+#include "../../sched/internal.h"
+#include "sched_fixture.h"
+
+#define JOB	     "0000000000000001"
+#define TASK	     JOB ".0.0.0"
+#define TOKEN	     41
+#define CLAIMED_MS   100000
+#define CLOCK_MS     500000 /* of the worker at the claim */
+#define MAX_LEASE_MS 6000
+/* The longest that an owner lets a lease run, on a clock 2 % slow. */
+#define LEASE_MS 4082
+
+static uint64_t poll_id;
+
+static void
+take_poll(void *ctx, const sched_poll_t *p)
+{
+	(void)ctx;
+	poll_id = p->id;
+}
+
+static void
+ignore_claim(void *ctx, int64_t version, const GByteArray *owner)
+{
+	(void)ctx;
+	(void)version;
+	(void)owner;
+}
+
+static void
+ignore_load(void *ctx)
+{
+	(void)ctx;
+}
+
+static void
+ignore_write(void *ctx, int64_t version, const GArray *puts)
+{
+	(void)ctx;
+	(void)version;
+	(void)puts;
+}
+
+static void
+ignore_order(void *ctx, const sched_order_t *o)
+{
+	(void)ctx;
+	(void)o;
+}
+
+static sched_t *
+new_entry(void)
+{
+	sched_opts_t o = { .feed_limit_ms = 2000,
+		.name = "e",
+		.max_lease_ms = MAX_LEASE_MS,
+		.port = { .event = ignore_event,
+		    .claim = ignore_claim,
+		    .load = ignore_load,
+		    .write = ignore_write,
+		    .order = ignore_order,
+		    .poll = take_poll } };
+
+	return sched_new(&o);
+}
+
+static void
+read_row(sched_t *s, const char *key, int64_t version, const uint8_t *bytes,
+    size_t n)
+{
+	sched_row_t row = {
+		.key = key, .version = version, .bytes = bytes, .nbytes = n
+	};
+
+	if (strcmp(key, SCHED_KEY_OWNER) == 0)
+		sched_owner_row_read(s, &row, s->now_ms);
+	else
+		sched_row_read(s, &row, s->now_ms);
+}
+
+/* Claims the cell from the owner that a row names. */
+static void
+claim(sched_t *s, const Sched__Owner *o)
+{
+	uint8_t row[128];
+	size_t n = sched__owner__pack(o, row);
+
+	for (s->now_ms = CLAIMED_MS - 3000; s->cell.state == CELL_FOLLOWING;
+	     s->now_ms += 50) {
+		read_row(s, SCHED_KEY_OWNER, TOKEN - 1, row, n);
+		sched_tick(s, s->now_ms, 0);
+	}
+	s->now_ms = s->cell.write_sent_ms = CLAIMED_MS;
+	sched_claim_done(s, SCHED_WRITE_OK, TOKEN, CLAIMED_MS);
+}
+
+/* Reads the worker w0 of the footprint, whose lease ends at until_ms or later. */
+static void
+read_footprint(sched_t *s, int64_t until_ms)
+{
+	Sched__Footprint f = SCHED__FOOTPRINT__INIT;
+	char *worker = (char *)"w0 a:1";
+	int64_t started_ms = 1;
+	uint8_t row[64];
+
+	f.n_workers = f.n_born_ms = f.n_until_ms = 1;
+	f.workers = &worker;
+	f.born_ms = &started_ms;
+	f.until_ms = &until_ms;
+	read_row(s, SCHED_KEY_FOOTPRINT ".00", TOKEN - 1, row,
+	    sched__footprint__pack(&f, row));
+}
+
+/* Reads a job of one task that an earlier owner has started. */
+static void
+read_job(sched_t *s)
+{
+	Sched__Progress p = SCHED__PROGRESS__INIT;
+	Sched__Step step = step_def("i", 1000, false, 0), *steps[] = { &step };
+	Sched__Job d = job_def(steps, 1, 0);
+	uint8_t row[256];
+
+	p.state = SCHED__STATE__RUNNING;
+	read_row(s, JOB SCHED_KEY_PROGRESS, TOKEN - 2, row,
+	    sched__progress__pack(&p, row));
+	read_row(s, JOB, TOKEN - 3, row, sched__job__pack(&d, row));
+}
+
+static void
+list_worker(sched_t *s)
+{
+	sched_worker_info_t i = { .id = "w0",
+		.service = "s",
+		.address = "a:1",
+		.zone = "z",
+		.rack = "r",
+		.cpu_milli = WORKER_CPU_MILLI,
+		.mem_mb = 256000,
+		.started_ms = 1 };
+
+	sched_worker_listed(s, &i, s->now_ms);
+}
+
+/* The worker answers the poll in flight: it has the run of the task. */
+static void
+answer_poll(sched_t *s)
+{
+	sched_running_t run = { .task = TASK, .run = 1, .checkpoint = "" };
+	sched_report_t r = { .clock_ms = CLOCK_MS + s->now_ms - CLAIMED_MS,
+		.started_ms = 1,
+		.running = &run,
+		.nrunning = 1 };
+
+	cr_assert_neq(poll_id, 0, "no poll is in flight");
+	sched_poll_done(s, poll_id, "w0", SCHED_ORDER_OK, &r, s->now_ms);
+}
+
+/* Fails polls from now until the owner takes the run for ended; returns when. */
+static int64_t
+miss_polls(sched_t *s)
+{
+	const worker_t *w = cell_worker_get(s, "w0");
+
+	while (g_hash_table_size(w->runs) > 0 &&
+	    s->now_ms < CLAIMED_MS + 3 * MAX_LEASE_MS) {
+		if (w->poll_id != 0)
+			sched_poll_done(s, poll_id, "w0", SCHED_ORDER_NOT_SENT,
+			    NULL, s->now_ms);
+		sched_tick(s, s->now_ms + 10, 0);
+	}
+	return s->now_ms;
+}
+
+/*
+ * Guards against two runs of one task: a worker that answered the first poll of
+ * a new owner and missed the next has the leases of earlier owners yet.
+ */
+Test(takeover, a_missed_poll_after_the_first_answer)
+{
+	static const struct {
+		const char *name;
+		bool listed_first;
+		int64_t until_ms; /* in the footprint */
+	} cases[] = {
+		{ "in the footprint", false, 0 },
+		{ "listed before the footprint is read", true, 0 },
+		{ "with the end of its lease stored", false,
+		    CLAIMED_MS + 3500 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = new_entry();
+		Sched__Owner o = SCHED__OWNER__INIT;
+
+		o.name = (char *)"other";
+		o.epoch = 1;
+		claim(s, &o);
+		if (cases[i].listed_first)
+			list_worker(s);
+		read_footprint(s, cases[i].until_ms);
+		read_job(s);
+		list_worker(s);
+		sched_load_done(s, CLAIMED_MS);
+		sched_tick(s, CLAIMED_MS, 0);
+		answer_poll(s);
+		cr_assert_eq(
+		    g_hash_table_size(cell_worker_get(s, "w0")->runs), 1);
+		/* Until this poll the owner before could extend the lease, but
+		 * for one whose end it had stored. */
+		cr_expect_geq(miss_polls(s),
+		    cases[i].until_ms != 0 ? cases[i].until_ms :
+					     CLAIMED_MS + LEASE_MS,
+		    "%s: %d ms", cases[i].name, (int)(s->now_ms - CLAIMED_MS));
+		sched_free(s);
+	}
+}
