Takeover: a worker's leases end no sooner than those of earlier owners

Callers saw a task run twice (TWICE): a new owner gave up runs that it had just adopted and started their tasks elsewhere, while the first runs went on.

Cause: the end of a worker's lease was computed from the deadlines that this process had sent. A process that had not owned the cell before had sent none, and none counted as a lease that ended at time 0. The first missed poll after the first answer then proved the runs over; usual is that the second poll has set a deadline by then, but it may not where the store still says when the lease ends, which is so for a worker that an earlier owner did not reach. Class of fault: an unknown bound taken for the lowest value.

Now no lease counts as ended before those of earlier owners must have (old_leases_end_ms), which was already known for workers that had not answered.

--- a/sched/cell_worker.c
+++ b/sched/cell_worker.c
@@ -155,7 +155,9 @@
 bool
 cell_worker_lease_expired(const sched_t *s, const worker_t *w)
 {
-	if (s->now_ms <= w->lease.no_expiry_before_ms)
+	/* Its answers do not tell what earlier owners granted. */
+	if (s->now_ms <=
+	    MAX(w->lease.no_expiry_before_ms, s->cell.old_leases_end_ms))
 		return false;
 	/* Without its clock: no lease is longer than the worker accepts. */
 	if (w->lease.answered_ms == 0)
