Footprint: the stored end of a lease covers those of earlier owners

A task could run twice: a successor starts the tasks of a worker that does not answer once the lease end in the footprint has passed. An owner computed that end from what it had sent itself, though its predecessor may have extended the lease until the worker answered the new owner.

--- a/sched/cell_worker.c
+++ b/sched/cell_worker.c
@@ -191,15 +191,18 @@
 }
 
 /*
- * When the lease last sent has ended for certain, by our clock.  Only for a
- * worker whose clock was known then: it was sent a deadline at most LEASE_MS
- * ahead, while longest_lease_end allows for any lease that it accepts.
+ * When the lease last sent, and those of earlier owners, have ended for certain,
+ * by our clock.  Only for a worker whose clock was known then: it was sent a
+ * deadline at most LEASE_MS ahead, while longest_lease_end allows for any lease
+ * that it accepts.
  */
 int64_t
-cell_worker_lease_end(const worker_t *w)
+cell_worker_lease_end(const sched_t *s, const worker_t *w)
 {
-	return w->lease.deadline_sent_ms +
+	int64_t ms = w->lease.deadline_sent_ms +
 	    LEASE_MS * (100 + CLOCK_DRIFT_PCT) / 100 + EXPIRY_MARGIN_MS;
+
+	return MAX(ms, s->cell.old_leases_end_ms);
 }
 
 /*
--- a/test/unit/takeover.c
+++ b/test/unit/takeover.c
@@ -29,6 +29,7 @@
 #define LEASE_MS 4082
 
 static uint64_t poll_id;
+static int64_t written_until_ms; /* of the worker; 0: none was written */
 
 static void
 take_poll(void *ctx, const sched_poll_t *p)
@@ -51,12 +52,25 @@
 	(void)ctx;
 }
 
+/* Notes the end of the worker's lease in a row of the footprint. */
 static void
-ignore_write(void *ctx, int64_t version, const GArray *puts)
+take_write(void *ctx, int64_t version, const GArray *puts)
 {
 	(void)ctx;
 	(void)version;
-	(void)puts;
+	for (guint i = 0; i < puts->len; i++) {
+		const sched_put_t *p = &g_array_index(puts, sched_put_t, i);
+		Sched__Footprint *f;
+
+		if (!g_str_has_prefix(p->key, SCHED_KEY_FOOTPRINT))
+			continue;
+		f = sched__footprint__unpack(
+		    NULL, p->bytes->len, p->bytes->data);
+		cr_assert_not_null(f);
+		if (f->n_until_ms > 0 && f->until_ms[0] != 0)
+			written_until_ms = f->until_ms[0];
+		sched__footprint__free_unpacked(f, NULL);
+	}
 }
 
 static void
@@ -75,7 +89,7 @@
 		.port = { .event = ignore_event,
 		    .claim = ignore_claim,
 		    .load = ignore_load,
-		    .write = ignore_write,
+		    .write = take_write,
 		    .order = ignore_order,
 		    .poll = take_poll } };
 
@@ -96,20 +110,28 @@
 		sched_row_read(s, &row, s->now_ms);
 }
 
-/* Claims the cell from the owner that a row names. */
+/* Claims the cell at a time from the owner that a row names. */
 static void
-claim(sched_t *s, const Sched__Owner *o)
+claim_at(sched_t *s, const Sched__Owner *o, int64_t token, int64_t at_ms)
 {
 	uint8_t row[128];
 	size_t n = sched__owner__pack(o, row);
 
-	for (s->now_ms = CLAIMED_MS - 3000; s->cell.state == CELL_FOLLOWING;
+	poll_id = 0;
+	written_until_ms = 0;
+	for (s->now_ms = at_ms - 3000; s->cell.state == CELL_FOLLOWING;
 	     s->now_ms += 50) {
-		read_row(s, SCHED_KEY_OWNER, TOKEN - 1, row, n);
+		read_row(s, SCHED_KEY_OWNER, token - 1, row, n);
 		sched_tick(s, s->now_ms, 0);
 	}
-	s->now_ms = s->cell.write_sent_ms = CLAIMED_MS;
-	sched_claim_done(s, SCHED_WRITE_OK, TOKEN, CLAIMED_MS);
+	s->now_ms = s->cell.write_sent_ms = at_ms;
+	sched_claim_done(s, SCHED_WRITE_OK, token, at_ms);
+}
+
+static void
+claim(sched_t *s, const Sched__Owner *o)
+{
+	claim_at(s, o, TOKEN, CLAIMED_MS);
 }
 
 /* Reads the worker w0 of the footprint, whose lease ends at until_ms or later. */
@@ -189,6 +211,17 @@
 	return s->now_ms;
 }
 
+/* The row of an owner that has not released the cell. */
+static Sched__Owner
+other_owner(void)
+{
+	Sched__Owner o = SCHED__OWNER__INIT;
+
+	o.name = (char *)"other";
+	o.epoch = 1;
+	return o;
+}
+
 /*
  * Guards against two runs of one task: a worker that answered the first poll of
  * a new owner and missed the next has the leases of earlier owners yet.
@@ -208,10 +241,8 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		sched_t *s = new_entry();
-		Sched__Owner o = SCHED__OWNER__INIT;
+		Sched__Owner o = other_owner();
 
-		o.name = (char *)"other";
-		o.epoch = 1;
 		claim(s, &o);
 		if (cases[i].listed_first)
 			list_worker(s);
@@ -232,3 +263,38 @@
 		sched_free(s);
 	}
 }
+
+/*
+ * Guards against two runs of one task: the end of a lease that the owner stores
+ * for its successors covers what its predecessor granted until the first answer.
+ */
+Test(takeover, the_stored_end_of_a_lease)
+{
+	sched_t *s = new_entry();
+	Sched__Owner o = other_owner();
+	int64_t answered_ms = CLAIMED_MS + 800;
+
+	claim(s, &o);
+	read_footprint(s, 0);
+	read_job(s);
+	list_worker(s);
+	sched_load_done(s, CLAIMED_MS);
+	sched_tick(s, CLAIMED_MS, 0);
+	s->now_ms = answered_ms;
+	/* Until it has read the owner's row again, it extends no lease. */
+	sched_process_paused(s, answered_ms);
+	answer_poll(s);
+	for (s->now_ms = answered_ms;
+	     written_until_ms == 0 && s->now_ms < answered_ms + 2000;) {
+		if (cell_worker_get(s, "w0")->poll_id != 0)
+			sched_poll_done(s, poll_id, "w0", SCHED_ORDER_NOT_SENT,
+			    NULL, s->now_ms);
+		if (s->write_pending)
+			sched_write_done(
+			    s, SCHED_WRITE_OK, s->cell.version + 1, s->now_ms);
+		sched_tick(s, s->now_ms + 10, 0);
+	}
+	cr_expect_geq(written_until_ms, answered_ms + LEASE_MS, "%d ms",
+	    (int)(written_until_ms - answered_ms));
+	sched_free(s);
+}
