Owner's row: whether all workers of earlier owners were seen at a release

A task could run twice after a data centre was cut off while entries were being restarted. An owner that is cut off extends leases for up to 1 s after another has claimed its cell. If that one released the cell at once, the next owner allowed for the leases of an owner that had released it (4.3 s), though those of the one before could last 5.1 s.

Now the row says whether its writer had seen every worker; a row without the field, as older builds write it, counts as one that had not.

Measured: unit takeover/a_release_before_all_workers_are_seen fails without the change (4,300 ms against 5,082).

--- a/proto/sched.pb-c.c
+++ b/proto/sched.pb-c.c
@@ -1523,7 +1523,7 @@
   (ProtobufCMessageInit) sched__refusal__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sched__owner__field_descriptors[11] =
+static const ProtobufCFieldDescriptor sched__owner__field_descriptors[12] =
 {
   {
     "name",
@@ -1657,6 +1657,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "workers_accounted",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sched__Owner, workers_accounted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sched__owner__field_indices_by_name[] = {
   3,   /* field[3] = beat */
@@ -1670,11 +1682,12 @@
   8,   /* field[8] = rows_before_starts */
   5,   /* field[5] = waiting */
   7,   /* field[7] = waiting_stale */
+  11,   /* field[11] = workers_accounted */
 };
 static const ProtobufCIntRange sched__owner__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor sched__owner__descriptor =
 {
@@ -1684,7 +1697,7 @@
   "Sched__Owner",
   "sched",
   sizeof(Sched__Owner),
-  11,
+  12,
   sched__owner__field_descriptors,
   sched__owner__field_indices_by_name,
   1,  sched__owner__number_ranges,
--- a/proto/sched.pb-c.h
+++ b/proto/sched.pb-c.h
@@ -328,10 +328,14 @@
   int64_t counted_ms;
   size_t n_refusals;
   Sched__Refusal **refusals;
+  /*
+   * No run of an earlier owner can be unknown to this one.
+   */
+  protobuf_c_boolean workers_accounted;
 };
 #define SCHED__OWNER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sched__owner__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0 }
 
 
 /*
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -93,6 +93,7 @@
 	o.epoch = s->cell.epoch;
 	o.beat = s->cell.renewals;
 	o.released = released;
+	o.workers_accounted = s->cell.workers_accounted;
 	/* Owners before that did not, or nothing of theirs can be unknown. */
 	o.rows_before_starts =
 	    s->cell.rows_before_starts || s->cell.workers_accounted;
@@ -303,7 +304,7 @@
 	 * cell, SILENT_MS of these had passed. */
 	if (c->had_predecessor)
 		c->old_leases_end_ms += LEASE_WITH_MARGIN_MS +
-		    (c->predecessor_released ? 0 : EXTEND_LIMIT_MS - SILENT_MS);
+		    (c->leases_released ? 0 : EXTEND_LIMIT_MS - SILENT_MS);
 	LOG_EVENT(s, SCHED_EVT_OWNED, "cell",
 	    "token=%" PRId64 " jobs=%u workers=%u old_leases_end_in=%" PRId64,
 	    c->token, g_hash_table_size(s->jobs), s->worker_list->len,
@@ -319,7 +320,10 @@
 
 	c->had_predecessor = c->row != NULL;
 	c->rows_before_starts = c->row == NULL || c->row->rows_before_starts;
-	c->predecessor_released = c->row != NULL && c->row->released;
+	/* Of workers that it had not seen yet, the leases may be those of an
+	 * owner before it, which did not release the cell. */
+	c->leases_released =
+	    c->row != NULL && c->row->released && c->row->workers_accounted;
 	c->epoch = c->row == NULL ? 1 : c->row->epoch + 1;
 	c->renewals = 0;
 	c->state = CELL_CLAIMING;
--- a/sched/types.h
+++ b/sched/types.h
@@ -382,7 +382,7 @@
 	bool had_predecessor; /* an earlier owner may have started runs */
 	/* Earlier owners stored a job's row before they started tasks of it. */
 	bool rows_before_starts;
-	bool predecessor_released; /* that owner released the cell */
+	bool leases_released;  /* no earlier owner extends leases any more */
 	bool forget_pending;   /* next tick discards what only an owner needs */
 	bool release_sent;     /* the last row sent releases the cell */
 	const char *successor; /* interned; NULL or "": any entry */
--- a/test/unit/takeover.c
+++ b/test/unit/takeover.c
@@ -27,6 +27,8 @@
 #define MAX_LEASE_MS 6000
 /* The longest that an owner lets a lease run, on a clock 2 % slow. */
 #define LEASE_MS 4082
+/* An owner extends leases for so long after its cell was claimed. */
+#define EXTENDS_MS 1000
 
 static uint64_t poll_id;
 static int64_t written_until_ms; /* of the worker; 0: none was written */
@@ -298,3 +300,34 @@
 	    (int)(written_until_ms - answered_ms));
 	sched_free(s);
 }
+
+/*
+ * Guards against two runs of one task: an owner that released the cell at once may
+ * have left workers unseen whose leases the owner before it still extended.
+ */
+Test(takeover, a_release_before_all_workers_are_seen)
+{
+	static const struct {
+		const char *name;
+		bool released, accounted;
+		int64_t leases_end_ms;
+	} cases[] = {
+		{ "silent", false, true, EXTENDS_MS + LEASE_MS },
+		{ "released", true, true, LEASE_MS },
+		{ "released, workers unseen", true, false,
+		    EXTENDS_MS + LEASE_MS },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = new_entry();
+		Sched__Owner o = other_owner();
+
+		o.released = cases[i].released;
+		o.workers_accounted = cases[i].accounted;
+		claim(s, &o);
+		sched_load_done(s, CLAIMED_MS);
+		cr_expect_geq(s->cell.old_leases_end_ms,
+		    CLAIMED_MS + cases[i].leases_end_ms, "%s", cases[i].name);
+		sched_free(s);
+	}
+}
