Takeover: a worker's clock is read anew in each ownership

A task could run twice: a process that takes a cell over again sent deadlines by the clocks that it had read in its earlier ownership. A worker's clock may be 2 % slow, so that after a minute a lease lasted 1.2 s longer than the 4 s that owners and their successors count with, and a worker may carry such a poll out whose answer is lost. Now what is known of leases is forgotten with the rest.

Measured: unit takeover/the_clock_of_an_earlier_ownership fails without the change (a deadline 5,200 ms ahead, 4,082 allowed).

--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -157,10 +157,8 @@
 		w->quarantined_run = NULL;
 		w->reserved_until_ms = 0;
 		crash_forget_worker(w);
-		/* Other owners may have extended leases until now. */
-		w->lease.deadline_sent_ms = s->now_ms;
-		w->lease.deadline_ms = 0;
-		cell_worker_assume_longest_lease(s, w);
+		/* A clock that was read long ago has drifted. */
+		memset(&w->lease, 0, sizeof(w->lease));
 	}
 	g_hash_table_remove_all(s->runs);
 	s->nunknown = 0;
--- a/sched/types.h
+++ b/sched/types.h
@@ -257,7 +257,7 @@
 	int64_t worker_clock_ms; /* the worker's clock at its last answer */
 	int64_t answered_ms; /* our clock at that answer; 0: clock not known */
 	int64_t deadline_ms; /* latest deadline sent; worker's clock */
-	/* When one was last sent, perhaps by another owner; our clock. */
+	/* When this owner last sent one; our clock.  0: it has sent none. */
 	int64_t deadline_sent_ms;
 	/* No lease counts as expired before then; our clock. */
 	int64_t no_expiry_before_ms;
--- a/test/unit/takeover.c
+++ b/test/unit/takeover.c
@@ -31,6 +31,7 @@
 #define EXTENDS_MS 1000
 
 static uint64_t poll_id;
+static int64_t poll_deadline_ms;
 static int64_t written_until_ms; /* of the worker; 0: none was written */
 
 static void
@@ -38,6 +39,7 @@
 {
 	(void)ctx;
 	poll_id = p->id;
+	poll_deadline_ms = p->deadline_ms;
 }
 
 static void
@@ -331,3 +333,31 @@
 		sched_free(s);
 	}
 }
+
+/*
+ * Guards against two runs of one task: a worker's clock that was read in an earlier
+ * ownership has drifted since, so that a deadline by it would be too late.
+ */
+Test(takeover, the_clock_of_an_earlier_ownership)
+{
+	sched_t *s = new_entry();
+	Sched__Owner o = other_owner();
+	/* Its clock is 2 % slow. */
+	int64_t later_ms = CLAIMED_MS + 60000, clock_ms = CLOCK_MS + 58800;
+
+	claim(s, &o);
+	list_worker(s);
+	sched_load_done(s, CLAIMED_MS);
+	sched_tick(s, CLAIMED_MS, 0);
+	answer_poll(s);
+	ownership_lost(s, "another owner's row was read");
+	claim_at(s, &o, TOKEN + 2, later_ms);
+	list_worker(s);
+	sched_load_done(s, later_ms);
+	poll_id = 0;
+	sched_tick(s, later_ms, 0);
+	cr_assert_neq(poll_id, 0);
+	cr_expect_leq(poll_deadline_ms, clock_ms + LEASE_MS, "%d ms",
+	    (int)(poll_deadline_ms - clock_ms));
+	sched_free(s);
+}
