Leases: the first answer to an owner bounds what others granted before

One bound in place of two: at the first answer of a worker's process to an owner, its lease can end at most one longest lease later, whoever granted it; the token of that poll shuts earlier owners out. This holds too for a worker that was restarted under its id before the takeover: it may have carried out a start with a deadline by the clock of its former process, which it cuts to its longest lease, while a new owner took the leases to end 5.3 s after its claim.

--- a/sched/cell_worker.c
+++ b/sched/cell_worker.c
@@ -134,17 +134,11 @@
 	return w->lease.deadline_ms;
 }
 
-/*
- * End of the longest lease that the worker can have granted for what was last
- * sent, by our clock; 0 if nothing was sent.
- */
+/* How long a worker's longest lease lasts at most, by our clock. */
 static int64_t
-longest_lease_end(const sched_t *s, const worker_t *w)
+longest_lease_ms(const sched_t *s)
 {
-	if (w->lease.deadline_sent_ms == 0)
-		return 0;
-	return w->lease.deadline_sent_ms +
-	    (int64_t)s->opts.max_lease_ms * (100 + CLOCK_DRIFT_PCT) / 100 +
+	return (int64_t)s->opts.max_lease_ms * (100 + CLOCK_DRIFT_PCT) / 100 +
 	    EXPIRY_MARGIN_MS;
 }
 
@@ -155,13 +149,12 @@
 bool
 cell_worker_lease_expired(const sched_t *s, const worker_t *w)
 {
-	/* Its answers do not tell what earlier owners granted. */
-	if (s->now_ms <=
-	    MAX(w->lease.no_expiry_before_ms, s->cell.old_leases_end_ms))
+	if (s->now_ms <= w->lease.no_expiry_before_ms)
 		return false;
 	/* Without its clock: no lease is longer than the worker accepts. */
 	if (w->lease.answered_ms == 0)
-		return s->now_ms > longest_lease_end(s, w);
+		return w->lease.deadline_sent_ms == 0 ||
+		    s->now_ms > w->lease.deadline_sent_ms + longest_lease_ms(s);
 	return cell_worker_min_clock(w, s->now_ms) >
 	    w->lease.deadline_ms + EXPIRY_MARGIN_MS;
 }
@@ -191,30 +184,27 @@
 }
 
 /*
- * When the lease last sent, and those of earlier owners, have ended for certain,
- * by our clock.  Only for a worker whose clock was known then: it was sent a
- * deadline at most LEASE_MS ahead, while longest_lease_end allows for any lease
- * that it accepts.
+ * When all leases of a worker have ended for certain, by our clock.  Only for one
+ * whose clock was known when a deadline was last sent, at most LEASE_MS ahead.
  */
 int64_t
-cell_worker_lease_end(const sched_t *s, const worker_t *w)
+cell_worker_lease_end(const worker_t *w)
 {
 	int64_t ms = w->lease.deadline_sent_ms +
 	    LEASE_MS * (100 + CLOCK_DRIFT_PCT) / 100 + EXPIRY_MARGIN_MS;
 
-	return MAX(ms, s->cell.old_leases_end_ms);
+	return MAX(ms, w->lease.no_expiry_before_ms);
 }
 
 /*
- * Lets no lease on a worker expire before the longest one has ended that it can
- * have granted.  For changes of the owner or of the worker's process, after
- * which the deadlines sent so far are not known or do not apply.
+ * Lets no lease on a worker expire before the longest one that it can have
+ * granted until now.  For the first answer of a process to an owner: what earlier
+ * owners sent is not known, or was meant for another process with another clock.
  */
 void
 cell_worker_assume_longest_lease(const sched_t *s, worker_t *w)
 {
-	w->lease.no_expiry_before_ms =
-	    MAX(w->lease.no_expiry_before_ms, longest_lease_end(s, w));
+	w->lease.no_expiry_before_ms = s->now_ms + longest_lease_ms(s);
 }
 
 /*
@@ -229,9 +219,6 @@
 	w->started_ms = started_ms;
 	w->ended_seq = w->ended_stored_seq = 0;
 	w->ended_flush = 0;
-	/* A new process has another clock and may get deadlines that were
-	 * meant for the old one: it cuts them to its longest lease. */
-	cell_worker_assume_longest_lease(s, w);
 	w->lease.answered_ms = 0;
 	w->lease.deadline_ms = 0;
 	w->has_answered = w->footprint_stored = w->ended_cut = false;
--- a/sched/flush.c
+++ b/sched/flush.c
@@ -117,7 +117,7 @@
 		return 0;
 	return w->lease_end_store_ms != 0 ?
 	    w->lease_end_store_ms :
-	    cell_worker_lease_end(s, w) + s->store_clock_offset_ms;
+	    cell_worker_lease_end(w) + s->store_clock_offset_ms;
 }
 
 /*
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -147,7 +147,7 @@
 int64_t cell_worker_min_clock(const worker_t *w, int64_t now_ms);
 int64_t cell_worker_extend_lease(sched_t *s, worker_t *w);
 bool cell_worker_lease_expired(const sched_t *s, const worker_t *w);
-int64_t cell_worker_lease_end(const sched_t *s, const worker_t *w);
+int64_t cell_worker_lease_end(const worker_t *w);
 void cell_worker_assume_longest_lease(const sched_t *s, worker_t *w);
 void cell_worker_restarted(sched_t *s, worker_t *w, int64_t started_ms);
 void cell_worker_clock_read(sched_t *s, worker_t *w, int64_t clock_ms);
--- a/sched/report.c
+++ b/sched/report.c
@@ -344,6 +344,8 @@
 		s->unseen_stale = true;
 		scan_worker_changed(s, w);
 	}
+	if (!w->has_answered)
+		cell_worker_assume_longest_lease(s, w);
 	w->has_answered = true;
 	w->silent = false;
 	crash_worker_answered(s, w);
--- a/test/unit/takeover.c
+++ b/test/unit/takeover.c
@@ -171,7 +171,7 @@
 }
 
 static void
-list_worker(sched_t *s)
+list_worker(sched_t *s, int64_t started_ms)
 {
 	sched_worker_info_t i = { .id = "w0",
 		.service = "s",
@@ -180,7 +180,7 @@
 		.rack = "r",
 		.cpu_milli = WORKER_CPU_MILLI,
 		.mem_mb = 256000,
-		.started_ms = 1 };
+		.started_ms = started_ms };
 
 	sched_worker_listed(s, &i, s->now_ms);
 }
@@ -191,7 +191,7 @@
 {
 	sched_running_t run = { .task = TASK, .run = 1, .checkpoint = "" };
 	sched_report_t r = { .clock_ms = CLOCK_MS + s->now_ms - CLAIMED_MS,
-		.started_ms = 1,
+		.started_ms = cell_worker_get(s, "w0")->started_ms,
 		.running = &run,
 		.nrunning = 1 };
 
@@ -236,11 +236,15 @@
 		const char *name;
 		bool listed_first;
 		int64_t until_ms; /* in the footprint */
+		int64_t started_ms;
+		int64_t lease_end_ms; /* from the claim */
 	} cases[] = {
-		{ "in the footprint", false, 0 },
-		{ "listed before the footprint is read", true, 0 },
-		{ "with the end of its lease stored", false,
-		    CLAIMED_MS + 3500 },
+		{ "in the footprint", false, 0, 1, LEASE_MS },
+		{ "listed before the footprint is read", true, 0, 1, LEASE_MS },
+		{ "with the end of its lease stored", false, CLAIMED_MS + 3500,
+		    1, 3500 },
+		/* It has cut a deadline that was meant for the one before. */
+		{ "another process", false, 0, 2, MAX_LEASE_MS },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -249,20 +253,17 @@
 
 		claim(s, &o);
 		if (cases[i].listed_first)
-			list_worker(s);
+			list_worker(s, 1);
 		read_footprint(s, cases[i].until_ms);
 		read_job(s);
-		list_worker(s);
+		list_worker(s, cases[i].started_ms);
 		sched_load_done(s, CLAIMED_MS);
 		sched_tick(s, CLAIMED_MS, 0);
 		answer_poll(s);
 		cr_assert_eq(
 		    g_hash_table_size(cell_worker_get(s, "w0")->runs), 1);
-		/* Until this poll the owner before could extend the lease, but
-		 * for one whose end it had stored. */
-		cr_expect_geq(miss_polls(s),
-		    cases[i].until_ms != 0 ? cases[i].until_ms :
-					     CLAIMED_MS + LEASE_MS,
+		/* Until then an earlier owner could extend the lease. */
+		cr_expect_geq(miss_polls(s), CLAIMED_MS + cases[i].lease_end_ms,
 		    "%s: %d ms", cases[i].name, (int)(s->now_ms - CLAIMED_MS));
 		sched_free(s);
 	}
@@ -281,7 +282,7 @@
 	claim(s, &o);
 	read_footprint(s, 0);
 	read_job(s);
-	list_worker(s);
+	list_worker(s, 1);
 	sched_load_done(s, CLAIMED_MS);
 	sched_tick(s, CLAIMED_MS, 0);
 	s->now_ms = answered_ms;
@@ -346,13 +347,13 @@
 	int64_t later_ms = CLAIMED_MS + 60000, clock_ms = CLOCK_MS + 58800;
 
 	claim(s, &o);
-	list_worker(s);
+	list_worker(s, 1);
 	sched_load_done(s, CLAIMED_MS);
 	sched_tick(s, CLAIMED_MS, 0);
 	answer_poll(s);
 	ownership_lost(s, "another owner's row was read");
 	claim_at(s, &o, TOKEN + 2, later_ms);
-	list_worker(s);
+	list_worker(s, 1);
 	sched_load_done(s, later_ms);
 	poll_id = 0;
 	sched_tick(s, later_ms, 0);
