Claim: says nothing yet of runs that are not known

The row of a claim took over from an earlier ownership of the same process that all workers were accounted for, so that rows_before_starts could be set where an owner of an older build had not kept to it. Found by reading, beside the new field that has the same source.

Measured: unit takeover/a_claim_after_an_earlier_ownership fails without the change.

--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -324,6 +324,7 @@
 	    c->row != NULL && c->row->released && c->row->workers_accounted;
 	c->epoch = c->row == NULL ? 1 : c->row->epoch + 1;
 	c->renewals = 0;
+	c->workers_accounted = false;
 	c->state = CELL_CLAIMING;
 	c->write_sent_ms = s->now_ms;
 	c->forget_pending = false;
--- a/test/unit/takeover.c
+++ b/test/unit/takeover.c
@@ -32,6 +32,7 @@
 
 static uint64_t poll_id;
 static int64_t poll_deadline_ms;
+static bool claimed_accounted;
 static int64_t written_until_ms; /* of the worker; 0: none was written */
 
 static void
@@ -42,12 +43,17 @@
 	poll_deadline_ms = p->deadline_ms;
 }
 
+/* Notes whether the claim says that no run of earlier owners is unknown. */
 static void
-ignore_claim(void *ctx, int64_t version, const GByteArray *owner)
+take_claim(void *ctx, int64_t version, const GByteArray *owner)
 {
+	Sched__Owner *o = sched__owner__unpack(NULL, owner->len, owner->data);
+
 	(void)ctx;
 	(void)version;
-	(void)owner;
+	cr_assert_not_null(o);
+	claimed_accounted = o->workers_accounted || o->rows_before_starts;
+	sched__owner__free_unpacked(o, NULL);
 }
 
 static void
@@ -91,7 +97,7 @@
 		.name = "e",
 		.max_lease_ms = MAX_LEASE_MS,
 		.port = { .event = ignore_event,
-		    .claim = ignore_claim,
+		    .claim = take_claim,
 		    .load = ignore_load,
 		    .write = take_write,
 		    .order = ignore_order,
@@ -362,3 +368,22 @@
 	    (int)(poll_deadline_ms - clock_ms));
 	sched_free(s);
 }
+
+/*
+ * Guards against two runs of one task: a process that has owned the cell before
+ * says nothing of unknown runs in its next claim, of which it knows nothing yet.
+ */
+Test(takeover, a_claim_after_an_earlier_ownership)
+{
+	sched_t *s = new_entry();
+	Sched__Owner o = other_owner();
+
+	claim(s, &o);
+	sched_load_done(s, CLAIMED_MS);
+	sched_tick(s, CLAIMED_MS + MAX_LEASE_MS, 0);
+	cr_assert(s->cell.workers_accounted);
+	ownership_lost(s, "another owner's row was read");
+	claim_at(s, &o, TOKEN + 2, CLAIMED_MS + 2 * MAX_LEASE_MS);
+	cr_expect_not(claimed_accounted);
+	sched_free(s);
+}
