Release: no lease is extended once a release may be stored

A task could run twice: a successor counts the leases of an owner that released the cell from its own claim. An owner whose release was stored, but whose answer was lost, went on extending leases for up to 2.2 s, also on workers that the successor could not reach to shut it out.

--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -491,7 +491,7 @@
 {
 	const cell_t *c = &s->cell;
 
-	return c->state == CELL_OWNED && !c->paused &&
+	return c->state == CELL_OWNED && !c->paused && !c->release_sent &&
 	    (c->store_outage || s->now_ms - c->confirmed_ms < EXTEND_LIMIT_MS);
 }
 
--- a/test/unit/takeover.c
+++ b/test/unit/takeover.c
@@ -387,3 +387,27 @@
 	cr_expect_not(claimed_accounted);
 	sched_free(s);
 }
+
+/*
+ * Guards against two runs of one task: once a release may be in the store, a
+ * successor counts leases from it, even if its writer gets no answer.
+ */
+Test(takeover, no_lease_is_extended_after_a_release)
+{
+	sched_t *s = new_entry();
+	Sched__Owner o = other_owner();
+
+	claim(s, &o);
+	read_footprint(s, 0);
+	list_worker(s, 1);
+	sched_load_done(s, CLAIMED_MS);
+	sched_tick(s, CLAIMED_MS, 0);
+	answer_poll(s);
+	cr_expect(ownership_may_extend_leases(s));
+	sched_write_done(s, SCHED_WRITE_OK, TOKEN + 1, CLAIMED_MS + 10);
+	sched_begin_release(s, CLAIMED_MS + 50);
+	sched_tick(s, CLAIMED_MS + 50, 0);
+	cr_assert(s->cell.release_sent);
+	cr_expect_not(ownership_may_extend_leases(s));
+	sched_free(s);
+}
