Footprint: lease ends are stored by the best known clock of the store

A task could run twice: an owner stores when the lease of a silent worker ends, by the store's clock, which it took to be behind by as long as the last answer had been on its way: up to 900 ms, while successors allow for 600. Now it goes by the answer that took the shortest way, and successors allow for 900 ms, the most that an answer may take.

Measured: unit takeover/the_writer_of_a_lease_end_has_a_slow_clock fails with the old margin, unit store_clock/a_slow_answer needs the new function.

--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -38,7 +38,9 @@
 #define START_LIMIT_MS	1150
 #define EXTEND_LIMIT_MS 2200
 
-#define STORE_CLOCK_MARGIN_MS 600 /* the store's answer may take so long */
+/* By so much an owner may take the store's clock to be behind, as answers of the
+ * store that took longer are not used. */
+#define STORE_CLOCK_MARGIN_MS 900
 #define STALE_ROW_MS	      2000 /* older numbers of waiting jobs are not passed on */
 /* LEASE_MS of cell_worker.c with clock drift and expiry margin, rounded up. */
 #define LEASE_WITH_MARGIN_MS 4300
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -313,7 +313,7 @@
  * says nothing: the process may have been delayed since it was read.
  */
 void sched_feed_read(sched_t *s, sched_feed_t feed, int64_t as_of_ms);
-/* The store's steady clock, from an answer that has just arrived. */
+/* The store's steady clock, at most 900 ms less than it is. */
 void sched_store_clock_read(sched_t *s, int64_t store_ms, int64_t now_ms);
 /*
  * A queue's settings, which also apply to its present jobs.  needs_approval:
--- a/serve/cell_driver.c
+++ b/serve/cell_driver.c
@@ -103,12 +103,13 @@
 on_owner_polled(void *ctx, store_result_t r, const store_answer_t *a)
 {
 	cell_driver_t *c = ctx;
+	int64_t now = node_now_ms(c->node);
 
 	c->polling_owner = false;
 	node_record_store_answer(c->node, r, a);
 	if (a->clock_ms != 0)
 		sched_store_clock_read(
-		    c->sched, a->clock_ms, node_now_ms(c->node));
+		    c->sched, store_clock_now(&c->node->store_clock, now), now);
 	if (r == STORE_OK)
 		deliver_owner_row(c, a);
 	node_schedule_tick(c->node);
--- a/serve/store_clock.c
+++ b/serve/store_clock.c
@@ -26,6 +26,12 @@
 	c->highest_ms = MAX(c->highest_ms, offset_ms);
 }
 
+int64_t
+store_clock_now(const store_clock_t *c, int64_t now_ms)
+{
+	return now_ms + MAX(c->highest_ms, c->former_ms);
+}
+
 int64_t
 store_clock_local(
     const store_clock_t *c, int64_t store_ms, int64_t called_ms, int64_t now_ms)
--- a/serve/store_clock.h
+++ b/serve/store_clock.h
@@ -20,6 +20,8 @@
 
 /* An answer of the store with this time has arrived. */
 void store_clock_read(store_clock_t *c, int64_t store_ms, int64_t now_ms);
+/* The store's time, rather too early than too late; after the first answer. */
+int64_t store_clock_now(const store_clock_t *c, int64_t now_ms);
 /*
  * When an answer with this time was given, by our clock: between the call and
  * its arrival, and rather too early than too late.
--- a/test/unit/store_clock.c
+++ b/test/unit/store_clock.c
@@ -65,3 +65,16 @@
 		    local_ms, now_ms - 20, "after %d s", (int)(ms / 1000));
 	}
 }
+
+/*
+ * Guards against a lease that is stored as ended before it is: an answer that was
+ * on its way for long does not set the store's clock back.
+ */
+Test(store_clock, a_slow_answer)
+{
+	store_clock_t c = { 0 };
+
+	store_clock_read(&c, 1000 + OFFSET_MS, 1002);
+	store_clock_read(&c, 2000 + OFFSET_MS, 2900);
+	cr_expect_eq(store_clock_now(&c, 3000), 2998 + OFFSET_MS);
+}
--- a/test/unit/takeover.c
+++ b/test/unit/takeover.c
@@ -411,3 +411,23 @@
 	cr_expect_not(ownership_may_extend_leases(s));
 	sched_free(s);
 }
+
+/*
+ * Guards against two runs of one task: an owner may take the store's clock to be
+ * behind by as long as an answer of the store may take, and stores lease ends by it.
+ */
+Test(takeover, the_writer_of_a_lease_end_has_a_slow_clock)
+{
+	sched_t *s = new_entry();
+	Sched__Owner o = other_owner();
+	/* An answer of the store that took longer is not used. */
+	int64_t answer_ms = 900, stored_ms = CLAIMED_MS + 3000;
+
+	claim(s, &o);
+	read_footprint(s, stored_ms);
+	list_worker(s, 1);
+	sched_load_done(s, CLAIMED_MS);
+	s->now_ms = stored_ms + answer_ms;
+	cr_expect(ownership_worker_unseen(s, cell_worker_get(s, "w0")));
+	sched_free(s);
+}
