Entries: one whose row was replaced or removed registers again

An owner goes on without the store while three quarters of the entries that it knows report an outage. A leaving process removes its row without a condition; where the store carries that out late, after the next process has registered, the row of a live entry is gone until it restarts, and others judge an outage without it. The same holds for a late registration of the former process. Now an entry that sees another row than its own writes its own again.

Measured: test/serve.sh entry_registers_again fails without the change.

--- a/serve/entries.c
+++ b/serve/entries.c
@@ -60,7 +60,8 @@
 	GHashTable *others; /* name -> peer_entry_t; without this one */
 	uv_timer_t send_timer;
 	uv_timer_t retry_timer;
-	bool outage; /* as of the last run of send_timer */
+	bool outage;  /* as of the last run of send_timer */
+	bool leaving; /* its row has been or is being removed */
 };
 
 static void
@@ -106,6 +107,21 @@
 	    MIN(stronger, CLAIM_DELAY_ENTRIES) * CLAIM_DELAY_MS);
 }
 
+static void write_row(entries_t *es);
+
+/*
+ * Registers this entry again if its row is not the one that it wrote: the store
+ * may carry out a write of its former process late.
+ */
+static void
+check_own_row(entries_t *es, const Sched__Entry *e)
+{
+	if (es->leaving ||
+	    (e != NULL && e->incarnation == es->node->incarnation))
+		return;
+	write_row(es);
+}
+
 /*
  * Adds or replaces another entry; a row that was removed or doesn't unpack
  * removes it.
@@ -117,10 +133,13 @@
 	Sched__Entry *e = NULL;
 	peer_entry_t *peer;
 
-	if (strcmp(row->key, es->node->opts.name) == 0)
-		return;
 	if (row->bytes != NULL)
 		e = sched__entry__unpack(NULL, row->nbytes, row->bytes);
+	if (strcmp(row->key, es->node->opts.name) == 0) {
+		check_own_row(es, e);
+		sched__entry__free_unpacked(e, NULL);
+		return;
+	}
 	if (e == NULL) {
 		g_hash_table_remove(es->others, row->key);
 		update_claim_delay(es);
@@ -236,12 +255,13 @@
 	es->outage = outage;
 }
 
-static void write_row(entries_t *es);
-
 static void
 on_retry(uv_timer_t *t)
 {
-	write_row(t->data);
+	entries_t *es = t->data;
+
+	if (!es->leaving)
+		write_row(es);
 }
 
 static void
@@ -361,5 +381,6 @@
 		.nputs = 1,
 		.timeout_ms = WRITE_TIMEOUT_MS };
 
+	es->leaving = true;
 	store_tx(es->node->platform, &tx, on_deregistered, es->node);
 }
--- a/test/serve.sh
+++ b/test/serve.sh
@@ -45,6 +45,16 @@
 start_serve 1
 start_serve 2
 wait_for 10 ready 1 && wait_for 10 ready 2 || bad ready "not ready"
+# A write of a former process may be carried out late: it removes the row of an
+# entry, which the others would then leave out when they look for an outage.
+entry_row() { # N
+	curl -s -m 5 "http://$STORE/-/rows-get?table=entry&part=e" |
+	    grep -q "\"s$1\""
+}
+wait_for 5 entry_row 1
+curl -s -m 5 -o /dev/null "http://$STORE/-/rows-tx" \
+    -d '{"remove":[{"table":"entry","part":"e","key":"s1"}]}'
+check entry_registers_again "$(wait_for 5 entry_row 1 && echo yes)" yes
 # No approval service: templates give an empty address then.
 start s3 "$B/tanagerspool" serve --name s3 --zone z --ip 127.0.0.53 \
     --front 127.0.0.53:8000 --ready 127.0.0.53:8001 --store $STORE --advice=
