Worker calls: orders wait for a connection, and polls have one of their own

Callers saw two runs of one task (the incident), and starts that failed without need. All calls to a worker shared 12 connections; a call that found none failed at once as not sent. A new owner orders the pace of each filler that it adopts, so that on the worker with the most runs the next poll failed 0 ms after it was made, at each takeover, and counted as missed by the worker: the first half of the incident. A start that failed so also kept its worker from further starts for a second.

Now orders wait their turn, up to their time, and one connection is kept for the poll, of which a worker has one at most.

--- a/test/unit/backend.c
+++ b/test/unit/backend.c
@@ -87,6 +87,7 @@
 	backends_t *backends;
 	int accepted;	      /* connections that the server has accepted */
 	int ended;	      /* calls */
+	int outcomes[3];      /* calls by how they ended */
 	ts_outcome_t outcome; /* of the last call, as is body */
 	char *body;
 } fixture_t;
@@ -169,6 +170,7 @@
 	(void)attempt;
 	f->ended++;
 	f->outcome = a->outcome;
+	f->outcomes[a->outcome]++;
 	g_free(f->body);
 	f->body =
 	    a->body == NULL ? NULL : g_strndup((char *)a->body, a->body_bytes);
@@ -239,3 +241,78 @@
 	cr_expect_eq(f.outcome, TS_OUTCOME_NOT_RUN);
 	cr_expect_eq(f.ended, 1);
 }
+
+/*
+ * Guards against orders that fail, and workers that count as silent, because of
+ * other calls to the same server: a call may wait for a connection.
+ */
+Test(backend, more_calls_than_connections)
+{
+	static const struct {
+		const char *name;
+		int server_case; /* in cases */
+		bool waits;
+		int answered, not_run, unknown, conns;
+	} list[] = {
+		{ "at once", 0, false, 2, 3, 0, 2 },
+		{ "in turn", 0, true, 5, 0, 0, 2 },
+		{ "in turn, each on its connection", 5, true, 5, 0, 0, 5 },
+		{ "no answer", 13, true, 0, 3, 2, 2 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(list); i++) {
+		fixture_t f = { .server_case = &cases[list[i].server_case] };
+		backend_call_t call = { .ip = "127.0.0.1",
+			.port = PORT + 3,
+			.max_conns = 2,
+			.method = "GET",
+			.path = "/",
+			.headers = "",
+			.timeout_ms = TIMEOUT_MS,
+			.waits = list[i].waits };
+
+		fixture_init(&f, PORT + 3);
+		for (uint64_t k = 1; k <= 5; k++)
+			backends_send(f.backends, k, 1, &call);
+		while (f.ended < 5)
+			uv_run(&f.loop, UV_RUN_ONCE);
+		uv_run(&f.loop, UV_RUN_NOWAIT);
+		cr_expect_eq(f.outcomes[TS_OUTCOME_ANSWERED], list[i].answered,
+		    "%s", list[i].name);
+		cr_expect_eq(f.outcomes[TS_OUTCOME_NOT_RUN], list[i].not_run,
+		    "%s", list[i].name);
+		cr_expect_eq(f.outcomes[TS_OUTCOME_UNKNOWN], list[i].unknown,
+		    "%s", list[i].name);
+		cr_expect_eq(f.ended, 5, "%s", list[i].name);
+		cr_expect_eq(f.accepted, list[i].conns, "%s: %d connections",
+		    list[i].name, f.accepted);
+		backends_close_idle(f.backends);
+		uv_close((uv_handle_t *)&f.listener, NULL);
+		uv_run(&f.loop, UV_RUN_NOWAIT);
+	}
+}
+
+/* Calls with a higher limit do not wait behind those with a lower one. */
+Test(backend, a_connection_in_reserve)
+{
+	fixture_t f = { .server_case = &cases[0] };
+	backend_call_t call = { .ip = "127.0.0.1",
+		.port = PORT + 4,
+		.max_conns = 2,
+		.method = "GET",
+		.path = "/",
+		.headers = "",
+		.timeout_ms = TIMEOUT_MS,
+		.waits = true };
+
+	fixture_init(&f, PORT + 4);
+	for (uint64_t k = 1; k <= 4; k++)
+		backends_send(f.backends, k, 1, &call);
+	call.max_conns = 3;
+	call.waits = false;
+	backends_send(f.backends, 5, 1, &call);
+	while (f.ended < 5)
+		uv_run(&f.loop, UV_RUN_ONCE);
+	cr_expect_eq(f.outcomes[TS_OUTCOME_ANSWERED], 5);
+	cr_expect_eq(f.accepted, 3);
+}
--- a/trans/backend.c
+++ b/trans/backend.c
@@ -29,6 +29,8 @@
 	char *address; /* "ip:port" */
 	GQueue idle;   /* of conn_t, most recently used first */
 	int32_t conns; /* open connections, idle ones included */
+	/* Of conn_t without a connection: calls that wait for one, in turn. */
+	GQueue waiting;
 } backend_t;
 
 /* A connection to a backend server, and the call in progress on it. */
@@ -48,14 +50,17 @@
 	bool connected;
 	bool writing; /* the request is not completely written */
 	bool in_call;
-	bool keep_alive; /* the server lets the connection be reused */
-	bool complete;	 /* the whole answer has been received */
+	bool waiting;	   /* it is in backend->waiting */
+	int32_t max_conns; /* of the call in progress */
+	bool keep_alive;   /* the server lets the connection be reused */
+	bool complete;	   /* the whole answer has been received */
 	bool closing;
 	int open_handles; /* that still have to close before conn is freed */
 	uint64_t req;	  /* of the call in progress */
 	int32_t attempt;  /* of the call in progress */
-	uint64_t due_ms;  /* by the loop's clock: the call's time is over */
-	bool overdue;	  /* one more read has been waited for since */
+	struct sockaddr_in to;
+	uint64_t due_ms; /* by the loop's clock: the call's time is over */
+	bool overdue;	 /* one more read has been waited for since */
 } conn_t;
 
 struct backends {
@@ -93,13 +98,18 @@
 	if (conn->closing)
 		return;
 	conn->closing = true;
-	conn->backend->conns--;
+	if (conn->waiting)
+		g_queue_remove(&conn->backend->waiting, conn);
+	else
+		conn->backend->conns--;
 	g_queue_remove(&conn->backend->idle, conn);
 	conn->open_handles = 2;
 	uv_close((uv_handle_t *)&conn->tcp, on_handle_closed);
 	uv_close((uv_handle_t *)&conn->timer, on_handle_closed);
 }
 
+static void start_waiting_calls(backend_t *backend);
+
 /*
  * Ends the call in progress, if any, and reports its outcome.  The connection
  * is reused only if both the request and the answer were transferred
@@ -127,6 +137,7 @@
 	else
 		conn_close(conn);
 	b->fn(b->ctx, conn->req, conn->attempt, &a);
+	start_waiting_calls(conn->backend);
 }
 
 static int
@@ -320,7 +331,6 @@
 	uv_tcp_init(b->loop, &conn->tcp);
 	uv_timer_init(b->loop, &conn->timer);
 	conn->tcp.data = conn->timer.data = conn;
-	backend->conns++;
 	return conn;
 }
 
@@ -330,6 +340,18 @@
 	g_byte_array_append(b, (const uint8_t *)s, (guint)strlen(s));
 }
 
+/* Prepares for the answer to the next call. */
+static void
+reset_answer(conn_t *conn)
+{
+	g_byte_array_set_size(conn->answer_body, 0);
+	g_string_truncate(conn->answer_headers, 0);
+	http_parser_init(&conn->parser, HTTP_RESPONSE);
+	conn->parser.data = conn;
+	conn->in_header_value = conn->complete = conn->keep_alive = false;
+	conn->overdue = false;
+}
+
 /* Resets the connection's state for a call and formats the request. */
 static void
 prepare_call(conn_t *conn, const backend_call_t *c)
@@ -340,39 +362,20 @@
 	    c->method, c->path, c->ip, c->port, c->body_bytes, c->timeout_ms);
 
 	g_byte_array_set_size(conn->request, 0);
-	g_byte_array_set_size(conn->answer_body, 0);
-	g_string_truncate(conn->answer_headers, 0);
+	reset_answer(conn);
 	append_text(conn->request, head);
 	append_text(conn->request, c->headers);
 	append_text(conn->request, "\r\n");
 	if (c->body_bytes > 0)
 		g_byte_array_append(
 		    conn->request, c->body, (guint)c->body_bytes);
-	http_parser_init(&conn->parser, HTTP_RESPONSE);
-	conn->parser.data = conn;
-	conn->in_header_value = conn->complete = conn->keep_alive = false;
 	conn->is_head = strcmp(c->method, "HEAD") == 0;
 	conn->due_ms =
 	    uv_now(conn->backends->loop) + (uint64_t)MAX(0, c->timeout_ms);
-	conn->overdue = false;
+	conn->max_conns = c->max_conns;
 	conn->in_call = true;
 }
 
-static backend_t *
-backend_find_or_add(backends_t *b, const char *ip, int32_t port)
-{
-	g_autofree char *address = g_strdup_printf("%s:%d", ip, port);
-	backend_t *backend = g_hash_table_lookup(b->by_address, address);
-
-	if (backend == NULL) {
-		backend = g_new0(backend_t, 1);
-		backend->address = g_steal_pointer(&address);
-		g_queue_init(&backend->idle);
-		g_hash_table_insert(b->by_address, backend->address, backend);
-	}
-	return backend;
-}
-
 static void
 report_failed_calls(uv_timer_t *timer)
 {
@@ -398,6 +401,89 @@
 	uv_timer_start(&b->failed_timer, report_failed_calls, 0, 0);
 }
 
+/* Number of connections to a server that have a call in progress. */
+static int32_t
+busy_conns(const backend_t *backend)
+{
+	return backend->conns -
+	    (int32_t)g_queue_get_length((GQueue *)&backend->idle);
+}
+
+/* Connects for a call; false: that failed at once, and nobody was told. */
+static bool
+connect_for_call(conn_t *conn)
+{
+	uint64_t now = uv_now(conn->backends->loop);
+
+	conn->backend->conns++;
+	conn->connect.data = conn;
+	uv_timer_start(&conn->timer, on_timeout,
+	    MIN(conn->due_ms - MIN(conn->due_ms, now), CONNECT_TIMEOUT_MS), 0);
+	if (uv_tcp_connect(&conn->connect, &conn->tcp,
+		(const struct sockaddr *)&conn->to, on_connected) == 0)
+		return true;
+	conn->in_call = false;
+	conn_close(conn);
+	return false;
+}
+
+/* Gives a call that has waited to an idle connection. */
+static void
+move_call(conn_t *from, conn_t *to)
+{
+	GByteArray *request = to->request;
+
+	to->request = from->request;
+	from->request = request;
+	to->req = from->req;
+	to->attempt = from->attempt;
+	to->due_ms = from->due_ms;
+	to->max_conns = from->max_conns;
+	to->is_head = from->is_head;
+	reset_answer(to);
+	to->in_call = true;
+	from->in_call = false;
+	conn_close(from);
+	send_request(to);
+}
+
+/* Starts the calls that wait, as far as connections are free. */
+static void
+start_waiting_calls(backend_t *backend)
+{
+	conn_t *conn;
+
+	while ((conn = g_queue_peek_head(&backend->waiting)) != NULL &&
+	    busy_conns(backend) < conn->max_conns) {
+		conn_t *idle = g_queue_pop_head(&backend->idle);
+
+		if (idle != NULL) {
+			move_call(conn, idle);
+			continue;
+		}
+		g_queue_pop_head(&backend->waiting);
+		conn->waiting = false;
+		if (!connect_for_call(conn))
+			fail_call_later(
+			    conn->backends, conn->req, conn->attempt);
+	}
+}
+
+static backend_t *
+backend_find_or_add(backends_t *b, const char *ip, int32_t port)
+{
+	g_autofree char *address = g_strdup_printf("%s:%d", ip, port);
+	backend_t *backend = g_hash_table_lookup(b->by_address, address);
+
+	if (backend == NULL) {
+		backend = g_new0(backend_t, 1);
+		backend->address = g_steal_pointer(&address);
+		g_queue_init(&backend->idle);
+		g_hash_table_insert(b->by_address, backend->address, backend);
+	}
+	return backend;
+}
+
 backends_t *
 backends_new(uv_loop_t *loop, backend_fn fn, void *ctx)
 {
@@ -413,13 +499,25 @@
 	return b;
 }
 
+/* Lets a call wait for a connection, at most for its time. */
+static void
+wait_for_conn(conn_t *conn)
+{
+	conn->waiting = true;
+	g_queue_push_tail(&conn->backend->waiting, conn);
+	uv_timer_start(&conn->timer, on_timeout,
+	    conn->due_ms - MIN(conn->due_ms, uv_now(conn->backends->loop)), 0);
+}
+
 void
 backends_send(
     backends_t *b, uint64_t req, int32_t attempt, const backend_call_t *c)
 {
 	backend_t *backend = backend_find_or_add(b, c->ip, c->port);
-	conn_t *conn = g_queue_pop_head(&backend->idle);
-	struct sockaddr_in a;
+	bool wait = c->waits && !g_queue_is_empty(&backend->waiting);
+	bool busy = wait || busy_conns(backend) >= c->max_conns;
+	conn_t *conn = busy ? NULL : g_queue_pop_head(&backend->idle);
+	struct sockaddr_in to;
 
 	if (conn != NULL) {
 		conn->req = req;
@@ -428,24 +526,19 @@
 		send_request(conn);
 		return;
 	}
-	if (backend->conns >= c->max_conns ||
-	    uv_ip4_addr(c->ip, c->port, &a) != 0) {
+	if ((busy && !c->waits) || uv_ip4_addr(c->ip, c->port, &to) != 0) {
 		fail_call_later(b, req, attempt);
 		return;
 	}
 	conn = conn_new(b, backend);
 	conn->req = req;
 	conn->attempt = attempt;
+	conn->to = to;
 	prepare_call(conn, c);
-	conn->connect.data = conn;
-	uv_timer_start(&conn->timer, on_timeout,
-	    (uint64_t)MIN(c->timeout_ms, CONNECT_TIMEOUT_MS), 0);
-	if (uv_tcp_connect(&conn->connect, &conn->tcp, (struct sockaddr *)&a,
-		on_connected) != 0) {
-		conn->in_call = false;
-		conn_close(conn);
+	if (busy)
+		wait_for_conn(conn);
+	else if (!connect_for_call(conn))
 		fail_call_later(b, req, attempt);
-	}
 }
 
 void
--- a/trans/trans.h
+++ b/trans/trans.h
@@ -101,13 +101,16 @@
 typedef struct {
 	const char *ip;
 	int32_t port;
-	int32_t max_conns; /* to this server, idle ones included */
+	/* To this server; the call has none while so many are in use. */
+	int32_t max_conns;
 	const char *method;
 	const char *path;
 	const char *headers; /* lines that end in CR LF */
 	const void *body;
 	size_t body_bytes;
 	int32_t timeout_ms; /* also sent to the server, as X-Deadline-Ms */
+	/* In turn for a connection, up to timeout_ms; else it fails at once. */
+	bool waits;
 } backend_call_t;
 typedef struct {
 	ts_outcome_t outcome;
@@ -123,8 +126,8 @@
 
 backends_t *backends_new(uv_loop_t *loop, backend_fn fn, void *ctx);
 /*
- * Starts a call; fn is called exactly once when the call has ended.  If all
- * max_conns connections are in use, the outcome is TS_OUTCOME_NOT_RUN.
+ * Starts a call; fn is called exactly once when the call has ended.  If it got no
+ * connection, the outcome is TS_OUTCOME_NOT_RUN.
  */
 void backends_send(
     backends_t *b, uint64_t req, int32_t attempt, const backend_call_t *call);
