Failing tests: odd entries among those of the workers

Here no process ends, but one entry can stop the whole cell, and others are used as workers: - an address of 65 KB goes into the owner's row of workers in use, which the store then refuses as too long, with each write of each owner: no job ends any more, and the cell changes its owner every second or two; - a start time far ahead (born) makes all later answers of that worker those of an earlier process: that owner never uses it again; - a port beyond 65535, negative or with text behind it is cut to another port, where runs are started; - an odd entry that replaces a good one leaves the worker in use; - the same odd entry is logged at each write. Deep nesting and numbers beyond what the library holds are refused, on a stack of 256 KB too (unit odd_entries, nesting and bytes pass).

The stand-in of the store now refuses values longer than row_bytes, as the store does.

--- a/Makefile
+++ b/Makefile
@@ -85,6 +85,7 @@
 process: all
 	sh test/process.sh $(B)
 	sh test/red.sh sh test/serve.sh $(B)
+	sh test/red.sh sh test/odd_entries.sh $(B)
 soak: $(B)/soak $(B)/standin-users $(B)/tanagerspool
 	sh test/soak.sh $(B) $(SEED)
 mutants: $(B)/check $(B)/cells
--- a/test/standin/users.c
+++ b/test/standin/users.c
@@ -33,6 +33,7 @@
 #define TASK_MS		 300
 #define TICK_MS		 20
 #define BODY_MAX_BYTES	 (1024 * 1024)
+#define ROW_BYTES	 65536 /* of a row's value, as decoded */
 #define FEED_ROWS	 2 /* in an answer of the change feed, if there are more */
 #define TASK_CPU_MILLI	 500
 #define TICKET_VALID_MS	 3000
@@ -149,6 +150,21 @@
 	return s == NULL ? "" : s;
 }
 
+/* Whether a transaction puts a value that is longer than a row may be. */
+static bool
+has_long_row(const json_t *tx)
+{
+	const json_t *e;
+	size_t i;
+
+	json_array_foreach(json_object_get(tx, "puts"), i, e)
+	{
+		if (strlen(text_field(e, "value")) > ROW_BYTES / 3 * 4 + 4)
+			return true;
+	}
+	return false;
+}
+
 static void
 store_tx(server_req_t *r)
 {
@@ -177,6 +193,11 @@
 		return;
 	}
 	json_decref(conflicts);
+	if (has_long_row(j)) {
+		server_reply(r, 400, "", "", 0);
+		json_decref(j);
+		return;
+	}
 	standin.version++;
 	json_array_foreach(json_object_get(j, "puts"), i, e)
 	{
