Fuzz odd entries of workers, from the store's answer to the polls

The fuzz target damaged bytes of one entry and read two of its fields. It now also serves lists of entries of which up to three fields are odd (nested, long, out of range, of another type, missing, an address cut to this one), hands them to a scheduler as the daemon does, and lets that poll the workers that it was told of. It fails if the scheduler is told of a worker that isn't usable.

--- a/test/main/fuzz_platform.c
+++ b/test/main/fuzz_platform.c
@@ -1,9 +1,10 @@
 /*
  * Fuzzes what the adapter decodes: rows of operators and workers, bodies of
  * jobs, and the answers of the store, of workers and of the approval service,
- * which come over HTTP from a server here that damages them.  Run under the
- * sanitizers: a crash, a leak, a call that ends twice or never, or a customer
- * with settings that the scheduler can't use fails.
+ * which come over HTTP from a server here that damages them.  The store's answers
+ * are also lists of workers with odd entries, for a scheduler that polls them.
+ * Run under the sanitizers: a crash, a leak, a call that ends twice or never, or
+ * a customer or worker with settings that the scheduler can't use fails.
  * usage: fuzz_platform SEED COUNT
  */
 #include <inttypes.h>
@@ -21,11 +22,15 @@
 #include "../../sched/sched.h"
 #include "../../platform/platform.h"
 #include "../fake/damage.h"
+#include "../fake/odd_entry.h"
 
 #define IN_FLIGHT    2 /* calls at a time; connections to an address are few */
 #define TIMEOUT_MS   200
 #define REQUEST_MAX  4096
-#define DECODE_TIMES 20 /* of each decoder, for each call */
+#define DECODE_TIMES 20	 /* of each decoder, for each call */
+#define ENTRIES_MAX  5	 /* of workers, in an answer of the store */
+#define KEY_BYTES    200 /* of a row's key, and of texts in an entry */
+#define STEP_MS	     50	 /* of the scheduler's time, for each turn */
 
 static const char config_seed[] =
     "{\"version\":3,\"routes\":[{\"name\":\"q\",\"host\":\"h\","
@@ -71,6 +76,16 @@
 	int failed;	  /* calls that ended twice, and bad customers */
 	uint64_t touched; /* sum of all that was decoded, so that it is read */
 	uv_idle_t idle;
+	/*
+	 * A scheduler that owns its cell, whose list of workers is that of the
+	 * store's answers.
+	 */
+	sched_t *sched;
+	char *address; /* of the server, the only one that an entry may name */
+	int64_t now_ms, version;
+	bool claiming, loading, writing;
+	uint32_t listed, refused; /* entries of workers */
+	uint32_t polls, open_polls;
 } fuzz_t;
 
 /* A connection to the server. */
@@ -235,6 +250,36 @@
 	return order_seed;
 }
 
+/* Rows of the table of workers; free it. */
+static char *
+entries_body(fuzz_t *f)
+{
+	json_t *rows = json_array(), *j;
+	char *text;
+
+	for (int32_t i = g_rand_int_range(f->rnd, 1, ENTRIES_MAX + 1); i > 0;
+	     i--) {
+		g_autofree char *key = odd_entry_key(f->rnd);
+		g_autofree char *value = odd_entry_text(f->rnd, f->address);
+		g_autofree char *b64 =
+		    g_base64_encode((const guchar *)value, strlen(value));
+		json_t *row = json_pack("{s:s,s:I,s:s}", "key", key,
+		    "schema_version", (json_int_t)i, "value", b64);
+
+		if (chance(f, 5))
+			json_object_set_new(row, "removed", json_true());
+		else if (chance(f, 3))
+			json_object_set_new(row, "value", json_integer(7));
+		json_array_append_new(rows, row);
+	}
+	j = json_pack("{s:o,s:b,s:I,s:I}", "rows", rows, "has_more",
+	    chance(f, 20), "schema_version", (json_int_t)9, "now_ms",
+	    (json_int_t)123456);
+	text = json_dumps(j, JSON_COMPACT);
+	json_decref(j);
+	return text;
+}
+
 /* Answers a request; damages the body, or all of the answer. */
 static void
 send_answer(conn_t *c)
@@ -247,11 +292,14 @@
 	answer_t *a = g_new0(answer_t, 1);
 	g_autoptr(GByteArray) body = g_byte_array_new();
 	g_autofree char *head = NULL;
-	const char *seed = body_for(c->request);
+	bool entries = strstr(c->request, "/-/rows") != NULL && chance(f, 60);
+	char *made = entries ? entries_body(f) : NULL;
+	const char *seed = entries ? made : body_for(c->request);
 	uv_buf_t buf;
 
 	g_byte_array_append(body, (const uint8_t *)seed, (guint)strlen(seed));
-	if (chance(f, 60))
+	free(made);
+	if (!entries && chance(f, 60))
 		damage_bytes(f->rnd, body);
 	head = g_strdup_printf(
 	    "HTTP/1.1 %d X\r\nContent-Length: %u\r\n\r\n", status, body->len);
@@ -341,6 +389,56 @@
 	f->ended++;
 }
 
+static bool
+is_short_text(const char *s)
+{
+	size_t n = strlen(s);
+
+	for (size_t i = 0; i < n; i++)
+		if (!g_ascii_isgraph(s[i]))
+			return false;
+	return n > 0 && n <= KEY_BYTES;
+}
+
+/* Whether the scheduler may be told of a worker. */
+static bool
+is_usable(const fuzz_t *f, const sched_worker_info_t *i)
+{
+	for (const char *const *l = i->labels; *l != NULL; l++)
+		if (!is_short_text(*l))
+			return false;
+	return strcmp(i->address, f->address) == 0 && is_short_text(i->id) &&
+	    is_short_text(i->service) && is_short_text(i->zone) &&
+	    i->cpu_milli >= 0 && i->cpu_milli <= SCHED_AMOUNT_MAX &&
+	    i->mem_mb >= 0 && i->mem_mb <= SCHED_AMOUNT_MAX && i->gpu >= 0 &&
+	    i->gpu <= SCHED_AMOUNT_MAX && i->started_ms > 0 &&
+	    i->started_ms < SCHED_NUMBER_MAX;
+}
+
+/* Takes the row of a worker, as the daemon does. */
+static void
+take_entry(fuzz_t *f, const store_row_t *row)
+{
+	g_autoptr(GError) err = NULL;
+	platform_worker_t w;
+
+	if (row->bytes == NULL ||
+	    !platform_worker_parse(
+		row->key, row->bytes, row->nbytes, &w, &err)) {
+		f->refused += row->bytes != NULL;
+		sched_worker_left(f->sched, row->key, f->now_ms);
+		return;
+	}
+	f->listed++;
+	if (!is_usable(f, &w.info)) {
+		f->failed++;
+		fprintf(stderr, "entry %.40s names %.40s\n", row->key,
+		    w.info.address);
+	}
+	sched_worker_listed(f->sched, &w.info, f->now_ms);
+	platform_worker_clear(&w);
+}
+
 static void
 on_rows(void *ctx, store_result_t r, const store_answer_t *a)
 {
@@ -349,6 +447,8 @@
 	for (size_t i = 0; i < a->nrows; i++) {
 		touch_text(c->fuzz, a->rows[i].key);
 		touch(c->fuzz, a->rows[i].bytes, a->rows[i].nbytes);
+		if (r == STORE_OK)
+			take_entry(c->fuzz, &a->rows[i]);
 	}
 	c->fuzz->ok += r == STORE_OK;
 	end_call(c->fuzz, c->number);
@@ -449,11 +549,126 @@
 	platform_request_approval(f->platform, &a, on_tickets, f);
 }
 
+/*
+ * The scheduler: the store takes all of its writes, and it polls the workers of
+ * its list at the server.
+ */
+static void
+do_claim(void *ctx, int64_t version, const GByteArray *owner)
+{
+	fuzz_t *f = ctx;
+
+	(void)version;
+	(void)owner;
+	f->claiming = true;
+}
+
+static void
+do_load(void *ctx)
+{
+	fuzz_t *f = ctx;
+
+	f->loading = true;
+}
+
+static void
+do_write(void *ctx, int64_t version, const GArray *puts)
+{
+	fuzz_t *f = ctx;
+
+	(void)version;
+	(void)puts;
+	f->writing = true;
+}
+
+static void
+do_order(void *ctx, const sched_order_t *o)
+{
+	fuzz_t *f = ctx;
+
+	(void)o;
+	f->failed++; /* there is no job */
+}
+
+static void
+on_polled(void *ctx, uint64_t id, const char *worker, sched_order_result_t r,
+    const sched_report_t *report)
+{
+	fuzz_t *f = ctx;
+
+	f->open_polls--;
+	sched_poll_done(f->sched, id, worker, r, report, f->now_ms);
+}
+
+static void
+do_poll(void *ctx, const sched_poll_t *poll)
+{
+	fuzz_t *f = ctx;
+
+	f->polls++;
+	f->open_polls++;
+	platform_poll_worker(f->platform, poll, on_polled, f);
+}
+
+static void
+do_event(void *ctx, sched_evt_t number, const char *subject, char *fields)
+{
+	fuzz_t *f = ctx;
+
+	(void)number;
+	touch_text(f, subject);
+	g_free(fields);
+}
+
+static void
+turn_sched(fuzz_t *f)
+{
+	f->now_ms += STEP_MS;
+	if (f->claiming) {
+		f->claiming = false;
+		sched_claim_done(
+		    f->sched, SCHED_WRITE_OK, ++f->version, f->now_ms);
+	} else if (f->loading) {
+		f->loading = false;
+		sched_worker_list_read(f->sched, f->now_ms);
+		sched_load_done(f->sched, f->now_ms);
+	} else if (f->writing) {
+		f->writing = false;
+		sched_write_done(
+		    f->sched, SCHED_WRITE_OK, ++f->version, f->now_ms);
+	} else if (!sched_is_owner(f->sched)) {
+		sched_row_t none = { .key = SCHED_KEY_OWNER };
+
+		sched_owner_row_read(f->sched, &none, f->now_ms);
+	}
+	if (f->open_polls < IN_FLIGHT)
+		sched_tick(f->sched, f->now_ms, f->now_ms);
+}
+
+static void
+start_sched(fuzz_t *f)
+{
+	sched_opts_t o = { .feed_limit_ms = 2000,
+		.name = "e",
+		.max_lease_ms = 6000,
+		.port = { .claim = do_claim,
+		    .load = do_load,
+		    .write = do_write,
+		    .order = do_order,
+		    .poll = do_poll,
+		    .event = do_event },
+		.ctx = f };
+
+	f->now_ms = 1000;
+	f->sched = sched_new(&o);
+}
+
 static void
 on_idle(uv_idle_t *h)
 {
 	fuzz_t *f = h->data;
 
+	turn_sched(f);
 	while (f->begun < f->ncalls && f->begun - f->ended < IN_FLIGHT) {
 		uint32_t number = f->begun++;
 
@@ -471,7 +686,7 @@
 			call_approval(f, number);
 		}
 	}
-	if (f->ended >= f->ncalls)
+	if (f->ended >= f->ncalls && f->open_polls == 0)
 		uv_stop(&f->loop);
 }
 
@@ -491,7 +706,6 @@
 	struct sockaddr_in a;
 	struct sockaddr_storage bound;
 	int n = sizeof(bound);
-	g_autofree char *address = NULL;
 	platform_opts_t o = {
 		.loop = &f->loop, .on_bad_input = on_bad_input, .ctx = f
 	};
@@ -508,9 +722,10 @@
 		exit(2);
 	}
 	f->port = g_ntohs(((struct sockaddr_in *)&bound)->sin_port);
-	address = g_strdup_printf("127.0.0.1:%d", f->port);
-	o.store_addr = o.approval_addr = address;
+	f->address = g_strdup_printf("127.0.0.1:%d", f->port);
+	o.store_addr = o.approval_addr = f->address;
 	f->platform = platform_new(&o);
+	start_sched(f);
 	uv_idle_init(&f->loop, &f->idle);
 	f->idle.data = f;
 	uv_idle_start(&f->idle, on_idle);
@@ -529,9 +744,11 @@
 	uv_run(&f.loop, UV_RUN_DEFAULT);
 	g_rand_free(f.rnd);
 	g_free(f.answered);
+	sched_free(f.sched);
 	printf("fuzz_platform: seed %u, %u calls, %u answered, %u malformed, "
-	       "%d failed\n",
-	    seed, f.ended, f.ok, f.bad, f.failed);
+	       "%u entries listed, %u refused, %u polls, %d failed\n",
+	    seed, f.ended, f.ok, f.bad, f.listed, f.refused, f.polls, f.failed);
 	/* Without answers, or without bad ones, little was decoded. */
-	return f.failed != 0 || f.ok == 0 || f.bad == 0;
+	return f.failed != 0 || f.ok == 0 || f.bad == 0 || f.listed == 0 ||
+	    f.refused == 0 || f.polls == 0;
 }
