Addresses are checked once, where they come in

One entry of another writer with an address of 65 KB stopped the cell: the owner's row of workers in use became longer than the store takes, so that each write of each owner was refused; callers saw jobs pending for ever. And an address with a port beyond 65535, below 0 or with text behind it was used at another port, cut to 16 bits or at the first letter, and runs were started there.

Cause: an entry's address counted as good with any colon in it, and its port was read again, by atoi and without a range, in each call. Class of fault: input is used as text where it was never checked as what it means.

Now trans/addr.c parses ip:port into a type (IPv4, port 1 to 65535, decimal digits only); the adapter refuses other entries, and calls take the type. The addresses of the store and the approval service are parsed once, those to listen at by the same function. The scheduler still keeps a worker's address as the text that was checked, since it stands so in the rows of earlier owners; what these hold is checked before a call.

--- a/serve/node.c
+++ b/serve/node.c
@@ -275,16 +275,22 @@
 static server_t *
 listen_on(node_t *n, const char *addr, void (*fn)(void *, server_req_t *))
 {
-	g_auto(GStrv) ip_port = g_strsplit(addr, ":", 2);
 	g_autoptr(GError) err = NULL;
 	server_opts_t o = { .loop = n->loop,
-		.ip = ip_port[0],
-		.port = ip_port[1] == NULL ? 0 : atoi(ip_port[1]),
 		.body_max_bytes = BODY_MAX_BYTES,
 		.on_request = fn,
 		.ctx = n };
-	server_t *s = server_new(&o, &err);
+	net_addr_t at;
+	server_t *s;
 
+	if (!net_addr_parse(addr, &at)) {
+		fprintf(stderr,
+		    "tanagerspool: cannot listen at %s: not ip:port\n", addr);
+		return NULL;
+	}
+	o.ip = at.ip;
+	o.port = at.port;
+	s = server_new(&o, &err);
 	if (s == NULL)
 		fprintf(stderr, "tanagerspool: %s\n", err->message);
 	return s;
--- a/trans/trans.h
+++ b/trans/trans.h
@@ -28,6 +28,22 @@
 ts_clock_t clock_system(void);
 int64_t clock_now(const ts_clock_t *clock);
 
+/*
+ * Addresses.  Text is checked once, where it comes in.
+ */
+#define NET_PORT_MIN 1
+#define NET_PORT_MAX 65535
+
+typedef struct {
+	char ip[INET_ADDRSTRLEN]; /* dotted decimal; "" if there is none */
+	int32_t port;
+} net_addr_t;
+
+/* False, and a without an address, if ip is not IPv4 or port out of range. */
+bool net_addr_set(net_addr_t *a, const char *ip, int64_t port);
+/* The same for "ip:port", with decimal digits only after the colon. */
+bool net_addr_parse(const char *text, net_addr_t *a);
+
 /*
  * HTTP server.
  */
