An entry names a worker only if all of its fields are sound

A start time far ahead (born) in the place of a good entry: the worker was never used again by that owner, as all of its later answers seemed to be of an earlier process. An id with a line break went into the header that names the worker of a call: the rest became a header of its own, and another worker took the runs. An id with a space reads back from the row of workers in use as another id. Without a zone, or with one of another type, a worker was not evacuated with its zone. Amounts out of range were cut and used.

Cause: fields of another type or out of range counted as 0, "" or the nearest bound. Class of fault: what can't be read is replaced by a default that is then believed.

--- a/test/fake/http_workers.c
+++ b/test/fake/http_workers.c
@@ -428,8 +428,10 @@
 {
 	return g_strdup_printf(
 	    "{\"service\":\"s\",\"address\":\"%s:%d\",\"zone\":\"z\","
-	    "\"state\":\"ready\",\"capacity\":{\"cpu\":%d,\"mem_mb\":%d,"
-	    "\"gpu\":0},\"labels\":[\"a\",\"r1-1\"],\"born\":%" PRId64 "}",
+	    "\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","
+	    "\"cold_remaining_ms\":0,\"capacity\":{\"cpu\":%d,"
+	    "\"mem_mb\":%d,\"gpu\":0},\"labels\":[\"a\",\"r1-1\"],"
+	    "\"born\":%" PRId64 ",\"sequence\":1}",
 	    c->opts.ip, c->opts.advertised_port + worker, CPU_MILLI, MEM_MB,
 	    c->workers[worker].started_ms);
 }
--- a/test/odd_entries.sh
+++ b/test/odd_entries.sh
@@ -113,7 +113,7 @@
 submit 1 00000000000000a5
 wait_for 5 grep -q "^start 00000000000000a5" "$T/store.out"
 put_text i-2 '{"state":"odd"}'
-wait_for 5 is_logged 'key=i-2 '
+wait_for 5 is_logged 'key=i-2 why'
 sleep 0.3
 before=$(starts store 1)
 wait_for 10 is_state 1 00000000000000a5 completed
@@ -121,12 +121,12 @@
 check replaced_not_used "$(($(starts store 1) - before))" 0
 check replaced_none_lost \
     "$(grep -c '^\(lapsed\|stopped\|lost\)' "$T/store.out")" 0
-check replaced_logged "$(logged 'key=i-2 ')" 1
+check replaced_logged "$(logged 'key=i-2 why')" 1
 # The same again is not logged again.
 for i in 1 2 3 4; do put_text i-2 '{"state":"odd"}'; sleep 0.2; done
 put_text i-2 '{"state":"odder"}'
 sleep 0.5
-check logged_if_changed "$(logged 'key=i-2 ')" 2
+check logged_if_changed "$(logged 'key=i-2 why')" 2
 put_entry i-2 127.0.0.1:8422
 submit 1 00000000000000a7
 wait_for 5 new_starts store 1 "$before"
--- a/test/unit/platform.c
+++ b/test/unit/platform.c
@@ -105,12 +105,14 @@
 		bool ok;
 	} cases[] = {
 		{ "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
-		  "\"state\":\"ready\",\"capacity\":{\"cpu\":1,\"mem_mb\":2,"
-		  "\"gpu\":3},\"labels\":[\"a\",\"r1-3\"],\"born\":17}",
+		  "\"version\":\"v1\",\"slots\":8,\"state\":\"draining\","
+		  "\"cold_remaining_ms\":0,\"capacity\":{\"cpu\":1,"
+		  "\"mem_mb\":2,\"gpu\":3},\"labels\":[\"a\",\"r1-3\"],"
+		  "\"born\":17,\"sequence\":4}",
 		    true },
 		{ "{\"service\":\"s\",\"address\":\"1.2.3.4:5\","
 		  "\"state\":\"draining\",\"capacity\":{}}",
-		    true },
+		    false },
 		{ "{\"service\":\"s\",\"address\":\"1.2.3.4:5\","
 		  "\"state\":\"odd\",\"capacity\":{}}",
 		    false },
@@ -139,6 +141,8 @@
 		if (i == 0) {
 			cr_expect_str_eq(w.info.rack, "r1-3");
 			cr_expect(w.info.started_ms == 17 && w.info.gpu == 3);
+			cr_expect(w.info.draining);
+			cr_expect_str_eq(w.info.address, "1.2.3.4:5");
 		}
 		if (ok)
 			platform_worker_clear(&w);
