An odd entry in the place of a good one: no new runs there

When another writer replaced a worker's entry by an odd one, that was only logged: the worker stayed in use by what its entry had said before, until the list was next read whole, after which it was not.

Cause: an entry that can't be read was taken for no news. Now it counts as removed: no task is started there; what runs there stays owned, its worker is polled and its lease extended, and a sound entry brings it back.

--- a/serve/cell_driver.c
+++ b/serve/cell_driver.c
@@ -333,6 +333,8 @@
 		c->node->stats.bad_input++;
 		log_event(EVT_BAD_ROW, "table=workers key=%s why=\"%s\"",
 		    row->key, err->message);
+		/* What runs there is still polled. */
+		sched_worker_left(c->sched, row->key, node_now_ms(c->node));
 		return;
 	}
 	sched_worker_listed(c->sched, &w.info, node_now_ms(c->node));
