--- a/test/unit/takeover.c
+++ b/test/unit/takeover.c
@@ -144,13 +144,15 @@
 	claim_at(s, o, TOKEN, CLAIMED_MS);
 }
 
-/* Reads the worker w0 of the footprint, whose lease ends at until_ms or later. */
+/*
+ * Reads the worker w0 of the footprint, in its process of started_ms, whose lease
+ * ends at until_ms or later.
+ */
 static void
-read_footprint(sched_t *s, int64_t until_ms)
+read_footprint_of(sched_t *s, int64_t started_ms, int64_t until_ms)
 {
 	Sched__Footprint f = SCHED__FOOTPRINT__INIT;
 	char *worker = (char *)"w0 a:1";
-	int64_t started_ms = 1;
 	uint8_t row[64];
 
 	f.n_workers = f.n_born_ms = f.n_until_ms = 1;
@@ -161,6 +163,12 @@
 	    sched__footprint__pack(&f, row));
 }
 
+static void
+read_footprint(sched_t *s, int64_t until_ms)
+{
+	read_footprint_of(s, 1, until_ms);
+}
+
 /* Reads a job of one task that an earlier owner has started. */
 static void
 read_job(sched_t *s)
@@ -431,3 +439,174 @@
 	cr_expect(ownership_worker_unseen(s, cell_worker_get(s, "w0")));
 	sched_free(s);
 }
+
+/*
+ * Guards against two runs of one task: what this process knows of a worker may be
+ * older than the footprint, which names the process that has the runs.
+ */
+Test(takeover, a_worker_of_which_an_older_process_is_known)
+{
+	static const struct {
+		const char *name;
+		bool owned_before, list_is_behind, listed_after;
+	} cases[] = {
+		{ "its list is behind", false, true, false },
+		{ "known from an earlier ownership", true, false, false },
+		{ "the same, then listed", true, false, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = new_entry();
+		Sched__Owner o = other_owner();
+		int64_t later_ms = CLAIMED_MS + 60000;
+
+		if (cases[i].owned_before) {
+			claim(s, &o);
+			list_worker(s, 1);
+			sched_load_done(s, CLAIMED_MS);
+			sched_tick(s, CLAIMED_MS, 0);
+			ownership_lost(s, "another owner's row was read");
+		}
+		claim_at(s, &o, TOKEN + 2, later_ms);
+		if (cases[i].list_is_behind)
+			list_worker(s, 1);
+		read_footprint_of(s, 2, 0);
+		if (cases[i].listed_after)
+			list_worker(s, 2);
+		read_job(s);
+		sched_load_done(s, later_ms);
+		sched_tick(s, later_ms, 0);
+		cr_expect_not(s->cell.workers_accounted, "%s", cases[i].name);
+		sched_free(s);
+	}
+}
+
+/*
+ * Guards against two runs of one task: a worker that started again under its id
+ * may have carried out a start meant for the process before, until it answers.
+ */
+Test(takeover, a_worker_that_started_again_has_not_answered)
+{
+	sched_t *s = new_entry();
+	Sched__Owner o = other_owner();
+
+	claim(s, &o);
+	list_worker(s, 2);
+	read_footprint_of(s, 1, 0);
+	read_job(s);
+	sched_load_done(s, CLAIMED_MS);
+	sched_tick(s, CLAIMED_MS, 0);
+	cr_expect_not(s->cell.workers_accounted);
+	sched_free(s);
+}
+
+/*
+ * Guards against two runs of one task: the answer to an order that a paused process
+ * reads late looks like another clock, and forgets the leases that were granted.
+ */
+Test(takeover, an_order_answered_late)
+{
+	sched_t *s = new_entry();
+	Sched__Owner o = other_owner();
+	int64_t extended_ms, clock_ms;
+	GHashTableIter it;
+	worker_t *w;
+	void *r;
+
+	claim(s, &o);
+	read_footprint(s, 0);
+	read_job(s);
+	list_worker(s, 1);
+	sched_load_done(s, CLAIMED_MS);
+	w = cell_worker_get(s, "w0");
+	/* Polls that are answered for longer than the first answer counts. */
+	while (s->now_ms < CLAIMED_MS + 2 * MAX_LEASE_MS) {
+		sched_tick(s, s->now_ms + 100, 0);
+		if (w->poll_id != 0)
+			answer_poll(s);
+		if (s->write_pending)
+			sched_write_done(
+			    s, SCHED_WRITE_OK, s->cell.version + 1, s->now_ms);
+	}
+	sched_tick(s, s->now_ms + 10, 0);
+	extended_ms = w->lease.deadline_sent_ms;
+	cr_assert_eq(extended_ms, s->now_ms);
+	cr_assert_eq(g_hash_table_size(w->runs), 1);
+	g_hash_table_iter_init(&it, w->runs);
+	g_hash_table_iter_next(&it, NULL, &r);
+	run_set_pace(s, r, 50);
+	clock_ms = CLOCK_MS + s->now_ms - CLAIMED_MS;
+	sched_order_done(
+	    s, ((run_t *)r)->id, SCHED_ORDER_OK, clock_ms, extended_ms + 1700);
+	sched_tick(s, s->now_ms + 10, 0);
+	cr_expect_geq(miss_polls(s), extended_ms + LEASE_MS - 82, "%d ms",
+	    (int)(s->now_ms - extended_ms));
+	sched_free(s);
+}
+
+/*
+ * Guards against a task that is started again after its end: a worker whose ended
+ * runs were not all listed may have more of them until its lease has lapsed.
+ */
+Test(takeover, a_silent_worker_with_ends_that_were_not_listed)
+{
+	sched_t *s = new_entry();
+	Sched__Owner o = other_owner();
+	sched_report_t r = {
+		.clock_ms = CLOCK_MS, .started_ms = 1, .ended_cut = true
+	};
+	const worker_t *w;
+
+	claim(s, &o);
+	read_footprint(s, 0);
+	read_job(s);
+	list_worker(s, 1);
+	sched_load_done(s, CLAIMED_MS);
+	sched_tick(s, CLAIMED_MS, 0);
+	sched_poll_done(s, poll_id, "w0", SCHED_ORDER_OK, &r, s->now_ms);
+	cr_assert_not(s->cell.workers_accounted);
+	w = cell_worker_get(s, "w0");
+	while (!s->cell.workers_accounted &&
+	    s->now_ms < CLAIMED_MS + 3 * MAX_LEASE_MS) {
+		if (w->poll_id != 0)
+			sched_poll_done(s, poll_id, "w0", SCHED_ORDER_IN_DOUBT,
+			    NULL, s->now_ms);
+		sched_tick(s, s->now_ms + 10, 0);
+	}
+	cr_expect_geq(s->now_ms, CLAIMED_MS + LEASE_MS, "%d ms",
+	    (int)(s->now_ms - CLAIMED_MS));
+	sched_free(s);
+}
+
+/*
+ * Guards against two runs of one task: a write that releases nothing does not take
+ * back a release before it that got no answer.
+ */
+Test(takeover, a_write_after_a_release_without_an_answer)
+{
+	sched_t *s = new_entry();
+	Sched__Owner o = other_owner();
+	Sched__Step step = step_def("i", 1000, false, 0);
+
+	claim(s, &o);
+	read_footprint(s, 0);
+	list_worker(s, 1);
+	sched_load_done(s, CLAIMED_MS);
+	sched_tick(s, CLAIMED_MS, 0);
+	answer_poll(s);
+	sched_write_done(s, SCHED_WRITE_OK, TOKEN + 1, CLAIMED_MS + 10);
+	sched_begin_release(s, CLAIMED_MS + 50);
+	sched_tick(s, CLAIMED_MS + 50, 0);
+	cr_assert(s->cell.release_sent);
+	for (int i = 0; i < 40; i++) {
+		char id[17];
+
+		g_snprintf(id, sizeof(id), "%016x", 100 + i);
+		flush_mark_job(s, add_job(s, id, &step, 0));
+	}
+	sched_write_done(s, SCHED_WRITE_IN_DOUBT, 0, CLAIMED_MS + 1550);
+	sched_tick(s, CLAIMED_MS + 1560, 0);
+	cr_assert(s->write_pending);
+	cr_expect_not(ownership_may_extend_leases(s));
+	sched_free(s);
+}
