Worker's clock: an answer that is read late says nothing of its process

A task could run twice: a process that was paused for 1.6 s or more read the answer to an order late, took the worker's clock in it for that of another process, and forgot the lease that it had granted; the next missed poll then gave the worker's runs up, up to 2.4 s too early. Since the wait for the longest lease did not cover this any more. The same way of reading an answer also forgot which ends were known.

Now the start of its process in a report tells whether it is another one; the clock does only in a report without it. An order's answer never does.

--- a/sched/cell_worker.c
+++ b/sched/cell_worker.c
@@ -160,27 +160,30 @@
 }
 
 /*
- * Sets the worker's clock from an answer.  If the clock is far behind the value
- * expected, the worker is another process than before.
+ * Whether a report's clock is so far behind the value expected that another
+ * process sent it.  For one that does not say when its process started; it must
+ * not have been read late.
+ */
+bool
+cell_worker_clock_went_back(
+    const sched_t *s, const worker_t *w, int64_t clock_ms)
+{
+	return w->lease.answered_ms != 0 &&
+	    clock_ms + CLOCK_BACKWARD_MS < cell_worker_min_clock(w, s->now_ms);
+}
+
+/*
+ * Sets the worker's clock from an answer, unless that was overtaken or read late:
+ * it must not turn the clock back.
  */
 void
 cell_worker_clock_read(sched_t *s, worker_t *w, int64_t clock_ms)
 {
-	int64_t now_ms = s->now_ms;
-
-	if (w->lease.answered_ms != 0 &&
-	    clock_ms + CLOCK_BACKWARD_MS < cell_worker_min_clock(w, now_ms)) {
-		LOG_EVENT(s, SCHED_EVT_WORKER, w->id,
-		    "clock went back: now=%" PRId64 " expected=%" PRId64,
-		    clock_ms, cell_worker_min_clock(w, now_ms));
-		cell_worker_restarted(s, w, w->started_ms);
-	}
-	/* An answer that was overtaken must not turn the clock back. */
 	if (w->lease.answered_ms != 0 &&
-	    clock_ms < cell_worker_min_clock(w, now_ms))
+	    clock_ms < cell_worker_min_clock(w, s->now_ms))
 		return;
 	w->lease.worker_clock_ms = clock_ms;
-	w->lease.answered_ms = now_ms;
+	w->lease.answered_ms = s->now_ms;
 }
 
 /*
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -150,6 +150,8 @@
 int64_t cell_worker_lease_end(const worker_t *w);
 void cell_worker_assume_longest_lease(const sched_t *s, worker_t *w);
 void cell_worker_restarted(sched_t *s, worker_t *w, int64_t started_ms);
+bool cell_worker_clock_went_back(
+    const sched_t *s, const worker_t *w, int64_t clock_ms);
 void cell_worker_clock_read(sched_t *s, worker_t *w, int64_t clock_ms);
 
 /* scan.c */
--- a/sched/report.c
+++ b/sched/report.c
@@ -351,6 +351,16 @@
 	crash_worker_answered(s, w);
 }
 
+/* Whether a report comes from another process than the reports before. */
+static bool
+is_other_process(
+    const sched_t *s, const worker_t *w, const sched_report_t *report)
+{
+	if (report->started_ms != 0 && w->started_ms != 0)
+		return report->started_ms != w->started_ms;
+	return cell_worker_clock_went_back(s, w, report->clock_ms);
+}
+
 /*
  * Processes a worker's report: reads its clock, handles the ends that are new,
  * updates or adopts the runs under way, and removes the runs that are proved
@@ -362,12 +372,14 @@
 {
 	g_autoptr(GList) all = NULL;
 
-	if (report->started_ms != 0 && w->started_ms != 0 &&
-	    report->started_ms != w->started_ms) {
+	if (is_other_process(s, w, report)) {
 		LOG_EVENT(s, SCHED_EVT_WORKER, w->id,
-		    "answers as another process: born=%" PRId64 " was=%" PRId64,
-		    report->started_ms, w->started_ms);
-		cell_worker_restarted(s, w, report->started_ms);
+		    "answers as another process: born=%" PRId64 " was=%" PRId64
+		    " clock=%" PRId64,
+		    report->started_ms, w->started_ms, report->clock_ms);
+		cell_worker_restarted(s, w,
+		    report->started_ms != 0 ? report->started_ms :
+					      w->started_ms);
 	}
 	s->report_number++;
 	w->reported_ms = s->now_ms;
