Footprint: its row may be newer than what a process knows of a worker

A task could run twice: a process that had owned the cell before, or read the list of workers before it was current, knew a worker by an older process than the footprint names. It took that for a newer process, which has no runs of earlier owners, and so neither waited for the worker nor polled it.

Measured: unit takeover/a_worker_of_which_an_older_process_is_known, three cases, fails without the change.

--- a/sched/flush.c
+++ b/sched/flush.c
@@ -224,8 +224,7 @@
 			g_free(w->address);
 			w->address = g_strdup(part[1]);
 		}
-		if (w->started_ms == 0)
-			w->started_ms = f->born_ms[i];
+		w->started_ms = MAX(w->started_ms, f->born_ms[i]);
 		/* A newer process has no runs of earlier owners. */
 		if (w->started_ms == f->born_ms[i] || f->born_ms[i] == 0) {
 			w->footprint_stored = true;
