Release: one without an answer holds until a later row is stored

A task could run twice: after a release whose answer was lost, the next row may release nothing, as too many jobs are to be written with it. The owner then extended leases again, while its successor counted them from the release.

Measured: unit takeover/a_write_after_a_release_without_an_answer fails without the change.

--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -90,6 +90,7 @@
 	g_autofree Sched__Refusal **refusals = NULL;
 
 	s->cell.release_sent = released;
+	s->cell.release_in_doubt = s->cell.release_in_doubt || released;
 	o.name = (char *)s->opts.name;
 	o.incarnation = s->opts.incarnation;
 	o.epoch = s->cell.epoch;
@@ -326,7 +327,7 @@
 	    c->row != NULL && c->row->released && c->row->workers_accounted;
 	c->epoch = c->row == NULL ? 1 : c->row->epoch + 1;
 	c->renewals = 0;
-	c->workers_accounted = false;
+	c->workers_accounted = c->release_in_doubt = false;
 	c->state = CELL_CLAIMING;
 	c->write_sent_ms = s->now_ms;
 	c->forget_pending = false;
@@ -493,7 +494,7 @@
 {
 	const cell_t *c = &s->cell;
 
-	return c->state == CELL_OWNED && !c->paused && !c->release_sent &&
+	return c->state == CELL_OWNED && !c->paused && !c->release_in_doubt &&
 	    (c->store_outage || s->now_ms - c->confirmed_ms < EXTEND_LIMIT_MS);
 }
 
