Takeover: ends that were not listed count until the lease has ended

A task could be started again after its end: a worker lists at most 500 ended runs, and one that had more counted as accounted for after two missed polls (0.7 s), though it could come back with the end of a run that was started elsewhere by then.

--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -374,7 +374,7 @@
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		const worker_t *w = g_ptr_array_index(s->worker_list, i);
 
-		if (w->ended_cut && !w->silent)
+		if (w->ended_cut && !cell_worker_lease_expired(s, w))
 			return false;
 		if (ownership_worker_unseen(s, w))
 			return false;
--- a/sched/types.h
+++ b/sched/types.h
@@ -382,12 +382,12 @@
 	bool had_predecessor; /* an earlier owner may have started runs */
 	/* Earlier owners stored a job's row before they started tasks of it. */
 	bool rows_before_starts;
-	bool leases_released;  /* no earlier owner extends leases any more */
-	bool forget_pending;   /* next tick discards what only an owner needs */
-	bool release_sent;     /* the last row sent releases the cell */
+	bool leases_released; /* no earlier owner extends leases any more */
+	bool forget_pending;  /* next tick discards what only an owner needs */
+	bool release_sent;    /* the last row sent releases the cell */
 	/* A row that releases the cell was sent, and no later one is stored. */
 	bool release_in_doubt;
-	const char *successor; /* interned; NULL or "": any entry */
+	const char *successor;	/* interned; NULL or "": any entry */
 	int32_t claim_delay_ms; /* see sched_set_claim_delay */
 	/* The owner goes on without renewals, as the store answers no entry. */
 	bool store_outage;
