Takeover: a worker restarted under its id counts as in use until it answers

A task could run twice: where a worker in use had been restarted under its id, a new owner took it for empty at once. An order for its former process may be carried out late by the new one, as nothing but the id names the process. Now it is polled and waited for like the others of the footprint. Whether the platform does carry an order out across a restart is an open question of docs/PLATFORM.md.

--- a/sched/flush.c
+++ b/sched/flush.c
@@ -98,7 +98,7 @@
 in_footprint(const sched_t *s, const worker_t *w)
 {
 	return w->listed || g_hash_table_size(w->runs) > 0 ||
-	    (w->footprint_stored &&
+	    ((w->footprint_stored || w->used_before) &&
 		(!s->cell.workers_accounted ||
 		    !cell_worker_lease_expired(s, w)));
 }
@@ -143,6 +143,7 @@
 	    w->footprint_flush == 0 ? s->flush_number :
 				      w->footprint_flush;
 	w->footprint_stored = w->footprint_stored && in;
+	w->used_before = w->used_before && in;
 	return changed;
 }
 
@@ -225,7 +226,8 @@
 			w->address = g_strdup(part[1]);
 		}
 		w->started_ms = MAX(w->started_ms, f->born_ms[i]);
-		/* A newer process has no runs of earlier owners. */
+		w->used_before = true;
+		/* What the row says of leases is not of a newer process. */
 		if (w->started_ms == f->born_ms[i] || f->born_ms[i] == 0) {
 			w->footprint_stored = true;
 			w->footprint_flush = 1;
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -148,7 +148,8 @@
 		memset(w->serving_by_image, 0, sizeof(w->serving_by_image));
 		memset(
 		    w->filler_cpu_by_image, 0, sizeof(w->filler_cpu_by_image));
-		w->footprint_stored = w->has_answered = w->silent = false;
+		w->footprint_stored = w->used_before = false;
+		w->has_answered = w->silent = false;
 		w->ended_cut = false;
 		w->footprint_flush = w->ended_flush = 0;
 		w->ended_seq = w->ended_stored_seq = 0;
@@ -351,11 +352,15 @@
 	    w->lease_end_store_ms + STORE_CLOCK_MARGIN_MS;
 }
 
-/* Whether a worker may have runs of earlier owners that are not known here. */
+/*
+ * Whether a worker may have runs of earlier owners that are not known here.  One
+ * that was restarted under its id may have carried out orders for its process
+ * before.
+ */
 bool
 ownership_worker_unseen(const sched_t *s, const worker_t *w)
 {
-	return w->footprint_stored && !w->has_answered &&
+	return (w->footprint_stored || w->used_before) && !w->has_answered &&
 	    s->now_ms < s->cell.old_leases_end_ms && !old_lease_ended(s, w);
 }
 
--- a/sched/poll.c
+++ b/sched/poll.c
@@ -179,7 +179,8 @@
 	 * learn if it has crashed. */
 	if (!w->listed && g_hash_table_size(w->runs) == 0 &&
 	    !crash_proof_wanted(s, w) &&
-	    ((w->has_answered && !w->ended_cut) || !w->footprint_stored))
+	    ((w->has_answered && !w->ended_cut) ||
+		(!w->footprint_stored && !w->used_before)))
 		return;
 	/* Ended runs are being stored: the poll is delayed so that it can
 	 * acknowledge them. */
--- a/sched/types.h
+++ b/sched/types.h
@@ -273,14 +273,16 @@
 	bool listed, seen_in_list, draining;
 	bool zone_evacuated;
 	bool footprint_stored; /* a footprint row with this worker is stored */
-	bool has_answered;     /* a poll with this owner's token */
-	bool ended_cut;	       /* its last report did not list all ended runs */
-	bool silent;	       /* several polls in a row got no answer */
-	bool slow;	       /* its tasks make little progress */
-	bool suspect;	       /* it is tried with one task at a time */
-	bool changed;	       /* it is in s->scan.changed */
-	bool slack_stale;      /* slack must be updated before it is used */
-	int32_t missed_polls;  /* without an answer, in a row */
+	/* A process of it was in use by earlier owners, perhaps another one. */
+	bool used_before;
+	bool has_answered;    /* a poll with this owner's token */
+	bool ended_cut;	      /* its last report did not list all ended runs */
+	bool silent;	      /* several polls in a row got no answer */
+	bool slow;	      /* its tasks make little progress */
+	bool suspect;	      /* it is tried with one task at a time */
+	bool changed;	      /* it is in s->scan.changed */
+	bool slack_stale;     /* slack must be updated before it is used */
+	int32_t missed_polls; /* without an answer, in a row */
 	int32_t gpu, used_gpu;
 	int64_t cpu_milli, mem_mb;
 	/* Resources used.  used_cpu_milli excludes fillers; serving_cpu_milli
