Claim: one that is found in the store confirms nothing

A task could run twice: where the answers to two claims were lost, the owner took the first one, found later in the owner's row, for confirmed when the second was sent. It extended leases for up to 3 s longer than a successor allows for.

Measured: unit takeover/a_claim_found_in_the_store fails without the change.

--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -197,11 +197,11 @@
 
 /* Begins to load the cell after a successful claim. */
 static void
-begin_loading(sched_t *s, int64_t version)
+begin_loading(sched_t *s, int64_t version, int64_t confirmed_ms)
 {
 	s->cell.state = CELL_LOADING;
 	s->cell.version = s->cell.token = version;
-	s->cell.confirmed_ms = s->cell.write_sent_ms;
+	s->cell.confirmed_ms = confirmed_ms;
 	LOG_EVENT(s, SCHED_EVT_CLAIM, "cell",
 	    "token=%" PRId64 " epoch=%" PRId64, version, s->cell.epoch);
 	forget_state(s);
@@ -268,9 +268,10 @@
 	}
 	if (c->state == CELL_FOLLOWING && !c->forget_pending &&
 	    row_is_ours(s, o)) {
-		/* Our claim succeeded, but the answer to it was lost. */
+		/* Our claim succeeded, but the answer to it was lost.  Which
+		 * of several it was is not known, nor when it was stored. */
 		c->epoch = o->epoch;
-		begin_loading(s, row->version);
+		begin_loading(s, row->version, s->now_ms - EXTEND_LIMIT_MS);
 	}
 }
 
@@ -285,7 +286,7 @@
 	if (r != SCHED_WRITE_OK)
 		return;
 	s->stats.claims++;
-	begin_loading(s, version);
+	begin_loading(s, version, s->cell.write_sent_ms);
 }
 
 /* Completes a takeover: all rows of the cell have been read. */
--- a/test/unit/takeover.c
+++ b/test/unit/takeover.c
@@ -120,9 +120,9 @@
 		sched_row_read(s, &row, s->now_ms);
 }
 
-/* Claims the cell at a time from the owner that a row names. */
+/* Sends a claim at a time, as the owner that a row names is silent. */
 static void
-claim_at(sched_t *s, const Sched__Owner *o, int64_t token, int64_t at_ms)
+claim_sent(sched_t *s, const Sched__Owner *o, int64_t token, int64_t at_ms)
 {
 	uint8_t row[128];
 	size_t n = sched__owner__pack(o, row);
@@ -135,6 +135,13 @@
 		sched_tick(s, s->now_ms, 0);
 	}
 	s->now_ms = s->cell.write_sent_ms = at_ms;
+}
+
+/* Claims the cell at a time from the owner that a row names. */
+static void
+claim_at(sched_t *s, const Sched__Owner *o, int64_t token, int64_t at_ms)
+{
+	claim_sent(s, o, token, at_ms);
 	sched_claim_done(s, SCHED_WRITE_OK, token, at_ms);
 }
 
@@ -610,3 +617,31 @@
 	cr_expect_not(ownership_may_extend_leases(s));
 	sched_free(s);
 }
+
+/*
+ * Guards against two runs of one task: where the answers to two claims are lost, the
+ * first one may be the one that is stored, and others count the leases from then.
+ */
+Test(takeover, a_claim_found_in_the_store)
+{
+	sched_t *s = new_entry();
+	Sched__Owner o = other_owner();
+	uint8_t row[64];
+
+	claim_sent(s, &o, TOKEN, CLAIMED_MS);
+	sched_claim_done(s, SCHED_WRITE_IN_DOUBT, 0, CLAIMED_MS + 1500);
+	claim_sent(s, &o, TOKEN, CLAIMED_MS + 3000);
+	sched_claim_done(s, SCHED_WRITE_IN_DOUBT, 0, CLAIMED_MS + 4500);
+	o.name = (char *)"e";
+	o.epoch = 2;
+	s->now_ms = CLAIMED_MS + 4600;
+	read_row(s, SCHED_KEY_OWNER, TOKEN, row, sched__owner__pack(&o, row));
+	cr_assert_eq(s->cell.state, CELL_LOADING);
+	sched_load_done(s, s->now_ms);
+	cr_expect_not(ownership_may_extend_leases(s));
+	sched_tick(s, s->now_ms + 10, 0);
+	cr_assert(s->write_pending);
+	sched_write_done(s, SCHED_WRITE_OK, TOKEN + 1, s->now_ms + 10);
+	cr_expect(ownership_may_extend_leases(s));
+	sched_free(s);
+}
