Starts: lists must be fresh for as long as an order may wait

A worker that drains could get a task later than allowed (DRAIN): since an order may wait 400 ms for a connection, while the age of the list of workers allowed for 200 ms from the decision to the order's arrival. Found by the review, by reading.

--- a/serve/cell_driver.c
+++ b/serve/cell_driver.c
@@ -36,7 +36,6 @@
 #define WORKER_POLL_GAP_MS    150
 /* No task is started on older lists of jobs, workers and settings. */
 #define FEED_LIMIT_MS 2000
-#define START_MS      200 /* from the decision until the worker has the order */
 
 struct cell_driver {
 	node_t *node;
@@ -417,8 +416,8 @@
 		.on_synced = on_workers_synced,
 		.ctx = c };
 	/* Rows of an ended job stay while its submission may be repeated. */
-	sched_opts_t o = { .feed_limit_ms =
-			       MIN(FEED_LIMIT_MS, n->opts.drain_ms - START_MS),
+	sched_opts_t o = { .feed_limit_ms = MIN(FEED_LIMIT_MS,
+			       n->opts.drain_ms - PLATFORM_ORDER_TIMEOUT_MS),
 		.name = n->opts.name,
 		.incarnation = n->incarnation,
 		.max_lease_ms = n->opts.max_lease_ms,
