--- a/serve/serve.h
+++ b/serve/serve.h
@@ -64,6 +64,8 @@
 /* Reads the table whole, also when the watch was running. */
 void table_watch_start(table_watch_t *tw);
 void table_watch_stop(table_watch_t *tw);
+/* Whether the table is being read or followed. */
+bool table_watch_is_on(const table_watch_t *tw);
 /*
  * Drops the feed call in progress, whose answer may never come, and calls
  * again.  Used when the store answers after a gap.
--- a/serve/table_watch.c
+++ b/serve/table_watch.c
@@ -281,6 +281,12 @@
 	uv_timer_stop(&tw->feed_timer);
 }
 
+bool
+table_watch_is_on(const table_watch_t *tw)
+{
+	return tw->state != WATCH_OFF;
+}
+
 void
 table_watch_retry_now(table_watch_t *tw)
 {
