Load: a job whose row came before its progress is read again

Cause: while the cell was loaded, the progress row of a job that was already there was kept but not applied; the job stayed as one that never started, and was run again, even if its progress row said that it had ended. Rows may come in that order from a read that an earlier load, or an earlier ownership, began.

Now the progress row removes such a job; its own row, which the load reads after all progress rows, adds it with its progress.

--- a/sched/rows.c
+++ b/sched/rows.c
@@ -142,8 +142,13 @@
 	kind = row->key + SCHED_JOB_ID_BYTES;
 	j = g_hash_table_lookup(s->jobs, id);
 	if (strcmp(kind, SCHED_KEY_PROGRESS) == 0) {
-		if (loading)
-			load_progress(s, id, row);
+		if (!loading)
+			return;
+		/* Its row came too early, from a read that an earlier load
+		 * began: it is read again after this. */
+		if (j != NULL)
+			g_hash_table_remove(s->jobs, id);
+		load_progress(s, id, row);
 	} else if (kind[0] == '\0' && j == NULL) {
 		if (g_hash_table_contains(s->ended_jobs, id))
 			customer_ended_job_read(s, id, row);
