Load: a lost claim ends its reads

Cause: the driver stopped the watches of the cell's tables only if it had owned the cell at the last tick. A claim that was lost while loading left them on, and the read of the job rows went on into the next load of the same process: its end was taken for that of the new load, perhaps before the progress rows and the workers in use were read.

Now a load begins with all watches stopped, and a claim that is lost in any state stops them; answers to calls of a stopped watch are dropped.

--- a/sched/sched.c
+++ b/sched/sched.c
@@ -386,3 +386,9 @@
 {
 	return s->cell.state == CELL_OWNED;
 }
+
+bool
+sched_is_loading(const sched_t *s)
+{
+	return s->cell.state == CELL_LOADING;
+}
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -227,7 +227,8 @@
 	/* Reads all rows of the cell (sched_row_read for each, then
 	 * sched_load_done) and afterwards watches them for changes.  Passes in
 	 * the progress rows first, and the row of a job before its cancel row,
-	 * which is ignored otherwise. */
+	 * which is ignored otherwise.  Called again, it voids the reads of the
+	 * last call: none of their rows, and not their end, is passed in. */
 	void (*load)(void *ctx);
 	/* Writes an array of sched_put_t in one transaction if the owner row
 	 * still has this version.  Answered by sched_write_done. */
@@ -401,6 +402,8 @@
 void sched_process_paused(sched_t *s, int64_t now_ms);
 
 bool sched_is_owner(const sched_t *s);
+/* Whether it has claimed the cell and waits for sched_load_done. */
+bool sched_is_loading(const sched_t *s);
 /*
  * Number of jobs of a queue that have not started: counted by the owner; other
  * entries return the number in the owner row that they last read.  -1 when that
--- a/serve/cell_driver.c
+++ b/serve/cell_driver.c
@@ -47,6 +47,7 @@
 	table_watch_t *worker_watch;
 	bool polling_owner;	 /* a read of the owner's row is in progress */
 	bool owned_at_last_tick; /* this entry owned the cell */
+	bool watching;		 /* since a load; until the cell is lost */
 	int64_t next_owner_poll_ms;
 	int64_t owner_row_version; /* as last read */
 	GHashTable *odd_workers;   /* key -> why, of odd entries; as logged */
@@ -173,11 +174,24 @@
 	store_tx(c->node->platform, &tx, on_claimed, c);
 }
 
+/* Answers to calls of these watches that come later are dropped. */
+static void
+stop_watches(cell_driver_t *c)
+{
+	table_watch_stop(c->progress_watch);
+	table_watch_stop(c->job_watch);
+	table_watch_stop(c->worker_watch);
+	g_hash_table_remove_all(c->odd_workers);
+	c->watching = false;
+}
+
 static void
 do_load(void *ctx)
 {
 	cell_driver_t *c = ctx;
 
+	stop_watches(c);
+	c->watching = true;
 	table_watch_start(c->worker_watch);
 	table_watch_start(c->progress_watch);
 }
@@ -481,14 +495,12 @@
 	if (!c->polling_owner && now >= c->next_owner_poll_ms)
 		poll_owner(c);
 	sched_tick(c->sched, now, node_wall_ms(c->node));
-	/* The cell was lost or released: only an owner watches its tables. */
-	if (c->owned_at_last_tick && !sched_is_owner(c->sched)) {
-		if (c->node->stopping)
-			entries_announce_release(c->node->entries);
-		table_watch_stop(c->progress_watch);
-		table_watch_stop(c->job_watch);
-		table_watch_stop(c->worker_watch);
-		g_hash_table_remove_all(c->odd_workers);
-	}
+	if (c->owned_at_last_tick && !sched_is_owner(c->sched) &&
+	    c->node->stopping)
+		entries_announce_release(c->node->entries);
+	/* The cell was lost or released. */
+	if (c->watching && !sched_is_owner(c->sched) &&
+	    !sched_is_loading(c->sched))
+		stop_watches(c);
 	c->owned_at_last_tick = sched_is_owner(c->sched);
 }
