Random schedules of changes of the owner

cells FROM TO -handover adds what test/cell/handover.c does, with random numbers of its own: entries leave, alone or one after another within half a second, with an heir or without; polls are carried out without an answer, late, or fail at once; answers of workers are cut one way or overtake each other; reads of the store are late, and its clock as read with them; claims are in doubt; an owner is cut off and gets the cell back. There the list of workers goes to an owner only, as in serve/, more tasks last, and the cells have six workers or more.

--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 SEEDS = 2000
 COMPARE = ../shared/compare
 CELL_SEEDS = 1500
+HANDOVER_SEEDS = 2000
 PKGS = glib-2.0 libuv libh2o libprotobuf-c log4c jansson libcurl openssl
 DEBS = gcc make pkg-config clang clang-format clang-tidy cppcheck curl man-db \
 	libuv1-dev libh2o-dev libprotobuf-c-dev liblog4c-dev libcriterion-dev \
@@ -80,6 +81,7 @@
 	sh test/check.sh $(B) $(SEEDS)
 cells: $(B)/cells
 	sh test/cells.sh $(B) $(CELL_SEEDS)
+	sh test/cells.sh $(B) $(HANDOVER_SEEDS) -handover
 scenarios: $(B)/scenarios
 	sh test/red.sh $(B)/scenarios
 process: all
@@ -113,6 +115,7 @@
 	ASAN_OPTIONS=detect_leaks=0 build-asan/check 1 100
 	ASAN_OPTIONS=detect_leaks=0 build-asan/unit
 	ASAN_OPTIONS=detect_leaks=0 build-asan/cells 1 60
+	ASAN_OPTIONS=detect_leaks=0 build-asan/cells 1 60 -handover
 lint:
 	clang-format --dry-run -Werror $(SRC)
 	cppcheck -q --std=c11 --enable=warning,performance,portability \
--- a/test/cell/cell.h
+++ b/test/cell/cell.h
@@ -62,6 +62,16 @@
 	char checkpoint[24];
 } sim_ended_t;
 
+/* Faults of the calls to a worker besides cuts; see handover.c. */
+typedef struct {
+	/* Shares of polls: carried out but not answered; carried out late and
+	 * not answered; failed at once. */
+	double unanswered_share, late_share, failed_share;
+	int32_t answer_delay_ms; /* of any call, at most */
+	/* Calls of the entry arrive, the answers do not. */
+	bool answers_cut[ENTRIES_MAX];
+} poll_faults_t;
+
 typedef struct {
 	char id[16];	 /* of the present process */
 	char address[8]; /* of all its processes */
@@ -76,6 +86,7 @@
 	bool cut_from[ENTRIES_MAX];
 	/* Share of orders that get no answer and are carried out late. */
 	double lost_order_share;
+	poll_faults_t polls;
 	int64_t started_ms;
 	int64_t clock_offset_ms; /* of its clock when it started */
 	double clock_rate;	 /* of its clock; 1: that of the simulation */
@@ -97,11 +108,14 @@
 	char name[8];
 	sched_t *sched;
 	bool up;
-	bool paused; /* the process is stopped, as by SIGSTOP */
+	bool paused;		 /* the process is stopped, as by SIGSTOP */
+	bool leaving;		 /* gracefully, as on SIGTERM */
+	int64_t leaves_after_ms; /* if leaving: it ends no sooner */
 	bool store_cut;
 	/* Grows with each boot; answers to an earlier process are dropped. */
 	uint64_t generation;
 	int64_t incarnation;
+	uint64_t load; /* of the last load; answers to others are dropped */
 	int64_t feed_version;
 	bool feed_in_progress;
 	int32_t list_lag_ms; /* from a read of the list of workers to its use */
@@ -179,6 +193,10 @@
 	GHashTable *jobs;	     /* id -> sim_job_t */
 	GHashTable *ground_truth;    /* task -> ground_truth_t */
 	GHashTable *evacuated_since; /* zone -> int64_t, in ms */
+	/* Faults around a change of the owner; NULL: there are none. */
+	GRand *handover_rand;
+	int64_t handover_end_ms;
+	double late_read_share; /* of the store */
 	/* Customers. */
 	GRand *customer_rand;
 	int32_t ncustomers;
@@ -260,6 +278,17 @@
 /* A run may or may not be under way, and rightly counts until its lease ends. */
 void quotas_run_in_doubt(world_t *w, const sim_job_t *job);
 
+/* handover.c: random choices of a world that has these faults. */
+bool handover_chance(world_t *w, double p);
+int32_t handover_random_int(world_t *w, int32_t from, int32_t to);
+/* Schedules the faults until a time. */
+void handover_begin(world_t *w, int64_t end_ms);
+void handover_free(world_t *w);
+/* How much later than usual the store answers a read. */
+int32_t handover_read_delay_ms(world_t *w, bool owner_row);
+/* Ends the process of an entry that has left, which is started again later. */
+void handover_entry_left(world_t *w, sim_entry_t *en);
+
 /* entry.c */
 void entry_boot(world_t *w, sim_entry_t *en);
 void entry_kill(sim_entry_t *en);
--- a/test/cell/world.c
+++ b/test/cell/world.c
@@ -180,6 +180,7 @@
 	g_hash_table_unref(w->evacuated_since);
 	g_rand_free(w->rand);
 	customers_free(w);
+	handover_free(w);
 	g_free(w);
 }
 
