No row of the owner grows beyond what the store takes

Callers could see jobs pending for ever: on a job with some thousands of tasks that have checkpoints, or few with long ones, and with long names of images in jobs, as what was learned of images is one row.

Cause: rows are packed from texts of others (workers' checkpoints, callers' images) without a bound. Now a job's progress is written without its checkpoints if it would be too long: its tasks may begin anew after a change of the owner, while what is done stays known. What was learned of images is not written then; the next owner learns it anew.

Measured: unit progress/fits_a_row (10,000 checkpoints of 16 bytes; two of 60,000) and interference/row_fits (64 names of 500 bytes) fail without the change and pass with it.

--- a/sched/interference_row.c
+++ b/sched/interference_row.c
@@ -103,7 +103,11 @@
 		b = pack_row(&h);
 	for (size_t i = 0; i < h.n_images; i++)
 		clear_image_row(&all[i]);
-	return b;
+	/* It only saves the next owner from learning anew. */
+	if (b == NULL || b->len <= SCHED_ROW_MAX_BYTES)
+		return b;
+	g_byte_array_unref(b);
+	return NULL;
 }
 
 /* Restores the coefficients from the row that an earlier owner has written. */
--- a/sched/progress.c
+++ b/sched/progress.c
@@ -85,7 +85,8 @@
 
 /* Fills in the progress of a step; false when there is none to store. */
 static bool
-fill_step_progress(Sched__StepProgress *p, const step_t *st)
+fill_step_progress(
+    Sched__StepProgress *p, const step_t *st, bool with_checkpoints)
 {
 	bool any = st->ndone > 0;
 
@@ -97,13 +98,15 @@
 	p->tasks = g_new0(Sched__TaskProgress *, st->ntasks);
 	for (int32_t i = 0; i < st->ntasks; i++) {
 		const task_t *t = &st->tasks[i];
+		const char *checkpoint =
+		    with_checkpoints ? t->checkpoint : NULL;
 		Sched__TaskProgress *tp;
 
 		if (t->state == TASK_DONE) {
 			p->done.data[i / 8] |= (uint8_t)(1 << (i % 8));
 			continue;
 		}
-		if (t->failed_runs == NULL && t->checkpoint == NULL &&
+		if (t->failed_runs == NULL && checkpoint == NULL &&
 		    t->crashes == NULL)
 			continue;
 		tp = g_new(Sched__TaskProgress, 1);
@@ -120,8 +123,8 @@
 			tp->start_acked = t->crashes->start_acked;
 			tp->crashes_unproved = t->crashes->unproved;
 		}
-		if (t->checkpoint != NULL)
-			tp->checkpoint = t->checkpoint;
+		if (checkpoint != NULL)
+			tp->checkpoint = (char *)checkpoint;
 		p->tasks[p->n_tasks++] = tp;
 		any = true;
 	}
@@ -138,9 +141,8 @@
 	g_free(p);
 }
 
-/* Returns the packed progress row of an open job. */
-GByteArray *
-progress_pack(const job_t *j)
+static GByteArray *
+pack_open(const job_t *j, bool with_checkpoints)
 {
 	Sched__Progress p = SCHED__PROGRESS__INIT;
 	GByteArray *b = g_byte_array_new();
@@ -156,7 +158,8 @@
 		for (size_t k = 0; k < j->def->n_steps; k++) {
 			Sched__StepProgress *sp = g_new(Sched__StepProgress, 1);
 
-			if (fill_step_progress(sp, &o->steps[k]))
+			if (fill_step_progress(
+				sp, &o->steps[k], with_checkpoints))
 				p.steps[p.n_steps++] = sp;
 			else
 				free_step_progress(sp);
@@ -170,6 +173,21 @@
 	return b;
 }
 
+/*
+ * Returns the packed progress row of an open job.  Without checkpoints if it would
+ * be too long: its tasks may then begin anew after a change of the owner.
+ */
+GByteArray *
+progress_pack(const job_t *j)
+{
+	GByteArray *b = pack_open(j, true);
+
+	if (b->len <= SCHED_ROW_MAX_BYTES)
+		return b;
+	g_byte_array_unref(b);
+	return pack_open(j, false);
+}
+
 /* Returns the packed progress row of a job that has ended. */
 GByteArray *
 progress_pack_ended(const job_t *j, int64_t wall_ms)
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -27,6 +27,8 @@
 #define SCHED_STRETCH_MAX 1000000
 /* Of milli-cores, MB, accelerators or ms of a task or worker. */
 #define SCHED_AMOUNT_MAX 1000000000
+/* Of a row: the store refuses a transaction that puts a longer one. */
+#define SCHED_ROW_MAX_BYTES 65536
 
 /*
  * Row keys within a cell.  The row of a job has the job's id as its key; its
--- a/test/unit/interference.c
+++ b/test/unit/interference.c
@@ -433,3 +433,40 @@
 		sched_free(s);
 	}
 }
+
+/*
+ * A row longer than the store takes, by names of images that callers choose: each
+ * write of each owner was refused, so that no job ended any more.
+ */
+Test(interference, row_fits)
+{
+	static const struct {
+		int32_t images;
+		gsize name_bytes;
+		bool stored;
+	} cases[] = { { 2, 20, true }, { 18, 20, true },
+		{ IMAGES_MAX, 500, false } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = new_sched();
+		g_autoptr(GByteArray) row = NULL;
+		int32_t n = cases[i].images;
+
+		for (int32_t k = 0; k < n; k++) {
+			g_autofree char *name =
+			    g_strnfill(cases[i].name_bytes, (char)('0' + k));
+
+			interference_image(s, name);
+			s->filler_images |= IMAGE_BIT(k);
+		}
+		for (int32_t k = 0; k < n * n; k++)
+			interference_restore(s, k / n, k % n, 0.5, 0.5);
+		s->now_ms = 100000;
+		row = interference_row_pack(s);
+		cr_expect_eq(row != NULL, cases[i].stored, "case %zu", i);
+		if (row != NULL)
+			cr_expect_leq(
+			    row->len, SCHED_ROW_MAX_BYTES, "case %zu", i);
+		sched_free(s);
+	}
+}
--- a/test/unit/progress.c
+++ b/test/unit/progress.c
@@ -49,3 +49,44 @@
 		sched_free(s);
 	}
 }
+
+/*
+ * A row longer than the store takes: each write of each owner was refused, so
+ * that no job ended any more.
+ */
+Test(progress, fits_a_row)
+{
+	static const struct {
+		int32_t tasks;
+		gsize checkpoint_bytes;
+		bool kept;
+	} cases[] = { { 1, 16, true }, { 2000, 16, true }, { 10000, 16, false },
+		{ 2, 60000, false } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		Sched__Step st = step_def("i", 500, false, 0);
+		g_autofree char *text =
+		    g_strnfill(cases[i].checkpoint_bytes, 'c');
+		g_autoptr(GByteArray) row = NULL;
+		sched_t *s = new_owner();
+		Sched__Progress *p;
+		job_t *j;
+
+		st.count = cases[i].tasks + 1;
+		st.checkpoints = true;
+		j = add_job(s, "00000000000000a1", &st, 0);
+		for (int32_t k = 0; k < cases[i].tasks; k++)
+			first_step(j)->tasks[k].checkpoint = g_strdup(text);
+		job_mark_task_done(&first_step(j)->tasks[cases[i].tasks]);
+		row = progress_pack(j);
+		cr_expect_leq(row->len, SCHED_ROW_MAX_BYTES, "case %zu", i);
+		p = sched_progress_unpack(row->data, row->len);
+		cr_assert_not_null(p);
+		cr_assert_eq(p->n_steps, 1);
+		cr_expect_eq(p->steps[0]->n_tasks,
+		    cases[i].kept ? (size_t)cases[i].tasks : 0, "case %zu", i);
+		cr_expect_neq(p->steps[0]->done.data[cases[i].tasks / 8], 0);
+		sched__progress__free_unpacked(p, NULL);
+		sched_free(s);
+	}
+}
