Odd rows among those of the entries of the cell

Only our own entries write this table, so that it takes a fault or another version to get there.

Now such a row counts as removed, with a line of the log; the address is parsed into the type that the rest uses.

--- a/serve/entries.c
+++ b/serve/entries.c
@@ -45,8 +45,7 @@
 #define LONG_POLL_MS	    20000 /* entries change seldom */
 
 typedef struct {
-	char *ip;
-	int32_t port;
+	net_addr_t at;
 	int64_t notice_ms; /* arrival of its last notice, on our clock; or 0 */
 	int64_t store_answered_ms; /* by that notice, on our clock */
 	int32_t capacity;
@@ -63,15 +62,6 @@
 	bool outage; /* as of the last run of send_timer */
 };
 
-static void
-peer_entry_free(void *p)
-{
-	peer_entry_t *peer = p;
-
-	g_free(peer->ip);
-	g_free(peer);
-}
-
 /*
  * How much work this entry can do: the lower of its share of the processor and
  * of its link, in the units of CAPACITY_PER_CORE.
@@ -100,39 +90,49 @@
 
 	g_hash_table_iter_init(&it, es->others);
 	while (g_hash_table_iter_next(&it, NULL, &v))
-		stronger += ((peer_entry_t *)v)->capacity * 100 >
-		    own * MUCH_STRONGER_PCT;
+		stronger += (int64_t)((peer_entry_t *)v)->capacity * 100 >
+		    (int64_t)own * MUCH_STRONGER_PCT;
 	sched_set_claim_delay(cell_driver_sched(es->node->cell_driver),
 	    MIN(stronger, CLAIM_DELAY_ENTRIES) * CLAIM_DELAY_MS);
 }
 
-/*
- * Adds or replaces another entry; a row that was removed or doesn't unpack
- * removes it.
- */
+/* False: a row that doesn't unpack, or holds no address or capacity. */
+static bool
+decode_row(const store_row_t *row, peer_entry_t *peer)
+{
+	Sched__Entry *e = sched__entry__unpack(NULL, row->nbytes, row->bytes);
+	bool ok = e != NULL && net_addr_set(&peer->at, e->ip, e->port) &&
+	    e->strength >= 0 && e->strength <= SCHED_AMOUNT_MAX;
+
+	if (ok) {
+		peer->capacity = e->strength;
+		peer->incarnation = e->incarnation;
+	}
+	sched__entry__free_unpacked(e, NULL);
+	return ok;
+}
+
+/* Adds or replaces another entry; a row that was removed or is odd removes it. */
 static void
 on_row(void *ctx, const store_row_t *row)
 {
 	entries_t *es = ctx;
-	Sched__Entry *e = NULL;
-	peer_entry_t *peer;
+	peer_entry_t peer = { 0 };
+	bool ok;
 
 	if (strcmp(row->key, es->node->opts.name) == 0)
 		return;
-	if (row->bytes != NULL)
-		e = sched__entry__unpack(NULL, row->nbytes, row->bytes);
-	if (e == NULL) {
+	ok = row->bytes != NULL && decode_row(row, &peer);
+	if (ok)
+		g_hash_table_replace(es->others, g_strdup(row->key),
+		    g_memdup2(&peer, sizeof(peer)));
+	else
 		g_hash_table_remove(es->others, row->key);
-		update_claim_delay(es);
-		return;
+	if (row->bytes != NULL && !ok) {
+		es->node->stats.bad_input++;
+		log_event(EVT_BAD_ROW, "table=entries key=%s why=\"%s\"",
+		    row->key, "no address or capacity of an entry");
 	}
-	peer = g_new0(peer_entry_t, 1);
-	peer->ip = g_strdup(e->ip);
-	peer->port = e->port;
-	peer->capacity = e->strength;
-	peer->incarnation = e->incarnation;
-	g_hash_table_replace(es->others, g_strdup(row->key), peer);
-	sched__entry__free_unpacked(e, NULL);
 	update_claim_delay(es);
 }
 
@@ -183,7 +183,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		const peer_entry_t *peer = v;
 
-		dgram_send(es->dgram, peer->ip, peer->port, b, n);
+		dgram_send(es->dgram, peer->at.ip, peer->at.port, b, n);
 	}
 }
 
@@ -296,8 +296,8 @@
 		.ctx = es };
 
 	es->node = n;
-	es->others = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, g_free, peer_entry_free);
+	es->others =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	es->dgram = dgram_new(&d, err);
 	if (es->dgram == NULL)
 		return NULL;
@@ -330,7 +330,8 @@
 	while (g_hash_table_iter_next(&it, &k, &v)) {
 		const peer_entry_t *peer = v;
 
-		if (peer->capacity * MUCH_STRONGER_PCT < own * 100 ||
+		if ((int64_t)peer->capacity * MUCH_STRONGER_PCT <
+			(int64_t)own * 100 ||
 		    peer->incarnation <= last_incarnation)
 			continue;
 		last_incarnation = peer->incarnation;
--- a/test/odd_entries.sh
+++ b/test/odd_entries.sh
@@ -152,6 +152,23 @@
 completes long_text 1 00000000000000c1
 check kept_with_long_text "$(cat "$T"/s[12].out | grep -c name=cell_lost)" 0
 
+# Odd rows among those of the other entries of the cell: no message, a port out of
+# range, an address that is none, a strength out of range; then a sound one.
+put_peer() { # KEY HEX
+	printf '{"puts":[{"table":"entry","part":"e","key":"%s","value":"%s"}]}' \
+	    "$1" "$(printf "$2" | base64 -w 0)" >"$T/put"
+	curl -s -m 5 -o "$T/put.out" --data-binary "@$T/put" "http://$STORE/-/rows-tx"
+}
+put_peer p-bytes '\012\177'
+put_peer p-port '\012\011127.0.0.9\020\200\200\004'
+put_peer p-ip '\012\001x\020\001'
+put_peer p-strength '\012\011127.0.0.9\020\001\040\377\377\377\377\007'
+put_peer p-sound '\012\011127.0.0.9\020\001'
+peers_logged() { [ "$(logged 'table=entries key=p-')" -ge 8 ]; }
+wait_for 5 peers_logged || true
+check peers_logged "$(logged 'table=entries key=p-')" 8
+check peers_sound "$(logged 'key=p-sound')" 0
+
 # The next owner reads the same list.
 o=$(owner)
 n=$((3 - o))
