--- a/sched/internal.h
+++ b/sched/internal.h
@@ -119,6 +119,8 @@
 int32_t task_failed_runs(const task_t *t);
 bool task_add_failed_run(task_t *t, int64_t run);
 int64_t job_task_ms(const step_t *st);
+int32_t job_tasks(const job_t *j);
+int64_t job_largest_task_cpu(const job_t *j);
 void job_update_paths(occurrence_t *o);
 queue_t *queue_get(sched_t *s, const char *name);
 
--- a/sched/job.c
+++ b/sched/job.c
@@ -249,6 +249,28 @@
 	g_free(j);
 }
 
+/* The tasks of an occurrence of a job. */
+int32_t
+job_tasks(const job_t *j)
+{
+	int32_t n = 0;
+
+	for (size_t i = 0; i < j->def->n_steps; i++)
+		n += j->def->steps[i]->count;
+	return n;
+}
+
+/* The processor amount of its largest task. */
+int64_t
+job_largest_task_cpu(const job_t *j)
+{
+	int64_t most = 0;
+
+	for (size_t i = 0; i < j->def->n_steps; i++)
+		most = MAX(most, j->def->steps[i]->cpu_milli);
+	return most;
+}
+
 /* Returns the occurrence with this number; creates it if there is none. */
 occurrence_t *
 job_occurrence(job_t *j, int32_t number)
--- a/sched/rows.c
+++ b/sched/rows.c
@@ -54,9 +54,11 @@
 	    (j->row_stored || !s->cell.rows_before_starts);
 	customer_job_loaded(s, j);
 	LOG_EVENT(s, SCHED_EVT_JOB_SEEN, id,
-	    "queue=%s steps=%zu version=%" PRId64 " age=%" PRId64,
+	    "queue=%s steps=%zu version=%" PRId64 " age=%" PRId64
+	    " tasks=%d largest_cpu=%" PRId64 " work=%.1f",
 	    j->queue->name, def->n_steps, row->version,
-	    s->wall_ms - def->accepted_ms);
+	    s->wall_ms - def->accepted_ms, job_tasks(j),
+	    job_largest_task_cpu(j), j->work_milli_ms / 1e6);
 	if (s->cell.state == CELL_OWNED && def->repeats == 0)
 		run_add_ready_steps(s, g_ptr_array_index(j->occs, 0));
 }
--- a/sched/run.c
+++ b/sched/run.c
@@ -500,8 +500,9 @@
 		run_discard(s, r, "the job has ended");
 	}
 	LOG_EVENT(s, SCHED_EVT_JOB_ENDED, j->id,
-	    "state=%d late=%" PRId64 " runs=%d", end,
-	    s->wall_ms - j->def->accepted_ms - j->allowed_ms, j->nruns);
+	    "state=%d late=%" PRId64 " runs=%d allowed=%" PRId64, end,
+	    s->wall_ms - j->def->accepted_ms - j->allowed_ms, j->nruns,
+	    j->allowed_ms);
 	flush_mark_job(s, j);
 }
 
