--- /dev/null
+++ b/test/unit/room.c
@@ -0,0 +1,122 @@
+/*
+ * Room for large tasks that are neither lasting nor filler, on full workers.
+ */
+#include <stdbool.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <criterion/criterion.h>
+#include <glib.h>
+
+#include "../../proto/sched.pb-c.h"
+#include "tanagerspool.h"
+#include "../../sched/sched.h"
+#include "../../sched/image_set.h"
+#include "../../sched/headroom.h"
+#include "../../sched/run_time.h"
+#include "../../sched/types.h"
+#include "../../sched/customer.h"
+#include "../../sched/internal.h"
+#include "sched_fixture.h"
+
+#define SMALL_MILLI 16000 /* a quarter of a worker */
+#define SMALL_MS    800	  /* that a small task runs */
+#define ARRIVAL_MS  200	  /* between two small jobs */
+#define ROUND_MS    250
+#define STEP_MS	    50
+#define BEGIN_MS    1000 /* the large job comes */
+#define LONG_MS	    6000
+
+/* Ends the runs of small tasks that are due to end. */
+static void
+end_small_runs(sched_t *s)
+{
+	g_autoptr(GList) all = g_hash_table_get_values(s->runs);
+
+	for (GList *i = all; i != NULL; i = i->next) {
+		run_t *r = i->data;
+
+		if (r->task->step->def->cpu_milli != SMALL_MILLI ||
+		    r->task->step->def->lasting ||
+		    s->now_ms - r->state_since_ms < SMALL_MS)
+			continue;
+		job_mark_task_done(r->task);
+		run_remove(s, r);
+	}
+}
+
+static step_t *
+queue_job(sched_t *s, int number, const Sched__Step *d)
+{
+	g_autofree char *id = g_strdup_printf("%016d", number);
+	step_t *st = first_step(add_job(s, id, d, s->wall_ms));
+
+	st->ready = true;
+	queue_add_step(s, st);
+	return st;
+}
+
+static void
+advance(sched_t *s)
+{
+	s->now_ms += STEP_MS;
+	s->wall_ms = s->now_ms;
+	end_small_runs(s);
+	if (s->now_ms % ROUND_MS == 0) {
+		queue_resort(s);
+		scan_begin_round(s);
+	}
+	start_waiting_tasks(s);
+}
+
+/*
+ * Guards against large tasks that are never served, as smaller ones that come
+ * later take what gets free on each worker.
+ */
+Test(room, a_large_task_starts_in_time_while_smaller_ones_keep_coming)
+{
+	static const struct {
+		const char *what;
+		int64_t large_milli;
+		int64_t reserved_milli; /* on each worker, for good */
+		int64_t mem_mb;
+		bool lasting; /* what comes later */
+		bool starts;
+	} cases[] = {
+		{ "small tasks come", 40000, 0, 1000, false, true },
+		{ "a whole worker is needed", 64000, 0, 1000, false, true },
+		{ "lasting tasks come", 40000, 0, 1000, true, true },
+		{ "no worker will have the room", 40000, 32000, 1000, false,
+		    false },
+		{ "nor the memory", 40000, 0, 300000, false, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = new_owner();
+		Sched__Step small = step_def("", SMALL_MILLI, false, 0);
+		Sched__Step large =
+		    step_def("", cases[i].large_milli, false, 0);
+		step_t *st = NULL;
+		int n = 0;
+
+		for (int k = 0; k < 2; k++)
+			add_worker(s, k == 0 ? "a" : "b")->used_cpu_milli =
+			    cases[i].reserved_milli;
+		large.mem_mb = cases[i].mem_mb;
+		for (s->now_ms = 0; s->now_ms < LONG_MS;) {
+			if (s->now_ms == BEGIN_MS)
+				st = queue_job(s, n++, &large);
+			if (s->now_ms % ARRIVAL_MS == 0) {
+				small.lasting = cases[i].lasting && st != NULL;
+				queue_job(s, n++, &small);
+				queue_job(s, n++, &small);
+			}
+			advance(s);
+			if (st != NULL && s->now_ms >= st->latest_start_ms)
+				break;
+		}
+		cr_expect_eq(
+		    st->nwaiting == 0, cases[i].starts, "%s", cases[i].what);
+		sched_free(s);
+	}
+}
