Placement: workers are kept for large tasks that no worker can take yet

Cause: a step for which no worker is found is passed over, and those behind it in the queue take what gets free, a small amount at a time. Class of fault: filling gaps without a reservation starves what needs a large one.

Now, in each round, workers are kept for such a step, in the order of the queue: those on which its tasks will fit soonest, by what is expected to end there. Only fillers, which use what is not reserved, start beside it. The next round chooses anew, so that nothing is to be given back.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -9,6 +9,7 @@
  * - run_time.c: how long tasks are expected to take;
  * - cell_worker.c: workers, their free resources, clocks and leases;
  * - place.c, scan.c, approval.c: choice of a worker for a task;
+ * - room.c: room that is kept for large tasks;
  * - start.c, run.c: starting and stopping runs of tasks;
  * - poll.c, report.c: polling workers and processing their reports;
  * - headroom.c, interference.c: how much filler tasks slow down serving tasks;
@@ -176,6 +177,10 @@
 bool place_allowed(const sched_t *s, const step_t *st, const worker_t *w);
 bool place_gang(sched_t *s, const step_t *st, worker_t **at);
 
+/* room.c */
+void room_keep(sched_t *s, step_t *st);
+bool room_allows_start(const sched_t *s, const worker_t *w, const step_t *st);
+
 /* approval.c */
 GHashTable *approval_requests_new(void);
 void approval_step_free(step_t *st);
--- a/sched/place.c
+++ b/sched/place.c
@@ -224,7 +224,8 @@
 {
 	const step_t *st = q->step;
 
-	if (!quarantine_allows_start(s, w, q->task))
+	if (!quarantine_allows_start(s, w, q->task) ||
+	    !room_allows_start(s, w, st))
 		return false;
 	if (!has_room(s, w, st, q->slowed) || !approval_allows(s, st, w) ||
 	    (q->rack != NULL && w->rack != q->rack))
--- a/sched/scan.c
+++ b/sched/scan.c
@@ -49,6 +49,7 @@
 {
 	s->scan.round++;
 	s->scan.round_looks = s->stats.places;
+	s->scan.kept_workers = s->scan.keeping_steps = 0;
 	s->scan.resume_at = s->scan.stopped_at;
 	s->scan.stopped_at = 0;
 	s->start_pass_due = true;
--- a/sched/start.c
+++ b/sched/start.c
@@ -109,8 +109,10 @@
 			continue;
 		if (w == NULL)
 			w = place_task(s, st, t);
-		if (w == NULL)
+		if (w == NULL) {
+			room_keep(s, st);
 			break;
+		}
 		n += run_start(s, t, w, start_run_number(s, t));
 	}
 	return n;
--- a/sched/types.h
+++ b/sched/types.h
@@ -110,6 +110,7 @@
 	GSequenceIter *queue_iter; /* position in ready_steps, or NULL */
 	uint64_t unplaced_round;   /* round of scan.c without a worker for it */
 	uint64_t unmovable_round;  /* the same for a task that runs */
+	uint64_t kept_round;	   /* round in which workers were kept for it */
 	/* In unplaced_round, only isolation.c kept it from some worker. */
 	bool isolated;
 	bool quota_held; /* in the last pass, by its customer's quota */
@@ -306,6 +307,10 @@
 	/* Nothing but this task is started until then.  Never dereferenced. */
 	const task_t *reserved_for;
 	int64_t reserved_until_ms;
+	/* In that round of scan.c nothing but fillers and this step is started;
+	 * see room.c.  Never dereferenced. */
+	const step_t *kept_for;
+	uint64_t kept_round;
 	GHashTable *runs; /* task name -> run_t */
 	/* The rest. */
 	/* Runs that were lost with its lease at lost_ms (lost_run_t of crash.c),
@@ -401,6 +406,8 @@
 	guint next;	    /* index of the first worker to look at */
 	/* Values of stats.places when the round and the pass began. */
 	uint64_t round_looks, pass_looks;
+	/* Of this round: workers that are kept, and the steps they are kept for. */
+	guint kept_workers, keeping_steps;
 	int32_t resume_at; /* the steps before were offered in the last round */
 	int32_t stopped_at; /* position of the first that was not; 0: none */
 } scan_t;
