--- a/sched/internal.h
+++ b/sched/internal.h
@@ -9,6 +9,7 @@
  * - run_time.c: how long tasks are expected to take;
  * - cell_worker.c: workers, their free resources, clocks and leases;
  * - place.c, scan.c, approval.c: choice of a worker for a task;
+ * - room.c: room that is kept for large tasks;
  * - start.c, run.c: starting and stopping runs of tasks;
  * - poll.c, report.c: polling workers and processing their reports;
  * - headroom.c, interference.c: how much filler tasks slow down serving tasks;
@@ -119,6 +120,8 @@
 int32_t task_failed_runs(const task_t *t);
 bool task_add_failed_run(task_t *t, int64_t run);
 int64_t job_task_ms(const step_t *st);
+int32_t job_tasks(const job_t *j);
+int64_t job_largest_task_cpu(const job_t *j);
 void job_update_paths(occurrence_t *o);
 queue_t *queue_get(sched_t *s, const char *name);
 
@@ -176,6 +179,10 @@
 bool place_allowed(const sched_t *s, const step_t *st, const worker_t *w);
 bool place_gang(sched_t *s, const step_t *st, worker_t **at);
 
+/* room.c */
+void room_keep(sched_t *s, step_t *st);
+bool room_allows_start(const sched_t *s, const worker_t *w, const step_t *st);
+
 /* approval.c */
 GHashTable *approval_requests_new(void);
 void approval_step_free(step_t *st);
--- a/sched/types.h
+++ b/sched/types.h
@@ -110,6 +110,7 @@
 	GSequenceIter *queue_iter; /* position in ready_steps, or NULL */
 	uint64_t unplaced_round;   /* round of scan.c without a worker for it */
 	uint64_t unmovable_round;  /* the same for a task that runs */
+	uint64_t kept_round;	   /* round in which workers were kept for it */
 	/* In unplaced_round, only isolation.c kept it from some worker. */
 	bool isolated;
 	bool quota_held; /* in the last pass, by its customer's quota */
@@ -117,6 +118,7 @@
 	int64_t latest_start_ms;
 	bool misses_target;    /* latest_start_ms has passed */
 	bool starved;	       /* starvation_is_starved() at the last sort */
+	bool late_begun;       /* see queue.c */
 	bool past_late_limit;  /* too late even to count as a late job */
 	int64_t sort_key_ms;   /* lower goes first within a tier and priority */
 	char *gang_checkpoint; /* latest one that a task of a gang reported */
@@ -308,6 +310,10 @@
 	/* Nothing but this task is started until then.  Never dereferenced. */
 	const task_t *reserved_for;
 	int64_t reserved_until_ms;
+	/* In that round of scan.c nothing but fillers and this step is started;
+	 * see room.c.  Never dereferenced. */
+	const step_t *kept_for;
+	uint64_t kept_round;
 	GHashTable *runs; /* task name -> run_t */
 	/* The rest. */
 	/* Runs that were lost with its lease at lost_ms (lost_run_t of crash.c),
@@ -405,6 +411,8 @@
 	guint next;	    /* index of the first worker to look at */
 	/* Values of stats.places when the round and the pass began. */
 	uint64_t round_looks, pass_looks;
+	/* Of this round: workers that are kept, and the steps they are kept for. */
+	guint kept_workers, keeping_steps;
 	int32_t resume_at; /* the steps before were offered in the last round */
 	int32_t stopped_at; /* position of the first that was not; 0: none */
 } scan_t;
