Queue: the rest of a late job that still counts goes before lasting tasks

Cause: a job that misses its target went behind all lasting tasks, though it earns a late job's worth until three times the time allowed. Large jobs meet this most, as one of their many tasks is always the last. Class of fault: a strict order by class, in which a class that never ends starves those behind it.

Now the waiting tasks of a late short job that has been begun and still counts go before lasting ones: the rest of its work is small for what it earns.

The unit test fails before (late, begun) and passes now.

--- a/sched/queue.c
+++ b/sched/queue.c
@@ -29,21 +29,24 @@
 
 /*
  * Main sort key, lower first: short work, neither lasting nor filler, that can
- * meet its target; lasting tasks, as they keep their resources for good; filler
- * work that can meet its target; work that could, but is deferred for the sake of
- * others (overload_queue.c); late work; and work that is too late even to count
- * as late, of which starved jobs go first.
+ * meet its target; such work of jobs that are late, but still count and need only
+ * the rest of their work; lasting tasks, which keep their resources for good;
+ * filler work that can meet its target; work that could, but is deferred for the
+ * sake of others (overload_queue.c); other late work; and work that is too late
+ * even to count as late, of which starved jobs go first.
  */
 static int
 tier(const step_t *st)
 {
 	if (st->def->lasting)
+		return 2;
+	if (st->late_begun)
 		return 1;
 	if (st->misses_target)
-		return !st->past_late_limit ? 4 : st->starved ? 5 : 6;
+		return !st->past_late_limit ? 5 : st->starved ? 6 : 7;
 	if (st->occ->deferred)
-		return 3;
-	return st->def->filler ? 2 : 0;
+		return 4;
+	return st->def->filler ? 3 : 0;
 }
 
 /* Compares two steps by tier, priority and sort key; for GSequence. */
@@ -109,6 +112,23 @@
 	return queue_job_value(o->job) / work_left(o);
 }
 
+/*
+ * Whether a step is late short work that still counts, of an occurrence that has
+ * been begun.
+ */
+static bool
+is_late_begun(const step_t *st)
+{
+	const occurrence_t *o = st->occ;
+
+	if (!st->misses_target || st->past_late_limit || st->def->filler)
+		return false;
+	for (size_t i = 0; i < o->job->def->n_steps; i++)
+		if (o->steps[i].nwaiting < o->steps[i].ntasks)
+			return true;
+	return false;
+}
+
 /*
  * Updates the latest start at which a step meets its job's target, whether it
  * is late, and its sort key.  A step that can meet the target is sorted by its
@@ -133,6 +153,7 @@
 	st->past_late_limit =
 	    o->due_wall_ms + LATE_LIMIT_TIMES * o->job->allowed_ms - path_ms <
 	    s->wall_ms;
+	st->late_begun = is_late_begun(st);
 	st->starved = starvation_is_starved(s, st);
 	if (st->misses_target) {
 		st->sort_key_ms = st->past_late_limit && st->starved ?
--- a/sched/types.h
+++ b/sched/types.h
@@ -118,6 +118,7 @@
 	int64_t latest_start_ms;
 	bool misses_target;    /* latest_start_ms has passed */
 	bool starved;	       /* starvation_is_starved() at the last sort */
+	bool late_begun;       /* see queue.c */
 	bool past_late_limit;  /* too late even to count as a late job */
 	int64_t sort_key_ms;   /* lower goes first within a tier and priority */
 	char *gang_checkpoint; /* latest one that a task of a gang reported */
--- a/test/unit/room.c
+++ b/test/unit/room.c
@@ -120,3 +120,45 @@
 		sched_free(s);
 	}
 }
+
+/*
+ * Guards against large urgent jobs of which the last tasks never start, as lasting
+ * tasks, which come all the time, take what gets free and keep it.
+ */
+Test(room, the_rest_of_a_late_job_goes_before_lasting_tasks)
+{
+	static const struct {
+		const char *what;
+		int64_t age_ms;
+		bool begun, filler, before;
+	} cases[] = {
+		{ "on time", 0, false, false, true },
+		{ "late, begun", 5000, true, false, true },
+		{ "late, not begun", 5000, false, false, false },
+		{ "past its late limit", 20000, true, false, false },
+		{ "filler, on time", 0, true, true, false },
+		{ "filler, late", 5000, true, true, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = new_owner();
+		Sched__Step lasting = step_def("", SMALL_MILLI, false, 0);
+		Sched__Step d = step_def("", SMALL_MILLI, cases[i].filler, 0);
+		step_t *st;
+
+		s->now_ms = s->wall_ms = 100000;
+		lasting.lasting = true;
+		d.count = 2;
+		queue_job(s, 1, &lasting);
+		s->wall_ms -= cases[i].age_ms;
+		st = queue_job(s, 2, &d);
+		s->wall_ms += cases[i].age_ms;
+		if (cases[i].begun)
+			add_running(s, st, 0, add_worker(s, "w"));
+		queue_resort(s);
+		cr_expect_eq(g_sequence_get(g_sequence_get_begin_iter(
+				 s->ready_steps)) == st,
+		    cases[i].before, "%s", cases[i].what);
+		sched_free(s);
+	}
+}
