--- a/test/unit/load.c
+++ b/test/unit/load.c
@@ -157,3 +157,17 @@
 		sched_free(s);
 	}
 }
+
+/*
+ * Guards against a task that is started on a worker after it has drained: an order
+ * may wait for a connection, while the list of workers grows older.
+ */
+Test(load, lists_are_fresh_until_an_order_arrives)
+{
+	node_t n = { 0 };
+	uv_loop_t loop;
+	const sched_t *s = cell_driver_sched(new_driver(&n, &loop));
+
+	cr_expect_leq(
+	    s->opts.feed_limit_ms + PLATFORM_ORDER_TIMEOUT_MS, n.opts.drain_ms);
+}
