--- a/test/unit/backend.c
+++ b/test/unit/backend.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <arpa/inet.h>
 #include <criterion/criterion.h>
 #include <glib.h>
 #include <jansson.h>
@@ -18,7 +19,6 @@
 #include "tanagerspool.h"
 #include "../../trans/trans.h"
 
-#define PORT	   18733
 #define TIMEOUT_MS 300 /* of a call */
 
 typedef struct {
@@ -83,6 +83,7 @@
 typedef struct {
 	uv_loop_t loop;
 	uv_tcp_t listener; /* of the server */
+	int port;	   /* a free one */
 	const server_case_t *server_case;
 	backends_t *backends;
 	int accepted;	      /* connections that the server has accepted */
@@ -179,11 +180,11 @@
 
 /* Makes a call and waits until it has ended. */
 static void
-call_server(fixture_t *f, int port)
+call_server(fixture_t *f)
 {
 	size_t n = f->server_case == NULL ? 0 : f->server_case->request_bytes;
 	g_autofree char *body = g_malloc0(n);
-	backend_call_t call = { "127.0.0.1", port, 4, n > 0 ? "POST" : "GET",
+	backend_call_t call = { "127.0.0.1", f->port, 4, n > 0 ? "POST" : "GET",
 		"/", "", body, n, TIMEOUT_MS };
 
 	backends_send(f->backends, 1, 1, &call);
@@ -192,38 +193,42 @@
 }
 
 static void
-fixture_init(fixture_t *f, int port)
+fixture_init(fixture_t *f)
 {
 	struct sockaddr_in a;
+	int n = sizeof(a);
 
 	uv_loop_init(&f->loop);
 	f->backends = backends_new(&f->loop, on_answer, f);
 	uv_tcp_init(&f->loop, &f->listener);
 	f->listener.data = f;
-	uv_ip4_addr("127.0.0.1", port, &a);
+	uv_ip4_addr("127.0.0.1", 0, &a);
 	cr_assert_eq(uv_tcp_bind(&f->listener, (struct sockaddr *)&a, 0), 0);
 	cr_assert_eq(uv_listen((uv_stream_t *)&f->listener, 8, on_connect), 0);
+	cr_assert_eq(
+	    uv_tcp_getsockname(&f->listener, (struct sockaddr *)&a, &n), 0);
+	f->port = ntohs(a.sin_port);
 }
 
 Test(backend, answers)
 {
 	fixture_t f = { 0 };
 
-	fixture_init(&f, PORT);
+	fixture_init(&f);
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		const server_case_t *c = &cases[i];
 		int before = f.accepted;
 
 		f.server_case = c;
 		f.ended = 0;
-		call_server(&f, PORT);
+		call_server(&f);
 		cr_expect_eq(
 		    f.ended, 1, "%s: ended %d times", c->name, f.ended);
 		cr_expect_eq(f.outcome, c->outcome, "%s: outcome %d", c->name,
 		    f.outcome);
 		if (c->body != NULL)
 			cr_expect_str_eq(f.body, c->body, "%s", c->name);
-		call_server(&f, PORT);
+		call_server(&f);
 		cr_expect_eq(f.accepted - before, c->conn_reused ? 1 : 2,
 		    "%s: %d connections", c->name, f.accepted - before);
 		backends_close_idle(f.backends);
@@ -236,8 +241,10 @@
 {
 	fixture_t f = { 0 };
 
-	fixture_init(&f, PORT + 2);
-	call_server(&f, PORT + 1);
+	fixture_init(&f);
+	uv_close((uv_handle_t *)&f.listener, NULL);
+	uv_run(&f.loop, UV_RUN_NOWAIT);
+	call_server(&f);
 	cr_expect_eq(f.outcome, TS_OUTCOME_NOT_RUN);
 	cr_expect_eq(f.ended, 1);
 }
@@ -263,7 +270,6 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(list); i++) {
 		fixture_t f = { .server_case = &cases[list[i].server_case] };
 		backend_call_t call = { .ip = "127.0.0.1",
-			.port = PORT + 3,
 			.max_conns = 2,
 			.method = "GET",
 			.path = "/",
@@ -271,7 +277,8 @@
 			.timeout_ms = TIMEOUT_MS,
 			.waits = list[i].waits };
 
-		fixture_init(&f, PORT + 3);
+		fixture_init(&f);
+		call.port = f.port;
 		for (uint64_t k = 1; k <= 5; k++)
 			backends_send(f.backends, k, 1, &call);
 		while (f.ended < 5)
@@ -297,7 +304,6 @@
 {
 	fixture_t f = { .server_case = &cases[0] };
 	backend_call_t call = { .ip = "127.0.0.1",
-		.port = PORT + 4,
 		.max_conns = 2,
 		.method = "GET",
 		.path = "/",
@@ -305,7 +311,8 @@
 		.timeout_ms = TIMEOUT_MS,
 		.waits = true };
 
-	fixture_init(&f, PORT + 4);
+	fixture_init(&f);
+	call.port = f.port;
 	for (uint64_t k = 1; k <= 4; k++)
 		backends_send(f.backends, k, 1, &call);
 	call.max_conns = 3;
