--- a/test/unit/takeover.c
+++ b/test/unit/takeover.c
@@ -247,6 +247,22 @@
 	return o;
 }
 
+/* A new owner whose first poll of w0, which has a run of others, is in flight. */
+static sched_t *
+new_owner_of_used_worker(void)
+{
+	sched_t *s = new_entry();
+	Sched__Owner o = other_owner();
+
+	claim(s, &o);
+	read_footprint(s, 0);
+	read_job(s);
+	list_worker(s, 1);
+	sched_load_done(s, CLAIMED_MS);
+	sched_tick(s, CLAIMED_MS, 0);
+	return s;
+}
+
 /*
  * Guards against two runs of one task: a worker that answered the first poll of
  * a new owner and missed the next has the leases of earlier owners yet.
@@ -296,16 +312,9 @@
  */
 Test(takeover, the_stored_end_of_a_lease)
 {
-	sched_t *s = new_entry();
-	Sched__Owner o = other_owner();
+	sched_t *s = new_owner_of_used_worker();
 	int64_t answered_ms = CLAIMED_MS + 800;
 
-	claim(s, &o);
-	read_footprint(s, 0);
-	read_job(s);
-	list_worker(s, 1);
-	sched_load_done(s, CLAIMED_MS);
-	sched_tick(s, CLAIMED_MS, 0);
 	s->now_ms = answered_ms;
 	/* Until it has read the owner's row again, it extends no lease. */
 	sched_process_paused(s, answered_ms);
@@ -409,14 +418,8 @@
  */
 Test(takeover, no_lease_is_extended_after_a_release)
 {
-	sched_t *s = new_entry();
-	Sched__Owner o = other_owner();
+	sched_t *s = new_owner_of_used_worker();
 
-	claim(s, &o);
-	read_footprint(s, 0);
-	list_worker(s, 1);
-	sched_load_done(s, CLAIMED_MS);
-	sched_tick(s, CLAIMED_MS, 0);
 	answer_poll(s);
 	cr_expect(ownership_may_extend_leases(s));
 	sched_write_done(s, SCHED_WRITE_OK, TOKEN + 1, CLAIMED_MS + 10);
@@ -513,18 +516,12 @@
  */
 Test(takeover, an_order_answered_late)
 {
-	sched_t *s = new_entry();
-	Sched__Owner o = other_owner();
+	sched_t *s = new_owner_of_used_worker();
 	int64_t extended_ms, clock_ms;
 	GHashTableIter it;
 	worker_t *w;
 	void *r;
 
-	claim(s, &o);
-	read_footprint(s, 0);
-	read_job(s);
-	list_worker(s, 1);
-	sched_load_done(s, CLAIMED_MS);
 	w = cell_worker_get(s, "w0");
 	/* Polls that are answered for longer than the first answer counts. */
 	while (s->now_ms < CLAIMED_MS + 2 * MAX_LEASE_MS) {
@@ -557,19 +554,12 @@
  */
 Test(takeover, a_silent_worker_with_ends_that_were_not_listed)
 {
-	sched_t *s = new_entry();
-	Sched__Owner o = other_owner();
+	sched_t *s = new_owner_of_used_worker();
 	sched_report_t r = {
 		.clock_ms = CLOCK_MS, .started_ms = 1, .ended_cut = true
 	};
 	const worker_t *w;
 
-	claim(s, &o);
-	read_footprint(s, 0);
-	read_job(s);
-	list_worker(s, 1);
-	sched_load_done(s, CLAIMED_MS);
-	sched_tick(s, CLAIMED_MS, 0);
 	sched_poll_done(s, poll_id, "w0", SCHED_ORDER_OK, &r, s->now_ms);
 	cr_assert_not(s->cell.workers_accounted);
 	w = cell_worker_get(s, "w0");
@@ -591,15 +581,9 @@
  */
 Test(takeover, a_write_after_a_release_without_an_answer)
 {
-	sched_t *s = new_entry();
-	Sched__Owner o = other_owner();
+	sched_t *s = new_owner_of_used_worker();
 	Sched__Step step = step_def("i", 1000, false, 0);
 
-	claim(s, &o);
-	read_footprint(s, 0);
-	list_worker(s, 1);
-	sched_load_done(s, CLAIMED_MS);
-	sched_tick(s, CLAIMED_MS, 0);
 	answer_poll(s);
 	sched_write_done(s, SCHED_WRITE_OK, TOKEN + 1, CLAIMED_MS + 10);
 	sched_begin_release(s, CLAIMED_MS + 50);
