--- a/test/unit/room.c
+++ b/test/unit/room.c
@@ -162,3 +162,52 @@
 		sched_free(s);
 	}
 }
+
+/* Callers of lasting tasks need them back within this time if there is room. */
+#define LASTING_BACK_MS 3000
+#define LONG_RUN_MS	20000 /* that the run beside the gap takes */
+
+/*
+ * Guards against lasting tasks that stay down beside room for them, as it is held
+ * for a larger task that will not fit there for a long time.
+ */
+Test(room, a_lasting_task_is_not_kept_waiting_by_held_room)
+{
+	static const struct {
+		const char *what;
+		int64_t gap_milli;
+		int32_t tasks, starts;
+	} cases[] = {
+		{ "one task", SMALL_MILLI, 1, 1 },
+		{ "three tasks", 3 * SMALL_MILLI, 3, 3 },
+		{ "more tasks than room", 2 * SMALL_MILLI, 3, 2 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = new_owner();
+		Sched__Step lasting = step_def("", SMALL_MILLI, false, 0);
+		Sched__Step running = step_def(
+		    "", WORKER_CPU_MILLI - cases[i].gap_milli, false, 0);
+		Sched__Step large = step_def("", WORKER_CPU_MILLI, false, 0);
+		worker_t *w = add_worker(s, "w");
+		step_t *st;
+
+		lasting.lasting = true;
+		lasting.count = cases[i].tasks;
+		large.estimate_ms = running.estimate_ms = LONG_RUN_MS;
+		run_set_state(s, add_run(s, queue_job(s, 1, &running), 0, w),
+		    RUN_RUNNING);
+		queue_job(s, 2, &large);
+		advance(s);
+		cr_assert(
+		    w->kept_round == s->scan.round, "%s: held", cases[i].what);
+		st = queue_job(s, 3, &lasting);
+		for (int64_t end_ms = s->now_ms + LASTING_BACK_MS;
+		     s->now_ms < end_ms;)
+			advance(s);
+		cr_expect_eq(lasting.count - st->nwaiting, cases[i].starts,
+		    "%s: %d of %d started", cases[i].what,
+		    lasting.count - st->nwaiting, cases[i].starts);
+		sched_free(s);
+	}
+}
