Event 642 and metrics: waiting tasks by reason

The load event told how many tasks wait, but of the reasons only isolation and quotas, so that the hypotheses of an incident could not be told apart. Placement's checks now return why a worker refuses a task (place.c, cell_worker.c; the order of the checks changes, what they allow does not), and passes note with each step why its next task did not start: the check that the nearest worker failed, or what held the step before. Nothing is searched for the log. 642 has reasons=, /metrics has tasks_waiting{reason} and longest_idle_ms.

--- a/sched/cell_worker.c
+++ b/sched/cell_worker.c
@@ -91,6 +91,24 @@
 	}
 }
 
+/* Why no task may be started on a worker; SCHED_WAIT_NONE: one may. */
+sched_wait_reason_t
+cell_worker_refusal(const sched_t *s, const worker_t *w)
+{
+	if (!w->listed || w->draining || w->zone_evacuated)
+		return SCHED_WAIT_LEAVING;
+	if (w->missed_polls > 0 || w->silent)
+		return SCHED_WAIT_SILENT;
+	if (!w->footprint_stored || w->lease_end_store_ms != 0 ||
+	    !w->has_answered)
+		return SCHED_WAIT_NEW_WORKER;
+	if (w->nunknown > 0)
+		return SCHED_WAIT_UNKNOWN_RUNS;
+	if (w->backoff_until_ms > s->now_ms || !suspect_allows_start(s, w))
+		return SCHED_WAIT_SUSPECT;
+	return SCHED_WAIT_NONE;
+}
+
 /*
  * Whether tasks may be started on a worker now, apart from its resources.  Those
  * are not known while it has a run of a job that is not known any more.
@@ -98,11 +116,7 @@
 bool
 cell_worker_usable(const sched_t *s, const worker_t *w)
 {
-	return w->listed && !w->draining && w->footprint_stored &&
-	    w->lease_end_store_ms == 0 && w->has_answered &&
-	    w->missed_polls == 0 && !w->silent &&
-	    w->backoff_until_ms <= s->now_ms && suspect_allows_start(s, w) &&
-	    !w->zone_evacuated && w->nunknown == 0;
+	return cell_worker_refusal(s, w) == SCHED_WAIT_NONE;
 }
 
 /*
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -25,7 +25,8 @@
  * - crash.c, quarantine.c: tasks that crash their workers;
  * - flush.c, interference_row.c, purge.c: rows written to and removed from the
  *   store;
- * - stats.c: counters and the periodic load event.
+ * - stats.c: counters and the periodic load event;
+ * - wait_reason.c: why waiting tasks wait.
  *
  * Terms: a serving task answers requests and has a target for its tail
  * latency.  A filler task is batch work that uses the processor time which
@@ -146,6 +147,7 @@
 worker_t *cell_worker_get(sched_t *s, const char *id);
 void cell_worker_free(void *w);
 void cell_worker_count_task(worker_t *w, const step_t *st, int sign);
+sched_wait_reason_t cell_worker_refusal(const sched_t *s, const worker_t *w);
 bool cell_worker_usable(const sched_t *s, const worker_t *w);
 int64_t cell_worker_min_clock(const worker_t *w, int64_t now_ms);
 int64_t cell_worker_extend_lease(sched_t *s, worker_t *w);
@@ -177,7 +179,12 @@
 bool place_fits_empty(const sched_t *s, const worker_t *w, const step_t *st);
 int64_t place_filler_capacity(const worker_t *w);
 bool place_allowed(const sched_t *s, const step_t *st, const worker_t *w);
-bool place_gang(sched_t *s, const step_t *st, worker_t **at);
+bool place_gang(sched_t *s, step_t *st, worker_t **at);
+
+/* wait_reason.c */
+void wait_reason_note(const sched_t *s, step_t *st, sched_wait_reason_t why);
+sched_wait_reason_t wait_reason_of(const sched_t *s, const step_t *st);
+char *wait_reason_text(const int32_t *counts);
 
 /* room.c */
 void room_keep(sched_t *s, step_t *st);
--- a/sched/place.c
+++ b/sched/place.c
@@ -76,16 +76,21 @@
 	    w->serving_cpu_milli * (100 - SERVING_PEAK_USE_PCT) / 100;
 }
 
+/* Whether a worker that runs nothing has the resources for a task. */
+static bool
+has_amounts(const worker_t *w, const Sched__Step *d)
+{
+	return d->cpu_milli <= w->cpu_milli && d->mem_mb <= w->mem_mb &&
+	    d->gpu <= w->gpu;
+}
+
 /*
- * Whether the free resources of a worker are enough for a task.  Slowed fillers
- * may share its processors with more of them than could run at full speed.
+ * Whether the free processors of a worker are enough for a task.  Slowed fillers
+ * may share them with more of them than could run at full speed.
  */
 static bool
-fits(const worker_t *w, const Sched__Step *d, bool slowed)
+cpu_fits(const worker_t *w, const Sched__Step *d, bool slowed)
 {
-	if (w->used_mem_mb + d->mem_mb > w->mem_mb ||
-	    w->used_gpu + d->gpu > w->gpu)
-		return false;
 	if (d->filler)
 		return w->filler_cpu_milli + d->cpu_milli <=
 		    (slowed ? PLACE_FILLER_CPU_TIMES * w->cpu_milli :
@@ -131,13 +136,43 @@
 	return sc;
 }
 
-/* Whether a worker has the resources for a task of the step and may run it. */
-static bool
-has_room(const sched_t *s, const worker_t *w, const step_t *st, bool slowed)
+/*
+ * Why a worker could not run a task of the step if it ran nothing else;
+ * SCHED_WAIT_NONE: it could.
+ */
+static sched_wait_reason_t
+empty_refusal(const sched_t *s, const worker_t *w, const step_t *st)
 {
-	return w->service == st->occ->job->service &&
-	    cell_worker_usable(s, w) && fits(w, st->def, slowed) &&
-	    has_label(w, st->def->label);
+	sched_wait_reason_t why;
+
+	if (w->service != st->occ->job->service)
+		return SCHED_WAIT_NO_WORKER;
+	why = cell_worker_refusal(s, w);
+	if (why != SCHED_WAIT_NONE)
+		return why;
+	if (!has_amounts(w, st->def))
+		return SCHED_WAIT_TOO_LARGE;
+	return has_label(w, st->def->label) ? SCHED_WAIT_NONE :
+					      SCHED_WAIT_LABEL;
+}
+
+/*
+ * Why a worker lacks the resources for a task of the step or may not run it;
+ * SCHED_WAIT_NONE: it has them and may.
+ */
+static sched_wait_reason_t
+room_refusal(const sched_t *s, const worker_t *w, const step_t *st, bool slowed)
+{
+	const Sched__Step *d = st->def;
+	sched_wait_reason_t why = empty_refusal(s, w, st);
+
+	if (why != SCHED_WAIT_NONE)
+		return why;
+	if (w->used_mem_mb + d->mem_mb > w->mem_mb)
+		return SCHED_WAIT_MEM;
+	if (w->used_gpu + d->gpu > w->gpu)
+		return SCHED_WAIT_GPU;
+	return cpu_fits(w, d, slowed) ? SCHED_WAIT_NONE : SCHED_WAIT_CPU;
 }
 
 /*
@@ -147,19 +182,15 @@
 bool
 place_possible(const sched_t *s, worker_t *w, const step_t *st)
 {
-	return has_room(s, w, st, false) && isolation_allows(s, w, st);
+	return room_refusal(s, w, st, false) == SCHED_WAIT_NONE &&
+	    isolation_allows(s, w, st);
 }
 
 /* Whether a worker could run a task of the step if it ran nothing else. */
 bool
 place_fits_empty(const sched_t *s, const worker_t *w, const step_t *st)
 {
-	const Sched__Step *d = st->def;
-
-	return w->service == st->occ->job->service &&
-	    cell_worker_usable(s, w) && d->cpu_milli <= w->cpu_milli &&
-	    d->mem_mb <= w->mem_mb && d->gpu <= w->gpu &&
-	    has_label(w, d->label);
+	return empty_refusal(s, w, st) == SCHED_WAIT_NONE;
 }
 
 /*
@@ -204,6 +235,8 @@
 	bool slowed;   /* it need not run at full speed; see starvation.c */
 	bool alone;    /* the fewer runs are there, the better; see crash.c */
 	bool isolated; /* set when only isolation keeps it from a worker */
+	/* Set to the last check that a worker failed, of all that were looked at. */
+	sched_wait_reason_t refusal;
 } query_t;
 
 /*
@@ -218,28 +251,47 @@
 	    (st->image >= 0 || w->nserving == 0);
 }
 
-/* Whether a worker can take a task of the step now; may set q->isolated. */
-static bool
-can_take(const sched_t *s, worker_t *w, query_t *q)
+/*
+ * Why a worker can't take a task of the step now, by the first check that it
+ * fails, in the order of sched_wait_reason_t; SCHED_WAIT_NONE: it can.
+ */
+static sched_wait_reason_t
+refusal(const sched_t *s, worker_t *w, const query_t *q)
 {
 	const step_t *st = q->step;
+	sched_wait_reason_t why;
 
-	if (!quarantine_allows_start(s, w, q->task) ||
-	    !room_allows_start(s, w, st))
-		return false;
-	if (!has_room(s, w, st, q->slowed) || !approval_allows(s, st, w) ||
-	    (q->rack != NULL && w->rack != q->rack))
-		return false;
+	if (q->rack != NULL && w->rack != q->rack)
+		return SCHED_WAIT_NO_WORKER;
+	why = room_refusal(s, w, st, q->slowed);
+	if (why != SCHED_WAIT_NONE)
+		return why;
 	if (st->def->per_worker != 0 &&
 	    step_tasks_on(w, st) + gang_tasks_on(&q->gang, w) >=
 		st->def->per_worker)
-		return false;
+		return SCHED_WAIT_PER_WORKER;
+	if (!approval_allows(s, st, w))
+		return SCHED_WAIT_APPROVAL;
+	if (!quarantine_allows_start(s, w, q->task))
+		return SCHED_WAIT_RESERVED;
+	if (!room_allows_start(s, w, st))
+		return SCHED_WAIT_KEPT;
 	if (q->slowed)
-		return can_slow(w, st);
-	if (isolation_allows(s, w, st))
-		return true;
-	q->isolated = true;
-	return false;
+		return can_slow(w, st) ? SCHED_WAIT_NONE :
+					 SCHED_WAIT_CANNOT_SLOW;
+	return isolation_allows(s, w, st) ? SCHED_WAIT_NONE :
+					    SCHED_WAIT_ISOLATED;
+}
+
+/* Whether a worker can take a task of the step now; if not, q tells why. */
+static bool
+can_take(const sched_t *s, worker_t *w, query_t *q)
+{
+	sched_wait_reason_t why = refusal(s, w, q);
+
+	q->refusal = MAX(q->refusal, why);
+	q->isolated = q->isolated || why == SCHED_WAIT_ISOLATED;
+	return why == SCHED_WAIT_NONE;
 }
 
 /*
@@ -277,8 +329,10 @@
 		/* An earlier run of the task may not have been removed yet. */
 		if (name[0] == '\0')
 			job_task_name(q->task, name, sizeof(name));
-		if (g_hash_table_contains(w->runs, name))
+		if (g_hash_table_contains(w->runs, name)) {
+			q->refusal = MAX(q->refusal, SCHED_WAIT_EARLIER_RUN);
 			continue;
+		}
 		best = w;
 		best_score = sc;
 	}
@@ -314,8 +368,10 @@
 	/* Later searches in a round look at changed workers only. */
 	if (!scan_has_searched(s, st))
 		st->isolated = w == NULL && q.isolated;
-	if (w == NULL)
+	if (w == NULL) {
+		wait_reason_note(s, st, q.refusal);
 		scan_set_searched(s, st);
+	}
 	return w;
 }
 
@@ -331,8 +387,11 @@
 		.workers = s->worker_list,
 		.enough = G_MAXUINT,
 		.slowed = true };
+	worker_t *w = find_best_worker(s, &q);
 
-	return find_best_worker(s, &q);
+	if (w == NULL)
+		st->wait_reason = q.refusal;
+	return w;
 }
 
 /*
@@ -383,8 +442,7 @@
  * for each task if all fit.
  */
 static bool
-place_gang_in_rack(
-    sched_t *s, const step_t *st, const char *rack, worker_t **at)
+place_gang_in_rack(sched_t *s, step_t *st, const char *rack, worker_t **at)
 {
 	query_t q = { .step = st,
 		.workers = s->worker_list,
@@ -403,6 +461,9 @@
 	}
 	for (int32_t i = 0; i < n; i++)
 		cell_worker_count_task(at[i], st, -1);
+	if (n < st->ntasks)
+		st->wait_reason = MAX(
+		    st->wait_reason, n == 0 ? q.refusal : SCHED_WAIT_GANG_ROOM);
 	return n == st->ntasks;
 }
 
@@ -411,10 +472,11 @@
  * it.  Returns true and sets at[i] for each task if all fit at the same time.
  */
 bool
-place_gang(sched_t *s, const step_t *st, worker_t **at)
+place_gang(sched_t *s, step_t *st, worker_t **at)
 {
 	g_autoptr(GHashTable) racks = NULL;
 
+	st->wait_reason = SCHED_WAIT_NO_WORKER;
 	if (!st->def->same_rack)
 		return place_gang_in_rack(s, st, NULL, at);
 	racks = g_hash_table_new(g_direct_hash, g_direct_equal);
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -413,6 +413,45 @@
  */
 int32_t sched_waiting_jobs(const sched_t *s, const char *queue, int64_t now_ms);
 
+/*
+ * Why a waiting task does not start.  The reasons from SCHED_WAIT_NO_WORKER on are
+ * those of workers, in the order in which placement checks them.
+ */
+typedef enum {
+	SCHED_WAIT_NONE, /* a worker can take it: the next pass starts it */
+	SCHED_WAIT_NOT_OFFERED,	 /* no pass has come to it lately */
+	SCHED_WAIT_OWNER,	 /* the owner may start no task now */
+	SCHED_WAIT_UNSEEN_RUNS,	 /* a run of an earlier owner may be left */
+	SCHED_WAIT_QUOTA,	 /* of its customer */
+	SCHED_WAIT_ROW,		 /* its job's progress row is not stored yet */
+	SCHED_WAIT_BACKOFF,	 /* it is started again after a while */
+	SCHED_WAIT_GANG_RUNS,	 /* of its gang have not ended yet */
+	SCHED_WAIT_MOVE,	 /* to the worker that it is moved to */
+	SCHED_WAIT_QUARANTINE,	 /* it may crash its worker */
+	SCHED_WAIT_NO_WORKER,	 /* none of its service, or in its rack */
+	SCHED_WAIT_LEAVING,	 /* unlisted, drained or evacuated */
+	SCHED_WAIT_SILENT,	 /* it does not answer */
+	SCHED_WAIT_NEW_WORKER,	 /* not stored as in use, or has not answered */
+	SCHED_WAIT_UNKNOWN_RUNS, /* what its runs need is not known */
+	SCHED_WAIT_SUSPECT,	 /* it failed tasks or rejected an order */
+	SCHED_WAIT_TOO_LARGE,	 /* for the worker if that were empty */
+	SCHED_WAIT_LABEL,	 /* the worker lacks it */
+	SCHED_WAIT_MEM,
+	SCHED_WAIT_GPU,
+	SCHED_WAIT_CPU,
+	SCHED_WAIT_PER_WORKER,
+	SCHED_WAIT_APPROVAL,
+	SCHED_WAIT_RESERVED,	/* for a task that may crash it, or is moved */
+	SCHED_WAIT_KEPT,	/* for a larger task */
+	SCHED_WAIT_CANNOT_SLOW, /* it may not start slowed there */
+	SCHED_WAIT_ISOLATED,	/* from the serving tasks there */
+	SCHED_WAIT_EARLIER_RUN, /* of the same task is still there */
+	SCHED_WAIT_GANG_ROOM,	/* not for all tasks of a gang at once */
+	SCHED_WAIT_REASONS	/* number of reasons */
+} sched_wait_reason_t;
+/* The name of a reason in events and metrics. */
+const char *sched_wait_reason_name(sched_wait_reason_t why);
+
 /*
  * Counters since the start and present numbers, for the metrics page.
  * start_rejects counts starts that were not carried out; start_unknown, starts
@@ -425,14 +464,17 @@
  * owner has them refused; writes, flushes; paces, pace orders; places, workers
  * that placement looked at; quota_waits, times that a step began to wait for its
  * customer's quota; queued, steps with tasks to be started; running, runs in any
- * state; deferred_jobs, jobs that the plan for an overload defers.
+ * state; deferred_jobs, jobs that the plan for an overload defers; waiting_tasks,
+ * by sched_wait_reason_t, and longest_idle_ms, that a job with a waiting task has had
+ * no run: those of the last load event, 0 where this entry is not the owner.
  */
 typedef struct {
 	uint64_t starts, start_rejects, start_unknown, stops, done, failed,
 	    lost, adopted, orphans, claims, deposed, writes, polls, paces,
 	    places, quota_waits, over_rate, refused_over_rate, refused_hopeless;
 	int64_t jobs, queued, running, workers, refused_customers,
-	    deferred_jobs;
+	    deferred_jobs, longest_idle_ms;
+	int32_t waiting_tasks[SCHED_WAIT_REASONS];
 } sched_stats_t;
 sched_stats_t sched_stats(const sched_t *s);
 
--- a/sched/start.c
+++ b/sched/start.c
@@ -49,13 +49,19 @@
 	worker_t **at;
 	int64_t number = 0;
 
-	if (st->nwaiting < st->ntasks)
+	if (st->nwaiting < st->ntasks) {
+		wait_reason_note(s, st, SCHED_WAIT_GANG_RUNS);
 		return;
-	if (!customer_allows_gang(st))
+	}
+	if (!customer_allows_gang(st)) {
+		wait_reason_note(s, st, SCHED_WAIT_QUOTA);
 		return;
+	}
 	for (int32_t i = 0; i < st->ntasks; i++) {
-		if (st->tasks[i].not_before_ms > s->now_ms)
+		if (st->tasks[i].not_before_ms > s->now_ms) {
+			wait_reason_note(s, st, SCHED_WAIT_BACKOFF);
 			return;
+		}
 		number = MAX(number, start_run_number(s, &st->tasks[i]));
 	}
 	at = g_new0(worker_t *, st->ntasks);
@@ -96,17 +102,28 @@
 		task_t *t = &st->tasks[i];
 		worker_t *w;
 
-		if (t->state != TASK_WAITING || t->not_before_ms > s->now_ms)
+		if (t->state != TASK_WAITING)
+			continue;
+		if (t->not_before_ms > s->now_ms) {
+			wait_reason_note(s, st,
+			    crash_is_suspect(t) ? SCHED_WAIT_QUARANTINE :
+						  SCHED_WAIT_BACKOFF);
 			continue;
-		if (!customer_allows_start(st))
+		}
+		if (!customer_allows_start(st)) {
+			wait_reason_note(s, st, SCHED_WAIT_QUOTA);
 			break;
+		}
 		if (crash_is_suspect(t)) {
+			wait_reason_note(s, st, SCHED_WAIT_QUARANTINE);
 			n += quarantine_start(s, st, t);
 			continue;
 		}
 		w = serving_move_place(s, st, t, &moving);
-		if (w == NULL && moving)
+		if (w == NULL && moving) {
+			wait_reason_note(s, st, SCHED_WAIT_MOVE);
 			continue;
+		}
 		if (w == NULL)
 			w = place_task(s, st, t);
 		if (w == NULL) {
@@ -133,6 +150,8 @@
 	    (ahead || starvation_is_starved(s, st) ||
 		place_task(s, st, first_waiting(st)) != NULL))
 		flush_mark_job(s, j);
+	if (!j->row_stored && (j->dirty || j->rows_packed > j->rows_stored))
+		wait_reason_note(s, st, SCHED_WAIT_ROW);
 	return j->row_stored;
 }
 
@@ -146,6 +165,7 @@
 	bool searched = scan_has_searched(s, st);
 	int32_t n;
 
+	st->offered_ms = s->now_ms;
 	if (!ownership_may_start_step(s, st) ||
 	    !has_row(s, st, pos < STORED_AHEAD))
 		return 0;
--- a/sched/stats.c
+++ b/sched/stats.c
@@ -40,28 +40,46 @@
 	}
 }
 
-/* Logs the load of the cell; called once a second by its owner. */
-void
-stats_log(sched_t *s)
+/* What the load event says of waiting tasks. */
+typedef struct {
+	int64_t waiting, past_target, isolated, quota_blocked;
+} waiting_t;
+
+/* Counts the waiting tasks; those by reason and the longest wait into s->stats. */
+static waiting_t
+count_waiting(sched_t *s)
 {
-	int64_t waiting = 0, past_target = 0, cpu = 0, used = 0, filler = 0;
-	int64_t isolated = 0, quota_blocked = 0, longest_idle_ms = 0;
-	int32_t usable = 0, slowed = 0;
-	GHashTableIter it;
-	void *v;
+	waiting_t c = { 0 };
 
+	memset(s->stats.waiting_tasks, 0, sizeof(s->stats.waiting_tasks));
+	s->stats.longest_idle_ms = 0;
 	for (GSequenceIter *i = g_sequence_get_begin_iter(s->ready_steps);
 	     !g_sequence_iter_is_end(i); i = g_sequence_iter_next(i)) {
 		const step_t *st = g_sequence_get(i);
 
-		waiting += st->nwaiting;
-		past_target += st->misses_target ? st->nwaiting : 0;
-		isolated += st->isolated ? st->nwaiting : 0;
-		quota_blocked += st->quota_held ? st->nwaiting : 0;
+		c.waiting += st->nwaiting;
+		c.past_target += st->misses_target ? st->nwaiting : 0;
+		c.isolated += st->isolated ? st->nwaiting : 0;
+		c.quota_blocked += st->quota_held ? st->nwaiting : 0;
+		s->stats.waiting_tasks[wait_reason_of(s, st)] += st->nwaiting;
 		if (st->occ->job->nruns == 0)
-			longest_idle_ms = MAX(longest_idle_ms,
+			s->stats.longest_idle_ms = MAX(s->stats.longest_idle_ms,
 			    s->now_ms - st->occ->job->idle_since_ms);
 	}
+	return c;
+}
+
+/* Logs the load of the cell; called once a second by its owner. */
+void
+stats_log(sched_t *s)
+{
+	waiting_t c = count_waiting(s);
+	g_autofree char *reasons = wait_reason_text(s->stats.waiting_tasks);
+	int64_t cpu = 0, used = 0, filler = 0;
+	int32_t usable = 0, slowed = 0;
+	GHashTableIter it;
+	void *v;
+
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		const worker_t *w = g_ptr_array_index(s->worker_list, i);
 
@@ -77,12 +95,12 @@
 	    "jobs=%u runs=%u waiting=%d past_target=%d isolated=%d "
 	    "longest_idle=%" PRId64 " workers=%u usable=%d "
 	    "cpu=%d used=%d filler=%d slowed=%d workers_accounted=%d "
-	    "quota_blocked=%d",
+	    "quota_blocked=%d reasons=%s",
 	    g_hash_table_size(s->jobs), g_hash_table_size(s->runs),
-	    (int)waiting, (int)past_target, (int)isolated, longest_idle_ms,
-	    s->worker_list->len, usable, (int)(cpu / 1000), (int)(used / 1000),
-	    (int)(filler / 1000), slowed, s->cell.workers_accounted,
-	    (int)quota_blocked);
+	    (int)c.waiting, (int)c.past_target, (int)c.isolated,
+	    s->stats.longest_idle_ms, s->worker_list->len, usable,
+	    (int)(cpu / 1000), (int)(used / 1000), (int)(filler / 1000), slowed,
+	    s->cell.workers_accounted, (int)c.quota_blocked, reasons);
 	customer_log_held(s);
 }
 
@@ -123,5 +141,9 @@
 	st.workers = s->worker_list->len;
 	st.queued = g_sequence_get_length(s->ready_steps);
 	st.deferred_jobs = overload_deferred_jobs(s);
+	if (!sched_is_owner(s)) {
+		memset(st.waiting_tasks, 0, sizeof(st.waiting_tasks));
+		st.longest_idle_ms = 0;
+	}
 	return st;
 }
--- a/sched/types.h
+++ b/sched/types.h
@@ -114,6 +114,10 @@
 	/* In unplaced_round, only isolation.c kept it from some worker. */
 	bool isolated;
 	bool quota_held; /* in the last pass, by its customer's quota */
+	/* Why its next task did not start when the step was last offered workers,
+	 * and when that was (0: never); see wait_reason.c. */
+	sched_wait_reason_t wait_reason;
+	int64_t offered_ms;
 	/* Wall clock: the latest start that can still meet the job's target. */
 	int64_t latest_start_ms;
 	bool misses_target;    /* latest_start_ms has passed */
--- a/serve/metrics.c
+++ b/serve/metrics.c
@@ -97,6 +97,12 @@
 	put_metric(page, "runs", stats->running);
 	put_metric(page, "jobs_deferred", stats->deferred_jobs);
 	put_metric(page, "workers", stats->workers);
+	put_metric(page, "longest_idle_ms", stats->longest_idle_ms);
+	for (size_t i = 0; i < G_N_ELEMENTS(stats->waiting_tasks); i++)
+		g_string_append_printf(page,
+		    "tanagerspool_tasks_waiting{reason=\"%s\"} %d\n",
+		    sched_wait_reason_name((sched_wait_reason_t)i),
+		    stats->waiting_tasks[i]);
 }
 
 char *
