Event 644: the jobs that wait longest, and why

642 told how long a job had been idle, but not which, nor why. 644 names, once a second and for at most three reasons, the job that has waited longest: no run for 10 s, or for 3 s past its late limit, with its size, whether it may start slowed, and how many workers of its service refuse it for which reason.

--- a/cmd/log.c
+++ b/cmd/log.c
@@ -87,6 +87,7 @@
 	{ 641, LOG4C_PRIORITY_INFO, "zone" },
 	{ 642, LOG4C_PRIORITY_INFO, "load" },
 	{ 643, LOG4C_PRIORITY_WARN, "overload" },
+	{ 644, LOG4C_PRIORITY_WARN, "job_waits" },
 	{ 645, LOG4C_PRIORITY_INFO, "quota" },
 	{ 646, LOG4C_PRIORITY_WARN, "refusal_begun" },
 	{ 647, LOG4C_PRIORITY_INFO, "refusal_ended" },
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -180,11 +180,14 @@
 int64_t place_filler_capacity(const worker_t *w);
 bool place_allowed(const sched_t *s, const step_t *st, const worker_t *w);
 bool place_gang(sched_t *s, step_t *st, worker_t **at);
+void place_count_refusals(
+    const sched_t *s, const step_t *st, const task_t *t, int32_t *counts);
 
 /* wait_reason.c */
 void wait_reason_note(const sched_t *s, step_t *st, sched_wait_reason_t why);
 sched_wait_reason_t wait_reason_of(const sched_t *s, const step_t *st);
 char *wait_reason_text(const int32_t *counts);
+void wait_reason_log(sched_t *s);
 
 /* room.c */
 void room_keep(sched_t *s, step_t *st);
--- a/sched/place.c
+++ b/sched/place.c
@@ -492,3 +492,24 @@
 	}
 	return false;
 }
+
+/*
+ * Counts the workers of a step's service by why they can't take the task now.  A
+ * task that may start slowed is refused by those that can't take it even so.
+ */
+void
+place_count_refusals(
+    const sched_t *s, const step_t *st, const task_t *t, int32_t *counts)
+{
+	query_t q = {
+		.step = st, .task = t, .slowed = starvation_may_slow(s, st)
+	};
+
+	memset(counts, 0, SCHED_WAIT_REASONS * sizeof(*counts));
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		worker_t *w = g_ptr_array_index(s->worker_list, i);
+
+		if (w->service == st->occ->job->service)
+			counts[refusal(s, w, &q)]++;
+	}
+}
--- a/sched/stats.c
+++ b/sched/stats.c
@@ -101,6 +101,7 @@
 	    s->stats.longest_idle_ms, s->worker_list->len, usable,
 	    (int)(cpu / 1000), (int)(used / 1000), (int)(filler / 1000), slowed,
 	    s->cell.workers_accounted, (int)c.quota_blocked, reasons);
+	wait_reason_log(s);
 	customer_log_held(s);
 }
 
--- a/sched/wait_reason.c
+++ b/sched/wait_reason.c
@@ -3,10 +3,14 @@
  *
  * Passes over the queue note with each step why its next task did not start
  * (start.c, place.c).  For a task that workers refuse this is the check that was
- * failed last, of all workers: the one that the nearest worker failed.
+ * failed last, of all workers: the one that the nearest worker failed.  Once a
+ * second the longest waits are logged, with what each worker of the service says
+ * at that moment.
  */
+#include <inttypes.h>
 #include <stdbool.h>
 #include <stdint.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <glib.h>
@@ -23,6 +27,13 @@
 
 /* A noted reason is not used for longer: several rounds of scan.c. */
 #define NOTED_MS 2000
+/* A job without a run for so long is logged. */
+#define IDLE_LOGGED_MS 10000
+/* The same past its late limit: users count such a job as lost if it has had no
+ * run for so long when they look. */
+#define IDLE_LATE_LOGGED_MS 3000
+/* Jobs logged at a time, as each has all workers looked at. */
+#define JOBS_LOGGED 3
 
 static const char *const names[SCHED_WAIT_REASONS] = {
 	[SCHED_WAIT_NONE] = "could_start",
@@ -102,3 +113,120 @@
 	return g_string_free(
 	    text->len > 0 ? text : g_string_assign(text, "-"), FALSE);
 }
+
+/* The step whose job has waited longest for a reason, and how many jobs do. */
+typedef struct {
+	const step_t *step;
+	int64_t idle_ms;
+	sched_wait_reason_t why;
+	int32_t steps; /* that wait as long as is logged */
+} longest_t;
+
+/* How long the job of a step has had no run; 0: it has one. */
+static int64_t
+idle_ms(const sched_t *s, const step_t *st)
+{
+	const job_t *j = st->occ->job;
+
+	return j->nruns > 0 ? 0 : s->now_ms - j->idle_since_ms;
+}
+
+/* Finds the longest wait that is to be logged, for each reason. */
+static void
+find_longest(const sched_t *s, longest_t *by_reason)
+{
+	for (GSequenceIter *i = g_sequence_get_begin_iter(s->ready_steps);
+	     !g_sequence_iter_is_end(i); i = g_sequence_iter_next(i)) {
+		const step_t *st = g_sequence_get(i);
+		int64_t idle = idle_ms(s, st);
+		sched_wait_reason_t why;
+
+		if (idle < IDLE_LATE_LOGGED_MS ||
+		    (idle < IDLE_LOGGED_MS && !st->past_late_limit))
+			continue;
+		why = wait_reason_of(s, st);
+		by_reason[why].why = why;
+		by_reason[why].steps++;
+		if (idle <= by_reason[why].idle_ms)
+			continue;
+		by_reason[why].step = st;
+		by_reason[why].idle_ms = idle;
+	}
+}
+
+/* Sorts the longest wait first. */
+static int
+compare_longest(const void *pa, const void *pb)
+{
+	const longest_t *a = pa, *b = pb;
+
+	return a->idle_ms > b->idle_ms ? -1 : a->idle_ms < b->idle_ms;
+}
+
+/* The next waiting task of a step: one that is due, if there is any. */
+static const task_t *
+next_task(const sched_t *s, const step_t *st)
+{
+	const task_t *first = NULL;
+
+	for (int32_t i = 0; i < st->ntasks; i++) {
+		const task_t *t = &st->tasks[i];
+
+		if (t->state != TASK_WAITING)
+			continue;
+		if (t->not_before_ms <= s->now_ms)
+			return t;
+		if (first == NULL)
+			first = t;
+	}
+	return first;
+}
+
+/* Logs the job that waits longest for a reason. */
+static void
+log_job(sched_t *s, const longest_t *l)
+{
+	const step_t *st = l->step;
+	const job_t *j = st->occ->job;
+	const task_t *t = next_task(s, st);
+	int32_t counts[SCHED_WAIT_REASONS];
+	sched_wait_reason_t why = l->why;
+	g_autofree char *workers = NULL;
+	char name[64];
+
+	if (t == NULL)
+		return;
+	place_count_refusals(s, st, t, counts);
+	/* A run may have ended since the last pass. */
+	if (why >= SCHED_WAIT_NO_WORKER && !st->def->gang &&
+	    counts[SCHED_WAIT_NONE] > 0)
+		why = SCHED_WAIT_NONE;
+	workers = wait_reason_text(counts);
+	job_task_name(t, name, sizeof(name));
+	LOG_EVENT(s, SCHED_EVT_JOB_WAITS, j->id,
+	    "queue=%s task=%s idle=%" PRId64 " late=%" PRId64
+	    " reason=%s alike=%d cpu=%" PRId64 " mem_mb=%" PRId64
+	    " gpu=%d filler=%d lasting=%d waiting=%d may_slow=%d "
+	    "last_filler_job=%" PRId64 " workers=%s",
+	    j->queue->name, name, l->idle_ms,
+	    s->wall_ms - st->occ->due_wall_ms - j->allowed_ms, names[why],
+	    l->steps, st->def->cpu_milli, st->def->mem_mb, st->def->gpu,
+	    st->def->filler, st->def->lasting, st->nwaiting,
+	    starvation_may_slow(s, st), s->now_ms - s->filler_job_ms, workers);
+}
+
+/*
+ * Logs the jobs that have had no run for long: the one that waits longest for
+ * each reason, at most JOBS_LOGGED.  Called once a second by the owner.
+ */
+void
+wait_reason_log(sched_t *s)
+{
+	longest_t by_reason[SCHED_WAIT_REASONS] = { 0 };
+
+	find_longest(s, by_reason);
+	qsort(by_reason, SCHED_WAIT_REASONS, sizeof(by_reason[0]),
+	    compare_longest);
+	for (int i = 0; i < JOBS_LOGGED && by_reason[i].step != NULL; i++)
+		log_job(s, &by_reason[i]);
+}
--- a/test/unit/wait_reason.c
+++ b/test/unit/wait_reason.c
@@ -23,22 +23,31 @@
 #define NOW_MS	    100000
 #define LATE_MS	    60000 /* a job accepted so long ago is past its late limit */
 #define QUIET_MS    2000  /* not below NEW_JOB_GAP_MS of starvation.c */
+#define LINES_MAX   3	  /* of event 644 in a second */
 #define JOB_ID	    "0000000000000001"
 #define SERVING_ID  "00000000000000aa"
 #define LARGE_MILLI 30000 /* of a filler that isolation keeps from workers */
 
-/* The last load event. */
+/* The last load event and the events of jobs that wait. */
 static struct {
 	char load[2048];
+	char job[LINES_MAX + 1][2048]; /* subject and fields */
+	int jobs;
 } logged;
 
 static void
 keep_event(void *ctx, sched_evt_t n, const char *subject, char *fields)
 {
 	(void)ctx;
-	(void)subject;
 	if (n == SCHED_EVT_LOAD)
 		g_strlcpy(logged.load, fields, sizeof(logged.load));
+	if (n == SCHED_EVT_JOB_WAITS) {
+		int i = MIN(logged.jobs, LINES_MAX);
+
+		g_snprintf(logged.job[i], sizeof(logged.job[i]), "%s %s",
+		    subject, fields);
+		logged.jobs++;
+	}
 	g_free(fields);
 }
 
@@ -470,6 +479,155 @@
 	sched_free(c.s);
 }
 
+/* Which jobs are logged: those that wait for long, also lasting ones. */
+Test(wait_reason, jobs_that_wait_for_long)
+{
+	static const struct {
+		const char *what;
+		int64_t age_ms, idle_ms;
+		bool lasting, runs, logged;
+	} waits[] = {
+		{ "has just come", 0, 0, false, false, false },
+		{ "on time, 9.9 s", 0, 9900, false, false, false },
+		{ "on time, 10 s", 0, 10000, false, false, true },
+		{ "lasting, 10 s", 0, 10000, true, false, true },
+		{ "past its late limit, 2.9 s", LATE_MS, 2900, false, false,
+		    false },
+		{ "past its late limit, 3 s", LATE_MS, 3000, false, false,
+		    true },
+		{ "a task of it runs", LATE_MS, 60000, false, true, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(waits); i++) {
+		scene_t c = new_scene();
+
+		c.w->used_mem_mb = c.w->mem_mb - 1000;
+		c.d.count = 2;
+		c.d.lasting = waits[i].lasting;
+		c.age_ms = waits[i].age_ms;
+		queue_scene_job(&c, waits[i].idle_ms);
+		if (waits[i].runs)
+			add_running(c.s, c.st, 0, c.w);
+		c.w->used_mem_mb = c.w->mem_mb;
+		queue_resort(c.s);
+		start_waiting_tasks(c.s);
+		stats_log(c.s);
+		cr_expect_eq(logged.jobs, waits[i].logged, "%s", waits[i].what);
+		sched_free(c.s);
+	}
+}
+
+/* Thousands of jobs that wait, for many reasons: three lines, the longest first. */
+Test(wait_reason, at_most_three_lines)
+{
+	static const char *const labels[] = { "", "ssd" };
+	scene_t c = new_scene();
+
+	c.w->used_cpu_milli = c.w->cpu_milli;
+	for (int i = 0; i < 2000; i++) {
+		g_autofree char *id = g_strdup_printf("%016d", i);
+		Sched__Step d = c.d;
+		step_t *st;
+
+		d.label = (char *)labels[i % 2];
+		if (i % 5 == 0)
+			d.mem_mb = c.w->mem_mb + 1;
+		st = queue_job(c.s, id, &d, 0, 10000 + i);
+		if (i % 7 == 0)
+			st->tasks[0].not_before_ms = NOW_MS + 500;
+	}
+	for (int k = 0; k < 40; k++)
+		start_waiting_tasks(c.s);
+	stats_log(c.s);
+	cr_expect_eq(logged.jobs, LINES_MAX);
+	cr_expect(g_str_has_prefix(logged.job[0], "0000000000001999 "), "%s",
+	    logged.job[0]);
+	sched_free(c.s);
+}
+
+/* A job that could start and does not is told from one that can't. */
+Test(wait_reason, a_task_that_could_start)
+{
+	scene_t c = new_scene();
+
+	add_worker_now(c.s, "b")->draining = true;
+	c.w->used_cpu_milli = c.w->cpu_milli;
+	queue_scene_job(&c, 20000);
+	start_waiting_tasks(c.s);
+	stats_log(c.s);
+	cr_expect_not_null(strstr(logged.job[0], " reason=cpu "));
+	cr_expect_not_null(strstr(logged.job[0], " workers=leaving:1,cpu:1"),
+	    "%s", logged.job[0]);
+	c.w->used_cpu_milli = 0;
+	stats_log(c.s);
+	cr_expect_not_null(strstr(logged.job[1], " reason=could_start "));
+	cr_expect_not_null(
+	    strstr(logged.job[1], " workers=could_start:1,leaving:1"), "%s",
+	    logged.job[1]);
+	sched_free(c.s);
+}
+
+/*
+ * A late filler job has had no run for long: the event tells which of the causes
+ * that docs/incidents/starved-fillers.md considers it is.
+ */
+Test(wait_reason, causes_of_starved_fillers)
+{
+	static const struct {
+		const char *what;
+		void (*after)(scene_t *);
+		const char *want[3];
+	} causes[] = {
+		{ "1: passed over while fillers keep coming",
+		    fillers_keep_coming,
+		    { " reason=isolated ", " may_slow=0 last_filler_job=300 ",
+			" workers=isolated:1" } },
+		{ "2: no pass comes to it", NULL,
+		    { " reason=not_offered ", " may_slow=1 ",
+			" workers=could_start:1" } },
+		{ "2: its row is not stored", without_row,
+		    { " reason=row ", " may_slow=1 ",
+			" workers=could_start:1" } },
+		{ "2: after a failed start", backed_off,
+		    { " reason=backoff ", " may_slow=1 ",
+			" workers=could_start:1" } },
+		{ "2: suspect task", suspect_task,
+		    { " reason=quarantine ", " may_slow=1 ",
+			" workers=could_start:1" } },
+		{ "2: suspect worker", suspect_and_quiet,
+		    { " reason=cannot_slow ", " may_slow=1 ",
+			" workers=cannot_slow:1" } },
+		{ "2: too many slowed fillers", full_and_quiet,
+		    { " reason=cpu ", " may_slow=1 ", " workers=cpu:1" } },
+		{ "3: a new owner waits for workers", unseen,
+		    { " reason=unseen_runs ", " may_slow=1 ",
+			" workers=could_start:1" } },
+		{ "3: the owner does not reach its workers", silent,
+		    { " reason=silent ", " may_slow=1 ",
+			" workers=silent:1" } },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(causes); i++) {
+		scene_t c = new_scene();
+
+		late_filler(&c);
+		queue_scene_job(&c, 105000);
+		fillers_came(&c, QUIET_MS);
+		if (causes[i].after != NULL)
+			causes[i].after(&c);
+		queue_resort(c.s);
+		if (causes[i].after != NULL)
+			start_waiting_tasks(c.s);
+		stats_log(c.s);
+		cr_assert_eq(logged.jobs, 1, "%s", causes[i].what);
+		for (size_t k = 0; k < G_N_ELEMENTS(causes[i].want); k++)
+			cr_expect_not_null(
+			    strstr(logged.job[0], causes[i].want[k]), "%s: %s",
+			    causes[i].what, logged.job[0]);
+		sched_free(c.s);
+	}
+}
+
 /* docs/EVENTS.md has each reason. */
 Test(wait_reason, page)
 {
