--- a/sched/sched.c
+++ b/sched/sched.c
@@ -329,14 +329,15 @@
 		serving_move_update(s, UPDATE_MS);
 		scan_begin_round(s);
 	}
+	add_due_occurrences(s);
+	if (s->start_pass_due && ownership_may_start_tasks(s))
+		start_waiting_tasks(s);
+	/* After a pass, so that what waits is not what has just become possible. */
 	if (now_ms - s->stats_logged_ms >= STATS_LOG_MS) {
 		s->stats_logged_ms = now_ms;
 		stats_log(s);
 		overload_log(s);
 	}
-	add_due_occurrences(s);
-	if (s->start_pass_due && ownership_may_start_tasks(s))
-		start_waiting_tasks(s);
 	poll_tick(s);
 	purge_tick(s);
 	flush_if_due(s);
