Unit test: a line a second of event 644, from the late limit to the start

Changes of the code that it and its neighbours fail on: no note kept for the round, 4 lines, no bound of the wait, old notes told, the last worker's reason for the nearest one's, a gang's for a task's, longest_idle not reset.

--- a/test/unit/wait_reason.c
+++ b/test/unit/wait_reason.c
@@ -51,6 +51,13 @@
 	g_free(fields);
 }
 
+static void
+ignore_poll(void *ctx, const sched_poll_t *p)
+{
+	(void)ctx;
+	(void)p;
+}
+
 /* One worker, and one step that waits. */
 typedef struct {
 	sched_t *s;
@@ -545,6 +552,46 @@
 	sched_free(c.s);
 }
 
+/* Time goes on for an owner whose claim and tables are confirmed all the time. */
+static void
+tick_for(sched_t *s, int64_t ms)
+{
+	for (int64_t end_ms = s->now_ms + ms; s->now_ms < end_ms;) {
+		int64_t now_ms = s->now_ms + 50;
+
+		s->cell.confirmed_ms = now_ms;
+		for (int i = 0; i < SCHED_NFEEDS; i++)
+			s->feed_read_ms[i] = now_ms;
+		sched_tick(s, now_ms, now_ms);
+	}
+}
+
+/* A job is logged once a second, from when it is past its late limit to its start. */
+Test(wait_reason, a_line_a_second_until_it_starts)
+{
+	scene_t c = new_scene();
+
+	c.s->write_pending = true; /* nothing is written meanwhile */
+	c.s->opts.port.poll = ignore_poll;
+	c.w->poll_id = 1; /* and nothing asked */
+	c.w->poll_sent_ms = c.s->now_ms;
+	c.w->used_cpu_milli = c.w->cpu_milli;
+	queue_scene_job(&c, 0);
+	c.w->lease.answered_ms = c.s->now_ms;
+	/* It is past its late limit, 3 x 3 s less its run time, after 8 s. */
+	tick_for(c.s, 7900);
+	cr_expect_eq(logged.jobs, 0);
+	tick_for(c.s, 7000);
+	cr_expect_eq(logged.jobs, 7);
+	logged.jobs = 0;
+	c.w->used_cpu_milli = 0;
+	tick_for(c.s, 2000);
+	cr_expect_eq(c.st->nwaiting, 0);
+	cr_expect_eq(logged.jobs, 0);
+	cr_expect_eq(sched_stats(c.s).longest_idle_ms, 0);
+	sched_free(c.s);
+}
+
 /* A job that could start and does not is told from one that can't. */
 Test(wait_reason, a_task_that_could_start)
 {
