--- a/test/serve.sh
+++ b/test/serve.sh
@@ -113,7 +113,7 @@
 done
 check events_logged "$missing" ""
 curl -s -m 5 "http://127.0.0.5$n:9464/metrics" >"$T/metrics"
-check metrics "$(grep -c '^tanagerspool_\(starts\|accept_ms_bucket{le="1"}\) ' "$T/metrics")" 2
+check metrics "$(grep -c '^tanagerspool_\(starts\|longest_idle_ms\|tasks_waiting{reason="isolated"}\|accept_ms_bucket{le="1"}\) ' "$T/metrics")" 4
 
 # A graceful stop ends by itself, and what was accepted survives it.
 kill -TERM "$(pid_of "s$n")"
