--- a/test/cell/cell.h
+++ b/test/cell/cell.h
@@ -20,6 +20,8 @@
 #define UNLISTED_AFTER_MS 3300
 
 typedef struct world world_t;
+typedef struct overload overload_t;
+typedef struct idle_check idle_check_t;
 
 /* A callback that is due at a time; seq orders those due at the same time. */
 typedef struct {
@@ -40,8 +42,10 @@
 typedef struct {
 	char task[64];
 	int64_t run;
-	int64_t work_left_ms; /* at counted_at_ms */
+	double work_ms;	     /* at full speed, in all */
+	double work_left_ms; /* at counted_at_ms */
 	int64_t counted_at_ms;
+	int32_t pace_pct;
 	bool stopping;
 	int64_t stops_at_ms; /* if stopping */
 	const Sched__Step *step;
@@ -165,6 +169,7 @@
 	int32_t deadly_index; /* -1: none */
 	int32_t deadly_after_ms;
 	bool begun;	  /* one of its tasks was started */
+	int64_t start_ms; /* when one last was */
 	int64_t ended_ms; /* when its end was stored; 0: it was not */
 	int64_t accepted_ms;
 } sim_job_t;
@@ -204,6 +209,8 @@
 	int64_t faults_end_ms, config_changes_end_ms;
 	/* Of a customer: since when it has been owed a start; may be later. */
 	int64_t customer_owed_ms[CUSTOMERS_MAX];
+	overload_t *overload;	  /* NULL: there is none */
+	idle_check_t *idle_check; /* NULL: not checked */
 	/* The first check that failed, or NULL. */
 	const char *violated_check;
 	char violation_detail[256];
@@ -284,11 +291,31 @@
 /* Schedules the faults until a time. */
 void handover_begin(world_t *w, int64_t end_ms);
 void handover_free(world_t *w);
+/* Makes these faults possible, without scheduling any. */
+void handover_init(world_t *w);
+/* The owner begins to leave gracefully, if there is one. */
+void handover_owner_leaves(world_t *w);
 /* How much later than usual the store answers a read. */
 int32_t handover_read_delay_ms(world_t *w, bool owner_row);
 /* Ends the process of an entry that has left, which is started again later. */
 void handover_entry_left(world_t *w, sim_entry_t *en);
 
+/* overload.c */
+/* Schedules the jobs of an overload until a time, and late faults after it. */
+void sim_overload_begin(world_t *w, int64_t end_ms);
+void sim_overload_free(world_t *w);
+/* The share of its full speed at which a run works. */
+double sim_overload_speed(
+    const world_t *w, const sim_worker_t *wk, const sim_run_t *run);
+/* Fills in the progress and the metric of a run in a report. */
+void sim_overload_report(const world_t *w, const sim_worker_t *wk,
+    const sim_run_t *run, sched_running_t *s);
+
+/* idle_check.c */
+/* Begins to check that what can run does; no jobs come after last_job_ms. */
+void idle_check_begin(world_t *w, int64_t last_job_ms);
+void idle_check_free(world_t *w);
+
 /* entry.c */
 void entry_boot(world_t *w, sim_entry_t *en);
 void entry_kill(sim_entry_t *en);
--- a/test/cell/handover.c
+++ b/test/cell/handover.c
@@ -245,9 +245,21 @@
 }
 
 void
-handover_begin(world_t *w, int64_t end_ms)
+handover_owner_leaves(world_t *w)
+{
+	on_owner_leaves(w, NULL);
+}
+
+void
+handover_init(world_t *w)
 {
 	w->handover_rand = g_rand_new_with_seed((guint32)w->seed ^ 0x5bd1e995);
+}
+
+void
+handover_begin(world_t *w, int64_t end_ms)
+{
+	handover_init(w);
 	w->handover_end_ms = end_ms;
 	world_schedule(w, handover_random_int(w, 2000, 3000), on_fault, NULL);
 }
--- a/test/cell/worker.c
+++ b/test/cell/worker.c
@@ -179,7 +179,8 @@
 			continue;
 		}
 		if (!wk->tasks_stall)
-			run->work_left_ms -= w->now_ms - run->counted_at_ms;
+			run->work_left_ms -= sim_overload_speed(w, wk, run) *
+			    (double)(w->now_ms - run->counted_at_ms);
 		run->counted_at_ms = w->now_ms;
 		if (run->work_left_ms > 0 || run->step->lasting)
 			continue;
@@ -410,7 +411,9 @@
 	run->job = job;
 	/* A run takes 0.5 to 1.5 times the estimate of its step. */
 	factor = 0.5 + (double)(g_str_hash(o->task) % 100) / 100;
-	run->work_left_ms = (int64_t)((double)run->step->estimate_ms * factor);
+	run->work_ms = run->work_left_ms =
+	    (double)(int64_t)((double)run->step->estimate_ms * factor);
+	run->pace_pct = 100;
 	if (job->always_fails)
 		run->work_left_ms = ALWAYS_FAILS_WORK_MS;
 	run->counted_at_ms = w->now_ms;
@@ -419,6 +422,7 @@
 		arm_deadly_run(w, wk, job, o);
 	world_ground_truth(w, o->task)->running++;
 	job->begun = true;
+	job->start_ms = w->now_ms;
 	w->starts++;
 	return SCHED_ORDER_OK;
 }
@@ -434,8 +438,11 @@
 	wk->token = o->token;
 	if (o->kind == SCHED_START)
 		return start_run(w, wk, o, sent_ms);
-	if (o->kind == SCHED_PACE)
+	if (o->kind == SCHED_PACE) {
+		if (run != NULL)
+			run->pace_pct = o->percent;
 		return run == NULL ? SCHED_ORDER_INVALID : SCHED_ORDER_OK;
+	}
 	reject_runs_up_to(wk, o->task, o->run);
 	if (run != NULL && run->run == o->run && !run->stopping) {
 		run->stopping = true;
@@ -677,6 +684,7 @@
 			.checkpoint = "",
 			.percent = 100 };
 
+		sim_overload_report(w, wk, run, &s);
 		g_array_append_val(c->running, s);
 	}
 	c->ended_cut = wk->ended->len > ENDED_LISTED;
--- a/test/cell/world.c
+++ b/test/cell/world.c
@@ -181,6 +181,8 @@
 	g_rand_free(w->rand);
 	customers_free(w);
 	handover_free(w);
+	sim_overload_free(w);
+	idle_check_free(w);
 	g_free(w);
 }
 
--- a/test/main/cells.c
+++ b/test/main/cells.c
@@ -2,8 +2,9 @@
  * Random schedules of faults against the scheduler of a cell, in virtual time:
  * faults and jobs until FAULTS_END_MS, then recovery, after which all jobs must
  * have ended.
- * usage: cells FROM TO [-handover] [-v]
- * -handover adds the faults of cell/handover.c.  Exits with 1 when a seed failed.
+ * usage: cells FROM TO [-handover | -overload] [-v]
+ * -handover adds the faults of cell/handover.c; -overload has the jobs of
+ * cell/overload.c instead.  Exits with 1 when a seed failed.
  */
 #include <inttypes.h>
 #include <stdbool.h>
@@ -388,7 +389,7 @@
 
 /*
  * Each entry that has had no fault for FAULT_FREE_MS must count at least half
- * of the jobs that wait; it may not know the number if no owner is well.
+ * of the jobs of a queue that wait; it may not know the number if no owner is well.
  */
 static void
 check_waiting_count(world_t *w, void *arg)
@@ -403,6 +404,7 @@
 		const sim_job_t *job = v;
 
 		waiting += !job->begun && !job->cancelled &&
+		    strcmp(job->def->queue, "q") == 0 &&
 		    w->now_ms - job->accepted_ms > COUNTED_AFTER_MS;
 	}
 	for (int32_t i = 0; i < w->nentries; i++) {
@@ -480,24 +482,46 @@
 	return true;
 }
 
+typedef enum {
+	SCHEDULE_PLAIN,
+	SCHEDULE_HANDOVER,
+	SCHEDULE_OVERLOAD
+} schedule_t;
+
+/* Schedules the jobs and faults of a world. */
+static void
+begin(world_t *w, schedule_t schedule)
+{
+	if (schedule == SCHEDULE_OVERLOAD) {
+		if (w->seed % 2 == 0)
+			handover_begin(w, FAULTS_END_MS);
+		else
+			handover_init(w);
+		sim_overload_begin(w, FAULTS_END_MS);
+		idle_check_begin(w, FAULTS_END_MS);
+	} else
+		world_schedule(w, 1500, submit, NULL);
+	world_schedule(w, 3000, fault, NULL);
+	world_schedule(w, 3000, check_waiting_count, NULL);
+	if (schedule == SCHEDULE_HANDOVER)
+		handover_begin(w, FAULTS_END_MS);
+	customers_run(w, FAULTS_END_MS, FAULTS_END_MS + QUOTA_QUIET_MS,
+	    FAULTS_END_MS + QUOTA_CHANGES_MS);
+}
+
 static bool
-run_seed(uint64_t seed, bool handover, bool verbose)
+run_seed(uint64_t seed, schedule_t schedule, bool verbose)
 {
-	int32_t nworkers = handover ? HANDOVER_WORKERS + (int32_t)(seed % 7) :
-				      4 + (int32_t)(seed % 9);
+	int32_t nworkers = schedule == SCHEDULE_HANDOVER ?
+	    HANDOVER_WORKERS + (int32_t)(seed % 7) :
+	    4 + (int32_t)(seed % 9);
 	world_t *w = world_new(seed, 2 + (int32_t)(seed % 3), nworkers);
 	GHashTableIter it;
 	void *v;
 	bool ok;
 
 	w->verbose = verbose;
-	world_schedule(w, 1500, submit, NULL);
-	world_schedule(w, 3000, fault, NULL);
-	world_schedule(w, 3000, check_waiting_count, NULL);
-	if (handover)
-		handover_begin(w, FAULTS_END_MS);
-	customers_run(w, FAULTS_END_MS, FAULTS_END_MS + QUOTA_QUIET_MS,
-	    FAULTS_END_MS + QUOTA_CHANGES_MS);
+	begin(w, schedule);
 	world_run_until(w, FAULTS_END_MS);
 	world_run_until(w, FAULTS_END_MS + RECOVERY_MS);
 	while (w->ncustomers > 0 && w->violated_check == NULL &&
@@ -535,12 +559,15 @@
 {
 	uint64_t from = argc > 1 ? g_ascii_strtoull(argv[1], NULL, 10) : 1;
 	uint64_t to = argc > 2 ? g_ascii_strtoull(argv[2], NULL, 10) : from;
-	bool handover = has_flag(argc, argv, "-handover");
+	schedule_t schedule = has_flag(argc, argv, "-handover") ?
+	    SCHEDULE_HANDOVER :
+	    has_flag(argc, argv, "-overload") ? SCHEDULE_OVERLOAD :
+						SCHEDULE_PLAIN;
 	bool verbose = has_flag(argc, argv, "-v");
 	uint64_t failed = 0;
 
 	for (uint64_t s = from; s <= to; s++)
-		failed += !run_seed(s, handover, verbose);
+		failed += !run_seed(s, schedule, verbose);
 	printf("cells: %" PRIu64 " passed, %" PRIu64 " failed\n",
 	    to - from + 1 - failed, failed);
 	return failed > 0;
