--- a/sched/flush.c
+++ b/sched/flush.c
@@ -55,7 +55,7 @@
 flush_mark_job(sched_t *s, job_t *j)
 {
 	j->dirty = true;
-	g_hash_table_add(s->dirty_jobs, j);
+	g_hash_table_insert(s->dirty_jobs, j->id, j);
 }
 
 /*
@@ -278,7 +278,7 @@
 	s->write_removes_rows = purged->len > 0;
 	g_hash_table_iter_init(&it, s->dirty_jobs);
 	while (puts->len < MAX_ROWS_PER_FLUSH &&
-	    g_hash_table_iter_next(&it, &v, NULL)) {
+	    g_hash_table_iter_next(&it, NULL, &v)) {
 		job_t *j = v;
 
 		add_job_row(s, puts, j);
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -78,7 +78,7 @@
 	/* While loading: ids of jobs whose runs may be being stopped. */
 	GHashTable *stopped_jobs;
 	GSequence *ready_steps;	   /* step_t with waiting tasks, sorted */
-	GHashTable *dirty_jobs;	   /* set of job_t */
+	GHashTable *dirty_jobs;	   /* id -> job_t */
 	GPtrArray *recurring_jobs; /* jobs that repeat */
 	/* The flush in flight. */
 	bool write_pending;
--- a/sched/queue.c
+++ b/sched/queue.c
@@ -49,6 +49,19 @@
 	return st->def->filler ? 3 : 0;
 }
 
+/* Any order that is the same in each process, so that a schedule can be repeated. */
+static int
+compare_identity(const step_t *a, const step_t *b)
+{
+	int by_job = strcmp(a->occ->job->id, b->occ->job->id);
+
+	if (by_job != 0)
+		return by_job;
+	if (a->occ->number != b->occ->number)
+		return a->occ->number < b->occ->number ? -1 : 1;
+	return a->number < b->number ? -1 : a->number > b->number;
+}
+
 /* Compares two steps by tier, priority and sort key; for GSequence. */
 static int
 compare_steps(gconstpointer pa, gconstpointer pb, gpointer ctx)
@@ -68,7 +81,7 @@
 		return by_share;
 	if (a->sort_key_ms != b->sort_key_ms)
 		return a->sort_key_ms < b->sort_key_ms ? -1 : 1;
-	return a < b ? -1 : a > b;
+	return compare_identity(a, b);
 }
 
 /*
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -29,7 +29,7 @@
 remove_job(sched_t *s, job_t *j)
 {
 	customer_job_removed(s, j);
-	g_hash_table_remove(s->dirty_jobs, j);
+	g_hash_table_remove(s->dirty_jobs, j->id);
 	g_ptr_array_remove(s->recurring_jobs, j);
 	job_free(j);
 }
@@ -57,7 +57,7 @@
 
 	s->opts = *o;
 	s->ready_steps = g_sequence_new(NULL);
-	s->dirty_jobs = g_hash_table_new(NULL, NULL);
+	s->dirty_jobs = g_hash_table_new(g_str_hash, g_str_equal);
 	s->recurring_jobs = g_ptr_array_new();
 	s->flushing_jobs = g_ptr_array_new();
 	s->jobs = g_hash_table_new_full(
