A filler job that is in time has a run too, once no jobs come

Now such a job may start slowed when no filler job has come for 5 s; its row is stored for that wherever it stands in the queue. Late jobs: after 2 s, as before.

--- a/sched/start.c
+++ b/sched/start.c
@@ -121,8 +121,8 @@
 /*
  * Whether the job of a step has its row in the store, without which no task of
  * it is started: a successor takes a job without one for not started.  If it
- * has not, has it stored when a task could start now, or will start soon, as the
- * step is ahead in the queue or starved.
+ * has not, has it stored when a task could start now, slowed or not, or will start
+ * soon, as the step is ahead in the queue or starved.
  */
 static bool
 has_row(sched_t *s, step_t *st, bool ahead)
@@ -131,6 +131,7 @@
 
 	if (!j->row_stored && !j->dirty &&
 	    (ahead || starvation_is_starved(s, st) ||
+		starvation_may_slow(s, st) ||
 		place_task(s, st, first_waiting(st)) != NULL))
 		flush_mark_job(s, j);
 	return j->row_stored;
--- a/sched/starvation.c
+++ b/sched/starvation.c
@@ -8,7 +8,8 @@
  * come that could use the workers better, a late job always has a run: a filler
  * task of it that no worker can take is started all the same, at a standstill if
  * the serving tasks on its worker have no headroom for it.  pacing.c then gives
- * it what there is.
+ * it what there is.  A job that is not late yet has to wait longer for that, as it
+ * may still find a worker that takes it at full speed.
  */
 #include <stdbool.h>
 #include <stdint.h>
@@ -29,6 +30,8 @@
 #define STARVED_MS 500
 /* After a new job with filler tasks, which can be in time, others may come. */
 #define NEW_JOB_GAP_MS 2000
+/* After the last one for so long none is expected to come. */
+#define JOBS_ENDED_MS 5000
 
 /* Whether the job of a late step has had no run for a while. */
 bool
@@ -47,9 +50,9 @@
 bool
 starvation_may_slow(const sched_t *s, const step_t *st)
 {
-	return st->def->filler && !st->def->gang && st->misses_target &&
-	    st->occ->job->nruns == 0 &&
-	    s->now_ms - s->filler_job_ms >= NEW_JOB_GAP_MS;
+	return st->def->filler && !st->def->gang && st->occ->job->nruns == 0 &&
+	    s->now_ms - s->filler_job_ms >=
+	    (st->misses_target ? NEW_JOB_GAP_MS : JOBS_ENDED_MS);
 }
 
 /* The last run of a job has ended: its steps are offered all workers again. */
--- a/test/unit/starvation.c
+++ b/test/unit/starvation.c
@@ -22,6 +22,7 @@
 #define LATE_MS	 60000 /* a job accepted so long ago is past its late limit */
 #define CHANGED	 100   /* workers that change between two passes */
 #define QUIET_MS 2000  /* not below NEW_JOB_GAP_MS of starvation.c */
+#define ENDED_MS 5000  /* not below JOBS_ENDED_MS of starvation.c */
 
 /* The last start and the last pace that were ordered, and how many starts. */
 static struct {
@@ -183,6 +184,52 @@
 	}
 }
 
+/*
+ * Traffic has ended, and a job that is due much later is kept from all workers by
+ * isolation: it stood without a run until it was late.
+ */
+Test(starvation, a_filler_in_time_starts_slowed_when_no_jobs_come)
+{
+	static const struct {
+		const char *what;
+		int64_t quiet_ms;
+		int ahead; /* late steps before it, without a row */
+		bool row_stored;
+		int starts;
+		bool dirty; /* its row is to be stored */
+	} cases[] = {
+		{ "others may come", QUIET_MS, 0, true, 0, false },
+		{ "none come", ENDED_MS, 0, true, 1, false },
+		{ "its row is not stored", ENDED_MS, 40, false, 0, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = owner_at(100000);
+		Sched__Step d = step_def("fill", 14000, true, 0);
+		Sched__Step large = step_def("", 1000, false, 0);
+		step_t *st;
+
+		add_serving_run(s, add_worker_now(s, "a"), "00000000000000aa");
+		large.mem_mb = 300000;
+		for (int k = 0; k < cases[i].ahead; k++) {
+			g_autofree char *id = g_strdup_printf("%016d", k);
+
+			queue_job(s, id, &large, 0, 0);
+		}
+		st = queue_job(s, "00000000000000ff", &d, 0, 0);
+		st->occ->job->row_stored = cases[i].row_stored;
+		s->now_ms += cases[i].quiet_ms;
+		queue_resort(s);
+		scan_begin_round(s);
+		start_waiting_tasks(s);
+		cr_expect_eq(sent.starts, cases[i].starts, "%s: %d starts",
+		    cases[i].what, sent.starts);
+		cr_expect_eq(
+		    st->occ->job->dirty, cases[i].dirty, "%s", cases[i].what);
+		sched_free(s);
+	}
+}
+
 /* While jobs come that can be in time, workers are left to them. */
 Test(starvation, slowed_starts_wait_while_jobs_come)
 {
