Progress rows: like histories of tasks are stored once

Callers could have seen no job end any more: failed runs or crashes of thousands of tasks of one job made its progress row longer than the store takes, so that each write of each owner was refused and the cell was never renewed.

Cause: an entry of its own for each task that is not done, without a bound. Only checkpoints were left out of a row that was too long.

--- a/cmd/log.c
+++ b/cmd/log.c
@@ -69,6 +69,7 @@
 	{ 613, LOG4C_PRIORITY_INFO, "job_cancel" },
 	{ 614, LOG4C_PRIORITY_WARN, "row_bad" },
 	{ 615, LOG4C_PRIORITY_INFO, "jobs_removed" },
+	{ 616, LOG4C_PRIORITY_WARN, "row_shortened" },
 	{ 621, LOG4C_PRIORITY_INFO, "run_start" },
 	{ 622, LOG4C_PRIORITY_WARN, "run_start_failed" },
 	{ 623, LOG4C_PRIORITY_INFO, "run_stop" },
--- a/proto/sched.pb-c.c
+++ b/proto/sched.pb-c.c
@@ -1111,7 +1111,7 @@
   (ProtobufCMessageInit) sched__job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sched__task_progress__field_descriptors[7] =
+static const ProtobufCFieldDescriptor sched__task_progress__field_descriptors[8] =
 {
   {
     "index",
@@ -1197,6 +1197,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "like",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_INT32,
+    offsetof(Sched__TaskProgress, n_like),
+    offsetof(Sched__TaskProgress, like),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sched__task_progress__field_indices_by_name[] = {
   2,   /* field[2] = checkpoint */
@@ -1205,13 +1217,14 @@
   5,   /* field[5] = crashes_unproved */
   1,   /* field[1] = failed_runs */
   0,   /* field[0] = index */
+  7,   /* field[7] = like */
   6,   /* field[6] = start_acked */
 };
 static const ProtobufCIntRange sched__task_progress__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 4, 2 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor sched__task_progress__descriptor =
 {
@@ -1221,7 +1234,7 @@
   "Sched__TaskProgress",
   "sched",
   sizeof(Sched__TaskProgress),
-  7,
+  8,
   sched__task_progress__field_descriptors,
   sched__task_progress__field_indices_by_name,
   2,  sched__task_progress__number_ranges,
--- a/proto/sched.pb-c.h
+++ b/proto/sched.pb-c.h
@@ -195,10 +195,16 @@
    * The start of the last run was acknowledged.
    */
   protobuf_c_boolean start_acked;
+  /*
+   * Further tasks of which the same is known, in the order of their indexes,
+   * each by its distance from the one before.
+   */
+  size_t n_like;
+  int32_t *like;
 };
 #define SCHED__TASK_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sched__task_progress__descriptor) \
-    , 0, 0,NULL, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0 }
+    , 0, 0,NULL, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0,NULL }
 
 
 /*
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -127,7 +127,7 @@
 
 /* progress.c */
 void progress_apply(job_t *j, const Sched__Progress *p);
-GByteArray *progress_pack(const job_t *j);
+GByteArray *progress_pack(job_t *j);
 GByteArray *progress_pack_ended(const job_t *j, int64_t wall_ms);
 
 /* overload_queue.c */
--- a/test/main/fuzz_cell.c
+++ b/test/main/fuzz_cell.c
@@ -262,13 +262,17 @@
 	Sched__StepProgress steps[LIST_MAX], *list[LIST_MAX];
 	Sched__TaskProgress task = SCHED__TASK_PROGRESS__INIT, *tasks = &task;
 	int64_t runs[LIST_MAX];
+	int32_t like[LIST_MAX];
 	uint8_t done[LIST_MAX];
 	g_autofree char *key = g_strconcat(job_id(), SCHED_KEY_PROGRESS, NULL);
 
 	for (int i = 0; i < LIST_MAX; i++) {
 		runs[i] = number();
 		done[i] = (uint8_t)below(256);
+		like[i] = chance(70) ? below(3) : (int32_t)number();
 	}
+	task.n_like = (size_t)below(LIST_MAX);
+	task.like = like;
 	task.index = (int32_t)number();
 	task.n_failed_runs = (size_t)below(LIST_MAX);
 	task.failed_runs = runs;
--- a/test/unit/progress.c
+++ b/test/unit/progress.c
@@ -90,3 +90,111 @@
 		sched_free(s);
 	}
 }
+
+/*
+ * Gives the first tasks of each step of a job a history: failed runs, crashes, or
+ * both, with numbers of one of several owners.
+ */
+static void
+add_histories(job_t *j, int32_t tasks, int32_t failed, int32_t crashed)
+{
+	for (size_t k = 0; k < j->def->n_steps; k++)
+		for (int32_t i = 0; i < tasks; i++) {
+			task_t *t = &first_step(j)[k].tasks[i];
+			int64_t run = i % 7 * RUN_NUMBERS_PER_OWNER;
+
+			for (int32_t n = 0; n < failed; n++)
+				task_add_failed_run(t, ++run);
+			for (int32_t n = 0; n < crashed; n++)
+				crash_add(t, ++run, true);
+			t->last_run_number = run;
+		}
+}
+
+static bool
+same_runs(const GArray *a, const GArray *b)
+{
+	guint na = a == NULL ? 0 : a->len, nb = b == NULL ? 0 : b->len;
+
+	return na == nb &&
+	    (na == 0 || memcmp(a->data, b->data, na * sizeof(int64_t)) == 0);
+}
+
+/* How many tasks of two jobs have the same history and state. */
+static int32_t
+count_same(job_t *a, job_t *b)
+{
+	int32_t n = 0;
+
+	for (size_t k = 0; k < a->def->n_steps; k++)
+		for (int32_t i = 0; i < first_step(a)[k].ntasks; i++) {
+			const task_t *t = &first_step(a)[k].tasks[i];
+			const task_t *u = &first_step(b)[k].tasks[i];
+
+			n += t->state == u->state &&
+			    t->last_run_number == u->last_run_number &&
+			    same_runs(t->failed_runs, u->failed_runs) &&
+			    crash_is_suspect(t) == crash_is_suspect(u) &&
+			    same_runs(
+				t->crashes == NULL ? NULL : t->crashes->runs,
+				u->crashes == NULL ? NULL : u->crashes->runs);
+		}
+	return n;
+}
+
+/*
+ * Failed runs or crashes of thousands of tasks made a row longer than the store
+ * takes: each write of each owner was refused, so that no job ended any more.
+ */
+Test(progress, histories_fit_a_row)
+{
+	static const struct {
+		size_t steps;
+		int32_t tasks, failed, crashed;
+		bool kept;
+	} cases[] = {
+		{ 1, 3, 2, 1, true },
+		{ 1, 2000, 2, 0, true },
+		{ 1, 9999, 2, 0, true },
+		{ 1, 9999, 0, 1, true },
+		{ 1, 9999, 30, 4, true },
+		{ 4, 9999, 2, 1, true },
+		{ 1, 9999, 100, 0, false },
+		{ 20, 9999, 1, 0, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		Sched__Step st = step_def("i", 500, false, 0);
+		Sched__Step *steps[20];
+		g_autoptr(GByteArray) row = NULL;
+		sched_t *s = new_owner();
+		job_t *j, *loaded;
+		Sched__Progress *p;
+		int32_t same, all;
+
+		st.count = cases[i].tasks + 1;
+		for (size_t k = 0; k < cases[i].steps; k++)
+			steps[k] = &st;
+		j = add_job_of(s, "00000000000000a1", steps, cases[i].steps, 0);
+		loaded =
+		    add_job_of(s, "00000000000000a2", steps, cases[i].steps, 0);
+		add_histories(
+		    j, cases[i].tasks, cases[i].failed, cases[i].crashed);
+		for (size_t k = 0; k < cases[i].steps; k++)
+			job_mark_task_done(
+			    &first_step(j)[k].tasks[cases[i].tasks]);
+		row = progress_pack(j);
+		cr_expect_leq(row->len, SCHED_ROW_MAX_BYTES,
+		    "case %zu: %u bytes", i, row->len);
+		p = sched_progress_unpack(row->data, row->len);
+		cr_assert_not_null(p);
+		progress_apply(loaded, p);
+		same = count_same(j, loaded);
+		all = (int32_t)cases[i].steps * st.count;
+		cr_expect_eq(same,
+		    cases[i].kept ? all : (int32_t)cases[i].steps,
+		    "case %zu: %d of %d tasks as before", i, same, all);
+		sched__progress__free_unpacked(p, NULL);
+		sched_free(s);
+	}
+}
