Unit ended: ends that are listed in answers nobody reads

Traced by tests: an end that was read is acknowledged only once it is stored; one in an answer that was lost is listed again, and the task isn't started meanwhile. Once the lease has ended without an answer read, the task does wait for a start again, and ends as done when an answer arrives.

No logic is changed.

--- /dev/null
+++ b/test/unit/ended.c
@@ -0,0 +1,201 @@
+/*
+ * Ends of runs that a worker lists in an answer that its owner reads late, not at
+ * all, or after it has lost the cell.
+ */
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <criterion/criterion.h>
+#include <glib.h>
+
+#include "../../proto/sched.pb-c.h"
+#include "tanagerspool.h"
+#include "../../sched/sched.h"
+#include "../../sched/image_set.h"
+#include "../../sched/headroom.h"
+#include "../../sched/run_time.h"
+#include "../../sched/types.h"
+#include "../../sched/customer.h"
+#include "../../sched/internal.h"
+#include "sched_fixture.h"
+
+#define JOB	 "0000000000000001"
+#define BEGUN_MS 100000
+#define CLOCK_MS 500000 /* of the worker then */
+#define LEASE_MS 6000
+#define TICK_MS	 10
+#define END_SEQ	 7 /* of the end of the run */
+
+static sched_poll_t last_poll;
+static int32_t starts;
+
+static void
+take_poll(void *ctx, const sched_poll_t *p)
+{
+	(void)ctx;
+	last_poll = *p;
+}
+
+static void
+take_order(void *ctx, const sched_order_t *o)
+{
+	(void)ctx;
+	starts += o->kind == SCHED_START;
+}
+
+static void
+ignore_write(void *ctx, int64_t version, const GArray *puts)
+{
+	(void)ctx;
+	(void)version;
+	(void)puts;
+}
+
+static sched_t *
+new_polling_owner(void)
+{
+	sched_opts_t o = { .feed_limit_ms = 2000,
+		.name = "e",
+		.max_lease_ms = LEASE_MS,
+		.port = { .event = ignore_event,
+		    .order = take_order,
+		    .write = ignore_write,
+		    .poll = take_poll } };
+	sched_t *s = sched_new(&o);
+
+	s->cell.state = CELL_OWNED;
+	s->cell.workers_accounted = true;
+	s->now_ms = BEGUN_MS;
+	last_poll = (sched_poll_t){ 0 };
+	starts = 0;
+	return s;
+}
+
+/* Time passes, in which the store confirms all that is written, if it can. */
+static void
+pass_ms(sched_t *s, int64_t ms, sched_write_result_t r)
+{
+	for (int64_t end_ms = s->now_ms + ms; s->now_ms < end_ms;) {
+		for (int32_t f = 0; f < SCHED_NFEEDS; f++)
+			sched_feed_read(s, (sched_feed_t)f, s->now_ms);
+		sched_tick(s, s->now_ms + TICK_MS, 0);
+		if (s->write_pending)
+			flush_done(s, r, s->cell.version + 1);
+	}
+}
+
+/*
+ * Ends the poll in flight: without an answer, or with one that lists the end of
+ * the run, unless an earlier poll has acknowledged it, or says that it runs.
+ */
+static void
+end_poll(sched_t *s, bool read, bool done)
+{
+	sched_running_t run = {
+		.task = JOB ".0.0.0", .run = 1, .checkpoint = ""
+	};
+	sched_ended_t end = { .task = JOB ".0.0.0",
+		.run = 1,
+		.seq = END_SEQ,
+		.outcome = SCHED_RUN_DONE,
+		.checkpoint = "" };
+	sched_report_t report = { .clock_ms = CLOCK_MS + s->now_ms - BEGUN_MS,
+		.started_ms = 1,
+		.running = &run,
+		.nrunning = !done,
+		.ended = &end,
+		.nended = done && last_poll.ended_ack_seq < END_SEQ };
+
+	cr_assert_neq(last_poll.id, 0, "no poll is in flight");
+	sched_poll_done(s, last_poll.id, "w",
+	    read ? SCHED_ORDER_OK : SCHED_ORDER_IN_DOUBT, read ? &report : NULL,
+	    s->now_ms);
+}
+
+/* Waits until a poll is in flight, for a second at most. */
+static void
+await_poll(sched_t *s, uint64_t after, sched_write_result_t r)
+{
+	for (int32_t i = 0; i < 100 && last_poll.id <= after; i++)
+		pass_ms(s, TICK_MS, r);
+}
+
+/*
+ * Guards against a task that is started again after its end was acknowledged to
+ * the worker without being stored, or was listed in an answer that nobody read.
+ */
+Test(ended, listed_and_not_stored)
+{
+	static const struct {
+		const char *name;
+		int32_t unread;		/* answers with the end */
+		sched_write_result_t r; /* of writes from then on */
+		int64_t acked_seq;	/* by the polls */
+	} cases[] = {
+		{ "stored", 0, SCHED_WRITE_OK, END_SEQ },
+		{ "one answer unread", 1, SCHED_WRITE_OK, END_SEQ },
+		{ "two answers unread", 2, SCHED_WRITE_OK, END_SEQ },
+		{ "never stored", 0, SCHED_WRITE_IN_DOUBT, 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = new_polling_owner();
+		Sched__Step d = step_def("", 1000, false, 0);
+		worker_t *w = add_worker(s, "w");
+		job_t *j = add_job(s, JOB, &d, 0);
+		const task_t *t = &first_step(j)->tasks[0];
+		uint64_t id;
+
+		add_running(s, first_step(j), 0, w);
+		await_poll(s, 0, SCHED_WRITE_OK);
+		end_poll(s, true, false);
+		for (int32_t n = 0; n < cases[i].unread; n++) {
+			await_poll(s, last_poll.id, SCHED_WRITE_OK);
+			end_poll(s, false, true);
+			cr_expect_eq(
+			    t->state, TASK_RUNNING, "%s", cases[i].name);
+		}
+		await_poll(s, last_poll.id, SCHED_WRITE_OK);
+		cr_expect_eq(last_poll.ended_ack_seq, 0, "%s", cases[i].name);
+		end_poll(s, true, true);
+		cr_expect_eq(t->state, TASK_DONE, "%s", cases[i].name);
+		id = last_poll.id;
+		pass_ms(s, 500, cases[i].r);
+		cr_expect_gt(last_poll.id, id, "%s", cases[i].name);
+		cr_expect_eq(last_poll.ended_ack_seq, cases[i].acked_seq, "%s",
+		    cases[i].name);
+		cr_expect_eq(starts, 0, "%s", cases[i].name);
+		sched_free(s);
+	}
+}
+
+/*
+ * An owner that read no answer until the lease had ended has the task start again,
+ * as the worker may be gone.  Guards against two runs that go on once it does read
+ * that the first one is done.
+ */
+Test(ended, read_after_the_lease)
+{
+	sched_t *s = new_polling_owner();
+	Sched__Step d = step_def("", 1000, false, 0);
+	worker_t *w = add_worker(s, "w");
+	job_t *j = add_job(s, JOB, &d, 0);
+	const task_t *t = &first_step(j)->tasks[0];
+
+	add_running(s, first_step(j), 0, w);
+	await_poll(s, 0, SCHED_WRITE_OK);
+	end_poll(s, true, false);
+	while (t->run != NULL && s->now_ms < BEGUN_MS + 3 * LEASE_MS) {
+		pass_ms(s, TICK_MS, SCHED_WRITE_OK);
+		if (w->poll_id == 0)
+			continue;
+		cr_expect_eq(last_poll.ended_ack_seq, 0);
+		end_poll(s, false, true);
+	}
+	cr_expect_eq(t->state, TASK_WAITING);
+	await_poll(s, last_poll.id, SCHED_WRITE_OK);
+	end_poll(s, true, true);
+	cr_expect_eq(t->state, TASK_DONE);
+	cr_expect_null(t->run);
+	sched_free(s);
+}
