Moves of serving tasks leave room to lasting tasks that are down

Cause: a move for the sake of waiting fillers took each worker on which a lasting task would have found room, at the update before the pass that would have started it; the gap that it left went to the next move.

No worker with room for a waiting lasting task is the goal of a move now. Unit regroup: the case of a task that fits failed before.

--- a/sched/serving_move.c
+++ b/sched/serving_move.c
@@ -90,12 +90,47 @@
 	    customer_allows_move(r) && may_miss_allows_any(s, r->task);
 }
 
-/* Whether tasks may be moved to or from a worker now. */
+/* The least that a waiting lasting task needs of each resource. */
+typedef struct {
+	int64_t cpu_milli, mem_mb;
+	int32_t gpu;
+} amounts_t;
+
+/*
+ * Finds the least that the lasting tasks of a service need that wait; more than
+ * any worker has if none waits.
+ */
+static amounts_t
+least_waiting(const sched_t *s, const char *service)
+{
+	amounts_t a = { INT64_MAX, INT64_MAX, INT32_MAX };
+
+	for (GSequenceIter *i = g_sequence_get_begin_iter(s->ready_steps);
+	     !g_sequence_iter_is_end(i); i = g_sequence_iter_next(i)) {
+		const step_t *st = g_sequence_get(i);
+
+		if (!st->def->lasting || st->occ->job->service != service)
+			continue;
+		a.cpu_milli = MIN(a.cpu_milli, st->def->cpu_milli);
+		a.mem_mb = MIN(a.mem_mb, st->def->mem_mb);
+		a.gpu = MIN(a.gpu, st->def->gpu);
+	}
+	return a;
+}
+
+/*
+ * Whether tasks may be moved to a worker now.  One that is down serves nobody, so
+ * that room for it is not taken by a move.
+ */
 static bool
-is_available(const sched_t *s, const worker_t *w)
+is_available(const sched_t *s, const worker_t *w, const amounts_t *waiting)
 {
+	bool wanted = waiting->cpu_milli <= w->cpu_milli - w->used_cpu_milli &&
+	    waiting->mem_mb <= w->mem_mb - w->used_mem_mb &&
+	    waiting->gpu <= w->gpu - w->used_gpu;
+
 	return cell_worker_usable(s, w) && w->quarantined_run == NULL &&
-	    s->now_ms >= w->reserved_until_ms;
+	    s->now_ms >= w->reserved_until_ms && !wanted;
 }
 
 static bool
@@ -108,15 +143,15 @@
 
 /* Describes a worker; its tasks are added to an array. */
 static void
-describe_worker(
-    const sched_t *s, worker_t *w, GArray *tasks, regroup_worker_t *to)
+describe_worker(const sched_t *s, worker_t *w, const amounts_t *waiting,
+    GArray *tasks, regroup_worker_t *to)
 {
 	GHashTableIter it;
 	void *v;
 
 	memset(to, 0, sizeof(*to));
 	to->worker = w;
-	to->usable = is_available(s, w);
+	to->usable = is_available(s, w, waiting);
 	to->cpu_milli = w->cpu_milli;
 	to->free_cpu_milli = w->cpu_milli - w->used_cpu_milli;
 	to->free_mem_mb = w->mem_mb - w->used_mem_mb;
@@ -186,6 +221,7 @@
 describe_workers(const sched_t *s, const char *service, GArray *tasks)
 {
 	GArray *all = g_array_new(FALSE, FALSE, sizeof(regroup_worker_t));
+	amounts_t waiting = least_waiting(s, service);
 	size_t next = 0;
 
 	for (guint i = 0; i < s->worker_list->len; i++) {
@@ -194,7 +230,7 @@
 
 		if (w->service != service)
 			continue;
-		describe_worker(s, w, tasks, &d);
+		describe_worker(s, w, &waiting, tasks, &d);
 		g_array_append_val(all, d);
 	}
 	for (guint i = 0; i < all->len; i++) {
--- a/test/unit/regroup.c
+++ b/test/unit/regroup.c
@@ -290,3 +290,40 @@
 	cr_expect_eq(c.b->tasks[0].run->state, RUN_RUNNING);
 	sched_free(c.s);
 }
+
+/*
+ * Guards against lasting tasks that stay down as the room for them is taken by moves
+ * of those that run.
+ */
+Test(regroup, room_for_a_lasting_task_that_waits_is_left_to_it)
+{
+	static const struct {
+		const char *name;
+		int64_t cpu_milli, mem_mb;
+		bool lasting, moves;
+	} cases[] = {
+		{ "a lasting task fits", 13000, 1000, true, false },
+		{ "it needs more processors", WORKER_CPU_MILLI, 1000, true,
+		    true },
+		{ "it needs more memory", 13000, 256000, true, true },
+		{ "a short task fits", 13000, 1000, false, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		Sched__Step limits = SCHED__STEP__INIT;
+		Sched__Step d = step_def("", cases[i].cpu_milli, false, 0);
+		mixed_cell_t c;
+		step_t *st;
+
+		mixed_cell_init(&c, &limits);
+		d.mem_mb = cases[i].mem_mb;
+		d.lasting = cases[i].lasting;
+		st = first_step(add_job(c.s, "0000000000000004", &d, 0));
+		run_add_ready_steps(c.s, st->occ);
+		for (int k = 0; k < 8; k++)
+			serving_move_update(c.s, 250);
+		cr_expect_eq(c.b->tasks[0].run->state == RUN_STOPPING,
+		    cases[i].moves, "%s", cases[i].name);
+		sched_free(c.s);
+	}
+}
