--- a/sched/progress.c
+++ b/sched/progress.c
@@ -247,7 +247,7 @@
 static void
 free_step_progress(Sched__StepProgress *p)
 {
-	for (size_t i = 0; i < p->n_tasks; i++) {
+	for (size_t i = 0; i < p->n_tasks && p->tasks[i] != NULL; i++) {
 		g_free(p->tasks[i]->like);
 		g_free(p->tasks[i]);
 	}
--- a/serve/entries.c
+++ b/serve/entries.c
@@ -229,21 +229,20 @@
 	sched__notice__free_unpacked(notice, NULL);
 }
 
-/* Whether the store answers no entry; see outage_update(). */
-static bool
-is_outage(entries_t *es, int64_t *last_ms)
+/* Updates whether the store answers no entry; see outage_update(). */
+static void
+update_outage(entries_t *es, int64_t *last_ms)
 {
-	guint n = 0;
-	g_autofree outage_report_t *reports =
-	    g_new(outage_report_t, g_hash_table_size(es->others) + 1);
+	guint n = g_hash_table_size(es->others), i = 0;
+	outage_report_t *reports = g_new(outage_report_t, n);
 	GHashTableIter it;
 	void *v;
 
 	g_hash_table_iter_init(&it, es->others);
 	while (g_hash_table_iter_next(&it, NULL, &v))
-		reports[n++] = ((peer_entry_t *)v)->report;
-	return outage_update(
-	    &es->outage, reports, n, node_now_ms(es->node), last_ms);
+		reports[i++] = ((peer_entry_t *)v)->report;
+	outage_update(&es->outage, reports, n, node_now_ms(es->node), last_ms);
+	g_free(reports);
 }
 
 /*
@@ -262,7 +261,7 @@
 	if (silent_ms >= NOTICE_AFTER_MS) {
 		notice.silent_ms = (int32_t)silent_ms;
 		send_notice(es, NULL, &notice);
-		is_outage(es, &last_ms);
+		update_outage(es, &last_ms);
 	} else
 		memset(&es->outage, 0, sizeof(es->outage));
 	if (es->outage.on || was_on)
