Scan: steps behind an unplaced head are offered on many workers too

From 1,500 workers on, 200 steps at the head of the queue that fit nowhere used up the looks of each round (200 x workers > LOOKS_PER_ROUND), so that no step behind them was ever offered a worker: an unbounded wait. Late jobs, also starved ones, are at the tail. The steps behind now have 60,000 looks a round in any case.

--- a/sched/scan.c
+++ b/sched/scan.c
@@ -30,7 +30,9 @@
 #define HEAD_STEPS 200 /* of the queue */
 /* Looks for the other steps, so that a round is over before the next is due. */
 #define LOOKS_PER_PASS	10000  /* at changed workers */
-#define LOOKS_PER_ROUND 300000 /* at all workers */
+#define LOOKS_PER_ROUND 300000 /* at all workers, those of the head included */
+/* The others have so many left, however many workers the head looks at. */
+#define OTHER_LOOKS_MIN 60000
 
 /* Tasks may fit on a worker on which they did not fit before. */
 void
@@ -49,6 +51,7 @@
 {
 	s->scan.round++;
 	s->scan.round_looks = s->stats.places;
+	s->scan.head_looks = 0;
 	s->scan.kept_workers = s->scan.keeping_steps = 0;
 	s->scan.resume_at = s->scan.stopped_at;
 	s->scan.stopped_at = 0;
@@ -61,9 +64,31 @@
 {
 	s->scan.pass++;
 	s->scan.pass_looks = s->stats.places;
+	s->scan.head_offered = false;
 	s->scan.stopped_at = 0;
 }
 
+/* The pass has offered the head of the queue, or as much as it could. */
+static void
+end_head(sched_t *s)
+{
+	scan_t *c = &s->scan;
+
+	if (!c->head_offered)
+		c->head_looks += s->stats.places - c->pass_looks;
+	c->head_offered = true;
+}
+
+/* Whether the round may look at all workers for a step behind the head. */
+static bool
+has_looks_left(const sched_t *s)
+{
+	const scan_t *c = &s->scan;
+
+	return s->stats.places - c->round_looks <
+	    MAX(LOOKS_PER_ROUND, c->head_looks + OTHER_LOOKS_MIN);
+}
+
 /*
  * Whether the step at a position among those that still wait is offered workers
  * in this pass.
@@ -75,12 +100,13 @@
 
 	if (pos < HEAD_STEPS)
 		return true;
+	end_head(s);
 	if (scan_has_searched(s, st))
 		return c->changed->len > 0 &&
 		    s->stats.places - c->pass_looks < LOOKS_PER_PASS;
 	if (pos < c->resume_at)
 		return false;
-	if (s->stats.places - c->round_looks < LOOKS_PER_ROUND)
+	if (has_looks_left(s))
 		return true;
 	if (c->stopped_at == 0)
 		c->stopped_at = pos;
@@ -110,6 +136,7 @@
 scan_end_pass(sched_t *s, int32_t pos, bool complete)
 {
 	s->start_pass_due = !complete;
+	end_head(s);
 	if (!complete) {
 		s->scan.stopped_at = pos;
 		return;
--- a/sched/types.h
+++ b/sched/types.h
@@ -417,6 +417,8 @@
 	guint next;	    /* index of the first worker to look at */
 	/* Values of stats.places when the round and the pass began. */
 	uint64_t round_looks, pass_looks;
+	uint64_t head_looks; /* of the round, for the head of the queue */
+	bool head_offered;   /* by this pass */
 	/* Of this round: workers that are kept, and the steps they are kept for. */
 	guint kept_workers, keeping_steps;
 	int32_t resume_at; /* the steps before were offered in the last round */
--- a/test/unit/scan.c
+++ b/test/unit/scan.c
@@ -27,13 +27,13 @@
 #define CHANGED	   5  /* workers on which a run ends between two passes */
 #define PASSES_MAX 1000
 
-/* An owner of WORKERS workers, each with so much of its processors in use. */
+/* An owner of n workers, each with so much of its processors in use. */
 static sched_t *
-owner_of_workers(int64_t used_milli)
+owner_of(int n, int64_t used_milli)
 {
 	sched_t *s = new_owner();
 
-	for (int i = 0; i < WORKERS; i++) {
+	for (int i = 0; i < n; i++) {
 		g_autofree char *id = g_strdup_printf("w%d", i);
 
 		add_worker(s, id)->used_cpu_milli = used_milli;
@@ -41,19 +41,32 @@
 	return s;
 }
 
+static sched_t *
+owner_of_workers(int64_t used_milli)
+{
+	return owner_of(WORKERS, used_milli);
+}
+
+/* Queues the step of a job that was accepted at a time. */
+static step_t *
+queue_step(sched_t *s, int number, const Sched__Step *d, int64_t accepted_ms)
+{
+	g_autofree char *id = g_strdup_printf("%016d", number);
+	step_t *st = first_step(add_job(s, id, d, accepted_ms));
+
+	st->ready = true;
+	queue_add_step(s, st);
+	return st;
+}
+
 static void
 queue_steps(sched_t *s)
 {
 	Sched__Step d = step_def("", 1000, false, 0);
 
 	d.count = STEP_TASKS;
-	for (int i = 0; i < STEPS; i++) {
-		g_autofree char *id = g_strdup_printf("%016d", i);
-		step_t *st = first_step(add_job(s, id, &d, 0));
-
-		st->ready = true;
-		queue_add_step(s, st);
-	}
+	for (int i = 0; i < STEPS; i++)
+		queue_step(s, i, &d, 0);
 }
 
 /* All tasks find room: some workers are compared for each of them. */
@@ -97,3 +110,39 @@
 	cr_expect_eq(s->stats.starts, CHANGED + 1);
 	sched_free(s);
 }
+
+#define HEAD_STEPS 200	 /* not below that of scan.c */
+#define ROUNDS_MAX 40	 /* ten seconds of them */
+#define LATER_MS   10000 /* more than what value density advances a step by */
+
+/*
+ * Guards against steps that are never offered a worker, as on many workers the
+ * steps at the head of the queue, which fit on none, use up the looks of a round.
+ */
+Test(scan, steps_behind_an_unplaced_head_are_offered_on_many_workers)
+{
+	static const int workers[] = { 100, 1400, WORKERS };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(workers); i++) {
+		sched_t *s = owner_of(workers[i], WORKER_CPU_MILLI);
+		Sched__Step large = step_def("", WORKER_CPU_MILLI, false, 0);
+		Sched__Step small = step_def("", 1000, false, 0);
+		worker_t *w = g_ptr_array_index(s->worker_list, 0);
+		step_t *last;
+		int rounds = 0;
+
+		w->used_cpu_milli -= small.cpu_milli;
+		for (int k = 0; k < HEAD_STEPS; k++)
+			queue_step(s, k, &large, 0);
+		/* It is due after them. */
+		last = queue_step(s, HEAD_STEPS, &small, LATER_MS);
+		for (; rounds < ROUNDS_MAX && last->nwaiting > 0; rounds++) {
+			scan_begin_round(s);
+			for (int k = 0; k < 10 && s->start_pass_due; k++)
+				start_waiting_tasks(s);
+		}
+		cr_expect_eq(last->nwaiting, 0, "%d workers: not in %d rounds",
+		    workers[i], rounds);
+		sched_free(s);
+	}
+}
