Approval: asked for also where a late filler can only run slowed

A late filler job that needs approval and that isolation refuses on each worker was never asked about, so that it could not start slowed either (reason approval): it waited until the serving tasks' load fell, also when nothing else came.

Unit passed_over a_late_filler_that_needs_approval_starts_slowed failed before (no request, no start) and passes now.

--- a/sched/approval.c
+++ b/sched/approval.c
@@ -168,6 +168,7 @@
 approval_request_if_needed(sched_t *s, step_t *st)
 {
 	g_autoptr(GPtrArray) workers = NULL;
+	bool may_slow = starvation_may_slow(s, st);
 	guint max_workers = (guint)CLAMP(st->nwaiting * WORKERS_PER_TASK,
 	    MIN_WORKERS_PER_REQUEST, MAX_WORKERS_PER_REQUEST);
 
@@ -187,7 +188,7 @@
 		if (a != NULL && a->ticket == NULL)
 			continue;
 		if (approval_ticket(s, st, w) == NULL &&
-		    place_possible(s, w, st))
+		    place_possible(s, w, st, may_slow))
 			g_ptr_array_add(workers, (void *)w->id);
 	}
 	if (workers->len > 0)
--- a/sched/place.c
+++ b/sched/place.c
@@ -175,17 +175,6 @@
 	return cpu_fits(w, d, slowed) ? SCHED_WAIT_NONE : SCHED_WAIT_CPU;
 }
 
-/*
- * Whether a worker could run a task of the step now, regardless of what the
- * approval service allows.
- */
-bool
-place_possible(const sched_t *s, worker_t *w, const step_t *st)
-{
-	return room_refusal(s, w, st, false) == SCHED_WAIT_NONE &&
-	    isolation_allows(s, w, st);
-}
-
 /* Whether a worker could run a task of the step if it ran nothing else. */
 bool
 place_fits_empty(const sched_t *s, const worker_t *w, const step_t *st)
@@ -252,6 +241,20 @@
 	    (st->image >= 0 || w->nserving == 0);
 }
 
+/*
+ * Whether a worker could run a task of the step now, regardless of what the
+ * approval service allows; may_slow: also slowed.
+ */
+bool
+place_possible(const sched_t *s, worker_t *w, const step_t *st, bool may_slow)
+{
+	if (room_refusal(s, w, st, false) == SCHED_WAIT_NONE &&
+	    isolation_allows(s, w, st))
+		return true;
+	return may_slow && can_slow(w, st) &&
+	    room_refusal(s, w, st, true) == SCHED_WAIT_NONE;
+}
+
 /*
  * Why a worker can't take a task of the step now, by the first check that it
  * fails, in the order of sched_wait_reason_t; SCHED_WAIT_NONE: it can.
--- /dev/null
+++ b/test/unit/passed_over.c
@@ -0,0 +1,145 @@
+/*
+ * Waiting work that is passed over for the sake of other work, and must not be for
+ * ever.
+ */
+#include <stdbool.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <criterion/criterion.h>
+#include <glib.h>
+
+#include "../../proto/sched.pb-c.h"
+#include "tanagerspool.h"
+#include "../../sched/sched.h"
+#include "../../sched/image_set.h"
+#include "../../sched/headroom.h"
+#include "../../sched/run_time.h"
+#include "../../sched/types.h"
+#include "../../sched/customer.h"
+#include "../../sched/internal.h"
+#include "sched_fixture.h"
+
+#define NOW_MS	 100000
+#define LATE_MS	 60000 /* a job accepted so long ago is past its late limit */
+#define IDLE_MS	 20000 /* that a job has had no run */
+#define QUIET_MS 2000  /* not below NEW_JOB_GAP_MS of starvation.c */
+
+/* The last request for approval. */
+static struct {
+	uint64_t id;
+	size_t nworkers;
+} asked;
+
+static void
+record_approval_request(void *ctx, const sched_approval_request_t *a)
+{
+	(void)ctx;
+	asked.id = a->id;
+	asked.nworkers = a->nworkers;
+}
+
+/* An owner that may start tasks, with n workers. */
+static sched_t *
+owner_of(int n)
+{
+	sched_t *s = new_owner();
+
+	memset(&asked, 0, sizeof(asked));
+	s->opts.port.request_approval = record_approval_request;
+	for (int i = 0; i < n; i++) {
+		g_autofree char *id = g_strdup_printf("w%d", i);
+
+		add_worker(s, id);
+	}
+	s->now_ms = s->wall_ms = NOW_MS;
+	return s;
+}
+
+static worker_t *
+worker(sched_t *s, guint i)
+{
+	return g_ptr_array_index(s->worker_list, i);
+}
+
+/* Queues the step of a job; late: past its limit, without a run for long. */
+static step_t *
+queue_job(sched_t *s, int number, const Sched__Step *d, bool late)
+{
+	g_autofree char *id = g_strdup_printf("%016d", number);
+	job_t *j = add_job(s, id, d, s->wall_ms - (late ? LATE_MS : 0));
+	step_t *st = first_step(j);
+
+	st->ready = true;
+	queue_add_step(s, st);
+	j->idle_since_ms = s->now_ms - (late ? IDLE_MS : 0);
+	return st;
+}
+
+/*
+ * Gives a worker a serving task; headroom that it loses to a filler of an image
+ * that uses the whole worker: harm.
+ */
+static void
+serve(sched_t *s, worker_t *w, int number, const char *filler, double harm)
+{
+	g_autofree char *id = g_strdup_printf("%016d", number);
+	g_autofree char *image = g_strdup_printf("serve%d", number);
+	Sched__Step d = step_def(image, 20000, false, 10);
+	step_t *st = first_step(add_job(s, id, &d, s->wall_ms));
+
+	interference_restore(
+	    s, st->image, interference_image(s, filler), harm, 2);
+	add_running(s, st, 0, w);
+}
+
+/* A pass after no filler job has come for a while. */
+static void
+quiet_pass(sched_t *s)
+{
+	s->now_ms += QUIET_MS;
+	s->wall_ms += QUIET_MS;
+	queue_resort(s);
+	scan_begin_round(s);
+	start_waiting_tasks(s);
+}
+
+/*
+ * Guards against a late filler that waits for good, as it needs approval, and none is
+ * asked for where it could only run slowed.
+ */
+Test(passed_over, a_late_filler_that_needs_approval_starts_slowed)
+{
+	static const struct {
+		const char *what;
+		bool late, suspect;
+		size_t nworkers; /* that approval is asked for */
+		int32_t starts;
+	} cases[] = {
+		{ "late", true, false, 1, 1 },
+		{ "in time", false, false, 0, 0 },
+		{ "on a suspect worker", true, true, 0, 0 },
+	};
+	static const sched_ticket_t approved[] = { { "w0", "t" } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = owner_of(1);
+		Sched__Step d = step_def("fill", 30000, true, 0);
+		sched_approval_t a = { approved, 1, 3000 };
+		step_t *st;
+
+		serve(s, worker(s, 0), 100, "fill", 20);
+		worker(s, 0)->suspect = cases[i].suspect;
+		st = queue_job(s, 1, &d, cases[i].late);
+		st->occ->job->needs_approval = true;
+		quiet_pass(s);
+		cr_expect_eq(
+		    asked.nworkers, cases[i].nworkers, "%s", cases[i].what);
+		if (asked.nworkers > 0)
+			sched_approval_done(s, asked.id, &a, s->now_ms + 40);
+		start_waiting_tasks(s);
+		cr_expect_eq(st->ntasks - st->nwaiting, cases[i].starts,
+		    "%s: %d starts", cases[i].what, st->ntasks - st->nwaiting);
+		sched_free(s);
+	}
+}
