--- a/test/unit/passed_over.c
+++ b/test/unit/passed_over.c
@@ -143,3 +143,106 @@
 		sched_free(s);
 	}
 }
+
+#define STEP_MS	   50
+#define ROUND_MS   250
+#define SMALL_MS   800 /* that a task of the stream runs */
+#define ARRIVAL_MS 200 /* between two of its jobs */
+#define WAIT_MS	   60000
+
+/* Ends the runs of the stream that are due to, and makes a pass. */
+static void
+advance(sched_t *s, const step_t *large)
+{
+	g_autoptr(GList) all = g_hash_table_get_values(s->runs);
+
+	s->now_ms += STEP_MS;
+	s->wall_ms += STEP_MS;
+	for (GList *i = all; i != NULL; i = i->next) {
+		run_t *r = i->data;
+
+		if (r->task->step == large ||
+		    s->now_ms - r->state_since_ms < SMALL_MS)
+			continue;
+		job_mark_task_done(r->task);
+		run_remove(s, r);
+	}
+	if (s->now_ms % ROUND_MS == 0) {
+		queue_resort(s);
+		scan_begin_round(s);
+	}
+	start_waiting_tasks(s);
+}
+
+/* Small tasks, each a quarter of a worker, keep two workers full. */
+typedef struct {
+	bool filler; /* all tasks are */
+	bool late, gang;
+	int64_t cpu_milli, mem_mb; /* of a large task */
+	int64_t small_cpu_milli, small_mem_mb;
+} stream_t;
+
+/* Whether large work starts within WAIT_MS while small tasks keep coming. */
+static bool
+starts_beside(const stream_t *c)
+{
+	sched_t *s = owner_of(2);
+	Sched__Step small = step_def("", c->small_cpu_milli, c->filler, 0);
+	Sched__Step large = step_def("", c->cpu_milli, c->filler, 0);
+	step_t *st = NULL;
+	bool started;
+
+	small.mem_mb = c->small_mem_mb;
+	large.mem_mb = c->mem_mb;
+	large.gang = c->gang;
+	large.count = large.gang ? 2 : 1;
+	for (int n = 1; s->now_ms < NOW_MS + WAIT_MS &&
+	     (st == NULL || st->nwaiting > 0);) {
+		for (int k = 0; s->now_ms % ARRIVAL_MS == 0 && k < 2; k++)
+			queue_job(s, n++, &small, false);
+		/* Small ones run everywhere when it comes. */
+		if (st == NULL && s->now_ms == NOW_MS + SMALL_MS)
+			st = queue_job(s, 0, &large, c->late);
+		advance(s, st);
+	}
+	started = st->nwaiting == 0;
+	sched_free(s);
+	return started;
+}
+
+/* Guards against a short task past its late limit for which no room is kept. */
+Test(passed_over, a_large_late_task_starts_while_small_ones_come)
+{
+	static const stream_t c = { .late = true,
+		.cpu_milli = 40000,
+		.mem_mb = 1000,
+		.small_cpu_milli = 16000,
+		.small_mem_mb = 1000 };
+
+	cr_expect(starts_beside(&c));
+}
+
+/* Guards against a gang in time for which no room is kept. */
+Test(passed_over, a_gang_starts_while_small_tasks_come)
+{
+	static const stream_t c = { .gang = true,
+		.cpu_milli = 40000,
+		.mem_mb = 1000,
+		.small_cpu_milli = 16000,
+		.small_mem_mb = 1000 };
+
+	cr_expect(starts_beside(&c));
+}
+
+/* Guards against a late filler that never finds the memory, though slowed. */
+Test(passed_over, a_late_filler_of_much_memory_starts_while_small_ones_come)
+{
+	static const stream_t c = { .filler = true,
+		.late = true,
+		.cpu_milli = 1000,
+		.mem_mb = 160000,
+		.small_cpu_milli = 1000,
+		.small_mem_mb = 64000 };
+
+	cr_expect(starts_beside(&c));
+}
