--- a/sched/place.c
+++ b/sched/place.c
@@ -415,10 +415,14 @@
 		.enough = G_MAXUINT,
 		.slowed = starvation_may_slow(s, st),
 		.alone = true };
+	worker_t *w;
 
 	if (reserved != NULL)
 		return can_take(s, reserved, &q) ? reserved : NULL;
-	return find_best_worker(s, &q);
+	w = find_best_worker(s, &q);
+	if (w == NULL)
+		room_not_found(s, st, q.held);
+	return w;
 }
 
 /*
--- a/test/unit/passed_over.c
+++ b/test/unit/passed_over.c
@@ -150,14 +150,25 @@
 #define ARRIVAL_MS 200 /* between two of its jobs */
 #define WAIT_MS	   60000
 
+/* Makes a pass, after a while. */
+static void
+advance_rounds(sched_t *s)
+{
+	s->now_ms += STEP_MS;
+	s->wall_ms += STEP_MS;
+	if (s->now_ms % ROUND_MS == 0) {
+		queue_resort(s);
+		scan_begin_round(s);
+	}
+	start_waiting_tasks(s);
+}
+
 /* Ends the runs of the stream that are due to, and makes a pass. */
 static void
 advance(sched_t *s, const step_t *large)
 {
 	g_autoptr(GList) all = g_hash_table_get_values(s->runs);
 
-	s->now_ms += STEP_MS;
-	s->wall_ms += STEP_MS;
 	for (GList *i = all; i != NULL; i = i->next) {
 		run_t *r = i->data;
 
@@ -167,11 +178,7 @@
 		job_mark_task_done(r->task);
 		run_remove(s, r);
 	}
-	if (s->now_ms % ROUND_MS == 0) {
-		queue_resort(s);
-		scan_begin_round(s);
-	}
-	start_waiting_tasks(s);
+	advance_rounds(s);
 }
 
 /* Small tasks, each a quarter of a worker, keep two workers full. */
@@ -246,3 +253,48 @@
 
 	cr_expect(starts_beside(&c));
 }
+
+/* Callers of lasting tasks need them back within this time if there is room. */
+#define LASTING_BACK_MS 4000
+#define LONG_RUN_MS	20000 /* that the run beside the gap takes */
+
+/*
+ * Guards against a lasting task that stays down beside room that is held for a larger
+ * task, as its worker has crashed and it starts in quarantine.
+ */
+Test(passed_over, a_suspect_lasting_task_is_not_kept_waiting_by_held_room)
+{
+	static const bool suspect[] = { false, true };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(suspect); i++) {
+		sched_t *s = owner_of(1);
+		worker_t *w = worker(s, 0);
+		Sched__Step lasting = step_def("", 16000, false, 0);
+		Sched__Step beside = step_def("", 48000, false, 0);
+		Sched__Step large = step_def("", WORKER_CPU_MILLI, false, 0);
+		step_t *st;
+
+		lasting.lasting = true;
+		large.estimate_ms = beside.estimate_ms = LONG_RUN_MS;
+		st = queue_job(s, 1, &beside, false);
+		queue_remove_step(st);
+		add_running(s, st, 0, w)->first_seen_percent = 1;
+		queue_job(s, 2, &large, false);
+		scan_begin_round(s);
+		start_waiting_tasks(s);
+		cr_assert_eq(w->kept_round, s->scan.round);
+		st = queue_job(s, 3, &lasting, false);
+		if (suspect[i])
+			crash_add(&st->tasks[0], 7, true);
+		while (s->now_ms < NOW_MS + LASTING_BACK_MS) {
+			w->lease.answered_ms = s->now_ms + STEP_MS;
+			st->occ->job->rows_stored = st->occ->job->rows_packed;
+			if (st->occ->job->dirty)
+				st->occ->job->rows_stored =
+				    ++st->occ->job->rows_packed;
+			advance_rounds(s);
+		}
+		cr_expect_eq(st->nwaiting, 0, "suspect: %d", suspect[i]);
+		sched_free(s);
+	}
+}
