Failing test: a late task of much of its quota is passed over

The drain of customer.c begins once the same step has been the first to be held for 2 s; late ones are behind each one in time that comes, so that it never begins.

--- a/test/unit/passed_over.c
+++ b/test/unit/passed_over.c
@@ -298,3 +298,33 @@
 		sched_free(s);
 	}
 }
+
+#define QUOTA_MILLI 20000
+
+/*
+ * Guards against a large late task that its customer's smaller ones in time keep from
+ * the quota for as long as they come.
+ */
+Test(passed_over, a_late_task_of_much_of_its_quota_starts_while_small_ones_come)
+{
+	sched_t *s = owner_of(2);
+	Sched__Step small = step_def("", QUOTA_MILLI / 4, false, 0);
+	Sched__Step large = step_def("", QUOTA_MILLI * 3 / 4, false, 0);
+	customer_t *c = customer_get(s, "c");
+	step_t *st = NULL;
+
+	c->quota.limit = (ts_res_t){ .cpu_milli = QUOTA_MILLI };
+	for (int n = 1; s->now_ms < NOW_MS + WAIT_MS &&
+	     (st == NULL || st->nwaiting > 0);) {
+		if (s->now_ms % ARRIVAL_MS == 0)
+			queue_job(s, n++, &small, false)->occ->job->customer =
+			    c;
+		if (st == NULL && s->now_ms == NOW_MS + SMALL_MS) {
+			st = queue_job(s, 0, &large, true);
+			st->occ->job->customer = c;
+		}
+		advance(s, st);
+	}
+	cr_expect_eq(st->nwaiting, 0, "used %d", (int)c->quota.used.cpu_milli);
+	sched_free(s);
+}
