--- a/test/unit/starvation.c
+++ b/test/unit/starvation.c
@@ -567,3 +567,105 @@
 	cr_expect_eq(sent.starts, 2);
 	sched_free(s);
 }
+
+#define SMALL_MS   800 /* that a small filler runs */
+#define ARRIVAL_MS 300 /* between two small jobs */
+#define STEP_MS	   50
+#define ROUND_MS   250
+
+/* Gives a worker a serving task beside which fillers fit on a part of it. */
+static void
+add_tolerant_serving_run(sched_t *s, worker_t *w, const char *id)
+{
+	interference_restore(s, interference_image(s, "serve"),
+	    interference_image(s, "fill"), 3, 2);
+	add_serving_run(s, w, id);
+}
+
+/* Starts are acknowledged and small fillers end when their time has come. */
+static void
+advance_runs(sched_t *s, const step_t *kept)
+{
+	g_autoptr(GList) all = g_hash_table_get_values(s->runs);
+
+	s->now_ms += STEP_MS;
+	s->wall_ms += STEP_MS;
+	for (GList *i = all; i != NULL; i = i->next) {
+		run_t *r = i->data;
+
+		if (r->state == RUN_STARTING)
+			sched_order_done(
+			    s, r->id, SCHED_ORDER_OK, 10, s->now_ms);
+		if (r->task->step == kept || r->task->step->load != NULL ||
+		    s->now_ms - r->state_since_ms < SMALL_MS)
+			continue;
+		job_mark_task_done(r->task);
+		run_remove(s, r);
+	}
+	for (guint i = 0; i < s->worker_list->len; i++)
+		pacing_report(s, g_ptr_array_index(s->worker_list, i));
+	if (s->now_ms % ROUND_MS == 0) {
+		queue_resort(s);
+		scan_begin_round(s);
+	}
+	start_waiting_tasks(s);
+}
+
+/*
+ * Guards against a late filler that waits for as long as small ones keep coming:
+ * its job is at work before it is late by twice the limit.
+ */
+Test(starvation, a_large_filler_is_at_work_in_time_while_small_ones_come)
+{
+	static const struct {
+		const char *what;
+		int workers;
+		int64_t large_milli; /* 14400 of a worker are tolerated */
+	} cases[] = {
+		{ "fits once the small ones have ended", 2, 14000 },
+		{ "fits then, one of many workers", 40, 14000 },
+		{ "never fits at full speed", 2, 32000 },
+		{ "never fits, on many workers", 40, 32000 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = owner_at(100000);
+		Sched__Step small = step_def("fill", 8000, true, 0);
+		Sched__Step large =
+		    step_def("fill", cases[i].large_milli, true, 0);
+		int64_t from_ms = s->now_ms, limit_ms = INT64_MAX;
+		step_t *st = NULL;
+		const run_t *r;
+
+		for (int k = 0; k < cases[i].workers; k++) {
+			g_autofree char *id = g_strdup_printf("w%d", k);
+			g_autofree char *job = g_strdup_printf("%016d", k);
+
+			add_tolerant_serving_run(s, add_worker_now(s, id), job);
+		}
+		for (int n = 1000; s->now_ms < limit_ms;) {
+			for (int k = 0; s->now_ms % ARRIVAL_MS == 0 &&
+			     k < cases[i].workers;
+			     k++) {
+				g_autofree char *id =
+				    g_strdup_printf("%016d", n++);
+
+				queue_job(s, id, &small, 0, 0);
+			}
+			/* Small ones run everywhere when it comes. */
+			if (st == NULL && s->now_ms - from_ms >= SMALL_MS) {
+				st = queue_job(
+				    s, "00000000000000ff", &large, 0, 0);
+				limit_ms = s->now_ms +
+				    2 * LATE_LIMIT_TIMES *
+					st->occ->job->allowed_ms;
+			}
+			advance_runs(s, st);
+		}
+		r = st->tasks[0].run;
+		cr_expect(r != NULL, "%s: no run", cases[i].what);
+		cr_expect(r == NULL || r->wanted_pace_pct > 0,
+		    "%s: stands still", cases[i].what);
+		sched_free(s);
+	}
+}
