Late fillers that no worker takes have a share of the workers while jobs come

Cause: headroom of serving tasks goes to the first task that fits into it, so that it never adds up to what a large one needs; slowed starts, which do not need it all at once, waited until no filler job had come for 2 s, which callers need never allow.

Now a starved job past its late limit may start one task slowed meanwhile, with at most one such run for 8 workers. isolation.c counts the run at full speed, so that no other filler starts beside it until it has what it needs, and serving tasks keep their headroom, as pacing.c sets its pace. Starved jobs take turns, the one without a run for longest first; by the order in which they were due, the first ones took all turns with one task after another.

--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -165,6 +165,7 @@
 		memset(&w->lease, 0, sizeof(w->lease));
 	}
 	g_hash_table_remove_all(s->runs);
+	s->starved_runs = 0;
 	s->nunknown = 0;
 	g_hash_table_remove_all(s->jobs);
 	customer_forget_runs(s);
--- a/sched/queue.c
+++ b/sched/queue.c
@@ -134,7 +134,7 @@
  * is late, and its sort key.  A step that can meet the target is sorted by its
  * latest start, made earlier or later by its value density; a late one by the
  * expected time to the end of its occurrence, the shortest first; a starved one
- * past the late limit by when it was due.
+ * past the late limit by when its job last had a run, so that they take turns.
  */
 static void
 update_urgency(sched_t *s, step_t *st)
@@ -157,7 +157,7 @@
 	st->starved = starvation_is_starved(s, st);
 	if (st->misses_target) {
 		st->sort_key_ms = st->past_late_limit && st->starved ?
-		    o->due_wall_ms :
+		    o->job->idle_since_ms :
 		    path_ms;
 		return;
 	}
--- a/sched/run.c
+++ b/sched/run.c
@@ -157,6 +157,7 @@
 
 	suspect_run_removed(r);
 	crash_run_removed(s, r);
+	starvation_run_removed(s, r);
 	if (r->holds_resources) {
 		overload_run_removed(s, r);
 		pacing_run_removed(s, r);
--- a/sched/starvation.c
+++ b/sched/starvation.c
@@ -4,11 +4,15 @@
  * Pattern: an overload.  queue.c sorts late work by the time that it needs, the
  * shortest first, and what a worker frees is soon taken by a smaller task, so
  * that a long or large one may never run.  Therefore, a job past the late limit
- * that has had no run for STARVED_MS goes before others past it.  Once no jobs
- * come that could use the workers better, a late job always has a run: a filler
+ * that has had no run for STARVED_MS goes before others past it, and a filler
  * task of it that no worker can take is started all the same, at a standstill if
  * the serving tasks on its worker have no headroom for it.  pacing.c then gives
- * it what there is.
+ * it what there is; as isolation.c counts it at full speed, no other filler
+ * starts beside it meanwhile.
+ *
+ * While jobs come that could use the workers better, only a share of the workers
+ * has such runs at a time, one of a job, and the jobs take turns.  Else a late
+ * job always has a run.
  */
 #include <stdbool.h>
 #include <stdint.h>
@@ -29,6 +33,8 @@
 #define STARVED_MS 500
 /* After a new job with filler tasks, which can be in time, others may come. */
 #define NEW_JOB_GAP_MS 2000
+/* While jobs come, at most one run for this many workers has started slowed. */
+#define WORKERS_PER_STARVED_RUN 8
 
 /* Whether the job of a late step has had no run for a while. */
 bool
@@ -40,16 +46,41 @@
 	    s->now_ms - j->idle_since_ms >= STARVED_MS;
 }
 
+/* Whether jobs with filler tasks come, which can be in time. */
+static bool
+jobs_come(const sched_t *s)
+{
+	return s->now_ms - s->filler_job_ms < NEW_JOB_GAP_MS;
+}
+
+/* Whether one more task may start slowed while jobs come. */
+static bool
+has_share_left(const sched_t *s)
+{
+	return s->starved_runs <
+	    MAX(1, s->worker_list->len / WORKERS_PER_STARVED_RUN);
+}
+
 /*
- * Whether a task of a step may be started slowed now.  As nothing comes that
+ * Whether a task of a step may be started slowed now.  When nothing comes that
  * could use the workers better, its job need not have waited for STARVED_MS.
  */
 bool
 starvation_may_slow(const sched_t *s, const step_t *st)
 {
-	return st->def->filler && !st->def->gang && st->misses_target &&
-	    st->occ->job->nruns == 0 &&
-	    s->now_ms - s->filler_job_ms >= NEW_JOB_GAP_MS;
+	if (!st->def->filler || st->def->gang || !st->misses_target ||
+	    st->occ->job->nruns > 0)
+		return false;
+	return !jobs_come(s) ||
+	    (st->past_late_limit && starvation_is_starved(s, st) &&
+		has_share_left(s));
+}
+
+/* A run that may be one of the share is removed. */
+void
+starvation_run_removed(sched_t *s, const run_t *r)
+{
+	s->starved_runs -= r->started_slowed;
 }
 
 /* The last run of a job has ended: its steps are offered all workers again. */
@@ -79,6 +110,8 @@
 	/* It starts standing still; pacing.c raises the pace as it can. */
 	if (!full_speed)
 		t->run->wanted_pace_pct = 0;
+	t->run->started_slowed = true;
+	s->starved_runs++;
 	/* Makes pacing_report set paces even if none was slowed before. */
 	w->fillers_pace_pct = 0;
 	return true;
--- a/sched/types.h
+++ b/sched/types.h
@@ -219,7 +219,8 @@
 	bool holds_resources; /* they are counted as used at the worker */
 	bool order_pending;   /* an order has been sent and not been answered */
 	sched_order_kind_t last_order;
-	bool unwanted; /* to be stopped and removed once proved absent */
+	bool started_slowed; /* by starvation.c */
+	bool unwanted;	     /* to be stopped and removed once proved absent */
 	int64_t state_since_ms;
 	int64_t ordered_ms; /* its start, by this owner; 0: by another */
 	/* Its start order got no answer; 0: it did, or a report has told since. */
