A slowed run that stands still gives its turn to the next starved job

What callers would see: all turns of the share are held by runs beside serving tasks that leave them nothing, and every other late job waits for as long as new ones come, also one that another worker could run.

Cause: a run gave its turn back only by its end, and one at a standstill has none. Now, once a step has found the share used up, a run that has had no pace above 0 for 5 s is stopped; its job goes behind the others and its worker is avoided. Without another that waits, nothing is stopped, nor is a run in quarantine.

Evidence: unit starvation, runs_that_stand_still_give_their_turn_to_others, which failed before (the jobs behind the first never had a run).

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -64,6 +64,7 @@
 	uint64_t filler_images; /* set of images of filler tasks */
 	int64_t filler_job_ms;	/* when a job with filler tasks last came */
 	guint starved_runs;	/* runs that starvation.c has started slowed */
+	bool turn_wanted;	/* a step waits for one of them to end */
 	/* By serving image: the filler images that may run beside it. */
 	uint64_t compatible_fillers[IMAGES_MAX];
 	/* By filler image: mean processor milli that its tasks ask for, and the
@@ -298,6 +299,7 @@
 void starvation_job_idle(job_t *j);
 bool starvation_run_start(
     sched_t *s, const step_t *st, task_t *t, worker_t *w, int64_t number);
+void starvation_update(sched_t *s);
 void starvation_run_removed(sched_t *s, const run_t *r);
 bool starvation_start(sched_t *s, step_t *st);
 
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -327,6 +327,7 @@
 		stats_count_waiting_jobs(s);
 		approval_expire_requests(s);
 		serving_move_update(s, UPDATE_MS);
+		starvation_update(s);
 		scan_begin_round(s);
 	}
 	if (now_ms - s->stats_logged_ms >= STATS_LOG_MS) {
--- a/sched/starvation.c
+++ b/sched/starvation.c
@@ -11,8 +11,8 @@
  * starts beside it meanwhile.
  *
  * While jobs come that could use the workers better, only a share of the workers
- * has such runs at a time, one of a job, and the jobs take turns.  Else a late
- * job always has a run.
+ * has such runs at a time, one of a job, and the jobs take turns.  A run that
+ * stands still gives its turn up.  Else a late job always has a run.
  */
 #include <stdbool.h>
 #include <stdint.h>
@@ -35,6 +35,8 @@
 #define NEW_JOB_GAP_MS 2000
 /* While jobs come, at most one run for this many workers has started slowed. */
 #define WORKERS_PER_STARVED_RUN 8
+/* Longer than short peaks of the load of serving tasks. */
+#define STANDSTILL_MS 5000
 
 /* Whether the job of a late step has had no run for a while. */
 bool
@@ -61,6 +63,22 @@
 	    MAX(1, s->worker_list->len / WORKERS_PER_STARVED_RUN);
 }
 
+/* Whether a step is of the kind that may be started slowed at all. */
+static bool
+can_start_slowed(const step_t *st)
+{
+	return st->def->filler && !st->def->gang && st->misses_target &&
+	    st->occ->job->nruns == 0;
+}
+
+/* Whether a step waits for its turn in the share, while jobs come. */
+static bool
+waits_for_turn(const sched_t *s, const step_t *st)
+{
+	return can_start_slowed(st) && st->past_late_limit &&
+	    starvation_is_starved(s, st);
+}
+
 /*
  * Whether a task of a step may be started slowed now.  When nothing comes that
  * could use the workers better, its job need not have waited for STARVED_MS.
@@ -68,12 +86,35 @@
 bool
 starvation_may_slow(const sched_t *s, const step_t *st)
 {
-	if (!st->def->filler || st->def->gang || !st->misses_target ||
-	    st->occ->job->nruns > 0)
-		return false;
-	return !jobs_come(s) ||
-	    (st->past_late_limit && starvation_is_starved(s, st) &&
-		has_share_left(s));
+	return jobs_come(s) ? waits_for_turn(s, st) && has_share_left(s) :
+			      can_start_slowed(st);
+}
+
+/* Stops a run of the share that has stood still for STANDSTILL_MS. */
+static void
+end_turn(sched_t *s, run_t *r)
+{
+	if (r->wanted_pace_pct > 0)
+		r->paced_ms = s->now_ms;
+	if (!s->turn_wanted || r->state != RUN_RUNNING ||
+	    r == r->worker->quarantined_run ||
+	    s->now_ms - MAX(r->paced_ms, r->state_since_ms) < STANDSTILL_MS)
+		return;
+	r->task->avoid_worker = r->worker->id;
+	run_stop(s, r, "stands still while others starve");
+}
+
+/* Ends turns once in a round, if a step has found the share used up in the last. */
+void
+starvation_update(sched_t *s)
+{
+	g_autoptr(GList) all = g_hash_table_get_values(s->runs);
+
+	s->turn_wanted = s->turn_wanted && ownership_may_start_tasks(s);
+	for (GList *i = all; i != NULL; i = i->next)
+		if (((run_t *)i->data)->started_slowed)
+			end_turn(s, i->data);
+	s->turn_wanted = false;
 }
 
 /* A run that may be one of the share is removed. */
@@ -127,6 +168,8 @@
 	task_t *t = NULL;
 	worker_t *w;
 
+	s->turn_wanted = s->turn_wanted ||
+	    (jobs_come(s) && waits_for_turn(s, st) && !has_share_left(s));
 	if (!starvation_may_slow(s, st) || !customer_allows_start(st))
 		return false;
 	for (int32_t i = 0; t == NULL && i < st->ntasks; i++)
--- a/sched/types.h
+++ b/sched/types.h
@@ -220,6 +220,7 @@
 	bool order_pending;   /* an order has been sent and not been answered */
 	sched_order_kind_t last_order;
 	bool started_slowed; /* by starvation.c */
+	int64_t paced_ms;    /* if so: when it last had a pace above 0 */
 	bool unwanted;	     /* to be stopped and removed once proved absent */
 	int64_t state_since_ms;
 	int64_t ordered_ms; /* its start, by this owner; 0: by another */
--- a/test/unit/starvation.c
+++ b/test/unit/starvation.c
@@ -643,13 +643,21 @@
 
 	s->now_ms += STEP_MS;
 	s->wall_ms += STEP_MS;
+	s->cell.confirmed_ms = s->now_ms;
+	for (int k = 0; k < SCHED_NFEEDS; k++)
+		s->feed_read_ms[k] = s->now_ms;
 	for (GList *i = all; i != NULL; i = i->next) {
 		run_t *r = i->data;
 
 		if (r->state == RUN_STARTING)
 			sched_order_done(
 			    s, r->id, SCHED_ORDER_OK, 10, s->now_ms);
+		if (r->state == RUN_STOPPING) {
+			run_remove(s, r);
+			continue;
+		}
 		if (r->task->step == kept || r->task->step->load != NULL ||
+		    r->wanted_pace_pct == 0 ||
 		    s->now_ms - r->state_since_ms < SMALL_MS)
 			continue;
 		job_mark_task_done(r->task);
@@ -659,6 +667,7 @@
 		pacing_report(s, g_ptr_array_index(s->worker_list, i));
 	if (s->now_ms % ROUND_MS == 0) {
 		queue_resort(s);
+		starvation_update(s);
 		scan_begin_round(s);
 	}
 	start_waiting_tasks(s);
@@ -722,3 +731,54 @@
 		sched_free(s);
 	}
 }
+
+/*
+ * Guards against runs that stand still and keep the whole share, so that other
+ * starved jobs wait for as long as new ones come.
+ */
+Test(starvation, runs_that_stand_still_give_their_turn_to_others)
+{
+	static const struct {
+		const char *what;
+		int jobs;
+		bool stopped;
+	} cases[] = {
+		{ "another job waits", 2, true },
+		{ "several wait", 3, true },
+		{ "no other waits", 1, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = owner_at(100000);
+		Sched__Step d = step_def("fill", 32000, true, 0);
+		Sched__Step new = step_def("fill", 32000, true, 0);
+		bool had_run[3] = { false }, stopped = false;
+		step_t *st[3];
+
+		add_serving_run(s, add_worker_now(s, "a"), "00000000000000aa");
+		for (int k = 0; k < cases[i].jobs; k++) {
+			g_autofree char *id = g_strdup_printf("%016d", k);
+
+			st[k] = queue_job(s, id, &d, LATE_MS, 3000);
+		}
+		for (int n = 1000; s->now_ms < 100000 + LATE_MS;) {
+			g_autofree char *id = g_strdup_printf("%016d", n++);
+
+			/* Each is cancelled before it is late. */
+			if (s->now_ms % ARRIVAL_MS == 0)
+				queue_remove_step(queue_job(s, id, &new, 0, 0));
+			advance_runs(s, NULL);
+			for (int k = 0; k < cases[i].jobs; k++) {
+				const run_t *r = st[k]->tasks[0].run;
+
+				had_run[k] = had_run[k] || r != NULL;
+				stopped = stopped ||
+				    (r != NULL && r->state == RUN_STOPPING);
+			}
+		}
+		for (int k = 0; k < cases[i].jobs; k++)
+			cr_expect(had_run[k], "%s: %d", cases[i].what, k);
+		cr_expect_eq(stopped, cases[i].stopped, "%s", cases[i].what);
+		sched_free(s);
+	}
+}
