--- a/sched/queue.c
+++ b/sched/queue.c
@@ -147,7 +147,7 @@
  * is late, and its sort key.  A step that can meet the target is sorted by its
  * latest start, made earlier or later by its value density; a late one by the
  * expected time to the end of its occurrence, the shortest first; a starved one
- * past the late limit by when it was due.
+ * past the late limit by when its job last had a run, so that they take turns.
  */
 static void
 update_urgency(sched_t *s, step_t *st)
@@ -170,7 +170,7 @@
 	st->starved = starvation_is_starved(s, st);
 	if (st->misses_target) {
 		st->sort_key_ms = st->past_late_limit && st->starved ?
-		    o->due_wall_ms :
+		    o->job->idle_since_ms :
 		    path_ms;
 		return;
 	}
@@ -191,7 +191,7 @@
 		return;
 	if (st->occ->job->idle_since_ms == 0)
 		st->occ->job->idle_since_ms = s->now_ms;
-	st->held_since_ms = 0;
+	st->unplaced_since_ms = 0;
 	update_urgency(s, st);
 	st->queue_iter =
 	    g_sequence_insert_sorted(s->ready_steps, st, compare_steps, NULL);
--- a/sched/room.c
+++ b/sched/room.c
@@ -11,8 +11,9 @@
  * chosen anew, in the order of the queue.  The end of lasting and of serving tasks
  * is not waited for.
  *
- * A lasting task that is down serves nobody until it runs again, so that it waits
- * beside room that is kept for others for HOLD_LASTING_MS at most.
+ * A lasting task that is down serves nobody until it runs again.  Once its step has
+ * waited for HOLD_LASTING_MS it may start on a kept worker too: room that comes and
+ * goes on one worker after the other would else never be its own.
  */
 #include <stdbool.h>
 #include <stdint.h>
@@ -33,7 +34,7 @@
 #define WORKERS_PER_KEPT 8
 /* Steps that workers are kept for, as each looks at all of them. */
 #define KEEPING_STEPS 16
-/* A lasting step waits for so long while only kept workers have room for it. */
+/* A lasting step that waits for longer is not held back from kept workers. */
 #define HOLD_LASTING_MS 1500
 
 /* A worker, and when a task will fit there. */
@@ -197,12 +198,12 @@
 	s->scan.kept_workers += n;
 }
 
-/* Whether a step has waited for long enough beside workers kept for others. */
+/* Whether a lasting step has waited for long enough to go beside others. */
 static bool
-held_long(const sched_t *s, const step_t *st)
+waited_long(const sched_t *s, const step_t *st)
 {
-	return st->def->lasting && st->held_since_ms != 0 &&
-	    s->now_ms - st->held_since_ms >= HOLD_LASTING_MS;
+	return st->def->lasting && st->unplaced_since_ms != 0 &&
+	    s->now_ms - st->unplaced_since_ms >= HOLD_LASTING_MS;
 }
 
 /* Whether a task of a step may be started on a worker, as far as it is kept. */
@@ -210,18 +211,13 @@
 room_allows_start(const sched_t *s, const worker_t *w, const step_t *st)
 {
 	return st->def->filler || !is_kept(s, w) || w->kept_for == st ||
-	    held_long(s, st);
+	    waited_long(s, st);
 }
 
-/*
- * No worker was found for a step that has been offered all of them; held: one
- * that is kept for another step could take a task.
- */
+/* No worker was found for a step that has been offered all of them. */
 void
-room_not_found(const sched_t *s, step_t *st, bool held)
+room_not_found(const sched_t *s, step_t *st)
 {
-	if (!held)
-		st->held_since_ms = 0;
-	else if (st->held_since_ms == 0)
-		st->held_since_ms = s->now_ms;
+	if (st->unplaced_since_ms == 0)
+		st->unplaced_since_ms = s->now_ms;
 }
--- a/sched/starvation.c
+++ b/sched/starvation.c
@@ -4,12 +4,17 @@
  * Pattern: an overload.  queue.c sorts late work by the time that it needs, the
  * shortest first, and what a worker frees is soon taken by a smaller task, so
  * that a long or large one may never run.  Therefore, a job past the late limit
- * that has had no run for STARVED_MS goes before others past it.  Once no jobs
- * come that could use the workers better, a late job always has a run: a filler
+ * that has had no run for STARVED_MS goes before others past it, and a filler
  * task of it that no worker can take is started all the same, at a standstill if
  * the serving tasks on its worker have no headroom for it.  pacing.c then gives
- * it what there is.  A job that is not late yet has to wait longer for that, as it
- * may still find a worker that takes it at full speed.
+ * it what there is; as isolation.c counts it at full speed, no other filler
+ * starts beside it meanwhile.
+ *
+ * While jobs come that could use the workers better, only a share of the workers
+ * has such runs at a time, one of a job, and the jobs take turns.  A run that
+ * stands still gives its turn up.  Else a late job always has a run.  A job that is
+ * not late yet has to wait longer for that, as it may still find a worker that
+ * takes it at full speed.
  */
 #include <stdbool.h>
 #include <stdint.h>
@@ -32,6 +37,10 @@
 #define NEW_JOB_GAP_MS 2000
 /* After the last one for so long none is expected to come. */
 #define JOBS_ENDED_MS 5000
+/* While jobs come, at most one run for this many workers has started slowed. */
+#define WORKERS_PER_STARVED_RUN 8
+/* Longer than short peaks of the load of serving tasks. */
+#define STANDSTILL_MS 5000
 
 /* Whether the job of a late step has had no run for a while. */
 bool
@@ -43,16 +52,82 @@
 	    s->now_ms - j->idle_since_ms >= STARVED_MS;
 }
 
+/* Whether jobs with filler tasks come, which can be in time. */
+static bool
+jobs_come(const sched_t *s)
+{
+	return s->now_ms - s->filler_job_ms < NEW_JOB_GAP_MS;
+}
+
+/* Whether one more task may start slowed while jobs come. */
+static bool
+has_share_left(const sched_t *s)
+{
+	return s->starved_runs <
+	    MAX(1, s->worker_list->len / WORKERS_PER_STARVED_RUN);
+}
+
+/* Whether a step is of the kind that may be started slowed at all. */
+static bool
+can_start_slowed(const step_t *st)
+{
+	return st->def->filler && !st->def->gang && st->occ->job->nruns == 0;
+}
+
+/* Whether a step waits for its turn in the share, while jobs come. */
+static bool
+waits_for_turn(const sched_t *s, const step_t *st)
+{
+	return can_start_slowed(st) && st->past_late_limit &&
+	    starvation_is_starved(s, st);
+}
+
 /*
- * Whether a task of a step may be started slowed now.  As nothing comes that
+ * Whether a task of a step may be started slowed now.  When nothing comes that
  * could use the workers better, its job need not have waited for STARVED_MS.
  */
 bool
 starvation_may_slow(const sched_t *s, const step_t *st)
 {
-	return st->def->filler && !st->def->gang && st->occ->job->nruns == 0 &&
-	    s->now_ms - s->filler_job_ms >=
-	    (st->misses_target ? NEW_JOB_GAP_MS : JOBS_ENDED_MS);
+	if (jobs_come(s))
+		return waits_for_turn(s, st) && has_share_left(s);
+	return can_start_slowed(st) &&
+	    (st->misses_target ||
+		s->now_ms - s->filler_job_ms >= JOBS_ENDED_MS);
+}
+
+/* Stops a run of the share that has stood still for STANDSTILL_MS. */
+static void
+end_turn(sched_t *s, run_t *r)
+{
+	if (r->wanted_pace_pct > 0)
+		r->paced_ms = s->now_ms;
+	if (!s->turn_wanted || r->state != RUN_RUNNING ||
+	    r == r->worker->quarantined_run ||
+	    s->now_ms - MAX(r->paced_ms, r->state_since_ms) < STANDSTILL_MS)
+		return;
+	r->task->avoid_worker = r->worker->id;
+	run_stop(s, r, "stands still while others starve");
+}
+
+/* Ends turns once in a round, if a step has found the share used up in the last. */
+void
+starvation_update(sched_t *s)
+{
+	g_autoptr(GList) all = g_hash_table_get_values(s->runs);
+
+	s->turn_wanted = s->turn_wanted && ownership_may_start_tasks(s);
+	for (GList *i = all; i != NULL; i = i->next)
+		if (((run_t *)i->data)->started_slowed)
+			end_turn(s, i->data);
+	s->turn_wanted = false;
+}
+
+/* A run that may be one of the share is removed. */
+void
+starvation_run_removed(sched_t *s, const run_t *r)
+{
+	s->starved_runs -= r->started_slowed;
 }
 
 /* The last run of a job has ended: its steps are offered all workers again. */
@@ -82,6 +157,8 @@
 	/* It starts standing still; pacing.c raises the pace as it can. */
 	if (!full_speed)
 		t->run->wanted_pace_pct = 0;
+	t->run->started_slowed = true;
+	s->starved_runs++;
 	/* Makes pacing_report set paces even if none was slowed before. */
 	w->fillers_pace_pct = 0;
 	return true;
@@ -97,6 +174,8 @@
 	task_t *t = NULL;
 	worker_t *w;
 
+	s->turn_wanted = s->turn_wanted ||
+	    (jobs_come(s) && waits_for_turn(s, st) && !has_share_left(s));
 	if (!starvation_may_slow(s, st) || !customer_allows_start(st))
 		return false;
 	for (int32_t i = 0; t == NULL && i < st->ntasks; i++)
--- a/sched/types.h
+++ b/sched/types.h
@@ -111,8 +111,8 @@
 	uint64_t unplaced_round;   /* round of scan.c without a worker for it */
 	uint64_t unmovable_round;  /* the same for a task that runs */
 	uint64_t kept_round;	   /* round in which workers were kept for it */
-	/* Since when only workers kept for other steps have room for it; 0: not. */
-	int64_t held_since_ms;
+	/* Since when a task of it has waited for a worker; 0: not. */
+	int64_t unplaced_since_ms;
 	/* In unplaced_round, only isolation.c kept it from some worker. */
 	bool isolated;
 	bool quota_held; /* in the last pass, by its customer's quota */
@@ -226,7 +226,9 @@
 	bool holds_resources; /* they are counted as used at the worker */
 	bool order_pending;   /* an order has been sent and not been answered */
 	sched_order_kind_t last_order;
-	bool unwanted; /* to be stopped and removed once proved absent */
+	bool started_slowed; /* by starvation.c */
+	int64_t paced_ms;    /* if so: when it last had a pace above 0 */
+	bool unwanted;	     /* to be stopped and removed once proved absent */
 	int64_t state_since_ms;
 	int64_t ordered_ms; /* its start, by this owner; 0: by another */
 	/* Its start order got no answer; 0: it did, or a report has told since. */
--- a/test/unit/wait_reason.c
+++ b/test/unit/wait_reason.c
@@ -356,6 +356,8 @@
 fillers_keep_coming(scene_t *c)
 {
 	fillers_came(c, 300);
+	/* Other late fillers have the share of starvation.c. */
+	c->s->starved_runs = 1;
 }
 
 static void
