Entries: strength, claim delay and choice of a successor are a module

serve/strength.c takes them from entries.c, without I/O, so that a table of cases can test them. No change of behaviour: the same formulas and constants.

--- a/serve/entries.c
+++ b/serve/entries.c
@@ -25,6 +25,7 @@
 #include "../platform/platform.h"
 #include "../cmd/cmd.h"
 #include "store_clock.h"
+#include "strength.h"
 #include "auth.h"
 #include "serve.h"
 
@@ -36,19 +37,13 @@
 #define OUTAGE_QUORUM_PCT 75  /* of the others must report it too */
 #define WRITE_TIMEOUT_MS  1500
 #define RETRY_GAP_MS	  300
-#define CAPACITY_PER_CORE 4000
-#define CAPACITY_PER_MBPS 20 /* 50 Mbit/s count as a quarter of a core */
-/* An entry above this share of another's capacity is much stronger. */
-#define MUCH_STRONGER_PCT   130
-#define CLAIM_DELAY_MS	    150	  /* per stronger entry: OWNER_POLL_LATE_MS */
-#define CLAIM_DELAY_ENTRIES 4	  /* at most so many stronger entries count */
-#define LONG_POLL_MS	    20000 /* entries change seldom */
+#define LONG_POLL_MS	  20000 /* entries change seldom */
 
 typedef struct {
 	net_addr_t at;
 	int64_t notice_ms; /* arrival of its last notice, on our clock; or 0 */
 	int64_t store_answered_ms; /* by that notice, on our clock */
-	int32_t capacity;
+	int32_t strength;
 	int64_t incarnation;
 } peer_entry_t;
 
@@ -63,43 +58,51 @@
 	bool leaving; /* its row has been or is being removed */
 };
 
-/*
- * How much work this entry can do: the lower of its share of the processor and
- * of its link, in the units of CAPACITY_PER_CORE.
- */
+/* The strength of this entry. */
 static int32_t
-capacity(const node_t *n)
+own_strength(const entries_t *es)
 {
-	double cpu =
-	    g_ascii_strtod(n->opts.cpu_share, NULL) * CAPACITY_PER_CORE;
-	double link =
-	    g_ascii_strtod(n->opts.link_mbps, NULL) * CAPACITY_PER_MBPS;
+	const node_opts_t *o = &es->node->opts;
 
-	return (int32_t)MIN(cpu, link);
+	return strength_of(g_ascii_strtod(o->cpu_share, NULL),
+	    g_ascii_strtod(o->link_mbps, NULL));
 }
 
 /*
- * Delays this entry's claims by CLAIM_DELAY_MS for each entry that is much
- * stronger, so that these claim a free cell first.
+ * Returns the other entries with their strengths, of strength_entry_t; valid until
+ * one of them changes.
  */
-static void
-update_claim_delay(entries_t *es)
+static GArray *
+list_others(const entries_t *es)
 {
-	int32_t own = capacity(es->node), stronger = 0;
+	GArray *list = g_array_new(FALSE, FALSE, sizeof(strength_entry_t));
 	GHashTableIter it;
-	void *v;
+	void *k, *v;
 
 	g_hash_table_iter_init(&it, es->others);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		stronger += (int64_t)((peer_entry_t *)v)->capacity * 100 >
-		    (int64_t)own * MUCH_STRONGER_PCT;
+	while (g_hash_table_iter_next(&it, &k, &v)) {
+		const peer_entry_t *peer = v;
+		strength_entry_t e = { k, peer->strength, peer->incarnation };
+
+		g_array_append_val(list, e);
+	}
+	return list;
+}
+
+/* Tells the scheduler how much later than others this entry claims the cell. */
+static void
+update_claim_delay(entries_t *es)
+{
+	g_autoptr(GArray) others = list_others(es);
+
 	sched_set_claim_delay(cell_driver_sched(es->node->cell_driver),
-	    MIN(stronger, CLAIM_DELAY_ENTRIES) * CLAIM_DELAY_MS);
+	    strength_claim_delay_ms(own_strength(es),
+		(strength_entry_t *)others->data, others->len));
 }
 
 static void write_row(entries_t *es);
 
-/* False: a row that doesn't unpack, or holds no address or capacity. */
+/* False: a row that doesn't unpack, or holds no address or strength. */
 static bool
 decode_row(const store_row_t *row, peer_entry_t *peer)
 {
@@ -108,7 +111,7 @@
 	    e->strength >= 0 && e->strength <= SCHED_AMOUNT_MAX;
 
 	if (ok) {
-		peer->capacity = e->strength;
+		peer->strength = e->strength;
 		peer->incarnation = e->incarnation;
 	}
 	sched__entry__free_unpacked(e, NULL);
@@ -147,7 +150,7 @@
 	if (row->bytes != NULL && !ok) {
 		es->node->stats.bad_input++;
 		log_event(EVT_BAD_ROW, "table=entries key=%s why=\"%s\"",
-		    row->key, "no address or capacity of an entry");
+		    row->key, "no address or strength of an entry");
 	}
 	update_claim_delay(es);
 }
@@ -288,7 +291,7 @@
 	e.ip = n->opts.ip;
 	e.port = n->opts.peer_port;
 	e.incarnation = n->incarnation;
-	e.strength = capacity(n);
+	e.strength = own_strength(es);
 	put.nbytes = sched__entry__get_packed_size(&e);
 	put.bytes = b = g_malloc(put.nbytes);
 	sched__entry__pack(&e, b);
@@ -329,32 +332,14 @@
 	return es;
 }
 
-/*
- * Chooses the entry that started last, among those with about this entry's
- * capacity or more.  When entries are restarted in turn, it will be the last to
- * restart again.
- */
 const char *
 entries_successor(const entries_t *es)
 {
-	int32_t own = capacity(es->node);
-	const char *successor = "";
-	int64_t last_incarnation = 0;
-	GHashTableIter it;
-	void *k, *v;
+	g_autoptr(GArray) others = list_others(es);
+	const strength_entry_t *e = strength_successor(
+	    own_strength(es), (strength_entry_t *)others->data, others->len);
 
-	g_hash_table_iter_init(&it, es->others);
-	while (g_hash_table_iter_next(&it, &k, &v)) {
-		const peer_entry_t *peer = v;
-
-		if ((int64_t)peer->capacity * MUCH_STRONGER_PCT <
-			(int64_t)own * 100 ||
-		    peer->incarnation <= last_incarnation)
-			continue;
-		last_incarnation = peer->incarnation;
-		successor = k;
-	}
-	return successor;
+	return e == NULL ? "" : e->name;
 }
 
 void
--- /dev/null
+++ b/serve/strength.c
@@ -0,0 +1,55 @@
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "strength.h"
+
+#define PER_CORE 4000
+#define PER_MBPS 20 /* 50 Mbit/s count as a quarter of a core */
+/* An entry above this share of another's strength is much stronger. */
+#define MUCH_STRONGER_PCT   130
+#define CLAIM_DELAY_MS	    150 /* per stronger entry: OWNER_POLL_LATE_MS */
+#define CLAIM_DELAY_ENTRIES 4	/* at most so many stronger entries count */
+
+int32_t
+strength_of(double cores, double link_mbps)
+{
+	return (int32_t)MIN(cores * PER_CORE, link_mbps * PER_MBPS);
+}
+
+/* Whether a is the strength of a much stronger entry than b. */
+static bool
+is_much_stronger(int32_t a, int32_t b)
+{
+	return (int64_t)a * 100 > (int64_t)b * MUCH_STRONGER_PCT;
+}
+
+int32_t
+strength_claim_delay_ms(int32_t own, const strength_entry_t *others, size_t n)
+{
+	int32_t stronger = 0;
+
+	for (size_t i = 0; i < n; i++)
+		stronger += is_much_stronger(others[i].strength, own);
+	return MIN(stronger, CLAIM_DELAY_ENTRIES) * CLAIM_DELAY_MS;
+}
+
+/*
+ * The entry that started last, among those about as strong as this one or
+ * stronger: when entries are restarted in turn, it will be the last to restart
+ * again.
+ */
+const strength_entry_t *
+strength_successor(int32_t own, const strength_entry_t *others, size_t n)
+{
+	const strength_entry_t *last = NULL;
+
+	for (size_t i = 0; i < n; i++)
+		if (!is_much_stronger(own, others[i].strength) &&
+		    others[i].incarnation >
+			(last == NULL ? 0 : last->incarnation))
+			last = &others[i];
+	return last;
+}
