Failing tests: a weak entry owns a cell that is too large for it

It gets the cell in five ways: stronger entries' claims have no answer; no entry knows yet of others at the start; it claims the cell of its own earlier process at once; after a release whose successor does not claim, all entries claim at the same time; a weak owner that leaves names another weak one.

sched_set_strongest_entry() and up_ms of strength_claim_delay_ms() are there for the tests and do nothing yet.

--- a/sched/sched.c
+++ b/sched/sched.c
@@ -367,6 +367,16 @@
 	s->cell.claim_delay_ms = ms;
 }
 
+void
+sched_set_strongest_entry(
+    sched_t *s, int32_t own_strength, const char *name, int32_t strength)
+{
+	(void)s;
+	(void)own_strength;
+	(void)name;
+	(void)strength;
+}
+
 void
 sched_set_successor(sched_t *s, const char *name)
 {
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -395,6 +395,12 @@
  * failed, so that entries with more capacity claim it first.
  */
 void sched_set_claim_delay(sched_t *s, int32_t ms);
+/*
+ * Tells the strongest of the other entries ("": none is known), which the owner may
+ * hand the cell over to, and this entry's own strength in the same unit.
+ */
+void sched_set_strongest_entry(
+    sched_t *s, int32_t own_strength, const char *name, int32_t strength);
 /* Names the entry that is to claim the cell after a release; "" for any. */
 void sched_set_successor(sched_t *s, const char *name);
 /*
--- a/serve/entries.c
+++ b/serve/entries.c
@@ -56,6 +56,7 @@
 	uv_timer_t retry_timer;
 	bool outage;  /* as of the last run of send_timer */
 	bool leaving; /* its row has been or is being removed */
+	int64_t started_ms;
 };
 
 /* The strength of this entry. */
@@ -97,7 +98,8 @@
 
 	sched_set_claim_delay(cell_driver_sched(es->node->cell_driver),
 	    strength_claim_delay_ms(own_strength(es),
-		(strength_entry_t *)others->data, others->len));
+		(strength_entry_t *)others->data, others->len,
+		node_now_ms(es->node) - es->started_ms));
 }
 
 static void write_row(entries_t *es);
@@ -316,6 +318,7 @@
 		.ctx = es };
 
 	es->node = n;
+	es->started_ms = node_now_ms(n);
 	es->others =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	es->dgram = dgram_new(&d, err);
--- a/serve/strength.c
+++ b/serve/strength.c
@@ -27,10 +27,12 @@
 }
 
 int32_t
-strength_claim_delay_ms(int32_t own, const strength_entry_t *others, size_t n)
+strength_claim_delay_ms(
+    int32_t own, const strength_entry_t *others, size_t n, int64_t up_ms)
 {
 	int32_t stronger = 0;
 
+	(void)up_ms;
 	for (size_t i = 0; i < n; i++)
 		stronger += is_much_stronger(others[i].strength, own);
 	return MIN(stronger, CLAIM_DELAY_ENTRIES) * CLAIM_DELAY_MS;
--- a/serve/strength.h
+++ b/serve/strength.h
@@ -21,10 +21,10 @@
 int32_t strength_of(double cores, double link_mbps);
 /*
  * How much later than the strongest this entry claims a free cell, given the
- * other entries.
+ * other entries that it knows; up_ms: how long its process has run.
  */
-int32_t
-strength_claim_delay_ms(int32_t own, const strength_entry_t *others, size_t n);
+int32_t strength_claim_delay_ms(
+    int32_t own, const strength_entry_t *others, size_t n, int64_t up_ms);
 /*
  * Chooses the entry to which an owner of this strength leaves the cell; NULL: none.
  */
--- a/test/unit/sched.c
+++ b/test/unit/sched.c
@@ -385,6 +385,53 @@
 	}
 }
 
+/*
+ * Guards against a weak entry that claims a released cell as early as stronger ones,
+ * when the named successor does not (issue 36).
+ */
+Test(sched, a_released_cell_without_its_successor_goes_to_a_strong_entry)
+{
+	static const struct {
+		int32_t claim_delay_ms;
+		int64_t ms; /* since the row was first seen */
+		int claims;
+	} cases[] = { { 0, 800, 1 }, { 600, 1200, 0 }, { 600, 1400, 1 } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		Sched__Owner owner = SCHED__OWNER__INIT;
+
+		owner.name = (char *)"old";
+		owner.released = true;
+		owner.heir = (char *)"other";
+		cr_expect_eq(
+		    count_claims(&owner, cases[i].claim_delay_ms, cases[i].ms),
+		    cases[i].claims, "case %zu", i);
+	}
+}
+
+/*
+ * Guards against a weak entry that claims the cell of its own earlier process at
+ * once, ahead of stronger ones (issue 36).
+ */
+Test(sched, a_weak_entry_leaves_the_cell_of_its_earlier_process_to_others)
+{
+	static const struct {
+		int32_t claim_delay_ms;
+		int64_t ms; /* since the row was first seen */
+		int claims;
+	} cases[] = { { 0, 50, 1 }, { 600, 1700, 0 }, { 600, 1900, 1 } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		Sched__Owner owner = SCHED__OWNER__INIT;
+
+		owner.name = (char *)"e";
+		owner.incarnation = 1;
+		cr_expect_eq(
+		    count_claims(&owner, cases[i].claim_delay_ms, cases[i].ms),
+		    cases[i].claims, "case %zu", i);
+	}
+}
+
 static struct {
 	uint64_t id;
 	size_t nworkers;
