Claims: a weak entry is late also before it knows the others

Callers saw lasting tasks without a run (LOST): a weak entry claimed a new cell ahead of the strong ones, as the delay of its claim counted the stronger entries that it had read of, and at the start of all these are none. Now an entry below a quarter of a core or 50 Mbit/s has the longest delay in its first second.

--- a/serve/entries.c
+++ b/serve/entries.c
@@ -247,6 +247,8 @@
 	int64_t last_ms = 0;
 	bool outage = false;
 
+	/* It also depends on how long the process has run. */
+	update_claim_delay(es);
 	if (silent_ms >= NOTICE_AFTER_MS) {
 		send_notice(es, silent_ms, false);
 		outage = quorum_misses_store(es, now, &last_ms);
@@ -331,6 +333,7 @@
 	es->retry_timer.data = es->send_timer.data = es;
 	uv_timer_start(
 	    &es->send_timer, on_send_timer, SEND_GAP_MS, SEND_GAP_MS);
+	update_claim_delay(es);
 	write_row(es);
 	return es;
 }
--- a/serve/strength.c
+++ b/serve/strength.c
@@ -12,6 +12,10 @@
 #define MUCH_STRONGER_PCT   130
 #define CLAIM_DELAY_MS	    150 /* per stronger entry: OWNER_POLL_LATE_MS */
 #define CLAIM_DELAY_ENTRIES 4	/* at most so many stronger entries count */
+/* Below a quarter of a core or 50 Mbit/s stronger entries are likely. */
+#define WEAK 1000
+/* Entries that start together have read of each other by then. */
+#define OTHERS_KNOWN_MS 1000
 
 int32_t
 strength_of(double cores, double link_mbps)
@@ -32,7 +36,8 @@
 {
 	int32_t stronger = 0;
 
-	(void)up_ms;
+	if (own < WEAK && up_ms < OTHERS_KNOWN_MS)
+		return CLAIM_DELAY_ENTRIES * CLAIM_DELAY_MS;
 	for (size_t i = 0; i < n; i++)
 		stronger += is_much_stronger(others[i].strength, own);
 	return MIN(stronger, CLAIM_DELAY_ENTRIES) * CLAIM_DELAY_MS;
