Release: a weak owner names a strong successor

Callers would see a cell that stays with weak entries: an owner that left named the entry that started last of those about as strong as itself or stronger, which for a weak owner is mostly a weak one. Now it is the last of those about as strong as the strongest entry known; for a strong owner nothing changes.

--- a/serve/strength.c
+++ b/serve/strength.c
@@ -44,17 +44,19 @@
 }
 
 /*
- * The entry that started last, among those about as strong as this one or
- * stronger: when entries are restarted in turn, it will be the last to restart
- * again.
+ * The entry that started last, among those about as strong as the strongest known
+ * one: when entries are restarted in turn, it will be the last to restart again.
  */
 const strength_entry_t *
 strength_successor(int32_t own, const strength_entry_t *others, size_t n)
 {
 	const strength_entry_t *last = NULL;
+	int32_t strongest = own;
 
 	for (size_t i = 0; i < n; i++)
-		if (!is_much_stronger(own, others[i].strength) &&
+		strongest = MAX(strongest, others[i].strength);
+	for (size_t i = 0; i < n; i++)
+		if (!is_much_stronger(strongest, others[i].strength) &&
 		    others[i].incarnation >
 			(last == NULL ? 0 : last->incarnation))
 			last = &others[i];
