Release: weak entries stay late where the successor does not claim

Callers saw lasting tasks without a run: when the named successor had not claimed a released cell for 0.7 s, all entries claimed it at once, as the delay of a weak one is shorter than that. Now it waits 0.7 s and its delay.

--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -398,7 +398,8 @@
 	const char *successor = s->cell.row->heir;
 
 	return successor[0] == '\0' || strcmp(successor, s->opts.name) == 0 ||
-	    s->now_ms - s->cell.row_changed_ms >= SUCCESSOR_MS;
+	    s->now_ms - s->cell.row_changed_ms >=
+	    SUCCESSOR_MS + s->cell.claim_delay_ms;
 }
 
 /*
