--- a/sched/handover.c
+++ b/sched/handover.c
@@ -36,7 +36,7 @@
 /* Of the workers or more came back meanwhile: they are up. */
 #define RETURNS_PCT 10
 /* After a longer time a worker that comes back, or the way to it, was down. */
-#define RETURN_MS	 3000
+#define RETURN_MS	 5000
 #define STRONGER_PCT	 200
 #define STORE_ANSWERS_MS 700 /* a renewal was confirmed so lately */
 /* Between two hand-overs by a process, as the stronger entry did not keep it. */
