The next suspect task follows at once where one has been tried

When one had been tried, other work took the worker at once, so that the next waited up to 3 s for those runs to grow old: a lasting task had no run for 10 s, filler jobs none for 23 s.

Now the worker is kept for 0.3 s if another suspect task waits.

Unit crash, the_next_suspect_task_follows_at_once, fails without.

--- a/sched/crash.c
+++ b/sched/crash.c
@@ -385,7 +385,7 @@
 crash_run_removed(sched_t *s, const run_t *r)
 {
 	if (r->worker->quarantined_run == r)
-		r->worker->quarantined_run = NULL;
+		quarantine_end(s, r->worker);
 	if (r->task != NULL && r->task->crashes != NULL &&
 	    r->task->crashes->trial_run == r->number)
 		crash_take_back(s, r->task, r->number);
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -63,6 +63,8 @@
 	interference_t *interference[IMAGES_MAX];
 	uint64_t filler_images; /* set of images of filler tasks */
 	int64_t filler_job_ms;	/* when a job with filler tasks last came */
+	int64_t
+	    suspect_waited_ms; /* when a suspect task last found no worker */
 	/* By serving image: the filler images that may run beside it. */
 	uint64_t compatible_fillers[IMAGES_MAX];
 	/* By filler image: mean processor milli that its tasks ask for, and the
@@ -319,6 +321,8 @@
 
 /* quarantine.c */
 void quarantine_report(sched_t *s, worker_t *w);
+/* Ends the quarantine on a worker. */
+void quarantine_end(sched_t *s, worker_t *w);
 bool quarantine_polls_often(const sched_t *s, const worker_t *w);
 bool
 quarantine_allows_start(const sched_t *s, const worker_t *w, const task_t *t);
--- a/sched/quarantine.c
+++ b/sched/quarantine.c
@@ -7,6 +7,9 @@
  * The worker is first reserved.  Just before the start the run is stored as one
  * whose worker crashed, which is taken back unless that happens: so it counts
  * also if this owner is lost together with the worker.
+ *
+ * A worker that crashes with many runs makes all of them suspect.  So the next one
+ * follows at once on a worker where one has been tried: nothing new runs there.
  */
 #include <stdbool.h>
 #include <stdint.h>
@@ -23,13 +26,27 @@
 #include "customer.h"
 #include "internal.h"
 
-#define RESERVED_MS 3000  /* a worker, while its newest runs grow old enough */
-#define ANSWERED_MS 250	  /* oldest last answer of the worker at the start */
-#define RETRY_MS    100	  /* after no worker was found for a suspect task */
+#define RESERVED_MS 3000 /* a worker, while its newest runs grow old enough */
+#define ANSWERED_MS 250	 /* oldest last answer of the worker at the start */
+#define RETRY_MS    100	 /* after no worker was found for a suspect task */
+#define NEXT_MS	    300	 /* a worker is kept for the next one; above RETRY_MS */
 #define LONGEST_MS  10000 /* as other work can't start beside it */
 /* At most one worker in this many is reserved or in quarantine. */
 #define WORKERS_PER_SUSPECT 3
 
+/* Ends the quarantine on a worker, which is kept for the next task that waits. */
+void
+quarantine_end(sched_t *s, worker_t *w)
+{
+	w->quarantined_run = NULL;
+	if (s->suspect_waited_ms != 0 &&
+	    s->now_ms - s->suspect_waited_ms < NEXT_MS) {
+		w->reserved_for = NULL;
+		w->reserved_until_ms = s->now_ms + NEXT_MS;
+	}
+	scan_worker_changed(s, w);
+}
+
 /* Ends the quarantine on a worker whose task has been up for long enough. */
 void
 quarantine_report(sched_t *s, worker_t *w)
@@ -49,8 +66,7 @@
 		c->soon = false;
 		flush_mark_job(s, r->job);
 	}
-	w->quarantined_run = NULL;
-	scan_worker_changed(s, w);
+	quarantine_end(s, w);
 }
 
 /* Whether the worker is to be polled often, to learn how long it is up. */
@@ -66,8 +82,13 @@
 bool
 quarantine_allows_start(const sched_t *s, const worker_t *w, const task_t *t)
 {
-	return w->quarantined_run == NULL &&
-	    (w->reserved_for == t || s->now_ms >= w->reserved_until_ms);
+	if (w->quarantined_run != NULL)
+		return false;
+	if (s->now_ms >= w->reserved_until_ms)
+		return true;
+	return t != NULL &&
+	    (w->reserved_for == NULL ? crash_is_suspect(t) :
+				       w->reserved_for == t);
 }
 
 /* Whether a run on a worker may yet turn out to crash it. */
@@ -127,7 +148,8 @@
 		const worker_t *w = g_ptr_array_index(s->worker_list, i);
 
 		n += w->quarantined_run != NULL ||
-		    s->now_ms < w->reserved_until_ms;
+		    (s->now_ms < w->reserved_until_ms &&
+			w->reserved_for != NULL);
 	}
 	return n * WORKERS_PER_SUSPECT < s->worker_list->len;
 }
@@ -150,6 +172,7 @@
 		w = place_alone(s, st, t, reserved);
 	if (w == NULL) {
 		t->not_before_ms = s->now_ms + RETRY_MS;
+		s->suspect_waited_ms = s->now_ms;
 		return false;
 	}
 	if (reserved == NULL) {
--- a/test/unit/crash.c
+++ b/test/unit/crash.c
@@ -195,6 +195,55 @@
 	}
 }
 
+/*
+ * A worker crashes with many runs: other work took each worker between two of them
+ * that were tried there, so that the last were tried tens of seconds later.
+ */
+Test(crash, the_next_suspect_task_follows_at_once)
+{
+	static const struct {
+		const char *what;
+		bool ends; /* the first one is done, before it counts as up */
+		bool waits;
+	} cases[] = {
+		{ "another waits, the first is up", false, true },
+		{ "another waits, the first has ended", true, true },
+		{ "no other waits", false, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		worker_t *w;
+		task_t *t;
+		sched_t *s = owner_with_job(&w, &t, 100000);
+		Sched__Step d = step_def("", 1000, false, 0);
+		task_t *other =
+		    &first_step(add_job(s, "0000000000000002", &d, 0))
+			 ->tasks[0];
+		task_t *third =
+		    &first_step(add_job(s, "0000000000000003", &d, 0))
+			 ->tasks[0];
+
+		crash_add(t, 1, true);
+		crash_add(other, 1, true);
+		run_for(s, w, t, true, cases[i].ends ? 10 : 5000);
+		w->lease.answered_ms = s->now_ms;
+		if (cases[i].waits)
+			cr_expect_not(quarantine_start(s, other->step, other));
+		if (cases[i].ends)
+			run_remove(s, t->run);
+		else
+			quarantine_report(s, w);
+		cr_expect_eq(quarantine_allows_start(s, w, third),
+		    !cases[i].waits, "%s", cases[i].what);
+		cr_expect(
+		    quarantine_allows_start(s, w, other), "%s", cases[i].what);
+		s->now_ms += 500;
+		cr_expect(
+		    quarantine_allows_start(s, w, third), "%s", cases[i].what);
+		sched_free(s);
+	}
+}
+
 /* What is known of a task outlives a change of owner. */
 Test(crash, crashes_are_in_the_progress_row)
 {
