--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 COMPARE = ../shared/compare
 CELL_SEEDS = 1500
 HANDOVER_SEEDS = 2000
+OVERLOAD_SEEDS = 96
 PKGS = glib-2.0 libuv libh2o libprotobuf-c log4c jansson libcurl openssl
 DEBS = gcc make pkg-config clang clang-format clang-tidy cppcheck curl man-db \
 	libuv1-dev libh2o-dev libprotobuf-c-dev liblog4c-dev libcriterion-dev \
@@ -82,6 +83,7 @@
 cells: $(B)/cells
 	sh test/cells.sh $(B) $(CELL_SEEDS)
 	sh test/cells.sh $(B) $(HANDOVER_SEEDS) -handover
+	sh test/cells.sh $(B) $(OVERLOAD_SEEDS) -overload
 scenarios: $(B)/scenarios
 	sh test/red.sh $(B)/scenarios
 process: all
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -38,6 +38,7 @@
 	case $1 in
 	cell_*) prog=cells ;;
 	handover_*) prog=cells flag=-handover ;;
+	overload_*) prog=cells flag=-overload ;;
 	soak_*) prog=soak step=1
 		more='build-own/tanagerspool build-own/standin-users' ;;
 	esac
