--- a/sched/internal.h
+++ b/sched/internal.h
@@ -68,6 +68,8 @@
 	int64_t filler_job_ms;	/* when a job with filler tasks last came */
 	guint starved_runs;	/* runs that starvation.c has started slowed */
 	bool turn_wanted;	/* a step waits for one of them to end */
+	int64_t
+	    suspect_waited_ms; /* when a suspect task last found no worker */
 	/* By serving image: the filler images that may run beside it. */
 	uint64_t compatible_fillers[IMAGES_MAX];
 	/* By filler image: mean processor milli that its tasks ask for, and the
@@ -179,8 +181,8 @@
 worker_t *place_slowed(sched_t *s, step_t *st, const task_t *t);
 worker_t *
 place_alone(sched_t *s, step_t *st, const task_t *t, worker_t *reserved);
-bool place_possible(
-    const sched_t *s, worker_t *w, const step_t *st, bool may_slow);
+bool
+place_possible(const sched_t *s, worker_t *w, const step_t *st, bool may_slow);
 bool place_fits_empty(const sched_t *s, const worker_t *w, const step_t *st);
 int64_t place_filler_capacity(const worker_t *w);
 bool place_allowed(const sched_t *s, const step_t *st, const worker_t *w);
@@ -337,6 +339,8 @@
 
 /* quarantine.c */
 void quarantine_report(sched_t *s, worker_t *w);
+/* Ends the quarantine on a worker. */
+void quarantine_end(sched_t *s, worker_t *w);
 bool quarantine_polls_often(const sched_t *s, const worker_t *w);
 bool
 quarantine_allows_start(const sched_t *s, const worker_t *w, const task_t *t);
