--- a/sched/internal.h
+++ b/sched/internal.h
@@ -175,8 +175,8 @@
 worker_t *place_slowed(sched_t *s, step_t *st, const task_t *t);
 worker_t *
 place_alone(sched_t *s, step_t *st, const task_t *t, worker_t *reserved);
-bool place_possible(
-    const sched_t *s, worker_t *w, const step_t *st, bool may_slow);
+bool
+place_possible(const sched_t *s, worker_t *w, const step_t *st, bool may_slow);
 bool place_fits_empty(const sched_t *s, const worker_t *w, const step_t *st);
 int64_t place_filler_capacity(const worker_t *w);
 bool place_allowed(const sched_t *s, const step_t *st, const worker_t *w);
