--- a/sched/handover.c
+++ b/sched/handover.c
@@ -76,7 +76,7 @@
 static bool
 knows_stronger_entry(const handover_t *h)
 {
-	return h->strongest != NULL &&
+	return h->strongest != NULL && h->strength > h->own_strength &&
 	    (int64_t)h->strength * 100 >=
 	    (int64_t)h->own_strength * STRONGER_PCT;
 }
