--- a/sched/internal.h
+++ b/sched/internal.h
@@ -68,8 +68,8 @@
 	int64_t filler_job_ms;	/* when a job with filler tasks last came */
 	guint starved_runs;	/* runs that starvation.c has started slowed */
 	bool turn_wanted;	/* a step waits for one of them to end */
-	int64_t
-	    suspect_waited_ms; /* when a suspect task last found no worker */
+	/* When a suspect task last found no worker. */
+	int64_t suspect_waited_ms;
 	/* By serving image: the filler images that may run beside it. */
 	uint64_t compatible_fillers[IMAGES_MAX];
 	/* By filler image: mean processor milli that its tasks ask for, and the
--- a/sched/types.h
+++ b/sched/types.h
@@ -421,8 +421,8 @@
 	int64_t checked_ms;
 	int64_t epoch;	  /* of the ownership that the counts below are of */
 	int32_t short_ms; /* for so long too few workers have answered */
-	int32_t
-	    returns; /* answers meanwhile by workers that had missed polls */
+	/* Answers meanwhile by workers that had missed polls. */
+	int32_t returns;
 	int64_t next_ms; /* no hand-over before */
 } handover_t;
 
