Room: lasting tasks that wait take all held room but one worker's

What callers of lasting tasks are promised is a run where there is room twice over; one held worker may stay held.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -199,7 +199,8 @@
 /* room.c */
 void room_keep(sched_t *s, step_t *st);
 bool room_allows_start(const sched_t *s, const worker_t *w, const step_t *st);
-void room_not_found(const sched_t *s, step_t *st);
+void room_not_found(const sched_t *s, step_t *st, int32_t kept);
+void room_started(const sched_t *s, const worker_t *w, step_t *st);
 
 /* approval.c */
 GHashTable *approval_requests_new(void);
--- a/sched/place.c
+++ b/sched/place.c
@@ -224,6 +224,7 @@
 	bool slowed;   /* it need not run at full speed; see starvation.c */
 	bool alone;    /* the fewer runs are there, the better; see crash.c */
 	bool isolated; /* set when only isolation keeps it from a worker */
+	int32_t kept;  /* workers that are only kept for another step */
 	/* Set to the last check that a worker failed, of all that were looked at. */
 	sched_wait_reason_t refusal;
 } query_t;
@@ -294,6 +295,7 @@
 
 	q->refusal = MAX(q->refusal, why);
 	q->isolated = q->isolated || why == SCHED_WAIT_ISOLATED;
+	q->kept += why == SCHED_WAIT_KEPT;
 	return why == SCHED_WAIT_NONE;
 }
 
@@ -372,7 +374,7 @@
 	if (!scan_has_searched(s, st)) {
 		st->isolated = w == NULL && q.isolated;
 		if (w == NULL)
-			room_not_found(s, st);
+			room_not_found(s, st, q.kept);
 	}
 	if (w == NULL) {
 		wait_reason_note(s, st, q.refusal);
@@ -419,7 +421,7 @@
 		return can_take(s, reserved, &q) ? reserved : NULL;
 	w = find_best_worker(s, &q);
 	if (w == NULL)
-		room_not_found(s, st);
+		room_not_found(s, st, q.kept);
 	return w;
 }
 
--- a/sched/queue.c
+++ b/sched/queue.c
@@ -192,6 +192,7 @@
 	if (st->occ->job->idle_since_ms == 0)
 		st->occ->job->idle_since_ms = s->now_ms;
 	st->unplaced_since_ms = 0;
+	st->kept_with_room = 0;
 	update_urgency(s, st);
 	st->queue_iter =
 	    g_sequence_insert_sorted(s->ready_steps, st, compare_steps, NULL);
--- a/sched/room.c
+++ b/sched/room.c
@@ -12,8 +12,8 @@
  * is not waited for.
  *
  * A lasting task that is down serves nobody until it runs again.  Once its step has
- * waited for HOLD_LASTING_MS it may start on a kept worker too: room that comes and
- * goes on one worker after the other would else never be its own.
+ * waited for HOLD_LASTING_MS, of the kept workers with room for its tasks all but one
+ * are open to them: that one is enough to keep for larger work, more are not.
  */
 #include <stdbool.h>
 #include <stdint.h>
@@ -34,7 +34,7 @@
 #define WORKERS_PER_KEPT 8
 /* Steps that workers are kept for, as each looks at all of them. */
 #define KEEPING_STEPS 16
-/* A lasting step that waits for longer is not held back from kept workers. */
+/* A lasting step waits for so long beside several kept workers with room. */
 #define HOLD_LASTING_MS 1500
 
 /* A worker, and when a task will fit there. */
@@ -198,11 +198,14 @@
 	s->scan.kept_workers += n;
 }
 
-/* Whether a lasting step has waited for long enough to go beside others. */
+/*
+ * Whether a lasting step has waited for long enough beside kept workers that have
+ * room for more than one of its tasks.
+ */
 static bool
 waited_long(const sched_t *s, const step_t *st)
 {
-	return st->def->lasting && st->unplaced_since_ms != 0 &&
+	return st->def->lasting && st->kept_with_room >= 2 &&
 	    s->now_ms - st->unplaced_since_ms >= HOLD_LASTING_MS;
 }
 
@@ -214,10 +217,22 @@
 	    waited_long(s, st);
 }
 
-/* No worker was found for a step that has been offered all of them. */
+/*
+ * No worker was found for a step that has been offered all of them; kept: those that
+ * could take a task and are kept for others.
+ */
 void
-room_not_found(const sched_t *s, step_t *st)
+room_not_found(const sched_t *s, step_t *st, int32_t kept)
 {
 	if (st->unplaced_since_ms == 0)
 		st->unplaced_since_ms = s->now_ms;
+	st->kept_with_room = kept;
+}
+
+/* A task of a step is started on a worker: one less is left, if it was kept. */
+void
+room_started(const sched_t *s, const worker_t *w, step_t *st)
+{
+	if (is_kept(s, w) && w->kept_for != st && st->kept_with_room > 0)
+		st->kept_with_room--;
 }
--- a/sched/start.c
+++ b/sched/start.c
@@ -130,7 +130,10 @@
 			room_keep(s, st);
 			break;
 		}
-		n += run_start(s, t, w, start_run_number(s, t));
+		if (!run_start(s, t, w, start_run_number(s, t)))
+			continue;
+		room_started(s, w, st);
+		n++;
 	}
 	return n;
 }
--- a/sched/types.h
+++ b/sched/types.h
@@ -113,6 +113,9 @@
 	uint64_t kept_round;	   /* round in which workers were kept for it */
 	/* Since when a task of it has waited for a worker; 0: not. */
 	int64_t unplaced_since_ms;
+	/* Workers with room for a task that are kept for others, when it was last
+	 * offered all of them in vain; less those taken since. */
+	int32_t kept_with_room;
 	/* In unplaced_round, only isolation.c kept it from some worker. */
 	bool isolated;
 	bool quota_held; /* in the last pass, by its customer's quota */
