--- a/sched/types.h
+++ b/sched/types.h
@@ -113,6 +113,9 @@
 	uint64_t kept_round;	   /* round in which workers were kept for it */
 	/* Since when a task of it has waited for a worker; 0: not. */
 	int64_t unplaced_since_ms;
+	/* Workers with room for a task that are kept for others, when it was last
+	 * offered all of them in vain; less those taken since. */
+	int32_t kept_with_room;
 	/* In unplaced_round, only isolation.c kept it from some worker. */
 	bool isolated;
 	bool quota_held; /* in the last pass, by its customer's quota */
@@ -421,8 +424,8 @@
 	int64_t checked_ms;
 	int64_t epoch;	  /* of the ownership that the counts below are of */
 	int32_t short_ms; /* for so long too few workers have answered */
-	int32_t
-	    returns; /* answers meanwhile by workers that had missed polls */
+	/* Answers meanwhile by workers that had missed polls. */
+	int32_t returns;
 	int64_t next_ms; /* no hand-over before */
 } handover_t;
 
