Reservations for the work that has been passed over longest

Cause: smaller tasks take each part of what gets free. room.c keeps workers only for short tasks in time, the drain of a quota was only for the first held step.

Change: sched/reservation.c, backfill with a reservation (docs/design/reservations.md): the longest wait gets what it needs reserved, of any kind; other work starts there if that is left over. It replaces the drain of customer.c. room.c's search is shared, and sorts the ends of runs once instead of trying each of them.

Tests: the four of unit passed_over that were known to fail pass, as does a_large_lasting_task_starts_while_small_ones_come, which failed before; unit reservation.

--- a/cmd/log.c
+++ b/cmd/log.c
@@ -29,7 +29,7 @@
 } event_t;
 
 /*
- * Events 601 to 647 are those of sched/, numbered in sched.h; those from 651 on
+ * Events 601 to 648 are those of sched/, numbered in sched.h; those from 651 on
  * are those of serve/, numbered in serve.h.
  */
 static const event_t events[] = {
@@ -93,6 +93,7 @@
 	{ 645, LOG4C_PRIORITY_INFO, "quota" },
 	{ 646, LOG4C_PRIORITY_WARN, "refusal_begun" },
 	{ 647, LOG4C_PRIORITY_INFO, "refusal_ended" },
+	{ 648, LOG4C_PRIORITY_INFO, "reservation" },
 	{ 651, LOG4C_PRIORITY_WARN, "store_lost" },
 	{ 652, LOG4C_PRIORITY_INFO, "store_back" },
 	{ 653, LOG4C_PRIORITY_WARN, "bad_row" },
--- a/sched/customer.c
+++ b/sched/customer.c
@@ -5,12 +5,8 @@
  * stopping or in doubt.  Runs of earlier owners that are not seen yet are counted
  * by unseen.c.
  *
- * Pattern: a customer at its quota, with small tasks waiting behind a large one
- * that does not fit into the rest.  Whatever a run frees goes to a small task, so
- * that usage never falls below half of the quota, from where the large one may
- * start.  Therefore, a step that has been the first to be held for DRAIN_AFTER_MS
- * makes the customer's steps behind it wait, as long as half of the quota or
- * more is held.
+ * What is reserved of a quota for a step that has been passed over (reservation.c) is
+ * left to it by the customer's other steps.
  */
 #include <inttypes.h>
 #include <stdbool.h>
@@ -30,8 +26,6 @@
 #include "internal.h"
 
 #define WEIGHT_UNKNOWN 1.0 /* of a customer without settings */
-/* A shorter wait needs no drain, as tasks that end soon free the quota. */
-#define DRAIN_AFTER_MS 2000
 /* Counted of one run: the sum of 200,000 of them fits into an int32_t. */
 #define COUNTED_GPUS_MAX 10000
 /* A customer counts as held for so long after a step was held: the interval
@@ -140,13 +134,17 @@
 		adopt_settings(c, def);
 }
 
-/* Whether a step of the customer behind the held one may start tasks. */
+/* Whether what is reserved of the quota for another step is left beside a demand. */
 static bool
-not_drained(const customer_t *c, const step_t *st)
+leaves_reserved(const customer_t *c, const step_t *st, const ts_res_t *demand)
 {
-	return !c->drains || c->first_held == st ||
-	    c->held_pass != st->occ->job->sched->scan.pass ||
-	    ts_quota_below_half(&c->quota);
+	ts_res_t sum = c->reserved;
+
+	if (c->reserved_round != st->occ->job->sched->scan.round ||
+	    c->reserved_for == st)
+		return true;
+	ts_res_add_times(&sum, demand, 1);
+	return ts_quota_fits(&c->quota, &sum);
 }
 
 /* Whether the quota of its customer lets a task of the step start. */
@@ -157,7 +155,8 @@
 	ts_res_t demand = customer_task_demand(st->def);
 
 	return c == NULL ||
-	    (ts_quota_allows(&c->quota, &demand) && not_drained(c, st));
+	    (leaves_reserved(c, st, &demand) &&
+		ts_quota_allows(&c->quota, &demand));
 }
 
 /* Whether the quota of its customer lets all tasks of a gang start. */
@@ -168,7 +167,8 @@
 	ts_res_t demand = gang_demand(st->def);
 
 	return c == NULL ||
-	    (ts_quota_fits(&c->quota, &demand) && not_drained(c, st));
+	    (leaves_reserved(c, st, &demand) &&
+		ts_quota_fits(&c->quota, &demand));
 }
 
 /* Whether the quota lets a task of the step start, or its gang as a whole. */
@@ -213,19 +213,30 @@
 			       ts_quota_allows(&after, &demand);
 }
 
+/*
+ * Reserves what the next task of a step needs of its customer's quota, or its gang,
+ * until the next round of scan.c.  False: there is no quota, another step has it
+ * reserved, or lasting tasks hold too much of it.
+ */
+bool
+customer_reserve(sched_t *s, const step_t *st)
+{
+	customer_t *c = st->occ->job->customer;
+
+	if (c == NULL || c->reserved_round == s->scan.round ||
+	    !drain_helps(c, st))
+		return false;
+	c->reserved_for = st;
+	c->reserved_round = s->scan.round;
+	c->reserved = st->def->gang ? gang_demand(st->def) :
+				      customer_task_demand(st->def);
+	return true;
+}
+
 /* Notes that a step is held in this pass. */
 static void
 note_held(sched_t *s, customer_t *c, step_t *st)
 {
-	if (c->held_pass != s->scan.pass) {
-		if (c->first_held != st) {
-			c->first_held = st;
-			c->first_held_ms = s->now_ms;
-		}
-		c->drains = s->now_ms - c->first_held_ms >= DRAIN_AFTER_MS &&
-		    drain_helps(c, st);
-	}
-	c->held_pass = s->scan.pass;
 	c->held_ms = s->now_ms;
 	s->stats.quota_waits += !st->quota_held;
 	/* Workers may change while it is held. */
@@ -272,10 +283,6 @@
 		if (st->def->lasting)
 			ts_res_sub(&c->lasting, &demand);
 	}
-	if (sign > 0 && c->first_held == st) {
-		c->first_held = NULL;
-		c->drains = false;
-	}
 }
 
 /* Forgets what runs hold, as all runs are discarded. */
@@ -293,8 +300,7 @@
 		memset(&c->quota.unseen, 0, sizeof(c->quota.unseen));
 		memset(&c->lasting, 0, sizeof(c->lasting));
 		memset(&c->may_ended, 0, sizeof(c->may_ended));
-		c->first_held = NULL;
-		c->drains = c->held = false;
+		c->held = false;
 		c->held_ms = 0;
 	}
 	s->unseen_counted = false;
--- a/sched/customer.h
+++ b/sched/customer.h
@@ -63,13 +63,13 @@
 	ts_res_t lasting;     /* held by its lasting tasks */
 	task_sum_t may_run;   /* tasks that may run unseen; see unseen.c */
 	task_sum_t may_ended; /* the same, of jobs that are removed */
-	/* Steps held by the quota; see customer.c. */
-	const step_t *first_held; /* in the last pass.  Never dereferenced. */
-	int64_t first_held_ms;	  /* since when it is the first */
-	uint64_t held_pass;	  /* last pass that held a step */
-	int64_t held_ms;	  /* when that was; 0: never */
-	bool drains;		  /* its other steps wait for first_held */
-	bool held;		  /* as last logged */
+	int64_t held_ms;      /* when the quota last held a step; 0: never */
+	bool held;	      /* as last logged */
+	/* The step that a part of the quota is reserved for in that round of
+	 * scan.c, and what it needs; see reservation.c.  Never dereferenced. */
+	const step_t *reserved_for;
+	uint64_t reserved_round;
+	ts_res_t reserved;
 	customer_share_t share;
 };
 
@@ -82,6 +82,7 @@
 bool customer_allows_step(const step_t *st);
 bool customer_allows_move(const run_t *r);
 bool customer_holds(sched_t *s, step_t *st);
+bool customer_reserve(sched_t *s, const step_t *st);
 void customer_count_run(const run_t *r, int sign);
 void customer_forget_runs(sched_t *s);
 void customer_log_held(sched_t *s);
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -10,7 +10,8 @@
  * - run_time.c: how long tasks are expected to take;
  * - cell_worker.c: workers, their free resources, clocks and leases;
  * - place.c, scan.c, approval.c: choice of a worker for a task;
- * - room.c: room that is kept for large tasks;
+ * - room.c: room that is kept for large tasks; reservation.c: room and quota that
+ *   are reserved for the work that has been passed over longest;
  * - start.c, run.c: starting and stopping runs of tasks;
  * - poll.c, report.c: polling workers and processing their reports;
  * - headroom.c, interference.c: how much filler tasks slow down serving tasks;
@@ -197,11 +198,36 @@
 void wait_reason_log(sched_t *s);
 
 /* room.c */
+/* A worker on which tasks of a step will fit: how many, and after which time. */
+typedef struct {
+	worker_t *worker;
+	int64_t wait_ms;
+	int32_t tasks;
+} room_option_t;
+
+/* Whether a run holds resources and ends by itself before long. */
+bool room_ends_soon(const run_t *r, bool fillers_too);
+/*
+ * Whether tasks of a step will fit on a worker that is not kept, within a time;
+ * fillers_too: the end of fillers is waited for as well.  Sets *o if so.
+ */
+bool room_find_option(const sched_t *s, const step_t *st, worker_t *w,
+    int64_t limit_ms, bool fillers_too, room_option_t *o);
+/* The same of all workers: room_option_t, the soonest first; to be freed. */
+GArray *room_find_options(
+    const sched_t *s, const step_t *st, int64_t limit_ms, bool fillers_too);
+void room_mark_kept(sched_t *s, worker_t *w, const step_t *st);
 void room_keep(sched_t *s, step_t *st);
 bool room_allows_start(const sched_t *s, const worker_t *w, const step_t *st);
 void room_not_found(const sched_t *s, step_t *st, int32_t kept);
 void room_started(const sched_t *s, const worker_t *w, step_t *st);
 
+/* reservation.c */
+void reservation_begin_round(sched_t *s);
+bool reservation_has(const sched_t *s, const step_t *st);
+bool reservation_on(const sched_t *s, const worker_t *w);
+bool reservation_leaves_room(const worker_t *w, const step_t *st);
+
 /* approval.c */
 GHashTable *approval_requests_new(void);
 void approval_step_free(step_t *st);
@@ -216,6 +242,7 @@
 void queue_add_step(sched_t *s, step_t *st);
 void queue_remove_step(step_t *st);
 void queue_resort(sched_t *s);
+int queue_compare_identity(const step_t *a, const step_t *b);
 double queue_job_value(const job_t *j);
 
 /* run.c, start.c, report.c */
--- a/sched/queue.c
+++ b/sched/queue.c
@@ -50,8 +50,8 @@
 }
 
 /* Any order that is the same in each process, so that a schedule can be repeated. */
-static int
-compare_identity(const step_t *a, const step_t *b)
+int
+queue_compare_identity(const step_t *a, const step_t *b)
 {
 	int by_job = strcmp(a->occ->job->id, b->occ->job->id);
 
@@ -81,7 +81,7 @@
 		return by_share;
 	if (a->sort_key_ms != b->sort_key_ms)
 		return a->sort_key_ms < b->sort_key_ms ? -1 : 1;
-	return compare_identity(a, b);
+	return queue_compare_identity(a, b);
 }
 
 /*
@@ -192,6 +192,7 @@
 	if (st->occ->job->idle_since_ms == 0)
 		st->occ->job->idle_since_ms = s->now_ms;
 	st->unplaced_since_ms = 0;
+	st->passed_over_since_ms = s->now_ms;
 	st->kept_with_room = 0;
 	update_urgency(s, st);
 	st->queue_iter =
--- a/sched/room.c
+++ b/sched/room.c
@@ -37,20 +37,25 @@
 /* A lasting step waits for so long beside several kept workers with room. */
 #define HOLD_LASTING_MS 1500
 
-/* A worker, and when a task will fit there. */
+/* Amounts that are free on a worker for a kind of task. */
 typedef struct {
-	worker_t *worker;
-	int64_t wait_ms;
-} option_t;
+	int64_t cpu_milli, mem_mb;
+	int32_t gpu;
+} amounts_t;
 
-/* A run that holds resources and ends by itself before long. */
-static bool
-ends_soon(const run_t *r)
+/* Resources that get free. */
+typedef struct {
+	int64_t ms; /* after this time */
+	const Sched__Step *def;
+} end_t;
+
+bool
+room_ends_soon(const run_t *r, bool fillers_too)
 {
 	const Sched__Step *d = r->task == NULL ? NULL : r->task->step->def;
 
-	return d != NULL && r->holds_resources && !d->lasting && !d->filler &&
-	    d->tail_target_ms == 0;
+	return d != NULL && r->holds_resources && !d->lasting &&
+	    (fillers_too || !d->filler) && d->tail_target_ms == 0;
 }
 
 /* Expected time until a run that ends soon has ended. */
@@ -63,58 +68,110 @@
 		job_task_ms(r->task->step) - (s->now_ms - r->state_since_ms));
 }
 
-/* Whether a task of a step fits on a worker once the runs that end by a time have. */
-static bool
-fits_after(
-    const sched_t *s, const worker_t *w, const Sched__Step *d, int64_t ms)
+/* Sorts what gets free by time. */
+static gint
+compare_ends(gconstpointer pa, gconstpointer pb)
+{
+	const end_t *a = pa, *b = pb;
+
+	return a->ms < b->ms ? -1 : a->ms > b->ms;
+}
+
+/* What gets free on a worker within a time, the soonest first. */
+static GArray *
+find_ends(
+    const sched_t *s, const worker_t *w, int64_t limit_ms, bool fillers_too)
 {
-	int64_t cpu_milli = w->cpu_milli - w->used_cpu_milli;
-	int64_t mem_mb = w->mem_mb - w->used_mem_mb;
-	int32_t gpu = w->gpu - w->used_gpu;
+	GArray *all = g_array_new(FALSE, FALSE, sizeof(end_t));
 	GHashTableIter it;
 	void *v;
 
 	g_hash_table_iter_init(&it, w->runs);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		const run_t *r = v;
+		end_t e;
 
-		if (!ends_soon(r) || time_left_ms(s, r) > ms)
+		if (!room_ends_soon(r, fillers_too))
 			continue;
-		cpu_milli += r->task->step->def->cpu_milli;
-		mem_mb += r->task->step->def->mem_mb;
-		gpu += r->task->step->def->gpu;
+		e.ms = time_left_ms(s, r);
+		e.def = r->task->step->def;
+		if (e.ms <= limit_ms)
+			g_array_append_val(all, e);
 	}
-	return d->cpu_milli <= cpu_milli && d->mem_mb <= mem_mb &&
-	    d->gpu <= gpu;
+	g_array_sort(all, compare_ends);
+	return all;
 }
 
-/* Expected time until a task of a step fits on a worker; -1: none within limit. */
-static int64_t
-wait_ms(
-    const sched_t *s, const worker_t *w, const Sched__Step *d, int64_t limit_ms)
+/* What is free now for a filler, which may start slowed, or for another task. */
+static amounts_t
+free_amounts(const worker_t *w, bool filler)
 {
-	int64_t least = -1;
-	GHashTableIter it;
-	void *v;
+	amounts_t a = { .mem_mb = w->mem_mb - w->used_mem_mb,
+		.gpu = w->gpu - w->used_gpu };
 
-	if (!fits_after(s, w, d, limit_ms))
-		return -1;
-	g_hash_table_iter_init(&it, w->runs);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		int64_t ms = ends_soon(v) ? time_left_ms(s, v) : limit_ms;
+	a.cpu_milli = filler ?
+	    PLACE_FILLER_CPU_TIMES * w->cpu_milli - w->filler_cpu_milli :
+	    w->cpu_milli - w->used_cpu_milli;
+	return a;
+}
+
+/* Number of tasks of a step that fit into amounts, at most those of the step. */
+static int32_t
+tasks_in(const amounts_t *a, const Sched__Step *d)
+{
+	int64_t n = d->count;
+
+	if (d->cpu_milli > 0)
+		n = MIN(n, a->cpu_milli / d->cpu_milli);
+	if (d->mem_mb > 0)
+		n = MIN(n, a->mem_mb / d->mem_mb);
+	if (d->gpu > 0)
+		n = MIN(n, a->gpu / d->gpu);
+	if (d->per_worker > 0)
+		n = MIN(n, d->per_worker);
+	return (int32_t)MAX(0, n);
+}
 
-		if (ms <= limit_ms && (least < 0 || ms < least) &&
-		    fits_after(s, w, d, ms))
-			least = ms;
+/* Adds what a task gives back; fillers share processors only among themselves. */
+static void
+add_end(amounts_t *a, const end_t *e, bool filler)
+{
+	if (e->def->filler == filler)
+		a->cpu_milli += e->def->cpu_milli;
+	a->mem_mb += e->def->mem_mb;
+	a->gpu += e->def->gpu;
+}
+
+/*
+ * Sets in an option how many tasks of a step fit on its worker within a time, for a
+ * gang as many as can, else at most one; and after which time.
+ */
+static void
+set_wait(const sched_t *s, const step_t *st, int64_t limit_ms, bool fillers_too,
+    room_option_t *o)
+{
+	const Sched__Step *d = st->def;
+	g_autoptr(GArray) all = find_ends(s, o->worker, limit_ms, fillers_too);
+	amounts_t now = free_amounts(o->worker, d->filler), then = now;
+
+	for (guint i = 0; i < all->len; i++)
+		add_end(&then, &g_array_index(all, end_t, i), d->filler);
+	o->tasks = tasks_in(&then, d);
+	o->tasks = st->def->gang ? o->tasks : MIN(o->tasks, 1);
+	o->wait_ms = 0;
+	for (guint i = 0; i < all->len && tasks_in(&now, d) < o->tasks; i++) {
+		const end_t *e = &g_array_index(all, end_t, i);
+
+		add_end(&now, e, d->filler);
+		o->wait_ms = e->ms;
 	}
-	return least < 0 ? limit_ms : least;
 }
 
 /* Sorts options by the time to wait. */
 static gint
 compare_options(gconstpointer pa, gconstpointer pb)
 {
-	const option_t *a = pa, *b = pb;
+	const room_option_t *a = pa, *b = pb;
 
 	return a->wait_ms < b->wait_ms ? -1 : a->wait_ms > b->wait_ms;
 }
@@ -139,31 +196,46 @@
 	return w->kept_round == s->scan.round;
 }
 
-/* The workers on which a task of a step will fit in time, the soonest first. */
-static GArray *
-find_options(const sched_t *s, const step_t *st)
+bool
+room_find_option(const sched_t *s, const step_t *st, worker_t *w,
+    int64_t limit_ms, bool fillers_too, room_option_t *o)
 {
-	GArray *all = g_array_new(FALSE, FALSE, sizeof(option_t));
-	int64_t limit_ms = time_to_limit_ms(s, st);
+	/* Most full workers are ruled out here, at little cost. */
+	if ((!st->def->filler &&
+		w->cpu_milli - w->serving_cpu_milli < st->def->cpu_milli) ||
+	    is_kept(s, w) || !quarantine_allows_start(s, w, NULL) ||
+	    !place_allowed(s, st, w))
+		return false;
+	o->worker = w;
+	set_wait(s, st, limit_ms, fillers_too, o);
+	return o->tasks > 0;
+}
+
+GArray *
+room_find_options(
+    const sched_t *s, const step_t *st, int64_t limit_ms, bool fillers_too)
+{
+	GArray *all = g_array_new(FALSE, FALSE, sizeof(room_option_t));
 
 	for (guint i = 0; i < s->worker_list->len; i++) {
-		option_t o = { .worker = g_ptr_array_index(s->worker_list, i) };
-
-		/* Most full workers are ruled out here, at little cost. */
-		if (o.worker->cpu_milli - o.worker->serving_cpu_milli <
-			st->def->cpu_milli ||
-		    is_kept(s, o.worker) ||
-		    !quarantine_allows_start(s, o.worker, NULL) ||
-		    !place_allowed(s, st, o.worker))
-			continue;
-		o.wait_ms = wait_ms(s, o.worker, st->def, limit_ms);
-		if (o.wait_ms >= 0)
+		worker_t *w = g_ptr_array_index(s->worker_list, i);
+		room_option_t o;
+
+		if (room_find_option(s, st, w, limit_ms, fillers_too, &o))
 			g_array_append_val(all, o);
 	}
 	g_array_sort(all, compare_options);
 	return all;
 }
 
+void
+room_mark_kept(sched_t *s, worker_t *w, const step_t *st)
+{
+	w->kept_round = s->scan.round;
+	w->kept_for = st;
+	s->scan.kept_workers++;
+}
+
 /* Whether workers may be kept for a step. */
 static bool
 may_keep(const sched_t *s, const step_t *st)
@@ -187,15 +259,11 @@
 		return;
 	st->kept_round = s->scan.round;
 	s->scan.keeping_steps++;
-	options = find_options(s, st);
+	options = room_find_options(s, st, time_to_limit_ms(s, st), false);
 	n = MIN(options->len, MIN(room, (guint)st->nwaiting));
-	for (guint i = 0; i < n; i++) {
-		worker_t *w = g_array_index(options, option_t, i).worker;
-
-		w->kept_round = s->scan.round;
-		w->kept_for = st;
-	}
-	s->scan.kept_workers += n;
+	for (guint i = 0; i < n; i++)
+		room_mark_kept(
+		    s, g_array_index(options, room_option_t, i).worker, st);
 }
 
 /*
@@ -213,8 +281,10 @@
 bool
 room_allows_start(const sched_t *s, const worker_t *w, const step_t *st)
 {
-	return st->def->filler || !is_kept(s, w) || w->kept_for == st ||
-	    waited_long(s, st);
+	if (!is_kept(s, w) || w->kept_for == st || waited_long(s, st))
+		return true;
+	return reservation_on(s, w) ? reservation_leaves_room(w, st) :
+				      st->def->filler;
 }
 
 /*
--- a/sched/scan.c
+++ b/sched/scan.c
@@ -56,6 +56,7 @@
 	s->scan.resume_at = s->scan.stopped_at;
 	s->scan.stopped_at = 0;
 	s->start_pass_due = true;
+	reservation_begin_round(s);
 }
 
 /* A pass over the queue begins. */
@@ -98,7 +99,7 @@
 {
 	scan_t *c = &s->scan;
 
-	if (pos < HEAD_STEPS)
+	if (pos < HEAD_STEPS || reservation_has(s, st))
 		return true;
 	end_head(s);
 	if (scan_has_searched(s, st))
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -221,7 +221,8 @@
 	SCHED_EVT_JOB_WAITS = 644,
 	SCHED_EVT_QUOTA = 645,
 	SCHED_EVT_REFUSAL_BEGUN = 646,
-	SCHED_EVT_REFUSAL_ENDED = 647
+	SCHED_EVT_REFUSAL_ENDED = 647,
+	SCHED_EVT_RESERVATION = 648
 } sched_evt_t;
 
 /* Calls from the scheduler to the embedding program. */
--- a/sched/start.c
+++ b/sched/start.c
@@ -142,7 +142,7 @@
  * Whether the job of a step has its row in the store, without which no task of
  * it is started: a successor takes a job without one for not started.  If it
  * has not, has it stored when a task could start now, slowed or not, or will start
- * soon, as the step is ahead in the queue or starved.
+ * soon, as the step is ahead in the queue or starved, or has room reserved.
  */
 static bool
 has_row(sched_t *s, step_t *st, bool ahead)
@@ -150,7 +150,7 @@
 	job_t *j = st->occ->job;
 
 	if (!j->row_stored && !j->dirty &&
-	    (ahead || starvation_is_starved(s, st) ||
+	    (ahead || starvation_is_starved(s, st) || reservation_has(s, st) ||
 		starvation_may_slow(s, st) ||
 		place_task(s, st, first_waiting(st)) != NULL))
 		flush_mark_job(s, j);
--- a/sched/types.h
+++ b/sched/types.h
@@ -111,6 +111,10 @@
 	uint64_t unplaced_round;   /* round of scan.c without a worker for it */
 	uint64_t unmovable_round;  /* the same for a task that runs */
 	uint64_t kept_round;	   /* round in which workers were kept for it */
+	uint64_t reserved_round;   /* the same, by reservation.c */
+	int64_t reserve_after_ms;  /* which tries it again then */
+	/* Since when it is in the queue and no task of it has started. */
+	int64_t passed_over_since_ms;
 	/* Since when a task of it has waited for a worker; 0: not. */
 	int64_t unplaced_since_ms;
 	/* Workers with room for a task that are kept for others, when it was last
@@ -217,6 +221,18 @@
 
 #define PACE_UNKNOWN (-1)
 
+/*
+ * Room on a worker that is reserved in a round of scan.c, and since when; see
+ * reservation.c.  Amounts of all tasks that it is reserved for.
+ */
+typedef struct {
+	uint64_t round;
+	int64_t since_ms;
+	bool filler;
+	int64_t cpu_milli, mem_mb;
+	int32_t gpu;
+} reservation_t;
+
 /* A run of a task on a worker. */
 struct run {
 	uint64_t id;
@@ -326,7 +342,8 @@
 	 * see room.c.  Never dereferenced. */
 	const step_t *kept_for;
 	uint64_t kept_round;
-	GHashTable *runs; /* task name -> run_t */
+	reservation_t reservation; /* for kept_for, if it is of that round */
+	GHashTable *runs;	   /* task name -> run_t */
 	/* The rest. */
 	/* Runs that were lost with its lease at lost_ms (lost_run_t of crash.c),
 	 * while it is open if it has crashed; or NULL. */
