Slowed starts: beyond twice a worker's processors once no jobs come

Cause: that bound is right while jobs come that can use the workers better, and then few slowed runs start anyway. Once none come, each late job is to have a run, and 80 jobs with a run each may well declare more than that.

Change: starvation_cpu_times, twice while jobs come, else eight times.

Tests: unit passed_over each_late_filler_has_a_run_once_no_jobs_come failed before.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -226,7 +226,8 @@
 void reservation_begin_round(sched_t *s);
 bool reservation_has(const sched_t *s, const step_t *st);
 bool reservation_on(const sched_t *s, const worker_t *w);
-bool reservation_leaves_room(const worker_t *w, const step_t *st);
+bool
+reservation_leaves_room(const sched_t *s, const worker_t *w, const step_t *st);
 
 /* approval.c */
 GHashTable *approval_requests_new(void);
@@ -340,6 +341,7 @@
 /* starvation.c */
 bool starvation_is_starved(const sched_t *s, const step_t *st);
 bool starvation_may_slow(const sched_t *s, const step_t *st);
+int32_t starvation_cpu_times(const sched_t *s);
 void starvation_job_idle(job_t *j);
 bool starvation_run_start(
     sched_t *s, const step_t *st, task_t *t, worker_t *w, int64_t number);
--- a/sched/place.c
+++ b/sched/place.c
@@ -89,11 +89,11 @@
  * may share them with more of them than could run at full speed.
  */
 static bool
-cpu_fits(const worker_t *w, const Sched__Step *d, bool slowed)
+cpu_fits(const sched_t *s, const worker_t *w, const Sched__Step *d, bool slowed)
 {
 	if (d->filler)
 		return w->filler_cpu_milli + d->cpu_milli <=
-		    (slowed ? PLACE_FILLER_CPU_TIMES * w->cpu_milli :
+		    (slowed ? starvation_cpu_times(s) * w->cpu_milli :
 			      place_filler_capacity(w));
 	return w->used_cpu_milli + d->cpu_milli <= w->cpu_milli;
 }
@@ -172,7 +172,7 @@
 		return SCHED_WAIT_MEM;
 	if (w->used_gpu + d->gpu > w->gpu)
 		return SCHED_WAIT_GPU;
-	return cpu_fits(w, d, slowed) ? SCHED_WAIT_NONE : SCHED_WAIT_CPU;
+	return cpu_fits(s, w, d, slowed) ? SCHED_WAIT_NONE : SCHED_WAIT_CPU;
 }
 
 /* Whether a worker could run a task of the step if it ran nothing else. */
--- a/sched/reservation.c
+++ b/sched/reservation.c
@@ -291,7 +291,7 @@
  * the runs that are waited for have ended.
  */
 bool
-reservation_leaves_room(const worker_t *w, const step_t *st)
+reservation_leaves_room(const sched_t *s, const worker_t *w, const step_t *st)
 {
 	const reservation_t *v = &w->reservation;
 	const Sched__Step *d = st->def;
@@ -302,7 +302,7 @@
 	void *p;
 
 	if (v->filler)
-		cpu_milli += (PLACE_FILLER_CPU_TIMES - 1) * w->cpu_milli;
+		cpu_milli += (starvation_cpu_times(s) - 1) * w->cpu_milli;
 	if (d->filler == v->filler)
 		cpu_milli -= d->cpu_milli;
 	g_hash_table_iter_init(&it, w->runs);
--- a/sched/room.c
+++ b/sched/room.c
@@ -104,13 +104,13 @@
 
 /* What is free now for a filler, which may start slowed, or for another task. */
 static amounts_t
-free_amounts(const worker_t *w, bool filler)
+free_amounts(const sched_t *s, const worker_t *w, bool filler)
 {
 	amounts_t a = { .mem_mb = w->mem_mb - w->used_mem_mb,
 		.gpu = w->gpu - w->used_gpu };
 
 	a.cpu_milli = filler ?
-	    PLACE_FILLER_CPU_TIMES * w->cpu_milli - w->filler_cpu_milli :
+	    starvation_cpu_times(s) * w->cpu_milli - w->filler_cpu_milli :
 	    w->cpu_milli - w->used_cpu_milli;
 	return a;
 }
@@ -152,7 +152,7 @@
 {
 	const Sched__Step *d = st->def;
 	g_autoptr(GArray) all = find_ends(s, o->worker, limit_ms, fillers_too);
-	amounts_t now = free_amounts(o->worker, d->filler), then = now;
+	amounts_t now = free_amounts(s, o->worker, d->filler), then = now;
 
 	for (guint i = 0; i < all->len; i++)
 		add_end(&then, &g_array_index(all, end_t, i), d->filler);
@@ -283,7 +283,7 @@
 {
 	if (!is_kept(s, w) || w->kept_for == st || waited_long(s, st))
 		return true;
-	return reservation_on(s, w) ? reservation_leaves_room(w, st) :
+	return reservation_on(s, w) ? reservation_leaves_room(s, w, st) :
 				      st->def->filler;
 }
 
--- a/sched/starvation.c
+++ b/sched/starvation.c
@@ -39,6 +39,8 @@
 #define JOBS_ENDED_MS 5000
 /* While jobs come, at most one run for this many workers has started slowed. */
 #define WORKERS_PER_STARVED_RUN 8
+/* A slowed start may bring fillers to so many times the processors while jobs come. */
+#define CPU_TIMES_SHARED 2
 /* Longer than short peaks of the load of serving tasks. */
 #define STANDSTILL_MS 5000
 
@@ -96,6 +98,16 @@
 		s->now_ms - s->filler_job_ms >= JOBS_ENDED_MS);
 }
 
+/*
+ * How many times a worker's processors its fillers may declare after a slowed start.
+ * Once no jobs come each late one is to have a run, though it may get little.
+ */
+int32_t
+starvation_cpu_times(const sched_t *s)
+{
+	return jobs_come(s) ? CPU_TIMES_SHARED : PLACE_FILLER_CPU_TIMES;
+}
+
 /* Stops a run of the share that has stood still for STANDSTILL_MS. */
 static void
 end_turn(sched_t *s, run_t *r)
--- a/sched/types.h
+++ b/sched/types.h
@@ -18,9 +18,9 @@
 
 #define RUN_NUMBERS_PER_OWNER 1000 /* for the runs of a task by one owner */
 
-/* A slowed start may bring what a worker's fillers declare to so many times its
- * processors. */
-#define PLACE_FILLER_CPU_TIMES 2
+/* Slowed starts may bring what a worker's fillers declare to so many times its
+ * processors, the most that starvation_cpu_times returns. */
+#define PLACE_FILLER_CPU_TIMES 8
 
 #define MB_BYTES ((int64_t)1024 * 1024)
 
--- a/test/unit/passed_over.c
+++ b/test/unit/passed_over.c
@@ -144,6 +144,24 @@
 	}
 }
 
+/*
+ * Guards against late filler jobs without a run after an overload, as the others
+ * have taken twice the processors of each worker.
+ */
+Test(passed_over, each_late_filler_has_a_run_once_no_jobs_come)
+{
+	sched_t *s = owner_of(1);
+	Sched__Step d = step_def("", 1000, true, 0);
+	step_t *st = queue_job(s, 1, &d, true);
+
+	worker(s, 0)->filler_cpu_milli = 2 * WORKER_CPU_MILLI;
+	start_waiting_tasks(s);
+	cr_expect_eq(st->nwaiting, 1, "while jobs come");
+	quiet_pass(s);
+	cr_expect_eq(st->nwaiting, 0);
+	sched_free(s);
+}
+
 #define STEP_MS	   50
 #define ROUND_MS   250
 #define SMALL_MS   800 /* that a task of the stream runs */
