Hand-over: workers that come back late and only for a moment count too

Trace: all five workers answer at times (w2 30.6, w4 31.5, w2 36.6, w3 37.2, w1 38.3, w0 39.5, w4 41.9, w4 48.2), each at least 5 s after its last answer or for the first time, so that returns stayed 0: at 80% of polls lost and 1.1 to 1.8 s a poll the mean gap is above RETURN_MS, which tells an outage from a weak owner. Change: a worker that comes back after longer counts too if it misses a poll again within 5 s. After an outage workers come back once and stay, which the second new case shows. Test: handover/when_a_stronger_entry_gets_the_cell, "each answers once, for a moment", 0 releases before, 1 now. An owner that no worker answers at all still keeps the cell.

--- a/sched/handover.c
+++ b/sched/handover.c
@@ -6,7 +6,8 @@
  * workers come later than their polls time out, and the polls that are sent again
  * take more of the link.  So workers become silent and come back in turn, and few of
  * them can be used at any time.  Workers that are down, or in a data centre that is
- * lost, don't come back like that: then another owner could do no better.
+ * lost, don't come back like that: they are away for longer, and then stay.  Then
+ * another owner could do no better.
  *
  * An owner that has seen this for SHORT_MS releases the cell to the strongest entry
  * that it knows, if that is clearly stronger.  So a cell whose entries are all weak
@@ -35,7 +36,8 @@
 #define ANSWERING_PCT 50 /* of the workers or fewer are too few */
 /* Of the workers or more came back meanwhile: they are up. */
 #define RETURNS_PCT 10
-/* After a longer time a worker that comes back, or the way to it, was down. */
+/* After a longer time a worker that comes back, or the way to it, was down; unless
+ * it is lost again so soon. */
 #define RETURN_MS	 5000
 #define STRONGER_PCT	 200
 #define STORE_ANSWERS_MS 700 /* a renewal was confirmed so lately */
@@ -92,6 +94,14 @@
 	    s->now_ms >= s->handover.next_ms;
 }
 
+/* Begins the count of a shortage anew. */
+static void
+reset_count(sched_t *s)
+{
+	s->handover.short_ms = s->handover.returns = 0;
+	s->handover.short_since_ms = s->now_ms;
+}
+
 static void
 begin(sched_t *s, const count_t *n)
 {
@@ -106,7 +116,7 @@
 	s->cell.successor = h->strongest;
 	s->cell.releasing = true;
 	h->next_ms = s->now_ms + AGAIN_MS;
-	h->short_ms = h->returns = 0;
+	reset_count(s);
 }
 
 /*
@@ -124,7 +134,7 @@
 		return;
 	h->checked_ms = s->now_ms;
 	if (h->epoch != s->cell.epoch || !knows_stronger_entry(h))
-		h->short_ms = h->returns = 0;
+		reset_count(s);
 	h->epoch = s->cell.epoch;
 	if (!knows_stronger_entry(h))
 		return;
@@ -133,7 +143,7 @@
 		past_ms = -past_ms;
 	h->short_ms = CLAMP(h->short_ms + past_ms, 0, SHORT_MS);
 	if (h->short_ms == 0)
-		h->returns = 0;
+		reset_count(s);
 	if (h->short_ms == SHORT_MS && n.workers > 0 &&
 	    h->returns * 100 >= n.workers * RETURNS_PCT && may_release(s))
 		begin(s, &n);
@@ -152,9 +162,21 @@
 
 /* The process of a worker answers, which has missed polls since its last report. */
 void
-handover_worker_back(sched_t *s, const worker_t *w)
+handover_worker_back(sched_t *s, worker_t *w)
+{
+	bool at_once = s->now_ms - w->reported_ms < RETURN_MS;
+
+	s->handover.returns += at_once;
+	w->back_ms = at_once ? 0 : s->now_ms;
+}
+
+/* A worker that answered its last poll has not answered the next one. */
+void
+handover_worker_missed(sched_t *s, worker_t *w)
 {
-	s->handover.returns += s->now_ms - w->reported_ms < RETURN_MS;
+	s->handover.returns += w->back_ms > s->handover.short_since_ms &&
+	    s->now_ms - w->back_ms < RETURN_MS;
+	w->back_ms = 0;
 }
 
 void
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -373,7 +373,8 @@
 
 /* handover.c */
 void handover_update(sched_t *s);
-void handover_worker_back(sched_t *s, const worker_t *w);
+void handover_worker_back(sched_t *s, worker_t *w);
+void handover_worker_missed(sched_t *s, worker_t *w);
 void handover_released(sched_t *s);
 
 #endif
--- a/sched/poll.c
+++ b/sched/poll.c
@@ -61,6 +61,8 @@
 	/* The first may have lost its answer only. */
 	if (w->missed_polls > 0)
 		w->next_poll_ms = s->now_ms + POLL_RETRY_MS;
+	else
+		handover_worker_missed(s, w);
 	if (++w->missed_polls != SILENT_POLLS)
 		return;
 	w->silent = true;
--- a/sched/types.h
+++ b/sched/types.h
@@ -340,6 +340,7 @@
 	int64_t poll_sent_ms; /* when the last poll was sent */
 	int64_t next_poll_ms;
 	int64_t reported_ms;	  /* when its process last sent a report */
+	int64_t back_ms;	  /* it came back then, see handover.c; or 0 */
 	bool poll_soon;		  /* it is in s->polls_soon */
 	bool poll_without_wait;	  /* next poll returns at once */
 	bool poll_unanswered;	  /* one was given up since the last answer */
@@ -424,7 +425,8 @@
 	int64_t checked_ms;
 	int64_t epoch;	  /* of the ownership that the counts below are of */
 	int32_t short_ms; /* for so long too few workers have answered */
-	/* Answers meanwhile by workers that had missed polls. */
+	int64_t short_since_ms; /* when it was last 0 */
+	/* How often meanwhile workers came back at once, or did not stay. */
 	int32_t returns;
 	int64_t next_ms; /* no hand-over before */
 } handover_t;
--- a/test/unit/handover.c
+++ b/test/unit/handover.c
@@ -27,6 +27,9 @@
 #define ANSWER_MS    50	 /* of a poll */
 #define TIMEOUT_MS   350 /* of a poll that is not answered */
 #define OWN_STRENGTH 200
+/* Turns of the workers, see polls_t. */
+#define FIRST_TURN_MS 6000
+#define TURN_MS	      300
 
 /* What becomes of the polls; shares in percent. */
 typedef struct {
@@ -34,6 +37,8 @@
 	int32_t down_pct;	/* of the workers, which answer none */
 	bool zone_down;		/* the workers of z0 answer none */
 	int64_t from_ms, to_ms; /* from BEGIN_MS on; else all are answered */
+	/* Not 0: of each worker only those sent in this time from its turn on. */
+	int64_t up_ms;
 } polls_t;
 
 typedef struct {
@@ -134,6 +139,9 @@
 
 	if (at_ms < p->from_ms || at_ms >= p->to_ms)
 		return true;
+	if (p->up_ms != 0)
+		return at_ms >= FIRST_TURN_MS + worker * TURN_MS &&
+		    at_ms < FIRST_TURN_MS + worker * TURN_MS + p->up_ms;
 	if (worker * 100 < p->down_pct * WORKERS ||
 	    (p->zone_down && worker % ZONES == 0))
 		return false;
@@ -190,6 +198,10 @@
 	} cases[] = {
 		{ "most polls time out", { 20, 0, false, 0, 20000 }, 2000,
 		    false, true },
+		{ "each answers once, for a moment",
+		    { 100, 0, false, 0, 20000, 700 }, 2000, false, true },
+		{ "each comes back, one by one",
+		    { 100, 0, false, 0, 20000, 60000 }, 2000, false, false },
 		{ "no other entry is known", { 20, 0, false, 0, 20000 }, 0,
 		    false, false },
 		{ "none is clearly stronger", { 20, 0, false, 0, 20000 },
