Hand-over: none for 10 s after one whose successor did not claim the cell

Change: an entry that reads the row of another owner after one that named a successor hands over no earlier than 10 s later.

--- a/sched/handover.c
+++ b/sched/handover.c
@@ -41,7 +41,8 @@
 #define RETURN_MS	 5000
 #define STRONGER_PCT	 200
 #define STORE_ANSWERS_MS 700 /* a renewal was confirmed so lately */
-/* Between two hand-overs by a process, as the stronger entry did not keep it. */
+/* Between two hand-overs by a process, as the stronger entry did not keep it; and
+ * after one by any entry whose successor did not claim the cell. */
 #define AGAIN_MS 10000
 
 /* Listed workers, and those of them that answer. */
@@ -160,6 +161,21 @@
 	s->cell.row = sched__owner__unpack(NULL, b->len, b->data);
 }
 
+/*
+ * A row was read after the one before; NULL: none.  If another entry had to claim the
+ * cell than its successor, that may be down, though it is listed.
+ */
+void
+handover_row_read(
+    sched_t *s, const Sched__Owner *before, const Sched__Owner *row)
+{
+	if (before == NULL || !before->released || before->heir[0] == '\0' ||
+	    row == NULL || row->released ||
+	    strcmp(before->heir, row->name) == 0)
+		return;
+	s->handover.next_ms = MAX(s->handover.next_ms, s->now_ms + AGAIN_MS);
+}
+
 /* The process of a worker answers, which has missed polls since its last report. */
 void
 handover_worker_back(sched_t *s, worker_t *w)
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -376,5 +376,7 @@
 void handover_worker_back(sched_t *s, worker_t *w);
 void handover_worker_missed(sched_t *s, worker_t *w);
 void handover_released(sched_t *s);
+void handover_row_read(
+    sched_t *s, const Sched__Owner *before, const Sched__Owner *row);
 
 #endif
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -257,6 +257,7 @@
 		sched__owner__free_unpacked(o, NULL);
 		return;
 	}
+	handover_row_read(s, c->row, o);
 	if (c->row != NULL)
 		sched__owner__free_unpacked(c->row, NULL);
 	c->row = o;
--- a/test/unit/handover.c
+++ b/test/unit/handover.c
@@ -354,3 +354,55 @@
 		sched_free(s);
 	}
 }
+
+/* Has the entry read rows of the owner, one after the other. */
+static void
+read_owner(sched_t *s, const char *name, bool released)
+{
+	Sched__Owner o = SCHED__OWNER__INIT;
+	uint8_t b[64];
+	sched_row_t row = { .key = SCHED_KEY_OWNER,
+		.version = s->cell.version + 1,
+		.bytes = b };
+
+	o.name = (char *)name;
+	o.epoch = s->cell.epoch + 1;
+	o.released = released;
+	o.heir = (char *)(released ? "strong" : "");
+	row.nbytes = sched__owner__pack(&o, b);
+	sched_owner_row_read(s, &row, now_ms);
+}
+
+/*
+ * Guards against weak entries that hand the cell over in turn to a strong one that
+ * is down but still listed: each time nobody has it for a while.
+ */
+Test(handover, to_an_entry_that_does_not_claim)
+{
+	static const polls_t polls = { 20, 0, false, 0, 200000 };
+	static const struct {
+		const char *name, *claimed_by; /* after the release by "a" */
+		int32_t releases;	       /* of this entry in 8 s */
+	} cases[] = {
+		{ "another weak one had to claim", "b", 0 },
+		{ "this one had to claim", "e", 0 },
+		{ "the strong one had it", "strong", 1 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = new_weak_owner();
+
+		s->cell.state = CELL_FOLLOWING;
+		sched_set_strongest_entry(s, OWN_STRENGTH, "strong", 2000);
+		read_owner(s, "a", true);
+		read_owner(s, cases[i].claimed_by, false);
+		own_again(s);
+		run_for(s, &polls, 8000, false);
+		cr_expect_eq(releases, cases[i].releases, "%s: %d",
+		    cases[i].name, releases);
+		own_again(s);
+		run_for(s, &polls, 60000, false);
+		cr_expect_geq(releases, 1, "%s, later", cases[i].name);
+		sched_free(s);
+	}
+}
