--- a/test/unit/handover.c
+++ b/test/unit/handover.c
@@ -27,6 +27,9 @@
 #define ANSWER_MS    50	 /* of a poll */
 #define TIMEOUT_MS   350 /* of a poll that is not answered */
 #define OWN_STRENGTH 200
+/* Turns of the workers, see polls_t. */
+#define FIRST_TURN_MS 6000
+#define TURN_MS	      300
 
 /* What becomes of the polls; shares in percent. */
 typedef struct {
@@ -34,6 +37,8 @@
 	int32_t down_pct;	/* of the workers, which answer none */
 	bool zone_down;		/* the workers of z0 answer none */
 	int64_t from_ms, to_ms; /* from BEGIN_MS on; else all are answered */
+	/* Not 0: of each worker only those sent in this time from its turn on. */
+	int64_t up_ms;
 } polls_t;
 
 typedef struct {
@@ -134,6 +139,9 @@
 
 	if (at_ms < p->from_ms || at_ms >= p->to_ms)
 		return true;
+	if (p->up_ms != 0)
+		return at_ms >= FIRST_TURN_MS + worker * TURN_MS &&
+		    at_ms < FIRST_TURN_MS + worker * TURN_MS + p->up_ms;
 	if (worker * 100 < p->down_pct * WORKERS ||
 	    (p->zone_down && worker % ZONES == 0))
 		return false;
@@ -190,6 +198,10 @@
 	} cases[] = {
 		{ "most polls time out", { 20, 0, false, 0, 20000 }, 2000,
 		    false, true },
+		{ "each answers once, for a moment",
+		    { 100, 0, false, 0, 20000, 700 }, 2000, false, true },
+		{ "each comes back, one by one",
+		    { 100, 0, false, 0, 20000, 60000 }, 2000, false, false },
 		{ "no other entry is known", { 20, 0, false, 0, 20000 }, 0,
 		    false, false },
 		{ "none is clearly stronger", { 20, 0, false, 0, 20000 },
@@ -342,3 +354,55 @@
 		sched_free(s);
 	}
 }
+
+/* Has the entry read rows of the owner, one after the other. */
+static void
+read_owner(sched_t *s, const char *name, bool released)
+{
+	Sched__Owner o = SCHED__OWNER__INIT;
+	uint8_t b[64];
+	sched_row_t row = { .key = SCHED_KEY_OWNER,
+		.version = s->cell.version + 1,
+		.bytes = b };
+
+	o.name = (char *)name;
+	o.epoch = s->cell.epoch + 1;
+	o.released = released;
+	o.heir = (char *)(released ? "strong" : "");
+	row.nbytes = sched__owner__pack(&o, b);
+	sched_owner_row_read(s, &row, now_ms);
+}
+
+/*
+ * Guards against weak entries that hand the cell over in turn to a strong one that
+ * is down but still listed: each time nobody has it for a while.
+ */
+Test(handover, to_an_entry_that_does_not_claim)
+{
+	static const polls_t polls = { 20, 0, false, 0, 200000 };
+	static const struct {
+		const char *name, *claimed_by; /* after the release by "a" */
+		int32_t releases;	       /* of this entry in 8 s */
+	} cases[] = {
+		{ "another weak one had to claim", "b", 0 },
+		{ "this one had to claim", "e", 0 },
+		{ "the strong one had it", "strong", 1 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = new_weak_owner();
+
+		s->cell.state = CELL_FOLLOWING;
+		sched_set_strongest_entry(s, OWN_STRENGTH, "strong", 2000);
+		read_owner(s, "a", true);
+		read_owner(s, cases[i].claimed_by, false);
+		own_again(s);
+		run_for(s, &polls, 8000, false);
+		cr_expect_eq(releases, cases[i].releases, "%s: %d",
+		    cases[i].name, releases);
+		own_again(s);
+		run_for(s, &polls, 60000, false);
+		cr_expect_geq(releases, 1, "%s, later", cases[i].name);
+		sched_free(s);
+	}
+}
