Leases: a worker's clock that was read long ago is not known

What callers could see: a task that runs twice after a change of owner. Cause: a worker that leaves the list without runs is polled no more. When it is listed again, the first polls carry a deadline by its clock as it was read then, however long ago; on a clock 2 % slow the lease is longer by 2 % of that, up to the longest that the worker accepts. What the owner stores for its successors, and what a successor counts after a release, allow for 4.3 s. Unit lease/the_clock_of_a_worker_that_was_not_listed, which lists a worker again after 2 minutes, failed before: deadlines 6399 to 6310 ms ahead of the worker's clock. Fix: a clock that was read more than 4 s ago counts as unknown; the poll that reads it anew carries no deadline and is answered at once.

--- a/sched/cell_worker.c
+++ b/sched/cell_worker.c
@@ -27,6 +27,9 @@
 #define LEASE_MS	4000
 #define LEASE_MARGIN_MS 100 /* below the longest that a worker accepts */
 #define CLOCK_DRIFT_PCT 2   /* the platform's bound for workers' clocks */
+/* A clock that was read longer ago is not known; by then it has drifted by less
+ * than EXPIRY_MARGIN_MS allows for. */
+#define CLOCK_VALID_MS 4000
 /* A clock further back is that of another process, not of a late answer. */
 #define CLOCK_BACKWARD_MS 1500
 #define EXPIRY_MARGIN_MS  200 /* for an order that arrives as the lease ends */
@@ -130,6 +133,14 @@
 	    (now_ms - w->lease.answered_ms) * (100 - CLOCK_DRIFT_PCT) / 100;
 }
 
+/* Whether a worker's clock was read so lately that deadlines can be told by it. */
+bool
+cell_worker_clock_known(const sched_t *s, const worker_t *w)
+{
+	return w->lease.answered_ms != 0 &&
+	    s->now_ms - w->lease.answered_ms <= CLOCK_VALID_MS;
+}
+
 /*
  * Returns the deadline to send with a poll or start: the end of a lease that
  * begins now, by the worker's clock; 0 while that clock is not known.  Records
@@ -141,7 +152,7 @@
 	int64_t ms = MIN(LEASE_MS, s->opts.max_lease_ms - LEASE_MARGIN_MS);
 
 	w->lease.deadline_sent_ms = s->now_ms;
-	if (w->lease.answered_ms == 0)
+	if (!cell_worker_clock_known(s, w))
 		return 0;
 	ms += w->lease.worker_clock_ms + (s->now_ms - w->lease.answered_ms);
 	w->lease.deadline_ms = MAX(w->lease.deadline_ms, ms);
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -156,6 +156,7 @@
 sched_wait_reason_t cell_worker_refusal(const sched_t *s, const worker_t *w);
 bool cell_worker_usable(const sched_t *s, const worker_t *w);
 int64_t cell_worker_min_clock(const worker_t *w, int64_t now_ms);
+bool cell_worker_clock_known(const sched_t *s, const worker_t *w);
 int64_t cell_worker_extend_lease(sched_t *s, worker_t *w);
 bool cell_worker_lease_expired(const sched_t *s, const worker_t *w);
 int64_t cell_worker_lease_end(const worker_t *w);
--- a/sched/poll.c
+++ b/sched/poll.c
@@ -152,7 +152,7 @@
 	if (may_extend(s, w))
 		p.deadline_ms = cell_worker_extend_lease(s, w);
 	if (w->has_answered && w->ended_seq == w->ended_stored_seq &&
-	    w->lease.answered_ms != 0 && !w->poll_without_wait &&
+	    cell_worker_clock_known(s, w) && !w->poll_without_wait &&
 	    !quarantine_polls_often(s, w))
 		p.wait_ms = POLL_WAIT_MS;
 	w->poll_without_wait = false;
--- /dev/null
+++ b/test/unit/lease.c
@@ -0,0 +1,154 @@
+/*
+ * What is not known of a lease, or of a clock that its end is told by.
+ */
+#include <stdbool.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <criterion/criterion.h>
+#include <glib.h>
+
+#include "../../proto/sched.pb-c.h"
+#include "tanagerspool.h"
+#include "../../sched/sched.h"
+#include "../../sched/image_set.h"
+#include "../../sched/headroom.h"
+#include "../../sched/run_time.h"
+#include "../../sched/types.h"
+#include "../../sched/customer.h"
+#include "../../sched/internal.h"
+#include "sched_fixture.h"
+
+#define BEGIN_MS     100000
+#define CLOCK_MS     500000 /* of the worker then */
+#define MAX_LEASE_MS 6000
+/* The longest that an owner lets a lease run, on a clock 2 % slow. */
+#define LEASE_MS 4082
+
+static uint64_t poll_id;
+static int64_t poll_deadline_ms;
+static int64_t written_until_ms; /* in the last row of the footprint */
+
+static void
+take_poll(void *ctx, const sched_poll_t *p)
+{
+	(void)ctx;
+	poll_id = p->id;
+	poll_deadline_ms = p->deadline_ms;
+}
+
+static void
+take_write(void *ctx, int64_t version, const GArray *puts)
+{
+	(void)ctx;
+	(void)version;
+	for (guint i = 0; i < puts->len; i++) {
+		const sched_put_t *p = &g_array_index(puts, sched_put_t, i);
+		Sched__Footprint *f;
+
+		if (!g_str_has_prefix(p->key, SCHED_KEY_FOOTPRINT))
+			continue;
+		f = sched__footprint__unpack(
+		    NULL, p->bytes->len, p->bytes->data);
+		cr_assert_not_null(f);
+		if (f->n_until_ms > 0)
+			written_until_ms = f->until_ms[0];
+		sched__footprint__free_unpacked(f, NULL);
+	}
+}
+
+static void
+list_worker(sched_t *s)
+{
+	sched_worker_info_t i = { .id = "w0",
+		.service = "s",
+		.address = "a:1",
+		.zone = "z",
+		.rack = "r",
+		.cpu_milli = WORKER_CPU_MILLI,
+		.mem_mb = 256000,
+		.started_ms = 1 };
+
+	sched_worker_listed(s, &i, s->now_ms);
+}
+
+/* An owner at BEGIN_MS that knows of no earlier runs, with the worker w0. */
+static sched_t *
+new_owner_of_worker(void)
+{
+	sched_opts_t o = { .feed_limit_ms = 2000,
+		.name = "e",
+		.max_lease_ms = MAX_LEASE_MS,
+		.port = { .event = ignore_event,
+		    .write = take_write,
+		    .poll = take_poll } };
+	sched_t *s = sched_new(&o);
+
+	poll_id = 0;
+	written_until_ms = 0;
+	s->now_ms = s->cell.confirmed_ms = BEGIN_MS;
+	s->cell.state = CELL_OWNED;
+	s->cell.workers_accounted = true;
+	list_worker(s);
+	return s;
+}
+
+/* Goes on by 10 ms; the store confirms each write. */
+static void
+step(sched_t *s)
+{
+	if (s->write_pending)
+		sched_write_done(
+		    s, SCHED_WRITE_OK, s->cell.version + 1, s->now_ms);
+	sched_tick(s, s->now_ms + 10, 0);
+}
+
+/* The worker's clock, which is 2 % slow. */
+static int64_t
+worker_clock_ms(const sched_t *s)
+{
+	return CLOCK_MS + (s->now_ms - BEGIN_MS) * 98 / 100;
+}
+
+/* The worker answers the poll in flight, if there is one. */
+static void
+answer_poll(sched_t *s)
+{
+	sched_report_t r = { .clock_ms = worker_clock_ms(s), .started_ms = 1 };
+
+	if (cell_worker_get(s, "w0")->poll_id != 0)
+		sched_poll_done(
+		    s, poll_id, "w0", SCHED_ORDER_OK, &r, s->now_ms);
+}
+
+/*
+ * Guards against two runs of one task: while a worker is not listed it is not
+ * polled, and a deadline by its clock as it was read before may be much too late.
+ */
+Test(lease, the_clock_of_a_worker_that_was_not_listed)
+{
+	sched_t *s = new_owner_of_worker();
+	int64_t until_ms = BEGIN_MS + 120000;
+
+	for (int i = 0; i < 10; i++) {
+		step(s);
+		answer_poll(s);
+	}
+	cr_assert(cell_worker_get(s, "w0")->has_answered);
+	sched_worker_left(s, "w0", s->now_ms);
+	while (s->now_ms < until_ms) {
+		step(s);
+		answer_poll(s);
+	}
+	list_worker(s);
+	/* While the first of these polls is in flight, and after it. */
+	for (int i = 0; i < 10; i++) {
+		poll_deadline_ms = 0;
+		step(s);
+		cr_expect_leq(poll_deadline_ms, worker_clock_ms(s) + LEASE_MS,
+		    "%d ms", (int)(poll_deadline_ms - worker_clock_ms(s)));
+		answer_poll(s);
+	}
+	cr_expect_gt(poll_deadline_ms, worker_clock_ms(s));
+	sched_free(s);
+}
