Leases: no end is stored or compared by a store's clock that was not read

What callers could see: a task that runs twice after a change of owner. Cause: 0 stood for a store's clock that was never read, and for one that is the same as ours. An owner without it stored the lease end of a worker that misses polls by its own clock, and compared stored ends with its own clock; either may be long after the store's. It takes an answer of the store without a usable now_ms before the claim, so it isn't likely. Fix: without that clock nothing is stored, which says that the lease is being extended, and no stored end counts as passed. Four unit tests that took the store's clock for ours now say so; their checks are the same.

--- a/sched/flush.c
+++ b/sched/flush.c
@@ -105,7 +105,7 @@
 
 /*
  * When the lease of a worker that does not answer ends, by the store's clock; 0
- * while its lease is extended.
+ * while its lease is extended, or that clock is not known.
  */
 static int64_t
 lease_end_by_store(const sched_t *s, const worker_t *w)
@@ -115,9 +115,11 @@
 		return w->lease_end_store_ms;
 	if (w->missed_polls == 0 || w->lease.deadline_sent_ms == 0)
 		return 0;
-	return w->lease_end_store_ms != 0 ?
-	    w->lease_end_store_ms :
-	    cell_worker_lease_end(w) + s->store_clock_offset_ms;
+	if (w->lease_end_store_ms != 0)
+		return w->lease_end_store_ms;
+	return s->store_clock_known ?
+	    cell_worker_lease_end(w) + s->store_clock_offset_ms :
+	    0;
 }
 
 /*
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -104,7 +104,8 @@
 	int64_t purged_ms;	 /* when the last round of removals began */
 	bool write_removes_rows; /* the flush in flight removes progress rows */
 	int64_t interference_packed_ms; /* last write of the interference row */
-	int64_t store_clock_offset_ms;	/* store's clock less ours */
+	bool store_clock_known;		/* it was read */
+	int64_t store_clock_offset_ms;	/* then: store's clock less ours */
 	/* Up to when all changes of a feed are known. */
 	int64_t feed_read_ms[SCHED_NFEEDS];
 	overload_t *overload;
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -350,7 +350,7 @@
 static bool
 old_lease_ended(const sched_t *s, const worker_t *w)
 {
-	return w->lease_end_store_ms != 0 &&
+	return w->lease_end_store_ms != 0 && s->store_clock_known &&
 	    s->now_ms + s->store_clock_offset_ms >
 	    w->lease_end_store_ms + STORE_CLOCK_MARGIN_MS;
 }
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -240,6 +240,7 @@
 sched_store_clock_read(sched_t *s, int64_t store_ms, int64_t now_ms)
 {
 	s->now_ms = now_ms;
+	s->store_clock_known = true;
 	s->store_clock_offset_ms = store_ms - now_ms;
 }
 
--- a/test/unit/lease.c
+++ b/test/unit/lease.c
@@ -152,3 +152,107 @@
 	cr_expect_gt(poll_deadline_ms, worker_clock_ms(s));
 	sched_free(s);
 }
+
+/* Polls fail until the owner has written when the lease ends, or for a while. */
+static void
+miss_polls(sched_t *s)
+{
+	int64_t until_ms = s->now_ms + 2000;
+
+	while (written_until_ms == 0 && s->now_ms < until_ms) {
+		if (cell_worker_get(s, "w0")->poll_id != 0)
+			sched_poll_done(s, poll_id, "w0", SCHED_ORDER_NOT_SENT,
+			    NULL, s->now_ms);
+		step(s);
+	}
+}
+
+/*
+ * Guards against two runs of one task: an owner that has not read the store's clock
+ * stored a lease end by its own, which for its successors may have passed long ago.
+ */
+Test(lease, an_end_by_a_store_clock_that_was_not_read)
+{
+	static const struct {
+		const char *name;
+		bool known;
+		int64_t store_ms; /* the store's clock at BEGIN_MS */
+	} cases[] = {
+		{ "it is ahead of ours", true, BEGIN_MS + 900000 },
+		{ "it is behind ours", true, 5000 },
+		{ "it is not known", false, 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = new_owner_of_worker();
+		int64_t end_ms;
+
+		if (cases[i].known)
+			sched_store_clock_read(s, cases[i].store_ms, BEGIN_MS);
+		for (int k = 0; k < 10; k++) {
+			step(s);
+			answer_poll(s);
+		}
+		end_ms = s->now_ms + LEASE_MS - BEGIN_MS;
+		miss_polls(s);
+		if (cases[i].known)
+			cr_expect_geq(written_until_ms,
+			    cases[i].store_ms + end_ms, "%s", cases[i].name);
+		else
+			cr_expect_eq(written_until_ms, 0, "%s: %d",
+			    cases[i].name, (int)written_until_ms);
+		sched_free(s);
+	}
+}
+
+/* Reads the worker w0 of the footprint, whose lease ends at until_ms. */
+static void
+read_footprint(sched_t *s, int64_t until_ms)
+{
+	Sched__Footprint f = SCHED__FOOTPRINT__INIT;
+	char *worker = (char *)"w0 a:1";
+	int64_t started_ms = 1;
+	uint8_t bytes[64];
+	sched_row_t row = {
+		.key = SCHED_KEY_FOOTPRINT ".00", .version = 1, .bytes = bytes
+	};
+
+	f.n_workers = f.n_born_ms = f.n_until_ms = 1;
+	f.workers = &worker;
+	f.born_ms = &started_ms;
+	f.until_ms = &until_ms;
+	row.nbytes = sched__footprint__pack(&f, bytes);
+	s->cell.state = CELL_LOADING;
+	sched_row_read(s, &row, s->now_ms);
+	s->cell.state = CELL_OWNED;
+}
+
+/*
+ * Guards against two runs of one task: an owner that has not read the store's clock
+ * compared its own with a stored lease end.
+ */
+Test(lease, a_stored_end_without_the_store_clock)
+{
+	static const struct {
+		const char *name;
+		bool known, ended;
+	} cases[] = {
+		{ "the store's clock is read", true, true },
+		{ "it is not known", false, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = new_owner_of_worker();
+
+		s->cell.workers_accounted = false;
+		s->cell.old_leases_end_ms = BEGIN_MS + 5300;
+		/* The store's clock is far behind ours. */
+		read_footprint(s, 10000);
+		if (cases[i].known)
+			sched_store_clock_read(s, 11000, BEGIN_MS);
+		step(s);
+		cr_expect_eq(s->cell.workers_accounted, cases[i].ended, "%s",
+		    cases[i].name);
+		sched_free(s);
+	}
+}
--- a/test/unit/sched.c
+++ b/test/unit/sched.c
@@ -674,6 +674,7 @@
 		s->cell.state = CELL_OWNED;
 		s->cell.workers_accounted = true;
 		s->now_ms = 10000;
+		sched_store_clock_read(s, s->now_ms, s->now_ms);
 		w->lease.deadline_sent_ms = 9000;
 		w->footprint_stored = false;
 		flush_if_due(s);
@@ -766,6 +767,7 @@
 
 		s->opts.port.write = record_write;
 		s->now_ms = s->cell.row_read_ms = 10000;
+		sched_store_clock_read(s, s->now_ms, s->now_ms);
 		s->cell.row_read = true;
 		s->cell.workers_accounted = false;
 		s->cell.old_leases_end_ms = 15000;
@@ -932,6 +934,7 @@
 		s->opts.port.poll = record_deadline;
 		s->opts.port.write = record_write;
 		s->now_ms = s->cell.confirmed_ms = 10000;
+		sched_store_clock_read(s, s->now_ms, s->now_ms);
 		report_apply(s, w, &report, 9990);
 		run_start(s, &st->tasks[0], w, 1);
 		flush_if_due(s);
--- a/test/unit/takeover.c
+++ b/test/unit/takeover.c
@@ -102,8 +102,11 @@
 		    .write = take_write,
 		    .order = ignore_order,
 		    .poll = take_poll } };
+	sched_t *s = sched_new(&o);
 
-	return sched_new(&o);
+	/* The store's clock is ours. */
+	sched_store_clock_read(s, 1, 1);
+	return s;
 }
 
 static void
