Outage: feeds must be current as of the owner's own last answer

What callers could see: starts by settings, jobs or a list of workers that were old when an outage of the store began, such as in a data centre being evacuated. Cause: the time of the last answer to the others was taken for the beginning of the outage. Where they were not answered for longer (cut off, or not at all: then it is 0), any feed that was read later counted as current. Unit outage/feeds_where_the_others_were_silent_before failed before for last answers 8 s earlier and for none. Fix: the feeds must also have been current when the store last confirmed a write of this owner.

--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -476,8 +476,10 @@
 		    " confirmed_age=%" PRId64,
 		    on, s->now_ms - last_ms, s->now_ms - c->confirmed_ms);
 	c->store_outage = on;
+	/* The store may have stopped answering the others before. */
 	if (on && !was_on)
-		c->outage_may_start = feeds_current(s, last_ms);
+		c->outage_may_start =
+		    feeds_current(s, MAX(last_ms, c->confirmed_ms));
 }
 
 /*
--- a/test/unit/outage.c
+++ b/test/unit/outage.c
@@ -56,6 +56,30 @@
 	}
 }
 
+/*
+ * Guards against starts by settings that were old when an outage began: the others
+ * were not answered for longer, so that their last answer says nothing of that.
+ */
+Test(outage, feeds_where_the_others_were_silent_before)
+{
+	static const int64_t others_ms[] = { LAST_ANSWER_MS,
+		LAST_ANSWER_MS - 8000, 0 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(others_ms); i++) {
+		sched_t *s = new_owner();
+
+		for (int32_t f = 0; f < SCHED_NFEEDS; f++)
+			sched_feed_read(
+			    s, (sched_feed_t)f, LAST_ANSWER_MS - 6000);
+		s->cell.confirmed_ms = LAST_ANSWER_MS - 100;
+		sched_set_store_outage(s, true, others_ms[i], NOW_MS);
+		cr_expect_not(
+		    ownership_may_start_tasks(s), "%d", (int)others_ms[i]);
+		cr_expect(ownership_may_extend_leases(s));
+		sched_free(s);
+	}
+}
+
 #define ENTRIES	   5 /* beside the owner */
 #define PERIODS	   4
 #define PERIOD_MS  600
