Leases: an order answered by a worker's former process tells no clock

What callers could see: a task that runs twice. Cause: a worker starts again under its id, and the answer of the process before to an order is read after that is known, as the owner was paused or the answer was long on its way. Its clock was taken for that of the new process, and as a clock is never turned back, for good: deadlines were far too late, so that the worker cut each lease to the longest it accepts (6 s), while the owner took its runs for ended, and stored for successors, by its own 4 s. Unit lease/an_order_answered_by_a_former_process failed before: a deadline 502138 ms ahead of the new clock, read before the next report or after it. Fix: orders for runs that are older than the restart tell no clock.

--- a/sched/run.c
+++ b/sched/run.c
@@ -460,7 +460,9 @@
 run_order_done(sched_t *s, run_t *r, sched_order_result_t res, int64_t clock_ms)
 {
 	r->order_pending = false;
-	if (clock_ms > 0 && res != SCHED_ORDER_RESTARTED)
+	/* Another process may have answered than the one that answers now. */
+	if (clock_ms > 0 && res != SCHED_ORDER_RESTARTED &&
+	    !r->worker_restarted)
 		cell_worker_clock_read(s, r->worker, clock_ms);
 	if (res == SCHED_ORDER_FENCED)
 		ownership_lost(s, "a worker has seen a newer token");
--- a/test/unit/lease.c
+++ b/test/unit/lease.c
@@ -58,7 +58,15 @@
 }
 
 static void
-list_worker(sched_t *s)
+ignore_order(void *ctx, const sched_order_t *o)
+{
+	(void)ctx;
+	(void)o;
+}
+
+/* Lists the worker w0, in its process of started_ms. */
+static void
+list_process(sched_t *s, int64_t started_ms)
 {
 	sched_worker_info_t i = { .id = "w0",
 		.service = "s",
@@ -67,11 +75,17 @@
 		.rack = "r",
 		.cpu_milli = WORKER_CPU_MILLI,
 		.mem_mb = 256000,
-		.started_ms = 1 };
+		.started_ms = started_ms };
 
 	sched_worker_listed(s, &i, s->now_ms);
 }
 
+static void
+list_worker(sched_t *s)
+{
+	list_process(s, 1);
+}
+
 /* An owner at BEGIN_MS that knows of no earlier runs, with the worker w0. */
 static sched_t *
 new_owner_of_worker(void)
@@ -81,6 +95,7 @@
 		.max_lease_ms = MAX_LEASE_MS,
 		.port = { .event = ignore_event,
 		    .write = take_write,
+		    .order = ignore_order,
 		    .poll = take_poll } };
 	sched_t *s = sched_new(&o);
 
@@ -256,3 +271,72 @@
 		sched_free(s);
 	}
 }
+
+/* Starts the only run on the worker, and orders another pace of it. */
+static run_t *
+start_run(sched_t *s)
+{
+	Sched__Step d = step_def("", 1000, true, 0);
+	step_t *st = first_step(add_job(s, "0000000000000001", &d, 0));
+	run_t *r;
+
+	cr_assert(run_start(s, &st->tasks[0], cell_worker_get(s, "w0"), 1));
+	r = st->tasks[0].run;
+	sched_order_done(
+	    s, r->id, SCHED_ORDER_OK, worker_clock_ms(s), s->now_ms);
+	run_set_pace(s, r, 50);
+	cr_assert(r->order_pending);
+	return r;
+}
+
+/*
+ * Guards against two runs of one task: a worker starts again, and the answer of its
+ * former process to an order is read after that is known.  By the clock in it
+ * deadlines are far too late, and it is never turned back.
+ */
+Test(lease, an_order_answered_by_a_former_process)
+{
+	static const struct {
+		const char *name;
+		bool
+		    reported; /* the new process has, before the answer is read */
+	} cases[] = {
+		{ "before its next report", false },
+		{ "after its next report", true },
+	};
+	int64_t new_clock_ms = 2000;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = new_owner_of_worker();
+		sched_report_t report = { .clock_ms = new_clock_ms,
+			.started_ms = 2 };
+		int64_t clock_ms;
+		run_t *r;
+
+		for (int k = 0; k < 10; k++) {
+			step(s);
+			answer_poll(s);
+		}
+		r = start_run(s);
+		clock_ms = worker_clock_ms(s);
+		list_process(s, 2);
+		step(s);
+		if (cases[i].reported)
+			sched_poll_done(s, poll_id, "w0", SCHED_ORDER_OK,
+			    &report, s->now_ms);
+		sched_order_done(s, r->id, SCHED_ORDER_OK, clock_ms, s->now_ms);
+		for (int k = 0; k < 3; k++) {
+			step(s);
+			report.clock_ms = new_clock_ms;
+			sched_poll_done(s, poll_id, "w0", SCHED_ORDER_OK,
+			    &report, s->now_ms);
+		}
+		poll_deadline_ms = 0;
+		step(s);
+		cr_expect_gt(poll_deadline_ms, 0, "%s", cases[i].name);
+		cr_expect_leq(poll_deadline_ms, new_clock_ms + 100 + LEASE_MS,
+		    "%s: %d ms", cases[i].name,
+		    (int)(poll_deadline_ms - new_clock_ms));
+		sched_free(s);
+	}
+}
