--- a/sched/internal.h
+++ b/sched/internal.h
@@ -105,7 +105,8 @@
 	int64_t purged_ms;	 /* when the last round of removals began */
 	bool write_removes_rows; /* the flush in flight removes progress rows */
 	int64_t interference_packed_ms; /* last write of the interference row */
-	int64_t store_clock_offset_ms;	/* store's clock less ours */
+	bool store_clock_known;		/* it was read */
+	int64_t store_clock_offset_ms;	/* then: store's clock less ours */
 	/* Up to when all changes of a feed are known. */
 	int64_t feed_read_ms[SCHED_NFEEDS];
 	overload_t *overload;
@@ -157,6 +158,7 @@
 sched_wait_reason_t cell_worker_refusal(const sched_t *s, const worker_t *w);
 bool cell_worker_usable(const sched_t *s, const worker_t *w);
 int64_t cell_worker_min_clock(const worker_t *w, int64_t now_ms);
+bool cell_worker_clock_known(const sched_t *s, const worker_t *w);
 int64_t cell_worker_extend_lease(sched_t *s, worker_t *w);
 bool cell_worker_lease_expired(const sched_t *s, const worker_t *w);
 int64_t cell_worker_lease_end(const worker_t *w);
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -351,7 +351,7 @@
 static bool
 old_lease_ended(const sched_t *s, const worker_t *w)
 {
-	return w->lease_end_store_ms != 0 &&
+	return w->lease_end_store_ms != 0 && s->store_clock_known &&
 	    s->now_ms + s->store_clock_offset_ms >
 	    w->lease_end_store_ms + STORE_CLOCK_MARGIN_MS;
 }
@@ -477,8 +477,10 @@
 		    " confirmed_age=%" PRId64,
 		    on, s->now_ms - last_ms, s->now_ms - c->confirmed_ms);
 	c->store_outage = on;
+	/* The store may have stopped answering the others before. */
 	if (on && !was_on)
-		c->outage_may_start = feeds_current(s, last_ms);
+		c->outage_may_start =
+		    feeds_current(s, MAX(last_ms, c->confirmed_ms));
 }
 
 /*
