Late fillers: a new owner knows when the last filler job came

Change: a job that is loaded came when it was accepted. Test: passed_over/a_new_owner_knows_that_no_filler_jobs_come, "all came long ago" had no start before.

--- a/sched/job.c
+++ b/sched/job.c
@@ -201,6 +201,15 @@
 	return q;
 }
 
+/* When a job came, by our clock: those that a new owner loads came before. */
+static int64_t
+came_ms(const sched_t *s, const Sched__Job *def)
+{
+	return s->cell.state != CELL_LOADING ?
+	    s->now_ms :
+	    s->now_ms - MAX(0, s->wall_ms - def->accepted_ms);
+}
+
 /*
  * Creates a job with its first occurrence from a valid definition, which it
  * then owns.
@@ -225,7 +234,8 @@
 	o = job_occurrence(j, 0);
 	for (size_t i = 0; i < def->n_steps; i++) {
 		if (def->steps[i]->filler)
-			s->filler_job_ms = s->now_ms;
+			s->filler_job_ms =
+			    MAX(s->filler_job_ms, came_ms(s, def));
 		j->work_milli_ms += (double)def->steps[i]->count *
 		    (double)def->steps[i]->cpu_milli *
 		    (double)def->steps[i]->estimate_ms;
--- a/test/unit/passed_over.c
+++ b/test/unit/passed_over.c
@@ -162,6 +162,43 @@
 	sched_free(s);
 }
 
+/*
+ * Guards against late fillers that wait anew after each change of the owner, which
+ * took all jobs that it loaded for ones that had just come.
+ */
+Test(passed_over, a_new_owner_knows_that_no_filler_jobs_come)
+{
+	static const struct {
+		const char *what;
+		int64_t age_ms;
+		int32_t starts;
+	} cases[] = {
+		{ "all came long ago", LATE_MS, 1 },
+		{ "one has just come", 0, 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = owner_of(1);
+		Sched__Step d = step_def("fill", 30000, true, 0);
+		step_t *st;
+
+		serve(s, worker(s, 0), 100, "fill", 20);
+		s->cell.state = CELL_LOADING;
+		add_job(
+		    s, "00000000000000ff", &d, s->wall_ms - cases[i].age_ms);
+		st = queue_job(s, 1, &d, true);
+		s->cell.state = CELL_OWNED;
+		/* Others have the share of late fillers while jobs come. */
+		s->starved_runs = 1;
+		queue_resort(s);
+		scan_begin_round(s);
+		start_waiting_tasks(s);
+		cr_expect_eq(st->ntasks - st->nwaiting, cases[i].starts, "%s",
+		    cases[i].what);
+		sched_free(s);
+	}
+}
+
 #define STEP_MS	   50
 #define ROUND_MS   250
 #define SMALL_MS   800 /* that a task of the stream runs */
