Worker's address: another boot there proves nothing before the worker has answered

Callers would see two runs of one task: an entry of another writer that names, in the place of a worker's own, the address of another worker is sound, so that it is believed. The poll there gets 421 (another boot), which counted as proof that the worker had crashed: its tasks were started again at once, while its lease ran. A stop that got 421 freed the task in the same way.

421 only says that the boot meant is not at this address. It is a proof where that boot has answered, so a change of the address of the same process now takes back that it has answered, and without an answer 421 is a poll missed. A new owner that has not been answered yet waits for the leases of earlier owners there.

unit unlisted an_entry_that_is_not_true failed before: "another worker is there: taken for ended 3950 ms before its lease", and with the stop alone taken out "another worker, and a stop: ... 4000 ms".

--- a/sched/poll.c
+++ b/sched/poll.c
@@ -91,7 +91,9 @@
 		ownership_lost(s, "a worker has seen a newer token");
 		return;
 	}
-	if (r == SCHED_ORDER_RESTARTED) {
+	/* Proves nothing where the worker has not answered: the entry that named
+	 * the address may not be its own. */
+	if (r == SCHED_ORDER_RESTARTED && w->has_answered) {
 		crash_worker_replaced(s, w);
 		run_worker_lost(s, w, "another process runs at its address");
 	}
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -171,6 +171,7 @@
 	if (strcmp(w->address, i->address) != 0) {
 		/* An answer from the old address says nothing of the new one. */
 		poll_abandon(s, w);
+		w->has_answered = false;
 		g_free(w->address);
 		w->address = g_strdup(i->address);
 	}
--- a/sched/types.h
+++ b/sched/types.h
@@ -289,7 +289,7 @@
 	bool footprint_stored; /* a footprint row with this worker is stored */
 	/* A process of it was in use by earlier owners, perhaps another one. */
 	bool used_before;
-	bool has_answered;    /* a poll with this owner's token */
+	bool has_answered;    /* a poll of this owner, at its present address */
 	bool ended_cut;	      /* its last report did not list all ended runs */
 	bool silent;	      /* several polls in a row got no answer */
 	bool slow;	      /* its tasks make little progress */
--- a/test/unit/unlisted.c
+++ b/test/unit/unlisted.c
@@ -1,6 +1,6 @@
 /*
- * A worker that is no longer listed, or whose entry is odd: no task is started
- * there, and what runs there stays.
+ * A worker that is no longer listed, or whose entry is odd or says what is not true:
+ * no task is started there, and what runs there stays.
  */
 #include <stdbool.h>
 #include <stdint.h>
@@ -70,7 +70,7 @@
 	return s;
 }
 
-/* Answers the poll in flight: the run goes on. */
+/* Answers the poll in flight, as the process that started at 1: the run goes on. */
 static void
 answer(sched_t *s)
 {
@@ -135,3 +135,106 @@
 	cr_expect_eq(s->worker_list->len, 1);
 	sched_free(s);
 }
+
+/* An entry of the worker w that says when it started, and where it is. */
+static void
+list_as(sched_t *s, int64_t started_ms, const char *address)
+{
+	sched_worker_info_t i = { .id = "w",
+		.service = "s",
+		.address = address,
+		.zone = "z",
+		.rack = "r",
+		.cpu_milli = WORKER_CPU_MILLI,
+		.mem_mb = 256000,
+		.started_ms = started_ms };
+
+	sched_worker_listed(s, &i, s->now_ms);
+}
+
+/* The worker w, which has a run. */
+static worker_t *
+add_running_worker(sched_t *s)
+{
+	worker_t *w = add_worker(s, "w");
+	Sched__Step d = step_def("", 1000, false, 0);
+
+	add_running(s, first_step(add_job(s, JOB, &d, 0)), 0, w);
+	return w;
+}
+
+/*
+ * Polls for a while, each poll answered with a result; returns when the run was
+ * taken for ended, or 0.  Notes the latest deadline that was sent.
+ */
+static int64_t
+play(sched_t *s, const worker_t *w, int64_t for_ms, sched_order_result_t result,
+    int64_t *deadline_ms)
+{
+	int64_t lost_ms = 0;
+
+	for (int64_t end_ms = s->now_ms + for_ms; s->now_ms < end_ms;
+	     s->now_ms += TICK_MS) {
+		s->cell.confirmed_ms = s->now_ms;
+		last_poll.id = 0;
+		poll_tick(s);
+		flush_if_due(s);
+		if (s->write_pending)
+			sched_write_done(
+			    s, SCHED_WRITE_OK, s->cell.version + 1, s->now_ms);
+		if (lost_ms == 0 && g_hash_table_size(w->runs) == 0)
+			lost_ms = s->now_ms;
+		if (last_poll.id == 0)
+			continue;
+		*deadline_ms = MAX(*deadline_ms, last_poll.deadline_ms);
+		if (result == SCHED_ORDER_OK)
+			answer(s);
+		else
+			sched_poll_done(
+			    s, last_poll.id, "w", result, NULL, s->now_ms);
+	}
+	return lost_ms;
+}
+
+/*
+ * Guards against two runs of one task: an entry of another writer in the place of a
+ * worker's own says another start or address.  The run's lease has not ended.
+ */
+Test(unlisted, an_entry_that_is_not_true)
+{
+	static const struct {
+		const char *name;
+		int64_t started_ms;
+		const char *address;
+		sched_order_result_t result; /* of calls there */
+		bool stopped;
+	} cases[] = {
+		{ "a later start", 1000000, "a:1", SCHED_ORDER_OK },
+		{ "nothing answers there", 1, "b:1", SCHED_ORDER_NOT_SENT },
+		{ "another worker is there", 1, "b:1", SCHED_ORDER_RESTARTED },
+		{ "another worker, and a stop", 1, "b:1", SCHED_ORDER_RESTARTED,
+		    true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = new_polling_owner();
+		worker_t *w = add_running_worker(s);
+		run_t *r = g_hash_table_lookup(w->runs, JOB ".0.0.0");
+		int64_t deadline_ms = 0, lost_ms;
+
+		lost_ms = play(s, w, PLAY_MS, SCHED_ORDER_OK, &deadline_ms);
+		cr_assert_eq(lost_ms, 0, "%s", cases[i].name);
+		list_as(s, cases[i].started_ms, cases[i].address);
+		if (cases[i].stopped) {
+			run_stop(s, r, "test");
+			run_order_done(s, r, cases[i].result, 0);
+		}
+		lost_ms = play(s, w, PLAY_MS, cases[i].result, &deadline_ms);
+		cr_expect_not(cell_worker_usable(s, w), "%s", cases[i].name);
+		cr_expect(
+		    lost_ms == 0 || lost_ms - BEGUN_MS + CLOCK_MS > deadline_ms,
+		    "%s: taken for ended %d ms before its lease", cases[i].name,
+		    (int)(deadline_ms - (lost_ms - BEGUN_MS + CLOCK_MS)));
+		sched_free(s);
+	}
+}
