Worker's start: the worker's own entry holds again after one that was not true

A sound entry of another writer with a later start, in the place of a worker's own, kept the worker out of use until the cell changed hands, also once its own entry was back (workers write theirs at each heartbeat): only a later start than the one known was ever taken, and all answers of the worker seemed to be late ones of a process before.

A start that only an entry has told is taken back by the next entry, as long as no process with that start has answered. One that has answered is still taken back by nothing: entries may be read late. What is known then of leases and runs is dropped as at a restart, so that they count until the longest lease has ended.

unit unlisted its_own_entry_is_back failed before: "a later start: 12" (silent).

--- a/sched/sched.c
+++ b/sched/sched.c
@@ -154,6 +154,19 @@
 	return g_hash_table_contains(s->evacuated_zones, w->zone);
 }
 
+/*
+ * Whether an entry names another process of a worker than the one that is known:
+ * a later one or, while that has not answered, any, as the entry that told of it
+ * may not have been the worker's own.
+ */
+static bool
+names_other_process(const worker_t *w, int64_t started_ms)
+{
+	if (started_ms == 0 || started_ms == w->started_ms)
+		return false;
+	return started_ms > w->started_ms || !w->has_answered;
+}
+
 void
 sched_worker_listed(sched_t *s, const sched_worker_info_t *i, int64_t now_ms)
 {
@@ -165,9 +178,8 @@
 		LOG_EVENT(s, SCHED_EVT_WORKER, i->id,
 		    "zone=%s draining=%d born=%" PRId64 " was=%" PRId64,
 		    i->zone, i->draining, i->started_ms, w->started_ms);
-	if (i->started_ms != 0 && i->started_ms > w->started_ms) {
+	if (names_other_process(w, i->started_ms))
 		cell_worker_restarted(s, w, i->started_ms);
-	}
 	if (strcmp(w->address, i->address) != 0) {
 		/* An answer from the old address says nothing of the new one. */
 		poll_abandon(s, w);
--- a/test/unit/unlisted.c
+++ b/test/unit/unlisted.c
@@ -238,3 +238,33 @@
 		sched_free(s);
 	}
 }
+
+/* A worker whose own entry is back after one that was not true is used again.
+ */
+Test(unlisted, its_own_entry_is_back)
+{
+	static const struct {
+		const char *name;
+		int64_t started_ms;
+		const char *address;
+		sched_order_result_t result; /* of polls there */
+	} cases[] = {
+		{ "a later start", 1000000, "a:1", SCHED_ORDER_OK },
+		{ "an earlier start", -1, "a:1", SCHED_ORDER_OK },
+		{ "another address", 1, "b:1", SCHED_ORDER_NOT_SENT },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = new_polling_owner();
+		worker_t *w = add_running_worker(s);
+		int64_t deadline_ms = 0;
+
+		list_as(s, cases[i].started_ms, cases[i].address);
+		play(s, w, PLAY_MS, cases[i].result, &deadline_ms);
+		list_as(s, 1, "a:1");
+		play(s, w, PLAY_MS, SCHED_ORDER_OK, &deadline_ms);
+		cr_expect(cell_worker_usable(s, w), "%s: %d", cases[i].name,
+		    (int)cell_worker_refusal(s, w));
+		sched_free(s);
+	}
+}
