Unit backend: a call to what is no address

Rows of earlier owners hold addresses as text, which is parsed at each call (platform/worker.c); until now nothing showed what happens where that fails. The call ends as not run, as to an address where nothing listens: seven such texts, all as not run.

--- a/test/unit/backend.c
+++ b/test/unit/backend.c
@@ -249,6 +249,31 @@
 	cr_expect_eq(f.ended, 1);
 }
 
+/*
+ * Nor if there is none: an address in a row of an earlier owner is parsed at each
+ * call, and may not be one.
+ */
+Test(backend, no_address_is_not_run)
+{
+	static const char *const texts[] = { "", "w0", "127.0.0.1",
+		"127.0.0.1:0", "127.0.0.1:65616", "localhost:80", "[::1]:80" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		fixture_t f = { 0 };
+		net_addr_t a;
+
+		fixture_init(&f);
+		cr_expect_not(net_addr_parse(texts[i], &a), "%s", texts[i]);
+		backends_send(f.backends, 1, 1,
+		    &(backend_call_t){
+			a.ip, a.port, 4, "GET", "/", "", NULL, 0, TIMEOUT_MS });
+		uv_close((uv_handle_t *)&f.listener, NULL);
+		uv_run(&f.loop, UV_RUN_DEFAULT);
+		cr_expect_eq(f.outcome, TS_OUTCOME_NOT_RUN, "%s", texts[i]);
+		cr_expect_eq(f.ended, 1, "%s", texts[i]);
+	}
+}
+
 /*
  * Guards against orders that fail, and workers that count as silent, because of
  * other calls to the same server: a call may wait for a connection.
