--- a/test/unit/takeover.c
+++ b/test/unit/takeover.c
@@ -464,6 +464,7 @@
 		{ "known from an earlier ownership", true, false, false },
 		{ "the same, then listed", true, false, true },
 	};
+	const sched_report_t older = { .clock_ms = CLOCK_MS, .started_ms = 1 };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		sched_t *s = new_entry();
@@ -487,6 +488,12 @@
 		sched_load_done(s, later_ms);
 		sched_tick(s, later_ms, 0);
 		cr_expect_not(s->cell.workers_accounted, "%s", cases[i].name);
+		/* Nor does an answer of the older process prove anything. */
+		sched_poll_done(
+		    s, poll_id, "w0", SCHED_ORDER_OK, &older, later_ms);
+		sched_tick(s, later_ms + 10, 0);
+		cr_expect_not(s->cell.workers_accounted, "%s: after an answer",
+		    cases[i].name);
 		sched_free(s);
 	}
 }
@@ -629,3 +636,28 @@
 	cr_expect(ownership_may_extend_leases(s));
 	sched_free(s);
 }
+
+/*
+ * A worker of the footprint that never answers, as one whose entry names an address
+ * where nothing does: it holds up a new owner until the leases of earlier ones have
+ * ended, and no longer.
+ */
+Test(takeover, a_worker_that_never_answers)
+{
+	sched_t *s = new_owner_of_used_worker();
+	int64_t accounted_ms = 0;
+
+	while (accounted_ms == 0 && s->now_ms < CLAIMED_MS + 3 * MAX_LEASE_MS) {
+		if (cell_worker_get(s, "w0")->poll_id != 0)
+			sched_poll_done(s, poll_id, "w0", SCHED_ORDER_NOT_SENT,
+			    NULL, s->now_ms);
+		sched_tick(s, s->now_ms + 10, 0);
+		if (s->cell.workers_accounted)
+			accounted_ms = s->now_ms;
+	}
+	cr_expect_geq(accounted_ms, CLAIMED_MS + EXTENDS_MS + LEASE_MS);
+	cr_expect_leq(accounted_ms, CLAIMED_MS + MAX_LEASE_MS, "%d ms",
+	    (int)(accounted_ms - CLAIMED_MS));
+	cr_expect_not(cell_worker_usable(s, cell_worker_get(s, "w0")));
+	sched_free(s);
+}
