Failing tests: a split with the store beyond it, and rows too long for histories

outage the_store_is_beyond_a_split: an owner whose other entries report that the store is silent, but for one that it can't hear, and a successor that the store answers. Fails: "both act 6550 ms after the last answer".

progress long_histories_are_kept: fails, 1 of 10,000 and 20 of 200,000 tasks have their history after a load. The packing and loading of histories_fit_a_row is a function now; its cases and checks are the same, and it passes.

--- a/test/unit/outage.c
+++ b/test/unit/outage.c
@@ -3,6 +3,7 @@
  */
 #include <stdbool.h>
 #include <stdint.h>
+#include <string.h>
 
 #include <criterion/criterion.h>
 #include <glib.h>
@@ -126,3 +127,135 @@
 		}
 	}
 }
+
+#define TOKEN	     41
+#define TICK_MS	     50
+#define SPLIT_MS     20000 /* several of the longest leases */
+#define MAX_LEASE_MS 6000
+
+static void
+ignore_claim(void *ctx, int64_t version, const GByteArray *owner)
+{
+	(void)ctx;
+	(void)version;
+	(void)owner;
+}
+
+static void
+ignore_load(void *ctx)
+{
+	(void)ctx;
+}
+
+static void
+ignore_write(void *ctx, int64_t version, const GArray *puts)
+{
+	(void)ctx;
+	(void)version;
+	(void)puts;
+}
+
+static void
+ignore_poll(void *ctx, const sched_poll_t *p)
+{
+	(void)ctx;
+	(void)p;
+}
+
+static void
+read_row(sched_t *s, const char *key, int64_t version, const uint8_t *bytes,
+    size_t n)
+{
+	sched_row_t row = {
+		.key = key, .version = version, .bytes = bytes, .nbytes = n
+	};
+
+	if (strcmp(key, SCHED_KEY_OWNER) == 0)
+		sched_owner_row_read(s, &row, s->now_ms);
+	else
+		sched_row_read(s, &row, s->now_ms);
+}
+
+/*
+ * An entry that the store answers, and that claims the cell of an owner whose row
+ * has not changed since LAST_ANSWER_MS.  That had the worker w in use.
+ */
+static sched_t *
+new_successor(void)
+{
+	sched_opts_t opts = { .feed_limit_ms = 2000,
+		.name = "successor",
+		.max_lease_ms = MAX_LEASE_MS,
+		.port = { .event = ignore_event,
+		    .claim = ignore_claim,
+		    .load = ignore_load,
+		    .write = ignore_write,
+		    .poll = ignore_poll } };
+	sched_t *s = sched_new(&opts);
+	Sched__Owner o = SCHED__OWNER__INIT;
+	Sched__Footprint f = SCHED__FOOTPRINT__INIT;
+	char *worker = (char *)"w a:1";
+	int64_t started_ms = 1, until_ms = 0;
+	uint8_t row[128];
+	size_t n;
+
+	o.name = (char *)"owner";
+	o.epoch = 1;
+	n = sched__owner__pack(&o, row);
+	for (s->now_ms = LAST_ANSWER_MS; s->cell.state == CELL_FOLLOWING;
+	     s->now_ms += TICK_MS) {
+		read_row(s, SCHED_KEY_OWNER, TOKEN - 1, row, n);
+		sched_tick(s, s->now_ms, 0);
+	}
+	sched_claim_done(s, SCHED_WRITE_OK, TOKEN, s->now_ms);
+	f.n_workers = f.n_born_ms = f.n_until_ms = 1;
+	f.workers = &worker;
+	f.born_ms = &started_ms;
+	f.until_ms = &until_ms;
+	read_row(s, SCHED_KEY_FOOTPRINT ".00", TOKEN - 1, row,
+	    sched__footprint__pack(&f, row));
+	sched_load_done(s, s->now_ms);
+	return s;
+}
+
+/* All others but one, which is not heard, report that the store is silent. */
+static bool
+one_is_not_heard(outage_t *o, int64_t now_ms)
+{
+	outage_report_t r[ENTRIES] = { 0 };
+	int64_t last_ms;
+
+	for (size_t i = 1; i < ENTRIES; i++)
+		r[i] = (outage_report_t){ .heard_ms = now_ms,
+			.answered_ms = LAST_ANSWER_MS };
+	return outage_update(o, r, ENTRIES, now_ms, &last_ms);
+}
+
+/*
+ * Guards against two runs of one task where the network is split: the store answers
+ * an entry that neither the owner nor any worker in its reach can hear.  The owner
+ * must not extend leases any more once that one takes them for ended.
+ */
+Test(outage, the_store_is_beyond_a_split)
+{
+	sched_t *owner = new_owner();
+	sched_t *successor = new_successor();
+	outage_t o = { 0 };
+	int64_t until_ms = LAST_ANSWER_MS + SPLIT_MS;
+
+	owner->cell.confirmed_ms = LAST_ANSWER_MS - 100;
+	for (int64_t ms = successor->now_ms; ms < until_ms; ms += TICK_MS) {
+		bool outage = one_is_not_heard(&o, ms);
+
+		sched_set_store_outage(owner, outage, LAST_ANSWER_MS, ms);
+		sched_tick(successor, ms, 0);
+		if (!successor->cell.workers_accounted)
+			continue;
+		cr_assert_not(ownership_may_extend_leases(owner),
+		    "both act %d ms after the last answer",
+		    (int)(ms - LAST_ANSWER_MS));
+	}
+	cr_expect(successor->cell.workers_accounted);
+	sched_free(owner);
+	sched_free(successor);
+}
--- a/test/unit/progress.c
+++ b/test/unit/progress.c
@@ -142,17 +142,56 @@
 	return n;
 }
 
+/* A job whose first tasks of each step have failed runs and crashes. */
+typedef struct {
+	size_t steps; /* 20 at most */
+	int32_t tasks, failed, crashed;
+	bool kept;
+} history_case_t;
+
+/*
+ * Packs the progress row of such a job, which must be short enough, and reads it:
+ * how many tasks have the same history then.  *all: of how many.
+ */
+static int32_t
+pack_and_read(const history_case_t *c, int32_t *all)
+{
+	Sched__Step st = step_def("i", 500, false, 0);
+	Sched__Step *steps[20];
+	g_autoptr(GByteArray) row = NULL;
+	sched_t *s = new_owner();
+	job_t *j, *loaded;
+	Sched__Progress *p;
+	int32_t same;
+
+	st.count = c->tasks + 1;
+	for (size_t k = 0; k < c->steps; k++)
+		steps[k] = &st;
+	j = add_job_of(s, "00000000000000a1", steps, c->steps, 0);
+	loaded = add_job_of(s, "00000000000000a2", steps, c->steps, 0);
+	add_histories(j, c->tasks, c->failed, c->crashed);
+	for (size_t k = 0; k < c->steps; k++)
+		job_mark_task_done(&first_step(j)[k].tasks[c->tasks]);
+	row = progress_pack(j);
+	cr_expect_leq(row->len, SCHED_ROW_MAX_BYTES, "%zu steps: %u bytes",
+	    c->steps, row->len);
+	p = sched_progress_unpack(row->data, row->len);
+	cr_assert_not_null(p);
+	progress_apply(loaded, p);
+	same = count_same(j, loaded);
+	*all = (int32_t)c->steps * st.count;
+	sched__progress__free_unpacked(p, NULL);
+	sched_free(s);
+	return same;
+}
+
 /*
  * Failed runs or crashes of thousands of tasks made a row longer than the store
  * takes: each write of each owner was refused, so that no job ended any more.
  */
 Test(progress, histories_fit_a_row)
 {
-	static const struct {
-		size_t steps;
-		int32_t tasks, failed, crashed;
-		bool kept;
-	} cases[] = {
+	static const history_case_t cases[] = {
 		{ 1, 3, 2, 1, true },
 		{ 1, 2000, 2, 0, true },
 		{ 1, 9999, 2, 0, true },
@@ -164,37 +203,29 @@
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		Sched__Step st = step_def("i", 500, false, 0);
-		Sched__Step *steps[20];
-		g_autoptr(GByteArray) row = NULL;
-		sched_t *s = new_owner();
-		job_t *j, *loaded;
-		Sched__Progress *p;
-		int32_t same, all;
+		int32_t all, same = pack_and_read(&cases[i], &all);
 
-		st.count = cases[i].tasks + 1;
-		for (size_t k = 0; k < cases[i].steps; k++)
-			steps[k] = &st;
-		j = add_job_of(s, "00000000000000a1", steps, cases[i].steps, 0);
-		loaded =
-		    add_job_of(s, "00000000000000a2", steps, cases[i].steps, 0);
-		add_histories(
-		    j, cases[i].tasks, cases[i].failed, cases[i].crashed);
-		for (size_t k = 0; k < cases[i].steps; k++)
-			job_mark_task_done(
-			    &first_step(j)[k].tasks[cases[i].tasks]);
-		row = progress_pack(j);
-		cr_expect_leq(row->len, SCHED_ROW_MAX_BYTES,
-		    "case %zu: %u bytes", i, row->len);
-		p = sched_progress_unpack(row->data, row->len);
-		cr_assert_not_null(p);
-		progress_apply(loaded, p);
-		same = count_same(j, loaded);
-		all = (int32_t)cases[i].steps * st.count;
 		cr_expect_eq(same,
 		    cases[i].kept ? all : (int32_t)cases[i].steps,
 		    "case %zu: %d of %d tasks as before", i, same, all);
-		sched__progress__free_unpacked(p, NULL);
-		sched_free(s);
+	}
+}
+
+/*
+ * Guards against starts beyond the attempts of a queue: what the row of a job leaves
+ * out, the next owner does not count.
+ */
+Test(progress, long_histories_are_kept)
+{
+	static const history_case_t cases[] = {
+		{ 1, 9999, 100, 0, true },
+		{ 20, 9999, 1, 0, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		int32_t all, same = pack_and_read(&cases[i], &all);
+
+		cr_expect_eq(same, all, "case %zu: %d of %d tasks as before", i,
+		    same, all);
 	}
 }
