--- a/test/unit/takeover.c
+++ b/test/unit/takeover.c
@@ -582,6 +582,40 @@
 	sched_free(s);
 }
 
+/*
+ * Guards against a task that is started again after its end: a run that a worker
+ * does not list may be among the ends that it has not listed yet.
+ */
+Test(takeover, a_run_beside_ends_that_were_not_listed)
+{
+	static const struct {
+		const char *name;
+		bool cut;
+		guint runs;
+	} cases[] = { { "all ends are listed", false, 0 },
+		{ "some are not", true, 1 } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = new_owner_of_used_worker();
+		sched_report_t r = { .clock_ms = CLOCK_MS + 100,
+			.started_ms = 1,
+			.ended_cut = cases[i].cut };
+		const worker_t *w = cell_worker_get(s, "w0");
+
+		answer_poll(s);
+		poll_id = 0;
+		for (int k = 0; k < 100 && poll_id == 0; k++)
+			sched_tick(s, s->now_ms + 10, 0);
+		cr_assert_neq(poll_id, 0);
+		cr_assert_eq(g_hash_table_size(w->runs), 1);
+		sched_poll_done(
+		    s, poll_id, "w0", SCHED_ORDER_OK, &r, s->now_ms);
+		cr_expect_eq(g_hash_table_size(w->runs), cases[i].runs, "%s",
+		    cases[i].name);
+		sched_free(s);
+	}
+}
+
 /*
  * Guards against two runs of one task: a write that releases nothing does not take
  * back a release before it that got no answer.
