Leases: answers that take longer leave the worker's clock known

What callers could see: runs that end, and starts without a lease, on workers that answer each poll. Cause: since a clock that was read more than 4 s ago is not known. But an answer whose clock is behind the lowest expected value was not taken at all, and the answers of a worker whose link has become slower by more than 2 % of 4 s are all like that, for long or (on a clock 2 % slow) for good. Then no poll carries a deadline, and none waits at the worker: they follow each other at once. Change: the lowest value that the clock can have is taken instead, which is a bound as good as before. Test: unit lease/the_clock_of_a_worker_whose_answers_take_longer failed before: no deadline with answers 60 ms longer, 4170 ms after the beginning.

--- a/sched/cell_worker.c
+++ b/sched/cell_worker.c
@@ -198,15 +198,15 @@
 }
 
 /*
- * Sets the worker's clock from an answer, unless that was overtaken or read late:
- * it must not turn the clock back.
+ * Sets the worker's clock from an answer.  That must not turn it back: of an answer
+ * that was overtaken, read late or longer on its way, the clock is behind the lowest
+ * value that it can have by now, which is taken instead.
  */
 void
 cell_worker_clock_read(sched_t *s, worker_t *w, int64_t clock_ms)
 {
-	if (w->lease.answered_ms != 0 &&
-	    clock_ms < cell_worker_min_clock(w, s->now_ms))
-		return;
+	if (w->lease.answered_ms != 0)
+		clock_ms = MAX(clock_ms, cell_worker_min_clock(w, s->now_ms));
 	w->lease.worker_clock_ms = clock_ms;
 	w->lease.answered_ms = s->now_ms;
 }
--- a/test/unit/lease.c
+++ b/test/unit/lease.c
@@ -340,3 +340,42 @@
 		sched_free(s);
 	}
 }
+
+/*
+ * Guards against leases that end although the worker answers each poll: its answers
+ * have begun to take longer, so that the clock in them is behind the expected one.
+ */
+Test(lease, the_clock_of_a_worker_whose_answers_take_longer)
+{
+	static const int64_t latency_ms[] = { 0, 60, 200, 300 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(latency_ms); i++) {
+		sched_t *s = new_owner_of_worker();
+		worker_t *w = cell_worker_get(s, "w0");
+		int64_t until_ms = BEGIN_MS + 30000;
+
+		for (int k = 0; k < 10; k++) {
+			step(s);
+			answer_poll(s);
+		}
+		while (s->now_ms < until_ms) {
+			sched_report_t r = { .started_ms = 1 };
+
+			step(s);
+			if (w->poll_id == 0 ||
+			    s->now_ms - w->poll_sent_ms < latency_ms[i])
+				continue;
+			r.clock_ms = worker_clock_ms(s) - latency_ms[i];
+			poll_deadline_ms = 0;
+			sched_poll_done(
+			    s, poll_id, "w0", SCHED_ORDER_OK, &r, s->now_ms);
+			step(s);
+			cr_assert_gt(poll_deadline_ms,
+			    worker_clock_ms(s) + 3000, "%d ms, at %d",
+			    (int)latency_ms[i], (int)(s->now_ms - BEGIN_MS));
+			cr_assert_leq(
+			    poll_deadline_ms, worker_clock_ms(s) + LEASE_MS);
+		}
+		sched_free(s);
+	}
+}
