Reservations: fillers in time that their quota holds have one too

Callers saw: a filler job that needs most of its customer's quota is late, as smaller jobs of the customer behind it in the queue keep the quota full. Cause: the drain that reservations have replaced was for any first held step; of fillers only the late ones without a run got a reservation, which is meant for room. Test: passed_over/a_filler_of_much_of_its_quota_starts_in_time passed on and failed with (no run until it is late, after 11200 ms).

--- a/sched/reservation.c
+++ b/sched/reservation.c
@@ -102,7 +102,8 @@
 {
 	return s->now_ms - st->passed_over_since_ms >= limit_ms(st) &&
 	    s->now_ms >= st->reserve_after_ms &&
-	    (!st->def->filler || starvation_is_starved(s, st)) &&
+	    (!st->def->filler || st->quota_held ||
+		starvation_is_starved(s, st)) &&
 	    waits_for_room(st) && has_task_to_start(s, st);
 }
 
--- a/test/unit/passed_over.c
+++ b/test/unit/passed_over.c
@@ -410,3 +410,36 @@
 	cr_expect_eq(st->nwaiting, 0, "used %d", (int)c->quota.used.cpu_milli);
 	sched_free(s);
 }
+
+/*
+ * Guards against a filler in time that waits for its quota until it is late, as
+ * its customer's smaller ones behind it in the queue keep the quota full.
+ */
+Test(passed_over, a_filler_of_much_of_its_quota_starts_in_time)
+{
+	sched_t *s = owner_of(2);
+	Sched__Step small = step_def("", QUOTA_MILLI / 4, true, 0);
+	Sched__Step large = step_def("", QUOTA_MILLI * 3 / 4, true, 0);
+	customer_t *c = customer_get(s, "c");
+	step_t *st = NULL;
+
+	large.estimate_ms = 10000;
+	small.estimate_ms = 30000; /* the large one is before them */
+	c->quota.limit = (ts_res_t){ .cpu_milli = QUOTA_MILLI };
+	for (int n = 1; s->now_ms < NOW_MS + WAIT_MS &&
+	     (st == NULL || st->nwaiting > 0);) {
+		if (s->now_ms % ARRIVAL_MS == 0)
+			queue_job(s, n++, &small, false)->occ->job->customer =
+			    c;
+		if (st == NULL && s->now_ms == NOW_MS + SMALL_MS) {
+			st = queue_job(s, 0, &large, false);
+			st->occ->job->customer = c;
+		}
+		advance(s, st);
+		if (st != NULL && st->misses_target)
+			break;
+	}
+	cr_expect_eq(st->nwaiting, 0, "after %d ms",
+	    (int)(s->now_ms - NOW_MS - SMALL_MS));
+	sched_free(s);
+}
