--- a/test/unit/passed_over.c
+++ b/test/unit/passed_over.c
@@ -411,6 +411,51 @@
 	sched_free(s);
 }
 
+/*
+ * Guards against a step that can't start anywhere and has the quota reserved again and
+ * again, so that another one of its customer never does.
+ */
+Test(passed_over, a_step_without_a_worker_does_not_keep_the_quota)
+{
+	static const struct {
+		const char *what;
+		const char *label;
+		int64_t milli;
+	} cases[] = {
+		{ "no worker has its label", "none", QUOTA_MILLI / 10 },
+		{ "the same, large", "none", QUOTA_MILLI / 2 },
+		{ "all its workers are taken", "w1", QUOTA_MILLI / 10 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = owner_of(2);
+		Sched__Step small = step_def("", QUOTA_MILLI / 4, false, 0);
+		Sched__Step large = step_def("", QUOTA_MILLI * 3 / 4, false, 0);
+		Sched__Step other = step_def("", cases[i].milli, false, 0);
+		customer_t *c = customer_get(s, "c");
+		step_t *st = NULL;
+
+		c->quota.limit = (ts_res_t){ .cpu_milli = QUOTA_MILLI };
+		other.label = (char *)cases[i].label;
+		g_ptr_array_add(worker(s, 1)->labels, (void *)"w1");
+		worker(s, 1)->used_cpu_milli = WORKER_CPU_MILLI;
+		queue_job(s, 999999, &other, true)->occ->job->customer = c;
+		for (int n = 1; s->now_ms < NOW_MS + WAIT_MS &&
+		     (st == NULL || st->nwaiting > 0);) {
+			if (s->now_ms % ARRIVAL_MS == 0)
+				queue_job(s, n++, &small, false)
+				    ->occ->job->customer = c;
+			if (st == NULL && s->now_ms == NOW_MS + SMALL_MS) {
+				st = queue_job(s, 0, &large, true);
+				st->occ->job->customer = c;
+			}
+			advance(s, st);
+		}
+		cr_expect_eq(st->nwaiting, 0, "%s", cases[i].what);
+		sched_free(s);
+	}
+}
+
 /*
  * Guards against a filler in time that waits for its quota until it is late, as
  * its customer's smaller ones behind it in the queue keep the quota full.
