Reservations: a lasting step does not wait for all that ran beside it

Callers saw: a large lasting task stays down for as long as the longest run on the worker that is reserved for it, up to minutes, though it fits after the shortest. Cause: the worker is chosen by when it fits, but what may start beside it was counted as if all earlier runs had ended, also those that take longer than the 60 s that a reservation waits at most; so others start in the place of the first that ends. Change: for a lasting step the runs count as gone that it waits for; for others those that are expected to end within 60 s. Test: reservation/a_long_run_beside_leaves_no_room failed before, both cases.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -209,6 +209,8 @@
 
 /* Whether a run holds resources and ends by itself before long. */
 bool room_ends_soon(const run_t *r, bool fillers_too);
+/* Expected time until such a run has ended. */
+int64_t room_time_left_ms(const sched_t *s, const run_t *r);
 /*
  * Whether tasks of a step will fit on a worker that is not kept, within a time;
  * fillers_too: the end of fillers is waited for as well.  Sets *o if so.
--- a/sched/reservation.c
+++ b/sched/reservation.c
@@ -8,9 +8,10 @@
  * This is backfill with a reservation, as batch schedulers have it: the step that
  * has been passed over longest gets all that it needs reserved, on the workers
  * where running work is expected to free it soonest.  Other tasks start there only if
- * what they need is left over once the work that ran there before has ended; so each
- * of these waits is bounded by the length of the running work.  The same holds for
- * the quota of the step's customer.
+ * what they need is left over once the work that ran there before has ended, beside
+ * what takes long or came later; so each of these waits is bounded by the length of
+ * the running work.  For a lasting step only the end of the runs counts that are
+ * expected to end first.  The same holds for the quota of the step's customer.
  *
  * Reservations are made anew in each round, the longest wait first, and those of
  * the last round stay on their workers.  Lasting tasks go first, as they serve
@@ -156,6 +157,9 @@
 		    st->def->lasting);
 	}
 	v->round = s->scan.round;
+	/* Callers of lasting tasks have less time. */
+	v->until_ms =
+	    s->now_ms + (st->def->lasting ? o->wait_ms : LONGEST_RUN_MS);
 	v->filler = st->def->filler;
 	v->cpu_milli = tasks * st->def->cpu_milli;
 	v->mem_mb = tasks * st->def->mem_mb;
@@ -292,6 +296,14 @@
 	return st->reserved_round == s->scan.round;
 }
 
+/* Whether a reservation waits for the end of a run. */
+static bool
+waits_for(const sched_t *s, const reservation_t *v, const run_t *r)
+{
+	return room_ends_soon(r, true) && r->ordered_ms <= v->since_ms &&
+	    s->now_ms + room_time_left_ms(s, r) <= v->until_ms;
+}
+
 /* Whether room on a worker is reserved in this round. */
 bool
 reservation_on(const sched_t *s, const worker_t *w)
@@ -323,8 +335,7 @@
 		const run_t *r = p;
 		const Sched__Step *rd;
 
-		if (!r->holds_resources ||
-		    (room_ends_soon(r, true) && r->ordered_ms <= v->since_ms))
+		if (!r->holds_resources || waits_for(s, v, r))
 			continue;
 		rd = r->task->step->def;
 		if (rd->filler == v->filler)
--- a/sched/room.c
+++ b/sched/room.c
@@ -58,9 +58,8 @@
 	    (fillers_too || !d->filler) && d->tail_target_ms == 0;
 }
 
-/* Expected time until a run that ends soon has ended. */
-static int64_t
-time_left_ms(const sched_t *s, const run_t *r)
+int64_t
+room_time_left_ms(const sched_t *s, const run_t *r)
 {
 	return r->state == RUN_STOPPING ?
 	    0 :
@@ -93,7 +92,7 @@
 
 		if (!room_ends_soon(r, fillers_too))
 			continue;
-		e.ms = time_left_ms(s, r);
+		e.ms = room_time_left_ms(s, r);
 		e.def = r->task->step->def;
 		if (e.ms <= limit_ms)
 			g_array_append_val(all, e);
--- a/sched/types.h
+++ b/sched/types.h
@@ -228,6 +228,8 @@
 typedef struct {
 	uint64_t round;
 	int64_t since_ms;
+	int64_t
+	    until_ms; /* it waits for runs that are expected to end by then */
 	bool filler;
 	int64_t cpu_milli, mem_mb;
 	int32_t gpu;
--- a/test/unit/reservation.c
+++ b/test/unit/reservation.c
@@ -211,3 +211,43 @@
 		    has_on(s, worker(s, i), st), i % 2 == 0, "worker %u", i);
 	sched_free(s);
 }
+
+/* A large lasting step that waits for a run that soon ends, beside one that doesn't. */
+static step_t *
+wait_beside_long_run(sched_t *s, int64_t long_left_ms)
+{
+	Sched__Step d = step_def("", LARGE_MILLI, false, 0);
+	Sched__Step beside = step_def("", 20000, false, 0);
+	step_t *st;
+
+	beside.estimate_ms = long_left_ms;
+	st = queue_job(s, 1, &beside, 0);
+	queue_remove_step(st);
+	add_running(s, st, 0, worker(s, 0));
+	run_on(s, worker(s, 0), 2, 20000)->state_since_ms = s->now_ms + 5000;
+	d.lasting = true;
+	return queue_job(s, 3, &d, 0);
+}
+
+/*
+ * Guards against starts in place of a run that is waited for, as a longer one beside
+ * it that is not counted as gone too.
+ */
+Test(reservation, a_long_run_beside_leaves_no_room)
+{
+	static const int64_t left_ms[] = { 20000, 600000 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(left_ms); i++) {
+		sched_t *s = owner_of(1);
+		Sched__Step small = step_def("", 20000, false, 0);
+		step_t *st = wait_beside_long_run(s, left_ms[i]);
+
+		next_round(s, 0);
+		next_round(s, LASTING_MS);
+		cr_assert(has_on(s, worker(s, 0), st));
+		st = queue_job(s, 4, &small, 0);
+		next_round(s, 1);
+		cr_expect_eq(st->nwaiting, 1, "%d", (int)left_ms[i]);
+		sched_free(s);
+	}
+}
