Reservations: one that led to no start goes to another worker

Callers saw: a large task waits for good beside a run that never ends, or a filler that stands still. Cause: a run that takes longer than expected counts as about to end, so that after 10 s the same worker was chosen again, each time. Change: workers whose reservation led to no start come after the others for 60 s. Test: reservation/it_leaves_a_worker_whose_run_does_not_end failed before (60 s).

--- a/sched/reservation.c
+++ b/sched/reservation.c
@@ -49,8 +49,10 @@
 #define RETRY_MS  1000
 /* Work that takes longer is not waited for. */
 #define LONGEST_RUN_MS 60000
-/* A reservation that has not led to a start may go to another worker. */
+/* A reservation that has not led to a start goes to another worker, if there is one,
+ * as a run may never end; and the next ones do for a while. */
 #define REPLAN_MS 10000
+#define AVOID_MS  60000
 
 /* The wait after which a step counts as passed over. */
 static int64_t
@@ -173,12 +175,16 @@
 {
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		worker_t *w = g_ptr_array_index(s->worker_list, i);
-		const reservation_t *v = &w->reservation;
+		reservation_t *v = &w->reservation;
 		room_option_t o;
 
-		if (w->kept_for != st || v->round + 1 != s->scan.round ||
-		    s->now_ms - v->since_ms >= REPLAN_MS ||
-		    !room_find_option(s, st, w, LONGEST_RUN_MS, true, &o))
+		if (w->kept_for != st || v->round + 1 != s->scan.round)
+			continue;
+		if (s->now_ms - v->since_ms >= REPLAN_MS)
+			v->avoid_until_ms = s->now_ms + AVOID_MS;
+		else if (!room_find_option(s, st, w, LONGEST_RUN_MS, true, &o))
+			continue;
+		if (v->avoid_until_ms > s->now_ms)
 			continue;
 		reserve_on(s, st, &o, 1);
 		return true;
@@ -221,6 +227,20 @@
 	return true;
 }
 
+/* The first option whose worker need not be avoided, or else the first. */
+static const room_option_t *
+soonest(const sched_t *s, const GArray *options)
+{
+	for (guint i = 0; i < options->len; i++) {
+		const room_option_t *o =
+		    &g_array_index(options, room_option_t, i);
+
+		if (o->worker->reservation.avoid_until_ms <= s->now_ms)
+			return o;
+	}
+	return &g_array_index(options, room_option_t, 0);
+}
+
 /* Reserves workers for the next task of a step, or for all of a gang. */
 static bool
 reserve_workers(sched_t *s, step_t *st)
@@ -234,7 +254,7 @@
 		return reserve_gang(s, st, options);
 	if (options->len == 0)
 		return false;
-	reserve_on(s, st, &g_array_index(options, room_option_t, 0), 1);
+	reserve_on(s, st, soonest(s, options), 1);
 	return true;
 }
 
--- a/sched/types.h
+++ b/sched/types.h
@@ -230,6 +230,8 @@
 	int64_t since_ms;
 	int64_t
 	    until_ms; /* it waits for runs that are expected to end by then */
+	/* One did not lead to a start: others before this worker until then. */
+	int64_t avoid_until_ms;
 	bool filler;
 	int64_t cpu_milli, mem_mb;
 	int32_t gpu;
--- a/test/unit/reservation.c
+++ b/test/unit/reservation.c
@@ -251,3 +251,37 @@
 		sched_free(s);
 	}
 }
+
+/* Guards against a reservation that waits for a run for good that never ends. */
+Test(reservation, it_leaves_a_worker_whose_run_does_not_end)
+{
+	sched_t *s = owner_of(2);
+	Sched__Step large = step_def("", LARGE_MILLI, false, 0);
+	Sched__Step small = step_def("", RUNNING_MILLI, false, 0);
+	step_t *st;
+	int n = 10;
+
+	run_on(s, worker(s, 0), 1, RUNNING_MILLI)->state_since_ms =
+	    s->now_ms - 60000;
+	small.estimate_ms = 2000;
+	st = queue_job(s, 3, &large, LATE_MS);
+	/* The other worker is kept full by short runs. */
+	while (s->now_ms < NOW_MS + 60000 && st->nwaiting > 0) {
+		g_autoptr(GList) all =
+		    g_hash_table_get_values(worker(s, 1)->runs);
+
+		for (GList *k = all; k != NULL; k = k->next) {
+			run_t *r = k->data;
+
+			if (s->now_ms - r->state_since_ms < 2000)
+				continue;
+			job_mark_task_done(r->task);
+			run_remove(s, r);
+		}
+		if (s->now_ms % 1000 == 0)
+			queue_job(s, n++, &small, 0);
+		next_round(s, 250);
+	}
+	cr_expect_eq(st->nwaiting, 0);
+	sched_free(s);
+}
