Reservations: lasting tasks that have waited do not take them

By reading: a lasting task that has waited for 1.5 s beside two kept workers may start on any of them, for good, also on one where room is reserved for a larger task. Change: that rule is for workers that room.c keeps. Test: reservation/lasting_tasks_that_have_waited_leave_it failed before.

--- a/sched/room.c
+++ b/sched/room.c
@@ -280,10 +280,10 @@
 bool
 room_allows_start(const sched_t *s, const worker_t *w, const step_t *st)
 {
-	if (!is_kept(s, w) || w->kept_for == st || waited_long(s, st))
+	if (!is_kept(s, w) || w->kept_for == st)
 		return true;
 	return reservation_on(s, w) ? reservation_leaves_room(s, w, st) :
-				      st->def->filler;
+				      st->def->filler || waited_long(s, st);
 }
 
 /*
--- a/test/unit/reservation.c
+++ b/test/unit/reservation.c
@@ -285,3 +285,25 @@
 	cr_expect_eq(st->nwaiting, 0);
 	sched_free(s);
 }
+
+/* Guards against smaller lasting tasks that take what is reserved for a larger one. */
+Test(reservation, lasting_tasks_that_have_waited_leave_it)
+{
+	sched_t *s = owner_of(1);
+	Sched__Step d = step_def("", LARGE_MILLI, false, 0);
+	step_t *st;
+
+	d.lasting = true;
+	run_on(s, worker(s, 0), 1, RUNNING_MILLI);
+	queue_job(s, 2, &d, 0);
+	next_round(s, 0);
+	next_round(s, LASTING_MS);
+	d.cpu_milli = 30000;
+	st = queue_job(s, 3, &d, 0);
+	next_round(s, 1);
+	/* Others are kept with room for it, too. */
+	st->kept_with_room = 2;
+	st->unplaced_since_ms = s->now_ms - 1500;
+	cr_expect_not(room_allows_start(s, worker(s, 0), st));
+	sched_free(s);
+}
