Reservations: each step that has been passed over is tried in turn

Callers saw: a large task waits for good beside room that could be reserved for it. Cause: in a round 16 of the longest waits are tried, each again after 1 s, so that 64 steps for which no worker will have the room use up all tries. Change: those that were tried in vain come after the others, by when that was. Test: reservation/those_that_cannot_have_one_leave_tries failed before (25 s).

--- a/sched/reservation.c
+++ b/sched/reservation.c
@@ -110,7 +110,10 @@
 	    waits_for_room(st) && has_task_to_start(s, st);
 }
 
-/* Sorts lasting steps first, then by when their last task started. */
+/*
+ * Sorts lasting steps first; then those for which none has been tried in vain, and the
+ * others by when that was, so that each is tried; then by when their last task started.
+ */
 static gint
 compare_waits(gconstpointer pa, gconstpointer pb)
 {
@@ -118,6 +121,8 @@
 
 	if (a->def->lasting != b->def->lasting)
 		return a->def->lasting ? -1 : 1;
+	if (a->reserve_after_ms != b->reserve_after_ms)
+		return a->reserve_after_ms < b->reserve_after_ms ? -1 : 1;
 	if (a->passed_over_since_ms != b->passed_over_since_ms)
 		return a->passed_over_since_ms < b->passed_over_since_ms ? -1 :
 									   1;
@@ -284,6 +289,7 @@
 	if (!st->quota_held)
 		customer_reserve(s, st);
 	st->reserved_round = s->scan.round;
+	st->reserve_after_ms = 0;
 	return true;
 }
 
--- a/test/unit/reservation.c
+++ b/test/unit/reservation.c
@@ -307,3 +307,32 @@
 	cr_expect_not(room_allows_start(s, worker(s, 0), st));
 	sched_free(s);
 }
+
+#define HOPELESS 100
+
+/* Guards against steps for which no worker ever has room, and that use up all tries. */
+Test(reservation, those_that_cannot_have_one_leave_tries)
+{
+	sched_t *s = owner_of(2);
+	Sched__Step d = step_def("", LARGE_MILLI, false, 0);
+	Sched__Step beside = step_def("", RUNNING_MILLI, false, 0);
+	step_t *st;
+
+	/* Only lasting tasks run on the worker of the older ones. */
+	beside.lasting = true;
+	g_ptr_array_add(worker(s, 1)->labels, (void *)"w1");
+	st = queue_job(s, 1, &beside, 0);
+	queue_remove_step(st);
+	add_running(s, st, 0, worker(s, 1));
+	run_on(s, worker(s, 0), 2, RUNNING_MILLI);
+	d.label = (char *)"w1";
+	for (int i = 0; i < HOPELESS; i++)
+		queue_job(s, 10 + i, &d, LATE_MS);
+	next_round(s, 250);
+	d.label = (char *)"";
+	st = queue_job(s, 10 + HOPELESS, &d, LATE_MS);
+	for (int i = 0; i < 100 && !has_on(s, worker(s, 0), st); i++)
+		next_round(s, 250);
+	cr_expect(has_on(s, worker(s, 0), st));
+	sched_free(s);
+}
