Quotas: no task is moved that could not start again beside a reservation

By reading: a serving task is stopped to be moved, and then held, as what it had of its quota is reserved for another step.

--- a/sched/customer.c
+++ b/sched/customer.c
@@ -134,9 +134,13 @@
 		adopt_settings(c, def);
 }
 
-/* Whether what is reserved of the quota for another step is left beside a demand. */
+/*
+ * Whether what is reserved of the quota for another step is left beside a demand; q:
+ * the quota, with what would be used.
+ */
 static bool
-leaves_reserved(const customer_t *c, const step_t *st, const ts_res_t *demand)
+leaves_reserved(const customer_t *c, const ts_quota_t *q, const step_t *st,
+    const ts_res_t *demand)
 {
 	ts_res_t sum = c->reserved;
 
@@ -144,7 +148,7 @@
 	    c->reserved_for == st)
 		return true;
 	ts_res_add_times(&sum, demand, 1);
-	return ts_quota_fits(&c->quota, &sum);
+	return ts_quota_fits(q, &sum);
 }
 
 /* Whether the quota of its customer lets a task of the step start. */
@@ -155,7 +159,7 @@
 	ts_res_t demand = customer_task_demand(st->def);
 
 	return c == NULL ||
-	    (leaves_reserved(c, st, &demand) &&
+	    (leaves_reserved(c, &c->quota, st, &demand) &&
 		ts_quota_allows(&c->quota, &demand));
 }
 
@@ -167,7 +171,7 @@
 	ts_res_t demand = gang_demand(st->def);
 
 	return c == NULL ||
-	    (leaves_reserved(c, st, &demand) &&
+	    (leaves_reserved(c, &c->quota, st, &demand) &&
 		ts_quota_fits(&c->quota, &demand));
 }
 
@@ -194,7 +198,8 @@
 		return true;
 	after = c->quota;
 	ts_res_sub(&after.used, &demand);
-	return ts_quota_allows(&after, &demand);
+	return leaves_reserved(c, &after, r->task->step, &demand) &&
+	    ts_quota_allows(&after, &demand);
 }
 
 /*
--- a/test/unit/reservation.c
+++ b/test/unit/reservation.c
@@ -336,3 +336,29 @@
 	cr_expect(has_on(s, worker(s, 0), st));
 	sched_free(s);
 }
+
+/*
+ * Guards against a task that is stopped to be moved, and then is held as its quota is
+ * reserved for another step.
+ */
+Test(reservation, a_task_moves_only_if_it_may_start_again)
+{
+	static const bool reserved[] = { false, true };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(reserved); i++) {
+		sched_t *s = owner_of(1);
+		customer_t *c = customer_get(s, "c");
+		Sched__Step d = step_def("", LARGE_MILLI, false, 0);
+		run_t *r = run_on(s, worker(s, 0), 1, RUNNING_MILLI);
+		step_t *st = queue_job(s, 2, &d, 0);
+
+		r->job->customer = st->occ->job->customer = c;
+		c->quota.limit.cpu_milli = LARGE_MILLI + RUNNING_MILLI - 1;
+		customer_count_run(r, 1);
+		scan_begin_round(s);
+		if (reserved[i])
+			cr_assert(customer_reserve(s, st));
+		cr_expect_eq(customer_allows_move(r), !reserved[i]);
+		sched_free(s);
+	}
+}
