--- a/sched/reservation.c
+++ b/sched/reservation.c
@@ -8,9 +8,10 @@
  * This is backfill with a reservation, as batch schedulers have it: the step that
  * has been passed over longest gets all that it needs reserved, on the workers
  * where running work is expected to free it soonest.  Other tasks start there only if
- * what they need is left over once the work that ran there before has ended; so each
- * of these waits is bounded by the length of the running work.  The same holds for
- * the quota of the step's customer.
+ * what they need is left over once the work that ran there before has ended, beside
+ * what takes long or came later; so each of these waits is bounded by the length of
+ * the running work.  For a lasting step only the end of the runs counts that are
+ * expected to end first.  The same holds for the quota of the step's customer.
  *
  * Reservations are made anew in each round, the longest wait first, and those of
  * the last round stay on their workers.  Lasting tasks go first, as they serve
@@ -48,8 +49,10 @@
 #define RETRY_MS  1000
 /* Work that takes longer is not waited for. */
 #define LONGEST_RUN_MS 60000
-/* A reservation that has not led to a start may go to another worker. */
+/* A reservation that has not led to a start goes to another worker, if there is one,
+ * as a run may never end; and the next ones do for a while. */
 #define REPLAN_MS 10000
+#define AVOID_MS  60000
 
 /* The wait after which a step counts as passed over. */
 static int64_t
@@ -102,11 +105,15 @@
 {
 	return s->now_ms - st->passed_over_since_ms >= limit_ms(st) &&
 	    s->now_ms >= st->reserve_after_ms &&
-	    (!st->def->filler || starvation_is_starved(s, st)) &&
+	    (!st->def->filler || st->quota_held ||
+		starvation_is_starved(s, st)) &&
 	    waits_for_room(st) && has_task_to_start(s, st);
 }
 
-/* Sorts lasting steps first, then by when their last task started. */
+/*
+ * Sorts lasting steps first; then those for which none has been tried in vain, and the
+ * others by when that was, so that each is tried; then by when their last task started.
+ */
 static gint
 compare_waits(gconstpointer pa, gconstpointer pb)
 {
@@ -114,6 +121,8 @@
 
 	if (a->def->lasting != b->def->lasting)
 		return a->def->lasting ? -1 : 1;
+	if (a->reserve_after_ms != b->reserve_after_ms)
+		return a->reserve_after_ms < b->reserve_after_ms ? -1 : 1;
 	if (a->passed_over_since_ms != b->passed_over_since_ms)
 		return a->passed_over_since_ms < b->passed_over_since_ms ? -1 :
 									   1;
@@ -155,6 +164,9 @@
 		    st->def->lasting);
 	}
 	v->round = s->scan.round;
+	/* Callers of lasting tasks have less time. */
+	v->until_ms =
+	    s->now_ms + (st->def->lasting ? o->wait_ms : LONGEST_RUN_MS);
 	v->filler = st->def->filler;
 	v->cpu_milli = tasks * st->def->cpu_milli;
 	v->mem_mb = tasks * st->def->mem_mb;
@@ -168,12 +180,16 @@
 {
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		worker_t *w = g_ptr_array_index(s->worker_list, i);
-		const reservation_t *v = &w->reservation;
+		reservation_t *v = &w->reservation;
 		room_option_t o;
 
-		if (w->kept_for != st || v->round + 1 != s->scan.round ||
-		    s->now_ms - v->since_ms >= REPLAN_MS ||
-		    !room_find_option(s, st, w, LONGEST_RUN_MS, true, &o))
+		if (w->kept_for != st || v->round + 1 != s->scan.round)
+			continue;
+		if (s->now_ms - v->since_ms >= REPLAN_MS)
+			v->avoid_until_ms = s->now_ms + AVOID_MS;
+		else if (!room_find_option(s, st, w, LONGEST_RUN_MS, true, &o))
+			continue;
+		if (v->avoid_until_ms > s->now_ms)
 			continue;
 		reserve_on(s, st, &o, 1);
 		return true;
@@ -216,6 +232,20 @@
 	return true;
 }
 
+/* The first option whose worker need not be avoided, or else the first. */
+static const room_option_t *
+soonest(const sched_t *s, const GArray *options)
+{
+	for (guint i = 0; i < options->len; i++) {
+		const room_option_t *o =
+		    &g_array_index(options, room_option_t, i);
+
+		if (o->worker->reservation.avoid_until_ms <= s->now_ms)
+			return o;
+	}
+	return &g_array_index(options, room_option_t, 0);
+}
+
 /* Reserves workers for the next task of a step, or for all of a gang. */
 static bool
 reserve_workers(sched_t *s, step_t *st)
@@ -229,16 +259,28 @@
 		return reserve_gang(s, st, options);
 	if (options->len == 0)
 		return false;
-	reserve_on(s, st, &g_array_index(options, room_option_t, 0), 1);
+	reserve_on(s, st, soonest(s, options), 1);
 	return true;
 }
 
+/* Whether some worker could run a task of a step if it ran nothing else. */
+static bool
+has_worker(const sched_t *s, const step_t *st)
+{
+	for (guint i = 0; i < s->worker_list->len; i++)
+		if (place_fits_empty(
+			s, g_ptr_array_index(s->worker_list, i), st))
+			return true;
+	return false;
+}
+
 /* Reserves what a step waits for; false: that can't help it. */
 static bool
 reserve(sched_t *s, step_t *st)
 {
-	bool reserved =
-	    st->quota_held ? customer_reserve(s, st) : reserve_workers(s, st);
+	bool reserved = st->quota_held ?
+	    has_worker(s, st) && customer_reserve(s, st) :
+	    reserve_workers(s, st);
 
 	if (!reserved) {
 		st->reserve_after_ms = s->now_ms + RETRY_MS;
@@ -247,6 +289,7 @@
 	if (!st->quota_held)
 		customer_reserve(s, st);
 	st->reserved_round = s->scan.round;
+	st->reserve_after_ms = 0;
 	return true;
 }
 
@@ -279,6 +322,14 @@
 	return st->reserved_round == s->scan.round;
 }
 
+/* Whether a reservation waits for the end of a run. */
+static bool
+waits_for(const sched_t *s, const reservation_t *v, const run_t *r)
+{
+	return room_ends_soon(r, true) && r->ordered_ms <= v->since_ms &&
+	    s->now_ms + room_time_left_ms(s, r) <= v->until_ms;
+}
+
 /* Whether room on a worker is reserved in this round. */
 bool
 reservation_on(const sched_t *s, const worker_t *w)
@@ -310,8 +361,7 @@
 		const run_t *r = p;
 		const Sched__Step *rd;
 
-		if (!r->holds_resources ||
-		    (room_ends_soon(r, true) && r->ordered_ms <= v->since_ms))
+		if (!r->holds_resources || waits_for(s, v, r))
 			continue;
 		rd = r->task->step->def;
 		if (rd->filler == v->filler)
--- a/test/unit/reservation.c
+++ b/test/unit/reservation.c
@@ -211,3 +211,154 @@
 		    has_on(s, worker(s, i), st), i % 2 == 0, "worker %u", i);
 	sched_free(s);
 }
+
+/* A large lasting step that waits for a run that soon ends, beside one that doesn't. */
+static step_t *
+wait_beside_long_run(sched_t *s, int64_t long_left_ms)
+{
+	Sched__Step d = step_def("", LARGE_MILLI, false, 0);
+	Sched__Step beside = step_def("", 20000, false, 0);
+	step_t *st;
+
+	beside.estimate_ms = long_left_ms;
+	st = queue_job(s, 1, &beside, 0);
+	queue_remove_step(st);
+	add_running(s, st, 0, worker(s, 0));
+	run_on(s, worker(s, 0), 2, 20000)->state_since_ms = s->now_ms + 5000;
+	d.lasting = true;
+	return queue_job(s, 3, &d, 0);
+}
+
+/*
+ * Guards against starts in place of a run that is waited for, as a longer one beside
+ * it that is not counted as gone too.
+ */
+Test(reservation, a_long_run_beside_leaves_no_room)
+{
+	static const int64_t left_ms[] = { 20000, 600000 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(left_ms); i++) {
+		sched_t *s = owner_of(1);
+		Sched__Step small = step_def("", 20000, false, 0);
+		step_t *st = wait_beside_long_run(s, left_ms[i]);
+
+		next_round(s, 0);
+		next_round(s, LASTING_MS);
+		cr_assert(has_on(s, worker(s, 0), st));
+		st = queue_job(s, 4, &small, 0);
+		next_round(s, 1);
+		cr_expect_eq(st->nwaiting, 1, "%d", (int)left_ms[i]);
+		sched_free(s);
+	}
+}
+
+/* Guards against a reservation that waits for a run for good that never ends. */
+Test(reservation, it_leaves_a_worker_whose_run_does_not_end)
+{
+	sched_t *s = owner_of(2);
+	Sched__Step large = step_def("", LARGE_MILLI, false, 0);
+	Sched__Step small = step_def("", RUNNING_MILLI, false, 0);
+	step_t *st;
+	int n = 10;
+
+	run_on(s, worker(s, 0), 1, RUNNING_MILLI)->state_since_ms =
+	    s->now_ms - 60000;
+	small.estimate_ms = 2000;
+	st = queue_job(s, 3, &large, LATE_MS);
+	/* The other worker is kept full by short runs. */
+	while (s->now_ms < NOW_MS + 60000 && st->nwaiting > 0) {
+		g_autoptr(GList) all =
+		    g_hash_table_get_values(worker(s, 1)->runs);
+
+		for (GList *k = all; k != NULL; k = k->next) {
+			run_t *r = k->data;
+
+			if (s->now_ms - r->state_since_ms < 2000)
+				continue;
+			job_mark_task_done(r->task);
+			run_remove(s, r);
+		}
+		if (s->now_ms % 1000 == 0)
+			queue_job(s, n++, &small, 0);
+		next_round(s, 250);
+	}
+	cr_expect_eq(st->nwaiting, 0);
+	sched_free(s);
+}
+
+/* Guards against smaller lasting tasks that take what is reserved for a larger one. */
+Test(reservation, lasting_tasks_that_have_waited_leave_it)
+{
+	sched_t *s = owner_of(1);
+	Sched__Step d = step_def("", LARGE_MILLI, false, 0);
+	step_t *st;
+
+	d.lasting = true;
+	run_on(s, worker(s, 0), 1, RUNNING_MILLI);
+	queue_job(s, 2, &d, 0);
+	next_round(s, 0);
+	next_round(s, LASTING_MS);
+	d.cpu_milli = 30000;
+	st = queue_job(s, 3, &d, 0);
+	next_round(s, 1);
+	/* Others are kept with room for it, too. */
+	st->kept_with_room = 2;
+	st->unplaced_since_ms = s->now_ms - 1500;
+	cr_expect_not(room_allows_start(s, worker(s, 0), st));
+	sched_free(s);
+}
+
+#define HOPELESS 100
+
+/* Guards against steps for which no worker ever has room, and that use up all tries. */
+Test(reservation, those_that_cannot_have_one_leave_tries)
+{
+	sched_t *s = owner_of(2);
+	Sched__Step d = step_def("", LARGE_MILLI, false, 0);
+	Sched__Step beside = step_def("", RUNNING_MILLI, false, 0);
+	step_t *st;
+
+	/* Only lasting tasks run on the worker of the older ones. */
+	beside.lasting = true;
+	g_ptr_array_add(worker(s, 1)->labels, (void *)"w1");
+	st = queue_job(s, 1, &beside, 0);
+	queue_remove_step(st);
+	add_running(s, st, 0, worker(s, 1));
+	run_on(s, worker(s, 0), 2, RUNNING_MILLI);
+	d.label = (char *)"w1";
+	for (int i = 0; i < HOPELESS; i++)
+		queue_job(s, 10 + i, &d, LATE_MS);
+	next_round(s, 250);
+	d.label = (char *)"";
+	st = queue_job(s, 10 + HOPELESS, &d, LATE_MS);
+	for (int i = 0; i < 100 && !has_on(s, worker(s, 0), st); i++)
+		next_round(s, 250);
+	cr_expect(has_on(s, worker(s, 0), st));
+	sched_free(s);
+}
+
+/*
+ * Guards against a task that is stopped to be moved, and then is held as its quota is
+ * reserved for another step.
+ */
+Test(reservation, a_task_moves_only_if_it_may_start_again)
+{
+	static const bool reserved[] = { false, true };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(reserved); i++) {
+		sched_t *s = owner_of(1);
+		customer_t *c = customer_get(s, "c");
+		Sched__Step d = step_def("", LARGE_MILLI, false, 0);
+		run_t *r = run_on(s, worker(s, 0), 1, RUNNING_MILLI);
+		step_t *st = queue_job(s, 2, &d, 0);
+
+		r->job->customer = st->occ->job->customer = c;
+		c->quota.limit.cpu_milli = LARGE_MILLI + RUNNING_MILLI - 1;
+		customer_count_run(r, 1);
+		scan_begin_round(s);
+		if (reserved[i])
+			cr_assert(customer_reserve(s, st));
+		cr_expect_eq(customer_allows_move(r), !reserved[i]);
+		sched_free(s);
+	}
+}
