Quarantine: suspect tasks use the workers that are free, jobs without a run first

Cause: one worker in three was in use at a time, counted over all workers, gone ones too, whether or not other work wanted the rest; each trial holds a worker for 1.5 s; tasks of jobs with runs went before those of jobs without. Change: of the usable workers a third, or all but one while no other work waits for a reserved one; a task of a job without a run goes first; after 1 s without a run it joins others that are tried, 250 ms after the last start. A crash there within 250 ms of a start counts as one of that task in quarantine, else under all as one outside.

--- a/sched/crash.c
+++ b/sched/crash.c
@@ -189,7 +189,9 @@
 count_crash(sched_t *s, run_t *r, bool *counted)
 {
 	task_t *t = r->task;
-	bool alone = r->worker->quarantined_run == r, sure_before, guilty;
+	bool alone =
+	    r->worker->quarantined_run == r && !r->worker->tried_together;
+	bool sure_before, guilty;
 	crashes_t *c;
 
 	if (t == NULL || t->state == TASK_DONE || r->job->stage != JOB_OPEN)
@@ -384,8 +386,7 @@
 void
 crash_run_removed(sched_t *s, const run_t *r)
 {
-	if (r->worker->quarantined_run == r)
-		quarantine_end(s, r->worker);
+	quarantine_run_removed(s, r);
 	if (r->task != NULL && r->task->crashes != NULL &&
 	    r->task->crashes->trial_run == r->number)
 		crash_take_back(s, r->task, r->number);
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -70,6 +70,9 @@
 	bool turn_wanted;	/* a step waits for one of them to end */
 	/* When a suspect task last found no worker. */
 	int64_t suspect_waited_ms;
+	int64_t idle_suspect_waited_ms; /* the same, of a job without a run */
+	/* When other work was last kept from workers that are reserved. */
+	int64_t quarantine_other_ms;
 	/* By serving image: the filler images that may run beside it. */
 	uint64_t compatible_fillers[IMAGES_MAX];
 	/* By filler image: mean processor milli that its tasks ask for, and the
@@ -341,11 +344,12 @@
 /* quarantine.c */
 void quarantine_report(sched_t *s, worker_t *w);
 /* Ends the quarantine on a worker. */
-void quarantine_end(sched_t *s, worker_t *w);
+void quarantine_run_removed(sched_t *s, const run_t *r);
 bool quarantine_polls_often(const sched_t *s, const worker_t *w);
 bool
 quarantine_allows_start(const sched_t *s, const worker_t *w, const task_t *t);
 bool quarantine_start(sched_t *s, step_t *st, task_t *t);
+void quarantine_note_other(sched_t *s);
 
 /* straggler.c */
 void straggler_run_done(sched_t *s, const run_t *r);
--- a/sched/quarantine.c
+++ b/sched/quarantine.c
@@ -9,7 +9,10 @@
  * also if this owner is lost together with the worker.
  *
  * A worker that crashes with many runs makes all of them suspect.  So the next one
- * follows at once on a worker where one has been tried: nothing new runs there.
+ * follows at once on a worker where one has been tried: nothing new runs there.  If
+ * there are more than workers, so that a job has had no run for JOIN_MS, a task that
+ * has crashed once joins others of that kind.  A crash at once after a start counts
+ * as one of that task in quarantine, else under all as one that was not.
  */
 #include <stdbool.h>
 #include <stdint.h>
@@ -31,15 +34,18 @@
 #define RETRY_MS    100	 /* after no worker was found for a suspect task */
 #define NEXT_MS	    300	 /* a worker is kept for the next one; above RETRY_MS */
 #define LONGEST_MS  10000 /* as other work can't start beside it */
-/* At most one worker in this many is reserved or in quarantine. */
-#define WORKERS_PER_SUSPECT 3
+#define OTHER_MS    500	  /* other work has waited so lately; above a round */
+/* A job has had no run for so long when a task of it joins others in quarantine. */
+#define JOIN_MS	   1000
+#define TRIALS_MAX 4 /* tried together on a worker */
 
 /* Ends the quarantine on a worker, which is kept for the next task that waits. */
-void
-quarantine_end(sched_t *s, worker_t *w)
+static void
+end(sched_t *s, worker_t *w)
 {
 	w->quarantined_run = NULL;
-	if (s->suspect_waited_ms != 0 &&
+	w->tried_together = false;
+	if (s->now_ms >= w->reserved_until_ms && s->suspect_waited_ms != 0 &&
 	    s->now_ms - s->suspect_waited_ms < NEXT_MS) {
 		w->reserved_for = NULL;
 		w->reserved_until_ms = s->now_ms + NEXT_MS;
@@ -47,26 +53,86 @@
 	scan_worker_changed(s, w);
 }
 
+/* Whether a run is one of a suspect task that was started in quarantine. */
+static bool
+is_trial(const run_t *r)
+{
+	return r->task != NULL && r->task->crashes != NULL &&
+	    r->task->crashes->trial_run == r->number;
+}
+
+/* A run is removed, which may be in quarantine: another may be there yet. */
+void
+quarantine_run_removed(sched_t *s, const run_t *r)
+{
+	worker_t *w = r->worker;
+	GHashTableIter it;
+	void *v;
+
+	if (w->quarantined_run != r)
+		return;
+	g_hash_table_iter_init(&it, w->runs);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		run_t *other = v;
+
+		if (other != r && is_trial(other) &&
+		    crash_known_up_ms(other) < CRASH_SOON_MS) {
+			w->quarantined_run = other;
+			return;
+		}
+	}
+	end(s, w);
+}
+
+/* Number of crashes under a task but for that of its run in quarantine. */
+static guint
+earlier_crashes(const task_t *t)
+{
+	return t->crashes->runs->len - (t->crashes->trial_run != 0);
+}
+
+/*
+ * Whether a run has been up for long enough.  After several crashes, later ones
+ * than CRASH_SOON_MS are watched for; but a lasting task would keep the worker for
+ * good.
+ */
+static bool
+is_up(const run_t *r)
+{
+	int64_t up_ms = crash_known_up_ms(r);
+
+	if (up_ms < CRASH_SOON_MS)
+		return false;
+	return r->task->crashes == NULL || earlier_crashes(r->task) <= 1 ||
+	    r->task->step->def->lasting || up_ms >= LONGEST_MS;
+}
+
+/* A run in quarantine is up: its last crash was none that comes soon. */
+static void
+trial_passed(sched_t *s, const run_t *r)
+{
+	if (r->task->crashes == NULL || !r->task->crashes->soon)
+		return;
+	r->task->crashes->soon = false;
+	flush_mark_job(s, r->job);
+}
+
 /* Ends the quarantine on a worker whose task has been up for long enough. */
 void
 quarantine_report(sched_t *s, worker_t *w)
 {
 	const run_t *r = w->quarantined_run;
-	crashes_t *c;
+	GHashTableIter it;
+	void *v;
 
-	if (r == NULL || crash_known_up_ms(r) < CRASH_SOON_MS)
-		return;
-	c = r->task->crashes;
-	/* After several crashes, later ones than CRASH_SOON_MS are watched for;
-	 * but a lasting task would keep the worker for good. */
-	if (c != NULL && c->runs->len - (c->trial_run != 0) > 1 &&
-	    !r->task->step->def->lasting && crash_known_up_ms(r) < LONGEST_MS)
+	if (r == NULL || !is_up(r))
 		return;
-	if (c != NULL && c->soon) {
-		c->soon = false;
-		flush_mark_job(s, r->job);
-	}
-	quarantine_end(s, w);
+	trial_passed(s, r);
+	g_hash_table_iter_init(&it, w->runs);
+	while (w->tried_together && g_hash_table_iter_next(&it, NULL, &v))
+		if (is_trial(v) && is_up(v))
+			trial_passed(s, v);
+	end(s, w);
 }
 
 /* Whether the worker is to be polled often, to learn how long it is up. */
@@ -82,16 +148,19 @@
 bool
 quarantine_allows_start(const sched_t *s, const worker_t *w, const task_t *t)
 {
-	if (w->quarantined_run != NULL)
-		return false;
 	if (s->now_ms >= w->reserved_until_ms)
-		return true;
+		return w->quarantined_run == NULL;
+	if (w->quarantined_run != NULL)
+		return t != NULL && w->reserved_for == t;
 	return t != NULL &&
 	    (w->reserved_for == NULL ? crash_is_suspect(t) :
 				       w->reserved_for == t);
 }
 
-/* Whether a run on a worker may yet turn out to crash it. */
+/*
+ * Whether a run on a worker may yet turn out to crash it; one that is tried there
+ * only until it is no longer likely to.
+ */
 static bool
 has_new_runs(const worker_t *w)
 {
@@ -100,7 +169,10 @@
 
 	g_hash_table_iter_init(&it, w->runs);
 	while (g_hash_table_iter_next(&it, NULL, &v))
-		if (crash_known_up_ms(v) < CRASH_SOON_MS)
+		if (crash_known_up_ms(v) <
+		    (is_trial(v) && w->quarantined_run != NULL ?
+			    CRASH_AT_ONCE_MS :
+			    CRASH_SOON_MS))
 			return true;
 	return false;
 }
@@ -112,7 +184,7 @@
 	worker_t *w = t->crashes->reserved;
 
 	return w != NULL && w->reserved_for == t &&
-		s->now_ms < w->reserved_until_ms ?
+		s->now_ms < w->reserved_until_ms && cell_worker_usable(s, w) ?
 	    w :
 	    NULL;
 }
@@ -138,20 +210,139 @@
 	return j->rows_stored >= c->trial_write;
 }
 
-/* Whether another worker may be reserved. */
+/* A task that is not suspect found room only on workers that are kept from it. */
+void
+quarantine_note_other(sched_t *s)
+{
+	s->quarantine_other_ms = s->now_ms;
+}
+
+/*
+ * Whether another worker may be reserved: up to a third of the usable ones are in
+ * use while other work waits for one of them, and all but one while none does.
+ */
 static bool
 may_reserve(const sched_t *s)
 {
-	guint n = 0;
+	bool other_waits = s->quarantine_other_ms != 0 &&
+	    s->now_ms - s->quarantine_other_ms < OTHER_MS;
+	guint used = 0, usable = 0, most;
 
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		const worker_t *w = g_ptr_array_index(s->worker_list, i);
 
-		n += w->quarantined_run != NULL ||
+		if (!cell_worker_usable(s, w))
+			continue;
+		usable++;
+		used += w->quarantined_run != NULL ||
 		    (s->now_ms < w->reserved_until_ms &&
 			w->reserved_for != NULL);
 	}
-	return n * WORKERS_PER_SUSPECT < s->worker_list->len;
+	most = (usable + 2) / 3;
+	if (!other_waits && usable > 0)
+		most = MAX(most, usable - 1);
+	return used < most;
+}
+
+/* How many tasks are tried on a worker. */
+static int32_t
+count_trials(const worker_t *w)
+{
+	GHashTableIter it;
+	int32_t n = 0;
+	void *v;
+
+	g_hash_table_iter_init(&it, w->runs);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		n += is_trial(v) && crash_known_up_ms(v) < CRASH_SOON_MS;
+	return n;
+}
+
+static void
+reserve(sched_t *s, worker_t *w, task_t *t)
+{
+	t->crashes->reserved = w;
+	w->reserved_for = t;
+	w->reserved_until_ms = s->now_ms + RESERVED_MS;
+}
+
+/*
+ * Whether a task may be tried together with others: an earlier owner may have been
+ * lost before it knew of a crash of the task, which may not have many more then.
+ */
+static bool
+may_be_together(const task_t *t)
+{
+	return earlier_crashes(t) <= 1 &&
+	    !t->step->occ->job->maybe_started_before;
+}
+
+/* Whether the job of a task has a run, or the task itself if it lasts. */
+static bool
+has_run(const task_t *t)
+{
+	return !t->step->def->lasting && t->step->occ->job->nruns > 0;
+}
+
+/*
+ * Reserves a place beside tasks that are tried on a worker, of the workers that can
+ * take the task one with the fewest; returns it, or NULL.
+ */
+static worker_t *
+join_trial(sched_t *s, step_t *st, task_t *t)
+{
+	const job_t *j = st->occ->job;
+
+	if (has_run(t) || s->now_ms - j->idle_since_ms < JOIN_MS ||
+	    !may_be_together(t))
+		return NULL;
+	for (int32_t n = 1; n < TRIALS_MAX; n++)
+		for (guint i = 0; i < s->worker_list->len; i++) {
+			worker_t *w = g_ptr_array_index(s->worker_list, i);
+			const run_t *r = w->quarantined_run;
+
+			if (r == NULL || s->now_ms < w->reserved_until_ms ||
+			    !is_trial(r) || !may_be_together(r->task) ||
+			    count_trials(w) != n)
+				continue;
+			reserve(s, w, t);
+			if (place_alone(s, st, t, w) != NULL)
+				return w;
+			w->reserved_until_ms = 0;
+		}
+	return NULL;
+}
+
+/*
+ * Whether a task leaves the workers to others that wait: its job has a run, and
+ * theirs have none.
+ */
+static bool
+gives_way(const sched_t *s, const task_t *t)
+{
+	return has_run(t) && s->idle_suspect_waited_ms != 0 &&
+	    s->now_ms - s->idle_suspect_waited_ms < NEXT_MS;
+}
+
+/*
+ * Returns the worker that is or can now be reserved for a suspect task, or NULL.
+ */
+static worker_t *
+find_worker(sched_t *s, step_t *st, task_t *t)
+{
+	worker_t *w = reserved_worker(s, t);
+
+	/* A row can't be stored during an outage of the store. */
+	if (s->cell.store_outage)
+		return NULL;
+	if (w != NULL)
+		return place_alone(s, st, t, w);
+	if (may_reserve(s) && !gives_way(s, t))
+		w = place_alone(s, st, t, NULL);
+	if (w == NULL)
+		return join_trial(s, st, t);
+	reserve(s, w, t);
+	return w;
 }
 
 /*
@@ -161,25 +352,20 @@
 bool
 quarantine_start(sched_t *s, step_t *st, task_t *t)
 {
-	worker_t *reserved = reserved_worker(s, t), *w = NULL;
+	worker_t *w;
 	bool started;
 
 	/* No worker is reserved, nor a run stored, for a start that must wait. */
 	if (!customer_allows_start(st))
 		return false;
-	/* A row can't be stored during an outage of the store. */
-	if (!s->cell.store_outage && (reserved != NULL || may_reserve(s)))
-		w = place_alone(s, st, t, reserved);
+	w = find_worker(s, st, t);
 	if (w == NULL) {
 		t->not_before_ms = s->now_ms + RETRY_MS;
 		s->suspect_waited_ms = s->now_ms;
+		if (!has_run(t))
+			s->idle_suspect_waited_ms = s->now_ms;
 		return false;
 	}
-	if (reserved == NULL) {
-		t->crashes->reserved = w;
-		w->reserved_for = t;
-		w->reserved_until_ms = s->now_ms + RESERVED_MS;
-	}
 	/* Stored last, as a run that is stored counts even if not started. */
 	if (has_new_runs(w) || !trial_stored(s, t) ||
 	    s->now_ms - w->lease.answered_ms > ANSWERED_MS)
@@ -189,6 +375,7 @@
 	    run_start(s, t, w, t->crashes->trial_run);
 	if (!started)
 		return false;
+	w->tried_together = w->quarantined_run != NULL;
 	w->quarantined_run = t->run;
 	w->reserved_until_ms = 0;
 	return true;
--- a/sched/start.c
+++ b/sched/start.c
@@ -127,6 +127,8 @@
 		if (w == NULL)
 			w = place_task(s, st, t);
 		if (w == NULL) {
+			if (st->wait_reason == SCHED_WAIT_RESERVED)
+				quarantine_note_other(s);
 			room_keep(s, st);
 			break;
 		}
--- a/sched/types.h
+++ b/sched/types.h
@@ -42,7 +42,8 @@
 typedef enum { TASK_WAITING, TASK_RUNNING, TASK_DONE } task_state_t;
 
 /* So shortly after its start a crash may be a task's doing. */
-#define CRASH_SOON_MS 1500
+#define CRASH_SOON_MS	 1500
+#define CRASH_AT_ONCE_MS 250 /* most come so shortly after it */
 
 /* Crashes of workers that ran a task; see crash.c. */
 typedef struct {
@@ -315,8 +316,9 @@
 	int32_t failures_in_row; /* that the jobs do not explain; suspect.c */
 	run_t *probe;		/* if suspect: the run that tries it, or NULL */
 	int64_t probe_after_ms; /* if suspect: no run starts before */
-	/* The run in quarantine, beside which nothing is started; or NULL. */
+	/* The run in quarantine that started last; or NULL. */
 	run_t *quarantined_run;
+	bool tried_together; /* it joined another one */
 	bool
 	    zone_down; /* most of its data centre, as it last seemed to crash */
 	/* Nothing but this task is started until then.  Never dereferenced. */
--- /dev/null
+++ b/test/unit/quarantine.c
@@ -0,0 +1,208 @@
+/*
+ * Where and when tasks are tried that may crash their workers.
+ */
+#include <stdbool.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <criterion/criterion.h>
+#include <glib.h>
+
+#include "../../proto/sched.pb-c.h"
+#include "tanagerspool.h"
+#include "../../sched/sched.h"
+#include "../../sched/image_set.h"
+#include "../../sched/headroom.h"
+#include "../../sched/run_time.h"
+#include "../../sched/types.h"
+#include "../../sched/customer.h"
+#include "../../sched/internal.h"
+#include "sched_fixture.h"
+
+#define BEGIN_MS 100000
+#define STEP_MS	 50
+#define ROUND_MS 250
+/* A job that can run has a run within this time; a bound of the users. */
+#define RUN_MS	 3000
+#define JOBS_MAX 64
+
+/* An owner with n workers, the last silent of which do not answer. */
+static sched_t *
+owner_of(int n, int silent)
+{
+	sched_t *s = new_owner();
+
+	for (int i = 0; i < n; i++) {
+		g_autofree char *id = g_strdup_printf("w%d", i);
+		worker_t *w = add_worker(s, id);
+
+		w->silent = i >= n - silent;
+		w->missed_polls = w->silent ? 3 : 0;
+	}
+	s->now_ms = s->wall_ms = BEGIN_MS;
+	s->cell.confirmed_ms = BEGIN_MS;
+	return s;
+}
+
+static worker_t *
+worker(sched_t *s, int i)
+{
+	return g_ptr_array_index(s->worker_list, (guint)i);
+}
+
+/* Queues a job of one task; suspect: after a crash soon after its start. */
+static task_t *
+queue_job(sched_t *s, int number, int64_t cpu_milli, bool suspect)
+{
+	g_autofree char *id = g_strdup_printf("%016d", number);
+	Sched__Step d = step_def("", cpu_milli, false, 0);
+	step_t *st = first_step(add_job(s, id, &d, s->wall_ms));
+
+	if (suspect)
+		crash_add(&st->tasks[0], 1, true);
+	st->ready = true;
+	queue_add_step(s, st);
+	return &st->tasks[0];
+}
+
+/* Puts a task of its own in quarantine on a worker. */
+static void
+quarantine_on(sched_t *s, worker_t *w, int number)
+{
+	task_t *t = queue_job(s, number, 1000, true);
+
+	run_start(s, t, w, start_run_number(s, t));
+	w->quarantined_run = t->run;
+}
+
+static void
+pass(sched_t *s)
+{
+	queue_resort(s);
+	scan_begin_round(s);
+	start_waiting_tasks(s);
+}
+
+/*
+ * Guards against suspect tasks that wait while workers are free, and that take all
+ * of the few that are left.
+ */
+Test(quarantine, takes_a_share_of_the_usable_workers)
+{
+	static const struct {
+		const char *what;
+		int workers, silent;
+		int in_use;	    /* answering workers in quarantine */
+		int silent_in_use;  /* silent ones in quarantine */
+		bool other_waits;   /* for the workers in quarantine */
+		bool takes_another; /* worker for a suspect task */
+	} cases[] = {
+		{ "none in use", 6, 0, 0, 0, false, true },
+		{ "a third in use", 6, 0, 2, 0, true, false },
+		{ "below a third in use", 6, 0, 1, 0, true, true },
+		{ "a third of the usable ones in use", 6, 3, 1, 0, true,
+		    false },
+		{ "a third in use, nothing else waits", 6, 0, 2, 0, false,
+		    true },
+		{ "all but one in use, nothing else waits", 6, 0, 5, 0, false,
+		    false },
+		{ "in use where none answers", 6, 3, 0, 2, true, true },
+		{ "one usable worker", 6, 5, 0, 0, true, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = owner_of(cases[i].workers, cases[i].silent);
+		int usable = cases[i].workers - cases[i].silent, number = 1;
+		task_t *t;
+
+		for (int k = 0; k < cases[i].in_use; k++)
+			quarantine_on(s, worker(s, k), number++);
+		for (int k = 0; k < cases[i].silent_in_use; k++)
+			quarantine_on(s, worker(s, usable + k), number++);
+		/* Others have runs that leave less than the other task needs. */
+		for (int k = cases[i].in_use;
+		     cases[i].other_waits && k < usable; k++) {
+			t = queue_job(s, number++, WORKER_CPU_MILLI / 2, false);
+			run_start(s, t, worker(s, k), 1);
+		}
+		if (cases[i].other_waits)
+			queue_job(s, number++, WORKER_CPU_MILLI * 3 / 4, false);
+		pass(s);
+		t = queue_job(s, number, 1000, true);
+		pass(s);
+		cr_expect_eq(t->crashes->reserved != NULL,
+		    cases[i].takes_another, "%s", cases[i].what);
+		sched_free(s);
+	}
+}
+
+/* All orders and polls of usable workers are answered, all rows stored. */
+static void
+answer_all(sched_t *s)
+{
+	g_autoptr(GList) runs = g_hash_table_get_values(s->runs);
+	g_autoptr(GList) jobs = g_hash_table_get_values(s->jobs);
+
+	for (GList *i = runs; i != NULL; i = i->next) {
+		run_t *r = i->data;
+
+		if (r->order_pending)
+			run_order_done(s, r, SCHED_ORDER_OK, 0);
+	}
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		worker_t *w = g_ptr_array_index(s->worker_list, i);
+
+		if (w->silent)
+			continue;
+		w->lease.answered_ms = w->reported_ms = s->now_ms;
+		quarantine_report(s, w);
+	}
+	for (GList *i = jobs; i != NULL; i = i->next) {
+		job_t *j = i->data;
+
+		if (j->dirty)
+			j->rows_stored = ++j->rows_packed;
+		j->dirty = false;
+	}
+}
+
+/*
+ * Guards against jobs that have no run for long, as suspect tasks wait for each
+ * other ("not ended", "idle").
+ */
+Test(quarantine, each_job_with_a_suspect_task_runs_soon)
+{
+	static const struct {
+		const char *what;
+		int workers, silent, jobs;
+	} cases[] = {
+		{ "few", 6, 0, 4 },
+		{ "many", 6, 0, 16 },
+		{ "half of the workers are gone", 6, 3, 12 },
+		{ "few workers", 3, 0, 12 },
+		{ "one worker", 1, 0, 4 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = owner_of(cases[i].workers, cases[i].silent);
+		task_t *tasks[JOBS_MAX];
+		int waiting = 0;
+
+		for (int k = 0; k < cases[i].jobs; k++)
+			tasks[k] = queue_job(s, k + 1, 1000, true);
+		while (s->now_ms < BEGIN_MS + RUN_MS) {
+			s->now_ms += STEP_MS;
+			s->wall_ms += STEP_MS;
+			answer_all(s);
+			if (s->now_ms % ROUND_MS == 0)
+				pass(s);
+			else
+				start_waiting_tasks(s);
+		}
+		for (int k = 0; k < cases[i].jobs; k++)
+			waiting += tasks[k]->run == NULL;
+		cr_expect_eq(waiting, 0, "%s: %d of %d wait", cases[i].what,
+		    waiting, cases[i].jobs);
+		sched_free(s);
+	}
+}
