Crashes: the unproved ones are known by their runs

A weak owner counted two crashes of the task as leases expired, both unproved, and stored them; at 30.0 both workers listed the runs to the next owner, which took them back (0 crashes) but kept "2 unproved". After one more crash 1 - 2 unproved, unsigned, is above every bound: guilty. With proved ones beside, the same fault subtracts too much, so that a task gets more starts than it may. Change: the unproved runs are the first ones of the array and of the row, so that one taken back or proved is subtracted as what it is. A proof has the row stored. No new field: older rows have the same number, then of any runs; older builds read the number as before. Tests: crash/an_unproved_crash_is_taken_back_by_the_next_owner failed before in two of five cases (given up after one crash; not given up after five), crash/a_proof_is_stored.

--- a/proto/sched.pb-c.h
+++ b/proto/sched.pb-c.h
@@ -188,7 +188,8 @@
    */
   protobuf_c_boolean crashed_soon;
   /*
-   * How many of the crashes are not proved, as the worker may be cut off.
+   * How many of the crashes are not proved, as the worker may be cut off; the
+   * first ones, in rows of older builds any.
    */
   int32_t crashes_unproved;
   /*
--- a/sched/crash.c
+++ b/sched/crash.c
@@ -96,6 +96,40 @@
 	    t->crashes->runs->len - t->crashes->unproved;
 }
 
+/* What is known of a task has changed: has its job's row stored. */
+static void
+mark_row(sched_t *s, const task_t *t)
+{
+	if (t->step->occ->job->stage == JOB_OPEN)
+		flush_mark_job(s, t->step->occ->job);
+}
+
+/* Puts a run of the array in the place of another one, and that in its place. */
+static void
+swap_runs(GArray *runs, guint a, guint b)
+{
+	int64_t run = g_array_index(runs, int64_t, a);
+
+	g_array_index(runs, int64_t, a) = g_array_index(runs, int64_t, b);
+	g_array_index(runs, int64_t, b) = run;
+}
+
+/* Notes whether the crash of a run's worker is proved; the unproved come first. */
+static void
+set_proved(task_t *t, int64_t run, bool proved)
+{
+	int32_t at = find_crash(t, run);
+	crashes_t *c = t->crashes;
+
+	if (at < 0 || ((guint)at >= c->unproved) == proved)
+		return;
+	if (proved)
+		c->unproved--;
+	swap_runs(c->runs, (guint)at, c->unproved);
+	if (!proved)
+		c->unproved++;
+}
+
 /* Takes back what was counted for a run, as its worker has not crashed. */
 void
 crash_take_back(sched_t *s, task_t *t, int64_t run)
@@ -106,10 +140,10 @@
 	if (c == NULL || at < 0)
 		return;
 	g_array_remove_index(c->runs, (guint)at);
+	c->unproved -= (guint)at < c->unproved;
 	if (c->trial_run == run)
 		c->trial_run = 0;
-	if (t->step->occ->job->stage == JOB_OPEN)
-		flush_mark_job(s, t->step->occ->job);
+	mark_row(s, t);
 }
 
 /* A worker lists a run, or its end: it has not crashed under that. */
@@ -271,7 +305,7 @@
 		/* Another process has answered for the worker: proof enough. */
 		l.counted = l.counted && !r->worker_restarted;
 		if (l.counted)
-			r->task->crashes->unproved++;
+			set_proved(r->task, r->number, false);
 		g_strlcpy(l.task, r->name, sizeof(l.task));
 		g_array_append_val(w->lost_runs, l);
 	}
@@ -288,9 +322,10 @@
 
 		if (t == NULL)
 			continue;
-		if (l->counted && t->crashes != NULL &&
-		    t->crashes->unproved > 0)
-			t->crashes->unproved--;
+		if (crashed && l->counted) {
+			set_proved(t, l->run, true);
+			mark_row(s, t);
+		}
 		/* A task that runs again by now is judged by that run. */
 		if (crashed && l->guilty && t->run == NULL)
 			give_up(s, t, w->id);
--- a/sched/types.h
+++ b/sched/types.h
@@ -52,7 +52,7 @@
 	/* Of the last crash that was counted: it came soon after the start, and
 	 * the start was acknowledged. */
 	bool soon, start_acked;
-	guint unproved; /* how many are not proved: the worker may be cut off */
+	guint unproved;	    /* the first ones: the worker may be cut off */
 	worker_t *reserved; /* for its next run, if reserved_for says so */
 	/* The run in quarantine, stored by that write of the job's row; 0: none.
 	 * It is among runs. */
--- a/test/unit/crash.c
+++ b/test/unit/crash.c
@@ -271,6 +271,75 @@
 	sched_free(s);
 }
 
+/*
+ * Guards against a job that fails after one crash ("failed"): a weak owner counted
+ * crashes as it could not reach workers; they list the runs to the next owner, which
+ * took them back but went on to subtract them as unproved.
+ */
+Test(crash, an_unproved_crash_is_taken_back_by_the_next_owner)
+{
+	static const struct {
+		const char *what;
+		int32_t stored, unproved; /* in the row; the first ones */
+		int32_t listed;		  /* of the unproved, later */
+		guint crashes;		  /* after one more, proved */
+		bool given_up;
+	} cases[] = {
+		{ "both were cut off", 2, 2, 2, 1, false },
+		{ "one of two was cut off", 2, 2, 1, 2, false },
+		{ "four are proved", 5, 1, 1, 5, true },
+		{ "four are proved, one is open", 5, 1, 0, 6, true },
+		{ "three are proved", 4, 1, 1, 4, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		worker_t *w;
+		task_t *t;
+		sched_t *s = owner_with_job(&w, &t, 100000);
+		job_t *j = t->step->occ->job;
+		g_autoptr(GByteArray) row = NULL;
+		Sched__Progress *p;
+
+		for (int32_t k = 0; k < cases[i].stored; k++)
+			crash_add(t, k + 1, true);
+		t->crashes->unproved = (guint)cases[i].unproved;
+		row = progress_pack(j);
+		crash_forget(t);
+		p = sched_progress_unpack(row->data, row->len);
+		progress_apply(j, p);
+		sched__progress__free_unpacked(p, NULL);
+		for (int32_t k = 0; k < cases[i].listed; k++)
+			crash_run_listed(s, t, k + 1);
+		run_for(s, w, t, false, 10);
+		crash_worker_replaced(s, w);
+		run_worker_lost(s, w, "test");
+		cr_expect_eq(t->crashes->runs->len, cases[i].crashes, "%s: %u",
+		    cases[i].what, t->crashes->runs->len);
+		cr_expect_eq(j->stage != JOB_OPEN, cases[i].given_up, "%s",
+		    cases[i].what);
+		sched_free(s);
+	}
+}
+
+/* That a crash is proved outlives a change of owner. */
+Test(crash, a_proof_is_stored)
+{
+	worker_t *w;
+	task_t *t;
+	sched_t *s = owner_with_job(&w, &t, 100000);
+	job_t *j = t->step->occ->job;
+
+	run_for(s, w, t, false, 10);
+	crash_worker_lost(s, w);
+	run_worker_lost(s, w, "test");
+	cr_expect_eq(t->crashes->unproved, 1);
+	j->dirty = false;
+	crash_worker_replaced(s, w);
+	cr_expect_eq(t->crashes->unproved, 0);
+	cr_expect(j->dirty);
+	sched_free(s);
+}
+
 /*
  * The answer to a start is lost.  How long the worker answered other calls after
  * that tells if the run can have crashed it at once.
