--- a/sched/types.h
+++ b/sched/types.h
@@ -42,7 +42,8 @@
 typedef enum { TASK_WAITING, TASK_RUNNING, TASK_DONE } task_state_t;
 
 /* So shortly after its start a crash may be a task's doing. */
-#define CRASH_SOON_MS 1500
+#define CRASH_SOON_MS	 1500
+#define CRASH_AT_ONCE_MS 250 /* most come so shortly after it */
 
 /* Crashes of workers that ran a task; see crash.c. */
 typedef struct {
@@ -51,7 +52,7 @@
 	/* Of the last crash that was counted: it came soon after the start, and
 	 * the start was acknowledged. */
 	bool soon, start_acked;
-	guint unproved; /* how many are not proved: the worker may be cut off */
+	guint unproved;	    /* the first ones: the worker may be cut off */
 	worker_t *reserved; /* for its next run, if reserved_for says so */
 	/* The run in quarantine, stored by that write of the job's row; 0: none.
 	 * It is among runs. */
@@ -335,8 +336,9 @@
 	int32_t failures_in_row; /* that the jobs do not explain; suspect.c */
 	run_t *probe;		/* if suspect: the run that tries it, or NULL */
 	int64_t probe_after_ms; /* if suspect: no run starts before */
-	/* The run in quarantine, beside which nothing is started; or NULL. */
+	/* The run in quarantine that started last; or NULL. */
 	run_t *quarantined_run;
+	bool tried_together; /* it joined another one */
 	bool
 	    zone_down; /* most of its data centre, as it last seemed to crash */
 	/* Nothing but this task is started until then.  Never dereferenced. */
