Leases: one module knows them; a bound is unknown, extending or ends at a time

0 stood for "not known", "being extended" and "never sent" in the fields of a worker's lease, which seven files read; a lease to which nothing was sent counted as ended, and only another field kept that from harm. Now sched/lease.c has the state, with a bound of a type of its own (bound_t) that has passed only if it is a time; others ask: lease_may_hide_runs, lease_has_ended, lease_extend, lease_may_extend, lease_update_stored, lease_end_is_stored, lease_clock_known. Where nothing is known of earlier leases, a lease has ended only once all workers are accounted for. When a process last answered is a plain time (answered_ms). Event 632 says so where the worker never answered (answer_age -1, lease_left 0; they were nonsense).

Unit tests that set the fields set the new ones; their checks are the same.

--- a/sched/crash.c
+++ b/sched/crash.c
@@ -127,7 +127,7 @@
 int64_t
 crash_known_up_ms(const run_t *r)
 {
-	int64_t answered_ms = r->worker->lease.answered_ms;
+	int64_t answered_ms = r->worker->answered_ms;
 
 	if (r->worker_restarted)
 		return r->up_ms;
--- a/sched/flush.c
+++ b/sched/flush.c
@@ -99,27 +99,7 @@
 {
 	return w->listed || g_hash_table_size(w->runs) > 0 ||
 	    ((w->footprint_stored || w->used_before) &&
-		(!s->cell.workers_accounted ||
-		    !cell_worker_lease_expired(s, w)));
-}
-
-/*
- * When the lease of a worker that does not answer ends, by the store's clock; 0
- * while its lease is extended, or that clock is not known.
- */
-static int64_t
-lease_end_by_store(const sched_t *s, const worker_t *w)
-{
-	/* What an earlier owner stored still holds. */
-	if (!w->has_answered)
-		return w->lease_end_store_ms;
-	if (w->missed_polls == 0 || w->lease.deadline_sent_ms == 0)
-		return 0;
-	if (w->lease_end_store_ms != 0)
-		return w->lease_end_store_ms;
-	return s->store_clock_known ?
-	    cell_worker_lease_end(w) + s->store_clock_offset_ms :
-	    0;
+		(!s->cell.workers_accounted || !lease_has_ended(s, w)));
 }
 
 /*
@@ -130,17 +110,16 @@
 update_footprint_entry(const sched_t *s, worker_t *w)
 {
 	bool in = in_footprint(s, w);
-	int64_t lease_end = lease_end_by_store(s, w);
-	bool changed = in != (w->footprint_flush != 0) ||
-	    (in && lease_end != w->lease_end_store_ms);
+	bool had_end = lease_end_is_stored(w);
+	bool changed = (lease_update_stored(s, w) && in) ||
+	    in != (w->footprint_flush != 0);
 
 	/* Its lease is extended again.  It gets new tasks once the row is
 	 * stored, as until then a successor reads that the lease has ended. */
-	if (in && w->lease_end_store_ms != 0 && lease_end == 0) {
+	if (in && had_end && !lease_end_is_stored(w)) {
 		w->footprint_stored = false;
 		w->footprint_flush = s->flush_number;
 	}
-	w->lease_end_store_ms = lease_end;
 	w->footprint_flush = !in    ? 0 :
 	    w->footprint_flush == 0 ? s->flush_number :
 				      w->footprint_flush;
@@ -167,7 +146,7 @@
 		f.workers[f.n_workers++] =
 		    g_strconcat(w->id, " ", w->address, NULL);
 		f.born_ms[f.n_born_ms++] = w->started_ms;
-		f.until_ms[f.n_until_ms++] = w->lease_end_store_ms;
+		f.until_ms[f.n_until_ms++] = lease_stored_ms(w);
 	}
 	g_byte_array_set_size(b, (guint)sched__footprint__get_packed_size(&f));
 	sched__footprint__pack(&f, b->data);
@@ -233,13 +212,10 @@
 		if (w->started_ms == f->born_ms[i] || f->born_ms[i] == 0) {
 			w->footprint_stored = true;
 			w->footprint_flush = 1;
-			w->lease_end_store_ms =
-			    i < f->n_until_ms ? f->until_ms[i] : 0;
-			if (w->lease_end_store_ms > SCHED_NUMBER_MAX ||
-			    w->lease_end_store_ms < 0) {
-				w->lease_end_store_ms = 0;
-				complete = false;
-			}
+			complete =
+			    lease_read_stored(
+				w, i < f->n_until_ms ? f->until_ms[i] : 0) &&
+			    complete;
 		}
 	}
 	return complete;
--- a/sched/handover.c
+++ b/sched/handover.c
@@ -55,7 +55,7 @@
 answers(const sched_t *s, const worker_t *w)
 {
 	return w->has_answered && w->missed_polls == 0 && w->footprint_stored &&
-	    w->lease_end_store_ms == 0 && w->backoff_until_ms <= s->now_ms;
+	    !lease_end_is_stored(w) && w->backoff_until_ms <= s->now_ms;
 }
 
 static count_t
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -8,7 +8,8 @@
  * - job.c, progress.c, queue.c: jobs, steps and tasks, their rows, and the order
  *   of waiting steps;
  * - run_time.c: how long tasks are expected to take;
- * - cell_worker.c: workers, their free resources, clocks and leases;
+ * - cell_worker.c: workers and their free resources;
+ * - lease.c: clocks and leases of workers;
  * - place.c, scan.c, approval.c: choice of a worker for a task;
  * - room.c: room that is kept for large tasks;
  * - start.c, run.c: starting and stopping runs of tasks;
@@ -156,16 +157,27 @@
 void cell_worker_count_task(worker_t *w, const step_t *st, int sign);
 sched_wait_reason_t cell_worker_refusal(const sched_t *s, const worker_t *w);
 bool cell_worker_usable(const sched_t *s, const worker_t *w);
-int64_t cell_worker_min_clock(const worker_t *w, int64_t now_ms);
-bool cell_worker_clock_known(const sched_t *s, const worker_t *w);
-int64_t cell_worker_extend_lease(sched_t *s, worker_t *w);
-bool cell_worker_lease_expired(const sched_t *s, const worker_t *w);
-int64_t cell_worker_lease_end(const worker_t *w);
-void cell_worker_assume_longest_lease(const sched_t *s, worker_t *w);
 void cell_worker_restarted(sched_t *s, worker_t *w, int64_t started_ms);
-bool cell_worker_clock_went_back(
-    const sched_t *s, const worker_t *w, int64_t clock_ms);
-void cell_worker_clock_read(sched_t *s, worker_t *w, int64_t clock_ms);
+
+/* lease.c */
+void lease_forget(worker_t *w);
+void lease_restarted(worker_t *w);
+void lease_first_answer(const sched_t *s, worker_t *w);
+bool lease_clock_known(const sched_t *s, const worker_t *w);
+bool
+lease_clock_went_back(const sched_t *s, const worker_t *w, int64_t clock_ms);
+void lease_clock_read(const sched_t *s, worker_t *w, int64_t clock_ms);
+int64_t lease_extend(const sched_t *s, worker_t *w);
+bool lease_may_extend(const sched_t *s, const worker_t *w);
+bool lease_has_ended(const sched_t *s, const worker_t *w);
+int64_t lease_left_ms(const sched_t *s, const worker_t *w);
+bool lease_end_is_stored(const worker_t *w);
+int64_t lease_stored_ms(const worker_t *w);
+bool lease_read_stored(worker_t *w, int64_t ms);
+bool lease_update_stored(const sched_t *s, worker_t *w);
+int64_t lease_taken_over(sched_t *s, bool any_owner, int64_t extended_ms);
+bool lease_old_ones_ended(const sched_t *s);
+bool lease_may_hide_runs(const sched_t *s, const worker_t *w);
 
 /* scan.c */
 void scan_worker_changed(sched_t *s, worker_t *w);
@@ -370,7 +382,6 @@
 void ownership_set_store_outage(sched_t *s, bool for_all, int64_t last_ms);
 bool ownership_may_start_tasks(const sched_t *s);
 GByteArray *ownership_pack_row(sched_t *s, bool released);
-bool ownership_worker_unseen(const sched_t *s, const worker_t *w);
 bool ownership_may_start_step(const sched_t *s, const step_t *st);
 
 /* handover.c */
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -38,13 +38,7 @@
 #define START_LIMIT_MS	1150
 #define EXTEND_LIMIT_MS 2200
 
-/* By so much an owner may take the store's clock to be behind, as answers of the
- * store that took longer are not used. */
-#define STORE_CLOCK_MARGIN_MS 900
-#define STALE_ROW_MS	      2000 /* older numbers of waiting jobs are not passed on */
-/* LEASE_MS of cell_worker.c with clock drift and expiry margin, rounded up. */
-#define LEASE_WITH_MARGIN_MS 4300
-
+#define STALE_ROW_MS 2000 /* older numbers of waiting jobs are not passed on */
 /* Whether the owner row names this process as the owner. */
 static bool
 row_is_ours(const sched_t *s, const Sched__Owner *o)
@@ -153,7 +147,6 @@
 		w->ended_cut = false;
 		w->footprint_flush = w->ended_flush = 0;
 		w->ended_seq = w->ended_stored_seq = 0;
-		w->lease_end_store_ms = 0;
 		w->missed_polls = 0;
 		w->poll_id = 0;
 		w->fillers_pace_pct = 100;
@@ -161,8 +154,7 @@
 		w->quarantined_run = NULL;
 		w->reserved_until_ms = 0;
 		crash_forget_worker(w);
-		/* A clock that was read long ago has drifted. */
-		memset(&w->lease, 0, sizeof(w->lease));
+		lease_forget(w);
 	}
 	g_hash_table_remove_all(s->runs);
 	s->starved_runs = 0;
@@ -175,6 +167,7 @@
 	g_hash_table_remove_all(s->ended_jobs);
 	g_hash_table_remove_all(s->stopped_jobs);
 	s->cell.footprint_bad = false;
+	s->cell.old_leases.state = BOUND_UNKNOWN;
 }
 
 /*
@@ -296,6 +289,7 @@
 ownership_load_done(sched_t *s)
 {
 	cell_t *c = &s->cell;
+	int64_t left_ms;
 
 	if (c->state != CELL_LOADING)
 		return;
@@ -303,17 +297,14 @@
 	/* The claim was written with the last owner's counts. */
 	s->flush_begun_ms = 0;
 	c->workers_accounted = false;
-	c->old_leases_end_ms = s->now_ms;
 	/* An owner that could not renew its claim may have extended leases
 	 * until EXTEND_LIMIT_MS after the last renewal.  When we claimed the
 	 * cell, SILENT_MS of these had passed. */
-	if (c->had_predecessor)
-		c->old_leases_end_ms += LEASE_WITH_MARGIN_MS +
-		    (c->leases_released ? 0 : EXTEND_LIMIT_MS - SILENT_MS);
+	left_ms = lease_taken_over(s, c->had_predecessor,
+	    c->leases_released ? 0 : EXTEND_LIMIT_MS - SILENT_MS);
 	LOG_EVENT(s, SCHED_EVT_OWNED, "cell",
 	    "token=%" PRId64 " jobs=%u workers=%u old_leases_end_in=%" PRId64,
-	    c->token, g_hash_table_size(s->jobs), s->worker_list->len,
-	    c->old_leases_end_ms - s->now_ms);
+	    c->token, g_hash_table_size(s->jobs), s->worker_list->len, left_ms);
 }
 
 /* Claims the cell; why is for the log event. */
@@ -343,30 +334,6 @@
 	g_byte_array_unref(b);
 }
 
-/*
- * Whether the lease of a worker that an earlier owner could not reach has
- * ended, by the time stored in the footprint.
- */
-static bool
-old_lease_ended(const sched_t *s, const worker_t *w)
-{
-	return w->lease_end_store_ms != 0 && s->store_clock_known &&
-	    s->now_ms + s->store_clock_offset_ms >
-	    w->lease_end_store_ms + STORE_CLOCK_MARGIN_MS;
-}
-
-/*
- * Whether a worker may have runs of earlier owners that are not known here.  One
- * that was restarted under its id may have carried out orders for its process
- * before.
- */
-bool
-ownership_worker_unseen(const sched_t *s, const worker_t *w)
-{
-	return (w->footprint_stored || w->used_before) && !w->has_answered &&
-	    s->now_ms < s->cell.old_leases_end_ms && !old_lease_ended(s, w);
-}
-
 /*
  * Whether each worker that earlier owners used has answered a poll, has been
  * replaced by another process, or is free of their leases, and none has ended
@@ -375,16 +342,14 @@
 static bool
 all_workers_accounted(const sched_t *s)
 {
-	bool leases_ended = s->now_ms >= s->cell.old_leases_end_ms;
-
-	if (s->cell.footprint_bad && !leases_ended)
+	if (s->cell.footprint_bad && !lease_old_ones_ended(s))
 		return false;
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		const worker_t *w = g_ptr_array_index(s->worker_list, i);
 
-		if (w->ended_cut && !cell_worker_lease_expired(s, w))
+		if (w->ended_cut && !lease_has_ended(s, w))
 			return false;
-		if (ownership_worker_unseen(s, w))
+		if (lease_may_hide_runs(s, w))
 			return false;
 	}
 	return true;
--- a/sched/poll.c
+++ b/sched/poll.c
@@ -5,7 +5,6 @@
 #include <inttypes.h>
 #include <stdbool.h>
 #include <stdint.h>
-#include <string.h>
 
 #include <glib.h>
 
@@ -66,8 +65,9 @@
 	w->silent = true;
 	LOG_EVENT(s, SCHED_EVT_WORKER_SILENT, w->id,
 	    "runs=%u answer_age=%" PRId64 " lease_left=%" PRId64,
-	    g_hash_table_size(w->runs), s->now_ms - w->lease.answered_ms,
-	    w->lease.deadline_ms - cell_worker_min_clock(w, s->now_ms));
+	    g_hash_table_size(w->runs),
+	    w->answered_ms == NEVER_MS ? -1 : s->now_ms - w->answered_ms,
+	    lease_left_ms(s, w));
 }
 
 /*
@@ -116,19 +116,6 @@
 	flush_if_due(s);
 }
 
-/*
- * Whether a poll may extend the lease of a worker.  Not without an answer to the
- * last one, so that the lease of an unreachable worker expires; and not as long
- * as the store says when it ends, since a successor goes by that.
- */
-static bool
-may_extend(const sched_t *s, const worker_t *w)
-{
-	return ownership_may_extend_leases(s) && w->missed_polls == 0 &&
-	    w->lease_end_store_ms == 0 &&
-	    (w->footprint_stored || g_hash_table_size(w->runs) == 0);
-}
-
 /*
  * Sends a poll to a worker.  The worker answers at once if it has not answered
  * this owner yet, its clock is not known, some ended runs are not acknowledged
@@ -149,10 +136,10 @@
 	 */
 	if (w->missed_polls > 0 || w->poll_unanswered)
 		p.ended_ack_seq = 0;
-	if (may_extend(s, w))
-		p.deadline_ms = cell_worker_extend_lease(s, w);
+	if (lease_may_extend(s, w))
+		p.deadline_ms = lease_extend(s, w);
 	if (w->has_answered && w->ended_seq == w->ended_stored_seq &&
-	    cell_worker_clock_known(s, w) && !w->poll_without_wait &&
+	    lease_clock_known(s, w) && !w->poll_without_wait &&
 	    !quarantine_polls_often(s, w))
 		p.wait_ms = POLL_WAIT_MS;
 	w->poll_without_wait = false;
@@ -170,7 +157,7 @@
 poll_if_due(sched_t *s, worker_t *w)
 {
 	if (g_hash_table_size(w->runs) > 0 && w->missed_polls > 0 &&
-	    cell_worker_lease_expired(s, w)) {
+	    lease_has_ended(s, w)) {
 		crash_worker_lost(s, w);
 		run_worker_lost(s, w, "its lease has expired");
 	}
--- a/sched/quarantine.c
+++ b/sched/quarantine.c
@@ -182,7 +182,7 @@
 	}
 	/* Stored last, as a run that is stored counts even if not started. */
 	if (has_new_runs(w) || !trial_stored(s, t) ||
-	    s->now_ms - w->lease.answered_ms > ANSWERED_MS)
+	    s->now_ms - w->answered_ms > ANSWERED_MS)
 		return false;
 	started = starvation_may_slow(s, st) ?
 	    starvation_run_start(s, st, t, w, t->crashes->trial_run) :
--- a/sched/report.c
+++ b/sched/report.c
@@ -336,7 +336,7 @@
 	w->missed_polls = 0;
 	/* Polls extend its lease once the store no longer says when it ends:
 	 * write that now. */
-	if (w->lease_end_store_ms != 0)
+	if (lease_end_is_stored(w))
 		s->flush_begun_ms = 0;
 	if (!w->has_answered || w->silent) {
 		LOG_EVENT(
@@ -345,7 +345,7 @@
 		scan_worker_changed(s, w);
 	}
 	if (!w->has_answered)
-		cell_worker_assume_longest_lease(s, w);
+		lease_first_answer(s, w);
 	w->has_answered = true;
 	w->silent = false;
 	crash_worker_answered(s, w);
@@ -358,7 +358,7 @@
 {
 	if (report->started_ms != 0 && w->started_ms != 0)
 		return report->started_ms != w->started_ms;
-	return cell_worker_clock_went_back(s, w, report->clock_ms);
+	return lease_clock_went_back(s, w, report->clock_ms);
 }
 
 /*
@@ -383,7 +383,7 @@
 	}
 	s->report_number++;
 	w->reported_ms = s->now_ms;
-	cell_worker_clock_read(s, w, report->clock_ms);
+	lease_clock_read(s, w, report->clock_ms);
 	on_worker_answered(s, w);
 	for (size_t i = 0; i < report->nended; i++) {
 		if (report->ended[i].seq <= w->ended_seq)
--- a/sched/run.c
+++ b/sched/run.c
@@ -106,7 +106,7 @@
 		const step_t *st = r->task->step;
 
 		o.spec = r->job->def->spec;
-		o.deadline_ms = cell_worker_extend_lease(s, w);
+		o.deadline_ms = lease_extend(s, w);
 		if (r->job->needs_approval && approval_ticket(s, st, w) != NULL)
 			o.ticket = approval_ticket(s, st, w);
 		if (st->def->gang && st->gang_checkpoint != NULL)
@@ -217,7 +217,7 @@
 	    "run=%" PRId64 " worker=%s token=%" PRId64
 	    " latest_start_in=%" PRId64 " answer_age=%" PRId64,
 	    number, w->id, s->cell.token, t->step->latest_start_ms - s->wall_ms,
-	    s->now_ms - w->lease.answered_ms);
+	    s->now_ms - w->answered_ms);
 	send_order(s, r, SCHED_START);
 	return true;
 }
@@ -463,7 +463,7 @@
 	/* Another process may have answered than the one that answers now. */
 	if (clock_ms > 0 && res != SCHED_ORDER_RESTARTED &&
 	    !r->worker_restarted)
-		cell_worker_clock_read(s, r->worker, clock_ms);
+		lease_clock_read(s, r->worker, clock_ms);
 	if (res == SCHED_ORDER_FENCED)
 		ownership_lost(s, "a worker has seen a newer token");
 	else if (r->last_order == SCHED_START)
--- a/sched/types.h
+++ b/sched/types.h
@@ -266,15 +266,28 @@
 	int64_t up_ms;
 };
 
-/* This owner's view of a worker's clock and of the leases granted to it. */
+/*
+ * When something ends: that is not known, it is being extended, or ends at a time.
+ * Only lease.c looks inside.
+ */
+typedef struct {
+	enum { BOUND_UNKNOWN, BOUND_EXTENDING, BOUND_ENDS_AT } state;
+	int64_t ms; /* only of BOUND_ENDS_AT */
+} bound_t;
+
+#define ENDS_AT(t_ms) ((bound_t){ BOUND_ENDS_AT, (t_ms) })
+
+#define NEVER_MS (INT64_MIN / 2) /* a time long before any other */
+
+/* This owner's view of a worker's clock and of its leases; see lease.c. */
 typedef struct {
-	int64_t worker_clock_ms; /* the worker's clock at its last answer */
-	int64_t answered_ms; /* our clock at that answer; 0: clock not known */
-	int64_t deadline_ms; /* latest deadline sent; worker's clock */
-	/* When this owner last sent one; our clock.  0: it has sent none. */
-	int64_t deadline_sent_ms;
-	/* No lease counts as expired before then; our clock. */
-	int64_t no_expiry_before_ms;
+	int64_t clock_ms;    /* the worker's clock when it last answered */
+	int64_t deadline_ms; /* latest one sent to its process; its clock */
+	int64_t sent_ms;     /* when this owner last sent one; our clock */
+	/* Leases granted before its process first answered us; our clock. */
+	bound_t earlier;
+	/* When all end, as last put in the footprint; the store's clock. */
+	bound_t stored;
 } lease_t;
 
 struct worker {
@@ -304,9 +317,6 @@
 	int64_t used_cpu_milli, used_mem_mb, filler_cpu_milli,
 	    serving_cpu_milli;
 	int64_t backoff_until_ms; /* no task is started there before */
-	/* When its leases end by the store's clock, as last put in the
-	 * footprint; 0: they are being extended. */
-	int64_t lease_end_store_ms;
 	uint64_t serving_mask, filler_mask; /* images that have tasks there */
 	int32_t nserving;		    /* serving tasks on it */
 	int32_t nunknown;		    /* runs whose needs are not known */
@@ -339,7 +349,9 @@
 	uint64_t poll_id;     /* poll in flight; 0: none */
 	int64_t poll_sent_ms; /* when the last poll was sent */
 	int64_t next_poll_ms;
-	int64_t reported_ms;	  /* when its process last sent a report */
+	int64_t reported_ms; /* when its process last sent a report */
+	/* When it last answered a poll or order of this owner, or NEVER_MS. */
+	int64_t answered_ms;
 	bool poll_soon;		  /* it is in s->polls_soon */
 	bool poll_without_wait;	  /* next poll returns at once */
 	bool poll_unanswered;	  /* one was given up since the last answer */
@@ -385,15 +397,15 @@
 	/* Since when reads have shown the row unchanged.  Starts anew after a
 	 * pause between reads, a claim by this entry or a loss of the cell. */
 	int64_t row_changed_ms;
-	int64_t row_read_ms;	   /* when the row was last read */
-	int64_t row_written_ms;	   /* when a read first showed its version */
-	int64_t write_sent_ms;	   /* when the last claim or flush was sent */
-	int64_t token;		   /* fencing token: version of our claim */
-	int64_t epoch;		   /* claims of the cell so far */
-	int64_t renewals;	   /* writes of the row since our claim */
-	int64_t confirmed_ms;	   /* when the last successful write was sent */
-	int64_t old_leases_end_ms; /* leases of earlier owners end before */
-	bool footprint_bad;	   /* earlier owners may have used any worker */
+	int64_t row_read_ms;	/* when the row was last read */
+	int64_t row_written_ms; /* when a read first showed its version */
+	int64_t write_sent_ms;	/* when the last claim or flush was sent */
+	int64_t token;		/* fencing token: version of our claim */
+	int64_t epoch;		/* claims of the cell so far */
+	int64_t renewals;	/* writes of the row since our claim */
+	int64_t confirmed_ms;	/* when the last successful write was sent */
+	bound_t old_leases;	/* of earlier owners; our clock */
+	bool footprint_bad;	/* earlier owners may have used any worker */
 	/* No run of an earlier owner can be unknown to this owner. */
 	bool workers_accounted;
 	bool paused;	      /* see sched_process_paused */
--- a/sched/unseen.c
+++ b/sched/unseen.c
@@ -87,13 +87,13 @@
 	task_sum_t sum = { 0 };
 	ts_res_t fillers = { 0 };
 
-	if (s->cell.footprint_bad && s->now_ms < s->cell.old_leases_end_ms)
+	if (s->cell.footprint_bad && !lease_old_ones_ended(s))
 		return unlimited;
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		const worker_t *w = g_ptr_array_index(s->worker_list, i);
 		ts_res_t has = { w->cpu_milli, w->mem_mb * MB_BYTES, w->gpu };
 
-		if (!ownership_worker_unseen(s, w))
+		if (!lease_may_hide_runs(s, w))
 			continue;
 		if (w->cpu_milli == 0)
 			return unlimited;
--- a/test/unit/bad_rows.c
+++ b/test/unit/bad_rows.c
@@ -100,7 +100,7 @@
 	cr_expect_not(claimed->rows_before_starts);
 	sched_claim_done(s, SCHED_WRITE_OK, 41, s->now_ms);
 	sched_load_done(s, s->now_ms);
-	cr_expect_gt(s->cell.old_leases_end_ms, s->now_ms);
+	cr_expect_gt(s->cell.old_leases.ms, s->now_ms);
 	sched__owner__free_unpacked(claimed, NULL);
 	sched_free(s);
 }
@@ -202,7 +202,7 @@
 		ownership_tick(s);
 		cr_expect_eq(s->cell.workers_accounted, cases[i].accounted,
 		    "%s", cases[i].name);
-		s->now_ms = s->cell.old_leases_end_ms;
+		s->now_ms = s->cell.old_leases.ms;
 		ownership_tick(s);
 		cr_expect(s->cell.workers_accounted, "%s", cases[i].name);
 		sched_free(s);
--- a/test/unit/crash.c
+++ b/test/unit/crash.c
@@ -56,7 +56,7 @@
 	if (alone)
 		w->quarantined_run = r;
 	run_order_done(s, r, SCHED_ORDER_OK, 0);
-	w->lease.answered_ms = s->now_ms + up_ms;
+	w->answered_ms = s->now_ms + up_ms;
 	s->now_ms += up_ms;
 	return r;
 }
@@ -186,7 +186,7 @@
 		    !quarantine_allows_start(s, w, third), "%s", cases[i].what);
 		if (cases[i].starts) {
 			run_order_done(s, t->run, SCHED_ORDER_OK, 0);
-			w->lease.answered_ms = s->now_ms + 3000;
+			w->answered_ms = s->now_ms + 3000;
 			quarantine_report(s, w);
 			cr_expect(quarantine_allows_start(s, w, third));
 			cr_expect_not(crash_is_suspect(t) && t->crashes->soon);
@@ -226,7 +226,7 @@
 		crash_add(t, 1, true);
 		crash_add(other, 1, true);
 		run_for(s, w, t, true, cases[i].ends ? 10 : 5000);
-		w->lease.answered_ms = s->now_ms;
+		w->answered_ms = s->now_ms;
 		if (cases[i].waits)
 			cr_expect_not(quarantine_start(s, other->step, other));
 		if (cases[i].ends)
@@ -290,7 +290,7 @@
 
 		run_start(s, t, w, start_run_number(s, t));
 		run_order_done(s, t->run, SCHED_ORDER_IN_DOUBT, 0);
-		w->lease.answered_ms = s->now_ms + cases[i].answered_ms;
+		w->answered_ms = s->now_ms + cases[i].answered_ms;
 		s->now_ms += 4000;
 		crash_worker_replaced(s, w);
 		run_worker_lost(s, w, "test");
@@ -321,7 +321,7 @@
 
 		w->reported_ms = r->first_seen_ms + cases[i].reported_ms;
 		s->now_ms += 4000;
-		w->lease.answered_ms = s->now_ms;
+		w->answered_ms = s->now_ms;
 		report_apply(s, w, &report, s->now_ms - 5);
 		cr_expect_eq(
 		    crash_is_suspect(t), cases[i].suspect, "case %zu", i);
--- a/test/unit/handover.c
+++ b/test/unit/handover.c
@@ -236,7 +236,7 @@
 	sched_t *s = new_weak_owner();
 
 	s->cell.workers_accounted = false;
-	s->cell.old_leases_end_ms = BEGIN_MS + 20000;
+	s->cell.old_leases = ENDS_AT(BEGIN_MS + 20000);
 	cell_worker_get(s, "w0")->has_answered = false;
 	sched_set_strongest_entry(s, OWN_STRENGTH, "strong", 2000);
 	run_for(s, &polls, 20000, false);
--- a/test/unit/lease.c
+++ b/test/unit/lease.c
@@ -260,7 +260,7 @@
 		sched_t *s = new_owner_of_worker();
 
 		s->cell.workers_accounted = false;
-		s->cell.old_leases_end_ms = BEGIN_MS + 5300;
+		s->cell.old_leases = ENDS_AT(BEGIN_MS + 5300);
 		/* The store's clock is far behind ours. */
 		read_footprint(s, 10000);
 		if (cases[i].known)
--- a/test/unit/passed_over.c
+++ b/test/unit/passed_over.c
@@ -297,8 +297,7 @@
 			crash_add(&st->tasks[0], 7, true);
 		while (s->now_ms < NOW_MS + LASTING_BACK_MS) {
 			for (int k = 0; k < GAPS; k++)
-				worker(s, k)->lease.answered_ms =
-				    s->now_ms + STEP_MS;
+				worker(s, k)->answered_ms = s->now_ms + STEP_MS;
 			st->occ->job->rows_stored = st->occ->job->rows_packed;
 			if (st->occ->job->dirty)
 				st->occ->job->rows_stored =
--- a/test/unit/quota.c
+++ b/test/unit/quota.c
@@ -349,7 +349,7 @@
 		t = &queue_step(s, JOB_B, "c", &d)->tasks[0];
 		t->step->misses_target = true;
 		s->filler_job_ms = 0; /* no such jobs come */
-		w->lease.answered_ms = s->now_ms;
+		w->answered_ms = s->now_ms;
 		first_run(s, w)->first_seen_ms = 1;
 		if (cases[i].suspect) {
 			crash_add(t, 1, false);
--- a/test/unit/quota_takeover.c
+++ b/test/unit/quota_takeover.c
@@ -88,7 +88,7 @@
 		sched_load_done(s, s->now_ms);
 		cr_expect_eq(unseen_cpu(s), cases[i].unseen_cpu_milli, "%s: %d",
 		    cases[i].what, (int)unseen_cpu(s));
-		s->now_ms = s->cell.old_leases_end_ms;
+		s->now_ms = s->cell.old_leases.ms;
 		ownership_tick(s);
 		customer_count_unseen(s);
 		cr_expect_eq(unseen_cpu(s), 0, "%s, at last", cases[i].what);
@@ -162,7 +162,7 @@
 	g_hash_table_remove(s->jobs, JOB_A);
 	customer_count_unseen(s);
 	cr_expect_eq(unseen_cpu(s), 4000);
-	s->now_ms = s->cell.old_leases_end_ms;
+	s->now_ms = s->cell.old_leases.ms;
 	ownership_tick(s);
 	customer_count_unseen(s);
 	cr_expect_eq(unseen_cpu(s), 0);
@@ -203,7 +203,7 @@
 		sched_load_done(s, s->now_ms);
 		cr_expect_eq(unseen_cpu(s), cases[i].unseen_cpu_milli, "%s",
 		    cases[i].what);
-		s->now_ms = s->cell.old_leases_end_ms;
+		s->now_ms = s->cell.old_leases.ms;
 		ownership_tick(s);
 		customer_count_unseen(s);
 		cr_expect_eq(unseen_cpu(s), 0, "%s, at last", cases[i].what);
--- a/test/unit/regroup.c
+++ b/test/unit/regroup.c
@@ -202,8 +202,7 @@
 	c->s->cell.confirmed_ms = c->s->now_ms;
 	for (int32_t f = 0; f < SCHED_NFEEDS; f++)
 		c->s->feed_read_ms[f] = c->s->now_ms;
-	c->mixed->lease.answered_ms = c->other->lease.answered_ms =
-	    c->s->now_ms;
+	c->mixed->answered_ms = c->other->answered_ms = c->s->now_ms;
 }
 
 /*
--- a/test/unit/sched.c
+++ b/test/unit/sched.c
@@ -675,7 +675,7 @@
 		s->cell.workers_accounted = true;
 		s->now_ms = 10000;
 		sched_store_clock_read(s, s->now_ms, s->now_ms);
-		w->lease.deadline_sent_ms = 9000;
+		w->lease.sent_ms = 9000;
 		w->footprint_stored = false;
 		flush_if_due(s);
 		sched_write_done(s, SCHED_WRITE_OK, 2, s->now_ms += 5);
@@ -684,7 +684,7 @@
 		s->now_ms += 500;
 		flush_if_due(s);
 		sched_write_done(s, SCHED_WRITE_OK, 3, s->now_ms += 5);
-		cr_expect_neq(w->lease_end_store_ms, 0);
+		cr_expect(lease_end_is_stored(w));
 		if (cases[i].answers_again)
 			w->missed_polls = 0;
 		s->now_ms += 500;
@@ -770,13 +770,14 @@
 		sched_store_clock_read(s, s->now_ms, s->now_ms);
 		s->cell.row_read = true;
 		s->cell.workers_accounted = false;
-		s->cell.old_leases_end_ms = 15000;
+		s->cell.old_leases = ENDS_AT(15000);
 		w->has_answered = cases[i].answers;
 		w->footprint_flush = 1;
-		w->lease_end_store_ms = cases[i].lease_end_in_ms == 0 ?
-		    0 :
-		    s->now_ms + cases[i].lease_end_in_ms;
-		w->lease.deadline_sent_ms = 9990;
+		cr_assert(lease_read_stored(w,
+		    cases[i].lease_end_in_ms == 0 ?
+			0 :
+			s->now_ms + cases[i].lease_end_in_ms));
+		w->lease.sent_ms = 9990;
 		flush_if_due(s);
 		sched_write_done(s, SCHED_WRITE_OK, 2, s->now_ms + 5);
 		ownership_tick(s);
--- a/test/unit/sched_fixture.c
+++ b/test/unit/sched_fixture.c
@@ -56,6 +56,7 @@
 
 	s->cell.state = CELL_OWNED;
 	s->cell.workers_accounted = true;
+	s->cell.old_leases = ENDS_AT(0);
 	return s;
 }
 
@@ -129,6 +130,7 @@
 	sched_worker_listed(s, &i, 0);
 	w = cell_worker_get(s, id);
 	w->footprint_stored = w->has_answered = true;
+	w->lease.earlier = ENDS_AT(0);
 	w->compatible_filler_pct = 100;
 	return w;
 }
--- a/test/unit/starvation.c
+++ b/test/unit/starvation.c
@@ -629,7 +629,7 @@
 	((run_t *)v)->first_seen_percent = 1; /* it is not new */
 	st = queue_job(s, "0000000000000001", &d, LATE_MS, 3000);
 	crash_add(&st->tasks[0], 7, true);
-	w->lease.answered_ms = s->now_ms + QUIET_MS;
+	w->answered_ms = s->now_ms + QUIET_MS;
 	quiet_pass(s);
 	cr_assert_eq(sent.starts, 0);
 	st->occ->job->rows_stored = ++st->occ->job->rows_packed;
--- a/test/unit/takeover.c
+++ b/test/unit/takeover.c
@@ -362,7 +362,7 @@
 		o.workers_accounted = cases[i].accounted;
 		claim(s, &o);
 		sched_load_done(s, CLAIMED_MS);
-		cr_expect_geq(s->cell.old_leases_end_ms,
+		cr_expect_geq(s->cell.old_leases.ms,
 		    CLAIMED_MS + cases[i].leases_end_ms, "%s", cases[i].name);
 		sched_free(s);
 	}
@@ -449,7 +449,7 @@
 	list_worker(s, 1);
 	sched_load_done(s, CLAIMED_MS);
 	s->now_ms = stored_ms + answer_ms;
-	cr_expect(ownership_worker_unseen(s, cell_worker_get(s, "w0")));
+	cr_expect(lease_may_hide_runs(s, cell_worker_get(s, "w0")));
 	sched_free(s);
 }
 
@@ -536,7 +536,7 @@
 			    s, SCHED_WRITE_OK, s->cell.version + 1, s->now_ms);
 	}
 	sched_tick(s, s->now_ms + 10, 0);
-	extended_ms = w->lease.deadline_sent_ms;
+	extended_ms = w->lease.sent_ms;
 	cr_assert_eq(extended_ms, s->now_ms);
 	cr_assert_eq(g_hash_table_size(w->runs), 1);
 	g_hash_table_iter_init(&it, w->runs);
--- a/test/unit/unlisted.c
+++ b/test/unit/unlisted.c
@@ -108,9 +108,11 @@
 		if (last_poll.id == 0)
 			continue;
 		/* The second poll knows the worker's clock. */
-		if (w->lease.answered_ms != 0)
+		if (w->answered_ms != NEVER_MS)
 			cr_expect_geq(last_poll.deadline_ms,
-			    cell_worker_min_clock(w, s->now_ms) + LEASE_LEFT);
+			    w->lease.clock_ms +
+				(s->now_ms - w->answered_ms) * 98 / 100 +
+				LEASE_LEFT);
 		answer(s);
 	}
 	cr_expect_eq(first_step(j)->tasks[0].run, r);
--- a/test/unit/wait_reason.c
+++ b/test/unit/wait_reason.c
@@ -74,7 +74,7 @@
 	worker_t *w = add_worker(s, id);
 
 	s->now_ms = NOW_MS;
-	w->lease.answered_ms = NOW_MS;
+	w->answered_ms = NOW_MS;
 	return w;
 }
 
@@ -579,7 +579,7 @@
 	c.w->poll_sent_ms = c.s->now_ms;
 	c.w->used_cpu_milli = c.w->cpu_milli;
 	queue_scene_job(&c, 0);
-	c.w->lease.answered_ms = c.s->now_ms;
+	c.w->answered_ms = c.s->now_ms;
 	/* It is past its late limit, 3 x 3 s less its run time, after 8 s. */
 	tick_for(c.s, 7900);
 	cr_expect_eq(logged.jobs, 0);
