--- a/sched/admission.c
+++ b/sched/admission.c
@@ -174,18 +174,14 @@
 void
 admission_update(sched_t *s)
 {
-	GHashTableIter it;
-	void *v;
+	customer_t *c;
 
 	g_ptr_array_set_size(s->admission.refusals, 0);
 	s->admission.decided_ms = s->now_ms;
 	if (g_hash_table_size(s->customers) > 0)
 		update_shortage(s);
 	s->stats.refused_customers = 0;
-	g_hash_table_iter_init(&it, s->customers);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		customer_t *c = v;
-
+	FOREACH_VALUE (c, s->customers) {
 		update_refused(s, c);
 		if (!c->share.refused)
 			continue;
@@ -200,12 +196,10 @@
 admission_forget(sched_t *s)
 {
 	GPtrArray *refusals = s->admission.refusals;
-	GHashTableIter it;
-	void *v;
+	customer_t *c;
 
-	g_hash_table_iter_init(&it, s->customers);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		log_end(s, v, "ownership changes");
+	FOREACH_VALUE (c, s->customers)
+		log_end(s, c, "ownership changes");
 	g_ptr_array_set_size(refusals, 0);
 	memset(&s->admission, 0, sizeof(s->admission));
 	s->admission.refusals = refusals;
--- a/sched/approval.c
+++ b/sched/approval.c
@@ -9,7 +9,6 @@
 #include <stdbool.h>
 #include <stdint.h>
 #include <stdio.h>
-#include <string.h>
 
 #include <glib.h>
 
--- a/sched/interference.c
+++ b/sched/interference.c
@@ -17,7 +17,6 @@
 #include <math.h>
 #include <stdbool.h>
 #include <stdint.h>
-#include <string.h>
 
 #include <glib.h>
 
--- a/sched/interference_row.c
+++ b/sched/interference_row.c
@@ -5,7 +5,6 @@
 #include <inttypes.h>
 #include <stdbool.h>
 #include <stdint.h>
-#include <string.h>
 
 #include <glib.h>
 
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -118,6 +118,20 @@
 	(s)->opts.port.event( \
 	    (s)->opts.ctx, (n), (subject), g_strdup_printf(__VA_ARGS__))
 
+static inline GHashTableIter
+values_of(GHashTable *t)
+{
+	GHashTableIter it;
+
+	g_hash_table_iter_init(&it, t);
+	return it;
+}
+
+/* Runs the statement that follows for each value v, a pointer, of a table. */
+#define FOREACH_VALUE(v, table) \
+	for (GHashTableIter it_ = values_of(table); \
+	     g_hash_table_iter_next(&it_, NULL, (void **)&(v));)
+
 /* job.c */
 job_t *job_new(sched_t *s, const char *id, Sched__Job *def);
 void job_free(void *j);
--- a/sched/isolation.c
+++ b/sched/isolation.c
@@ -9,7 +9,6 @@
  */
 #include <stdbool.h>
 #include <stdint.h>
-#include <string.h>
 
 #include <glib.h>
 
@@ -80,20 +79,18 @@
 void
 isolation_update_slack(const sched_t *s, worker_t *w)
 {
-	GHashTableIter it;
+	const run_t *r;
 	int32_t i;
-	void *v;
 
 	w->slack_stale = false;
 	FOREACH_IMAGE (i, w->serving_mask)
 		w->slack[i] = HEADROOM_MAX;
-	g_hash_table_iter_init(&it, w->runs);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
+	FOREACH_VALUE (r, w->runs) {
 		const step_t *st;
 
-		if (!isolation_is_serving(v))
+		if (!isolation_is_serving(r))
 			continue;
-		st = ((run_t *)v)->task->step;
+		st = r->task->step;
 		w->slack[st->image] =
 		    MIN(w->slack[st->image], lowest_headroom(s, st));
 	}
--- a/sched/job.c
+++ b/sched/job.c
@@ -4,7 +4,6 @@
 #include <stdbool.h>
 #include <stdint.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include <glib.h>
--- a/sched/overload_queue.c
+++ b/sched/overload_queue.c
@@ -95,12 +95,9 @@
 static void
 count_runs(sched_t *s)
 {
-	GHashTableIter it;
-	void *v;
+	run_t *r;
 
-	g_hash_table_iter_init(&it, s->runs);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		run_t *r = v;
+	FOREACH_VALUE (r, s->runs) {
 		const step_t *st = r->task == NULL ? NULL : r->task->step;
 		double left;
 
@@ -218,13 +215,9 @@
 static void
 add_items(sched_t *s)
 {
-	GHashTableIter it;
-	void *v;
-
-	g_hash_table_iter_init(&it, s->jobs);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		const job_t *j = v;
+	const job_t *j;
 
+	FOREACH_VALUE (j, s->jobs) {
 		for (guint i = 0; i < j->occs->len; i++) {
 			occurrence_t *o = g_ptr_array_index(j->occs, i);
 
@@ -290,12 +283,10 @@
 static void
 clear_queues(sched_t *s)
 {
-	GHashTableIter it;
-	void *v;
+	queue_t *of;
 
-	g_hash_table_iter_init(&it, s->queues);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		queue_plan_t *q = &((queue_t *)v)->plan;
+	FOREACH_VALUE (of, s->queues) {
+		queue_plan_t *q = &of->plan;
 
 		*q = (queue_plan_t){ .none_planned_since_ms =
 					 q->none_planned_since_ms,
@@ -307,12 +298,10 @@
 static void
 update_queues(sched_t *s)
 {
-	GHashTableIter it;
-	void *v;
+	queue_t *of;
 
-	g_hash_table_iter_init(&it, s->queues);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		queue_plan_t *q = &((queue_t *)v)->plan;
+	FOREACH_VALUE (of, s->queues) {
+		queue_plan_t *q = &of->plan;
 
 		if (q->planned > 0 || q->deferred == 0)
 			q->none_planned_since_ms = 0;
@@ -357,13 +346,10 @@
 overload_log(sched_t *s)
 {
 	const pool_state_t *pools = s->overload->pools;
-	GHashTableIter it;
-	void *v;
+	queue_t *q;
 
-	g_hash_table_iter_init(&it, s->queues);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		const queue_t *q = v;
-		queue_plan_t *p = &((queue_t *)v)->plan;
+	FOREACH_VALUE (q, s->queues) {
+		queue_plan_t *p = &q->plan;
 
 		if (p->deferred > 0 || p->logged)
 			LOG_EVENT(s, SCHED_EVT_OVERLOAD, q->name,
--- a/sched/overload_refusal.c
+++ b/sched/overload_refusal.c
@@ -118,12 +118,9 @@
 void
 overload_add_refusals(sched_t *s, GPtrArray *refusals)
 {
-	GHashTableIter it;
-	void *v;
+	const queue_t *q;
 
-	g_hash_table_iter_init(&it, s->queues);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		const queue_t *q = v;
+	FOREACH_VALUE (q, s->queues) {
 		Sched__Refusal *r;
 		double delay;
 
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -56,14 +56,10 @@
 {
 	Sched__Waiting **list =
 	    g_new0(Sched__Waiting *, g_hash_table_size(s->queues) + 1);
-	GHashTableIter it;
-	void *v;
+	const queue_t *q;
 
 	*n = 0;
-	g_hash_table_iter_init(&it, s->queues);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		const queue_t *q = v;
-
+	FOREACH_VALUE (q, s->queues) {
 		if (q->waiting_jobs == 0)
 			continue;
 		list[*n] = g_new(Sched__Waiting, 1);
--- a/sched/pacing.c
+++ b/sched/pacing.c
@@ -6,7 +6,6 @@
 #include <math.h>
 #include <stdbool.h>
 #include <stdint.h>
-#include <string.h>
 
 #include <glib.h>
 
@@ -95,15 +94,11 @@
 {
 	uint64_t fillers = 0;
 	double share = ended_filler_weight(s, w) / (double)w->cpu_milli;
-	GHashTableIter it;
-	void *v;
+	const run_t *r;
 
 	for (int32_t f = 0; f < IMAGES_MAX; f++)
 		use[f] = w->ended_filler_cpu_by_image[f] * share;
-	g_hash_table_iter_init(&it, w->runs);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		const run_t *r = v;
-
+	FOREACH_VALUE (r, w->runs) {
 		if (r->task != NULL && r->last_report == s->report_number &&
 		    r->task->step->def->filler && r->task->step->image >= 0)
 			use[r->task->step->image] +=
@@ -155,14 +150,11 @@
 {
 	double use[IMAGES_MAX];
 	uint64_t fillers = filler_shares(s, w, use);
-	GHashTableIter it;
 	bool over = false;
-	void *v;
+	run_t *r;
 
-	g_hash_table_iter_init(&it, w->runs);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		double measured = headroom(v);
-		run_t *r = v;
+	FOREACH_VALUE (r, w->runs) {
+		double measured = headroom(r);
 
 		if (measured <= 0)
 			continue;
--- a/sched/report.c
+++ b/sched/report.c
@@ -269,14 +269,11 @@
 void
 report_job_known(sched_t *s, job_t *j)
 {
-	GHashTableIter it;
-	void *v;
+	run_t *r;
 
 	if (s->nunknown == 0)
 		return;
-	g_hash_table_iter_init(&it, s->runs);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		run_t *r = v;
+	FOREACH_VALUE (r, s->runs) {
 		task_t *t;
 
 		if (r->task != NULL || !g_str_has_prefix(r->name, j->id))
--- a/sched/run.c
+++ b/sched/run.c
@@ -11,7 +11,6 @@
 #include <inttypes.h>
 #include <stdbool.h>
 #include <stdint.h>
-#include <string.h>
 
 #include <glib.h>
 
@@ -481,8 +480,7 @@
 void
 run_end_job(sched_t *s, job_t *j, Sched__State end)
 {
-	GHashTableIter it;
-	void *v;
+	run_t *r;
 
 	if (j->stage != JOB_OPEN)
 		return;
@@ -494,14 +492,10 @@
 		for (size_t k = 0; k < j->def->n_steps; k++)
 			queue_remove_step(&o->steps[k]);
 	}
-	g_hash_table_iter_init(&it, s->runs);
-	while (j->nruns > 0 && g_hash_table_iter_next(&it, NULL, &v)) {
-		run_t *r = v;
-
-		if (r->job != j)
-			continue;
-		run_discard(s, r, "the job has ended");
-	}
+	if (j->nruns > 0)
+		FOREACH_VALUE (r, s->runs)
+			if (r->job == j)
+				run_discard(s, r, "the job has ended");
 	LOG_EVENT(s, SCHED_EVT_JOB_ENDED, j->id,
 	    "state=%d late=%" PRId64 " runs=%d allowed=%" PRId64, end,
 	    s->wall_ms - j->def->accepted_ms - j->allowed_ms, j->nruns,
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -165,9 +165,8 @@
 		LOG_EVENT(s, SCHED_EVT_WORKER, i->id,
 		    "zone=%s draining=%d born=%" PRId64 " was=%" PRId64,
 		    i->zone, i->draining, i->started_ms, w->started_ms);
-	if (i->started_ms != 0 && i->started_ms > w->started_ms) {
+	if (i->started_ms != 0 && i->started_ms > w->started_ms)
 		cell_worker_restarted(s, w, i->started_ms);
-	}
 	if (strcmp(w->address, i->address) != 0) {
 		/* An answer from the old address says nothing of the new one. */
 		poll_abandon(s, w);
@@ -255,8 +254,7 @@
     int32_t priority, int32_t max_attempts, bool needs_approval, int64_t now_ms)
 {
 	queue_t *q = queue_get(s, queue);
-	GHashTableIter it;
-	void *v;
+	job_t *j;
 
 	s->now_ms = now_ms;
 	q->configured = true;
@@ -264,10 +262,7 @@
 	q->priority = priority;
 	q->max_attempts = max_attempts;
 	q->needs_approval = needs_approval;
-	g_hash_table_iter_init(&it, s->jobs);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		job_t *j = v;
-
+	FOREACH_VALUE (j, s->jobs) {
 		if (j->queue != q)
 			continue;
 		j->service = q->service;
--- a/sched/serving_move.c
+++ b/sched/serving_move.c
@@ -146,8 +146,7 @@
 describe_worker(const sched_t *s, worker_t *w, const amounts_t *waiting,
     GArray *tasks, regroup_worker_t *to)
 {
-	GHashTableIter it;
-	void *v;
+	run_t *r;
 
 	memset(to, 0, sizeof(*to));
 	to->worker = w;
@@ -157,9 +156,7 @@
 	to->free_mem_mb = w->mem_mb - w->used_mem_mb;
 	to->free_gpu = w->gpu - w->used_gpu;
 	to->filler_milli = place_filler_capacity(w);
-	g_hash_table_iter_init(&it, w->runs);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		run_t *r = v;
+	FOREACH_VALUE (r, w->runs) {
 		regroup_task_t t = { .run = r, .movable = is_movable(s, r) };
 
 		if (r->task == NULL || r->task->step->image < 0 ||
--- a/sched/share.c
+++ b/sched/share.c
@@ -152,13 +152,11 @@
 share_load_done(sched_t *s)
 {
 	g_autoptr(GPtrArray) jobs = g_ptr_array_new();
-	GHashTableIter it;
-	void *v;
+	job_t *j;
 
-	g_hash_table_iter_init(&it, s->jobs);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		if (((job_t *)v)->customer != NULL)
-			g_ptr_array_add(jobs, v);
+	FOREACH_VALUE (j, s->jobs)
+		if (j->customer != NULL)
+			g_ptr_array_add(jobs, j);
 	g_ptr_array_sort(jobs, compare_accepted);
 	for (guint i = 0; i < jobs->len; i++)
 		count_acceptance(s, g_ptr_array_index(jobs, i));
@@ -168,13 +166,11 @@
 void
 share_forget(sched_t *s)
 {
-	GHashTableIter it;
-	void *v;
+	customer_t *c;
 
 	memset(&s->unowned, 0, sizeof(s->unowned));
-	g_hash_table_iter_init(&it, s->customers);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		memset(&((customer_t *)v)->share, 0, sizeof(customer_share_t));
+	FOREACH_VALUE (c, s->customers)
+		memset(&c->share, 0, sizeof(customer_share_t));
 }
 
 /* Time until the bucket has room for a job; 0 or less: it has. */
@@ -229,13 +225,9 @@
 static void
 update_weights(sched_t *s)
 {
-	GHashTableIter it;
-	void *v;
-
-	g_hash_table_iter_init(&it, s->customers);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		customer_t *c = v;
+	customer_t *c;
 
+	FOREACH_VALUE (c, s->customers) {
 		bucket_correct(c, (double)s->wall_ms);
 		c->share.weight = weight_of(c);
 	}
@@ -245,12 +237,10 @@
 static void
 for_each_share(sched_t *s, void (*fn)(sched_t *, customer_share_t *))
 {
-	GHashTableIter it;
-	void *v;
+	customer_t *c;
 
-	g_hash_table_iter_init(&it, s->customers);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		fn(s, &((customer_t *)v)->share);
+	FOREACH_VALUE (c, s->customers)
+		fn(s, &c->share);
 	fn(s, &s->unowned);
 }
 
--- a/sched/start.c
+++ b/sched/start.c
@@ -1,10 +1,8 @@
 /*
  * Passes over the queue, which start the waiting tasks that fit on some worker.
  */
-#include <inttypes.h>
 #include <stdbool.h>
 #include <stdint.h>
-#include <string.h>
 
 #include <glib.h>
 
--- a/sched/stats.c
+++ b/sched/stats.c
@@ -25,16 +25,12 @@
 void
 stats_count_waiting_jobs(sched_t *s)
 {
-	GHashTableIter it;
-	void *v;
-
-	g_hash_table_iter_init(&it, s->queues);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		((queue_t *)v)->waiting_jobs = 0;
-	g_hash_table_iter_init(&it, s->jobs);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		const job_t *j = v;
+	queue_t *q;
+	const job_t *j;
 
+	FOREACH_VALUE (q, s->queues)
+		q->waiting_jobs = 0;
+	FOREACH_VALUE (j, s->jobs) {
 		if (!j->started && j->stage == JOB_OPEN)
 			j->queue->waiting_jobs++;
 	}
@@ -77,8 +73,7 @@
 	g_autofree char *reasons = wait_reason_text(s->stats.waiting_tasks);
 	int64_t cpu = 0, used = 0, filler = 0;
 	int32_t usable = 0, slowed = 0;
-	GHashTableIter it;
-	void *v;
+	run_t *r;
 
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		const worker_t *w = g_ptr_array_index(s->worker_list, i);
@@ -88,9 +83,8 @@
 		used += w->used_cpu_milli;
 		filler += w->filler_cpu_milli;
 	}
-	g_hash_table_iter_init(&it, s->runs);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		slowed += ((run_t *)v)->wanted_pace_pct < 100;
+	FOREACH_VALUE (r, s->runs)
+		slowed += r->wanted_pace_pct < 100;
 	LOG_EVENT(s, SCHED_EVT_LOAD, "cell",
 	    "jobs=%u runs=%u waiting=%d past_target=%d isolated=%d "
 	    "longest_idle=%" PRId64 " workers=%u usable=%d "
--- a/sched/straggler.c
+++ b/sched/straggler.c
@@ -5,10 +5,8 @@
  * or is stopped and started elsewhere if that is quicker.  Tasks also move away
  * from workers that drain.
  */
-#include <inttypes.h>
 #include <stdbool.h>
 #include <stdint.h>
-#include <string.h>
 
 #include <glib.h>
 
@@ -76,18 +74,16 @@
 static void
 update_speed(sched_t *s, worker_t *w)
 {
-	GHashTableIter it;
 	double due = 0, made = 0;
+	const run_t *r;
 	bool slow;
-	void *v;
 
-	g_hash_table_iter_init(&it, w->runs);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
+	FOREACH_VALUE (r, w->runs) {
 		double d, m;
 
-		if (!shows_speed(v))
+		if (!shows_speed(r))
 			continue;
-		progress(s, v, &d, &m);
+		progress(s, r, &d, &m);
 		due += d;
 		made += m;
 	}
--- a/sched/unseen.c
+++ b/sched/unseen.c
@@ -125,35 +125,26 @@
 count_all(sched_t *s)
 {
 	task_sum_t capacity = unseen_capacity(s);
-	GHashTableIter it;
-	void *v;
-
-	g_hash_table_iter_init(&it, s->customers);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		((customer_t *)v)->may_run = ((customer_t *)v)->may_ended;
-	g_hash_table_iter_init(&it, s->jobs);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		const job_t *j = v;
+	customer_t *c;
+	const job_t *j;
 
+	FOREACH_VALUE (c, s->customers)
+		c->may_run = c->may_ended;
+	FOREACH_VALUE (j, s->jobs) {
 		if (j->customer != NULL && j->maybe_started_before)
 			add_job(&j->customer->may_run, j);
 	}
-	g_hash_table_iter_init(&it, s->customers);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		set_unseen(v, &capacity);
+	FOREACH_VALUE (c, s->customers)
+		set_unseen(c, &capacity);
 }
 
 /* Nothing of earlier owners can be unseen any more. */
 static void
 clear_all(sched_t *s)
 {
-	GHashTableIter it;
-	void *v;
-
-	g_hash_table_iter_init(&it, s->customers);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		customer_t *c = v;
+	customer_t *c;
 
+	FOREACH_VALUE (c, s->customers) {
 		memset(&c->quota.unseen, 0, sizeof(c->quota.unseen));
 		memset(&c->may_ended, 0, sizeof(c->may_ended));
 	}
--- a/sched/wait_reason.c
+++ b/sched/wait_reason.c
@@ -11,7 +11,6 @@
 #include <stdbool.h>
 #include <stdint.h>
 #include <stdlib.h>
-#include <string.h>
 
 #include <glib.h>
 
