--- a/sched/internal.h
+++ b/sched/internal.h
@@ -8,7 +8,8 @@
  * - job.c, progress.c, queue.c: jobs, steps and tasks, their rows, and the order
  *   of waiting steps;
  * - run_time.c: how long tasks are expected to take;
- * - cell_worker.c: workers, their free resources, clocks and leases;
+ * - cell_worker.c: workers and their free resources;
+ * - lease.c: clocks and leases of workers;
  * - place.c, scan.c, approval.c: choice of a worker for a task;
  * - room.c: room that is kept for large tasks; reservation.c: room and quota that
  *   are reserved for the work that has been passed over longest;
@@ -121,6 +122,20 @@
 	(s)->opts.port.event( \
 	    (s)->opts.ctx, (n), (subject), g_strdup_printf(__VA_ARGS__))
 
+static inline GHashTableIter
+values_of(GHashTable *t)
+{
+	GHashTableIter it;
+
+	g_hash_table_iter_init(&it, t);
+	return it;
+}
+
+/* Runs the statement that follows for each value v, a pointer, of a table. */
+#define FOREACH_VALUE(v, table) \
+	for (GHashTableIter it_ = values_of(table); \
+	     g_hash_table_iter_next(&it_, NULL, (void **)&(v));)
+
 /* job.c */
 job_t *job_new(sched_t *s, const char *id, Sched__Job *def);
 void job_free(void *j);
@@ -160,16 +175,27 @@
 void cell_worker_count_task(worker_t *w, const step_t *st, int sign);
 sched_wait_reason_t cell_worker_refusal(const sched_t *s, const worker_t *w);
 bool cell_worker_usable(const sched_t *s, const worker_t *w);
-int64_t cell_worker_min_clock(const worker_t *w, int64_t now_ms);
-bool cell_worker_clock_known(const sched_t *s, const worker_t *w);
-int64_t cell_worker_extend_lease(sched_t *s, worker_t *w);
-bool cell_worker_lease_expired(const sched_t *s, const worker_t *w);
-int64_t cell_worker_lease_end(const worker_t *w);
-void cell_worker_assume_longest_lease(const sched_t *s, worker_t *w);
 void cell_worker_restarted(sched_t *s, worker_t *w, int64_t started_ms);
-bool cell_worker_clock_went_back(
-    const sched_t *s, const worker_t *w, int64_t clock_ms);
-void cell_worker_clock_read(sched_t *s, worker_t *w, int64_t clock_ms);
+
+/* lease.c */
+void lease_forget(worker_t *w);
+void lease_restarted(worker_t *w);
+void lease_first_answer(const sched_t *s, worker_t *w);
+bool lease_clock_known(const sched_t *s, const worker_t *w);
+bool
+lease_clock_went_back(const sched_t *s, const worker_t *w, int64_t clock_ms);
+void lease_clock_read(const sched_t *s, worker_t *w, int64_t clock_ms);
+int64_t lease_extend(const sched_t *s, worker_t *w);
+bool lease_may_extend(const sched_t *s, const worker_t *w);
+bool lease_has_ended(const sched_t *s, const worker_t *w);
+int64_t lease_left_ms(const sched_t *s, const worker_t *w);
+bool lease_end_is_stored(const worker_t *w);
+int64_t lease_stored_ms(const worker_t *w);
+bool lease_read_stored(worker_t *w, int64_t ms);
+bool lease_update_stored(const sched_t *s, worker_t *w);
+int64_t lease_taken_over(sched_t *s, bool any_owner, int64_t extended_ms);
+bool lease_old_ones_ended(const sched_t *s);
+bool lease_may_hide_runs(const sched_t *s, const worker_t *w);
 
 /* scan.c */
 void scan_worker_changed(sched_t *s, worker_t *w);
@@ -405,7 +431,6 @@
 void ownership_set_store_outage(sched_t *s, bool for_all, int64_t last_ms);
 bool ownership_may_start_tasks(const sched_t *s);
 GByteArray *ownership_pack_row(sched_t *s, bool released);
-bool ownership_worker_unseen(const sched_t *s, const worker_t *w);
 bool ownership_may_start_step(const sched_t *s, const step_t *st);
 
 /* handover.c */
--- a/sched/run.c
+++ b/sched/run.c
@@ -11,7 +11,6 @@
 #include <inttypes.h>
 #include <stdbool.h>
 #include <stdint.h>
-#include <string.h>
 
 #include <glib.h>
 
@@ -106,7 +105,7 @@
 		const step_t *st = r->task->step;
 
 		o.spec = r->job->def->spec;
-		o.deadline_ms = cell_worker_extend_lease(s, w);
+		o.deadline_ms = lease_extend(s, w);
 		if (r->job->needs_approval && approval_ticket(s, st, w) != NULL)
 			o.ticket = approval_ticket(s, st, w);
 		if (st->def->gang && st->gang_checkpoint != NULL)
@@ -218,7 +217,7 @@
 	    "run=%" PRId64 " worker=%s token=%" PRId64
 	    " latest_start_in=%" PRId64 " answer_age=%" PRId64,
 	    number, w->id, s->cell.token, t->step->latest_start_ms - s->wall_ms,
-	    s->now_ms - w->lease.answered_ms);
+	    s->now_ms - w->answered_ms);
 	send_order(s, r, SCHED_START);
 	return true;
 }
@@ -466,7 +465,7 @@
 	/* Another process may have answered than the one that answers now. */
 	if (clock_ms > 0 && res != SCHED_ORDER_RESTARTED &&
 	    !r->worker_restarted)
-		cell_worker_clock_read(s, r->worker, clock_ms);
+		lease_clock_read(s, r->worker, clock_ms);
 	if (res == SCHED_ORDER_FENCED)
 		ownership_lost(s, "a worker has seen a newer token");
 	else if (r->last_order == SCHED_START)
@@ -484,8 +483,7 @@
 void
 run_end_job(sched_t *s, job_t *j, Sched__State end)
 {
-	GHashTableIter it;
-	void *v;
+	run_t *r;
 
 	if (j->stage != JOB_OPEN)
 		return;
@@ -497,14 +495,10 @@
 		for (size_t k = 0; k < j->def->n_steps; k++)
 			queue_remove_step(&o->steps[k]);
 	}
-	g_hash_table_iter_init(&it, s->runs);
-	while (j->nruns > 0 && g_hash_table_iter_next(&it, NULL, &v)) {
-		run_t *r = v;
-
-		if (r->job != j)
-			continue;
-		run_discard(s, r, "the job has ended");
-	}
+	if (j->nruns > 0)
+		FOREACH_VALUE (r, s->runs)
+			if (r->job == j)
+				run_discard(s, r, "the job has ended");
 	LOG_EVENT(s, SCHED_EVT_JOB_ENDED, j->id,
 	    "state=%d late=%" PRId64 " runs=%d allowed=%" PRId64, end,
 	    s->wall_ms - j->def->accepted_ms - j->allowed_ms, j->nruns,
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -268,8 +268,7 @@
     int32_t priority, int32_t max_attempts, bool needs_approval, int64_t now_ms)
 {
 	queue_t *q = queue_get(s, queue);
-	GHashTableIter it;
-	void *v;
+	job_t *j;
 
 	s->now_ms = now_ms;
 	q->configured = true;
@@ -277,10 +276,7 @@
 	q->priority = priority;
 	q->max_attempts = max_attempts;
 	q->needs_approval = needs_approval;
-	g_hash_table_iter_init(&it, s->jobs);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		job_t *j = v;
-
+	FOREACH_VALUE (j, s->jobs) {
 		if (j->queue != q)
 			continue;
 		j->service = q->service;
--- a/sched/unseen.c
+++ b/sched/unseen.c
@@ -87,13 +87,13 @@
 	task_sum_t sum = { 0 };
 	ts_res_t fillers = { 0 };
 
-	if (s->cell.footprint_bad && s->now_ms < s->cell.old_leases_end_ms)
+	if (s->cell.footprint_bad && !lease_old_ones_ended(s))
 		return unlimited;
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		const worker_t *w = g_ptr_array_index(s->worker_list, i);
 		ts_res_t has = { w->cpu_milli, w->mem_mb * MB_BYTES, w->gpu };
 
-		if (!ownership_worker_unseen(s, w))
+		if (!lease_may_hide_runs(s, w))
 			continue;
 		if (w->cpu_milli == 0)
 			return unlimited;
@@ -125,35 +125,26 @@
 count_all(sched_t *s)
 {
 	task_sum_t capacity = unseen_capacity(s);
-	GHashTableIter it;
-	void *v;
-
-	g_hash_table_iter_init(&it, s->customers);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		((customer_t *)v)->may_run = ((customer_t *)v)->may_ended;
-	g_hash_table_iter_init(&it, s->jobs);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		const job_t *j = v;
+	customer_t *c;
+	const job_t *j;
 
+	FOREACH_VALUE (c, s->customers)
+		c->may_run = c->may_ended;
+	FOREACH_VALUE (j, s->jobs) {
 		if (j->customer != NULL && j->maybe_started_before)
 			add_job(&j->customer->may_run, j);
 	}
-	g_hash_table_iter_init(&it, s->customers);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		set_unseen(v, &capacity);
+	FOREACH_VALUE (c, s->customers)
+		set_unseen(c, &capacity);
 }
 
 /* Nothing of earlier owners can be unseen any more. */
 static void
 clear_all(sched_t *s)
 {
-	GHashTableIter it;
-	void *v;
-
-	g_hash_table_iter_init(&it, s->customers);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		customer_t *c = v;
+	customer_t *c;
 
+	FOREACH_VALUE (c, s->customers) {
 		memset(&c->quota.unseen, 0, sizeof(c->quota.unseen));
 		memset(&c->may_ended, 0, sizeof(c->may_ended));
 	}
--- a/test/unit/quarantine.c
+++ b/test/unit/quarantine.c
@@ -154,7 +154,7 @@
 
 		if (w->silent)
 			continue;
-		w->lease.answered_ms = w->reported_ms = s->now_ms;
+		w->answered_ms = w->reported_ms = s->now_ms;
 		quarantine_report(s, w);
 	}
 	for (GList *i = jobs; i != NULL; i = i->next) {
