Reservations: a step tried in vain keeps its place, and is tried less often

Cause: since a step that was tried in vain once came after all that had not been tried, so also after those that had just been passed over, and in an overload there are always some. At a quota the same held where another step of the customer had it. Change: the longest wait goes first again; one that was tried in vain is tried again after a time that doubles, up to 32 s, but for lasting steps. A quota that another step has reserved is no try.

--- a/sched/customer.c
+++ b/sched/customer.c
@@ -218,18 +218,29 @@
 			       ts_quota_allows(&after, &demand);
 }
 
+/*
+ * Whether a part of its customer's quota may be reserved for a step.  Not if there is
+ * no quota, another step has it reserved, or lasting tasks hold too much of it.
+ */
+bool
+customer_may_reserve(const sched_t *s, const step_t *st)
+{
+	const customer_t *c = st->occ->job->customer;
+
+	return c != NULL && c->reserved_round != s->scan.round &&
+	    drain_helps(c, st);
+}
+
 /*
  * Reserves what the next task of a step needs of its customer's quota, or its gang,
- * until the next round of scan.c.  False: there is no quota, another step has it
- * reserved, or lasting tasks hold too much of it.
+ * until the next round of scan.c, if that may be.
  */
 bool
 customer_reserve(sched_t *s, const step_t *st)
 {
 	customer_t *c = st->occ->job->customer;
 
-	if (c == NULL || c->reserved_round == s->scan.round ||
-	    !drain_helps(c, st))
+	if (!customer_may_reserve(s, st))
 		return false;
 	c->reserved_for = st;
 	c->reserved_round = s->scan.round;
--- a/sched/customer.h
+++ b/sched/customer.h
@@ -82,6 +82,7 @@
 bool customer_allows_step(const step_t *st);
 bool customer_allows_move(const run_t *r);
 bool customer_holds(sched_t *s, step_t *st);
+bool customer_may_reserve(const sched_t *s, const step_t *st);
 bool customer_reserve(sched_t *s, const step_t *st);
 void customer_count_run(const run_t *r, int sign);
 void customer_forget_runs(sched_t *s);
--- a/sched/reservation.c
+++ b/sched/reservation.c
@@ -43,10 +43,12 @@
 /* At most one reservation for so many workers, and so many in all. */
 #define WORKERS_PER_RESERVATION 64
 #define RESERVATIONS_MAX	8
-/* Steps that are tried in a round, as each looks at all workers, and the time until
- * one is tried again for which no worker will have the room. */
+/* Steps that are tried in a round, as each looks at all workers. */
 #define TRIES_MAX 16
-#define RETRY_MS  1000
+/* A step for which none will have the room is tried again after this time, which is
+ * doubled each time, but for lasting ones. */
+#define RETRY_MS     1000
+#define RETRY_MAX_MS 32000
 /* Work that takes longer is not waited for. */
 #define LONGEST_RUN_MS 60000
 /* A reservation that has not led to a start goes to another worker, if there is one,
@@ -110,10 +112,7 @@
 	    waits_for_room(st) && has_task_to_start(s, st);
 }
 
-/*
- * Sorts lasting steps first; then those for which none has been tried in vain, and the
- * others by when that was, so that each is tried; then by when their last task started.
- */
+/* Sorts lasting steps first, then by when their last task started. */
 static gint
 compare_waits(gconstpointer pa, gconstpointer pb)
 {
@@ -121,8 +120,6 @@
 
 	if (a->def->lasting != b->def->lasting)
 		return a->def->lasting ? -1 : 1;
-	if (a->reserve_after_ms != b->reserve_after_ms)
-		return a->reserve_after_ms < b->reserve_after_ms ? -1 : 1;
 	if (a->passed_over_since_ms != b->passed_over_since_ms)
 		return a->passed_over_since_ms < b->passed_over_since_ms ? -1 :
 									   1;
@@ -278,18 +275,19 @@
 static bool
 reserve(sched_t *s, step_t *st)
 {
-	bool reserved = st->quota_held ?
-	    has_worker(s, st) && customer_reserve(s, st) :
-	    reserve_workers(s, st);
+	bool reserved =
+	    st->quota_held ? has_worker(s, st) : reserve_workers(s, st);
 
 	if (!reserved) {
-		st->reserve_after_ms = s->now_ms + RETRY_MS;
+		st->reserve_retry_ms = st->def->lasting ?
+		    RETRY_MS :
+		    CLAMP(2 * st->reserve_retry_ms, RETRY_MS, RETRY_MAX_MS);
+		st->reserve_after_ms = s->now_ms + st->reserve_retry_ms;
 		return false;
 	}
-	if (!st->quota_held)
-		customer_reserve(s, st);
+	customer_reserve(s, st);
+	st->reserve_retry_ms = 0;
 	st->reserved_round = s->scan.round;
-	st->reserve_after_ms = 0;
 	return true;
 }
 
@@ -303,15 +301,16 @@
 	g_autoptr(GPtrArray) all = find_passed_over(s);
 	guint most = CLAMP(
 	    s->worker_list->len / WORKERS_PER_RESERVATION, 1, RESERVATIONS_MAX);
-	guint n = 0, tries = 0;
+	guint n = 0, tries = 0, in_vain = 0;
 
 	for (guint i = 0; i < all->len; i++) {
 		step_t *st = g_ptr_array_index(all, i);
 
-		if (st->quota_held)
-			reserve(s, st);
-		else if (n < most && tries++ < TRIES_MAX)
+		if (!st->quota_held && n < most && tries++ < TRIES_MAX)
 			n += reserve(s, st);
+		else if (st->quota_held && in_vain < TRIES_MAX &&
+		    customer_may_reserve(s, st))
+			in_vain += !reserve(s, st);
 	}
 }
 
--- a/sched/types.h
+++ b/sched/types.h
@@ -113,6 +113,8 @@
 	uint64_t kept_round;	   /* round in which workers were kept for it */
 	uint64_t reserved_round;   /* the same, by reservation.c */
 	int64_t reserve_after_ms;  /* which tries it again then */
+	int64_t
+	    reserve_retry_ms; /* the time until that; 0: not tried in vain */
 	/* Since when it is in the queue and no task of it has started. */
 	int64_t passed_over_since_ms;
 	/* Since when a task of it has waited for a worker; 0: not. */
--- a/test/unit/reservation.c
+++ b/test/unit/reservation.c
@@ -362,3 +362,26 @@
 		sched_free(s);
 	}
 }
+
+/* Guards against a step that is passed over by all that come after a try in vain. */
+Test(reservation, the_longest_wait_has_it_after_a_try_in_vain)
+{
+	sched_t *s = owner_of(1);
+	Sched__Step d = step_def("", LARGE_MILLI, false, 0);
+	run_t *r = run_on(s, worker(s, 0), 1, RUNNING_MILLI);
+	step_t *first, *second;
+
+	/* It takes longer than reservations wait. */
+	r->state_since_ms = s->now_ms + 1000000;
+	first = queue_job(s, 2, &d, LATE_MS);
+	next_round(s, 0);
+	next_round(s, PASSED_OVER_MS);
+	cr_assert_not(has_on(s, worker(s, 0), first));
+	r->state_since_ms = s->now_ms - PASSED_OVER_MS;
+	second = queue_job(s, 3, &d, LATE_MS);
+	next_round(s, 0);
+	next_round(s, PASSED_OVER_MS);
+	cr_expect(has_on(s, worker(s, 0), first));
+	cr_expect_not(has_on(s, worker(s, 0), second));
+	sched_free(s);
+}
