Reservations: bounded cost of a round with thousands of workers

Cause: each of 16 tries looked at the runs of all workers, and sorted them by their ends. Change: runs are sorted only where the room is not there at once, and a round tries no more steps than 3,000 looks at workers allow.

--- a/sched/reservation.c
+++ b/sched/reservation.c
@@ -43,8 +43,10 @@
 /* At most one reservation for so many workers, and so many in all. */
 #define WORKERS_PER_RESERVATION 64
 #define RESERVATIONS_MAX	8
-/* Steps that are tried in a round, as each looks at all workers. */
+/* Steps that are tried in a round, fewer where there are many workers, as each looks
+ * at all of them. */
 #define TRIES_MAX 16
+#define LOOKS_MAX 3000
 /* A step for which none will have the room is tried again after this time, which is
  * doubled each time, but for lasting ones. */
 #define RETRY_MS     1000
@@ -301,14 +303,16 @@
 	g_autoptr(GPtrArray) all = find_passed_over(s);
 	guint most = CLAMP(
 	    s->worker_list->len / WORKERS_PER_RESERVATION, 1, RESERVATIONS_MAX);
+	guint most_tries =
+	    CLAMP(LOOKS_MAX / MAX(1, s->worker_list->len), 1, TRIES_MAX);
 	guint n = 0, tries = 0, in_vain = 0;
 
 	for (guint i = 0; i < all->len; i++) {
 		step_t *st = g_ptr_array_index(all, i);
 
-		if (!st->quota_held && n < most && tries++ < TRIES_MAX)
+		if (!st->quota_held && n < most && tries++ < most_tries)
 			n += reserve(s, st);
-		else if (st->quota_held && in_vain < TRIES_MAX &&
+		else if (st->quota_held && in_vain < most_tries &&
 		    customer_may_reserve(s, st))
 			in_vain += !reserve(s, st);
 	}
--- a/sched/room.c
+++ b/sched/room.c
@@ -141,6 +141,29 @@
 	a->gpu += e->def->gpu;
 }
 
+/* What is free once all runs have ended that end within a time. */
+static amounts_t
+amounts_after(const sched_t *s, const worker_t *w, int64_t limit_ms,
+    bool fillers_too, bool filler)
+{
+	amounts_t a = free_amounts(s, w, filler);
+	GHashTableIter it;
+	void *v;
+
+	g_hash_table_iter_init(&it, w->runs);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const run_t *r = v;
+		end_t e;
+
+		if (!room_ends_soon(r, fillers_too) ||
+		    room_time_left_ms(s, r) > limit_ms)
+			continue;
+		e.def = r->task->step->def;
+		add_end(&a, &e, filler);
+	}
+	return a;
+}
+
 /*
  * Sets in an option how many tasks of a step fit on its worker within a time, for a
  * gang as many as can, else at most one; and after which time.
@@ -150,14 +173,18 @@
     room_option_t *o)
 {
 	const Sched__Step *d = st->def;
-	g_autoptr(GArray) all = find_ends(s, o->worker, limit_ms, fillers_too);
-	amounts_t now = free_amounts(s, o->worker, d->filler), then = now;
+	amounts_t now = free_amounts(s, o->worker, d->filler);
+	amounts_t then =
+	    amounts_after(s, o->worker, limit_ms, fillers_too, d->filler);
+	g_autoptr(GArray) all = NULL;
 
-	for (guint i = 0; i < all->len; i++)
-		add_end(&then, &g_array_index(all, end_t, i), d->filler);
 	o->tasks = tasks_in(&then, d);
 	o->tasks = st->def->gang ? o->tasks : MIN(o->tasks, 1);
 	o->wait_ms = 0;
+	/* Most workers have room now or never; sorting is for the others. */
+	if (tasks_in(&now, d) >= o->tasks)
+		return;
+	all = find_ends(s, o->worker, limit_ms, fillers_too);
 	for (guint i = 0; i < all->len && tasks_in(&now, d) < o->tasks; i++) {
 		const end_t *e = &g_array_index(all, end_t, i);
 
