Store's clock: an answer of an error does not make it known

By reading: has an owner that has not read the store's clock store and compare no lease end by it. An answer to the poll of the owner row that is no success, but says now_ms, is not taken by the node; if it was the first, the owner was told all the same that the clock is known, and is ours. Change: it is told once the node knows it. No test: cell_driver.c has no unit test.

--- a/serve/cell_driver.c
+++ b/serve/cell_driver.c
@@ -108,7 +108,7 @@
 
 	c->polling_owner = false;
 	node_record_store_answer(c->node, r, a);
-	if (a->clock_ms != 0)
+	if (a->clock_ms != 0 && c->node->store_clock.known)
 		sched_store_clock_read(
 		    c->sched, store_clock_now(&c->node->store_clock, now), now);
 	if (r == STORE_OK)
