--- a/sched/reservation.c
+++ b/sched/reservation.c
@@ -186,9 +186,8 @@
 			continue;
 		if (s->now_ms - v->since_ms >= REPLAN_MS)
 			v->avoid_until_ms = s->now_ms + AVOID_MS;
-		else if (!room_find_option(s, st, w, LONGEST_RUN_MS, true, &o))
-			continue;
-		if (v->avoid_until_ms > s->now_ms)
+		if (v->avoid_until_ms > s->now_ms ||
+		    !room_find_option(s, st, w, LONGEST_RUN_MS, true, &o))
 			continue;
 		reserve_on(s, st, &o, 1);
 		return true;
