Leases: no start on a worker whose clock was read too long ago

Cause: since a deadline is not told by such a clock, but a start was sent all the same, without one (0): to a worker without runs that was not listed for 4 s and is listed again, until its first poll is answered. The worker rejects it as late, and each pass tries again, as that delays nothing.

Change: such a worker counts as new until it has answered.

--- a/sched/cell_worker.c
+++ b/sched/cell_worker.c
@@ -85,7 +85,8 @@
 		return SCHED_WAIT_LEAVING;
 	if (w->missed_polls > 0 || w->silent)
 		return SCHED_WAIT_SILENT;
-	if (!w->footprint_stored || lease_end_is_stored(w) || !w->has_answered)
+	if (!w->footprint_stored || lease_end_is_stored(w) ||
+	    !w->has_answered || lease_clock_is_old(s, w))
 		return SCHED_WAIT_NEW_WORKER;
 	if (w->nunknown > 0)
 		return SCHED_WAIT_UNKNOWN_RUNS;
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -182,6 +182,7 @@
 void lease_restarted(worker_t *w);
 void lease_first_answer(const sched_t *s, worker_t *w);
 bool lease_clock_known(const sched_t *s, const worker_t *w);
+bool lease_clock_is_old(const sched_t *s, const worker_t *w);
 bool
 lease_clock_went_back(const sched_t *s, const worker_t *w, int64_t clock_ms);
 void lease_clock_read(const sched_t *s, worker_t *w, int64_t clock_ms);
--- a/sched/lease.c
+++ b/sched/lease.c
@@ -106,6 +106,13 @@
 	return s->now_ms - w->answered_ms <= CLOCK_VALID_MS;
 }
 
+/* Whether it was read, but too long ago: a start would have no deadline. */
+bool
+lease_clock_is_old(const sched_t *s, const worker_t *w)
+{
+	return clock_was_read(w) && !lease_clock_known(s, w);
+}
+
 /*
  * Whether a report's clock is so far behind the value expected that another
  * process sent it.  For one that does not say when its process started; it must
--- a/test/unit/lease.c
+++ b/test/unit/lease.c
@@ -28,6 +28,7 @@
 static uint64_t poll_id;
 static int64_t poll_deadline_ms;
 static int64_t written_until_ms; /* in the last row of the footprint */
+static int starts, starts_without_deadline;
 
 static void
 take_poll(void *ctx, const sched_poll_t *p)
@@ -64,6 +65,15 @@
 	(void)o;
 }
 
+static void
+take_start(void *ctx, const sched_order_t *o)
+{
+	(void)ctx;
+	starts += o->kind == SCHED_START;
+	starts_without_deadline +=
+	    o->kind == SCHED_START && o->deadline_ms == 0;
+}
+
 /* Lists the worker w0, in its process of started_ms. */
 static void
 list_process(sched_t *s, int64_t started_ms)
@@ -379,3 +389,56 @@
 		sched_free(s);
 	}
 }
+
+/* Goes on by 10 ms with all feeds current, and a pass over what waits. */
+static void
+step_with_pass(sched_t *s)
+{
+	for (int i = 0; i < SCHED_NFEEDS; i++)
+		s->feed_read_ms[i] = s->now_ms + 10;
+	s->start_pass_due = true;
+	step(s);
+}
+
+/*
+ * Guards against starts that are rejected as late, again and again: a worker that was
+ * not listed for a while is listed again, and its clock is not known yet.
+ */
+Test(lease, no_start_before_the_clock_is_known)
+{
+	static const int32_t unlisted_ms[] = { 100, 3900, 4200, 5000, 20000 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(unlisted_ms); i++) {
+		sched_t *s = new_owner_of_worker();
+		Sched__Step d = step_def("", 1000, false, 0);
+		worker_t *w = cell_worker_get(s, "w0");
+		step_t *st = first_step(add_job(s, "0000000000000001", &d, 0));
+
+		s->opts.port.order = take_start;
+		starts = starts_without_deadline = 0;
+		for (int k = 0; k < 100; k++) {
+			step(s);
+			answer_poll(s);
+		}
+		cr_assert(cell_worker_usable(s, w));
+		sched_worker_left(s, "w0", s->now_ms);
+		for (int k = 0; k < unlisted_ms[i] / 10; k++) {
+			step(s);
+			answer_poll(s);
+		}
+		st->ready = true;
+		queue_add_step(s, st);
+		list_worker(s);
+		/* Its first answer takes longer than the write of its row. */
+		for (int k = 0; k < 30; k++)
+			step_with_pass(s);
+		for (int k = 0; k < 100 && starts == 0; k++) {
+			answer_poll(s);
+			step_with_pass(s);
+		}
+		cr_expect_eq(starts, 1, "%d ms", unlisted_ms[i]);
+		cr_expect_eq(
+		    starts_without_deadline, 0, "%d ms", unlisted_ms[i]);
+		sched_free(s);
+	}
+}
