Crashes: an answer that was read late does not show that its worker is up yet

Cause: since such an answer sets when the worker answered to the time at which it was read, as its clock counts as known from then. How long a run was up before its worker crashed goes by the same time: one up for 0.1 s, with the answer read 3 s late by an owner that was paused, counted as up for 3.1 s, and its crash as none that comes soon.

Change: when the clock was read and when the worker was up to answer are two fields; the latter is earlier by as much as the answer's clock is behind the lowest that it can have. A fixture sets the former now.

--- a/sched/lease.c
+++ b/sched/lease.c
@@ -54,7 +54,7 @@
 static bool
 clock_was_read(const worker_t *w)
 {
-	return w->answered_ms != NEVER_MS;
+	return w->lease.read_ms != NEVER_MS;
 }
 
 /* Lowest value that the worker's clock, once it was read, can have now. */
@@ -62,7 +62,7 @@
 min_clock(const sched_t *s, const worker_t *w)
 {
 	return w->lease.clock_ms +
-	    (s->now_ms - w->answered_ms) * (100 - CLOCK_DRIFT_PCT) / 100;
+	    (s->now_ms - w->lease.read_ms) * (100 - CLOCK_DRIFT_PCT) / 100;
 }
 
 /* How long a worker's longest lease lasts at most, by our clock. */
@@ -85,7 +85,7 @@
 void
 lease_restarted(worker_t *w)
 {
-	w->lease.deadline_ms = w->answered_ms = NEVER_MS;
+	w->lease.deadline_ms = w->lease.read_ms = w->answered_ms = NEVER_MS;
 	w->lease.stored.state = BOUND_UNKNOWN;
 }
 
@@ -103,7 +103,7 @@
 bool
 lease_clock_known(const sched_t *s, const worker_t *w)
 {
-	return s->now_ms - w->answered_ms <= CLOCK_VALID_MS;
+	return s->now_ms - w->lease.read_ms <= CLOCK_VALID_MS;
 }
 
 /* Whether it was read, but too long ago: a start would have no deadline. */
@@ -128,15 +128,18 @@
 /*
  * Sets the worker's clock from an answer.  That must not turn it back: of an answer
  * that was overtaken, read late or longer on its way, the clock is behind the lowest
- * value that it can have by now, which is taken instead.
+ * value that it can have by now, which is taken instead.  The worker may not be up any
+ * more then: it was when it sent that.
  */
 void
 lease_clock_read(const sched_t *s, worker_t *w, int64_t clock_ms)
 {
-	if (clock_was_read(w))
-		clock_ms = MAX(clock_ms, min_clock(s, w));
-	w->lease.clock_ms = clock_ms;
-	w->answered_ms = s->now_ms;
+	int64_t late_ms =
+	    clock_was_read(w) ? MAX(0, min_clock(s, w) - clock_ms) : 0;
+
+	w->lease.clock_ms = clock_ms + late_ms;
+	w->lease.read_ms = s->now_ms;
+	w->answered_ms = MAX(w->answered_ms, s->now_ms - late_ms);
 }
 
 /*
@@ -153,7 +156,7 @@
 	l->sent_ms = s->now_ms;
 	if (!lease_clock_known(s, w))
 		return 0;
-	ms += l->clock_ms + (s->now_ms - w->answered_ms);
+	ms += l->clock_ms + (s->now_ms - l->read_ms);
 	l->deadline_ms = MAX(l->deadline_ms, ms);
 	return l->deadline_ms;
 }
--- a/sched/types.h
+++ b/sched/types.h
@@ -302,7 +302,8 @@
 
 /* This owner's view of a worker's clock and of its leases; see lease.c. */
 typedef struct {
-	int64_t clock_ms;    /* the worker's clock when it last answered */
+	int64_t clock_ms;    /* the worker's clock at read_ms, or less */
+	int64_t read_ms;     /* when it was read from an answer, or NEVER_MS */
 	int64_t deadline_ms; /* latest one sent to its process; its clock */
 	int64_t sent_ms;     /* when this owner last sent one; our clock */
 	/* Leases granted before its process first answered us; our clock. */
@@ -374,7 +375,7 @@
 	int64_t next_poll_ms;
 	int64_t reported_ms; /* when its process last sent a report */
 	int64_t back_ms;     /* it came back then, see handover.c; or 0 */
-	/* When it last answered a poll or order of this owner, or NEVER_MS. */
+	/* When it was up to answer a poll or order of this owner, or NEVER_MS. */
 	int64_t answered_ms;
 	bool poll_soon;		  /* it is in s->polls_soon */
 	bool poll_without_wait;	  /* next poll returns at once */
--- a/test/unit/lease.c
+++ b/test/unit/lease.c
@@ -442,3 +442,42 @@
 		sched_free(s);
 	}
 }
+
+/*
+ * Guards against crashes that count as long after a start: an answer that was read
+ * late does not show that its worker was up until then.
+ */
+Test(lease, an_answer_read_late_is_no_sign_of_life)
+{
+	static const int64_t late_ms[] = { 0, 300, 1500, 3000 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(late_ms); i++) {
+		sched_t *s = new_owner_of_worker();
+		sched_running_t run = { .task = "0000000000000001.0.0.0",
+			.run = 1,
+			.checkpoint = "" };
+		sched_report_t report = {
+			.started_ms = 1, .running = &run, .nrunning = 1
+		};
+		run_t *r;
+
+		for (int k = 0; k < 10; k++) {
+			step(s);
+			answer_poll(s);
+		}
+		r = start_run(s);
+		for (int k = 0; k < 10; k++)
+			step(s);
+		report.clock_ms = worker_clock_ms(s);
+		s->now_ms += late_ms[i];
+		sched_poll_done(
+		    s, poll_id, "w0", SCHED_ORDER_OK, &report, s->now_ms);
+		cr_expect_geq(crash_known_up_ms(r), 90, "%d ms late: %d",
+		    (int)late_ms[i], (int)crash_known_up_ms(r));
+		/* By a clock that may be 2 % slow. */
+		cr_expect_leq(crash_known_up_ms(r), 100 + late_ms[i] / 40,
+		    "%d ms late: %d", (int)late_ms[i],
+		    (int)crash_known_up_ms(r));
+		sched_free(s);
+	}
+}
--- a/test/unit/starvation.c
+++ b/test/unit/starvation.c
@@ -714,7 +714,7 @@
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		worker_t *w = g_ptr_array_index(s->worker_list, i);
 
-		w->answered_ms = s->now_ms;
+		w->lease.read_ms = s->now_ms;
 		pacing_report(s, w);
 	}
 	if (s->now_ms % ROUND_MS == 0) {
--- a/test/unit/wait_reason.c
+++ b/test/unit/wait_reason.c
@@ -587,7 +587,6 @@
 	cr_expect_eq(logged.jobs, 7);
 	logged.jobs = 0;
 	c.w->used_cpu_milli = 0;
-	c.w->answered_ms = c.s->now_ms;
 	tick_for(c.s, 2000);
 	cr_expect_eq(c.st->nwaiting, 0);
 	cr_expect_eq(logged.jobs, 0);
