Store's clock: the scheduler goes by the best of all answers at once

Cause: the scheduler took the store's clock over only when the owner's row was polled, every 2 s on an owner. A fresh process that read its first answer late (a pause of 3 s, say) stored lease ends that much too early for as long, and its successors allow for 900 ms. Change: each answer of the store passes the clock on. One answer that was read promptly, as that of the claim or of the load, is enough. Unit load/the_store_clock_is_that_of_the_best_answer fails without it.

--- a/serve/cell_driver.c
+++ b/serve/cell_driver.c
@@ -104,13 +104,9 @@
 on_owner_polled(void *ctx, store_result_t r, const store_answer_t *a)
 {
 	cell_driver_t *c = ctx;
-	int64_t now = node_now_ms(c->node);
 
 	c->polling_owner = false;
 	node_record_store_answer(c->node, r, a);
-	if (a->clock_ms != 0 && c->node->store_clock.known)
-		sched_store_clock_read(
-		    c->sched, store_clock_now(&c->node->store_clock, now), now);
 	if (r == STORE_OK)
 		deliver_owner_row(c, a);
 	node_schedule_tick(c->node);
@@ -479,6 +475,12 @@
 	node_schedule_tick(c->node);
 }
 
+void
+cell_driver_store_clock_read(cell_driver_t *c, int64_t store_ms)
+{
+	sched_store_clock_read(c->sched, store_ms, node_now_ms(c->node));
+}
+
 void
 cell_driver_poll_owner(cell_driver_t *c)
 {
--- a/serve/node.c
+++ b/serve/node.c
@@ -90,8 +90,11 @@
 
 	if (r == STORE_REFUSED || r == STORE_IN_DOUBT)
 		return;
-	if (a->clock_ms != 0)
+	if (a->clock_ms != 0) {
 		store_clock_read(&n->store_clock, a->clock_ms, now);
+		cell_driver_store_clock_read(
+		    n->cell_driver, store_clock_now(&n->store_clock, now));
+	}
 	n->store_answered_ms = now;
 	if (silent_ms > STORE_GAP_MS)
 		g_ptr_array_foreach(n->watches, retry_watch, NULL);
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -100,6 +100,8 @@
 /* Makes the next read of the owner's row due now. */
 void cell_driver_poll_owner(cell_driver_t *c);
 /* Hands the settings of all queues and customers to the scheduler. */
+/* The store's clock, as of now, by all of its answers so far. */
+void cell_driver_store_clock_read(cell_driver_t *c, int64_t store_ms);
 void cell_driver_set_queues(cell_driver_t *c, const platform_config_t *cfg);
 /* All changes of the operators' table up to a time were handed over. */
 void cell_driver_operators_synced(cell_driver_t *c, int64_t as_of_ms);
--- a/test/unit/load.c
+++ b/test/unit/load.c
@@ -27,9 +27,12 @@
 #include "../../serve/serve.h"
 #include "sched_fixture.h"
 
-#define JOB	 "0000000000000001"
-#define TOKEN	 41
-#define JOB_ROWS 1 /* the watch of the jobs among those of a driver */
+#define JOB   "0000000000000001"
+#define TOKEN 41
+/* The store's clock less ours, and how late its first answer is read. */
+#define STORE_AHEAD_MS 500000
+#define PAUSE_MS       3000
+#define JOB_ROWS       1 /* the watch of the jobs among those of a driver */
 
 /* The owner row of another entry is read. */
 static void
@@ -171,3 +174,25 @@
 	cr_expect_leq(
 	    s->opts.feed_limit_ms + PLATFORM_ORDER_TIMEOUT_MS, n.opts.drain_ms);
 }
+
+/*
+ * Guards against two runs of one task: a process that was paused before it read the
+ * first answer of the store wrote lease ends by that, too early for its successors,
+ * until it polled its own row seconds later.
+ */
+Test(load, the_store_clock_is_that_of_the_best_answer)
+{
+	node_t n = { 0 };
+	uv_loop_t loop;
+	const sched_t *s = cell_driver_sched(new_driver(&n, &loop));
+	store_answer_t late = { 0 }, prompt = { 0 };
+
+	n.store_answered_ms = node_now_ms(&n);
+	late.clock_ms = n.store_answered_ms + STORE_AHEAD_MS - PAUSE_MS;
+	node_record_store_answer(&n, STORE_OK, &late);
+	prompt.clock_ms = node_now_ms(&n) + STORE_AHEAD_MS;
+	node_record_store_answer(&n, STORE_OK, &prompt);
+	cr_assert(s->store_clock_known);
+	cr_expect_geq(s->store_clock_offset_ms, STORE_AHEAD_MS - 100,
+	    "%d ms behind", (int)(STORE_AHEAD_MS - s->store_clock_offset_ms));
+}
