Leases: a start may have reached a process that started again under its worker's id

What callers see: a task with two runs (TWICE). Cause: a worker that starts again under its id has a clock of its own, mostly behind. Until its owner knows, starts and polls name deadlines by the former process's clock, far ahead for the new one, which cuts them to its longest lease, 6 s. The owner took it for 4 s, as the clock of a process that it did not know for that of one it did; so did its successors, 4.3 s after a release and 5.3 s after silence. If the worker can't be reached then, its tasks start elsewhere up to 2 s too early. Class: an unknown bound taken for a value. Evidence: a script of faults on test/cell, untouched: the worker starts again at once, gets a start, the owner leaves, the worker is cut from the others: 'twice' at 13.843; with the fix it passes. Fix: a new owner waits for the longest lease that a worker accepts. An owner does so for a worker that has not answered a poll sent after its last start, stores that end, and does not extend such a lease once it may have a successor, 1.15 s after its last confirmed write.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -187,6 +187,8 @@
 lease_clock_went_back(const sched_t *s, const worker_t *w, int64_t clock_ms);
 void lease_clock_read(const sched_t *s, worker_t *w, int64_t clock_ms);
 int64_t lease_extend(const sched_t *s, worker_t *w);
+void lease_start_sent(const sched_t *s, worker_t *w);
+void lease_poll_answered(worker_t *w, int64_t sent_ms);
 bool lease_may_extend(const sched_t *s, const worker_t *w);
 bool lease_has_ended(const sched_t *s, const worker_t *w);
 int64_t lease_left_ms(const sched_t *s, const worker_t *w);
@@ -428,6 +430,7 @@
 void ownership_row_read(sched_t *s, const sched_row_t *row);
 void ownership_claim_done(sched_t *s, sched_write_result_t r, int64_t version);
 void ownership_load_done(sched_t *s);
+bool ownership_is_confirmed(const sched_t *s);
 bool ownership_may_extend_leases(const sched_t *s);
 void ownership_set_store_outage(sched_t *s, bool for_all, int64_t last_ms);
 bool ownership_may_start_tasks(const sched_t *s);
--- a/sched/lease.c
+++ b/sched/lease.c
@@ -37,9 +37,9 @@
 /* A clock further back is that of another process, not of a late answer. */
 #define CLOCK_BACKWARD_MS 1500
 #define EXPIRY_MARGIN_MS  200 /* for an order that arrives as the lease ends */
-/* For how long a lease may last that an owner has extended, at most. */
-#define GRANTED_MS	   (LEASE_MS * (100 + CLOCK_DRIFT_PCT) / 100 + EXPIRY_MARGIN_MS)
-#define EARLIER_GRANTED_MS 4300 /* the same of an earlier owner, rounded up */
+/* For how long a lease may last that an owner has extended by the clock of the
+ * worker's process. */
+#define GRANTED_MS (LEASE_MS * (100 + CLOCK_DRIFT_PCT) / 100 + EXPIRY_MARGIN_MS)
 /* By so much an owner may take the store's clock to be behind, as answers of the
  * store that took longer are not used. */
 #define STORE_CLOCK_MARGIN_MS 900
@@ -77,7 +77,7 @@
 void
 lease_forget(worker_t *w)
 {
-	w->lease = (lease_t){ .sent_ms = NEVER_MS };
+	w->lease = (lease_t){ .sent_ms = NEVER_MS, .start_sent_ms = NEVER_MS };
 	lease_restarted(w);
 }
 
@@ -86,6 +86,7 @@
 lease_restarted(worker_t *w)
 {
 	w->lease.deadline_ms = w->lease.read_ms = w->answered_ms = NEVER_MS;
+	w->lease.answered_poll_ms = NEVER_MS;
 	w->lease.stored.state = BOUND_UNKNOWN;
 }
 
@@ -161,16 +162,50 @@
 	return l->deadline_ms;
 }
 
+/* A start is sent to a worker. */
+void
+lease_start_sent(const sched_t *s, worker_t *w)
+{
+	w->lease.start_sent_ms = s->now_ms;
+}
+
+/* The process that the worker is known by has answered a poll sent at that time. */
+void
+lease_poll_answered(worker_t *w, int64_t sent_ms)
+{
+	w->lease.answered_poll_ms = MAX(w->lease.answered_poll_ms, sent_ms);
+}
+
+/*
+ * Whether a process may have got a start that is not known yet, as it started under
+ * the worker's id since the last answer.  By its clock our deadlines may be far ahead.
+ */
+static bool
+unknown_process_may_run(const worker_t *w)
+{
+	return w->lease.start_sent_ms >= w->lease.answered_poll_ms;
+}
+
+/* When the longest lease of such a process ends, or a time that has passed. */
+static int64_t
+unknown_process_end_ms(const sched_t *s, const worker_t *w)
+{
+	return unknown_process_may_run(w) ? w->lease.sent_ms + longest_ms(s) :
+					    NEVER_MS;
+}
+
 /*
  * Whether a poll may extend the lease of a worker.  Not without an answer to the
  * last one, so that the lease of an unreachable worker expires; and not as long
- * as the store says when it ends, since a successor goes by that.
+ * as the store says when it ends, since a successor goes by that.  The longest lease
+ * is not extended by an owner that may have a successor.
  */
 bool
 lease_may_extend(const sched_t *s, const worker_t *w)
 {
 	return ownership_may_extend_leases(s) && w->missed_polls == 0 &&
 	    !lease_end_is_stored(w) &&
+	    (!unknown_process_may_run(w) || ownership_is_confirmed(s)) &&
 	    (w->footprint_stored || g_hash_table_size(w->runs) == 0);
 }
 
@@ -187,6 +222,8 @@
 	if (l->earlier.state == BOUND_UNKNOWN ? !s->cell.workers_accounted :
 						!passed(l->earlier, s->now_ms))
 		return false;
+	if (s->now_ms <= unknown_process_end_ms(s, w))
+		return false;
 	/* Without its clock: no lease is longer than the worker accepts. */
 	return clock_was_read(w) ?
 	    min_clock(s, w) > l->deadline_ms + EXPIRY_MARGIN_MS :
@@ -241,10 +278,12 @@
 	if (w->missed_polls == 0 || l->sent_ms == NEVER_MS)
 		l->stored.state = BOUND_EXTENDING;
 	else if (!lease_end_is_stored(w) && s->store_clock_known &&
-	    l->earlier.state == BOUND_ENDS_AT)
-		l->stored =
-		    ENDS_AT(MAX(l->sent_ms + GRANTED_MS, l->earlier.ms) +
-			s->store_clock_offset_ms);
+	    l->earlier.state == BOUND_ENDS_AT) {
+		int64_t ms = MAX(l->sent_ms + GRANTED_MS, l->earlier.ms);
+
+		ms = MAX(ms, unknown_process_end_ms(s, w));
+		l->stored = ENDS_AT(ms + s->store_clock_offset_ms);
+	}
 	return lease_stored_ms(w) != before_ms;
 }
 
@@ -255,7 +294,10 @@
 int64_t
 lease_taken_over(sched_t *s, bool any_owner, int64_t extended_ms)
 {
-	int64_t ms = any_owner ? EARLIER_GRANTED_MS + extended_ms : 0;
+	/* A worker may have started again under its id before their last start,
+	 * which takes their deadlines for the longest lease. */
+	int64_t ms =
+	    any_owner ? MAX(GRANTED_MS + extended_ms, longest_ms(s)) : 0;
 
 	s->cell.old_leases = ENDS_AT(s->now_ms + ms);
 	return ms;
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -444,6 +444,14 @@
 		    feeds_current(s, MAX(last_ms, c->confirmed_ms));
 }
 
+/* Whether no other entry can have claimed the cell. */
+bool
+ownership_is_confirmed(const sched_t *s)
+{
+	return s->cell.store_outage ||
+	    s->now_ms - s->cell.confirmed_ms < START_LIMIT_MS;
+}
+
 /*
  * Whether tasks may be started, and moved between workers.  (Stops, polls and
  * paces may be ordered as long as the cell is owned.)  During a store outage
--- a/sched/report.c
+++ b/sched/report.c
@@ -382,6 +382,7 @@
 	w->reported_ms = s->now_ms;
 	lease_clock_read(s, w, report->clock_ms);
 	on_worker_answered(s, w);
+	lease_poll_answered(w, poll_sent_ms);
 	for (size_t i = 0; i < report->nended; i++) {
 		if (report->ended[i].seq <= w->ended_seq)
 			continue;
--- a/sched/run.c
+++ b/sched/run.c
@@ -106,6 +106,7 @@
 
 		o.spec = r->job->def->spec;
 		o.deadline_ms = lease_extend(s, w);
+		lease_start_sent(s, w);
 		if (r->job->needs_approval && approval_ticket(s, st, w) != NULL)
 			o.ticket = approval_ticket(s, st, w);
 		if (st->def->gang && st->gang_checkpoint != NULL)
--- a/test/unit/lease.c
+++ b/test/unit/lease.c
@@ -24,6 +24,8 @@
 #define MAX_LEASE_MS 6000
 /* The longest that an owner lets a lease run, on a clock 2 % slow. */
 #define LEASE_MS 4082
+/* The longest that a worker accepts, on such a clock. */
+#define LONGEST_LEASE_MS 6120
 
 static uint64_t poll_id;
 static int64_t poll_deadline_ms;
@@ -481,3 +483,116 @@
 		sched_free(s);
 	}
 }
+
+/* Fails polls until the owner takes the run on the worker for ended. */
+static void
+miss_polls_until_lost(sched_t *s)
+{
+	const worker_t *w = cell_worker_get(s, "w0");
+	int64_t until_ms = s->now_ms + 20000;
+
+	while (g_hash_table_size(w->runs) > 0 && s->now_ms < until_ms) {
+		if (w->poll_id != 0)
+			sched_poll_done(s, poll_id, "w0", SCHED_ORDER_NOT_SENT,
+			    NULL, s->now_ms);
+		step(s);
+	}
+}
+
+/*
+ * Guards against two runs of one task: a worker starts again under its id, and its
+ * new process takes a start whose deadline is by the clock of the former one, for
+ * one far ahead.  Then it is cut off, before the owner knows.
+ */
+Test(lease, a_start_at_a_process_that_is_not_known)
+{
+	static const struct {
+		const char *name;
+		bool shown; /* a poll after the start is answered */
+		int64_t least_ms, most_ms; /* from the start */
+	} cases[] = {
+		{ "no answer since the start", false, LONGEST_LEASE_MS, 7000 },
+		{ "its process has the run", true, LEASE_MS, 5600 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = new_owner_of_worker();
+		int64_t store_ms = s->now_ms + 1000000, began_ms;
+		sched_running_t run = { .task = "0000000000000001.0.0.0",
+			.run = 1,
+			.checkpoint = "" };
+		sched_report_t report = {
+			.started_ms = 1, .running = &run, .nrunning = 1
+		};
+
+		sched_store_clock_read(s, store_ms, s->now_ms);
+		store_ms -= s->now_ms;
+		/* Until no lease is left from before the first answer. */
+		for (int k = 0; k < 1000; k++) {
+			step(s);
+			answer_poll(s);
+		}
+		cr_assert(cell_worker_get(s, "w0")->has_answered);
+		start_run(s);
+		began_ms = s->now_ms;
+		if (cases[i].shown) {
+			/* The one in flight, and one after the start. */
+			for (int k = 0; k < 20; k++) {
+				report.clock_ms = worker_clock_ms(s);
+				if (cell_worker_get(s, "w0")->poll_id != 0)
+					sched_poll_done(s, poll_id, "w0",
+					    SCHED_ORDER_OK, &report, s->now_ms);
+				step(s);
+			}
+		}
+		miss_polls_until_lost(s);
+		cr_expect_geq(s->now_ms, began_ms + cases[i].least_ms,
+		    "%s: %d ms", cases[i].name, (int)(s->now_ms - began_ms));
+		cr_expect_leq(s->now_ms, began_ms + cases[i].most_ms,
+		    "%s: %d ms", cases[i].name, (int)(s->now_ms - began_ms));
+		cr_expect_geq(written_until_ms,
+		    store_ms + began_ms + cases[i].least_ms, "%s: %d ms",
+		    cases[i].name,
+		    (int)(written_until_ms - store_ms - began_ms));
+		sched_free(s);
+	}
+}
+
+/*
+ * Guards against two runs of one task: an owner that has a successor already extends
+ * the longest lease of a process that it does not know.
+ */
+Test(lease, no_extension_for_a_process_that_is_not_known)
+{
+	static const struct {
+		const char *name;
+		bool shown; /* a poll after the start is answered */
+		int64_t confirmed_age_ms;
+		bool extended;
+	} cases[] = {
+		{ "confirmed", false, 1000, true },
+		{ "not confirmed", false, 1300, false },
+		{ "its process has the run", true, 1300, true },
+		{ "the same, for too long", true, 2300, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = new_owner_of_worker();
+		worker_t *w = cell_worker_get(s, "w0");
+
+		for (int k = 0; k < 10; k++) {
+			step(s);
+			answer_poll(s);
+		}
+		start_run(s);
+		for (int k = 0; k < 10 && cases[i].shown; k++) {
+			step(s);
+			answer_poll(s);
+		}
+		w->footprint_stored = true;
+		s->cell.confirmed_ms = s->now_ms - cases[i].confirmed_age_ms;
+		cr_expect_eq(lease_may_extend(s, w), cases[i].extended, "%s",
+		    cases[i].name);
+		sched_free(s);
+	}
+}
