Scheduler: read the ends of runs in answers that come after the poll's time

Cause: a poll that timed out closed its connection, so that its answer was lost. An owner with a slow link, whose answers come later than that, never read that a run had ended, gave it up as the lease ended and had its task started again (TWICE: the end counts as noted 100 ms after it was listed, if no impairment is near).

Change: a call can stay open after its time (late_ms; two a server at most). The ends in the late answer of a poll count, if the process that sent it has answered this owner; nothing else of it does. The weak entries of the schedules get answers up to 3 s late, and a task must not be started after its owner has read its end.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -297,6 +297,7 @@
 void run_listed(sched_t *s, run_t *r);
 void run_stop_in_doubt(sched_t *s, run_t *r);
 void report_job_known(sched_t *s, job_t *j);
+void report_apply_ends(sched_t *s, worker_t *w, const sched_report_t *report);
 void report_apply(sched_t *s, worker_t *w, const sched_report_t *report,
     int64_t poll_sent_ms);
 void run_worker_lost(sched_t *s, worker_t *w, const char *why);
--- a/sched/poll.c
+++ b/sched/poll.c
@@ -72,6 +72,23 @@
 	    lease_left_ms(s, w));
 }
 
+/*
+ * Processes the answer to a poll that had ended without one, while another may be in
+ * flight: the ends that it lists hold, as the users take note of an end once it is
+ * listed.  It says nothing of the runs under way now, nor whether the worker answers.
+ */
+static void
+on_late_answer(sched_t *s, worker_t *w, const sched_report_t *report)
+{
+	/* The ends of another process have other numbers. */
+	if (!w->has_answered || report->started_ms == 0 ||
+	    report->started_ms != w->started_ms)
+		return;
+	report_apply_ends(s, w, report);
+	flush_acknowledge_ended(s, w);
+	flush_if_due(s);
+}
+
 /*
  * Processes the answer to a poll.  pacing_report and straggler_report decide
  * on paces and stops before run_resend_orders sends the orders that are due.
@@ -83,8 +100,13 @@
 	worker_t *w = g_hash_table_lookup(s->workers, worker);
 
 	s->now_ms = now_ms;
-	if (w == NULL || w->poll_id != id || s->cell.state != CELL_OWNED)
+	if (w == NULL || s->cell.state != CELL_OWNED)
 		return;
+	if (w->poll_id != id) {
+		if (report != NULL)
+			on_late_answer(s, w, report);
+		return;
+	}
 	w->poll_id = 0;
 	poll_soon(s, w);
 	if (quarantine_polls_often(s, w))
--- a/sched/report.c
+++ b/sched/report.c
@@ -358,6 +358,18 @@
 	return lease_clock_went_back(s, w, report->clock_ms);
 }
 
+/* Handles the ends of runs that a worker reports for the first time. */
+void
+report_apply_ends(sched_t *s, worker_t *w, const sched_report_t *report)
+{
+	for (size_t i = 0; i < report->nended; i++) {
+		if (report->ended[i].seq <= w->ended_seq)
+			continue;
+		w->ended_seq = report->ended[i].seq;
+		on_run_ended(s, w, &report->ended[i]);
+	}
+}
+
 /*
  * Processes a worker's report: reads its clock, handles the ends that are new,
  * updates or adopts the runs under way, and removes the runs that are proved
@@ -382,12 +394,7 @@
 	w->reported_ms = s->now_ms;
 	lease_clock_read(s, w, report->clock_ms);
 	on_worker_answered(s, w);
-	for (size_t i = 0; i < report->nended; i++) {
-		if (report->ended[i].seq <= w->ended_seq)
-			continue;
-		w->ended_seq = report->ended[i].seq;
-		on_run_ended(s, w, &report->ended[i]);
-	}
+	report_apply_ends(s, w, report);
 	for (size_t i = 0; i < report->nrunning; i++) {
 		const sched_running_t *entry = &report->running[i];
 		run_t *r = g_hash_table_lookup(w->runs, entry->task);
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -107,6 +107,7 @@
 	const sched_ended_t *ended;
 	size_t nended;
 	bool ended_cut; /* more runs have ended than are listed */
+	bool late;	/* the poll had ended without an answer before */
 } sched_report_t;
 
 /* How an order to a worker ended. */
@@ -376,7 +377,10 @@
 /* An approval request has ended; a is NULL without a complete answer. */
 void sched_approval_done(
     sched_t *s, uint64_t id, const sched_approval_t *a, int64_t now_ms);
-/* A poll has ended; report is NULL without a complete answer. */
+/*
+ * A poll has ended; report is NULL without a complete answer.  Called once more for a
+ * poll that has ended without one if its answer comes late.
+ */
 void sched_poll_done(sched_t *s, uint64_t id, const char *worker,
     sched_order_result_t r, const sched_report_t *report, int64_t now_ms);
 
--- a/test/cell/cell.h
+++ b/test/cell/cell.h
@@ -96,8 +96,10 @@
 	double clock_rate;	 /* of its clock; 1: that of the simulation */
 	int64_t token;		 /* highest fencing token seen */
 	int64_t lease_until_ms;	 /* by its clock */
-	GPtrArray *runs;	 /* of sim_run_t */
-	GPtrArray *ended;	 /* of sim_ended_t, not acknowledged */
+	/* Of its process, the last owner that read an answer in time. */
+	int64_t read_token;
+	GPtrArray *runs;  /* of sim_run_t */
+	GPtrArray *ended; /* of sim_ended_t, not acknowledged */
 	int64_t last_end_seq;
 	int64_t cpu_milli, mem_mb;
 	bool draining, listed;
@@ -142,6 +144,8 @@
 	int32_t failures;	/* runs that failed */
 	int32_t crashes;	/* of workers on which it was running */
 	bool start_unanswered;	/* an order to start it had no answer */
+	/* The owner with this token has read then that a run is done. */
+	int64_t done_read_token, done_read_ms;
 	/* After CRASHES_MAX of them, by the owner with this token. */
 	int32_t starts_after_crashes;
 	int64_t starts_token;
@@ -321,8 +325,10 @@
 void weak_entries_begin(world_t *w);
 void weak_entries_free(world_t *w);
 void weak_entry_booted(world_t *w, sim_entry_t *en);
-/* Whether a poll that has arrived gets no answer, as its sender is weak. */
+/* Whether a poll that has arrived gets no answer in time, as its sender is weak. */
 bool weak_entry_loses_poll(world_t *w, const sim_entry_t *en);
+/* How long after the time for the poll its answer comes. */
+int32_t weak_entry_late_ms(world_t *w);
 
 /* entry.c */
 void entry_boot(world_t *w, sim_entry_t *en);
--- a/test/cell/weak_entry.c
+++ b/test/cell/weak_entry.c
@@ -1,6 +1,6 @@
 /*
- * Schedules in which all entries but the first are too weak for the cell: they lose
- * most answers of the workers.  They are late to claim it, and know of the first,
+ * Schedules in which all entries but the first are too weak for the cell: they get
+ * most answers of the workers late.  They are late to claim it, and know of the first,
  * whether it is up or not.
  */
 #include <stdbool.h>
@@ -16,6 +16,7 @@
 #define WEAK_STRENGTH	200
 #define CLAIM_DELAY_MS	150
 #define LOST_POLL_SHARE 0.8 /* of the polls of a weak entry */
+#define LATE_MAX_MS	3000
 
 void
 weak_entries_begin(world_t *w)
@@ -51,3 +52,9 @@
 	return w->weak_rand != NULL && en->index > 0 &&
 	    g_rand_double(w->weak_rand) < LOST_POLL_SHARE;
 }
+
+int32_t
+weak_entry_late_ms(world_t *w)
+{
+	return 1 + g_rand_int_range(w->weak_rand, 0, LATE_MAX_MS);
+}
--- a/test/cell/worker.c
+++ b/test/cell/worker.c
@@ -74,7 +74,7 @@
 	wk->draining = wk->fails_all_tasks = wk->tasks_stall = false;
 	wk->started_ms = w->now_ms;
 	wk->clock_offset_ms = world_random_int(w, 100, 900000);
-	wk->token = wk->lease_until_ms = wk->last_end_seq = 0;
+	wk->token = wk->lease_until_ms = wk->last_end_seq = wk->read_token = 0;
 }
 
 /* A worker that is still down leaves the list. */
@@ -328,6 +328,12 @@
 		world_fail(w, "twice",
 		    "task %s: run %" PRId64 " started after its end", o->task,
 		    o->run);
+	/* While the worker that listed the end is up. */
+	if (truth->done_read_token == o->token &&
+	    sent_ms > truth->done_read_ms && !job->def->steps[step]->duplicates)
+		world_fail(w, "twice",
+		    "task %s: run %" PRId64 " started after its end was read",
+		    o->task, o->run);
 	if (truth->failures_acked >= job->def->max_attempts &&
 	    !job->def->steps[step]->lasting)
 		world_fail(w, "budget",
@@ -467,6 +473,7 @@
 	int64_t clock_ms;
 	int64_t wait_until_ms; /* of a poll */
 	bool is_poll;	       /* set, but not read */
+	bool answers_late;     /* once the entry has given it up */
 	GArray *running;       /* of sched_running_t */
 	GArray *ended;	       /* of sched_ended_t */
 	bool ended_cut;
@@ -622,6 +629,29 @@
 	world_schedule(en->world, NETWORK_DELAY_MS, on_order_arrived, c);
 }
 
+/* Notes which tasks an owner reads to be done, from a process that it knows. */
+static void
+note_ends_read(world_t *w, const worker_call_t *c, const sched_report_t *report)
+{
+	sim_worker_t *wk = c->worker;
+
+	if (!sched_is_owner(c->entry->sched) ||
+	    report->started_ms != wk->started_ms)
+		return;
+	if (!c->answers_late)
+		wk->read_token = c->poll.token;
+	for (size_t i = 0; i < report->nended; i++) {
+		ground_truth_t *truth =
+		    world_ground_truth(w, report->ended[i].task);
+
+		if (report->ended[i].outcome != SCHED_RUN_DONE ||
+		    wk->read_token != c->poll.token)
+			continue;
+		truth->done_read_token = c->poll.token;
+		truth->done_read_ms = w->now_ms;
+	}
+}
+
 /* Like on_order_answer; without a report when the call failed. */
 static void
 on_poll_answer(world_t *w, void *arg)
@@ -641,6 +671,8 @@
 			report.ended = (void *)c->ended->data;
 			report.nended = c->ended->len;
 			report.ended_cut = c->ended_cut;
+			report.late = c->answers_late;
+			note_ends_read(w, c, &report);
 		}
 		sched_poll_done(c->entry->sched, c->poll.id, c->poll.worker,
 		    c->result, c->running == NULL ? NULL : &report, w->now_ms);
@@ -713,19 +745,29 @@
 	acknowledge_ends(w, wk, p->ended_ack_seq);
 }
 
-/* Like on_order_late. */
+/* Like on_order_late; the answer may come after the entry has given the poll up. */
 static void
 on_poll_late(world_t *w, void *arg)
 {
 	worker_call_t *c = arg;
 	sim_worker_t *wk = c->worker;
 
-	if (wk->up && wk->started_ms == c->started_ms) {
-		worker_advance(w, wk);
-		if (c->poll.token >= wk->token)
-			execute_poll(w, wk, &c->poll);
+	if (!wk->up || wk->started_ms != c->started_ms) {
+		call_free(c);
+		return;
 	}
-	call_free(c);
+	worker_advance(w, wk);
+	if (c->poll.token >= wk->token)
+		execute_poll(w, wk, &c->poll);
+	if (!c->answers_late || c->poll.token < wk->token) {
+		call_free(c);
+		return;
+	}
+	make_report(w, c);
+	c->result = SCHED_ORDER_OK;
+	world_schedule(w,
+	    c->poll.wait_ms + POLL_SLACK_MS + weak_entry_late_ms(w),
+	    on_poll_answer, c);
 }
 
 /* Lets a poll fail that has just arrived; false: it does not. */
@@ -734,13 +776,18 @@
 {
 	const poll_faults_t *f = &c->worker->polls;
 	bool late = handover_chance(w, f->late_share);
+	bool weak = false;
 	worker_call_t *copy;
 
 	if (!late && !handover_chance(w, f->unanswered_share) &&
-	    !answer_is_cut(c) && !weak_entry_loses_poll(w, c->entry))
-		return false;
+	    !answer_is_cut(c)) {
+		weak = weak_entry_loses_poll(w, c->entry);
+		if (!weak)
+			return false;
+	}
 	copy = g_new0(worker_call_t, 1);
 	*copy = *c;
+	copy->answers_late = weak;
 	world_schedule(w,
 	    late ? handover_random_int(w, 100, LATE_POLL_MAX_MS) : 0,
 	    on_poll_late, copy);
--- a/test/main/fuzz_platform.c
+++ b/test/main/fuzz_platform.c
@@ -483,7 +483,8 @@
 	for (size_t i = 0; report != NULL && i < report->nended; i++)
 		touch_text(f, report->ended[i].task);
 	f->ok += r == SCHED_ORDER_OK;
-	end_call(f, id);
+	if (report == NULL || !report->late)
+		end_call(f, id);
 }
 
 static void
@@ -608,7 +609,7 @@
 {
 	fuzz_t *f = ctx;
 
-	f->open_calls--;
+	f->open_calls -= report == NULL || !report->late;
 	sched_poll_done(f->sched, id, worker, r, report, f->now_ms);
 }
 
--- a/test/unit/backend.c
+++ b/test/unit/backend.c
@@ -84,10 +84,12 @@
 	uv_loop_t loop;
 	uv_tcp_t listener; /* of the server */
 	int port;	   /* a free one */
+	uv_stream_t *last; /* connection of the server with a request */
 	const server_case_t *server_case;
 	backends_t *backends;
 	int accepted;	      /* connections that the server has accepted */
-	int ended;	      /* calls */
+	int ended;	      /* calls, with those that are still open */
+	int open;	      /* of these: a late answer may follow */
 	int outcomes[3];      /* calls by how they ended */
 	ts_outcome_t outcome; /* of the last call, as is body */
 	char *body;
@@ -123,9 +125,12 @@
 
 	(void)buf;
 	if (n < 0) {
+		if (st == conn->fixture->last)
+			conn->fixture->last = NULL;
 		uv_close((uv_handle_t *)st, on_closed);
 		return;
 	}
+	conn->fixture->last = st;
 	/* The server never reads the rest of a long request. */
 	if (c->request_bytes > 0)
 		uv_read_stop(st);
@@ -170,6 +175,7 @@
 	(void)req;
 	(void)attempt;
 	f->ended++;
+	f->open += a->open;
 	f->outcome = a->outcome;
 	f->outcomes[a->outcome]++;
 	g_free(f->body);
@@ -348,3 +354,67 @@
 	cr_expect_eq(f.outcomes[TS_OUTCOME_ANSWERED], 5);
 	cr_expect_eq(f.accepted, 3);
 }
+
+/*
+ * Guards against answers that are thrown away as they come late: each call reports
+ * that its time is over, and once more when it is answered or given up.  At most
+ * BACKEND_LATE_CALLS calls to a server wait for that.
+ */
+Test(backend, late_answers, .timeout = 30)
+{
+	static const char answer[] = OK "Content-Length: 5\r\n\r\nhello";
+	static const struct {
+		const char *name;
+		int calls;
+		bool answered;	      /* the last call, after its time */
+		int ended, open;      /* reports, and those of them */
+		int unknown, answers; /* outcomes */
+		int conns;	      /* after one more call */
+	} list[] = {
+		{ "answered late", 1, true, 2, 1, 1, 1, 1 },
+		{ "not answered", 1, false, 2, 1, 2, 0, 2 },
+		{ "two calls", 2, true, 4, 2, 3, 1, 2 },
+		{ "more calls than may be late", BACKEND_LATE_CALLS + 2, false,
+		    2 * BACKEND_LATE_CALLS + 2, BACKEND_LATE_CALLS,
+		    2 * BACKEND_LATE_CALLS + 2, 0, BACKEND_LATE_CALLS + 3 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(list); i++) {
+		fixture_t f = { .server_case = &cases[13] };
+		backend_call_t call = { .ip = "127.0.0.1",
+			.max_conns = 8,
+			.method = "GET",
+			.path = "/",
+			.headers = "",
+			.timeout_ms = TIMEOUT_MS,
+			.late_ms = 2 * TIMEOUT_MS };
+
+		fixture_init(&f);
+		call.port = f.port;
+		for (int k = 1; k <= list[i].calls; k++)
+			backends_send(f.backends, (uint64_t)k, 1, &call);
+		while (f.ended < list[i].calls)
+			uv_run(&f.loop, UV_RUN_ONCE);
+		cr_expect_eq(
+		    f.open, list[i].open, "%s: %d open", list[i].name, f.open);
+		if (list[i].answered) {
+			uv_buf_t out =
+			    uv_buf_init((char *)answer, sizeof(answer) - 1);
+
+			uv_try_write(f.last, &out, 1);
+		}
+		while (f.ended < list[i].ended)
+			uv_run(&f.loop, UV_RUN_ONCE);
+		cr_expect_eq(f.outcomes[TS_OUTCOME_UNKNOWN], list[i].unknown,
+		    "%s", list[i].name);
+		cr_expect_eq(f.outcomes[TS_OUTCOME_ANSWERED], list[i].answers,
+		    "%s", list[i].name);
+		cr_expect_eq(f.open, list[i].open, "%s", list[i].name);
+		f.server_case = &cases[0];
+		call_server(&f);
+		cr_expect_eq(
+		    f.outcome, TS_OUTCOME_ANSWERED, "%s", list[i].name);
+		cr_expect_eq(f.accepted, list[i].conns, "%s: %d connections",
+		    list[i].name, f.accepted);
+	}
+}
--- a/test/unit/ended.c
+++ b/test/unit/ended.c
@@ -85,11 +85,13 @@
 }
 
 /*
- * Ends the poll in flight: without an answer, or with one that lists the end of
- * the run, unless an earlier poll has acknowledged it, or says that it runs.
+ * Ends a poll: without an answer, or with one that lists the end of the run, unless
+ * that poll has acknowledged it, or says that it runs.  started_ms: of the process
+ * that has answered.
  */
 static void
-end_poll(sched_t *s, bool read, bool done)
+end_that_poll(sched_t *s, const sched_poll_t *poll, bool read, bool done,
+    int64_t started_ms)
 {
 	sched_running_t run = {
 		.task = JOB ".0.0.0", .run = 1, .checkpoint = ""
@@ -100,18 +102,25 @@
 		.outcome = SCHED_RUN_DONE,
 		.checkpoint = "" };
 	sched_report_t report = { .clock_ms = CLOCK_MS + s->now_ms - BEGUN_MS,
-		.started_ms = 1,
+		.started_ms = started_ms,
 		.running = &run,
 		.nrunning = !done,
 		.ended = &end,
-		.nended = done && last_poll.ended_ack_seq < END_SEQ };
+		.nended = done && poll->ended_ack_seq < END_SEQ };
 
-	cr_assert_neq(last_poll.id, 0, "no poll is in flight");
-	sched_poll_done(s, last_poll.id, "w",
+	cr_assert_neq(poll->id, 0, "no poll is in flight");
+	sched_poll_done(s, poll->id, "w",
 	    read ? SCHED_ORDER_OK : SCHED_ORDER_IN_DOUBT, read ? &report : NULL,
 	    s->now_ms);
 }
 
+/* The same with the last poll that was sent. */
+static void
+end_poll(sched_t *s, bool read, bool done)
+{
+	end_that_poll(s, &last_poll, read, done, 1);
+}
+
 /* Waits until a poll is in flight, for a second at most. */
 static void
 await_poll(sched_t *s, uint64_t after, sched_write_result_t r)
@@ -171,8 +180,10 @@
 
 /*
  * An owner that read no answer until the lease had ended has the task start again,
- * as the worker may be gone.  Guards against two runs that go on once it does read
- * that the first one is done.
+ * as the worker may be gone.  By the users' rules an end that the owner takes in after
+ * that has not been taken note of, as the lease has ended in between: the second run
+ * was allowed.  Guards against two runs that go on once the owner does read that the
+ * first one is done.
  */
 Test(ended, read_after_the_lease)
 {
@@ -199,3 +210,116 @@
 	cr_expect_null(t->run);
 	sched_free(s);
 }
+
+/*
+ * An answer that has arrived as the lease ends is read before the task starts again:
+ * sockets are read between two ticks.
+ */
+Test(ended, read_as_the_lease_ends)
+{
+	for (int32_t read = 0; read <= 1; read++) {
+		sched_t *s = new_polling_owner();
+		Sched__Step d = step_def("", 1000, false, 0);
+		worker_t *w = add_worker(s, "w"), *other = add_worker(s, "o");
+		job_t *j = add_job(s, JOB, &d, 0);
+		const task_t *t = &first_step(j)->tasks[0];
+
+		s->now_ms = BEGUN_MS;
+		other->next_poll_ms = SCHED_NUMBER_MAX;
+		first_step(j)->ready = true;
+		/* For so long that it is no suspect. */
+		add_running(s, first_step(j), 0, w)->first_seen_ms = 1;
+		await_poll(s, 0, SCHED_WRITE_OK);
+		end_poll(s, true, false);
+		await_poll(s, last_poll.id, SCHED_WRITE_OK);
+		end_poll(s, false, true);
+		await_poll(s, last_poll.id, SCHED_WRITE_OK);
+		while (t->run != NULL && s->now_ms < BEGUN_MS + 3 * LEASE_MS)
+			pass_ms(s, TICK_MS, SCHED_WRITE_OK);
+		cr_expect_eq(t->state, TASK_WAITING);
+		cr_expect_eq(starts, 0);
+		if (read)
+			end_poll(s, true, true);
+		cr_expect_eq(t->state, read ? TASK_DONE : TASK_WAITING);
+		pass_ms(s, 10 * TICK_MS, SCHED_WRITE_OK);
+		cr_expect_eq(starts, !read);
+		sched_free(s);
+	}
+}
+
+/*
+ * Guards against a task that is started again although its owner has read that it is
+ * done: in an answer that came after the poll had ended without one.
+ */
+Test(ended, read_after_the_poll)
+{
+	static const struct {
+		const char *name;
+		int32_t late;	    /* polls after which the answer comes */
+		int64_t started_ms; /* of the process that sent it */
+		bool known_again;   /* that process has answered this owner */
+		bool counts;
+	} cases[] = {
+		{ "as the next poll is in flight", 1, 1, true, true },
+		{ "two polls later", 2, 1, true, true },
+		{ "of an earlier process", 1, 2, true, false },
+		{ "of a process that has not answered", 1, 1, false, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = new_polling_owner();
+		Sched__Step d = step_def("", 1000, false, 0);
+		worker_t *w = add_worker(s, "w");
+		job_t *j = add_job(s, JOB, &d, 0);
+		const task_t *t = &first_step(j)->tasks[0];
+		sched_poll_t late;
+
+		add_running(s, first_step(j), 0, w);
+		await_poll(s, 0, SCHED_WRITE_OK);
+		end_poll(s, true, false);
+		await_poll(s, last_poll.id, SCHED_WRITE_OK);
+		late = last_poll;
+		for (int32_t n = 0; n < cases[i].late; n++) {
+			end_poll(s, false, true);
+			await_poll(s, last_poll.id, SCHED_WRITE_OK);
+		}
+		w->has_answered = cases[i].known_again;
+		end_that_poll(s, &late, true, true, cases[i].started_ms);
+		cr_expect_eq(t->state,
+		    cases[i].counts ? TASK_DONE : TASK_RUNNING, "%s",
+		    cases[i].name);
+		cr_expect_eq(w->missed_polls, cases[i].late,
+		    "%s: the worker counts as answering", cases[i].name);
+		cr_expect_eq(last_poll.ended_ack_seq, 0, "%s", cases[i].name);
+		w->has_answered = true;
+		pass_ms(s, TICK_MS, SCHED_WRITE_OK);
+		cr_expect_eq(starts, 0, "%s", cases[i].name);
+		sched_free(s);
+	}
+}
+
+/*
+ * Of an answer that came late, the runs under way don't count: one of them may have
+ * ended and been removed since.
+ */
+Test(ended, runs_under_way_in_a_late_answer)
+{
+	sched_t *s = new_polling_owner();
+	Sched__Step d = step_def("", 1000, false, 0);
+	worker_t *w = add_worker(s, "w");
+	job_t *j = add_job(s, JOB, &d, 0);
+	const task_t *t = &first_step(j)->tasks[0];
+	sched_poll_t late;
+
+	add_running(s, first_step(j), 0, w);
+	await_poll(s, 0, SCHED_WRITE_OK);
+	late = last_poll;
+	end_poll(s, false, true);
+	await_poll(s, last_poll.id, SCHED_WRITE_OK);
+	end_poll(s, true, true);
+	cr_expect_eq(t->state, TASK_DONE);
+	end_that_poll(s, &late, true, false, 1);
+	cr_expect_eq(g_hash_table_size(w->runs), 0);
+	cr_expect_eq(s->stats.orphans, 0);
+	sched_free(s);
+}
--- a/test/unit/worker_calls.c
+++ b/test/unit/worker_calls.c
@@ -3,6 +3,7 @@
  */
 #include <stdbool.h>
 #include <stdint.h>
+#include <string.h>
 
 #include <criterion/criterion.h>
 #include <glib.h>
@@ -17,13 +18,16 @@
 #include "../../platform/platform.h"
 
 #define ORDERS 100 /* more than there are connections */
+#define POLLS  4   /* one after another */
 
 typedef struct {
 	uv_loop_t loop;
 	uv_tcp_t listener, conns[ORDERS];
 	int accepted;
-	bool polled; /* the poll has ended */
+	int polled; /* reports of polls, of which the last: */
 	sched_order_result_t result;
+	bool late;
+	size_t ended; /* runs listed as ended */
 } fixture_t;
 
 static void
@@ -46,9 +50,10 @@
 
 	(void)id;
 	(void)worker;
-	(void)report;
-	f->polled = true;
+	f->polled++;
 	f->result = r;
+	f->late = report != NULL && report->late;
+	f->ended = report == NULL ? 0 : report->nended;
 }
 
 static void
@@ -81,7 +86,8 @@
 
 /*
  * Guards against two runs of one task: orders to a worker took all connections to
- * it, so that a poll was not sent and counted as one that the worker had missed.
+ * it, so that a poll was not sent and counted as one that the worker had missed.  The
+ * same with those on which earlier polls wait for late answers.
  */
 Test(worker_calls, a_poll_beside_many_orders)
 {
@@ -107,11 +113,49 @@
 
 			platform_send_order(p, &o, on_order_done, &f);
 		}
-		platform_poll_worker(p, &poll, on_polled, &f);
-		while (!f.polled)
-			uv_run(&f.loop, UV_RUN_ONCE);
-		/* It was sent; the worker gives no answer. */
-		cr_expect_eq(f.result, SCHED_ORDER_IN_DOUBT,
-		    "%d orders: result %d", orders[i], (int)f.result);
+		for (int n = 1; n <= POLLS; n++) {
+			platform_poll_worker(p, &poll, on_polled, &f);
+			while (f.polled < n)
+				uv_run(&f.loop, UV_RUN_ONCE);
+			/* It was sent; the worker gives no answer. */
+			cr_expect_eq(f.result, SCHED_ORDER_IN_DOUBT,
+			    "%d orders, poll %d: result %d", orders[i], n,
+			    (int)f.result);
+		}
 	}
 }
+
+/*
+ * Guards against a task that is started again though its worker has listed its end: in
+ * an answer that comes after the time for the poll.
+ */
+Test(worker_calls, a_poll_answered_late, .timeout = 10)
+{
+	static const char body[] =
+	    "{\"clock_ms\":9,\"born\":1,\"running\":[],\"ended_runs\":[[1,"
+	    "\"0000000000000001.0.0.0\",1,\"done\",\"\"]]}";
+	g_autofree char *answer =
+	    g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+		strlen(body), body);
+	uv_buf_t out = uv_buf_init(answer, (unsigned)strlen(answer));
+	fixture_t f = { 0 };
+	int port = fixture_init(&f);
+	g_autofree char *address = g_strdup_printf("127.0.0.1:%d", port);
+	platform_opts_t opts = { .loop = &f.loop,
+		.store_addr = "127.0.0.1:1",
+		.approval_addr = "" };
+	platform_t *p = platform_new(&opts);
+	sched_poll_t poll = { .worker = "w", .address = address };
+
+	platform_poll_worker(p, &poll, on_polled, &f);
+	while (f.polled < 1)
+		uv_run(&f.loop, UV_RUN_ONCE);
+	cr_expect_eq(f.result, SCHED_ORDER_IN_DOUBT);
+	cr_assert_eq(f.accepted, 1);
+	uv_try_write((uv_stream_t *)&f.conns[0], &out, 1);
+	while (f.polled < 2)
+		uv_run(&f.loop, UV_RUN_ONCE);
+	cr_expect_eq(f.result, SCHED_ORDER_OK);
+	cr_expect(f.late);
+	cr_expect_eq(f.ended, 1);
+}
--- a/trans/backend.c
+++ b/trans/backend.c
@@ -31,6 +31,7 @@
 	int32_t conns; /* open connections, idle ones included */
 	/* Of conn_t without a connection: calls that wait for one, in turn. */
 	GQueue waiting;
+	int32_t late_calls; /* open after their time */
 } backend_t;
 
 /* A connection to a backend server, and the call in progress on it. */
@@ -61,6 +62,8 @@
 	struct sockaddr_in to;
 	uint64_t due_ms; /* by the loop's clock: the call's time is over */
 	bool overdue;	 /* one more read has been waited for since */
+	int32_t late_ms; /* for so long after that an answer is waited for */
+	bool late;	 /* it is being waited for */
 } conn_t;
 
 struct backends {
@@ -118,12 +121,14 @@
 static void
 end_call(conn_t *conn, ts_outcome_t outcome)
 {
-	backend_answer_t a = { outcome, 0, NULL, NULL, 0 };
+	backend_answer_t a = { .outcome = outcome };
 	backends_t *b = conn->backends;
 
 	if (!conn->in_call)
 		return;
 	conn->in_call = false;
+	conn->backend->late_calls -= conn->late;
+	conn->late = false;
 	uv_timer_stop(&conn->timer);
 	if (outcome == TS_OUTCOME_ANSWERED) {
 		a.status = (int32_t)conn->parser.status_code;
@@ -264,6 +269,40 @@
 		end_call(conn, TS_OUTCOME_UNKNOWN);
 }
 
+static void on_timeout(uv_timer_t *t);
+
+/* Starts the timer of a call for the rest of its time. */
+static void
+start_timer(conn_t *conn)
+{
+	uint64_t now = uv_now(conn->backends->loop);
+
+	uv_timer_start(
+	    &conn->timer, on_timeout, conn->due_ms - MIN(conn->due_ms, now), 0);
+}
+
+/* Whether a call whose time is over stays open for a late answer. */
+static bool
+may_be_late(const conn_t *conn)
+{
+	return conn->connected && conn->late_ms > 0 && !conn->late &&
+	    conn->backend->late_calls < BACKEND_LATE_CALLS;
+}
+
+/* Reports that the time of a call is over, and waits for a late answer. */
+static void
+report_late(conn_t *conn)
+{
+	backend_answer_t a = { .outcome = TS_OUTCOME_UNKNOWN, .open = true };
+
+	conn->late = true;
+	conn->overdue = false;
+	conn->backend->late_calls++;
+	conn->due_ms += (uint64_t)conn->late_ms;
+	start_timer(conn);
+	conn->backends->fn(conn->backends->ctx, conn->req, conn->attempt, &a);
+}
+
 /*
  * The request cannot have run if the connection was never established.  After
  * a pause of this process the timers are handled before the sockets: an answer
@@ -280,6 +319,10 @@
 		uv_timer_start(t, on_timeout, READ_WAIT_MS, 0);
 		return;
 	}
+	if (may_be_late(conn)) {
+		report_late(conn);
+		return;
+	}
 	end_call(
 	    conn, conn->connected ? TS_OUTCOME_UNKNOWN : TS_OUTCOME_NOT_RUN);
 }
@@ -292,12 +335,13 @@
 
 	conn->write.data = conn;
 	conn->writing = true;
-	uv_timer_start(&conn->timer, on_timeout,
-	    conn->due_ms - MIN(conn->due_ms, uv_now(conn->backends->loop)), 0);
+	start_timer(conn);
 	if (uv_write(&conn->write, (uv_stream_t *)&conn->tcp, &buf, 1,
-		on_request_written) !=
-	    0) /* reported from the loop, like a timeout */
-		uv_timer_start(&conn->timer, on_timeout, 0, 0);
+		on_request_written) == 0)
+		return;
+	/* Reported from the loop, like a timeout. */
+	conn->late_ms = 0;
+	uv_timer_start(&conn->timer, on_timeout, 0, 0);
 }
 
 static void
@@ -372,6 +416,7 @@
 	conn->is_head = strcmp(c->method, "HEAD") == 0;
 	conn->due_ms =
 	    uv_now(conn->backends->loop) + (uint64_t)MAX(0, c->timeout_ms);
+	conn->late_ms = c->late_ms;
 	conn->max_conns = c->max_conns;
 	conn->in_call = true;
 }
@@ -380,7 +425,7 @@
 report_failed_calls(uv_timer_t *timer)
 {
 	backends_t *b = timer->data;
-	backend_answer_t a = { TS_OUTCOME_NOT_RUN, 0, NULL, NULL, 0 };
+	backend_answer_t a = { .outcome = TS_OUTCOME_NOT_RUN };
 	failed_call_t *f;
 
 	while ((f = g_queue_pop_head(&b->failed_calls)) != NULL) {
@@ -438,6 +483,7 @@
 	to->req = from->req;
 	to->attempt = from->attempt;
 	to->due_ms = from->due_ms;
+	to->late_ms = from->late_ms;
 	to->max_conns = from->max_conns;
 	to->is_head = from->is_head;
 	reset_answer(to);
@@ -505,8 +551,7 @@
 {
 	conn->waiting = true;
 	g_queue_push_tail(&conn->backend->waiting, conn);
-	uv_timer_start(&conn->timer, on_timeout,
-	    conn->due_ms - MIN(conn->due_ms, uv_now(conn->backends->loop)), 0);
+	start_timer(conn);
 }
 
 void
--- a/trans/trans.h
+++ b/trans/trans.h
@@ -127,9 +127,15 @@
 	int32_t timeout_ms; /* also sent to the server, as X-Deadline-Ms */
 	/* In turn for a connection, up to timeout_ms; else it fails at once. */
 	bool waits;
+	/* For so long after timeout_ms a late answer is waited for; or 0. */
+	int32_t late_ms;
 } backend_call_t;
+/* At most so many calls to a server are open after timeout_ms. */
+#define BACKEND_LATE_CALLS 2
 typedef struct {
 	ts_outcome_t outcome;
+	/* The time for the call is over, and a late answer is waited for. */
+	bool open;
 	/* The rest is set only if outcome is TS_OUTCOME_ANSWERED. */
 	int32_t status;
 	const char *headers; /* lines that end in CR LF */
@@ -142,8 +148,9 @@
 
 backends_t *backends_new(uv_loop_t *loop, backend_fn fn, void *ctx);
 /*
- * Starts a call; fn is called exactly once when the call has ended.  If it got no
- * connection, the outcome is TS_OUTCOME_NOT_RUN.
+ * Starts a call; fn is called exactly once when the call has ended, and before that
+ * once with open set if late_ms of it begins.  If it got no connection, the outcome is
+ * TS_OUTCOME_NOT_RUN.
  */
 void backends_send(
     backends_t *b, uint64_t req, int32_t attempt, const backend_call_t *call);
