Scheduler: a worker's next process refuses starts that were given up

Cause: a start order without an answer may be carried out seconds later. The process that it was sent to was told to stop the run and refuses it; one that has started again under the worker's id was not. The call's header names the id, which both have, and the deadline is by the former process's clock.

Change: a worker's unanswered starts of the last 12 s are kept when their runs are removed, and a process that answers for the first time is told to refuse them; until it does the run counts as being there. Orders of the schedules that are carried out late now have effect also at a later process with the same id, once its owner has known it for 300 ms; before, they were dropped. This changes some existing schedules.

--- a/sched/cell_worker.c
+++ b/sched/cell_worker.c
@@ -51,6 +51,7 @@
 	g_ptr_array_unref(w->labels);
 	g_hash_table_unref(w->runs);
 	crash_forget_worker(w);
+	held_up_forget(w);
 	g_free(w);
 }
 
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -26,6 +26,7 @@
  * - overload.c, overload_queue.c, overload_refusal.c, admission.c: what is
  *   delayed and what is refused when there is too little room;
  * - crash.c, quarantine.c: tasks that crash their workers;
+ * - held_up.c: start orders that may be carried out late;
  * - flush.c, interference_row.c, purge.c: rows written to and removed from the
  *   store;
  * - stats.c: counters and the periodic load event;
@@ -402,6 +403,11 @@
 void crash_run_listed(sched_t *s, task_t *t, int64_t run);
 bool crash_is_suspect(const task_t *t);
 
+/* held_up.c */
+void held_up_run_removed(sched_t *s, const run_t *r);
+void held_up_stop_runs(sched_t *s, worker_t *w);
+void held_up_forget(worker_t *w);
+
 /* quarantine.c */
 void quarantine_report(sched_t *s, worker_t *w);
 /* Ends the quarantine on a worker. */
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -150,6 +150,7 @@
 		w->quarantined_run = NULL;
 		w->reserved_until_ms = 0;
 		crash_forget_worker(w);
+		held_up_forget(w);
 		lease_forget(w);
 	}
 	g_hash_table_remove_all(s->runs);
--- a/sched/report.c
+++ b/sched/report.c
@@ -380,6 +380,7 @@
     sched_t *s, worker_t *w, const sched_report_t *report, int64_t poll_sent_ms)
 {
 	g_autoptr(GList) all = NULL;
+	bool first;
 
 	if (is_other_process(s, w, report)) {
 		LOG_EVENT(s, SCHED_EVT_WORKER, w->id,
@@ -390,6 +391,7 @@
 		    report->started_ms != 0 ? report->started_ms :
 					      w->started_ms);
 	}
+	first = !w->has_answered;
 	s->report_number++;
 	w->reported_ms = s->now_ms;
 	lease_clock_read(s, w, report->clock_ms);
@@ -404,6 +406,8 @@
 		if (r->number == entry->run)
 			update_run(s, r, entry);
 	}
+	if (first)
+		held_up_stop_runs(s, w);
 	/* A run that is not listed may be among the ends that are not. */
 	w->ended_cut = report->ended_cut;
 	if (w->ended_cut)
--- a/sched/run.c
+++ b/sched/run.c
@@ -156,6 +156,7 @@
 
 	suspect_run_removed(r);
 	crash_run_removed(s, r);
+	held_up_run_removed(s, r);
 	starvation_run_removed(s, r);
 	if (r->holds_resources) {
 		overload_run_removed(s, r);
@@ -340,6 +341,7 @@
 	if (r->state == RUN_STARTING)
 		run_set_state(s, r, RUN_RUNNING);
 	r->in_doubt_ms = 0;
+	r->held_up = false;
 	r->first_seen_ms = s->now_ms;
 	run_mark_job_started(s, r->job);
 	if (r->unwanted)
@@ -388,6 +390,7 @@
 		on_start_rejected(s, r, res);
 		return;
 	}
+	r->held_up = true;
 	s->stats.start_unknown++;
 	r->worker->backoff_until_ms =
 	    MAX(r->worker->backoff_until_ms, s->now_ms + NO_ANSWER_BACKOFF_MS);
--- a/sched/types.h
+++ b/sched/types.h
@@ -259,6 +259,8 @@
 	int64_t ordered_ms; /* its start, by this owner; 0: by another */
 	/* Its start order got no answer; 0: it did, or a report has told since. */
 	int64_t in_doubt_ms;
+	/* It got none, and no report has listed the run. */
+	bool held_up;
 	int64_t stop_acked_ms; /* the worker acknowledged a stop; 0: not yet */
 	int64_t stop_retry_ms; /* no stop order is sent before this time */
 	int32_t percent;       /* progress as last reported */
@@ -368,6 +370,9 @@
 	 * while it is open if it has crashed; or NULL. */
 	GArray *lost_runs;
 	int64_t lost_ms;
+	/* Runs whose start it may yet carry out (held_up_t of held_up.c); or
+	 * NULL. */
+	GArray *held_up;
 	char *address;	    /* "" until known */
 	int64_t started_ms; /* start of its process, since 1970 */
 	lease_t lease;
--- a/test/cell/cell.h
+++ b/test/cell/cell.h
@@ -96,8 +96,9 @@
 	double clock_rate;	 /* of its clock; 1: that of the simulation */
 	int64_t token;		 /* highest fencing token seen */
 	int64_t lease_until_ms;	 /* by its clock */
-	/* Of its process, the last owner that read an answer in time. */
-	int64_t read_token;
+	/* Of its process, the last owner that read an answer in time, and since
+	 * when it does. */
+	int64_t read_token, read_since_ms;
 	GPtrArray *runs;  /* of sim_run_t */
 	GPtrArray *ended; /* of sim_ended_t, not acknowledged */
 	int64_t last_end_seq;
--- a/test/cell/worker.c
+++ b/test/cell/worker.c
@@ -16,9 +16,10 @@
 #include "cell.h"
 
 #define ORDER_TIMEOUT_MS     700
-#define POLL_SLACK_MS	     800	/* a poll's timeout beyond its wait */
-#define LATE_POLL_MAX_MS     6000	/* a poll without an answer */
-#define POLL_CHECK_MS	     20		/* while a poll waits for an end */
+#define KNOWN_PROCESS_MS     300  /* an owner has sent it what it must know */
+#define POLL_SLACK_MS	     800  /* a poll's timeout beyond its wait */
+#define LATE_POLL_MAX_MS     6000 /* a poll without an answer */
+#define POLL_CHECK_MS	     20	  /* while a poll waits for an end */
 #define ALWAYS_FAILS_WORK_MS (-1000000) /* work_left_ms that marks a failure */
 /*
  * Starts are allowed for so long after a drain, an evacuation or a cancel, and
@@ -514,14 +515,27 @@
 }
 
 /*
- * An order without an answer arrives at last, unless the worker has restarted.
+ * Whether an order that is carried out late takes effect: at the process that it was
+ * sent to, or at a later one with that id, of which its owner knows for a while.
  */
+static bool
+has_effect_late(const world_t *w, const worker_call_t *c)
+{
+	const sim_worker_t *wk = c->worker;
+
+	if (!wk->up || wk->started_ms == c->started_ms)
+		return wk->up;
+	return !wk->new_ids && wk->read_token == c->order.token &&
+	    w->now_ms - wk->read_since_ms >= KNOWN_PROCESS_MS;
+}
+
+/* An order without an answer arrives at last. */
 static void
 on_order_late(world_t *w, void *arg)
 {
 	worker_call_t *c = arg;
 
-	if (c->worker->up && c->worker->started_ms == c->started_ms) {
+	if (has_effect_late(w, c)) {
 		worker_advance(w, c->worker);
 		execute_order(w, c->worker, &c->order, c->sent_ms);
 	}
@@ -638,8 +652,10 @@
 	if (!sched_is_owner(c->entry->sched) ||
 	    report->started_ms != wk->started_ms)
 		return;
-	if (!c->answers_late)
+	if (!c->answers_late && wk->read_token != c->poll.token) {
 		wk->read_token = c->poll.token;
+		wk->read_since_ms = w->now_ms;
+	}
 	for (size_t i = 0; i < report->nended; i++) {
 		ground_truth_t *truth =
 		    world_ground_truth(w, report->ended[i].task);
