Leases: a start that waits may reach another process after a poll's answer

Cause: an owner takes a start for one at the process that it knows once a poll sent after it is answered. But the start may be under way still, for up to 400 ms: it waits for a connection to its worker or for the connection to be made, while the poll has its own. If the worker starts again then, its new process gets the start and holds it for its longest lease; the owner took that for 4 s. Fix: a start counts as sent until its call has ended; while one is under way, the process that got it is not known.

--- a/sched/lease.c
+++ b/sched/lease.c
@@ -40,6 +40,8 @@
 /* For how long a lease may last that an owner has extended by the clock of the
  * worker's process. */
 #define GRANTED_MS (LEASE_MS * (100 + CLOCK_DRIFT_PCT) / 100 + EXPIRY_MARGIN_MS)
+/* A start is answered or given up in this time (PLATFORM_ORDER_TIMEOUT_MS). */
+#define START_CALL_MS 400
 /* By so much an owner may take the store's clock to be behind, as answers of the
  * store that took longer are not used. */
 #define STORE_CLOCK_MARGIN_MS 900
@@ -167,6 +169,18 @@
 lease_start_sent(const sched_t *s, worker_t *w)
 {
 	w->lease.start_sent_ms = s->now_ms;
+	w->lease.starts_pending++;
+}
+
+/*
+ * A start has been answered, or is over without.  It may have waited until now, so
+ * that polls sent before do not show which process got it.
+ */
+void
+lease_start_done(const sched_t *s, worker_t *w)
+{
+	w->lease.start_sent_ms = s->now_ms;
+	w->lease.starts_pending--;
 }
 
 /* The process that the worker is known by has answered a poll sent at that time. */
@@ -183,15 +197,21 @@
 static bool
 unknown_process_may_run(const worker_t *w)
 {
-	return w->lease.start_sent_ms >= w->lease.answered_poll_ms;
+	return w->lease.starts_pending > 0 ||
+	    w->lease.start_sent_ms >= w->lease.answered_poll_ms;
 }
 
 /* When the longest lease of such a process ends, or a time that has passed. */
 static int64_t
 unknown_process_end_ms(const sched_t *s, const worker_t *w)
 {
-	return unknown_process_may_run(w) ? w->lease.sent_ms + longest_ms(s) :
-					    NEVER_MS;
+	const lease_t *l = &w->lease;
+
+	if (!unknown_process_may_run(w))
+		return NEVER_MS;
+	if (l->starts_pending > 0)
+		return s->now_ms + START_CALL_MS + longest_ms(s);
+	return MAX(l->sent_ms, l->start_sent_ms) + longest_ms(s);
 }
 
 /*
--- a/sched/run.c
+++ b/sched/run.c
@@ -155,6 +155,8 @@
 	task_t *t = r->task;
 	job_t *j = r->job;
 
+	if (r->order_pending && r->last_order == SCHED_START)
+		lease_start_done(s, r->worker);
 	suspect_run_removed(r);
 	crash_run_removed(s, r);
 	held_up_run_removed(s, r);
@@ -466,6 +468,8 @@
 run_order_done(sched_t *s, run_t *r, sched_order_result_t res, int64_t clock_ms)
 {
 	r->order_pending = false;
+	if (r->last_order == SCHED_START)
+		lease_start_done(s, r->worker);
 	/* Another process may have answered than the one that answers now. */
 	if (clock_ms > 0 && res != SCHED_ORDER_RESTARTED &&
 	    !r->worker_restarted)
--- a/sched/types.h
+++ b/sched/types.h
@@ -310,9 +310,10 @@
 	int64_t read_ms;     /* when it was read from an answer, or NEVER_MS */
 	int64_t deadline_ms; /* latest one sent to its process; its clock */
 	int64_t sent_ms;     /* when this owner last sent one; our clock */
-	/* When a start was last sent, and the last poll that its process has
-	 * answered; our clock, or NEVER_MS. */
+	/* Until when a start was under way, and when the last poll was sent that
+	 * its process has answered; our clock, or NEVER_MS. */
 	int64_t start_sent_ms, answered_poll_ms;
+	int32_t starts_pending; /* that are under way */
 	/* Leases granted before its process first answered us; our clock. */
 	bound_t earlier;
 	/* When all end, as last put in the footprint; the store's clock. */
--- a/test/unit/lease.c
+++ b/test/unit/lease.c
@@ -596,3 +596,53 @@
 		sched_free(s);
 	}
 }
+
+/*
+ * Guards against two runs of one task: a start waits for a connection to its worker,
+ * which answers a poll that was sent after it and then starts again.  The new process
+ * gets the start, and is cut off before the owner knows of it.
+ */
+Test(lease, a_start_that_a_later_poll_has_overtaken)
+{
+	static const struct {
+		const char *name;
+		sched_order_result_t result;
+	} cases[] = {
+		{ "answered by the new process", SCHED_ORDER_OK },
+		{ "not answered", SCHED_ORDER_IN_DOUBT },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = new_owner_of_worker();
+		Sched__Step d = step_def("", 1000, true, 0);
+		step_t *st = first_step(add_job(s, "0000000000000001", &d, 0));
+		int64_t store_ms = 1000000, got_ms;
+		run_t *r;
+
+		sched_store_clock_read(s, s->now_ms + store_ms, s->now_ms);
+		/* Until no lease is left from before the first answer. */
+		for (int k = 0; k < 1000; k++) {
+			step(s);
+			answer_poll(s);
+		}
+		cr_assert(
+		    run_start(s, &st->tasks[0], cell_worker_get(s, "w0"), 1));
+		r = st->tasks[0].run;
+		/* The poll in flight, and one sent after the start. */
+		for (int k = 0; k < 10; k++) {
+			step(s);
+			answer_poll(s);
+		}
+		got_ms = s->now_ms;
+		step(s);
+		sched_order_done(s, r->id, cases[i].result,
+		    cases[i].result == SCHED_ORDER_OK ? 2000 : 0, s->now_ms);
+		miss_polls_until_lost(s);
+		cr_expect_geq(s->now_ms, got_ms + LONGEST_LEASE_MS, "%s: %d ms",
+		    cases[i].name, (int)(s->now_ms - got_ms));
+		cr_expect_geq(written_until_ms,
+		    store_ms + got_ms + LONGEST_LEASE_MS, "%s: %d ms",
+		    cases[i].name, (int)(written_until_ms - store_ms - got_ms));
+		sched_free(s);
+	}
+}
