Backends: no call that waits for a connection is sent after its time

Cause: after a pause of the process each call that is overdue waits for one more read, those in the queue as well. An answer read then frees a connection, on which the next call of the queue is sent, however late. Evidence: unit backend no_waiting_call_is_sent_after_its_time, without the fix: the second call is sent 300 ms after its time. Fix: such a call is not sent, and is reported as not run.

--- a/test/unit/backend.c
+++ b/test/unit/backend.c
@@ -418,3 +418,35 @@
 		    list[i].name, f.accepted);
 	}
 }
+
+/*
+ * Guards against starts that leave seconds after they were ordered: the process stands
+ * still while a call waits for a connection, and then reads the answer that frees one.
+ */
+Test(backend, no_waiting_call_is_sent_after_its_time)
+{
+	fixture_t f = { 0 };
+	backend_call_t call = { .ip = "127.0.0.1",
+		.max_conns = 1,
+		.method = "GET",
+		.path = "/",
+		.headers = "",
+		.timeout_ms = TIMEOUT_MS,
+		.waits = true };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		if (strcmp(cases[i].name,
+			"before a pause of the caller's process") == 0)
+			f.server_case = &cases[i];
+	cr_assert_not_null(f.server_case);
+	fixture_init(&f);
+	call.port = f.port;
+	for (uint64_t k = 1; k <= 2; k++)
+		backends_send(f.backends, k, 1, &call);
+	while (f.ended < 2)
+		uv_run(&f.loop, UV_RUN_ONCE);
+	cr_expect_eq(f.outcomes[TS_OUTCOME_ANSWERED], 1);
+	cr_expect_eq(f.outcomes[TS_OUTCOME_NOT_RUN], 1);
+	cr_expect_eq(f.outcomes[TS_OUTCOME_UNKNOWN], 0);
+	cr_expect_eq(f.ended, 2);
+}
--- a/trans/backend.c
+++ b/trans/backend.c
@@ -493,7 +493,17 @@
 	send_request(to);
 }
 
-/* Starts the calls that wait, as far as connections are free. */
+/* Whether a call's time is over; also within a turn of the loop that stood still. */
+static bool
+is_over(const conn_t *conn)
+{
+	return uv_hrtime() / 1000000 >= conn->due_ms;
+}
+
+/*
+ * Starts the calls that wait, as far as connections are free.  After a pause of this
+ * process the time of some may be over, which are not sent.
+ */
 static void
 start_waiting_calls(backend_t *backend)
 {
@@ -501,8 +511,16 @@
 
 	while ((conn = g_queue_peek_head(&backend->waiting)) != NULL &&
 	    busy_conns(backend) < conn->max_conns) {
-		conn_t *idle = g_queue_pop_head(&backend->idle);
+		conn_t *idle;
 
+		if (is_over(conn)) {
+			conn->in_call = false;
+			conn_close(conn);
+			fail_call_later(
+			    conn->backends, conn->req, conn->attempt);
+			continue;
+		}
+		idle = g_queue_pop_head(&backend->idle);
 		if (idle != NULL) {
 			move_call(conn, idle);
 			continue;
