--- a/test/cell/store.c
+++ b/test/cell/store.c
@@ -289,8 +289,10 @@
 	world_t *w = en->world;
 
 	if (c->kind == CALL_POLL) {
-		sched_store_clock_read(en->sched,
-		    w->now_ms - c->late_ms + STORE_CLOCK_OFFSET_MS, w->now_ms);
+		if (!en->no_store_clock)
+			sched_store_clock_read(en->sched,
+			    w->now_ms - c->late_ms + STORE_CLOCK_OFFSET_MS,
+			    w->now_ms);
 		deliver_owner_row(en,
 		    c->rows->len == 0 ? NULL : g_ptr_array_index(c->rows, 0));
 		return;
@@ -411,7 +413,8 @@
 		copy_rows(w, c);
 	}
 	if (!write)
-		c->late_ms = handover_read_delay_ms(w, c->kind == CALL_POLL);
+		c->late_ms = handover_read_delay_ms(w, c->kind == CALL_POLL) +
+		    c->entry->slow_store_read_ms;
 	world_schedule(w,
 	    w->store_latency_ms / 2 + NETWORK_DELAY_MS + c->late_ms, on_answer,
 	    c);
