Model: a search of all schedules of faults up to a bound

Change: test/model searches all schedules of faults on the simulated cell, with states hashed and remembered; test/cell takes fixed choices and hashes its events.

--- a/Makefile
+++ b/Makefile
@@ -57,8 +57,9 @@
 	$(LINK)
 $(B)/cells: $(B)/test/main/cells.o $(CELL) $(LIB)
 	$(LINK)
+# At fixed addresses, so that each run of it is the same.
 $(B)/model: $(B)/test/main/model.o $(call obj,test/model/*.c) $(CELL) $(LIB)
-	$(LINK)
+	$(LINK) -no-pie
 $(B)/fuzz_cell: $(B)/test/main/fuzz_cell.o $(LIB)
 	$(LINK)
 $(B)/unit: $(UNIT) $(CMD_NO_MAIN) $(SERVE) $(IO) $(FAKE) $(SIM) $(LIB)
--- a/test/cell/cell.h
+++ b/test/cell/cell.h
@@ -8,14 +8,15 @@
 #ifndef TEST_CELL_H
 #define TEST_CELL_H
 
-#define ENTRIES_MAX	 4
-#define WORKERS_MAX	 12
-#define NETWORK_DELAY_MS 2 /* one way */
-#define STORE_LATENCY_MS 4 /* without a fault */
-#define MAX_LEASE_MS	 6000
-#define MAX_STOP_MS	 400 /* that a run takes to stop */
-#define CUSTOMERS_MAX	 4
-#define CUSTOMER_SEEDS	 5 /* every so many seeds have customers */
+#define ENTRIES_MAX	      4
+#define WORKERS_MAX	      12
+#define NETWORK_DELAY_MS      2 /* one way */
+#define STORE_LATENCY_MS      4 /* without a fault */
+#define MAX_LEASE_MS	      6000
+#define STORE_CLOCK_OFFSET_MS 777000 /* from the clock of the entries */
+#define MAX_STOP_MS	      400    /* that a run takes to stop */
+#define CUSTOMERS_MAX	      4
+#define CUSTOMER_SEEDS	      5 /* every so many seeds have customers */
 /* A worker that crashed leaves the list after so long, unless it is back. */
 #define UNLISTED_AFTER_MS 3300
 
@@ -177,6 +178,10 @@
 struct world {
 	uint64_t seed;
 	GRand *rand;
+	/* No random numbers are drawn: what is not certain does not happen, and of
+	 * a range the number that is so far in it is taken. */
+	bool fixed_choices;
+	int32_t choice_pct;
 	int64_t now_ms;
 	uint64_t last_event_seq;
 	GSequence *events;
@@ -230,6 +235,8 @@
 /* Records that a check failed; later ones are ignored. */
 void world_fail(world_t *w, const char *check, const char *fmt, ...)
     G_GNUC_PRINTF(3, 4);
+/* The number of a range that fixed choices take. */
+int32_t world_fixed_choice(const world_t *w, int32_t from, int32_t to);
 bool world_chance(world_t *w, double p);
 /* A random number, from and to included. */
 int32_t world_random_int(world_t *w, int32_t from, int32_t to);
@@ -294,6 +301,10 @@
 void handover_free(world_t *w);
 /* Makes these faults possible, without scheduling any. */
 void handover_init(world_t *w);
+/* An entry begins to leave gracefully, to an heir unless it is NULL; its process
+ * ends no sooner than after linger_ms. */
+void handover_leave(
+    world_t *w, sim_entry_t *en, const sim_entry_t *heir, int32_t linger_ms);
 /* The owner begins to leave gracefully, if there is one. */
 void handover_owner_leaves(world_t *w);
 /* How much later than usual the store answers a read. */
--- a/test/cell/entry.c
+++ b/test/cell/entry.c
@@ -12,6 +12,7 @@
 #include "../../proto/sched.pb-c.h"
 #include "../../sched/sched.h"
 #include "cell.h"
+#include "digest.h"
 
 #define TICK_MS		 20
 #define OWNER_POLL_MS	 500
@@ -206,3 +207,15 @@
 	sched_free(en->sched);
 	en->sched = NULL;
 }
+
+bool
+entry_digest_event(digest_t *d, const event_t *e)
+{
+	const entry_timer_t *timer = e->arg;
+
+	if ((e->fn != on_tick && e->fn != on_owner_poll && e->fn != on_list) ||
+	    !entry_is_alive(timer->entry, timer->generation))
+		return false;
+	digest_put(d, timer->entry->index);
+	return true;
+}
--- a/test/cell/handover.c
+++ b/test/cell/handover.c
@@ -50,6 +50,8 @@
 bool
 handover_chance(world_t *w, double p)
 {
+	if (w->fixed_choices)
+		return p >= 1;
 	return p > 0 && w->handover_rand != NULL &&
 	    g_rand_double(w->handover_rand) < p;
 }
@@ -57,6 +59,8 @@
 int32_t
 handover_random_int(world_t *w, int32_t from, int32_t to)
 {
+	if (w->fixed_choices)
+		return world_fixed_choice(w, from, to);
 	return from >= to ? from :
 			    g_rand_int_range(w->handover_rand, from, to + 1);
 }
@@ -67,19 +71,25 @@
 	entry_boot(w, arg);
 }
 
-/* An entry begins to leave, as on SIGTERM; its ticks continue that. */
+/* As on SIGTERM; the entry's ticks continue it. */
+void
+handover_leave(
+    world_t *w, sim_entry_t *en, const sim_entry_t *heir, int32_t linger_ms)
+{
+	en->leaving = true;
+	en->leaves_after_ms = w->now_ms + linger_ms;
+	if (heir != NULL && heir->up && heir != en && !heir->leaving)
+		sched_set_successor(en->sched, heir->name);
+}
+
 static void
 leave_to(world_t *w, sim_entry_t *en, const sim_entry_t *heir)
 {
 	if (!en->up || en->leaving)
 		return;
-	en->leaving = true;
-	en->leaves_after_ms = w->now_ms +
-	    (handover_chance(w, 0.5) ?
-		    0 :
-		    handover_random_int(w, 0, LINGER_MAX_MS));
-	if (heir->up && heir != en && !heir->leaving)
-		sched_set_successor(en->sched, heir->name);
+	handover_leave(w, en, heir,
+	    handover_chance(w, 0.5) ? 0 :
+				      handover_random_int(w, 0, LINGER_MAX_MS));
 }
 
 static void
--- a/test/cell/store.c
+++ b/test/cell/store.c
@@ -12,10 +12,10 @@
 #include "../../proto/sched.pb-c.h"
 #include "../../sched/sched.h"
 #include "cell.h"
+#include "digest.h"
 
-#define STORE_CLOCK_OFFSET_MS 777000 /* from the clock of the entries */
-#define FEED_GAP_MS	      20     /* between two calls of the feed */
-#define CALL_TIMEOUT_MS	      1500
+#define FEED_GAP_MS	20 /* between two calls of the feed */
+#define CALL_TIMEOUT_MS 1500
 
 typedef enum {
 	CALL_CLAIM,
@@ -488,3 +488,32 @@
 	c->after_version = en->feed_version;
 	send_call(c);
 }
+
+bool
+store_digest_event(digest_t *d, const event_t *e)
+{
+	const call_t *c = e->arg;
+	bool alive;
+
+	if (e->fn != on_answer && e->fn != on_timeout &&
+	    e->fn != on_late_write && e->fn != on_arrived)
+		return false;
+	alive = entry_is_alive(c->entry, c->generation);
+	if (!alive && (e->fn == on_answer || e->fn == on_timeout))
+		return false;
+	digest_put(d, c->entry->index << 1 | alive);
+	digest_put(d, c->kind);
+	digest_put(d, c->result);
+	digest_put(d, c->late_ms);
+	digest_put(d, (c->load == c->entry->load) << 1 | c->feed);
+	digest_put_rank(d, RANK_VERSION, c->if_version);
+	digest_put_rank(d, RANK_VERSION, c->version);
+	digest_put(d, c->rows->len);
+	for (guint i = 0; i < c->puts->len; i++) {
+		const sched_put_t *p = &g_array_index(c->puts, sched_put_t, i);
+
+		digest_put_string(d, p->key);
+		digest_put(d, p->bytes == NULL ? 0 : p->bytes->len);
+	}
+	return true;
+}
--- a/test/cell/worker.c
+++ b/test/cell/worker.c
@@ -14,6 +14,7 @@
 #include "../../proto/sched.pb-c.h"
 #include "../../sched/sched.h"
 #include "cell.h"
+#include "digest.h"
 
 #define ORDER_TIMEOUT_MS     700
 #define POLL_SLACK_MS	     800	/* a poll's timeout beyond its wait */
@@ -40,7 +41,7 @@
 /* An order that was sent before an end was stored may arrive so much later. */
 #define IN_FLIGHT_MS (2 * NETWORK_DELAY_MS)
 
-static int64_t
+int64_t
 worker_clock_ms(const world_t *w, const sim_worker_t *wk)
 {
 	return wk->clock_offset_ms +
@@ -588,7 +589,7 @@
 	world_schedule(w, answer_delay_ms(w, wk), on_order_answer, c);
 }
 
-static sim_worker_t *
+sim_worker_t *
 worker_by_id(world_t *w, const char *id)
 {
 	for (int32_t i = 0; i < w->nworkers; i++) {
@@ -903,3 +904,86 @@
 	else
 		world_schedule(w, en->list_lag_ms, on_list_read, l);
 }
+
+int32_t
+worker_former_index(const sim_worker_t *wk, const char *id)
+{
+	for (guint k = 0; k < wk->former_ids->len; k++)
+		if (strcmp(g_ptr_array_index(wk->former_ids, k), id) == 0)
+			return (int32_t)(wk->former_ids->len - k);
+	return 0;
+}
+
+/* The call of an event as its worker will see it. */
+static void
+digest_call(digest_t *d, world_t *w, const worker_call_t *c)
+{
+	int64_t clock_ms = worker_clock_ms(w, c->worker);
+
+	digest_put(d, c->worker->index);
+	digest_put(d, c->to_former << 1 | (c->is_poll != 0));
+	digest_put_rank(d, RANK_START, c->started_ms);
+	if (!c->is_poll) {
+		digest_put(d, c->order.kind);
+		digest_put_string(d, c->task);
+		digest_put_rank(d, RANK_RUN, c->order.run);
+		digest_put_rank(d, RANK_VERSION, c->order.token);
+		digest_put(d, c->order.deadline_ms - clock_ms);
+		return;
+	}
+	digest_put_rank(d, RANK_VERSION, c->poll.token);
+	digest_put(
+	    d, c->poll.deadline_ms == 0 ? 0 : c->poll.deadline_ms - clock_ms);
+	digest_put(d,
+	    c->poll.ended_ack_seq == 0 ?
+		0 :
+		c->worker->last_end_seq - c->poll.ended_ack_seq + 1);
+	digest_put_end(d, c->wait_until_ms);
+}
+
+/* Its answer. */
+static void
+digest_answer(digest_t *d, world_t *w, const worker_call_t *c)
+{
+	digest_put(d, c->result);
+	digest_put(d,
+	    c->clock_ms == 0 ? 0 : c->clock_ms - worker_clock_ms(w, c->worker));
+	digest_put_rank(d, RANK_START, c->reported_started_ms);
+	if (c->running == NULL)
+		return;
+	digest_put(d, c->ended_cut);
+	for (guint i = 0; i < c->running->len; i++) {
+		const sched_running_t *s =
+		    &g_array_index(c->running, sched_running_t, i);
+
+		digest_put_string(d, s->task);
+		digest_put_rank(d, RANK_RUN, s->run);
+	}
+	for (guint i = 0; i < c->ended->len; i++) {
+		const sched_ended_t *s =
+		    &g_array_index(c->ended, sched_ended_t, i);
+
+		digest_put_string(d, s->task);
+		digest_put_rank(d, RANK_RUN, s->run);
+		digest_put(d, s->outcome);
+		digest_put(d, c->worker->last_end_seq - s->seq);
+	}
+}
+
+bool
+worker_digest_event(digest_t *d, world_t *w, const event_t *e)
+{
+	const worker_call_t *c = e->arg;
+	bool late = e->fn == on_poll_late || e->fn == on_order_late, alive;
+
+	if (!late && e->fn != on_order_arrived && e->fn != on_poll_arrived &&
+	    e->fn != on_order_answer && e->fn != on_poll_answer)
+		return false;
+	alive = entry_is_alive(c->entry, c->generation);
+	if (!alive && e->fn == on_poll_answer)
+		return false;
+	digest_put(d, c->entry->index << 1 | alive);
+	digest_call(d, w, c);
+	digest_answer(d, w, c);
+	return true;
+}
--- a/test/cell/world.c
+++ b/test/cell/world.c
@@ -72,15 +72,25 @@
 	va_end(ap);
 }
 
+int32_t
+world_fixed_choice(const world_t *w, int32_t from, int32_t to)
+{
+	return from + (int32_t)((int64_t)(to - from) * w->choice_pct / 100);
+}
+
 bool
 world_chance(world_t *w, double p)
 {
+	if (w->fixed_choices)
+		return p >= 1;
 	return g_rand_double(w->rand) < p;
 }
 
 int32_t
 world_random_int(world_t *w, int32_t from, int32_t to)
 {
+	if (w->fixed_choices)
+		return world_fixed_choice(w, from, to);
 	return g_rand_int_range(w->rand, from, to + 1);
 }
 
--- a/test/model/arena.c
+++ b/test/model/arena.c
@@ -40,7 +40,8 @@
 	head_t *h = (head_t *)arena;
 
 	if (h->used == 0)
-		h->used = (sizeof(*h) + ALIGNMENT - 1) & ~(size_t)(ALIGNMENT - 1);
+		h->used =
+		    (sizeof(*h) + ALIGNMENT - 1) & ~(size_t)(ALIGNMENT - 1);
 	return h;
 }
 
@@ -59,8 +60,9 @@
 static size_t
 class_bytes(uint32_t c)
 {
-	return c < SMALL_CLASSES ? (size_t)(c + 1) * ALIGNMENT :
-				   (size_t)SMALL_BYTES * 2 << (c - SMALL_CLASSES);
+	return c < SMALL_CLASSES ?
+	    (size_t)(c + 1) * ALIGNMENT :
+	    (size_t)SMALL_BYTES * 2 << (c - SMALL_CLASSES);
 }
 
 static void *
--- /dev/null
+++ b/test/model/fault.h
@@ -0,0 +1,36 @@
+/*
+ * The faults that a search chooses from.
+ *
+ * Include what test/cell/cell.h needs, and that, first.
+ */
+#ifndef TEST_MODEL_FAULT_H
+#define TEST_MODEL_FAULT_H
+
+#define FAULTS_MAX    2048
+#define DURATIONS_MAX 8
+#define FAULT_TEXT    48
+
+/* A fault of a kind (an index of the menu's kinds) that lasts so long.  What target
+ * and other mean depends on the kind; -1: nothing. */
+typedef struct {
+	int32_t kind, target, other, ms;
+} fault_t;
+
+typedef struct {
+	fault_t faults[FAULTS_MAX];
+	int32_t n;
+} fault_menu_t;
+
+/* The kinds of a list, separated by commas, or all kinds for NULL.  False: it names
+ * an unknown one, or has too many faults; error says which. */
+bool fault_menu_init(fault_menu_t *m, const world_t *w, const char *kinds,
+    const int32_t *durations_ms, int32_t ndurations, char error[FAULT_TEXT]);
+/* Begins a fault, and schedules its end.  False: it can't begin now. */
+bool fault_begin(world_t *w, const fault_t *f);
+/* KIND:TARGET:OTHER:MS, as it is read again. */
+void fault_print(const fault_t *f, char text[FAULT_TEXT]);
+bool fault_parse(const world_t *w, const char *text, fault_t *f);
+/* A line for each kind. */
+void fault_print_kinds(void);
+
+#endif
