Model: faults begin also when a scheduler learns something

Cause: on a grid of steps the few milliseconds between a claim, a load, a first answer and a flush are skipped. Change: a fault may begin whenever a hash of what the schedulers have learned or begun changes; entries start at different times; a worker starts again at once with its clock behind, the store answers one entry not at all or late, a zone is cut off.

--- a/test/cell/cell.h
+++ b/test/cell/cell.h
@@ -117,6 +117,7 @@
 	bool leaving;		 /* gracefully, as on SIGTERM */
 	int64_t leaves_after_ms; /* if leaving: it ends no sooner */
 	bool store_cut;
+	bool store_mute;     /* what the store does for it is not answered */
 	bool no_store_clock; /* the store's answers do not tell their time */
 	int32_t slow_store_read_ms; /* how much later its reads are answered */
 	/* Grows with each boot; answers to an earlier process are dropped. */
--- a/test/cell/digest.c
+++ b/test/cell/digest.c
@@ -15,6 +15,7 @@
 
 #define PAST_MS \
 	7000 /* nothing compares with a time before, leases are shorter */
+#define HASH_SEED 0x9e3779b97f4a7c15
 #define FUTURE_MS 30000
 
 /* The finalizer of splitmix64. */
@@ -37,6 +38,13 @@
 	d->hash = 0;
 }
 
+void
+digest_begin_plain(digest_t *d)
+{
+	d->collecting = false;
+	d->hash = HASH_SEED;
+}
+
 static int
 by_value(const void *pa, const void *pb)
 {
@@ -64,7 +72,7 @@
 	for (int32_t i = 0; i < NRANKS; i++)
 		sort_small(d->values[i], d->nvalues[i]);
 	d->collecting = false;
-	d->hash = 0x9e3779b97f4a7c15;
+	d->hash = HASH_SEED;
 }
 
 void
--- a/test/cell/digest.h
+++ b/test/cell/digest.h
@@ -26,6 +26,8 @@
 	int64_t values[NRANKS][DIGEST_RANKED_MAX];
 } digest_t;
 
+/* Begins a hash without ranks. */
+void digest_begin_plain(digest_t *d);
 /* Begins to collect; then, by a call of digest_rank_values, to hash. */
 void digest_begin(digest_t *d, int64_t now_ms);
 void digest_rank_values(digest_t *d);
--- a/test/cell/store.c
+++ b/test/cell/store.c
@@ -390,11 +390,13 @@
 	call_t *c = arg;
 	bool write = c->kind == CALL_CLAIM || c->kind == CALL_WRITE;
 
-	if (w->store_down || c->entry->store_cut) {
+	if (w->store_down || c->entry->store_cut ||
+	    (!write && c->entry->store_mute)) {
 		world_schedule(w, CALL_TIMEOUT_MS, on_timeout, c);
 		return;
 	}
-	if (write && world_chance(w, w->lost_write_share)) {
+	if (write &&
+	    (c->entry->store_mute || world_chance(w, w->lost_write_share))) {
 		if (w->lost_writes_apply_late)
 			world_schedule(w, world_random_int(w, 1000, 6000),
 			    on_late_write, copy_write(c));
--- a/test/main/model.c
+++ b/test/main/model.c
@@ -19,10 +19,9 @@
 #include "../model/fault.h"
 #include "../model/search.h"
 
-#define READY_MS     4000  /* the cell has an owner and its workers */
-#define FIRST_MS     9000  /* the lasting task runs */
-#define BEGIN_MS     10000 /* the other one too: the search begins */
-#define WORKER_IDS   16	   /* of a worker, at most */
+#define READY_MS     4000 /* the cell has an owner and its workers */
+#define BEGIN_MS     9000 /* the lasting task runs; the search begins */
+#define WORKER_IDS   16	  /* of a worker, at most */
 #define STDOUT_BYTES 65536
 
 typedef struct {
@@ -134,11 +133,15 @@
 		{ "entries", 0, 0, G_OPTION_ARG_INT, &o->nentries, "(3)", "N" },
 		{ "workers", 0, 0, G_OPTION_ARG_INT, &o->nworkers, "(2)", "N" },
 		{ "work", 0, 0, G_OPTION_ARG_INT, &o->work_ms,
-		    "of the ordinary task (3000)", "MS" },
+		    "estimate of the ordinary task (20000)", "MS" },
 		{ "new-ids", 0, 0, G_OPTION_ARG_NONE, &o->new_ids,
 		    "a worker that starts again has another id", NULL },
 		{ "slow-clocks", 0, 0, G_OPTION_ARG_NONE, &o->slow_clocks,
 		    "workers' clocks are 2 % slow", NULL },
+		{ "one-follower", 0, 0, G_OPTION_ARG_NONE,
+		    &o->search.one_follower,
+		    "of entries without a fault only the first gets one",
+		    NULL },
 		{ "part", 0, 0, G_OPTION_ARG_STRING, &o->part,
 		    "only every Nth first fault, from the Ith (1/1)", "I/N" },
 		{ "table-bits", 0, 0, G_OPTION_ARG_INT, &table_bits,
@@ -206,7 +209,25 @@
 	tasks->jobs[tasks->n++] = job;
 }
 
-/* A cell with an owner, a lasting task and an ordinary one, which run. */
+static void
+on_boot(world_t *w, void *arg)
+{
+	entry_boot(w, arg);
+}
+
+/* Lets entries read the store at different times. */
+static void
+stagger_entries(world_t *w)
+{
+	static const int32_t boot_ms[ENTRIES_MAX] = { 0, 80, 300, 420 };
+
+	for (int32_t i = 1; i < w->nentries; i++) {
+		entry_kill(&w->entries[i]);
+		world_schedule(w, boot_ms[i], on_boot, &w->entries[i]);
+	}
+}
+
+/* A cell with an owner, a lasting task that runs and an ordinary one that is due. */
 static world_t *
 make_world(const model_opts_t *o, state_tasks_t *tasks)
 {
@@ -221,11 +242,11 @@
 		w->workers[i].guards_capacity = false;
 	}
 	intern_names(w);
+	stagger_entries(w);
 	world_run_until(w, READY_MS);
 	add_task(w, tasks, 0);
-	world_run_until(w, FIRST_MS);
-	add_task(w, tasks, o->work_ms);
 	world_run_until(w, BEGIN_MS);
+	add_task(w, tasks, o->work_ms);
 	return w;
 }
 
@@ -316,7 +337,7 @@
 	static state_tasks_t tasks;
 	static model_opts_t o = { .nentries = 3,
 		.nworkers = 2,
-		.work_ms = 3000,
+		.work_ms = 20000,
 		.durations = "100,1300,5000",
 		.part = "1/1",
 		.search = { .faults_max = 1,
--- a/test/model/fault.c
+++ b/test/model/fault.c
@@ -13,10 +13,13 @@
 #include "../../proto/sched.pb-c.h"
 #include "../../sched/sched.h"
 #include "../cell/cell.h"
+#include "../cell/digest.h"
 #include "fault.h"
 
 #define ANSWER_LATE_MS 600
 #define LIST_LATE_MS   1500
+#define CLOCK_BACK_MS  300000
+#define SLOW_READ_MS   850 /* as handover.c has it for the owner row */
 
 /* What a target or the other number is an index of, or says. */
 typedef enum {
@@ -27,8 +30,8 @@
 	LATENESS /* how late, as a share of what can be; per cent */
 } operand_t;
 
-/* Which of the durations are tried. */
-typedef enum { ANY_DURATION, SHORT_DURATIONS } lasts_t;
+/* Which of the durations are tried: all, or only 0. */
+typedef enum { ANY_DURATION, AT_ONCE } lasts_t;
 
 typedef struct {
 	const char *name;
@@ -107,6 +110,64 @@
 	((sim_entry_t *)arg)->store_cut = false;
 }
 
+static bool
+store_mute_begin(world_t *w, const fault_t *f)
+{
+	sim_entry_t *en = &w->entries[f->target];
+
+	if (!en->up || en->store_mute)
+		return false;
+	return en->store_mute = true;
+}
+
+static void
+store_mute_end(world_t *w, void *arg)
+{
+	(void)w;
+	((sim_entry_t *)arg)->store_mute = false;
+}
+
+static bool
+slow_reads_begin(world_t *w, const fault_t *f)
+{
+	sim_entry_t *en = &w->entries[f->target];
+
+	if (!en->up || en->slow_store_read_ms > 0)
+		return false;
+	en->slow_store_read_ms = SLOW_READ_MS;
+	return true;
+}
+
+static void
+slow_reads_end(world_t *w, void *arg)
+{
+	(void)w;
+	((sim_entry_t *)arg)->slow_store_read_ms = 0;
+}
+
+static bool
+zone_begin(world_t *w, const fault_t *f)
+{
+	sim_entry_t *en = &w->entries[f->target];
+
+	if (!en->up || en->store_cut)
+		return false;
+	for (int32_t i = 0; i < w->nentries; i++)
+		for (int32_t k = 0; k < w->nworkers; k++)
+			w->workers[k].cut_from[i] |=
+			    (i == f->target) != (k == f->other);
+	return en->store_cut = true;
+}
+
+static void
+zone_end(world_t *w, void *arg)
+{
+	((sim_entry_t *)arg)->store_cut = false;
+	for (int32_t k = 0; k < w->nworkers; k++)
+		memset(
+		    w->workers[k].cut_from, 0, sizeof(w->workers[k].cut_from));
+}
+
 static bool
 list_late_begin(world_t *w, const fault_t *f)
 {
@@ -136,13 +197,31 @@
 	return true;
 }
 
+/* Starts a worker's process again, whose clock differs by so much from the old. */
+static void
+boot_worker(world_t *w, sim_worker_t *wk, int64_t clock_change_ms)
+{
+	int64_t clock_ms = worker_clock_ms(w, wk);
+
+	if (wk->up)
+		return;
+	worker_boot(w, wk);
+	wk->clock_offset_ms = MAX(1, clock_ms + clock_change_ms);
+}
+
 static void
 crash_end(world_t *w, void *arg)
 {
-	sim_worker_t *wk = arg;
+	boot_worker(w, arg, 0);
+}
 
-	if (!wk->up)
-		worker_boot(w, wk);
+static bool
+restart_begin(world_t *w, const fault_t *f)
+{
+	if (!crash_begin(w, f))
+		return false;
+	boot_worker(w, &w->workers[f->target], -CLOCK_BACK_MS);
+	return true;
 }
 
 /* Sets a flag of one entry, or of all for -1; false: all are set. */
@@ -305,13 +384,21 @@
 	{ "pause", "the process of an entry stands still", ENTRY, NOTHING,
 	    ANY_DURATION, pause_begin, pause_end },
 	{ "leave", "an entry leaves in order, and starts again", ENTRY, HEIR,
-	    SHORT_DURATIONS, leave_begin, NULL },
+	    AT_ONCE, leave_begin, NULL },
+	{ "storemute", "the store does not answer an entry that it obeys",
+	    ENTRY, NOTHING, ANY_DURATION, store_mute_begin, store_mute_end },
+	{ "slowreads", "all reads of an entry are answered late", ENTRY,
+	    NOTHING, ANY_DURATION, slow_reads_begin, slow_reads_end },
+	{ "zone", "an entry and a worker see only each other", ENTRY, WORKER,
+	    ANY_DURATION, zone_begin, zone_end },
 	{ "nostore", "an entry does not reach the store", ENTRY, NOTHING,
 	    ANY_DURATION, store_cut_begin, store_cut_end },
 	{ "oldlist", "an entry gets the list of workers late", ENTRY, NOTHING,
 	    ANY_DURATION, list_late_begin, list_late_end },
 	{ "crash", "a worker crashes, and starts again", WORKER, NOTHING,
 	    ANY_DURATION, crash_begin, crash_end },
+	{ "restart", "a worker starts again at once, its clock behind", WORKER,
+	    NOTHING, AT_ONCE, restart_begin, NULL },
 	{ "cut", "nothing reaches a worker", WORKER, NOTHING, ANY_DURATION,
 	    cut_begin, cut_end },
 	{ "cutone", "nothing of one entry reaches a worker", WORKER, ENTRY,
@@ -360,6 +447,15 @@
 	return true;
 }
 
+bool
+fault_names_entry(const fault_t *f, int32_t entry)
+{
+	const kind_t *k = &kinds[f->kind];
+
+	return (k->target == ENTRY && f->target == entry) ||
+	    ((k->other == ENTRY || k->other == HEIR) && f->other == entry);
+}
+
 /* The values of an operand: the first, and the number of them. */
 static int32_t
 values_of(const world_t *w, operand_t o, int32_t *first)
@@ -386,12 +482,12 @@
 	const kind_t *k = &kinds[kind];
 	int32_t first_a, first_b, na = values_of(w, k->target, &first_a),
 				  nb = values_of(w, k->other, &first_b);
-	int32_t nd =
-	    k->lasts == SHORT_DURATIONS ? MIN(2, ndurations) : ndurations;
+	int32_t nd = k->lasts == ANY_DURATION ? ndurations : 1;
 
 	for (int32_t i = 0; i < na * nb * nd; i++) {
 		fault_t f = { kind, first_a + i / (nb * nd),
-			first_b + i / nd % nb, durations_ms[i % nd] };
+			first_b + i / nd % nb,
+			k->lasts == AT_ONCE ? 0 : durations_ms[i % nd] };
 
 		if (k->other == HEIR && f.other == f.target)
 			continue;
@@ -457,7 +553,7 @@
 	int32_t first, n = values_of(w, o, &first);
 
 	/* Where an entry may be named, -1 says all or none. */
-	return o == LATENESS ? v >= -1 && v <= 100 : v >= -1 && v < first + n;
+	return o == LATENESS ? v >= 0 && v <= 100 : v >= -1 && v < first + n;
 }
 
 bool
--- a/test/model/fault.h
+++ b/test/model/fault.h
@@ -27,6 +27,8 @@
     const int32_t *durations_ms, int32_t ndurations, char error[FAULT_TEXT]);
 /* Begins a fault, and schedules its end.  False: it can't begin now. */
 bool fault_begin(world_t *w, const fault_t *f);
+/* Whether a fault is of this entry alone, or names it as the heir. */
+bool fault_names_entry(const fault_t *f, int32_t entry);
 /* KIND:TARGET:OTHER:MS, as it is read again. */
 void fault_print(const fault_t *f, char text[FAULT_TEXT]);
 bool fault_parse(const world_t *w, const char *text, fault_t *f);
--- a/test/model/search.c
+++ b/test/model/search.c
@@ -100,15 +100,33 @@
 	    s->r->states * sizeof(seen_t) >> 20, arena_size() >> 10);
 }
 
+/*
+ * Simulates up to the next time at which a fault may begin: a multiple of the step
+ * from the start, or a millisecond in which a scheduler learns or begins something.
+ */
+static void
+advance(world_t *w, int64_t start_ms, int32_t step_ms)
+{
+	int64_t end_ms = w->now_ms + step_ms - (w->now_ms - start_ms) % step_ms;
+	uint64_t facts = state_facts(w), seq = w->last_event_seq;
+
+	while (w->now_ms < end_ms && w->violated_check == NULL) {
+		world_run_until(w, w->now_ms + 1);
+		if (w->last_event_seq != seq && state_facts(w) != facts)
+			break;
+		seq = w->last_event_seq;
+	}
+	for (int32_t i = 0; i < w->nworkers; i++)
+		worker_advance(w, &w->workers[i]);
+}
+
 /* Simulates a step; false: a check failed, or the search was interrupted. */
 static bool
 step(search_t *s)
 {
 	world_t *w = s->w;
 
-	world_run_until(w, w->now_ms + s->o->step_ms);
-	for (int32_t i = 0; i < w->nworkers; i++)
-		worker_advance(w, &w->workers[i]);
+	advance(w, s->start_ms, s->o->step_ms);
 	s->r->steps++;
 	report(s);
 	if (w->violated_check != NULL) {
@@ -158,6 +176,35 @@
 	return false;
 }
 
+/* Whether no fault has named an entry yet, and it has not owned the cell. */
+static bool
+is_untouched(const search_t *s, int32_t entry)
+{
+	for (int32_t i = 0; i < s->path.n; i++)
+		if (fault_names_entry(&s->path.items[i].fault, entry))
+			return false;
+	return state_never_owned(&s->w->entries[entry]);
+}
+
+/*
+ * Whether a fault names an untouched entry in place of a former one: these differ
+ * only by when they read the store.
+ */
+static bool
+is_like_another(const search_t *s, const fault_t *f)
+{
+	bool untouched_before = false;
+
+	for (int32_t i = 0; i < s->w->nentries; i++) {
+		if (!is_untouched(s, i))
+			continue;
+		if (untouched_before && fault_names_entry(f, i))
+			return true;
+		untouched_before = !fault_names_entry(f, i);
+	}
+	return false;
+}
+
 static bool explore(search_t *s, int32_t faults_left);
 
 /* Tries each fault as the next one, from the present state; false as step(). */
@@ -175,6 +222,9 @@
 		    s->first_faults++ % (uint64_t)s->o->parts !=
 			(uint64_t)s->o->part)
 			continue;
+		if (s->o->one_follower &&
+		    is_like_another(s, &s->menu->faults[i]))
+			continue;
 		if (!fault_begin(s->w, &s->menu->faults[i]))
 			continue;
 		*item = (scheduled_t){ (int32_t)(s->w->now_ms - s->start_ms),
@@ -254,9 +304,7 @@
 				    next + 1);
 			end_ms = w->now_ms + o->settle_ms + o->fair_ms;
 		}
-		world_run_until(w, w->now_ms + o->step_ms);
-		for (int32_t i = 0; i < w->nworkers; i++)
-			worker_advance(w, &w->workers[i]);
+		advance(w, start_ms, o->step_ms);
 	}
 	if (w->violated_check == NULL && o->fair_ms > 0)
 		check_end(w, tasks);
--- a/test/model/state.c
+++ b/test/model/state.c
@@ -228,7 +228,8 @@
 	if (!en->up)
 		return;
 	digest_put_rank(d, RANK_START, en->incarnation);
-	digest_put(d, en->list_lag_ms);
+	digest_put(d, en->list_lag_ms << 1 | en->store_mute);
+	digest_put(d, en->slow_store_read_ms);
 	digest_put_time(d, en->last_tick_ms);
 	if (en->leaving)
 		digest_put_end(d, en->leaves_after_ms);
@@ -391,3 +392,56 @@
 	put_world(&d, w, tasks);
 	return d.hash;
 }
+
+static void
+put_run_facts(digest_t *d, const worker_t *wk)
+{
+	GHashTableIter it;
+	void *v;
+	int64_t pending = 0;
+
+	g_hash_table_iter_init(&it, wk->runs);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		pending += ((const run_t *)v)->order_pending;
+	digest_put(d, pending);
+}
+
+uint64_t
+state_facts(const world_t *w)
+{
+	static digest_t d;
+
+	digest_begin_plain(&d);
+	for (int32_t i = 0; i < w->nworkers; i++)
+		digest_put(&d, w->workers[i].up);
+	for (int32_t i = 0; i < w->nentries; i++) {
+		const sim_entry_t *en = &w->entries[i];
+		const sched_t *s = en->sched;
+
+		digest_put(&d, en->up);
+		if (!en->up || s->cell.state == CELL_FOLLOWING)
+			continue;
+		digest_put(&d,
+		    s->cell.state << 3 | s->cell.release_sent << 2 |
+			s->cell.release_in_doubt << 1 |
+			s->cell.workers_accounted);
+		for (guint k = 0; k < s->worker_list->len; k++) {
+			const worker_t *wk =
+			    g_ptr_array_index(s->worker_list, k);
+
+			digest_put(&d,
+			    wk->lease.stored.state << 3 |
+				wk->has_answered << 2 |
+				(wk->missed_polls > 0) << 1 |
+				wk->footprint_stored);
+			put_run_facts(&d, wk);
+		}
+	}
+	return d.hash;
+}
+
+bool
+state_never_owned(const sim_entry_t *en)
+{
+	return en->up && en->sched->cell.epoch == 0;
+}
--- a/test/model/state.h
+++ b/test/model/state.h
@@ -21,5 +21,13 @@
  * these only are taken for one.
  */
 uint64_t state_hash(world_t *w, const state_tasks_t *tasks);
+/* Whether an entry runs and has not claimed the cell since it started. */
+bool state_never_owned(const sim_entry_t *en);
+/*
+ * A hash of what each scheduler has just learned or begun: a claim, a load, a first
+ * answer, a missed one, an order, a release.  When it changes a fault may begin,
+ * besides at fixed steps.
+ */
+uint64_t state_facts(const world_t *w);
 
 #endif
