--- a/test/cell/cell.h
+++ b/test/cell/cell.h
@@ -235,6 +235,8 @@
     world_t *w, int64_t ms, void (*fn)(world_t *, void *), void *arg);
 /* Runs all events up to a time, or until a check fails. */
 void world_run_until(world_t *w, int64_t until_ms);
+/* When the next event is due; INT64_MAX: there is none. */
+int64_t world_next_event_ms(const world_t *w);
 /* Records that a check failed; later ones are ignored. */
 void world_fail(world_t *w, const char *check, const char *fmt, ...)
     G_GNUC_PRINTF(3, 4);
--- a/test/cell/world.c
+++ b/test/cell/world.c
@@ -38,6 +38,16 @@
 	g_sequence_insert_sorted(w->events, e, by_time, NULL);
 }
 
+int64_t
+world_next_event_ms(const world_t *w)
+{
+	GSequenceIter *i = g_sequence_get_begin_iter(w->events);
+
+	return g_sequence_iter_is_end(i) ?
+	    INT64_MAX :
+	    ((const event_t *)g_sequence_get(i))->at_ms;
+}
+
 void
 world_run_until(world_t *w, int64_t until_ms)
 {
--- a/test/model/search.c
+++ b/test/model/search.c
@@ -108,13 +108,12 @@
 advance(world_t *w, int64_t start_ms, int32_t step_ms)
 {
 	int64_t end_ms = w->now_ms + step_ms - (w->now_ms - start_ms) % step_ms;
-	uint64_t facts = state_facts(w), seq = w->last_event_seq;
+	uint64_t facts = state_facts(w);
 
 	while (w->now_ms < end_ms && w->violated_check == NULL) {
-		world_run_until(w, w->now_ms + 1);
-		if (w->last_event_seq != seq && state_facts(w) != facts)
+		world_run_until(w, MIN(end_ms, world_next_event_ms(w)));
+		if (state_facts(w) != facts)
 			break;
-		seq = w->last_event_seq;
 	}
 	for (int32_t i = 0; i < w->nworkers; i++)
 		worker_advance(w, &w->workers[i]);
