--- a/test/main/model.c
+++ b/test/main/model.c
@@ -20,14 +20,14 @@
 #include "../model/search.h"
 
 #define READY_MS     4000 /* the cell has an owner and its workers */
-#define BEGIN_MS     9000 /* the lasting task runs; the search begins */
 #define WORKER_IDS   16	  /* of a worker, at most */
 #define STDOUT_BYTES 65536
 
 typedef struct {
 	int32_t nentries, nworkers;
-	bool new_ids, slow_clocks;
-	int32_t work_ms; /* of the ordinary task */
+	bool new_ids, slow_clocks, no_store_clock;
+	int32_t begin_ms;	 /* the lasting task runs; the search begins */
+	int32_t ntasks, work_ms; /* of the ordinary tasks */
 	int32_t durations_ms[DURATIONS_MAX], ndurations;
 	char *kinds, *durations, *replay, *part;
 	bool verbose, list_kinds;
@@ -72,7 +72,7 @@
 		if (*end != '\0' || end == parts[i] || i == DURATIONS_MAX)
 			die("--durations must be up to %d numbers",
 			    DURATIONS_MAX);
-		check_range("durations", ms, 1, 60000);
+		check_range("durations", ms, 1, DURATION_MAX_MS);
 		o->durations_ms[o->ndurations++] = (int32_t)ms;
 	}
 }
@@ -101,6 +101,8 @@
 	check_range("gap", o->search.gap_ms, 0, 20000);
 	check_range("settle", o->search.settle_ms, 0, 60000);
 	check_range("fair", o->search.fair_ms, 0, 120000);
+	check_range("begin", o->begin_ms, READY_MS, 60000);
+	check_range("tasks", o->ntasks, 0, TASKS_MAX - 1);
 	check_range("work", o->work_ms, 1, 60000);
 	parse_durations(o);
 	parse_part(o);
@@ -114,7 +116,8 @@
 				       &o->search.faults_max,
 				       "most faults of a schedule (1)", "N" },
 		{ "kinds", 0, 0, G_OPTION_ARG_STRING, &o->kinds,
-		    "kinds of faults (all)", "A,B" },
+		    "kinds of faults, with own durations or not (all)",
+		    "A,B=MS" },
 		{ "list-kinds", 0, 0, G_OPTION_ARG_NONE, &o->list_kinds,
 		    "print the kinds", NULL },
 		{ "durations", 0, 0, G_OPTION_ARG_STRING, &o->durations,
@@ -132,12 +135,18 @@
 		    "MS" },
 		{ "entries", 0, 0, G_OPTION_ARG_INT, &o->nentries, "(3)", "N" },
 		{ "workers", 0, 0, G_OPTION_ARG_INT, &o->nworkers, "(2)", "N" },
+		{ "begin", 0, 0, G_OPTION_ARG_INT, &o->begin_ms,
+		    "of the search, in virtual time (9000)", "MS" },
+		{ "tasks", 0, 0, G_OPTION_ARG_INT, &o->ntasks,
+		    "that are ordinary, accepted at the begin (1)", "N" },
 		{ "work", 0, 0, G_OPTION_ARG_INT, &o->work_ms,
-		    "estimate of the ordinary task (20000)", "MS" },
+		    "estimate of an ordinary task (20000)", "MS" },
 		{ "new-ids", 0, 0, G_OPTION_ARG_NONE, &o->new_ids,
 		    "a worker that starts again has another id", NULL },
 		{ "slow-clocks", 0, 0, G_OPTION_ARG_NONE, &o->slow_clocks,
 		    "workers' clocks are 2 % slow", NULL },
+		{ "no-store-clock", 0, 0, G_OPTION_ARG_NONE, &o->no_store_clock,
+		    "the store does not tell its time", NULL },
 		{ "one-follower", 0, 0, G_OPTION_ARG_NONE,
 		    &o->search.one_follower,
 		    "of entries without a fault only the first gets one",
@@ -241,12 +250,15 @@
 		w->workers[i].clock_rate = o->slow_clocks ? 0.98 : 1;
 		w->workers[i].guards_capacity = false;
 	}
+	for (int32_t i = 0; i < w->nentries; i++)
+		w->entries[i].no_store_clock = o->no_store_clock;
 	intern_names(w);
 	stagger_entries(w);
 	world_run_until(w, READY_MS);
 	add_task(w, tasks, 0);
-	world_run_until(w, BEGIN_MS);
-	add_task(w, tasks, o->work_ms);
+	world_run_until(w, o->begin_ms);
+	for (int32_t i = 0; i < o->ntasks; i++)
+		add_task(w, tasks, o->work_ms);
 	return w;
 }
 
@@ -337,6 +349,8 @@
 	static state_tasks_t tasks;
 	static model_opts_t o = { .nentries = 3,
 		.nworkers = 2,
+		.begin_ms = 9000,
+		.ntasks = 1,
 		.work_ms = 20000,
 		.durations = "100,1300,5000",
 		.part = "1/1",
--- a/test/model/fault.c
+++ b/test/model/fault.c
@@ -513,6 +513,17 @@
 	return -1;
 }
 
+/* The duration that follows a kind: KIND=MS. */
+static bool
+parse_duration(const char *text, int32_t *ms)
+{
+	char *end;
+	int64_t v = g_ascii_strtoll(strchr(text, '=') + 1, &end, 10);
+
+	*ms = (int32_t)v;
+	return v > 0 && v <= DURATION_MAX_MS && (*end == '\0' || *end == ',');
+}
+
 bool
 fault_menu_init(fault_menu_t *m, const world_t *w, const char *list,
     const int32_t *durations_ms, int32_t ndurations, char error[FAULT_TEXT])
@@ -523,16 +534,18 @@
 	for (size_t i = 0; list == NULL && i < G_N_ELEMENTS(kinds); i++)
 		ok = add_kind(m, w, (int32_t)i, durations_ms, ndurations) && ok;
 	while (list != NULL && ok) {
-		int32_t kind = find_kind(list, ",");
+		int32_t kind = find_kind(list, ",="), ms = 0;
+		size_t n = strcspn(list, ",");
+		bool own_ms = memchr(list, '=', n) != NULL;
 
-		if (kind < 0) {
+		if (kind < 0 || (own_ms && !parse_duration(list, &ms))) {
 			snprintf(error, FAULT_TEXT, "no kind %.*s",
-			    (int)MIN(20, strcspn(list, ",")), list);
+			    (int)MIN(20, n), list);
 			return false;
 		}
-		ok = add_kind(m, w, kind, durations_ms, ndurations);
-		list = strchr(list, ',');
-		list = list == NULL ? NULL : list + 1;
+		ok = own_ms ? add_kind(m, w, kind, &ms, 1) :
+			      add_kind(m, w, kind, durations_ms, ndurations);
+		list = list[n] == '\0' ? NULL : list + n + 1;
 	}
 	if (!ok)
 		snprintf(error, FAULT_TEXT, "more than %d faults", FAULTS_MAX);
--- a/test/model/fault.h
+++ b/test/model/fault.h
@@ -6,9 +6,10 @@
 #ifndef TEST_MODEL_FAULT_H
 #define TEST_MODEL_FAULT_H
 
-#define FAULTS_MAX    2048
-#define DURATIONS_MAX 8
-#define FAULT_TEXT    48
+#define FAULTS_MAX	2048
+#define DURATION_MAX_MS 60000
+#define DURATIONS_MAX	8
+#define FAULT_TEXT	48
 
 /* A fault of a kind (an index of the menu's kinds) that lasts so long.  What target
  * and other mean depends on the kind; -1: nothing. */
@@ -21,7 +22,8 @@
 	int32_t n;
 } fault_menu_t;
 
-/* The kinds of a list, separated by commas, or all kinds for NULL.  False: it names
+/* The kinds of a list, separated by commas and with their own duration where = and
+ * that follow, or all kinds for NULL.  False: it names
  * an unknown one, or has too many faults; error says which. */
 bool fault_menu_init(fault_menu_t *m, const world_t *w, const char *kinds,
     const int32_t *durations_ms, int32_t ndurations, char error[FAULT_TEXT]);
--- a/test/model/state.h
+++ b/test/model/state.h
@@ -6,7 +6,7 @@
 #ifndef TEST_MODEL_STATE_H
 #define TEST_MODEL_STATE_H
 
-#define TASKS_MAX 4
+#define TASKS_MAX 8
 
 /* The tasks of a world, in which nothing else is to be done. */
 typedef struct {
