Mutants: those of the model, each checked against the code as it is

Change: test/mutants.sh runs build/model for names with model_, with the options of the last column; the schedule found must pass without the mutant, so that a fault of the code as it is does not count as found. make model-mutants runs test/model-mutants.txt.

--- a/Makefile
+++ b/Makefile
@@ -99,6 +99,8 @@
 	sh test/soak.sh $(B) $(SEED)
 mutants: $(B)/check $(B)/cells
 	sh test/mutants.sh $(B)
+model-mutants: $(B)/model
+	sh test/mutants.sh $(B) '' test/model-mutants.txt
 soak-mutants: $(BIN)
 	sh test/mutants.sh $(B) '' test/soak-mutants.txt
 policy: $(B)/policy
@@ -148,5 +150,5 @@
 	rm -rf build*
 PHONY_TESTS = unit check cells scenarios process soak
 SEED = 1
-.PHONY: all deps ensure-deps run test $(PHONY_TESTS) mutants soak-mutants policy scaling \
+.PHONY: all deps ensure-deps run test $(PHONY_TESTS) mutants model-mutants soak-mutants policy scaling \
 	ablation bench asan lint fmt install clean
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -1,10 +1,12 @@
 #!/bin/sh
 # Mutation test: applies each entry of a list to a copy of the tree, builds it,
-# and runs random schedules, or the soak, until one prints the expected violation.
+# and runs random schedules, the soak or the model, until one prints the expected
+# violation.  A schedule of the model must pass without the mutant.
 # usage: mutants.sh BUILD-FOLDER [NAME [LIST]]
 B=$1
 only=${2:-}
 list=${3:-test/mutants.txt}
+MODEL_S=300 # for a search
 mkdir -p "$B/mutants"
 
 try() {	# PROGRAM FOLDER FIRST-SEED FLAG
@@ -12,10 +14,15 @@
 	check) "$2/check" "$3" 50 ;;
 	cells) "$2/cells" "$3" $(($3 + 49)) $4 ;;
 	soak) "$2/soak" "$2" "$3" 3 15 ;;
+	model) G_SLICE=always-malloc timeout "$MODEL_S" "$2/model" $4 ;;
 	esac
 }
 
 mutant() {	# NAME FILES SED WANT SEEDS
+	if [ "$5" = - ]; then
+		echo "none $1: the model can't show it"
+		return
+	fi
 	d=$B/mutants/$1
 	rm -rf "$d"
 	mkdir -p "$d"
@@ -40,6 +47,7 @@
 	handover_*) prog=cells flag=-handover ;;
 	weak_*) prog=cells flag=-weak ;;
 	overload_*) prog=cells flag=-overload ;;
+	model_*) prog=model flag=$5 ;;
 	soak_*) prog=soak step=1
 		more='build-own/tanagerspool build-own/standin-users' ;;
 	esac
@@ -50,20 +58,27 @@
 		return
 	fi
 	at=1 last=$5
-	case $5 in
+	case $prog:$5 in
+	model:*) last=1 ;;
 	*-*) at=${5%-*} last=${5#*-} ;;
 	esac
 	while [ "$at" -le "$last" ]; do
-		try $prog "$d/build-own" $at $flag >"$d/out" 2>&1
+		try $prog "$d/build-own" $at "$flag" >"$d/out" 2>&1
 		hit=$(grep -m1 "$4" "$d/out")
 		[ -z "$hit" ] || break
 		at=$((at + step))
 	done
+	if [ $prog = model ] && [ -n "$hit" ]; then
+		plan=$(sed -n 's/^schedule: //p' "$d/out")
+		try model "$B" 1 "$5 ${plan:+--replay $plan}" >"$d/out" 2>&1 ||
+		    hit=
+		hit=${hit:+$hit; $plan}
+	fi
 	if [ -n "$hit" ]; then
 		echo "ok   $1: $hit"
 	else
 		echo "FAIL $1: not caught in seeds $5"
-		grep -m1 seed "$d/out"
+		grep -m1 'seed\|violated' "$d/out"
 	fi
 	rm -rf "$d"
 }
