--- a/Makefile
+++ b/Makefile
@@ -89,6 +89,8 @@
 	sh test/cells.sh $(B) $(HANDOVER_SEEDS) -handover
 	sh test/cells.sh $(B) $(WEAK_SEEDS) -weak
 	sh test/cells.sh $(B) $(OVERLOAD_SEEDS) -overload
+model: $(B)/model
+	sh test/model.sh $(B)
 scenarios: $(B)/scenarios
 	sh test/red.sh $(B)/scenarios
 process: all
@@ -146,7 +148,7 @@
 	    $(DESTDIR)$(PREFIX)/share/tanagerspool
 clean:
 	rm -rf build*
-PHONY_TESTS = unit check cells scenarios process soak
+PHONY_TESTS = unit check cells model scenarios process soak
 SEED = 1
 .PHONY: all deps ensure-deps run test $(PHONY_TESTS) mutants soak-mutants policy scaling \
 	ablation bench asan lint fmt install clean
--- a/test/main/model.c
+++ b/test/main/model.c
@@ -25,12 +25,12 @@
 
 typedef struct {
 	int32_t nentries, nworkers;
-	bool new_ids, slow_clocks, no_store_clock;
+	gboolean new_ids, slow_clocks, no_store_clock;
 	int32_t begin_ms;	 /* the lasting task runs; the search begins */
 	int32_t ntasks, work_ms; /* of the ordinary tasks */
 	int32_t durations_ms[DURATIONS_MAX], ndurations;
 	char *kinds, *durations, *replay, *part;
-	bool verbose, list_kinds;
+	gboolean verbose, list_kinds;
 	search_opts_t search;
 } model_opts_t;
 
--- a/test/model/search.h
+++ b/test/model/search.h
@@ -17,7 +17,7 @@
 	int32_t gap_ms;	    /* each other one within, after the one before */
 	int32_t settle_ms;  /* that the last is watched for */
 	int32_t fair_ms; /* after that all work must have run; 0: not checked */
-	bool one_follower;   /* see is_like_another() */
+	gboolean one_follower; /* see is_like_another() */
 	int32_t part, parts; /* of the first faults, every parts-th is tried */
 	size_t states_max;   /* remembered */
 } search_opts_t;
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -12,6 +12,7 @@
 	check) "$2/check" "$3" 50 ;;
 	cells) "$2/cells" "$3" $(($3 + 49)) $4 ;;
 	soak) "$2/soak" "$2" "$3" 3 15 ;;
+	model) G_SLICE=always-malloc "$2/model" $4 ;;
 	esac
 }
 
@@ -40,6 +41,7 @@
 	handover_*) prog=cells flag=-handover ;;
 	weak_*) prog=cells flag=-weak ;;
 	overload_*) prog=cells flag=-overload ;;
+	model_*) prog=model flag=$5 ;;
 	soak_*) prog=soak step=1
 		more='build-own/tanagerspool build-own/standin-users' ;;
 	esac
@@ -51,6 +53,7 @@
 	fi
 	at=1 last=$5
 	case $5 in
+	--*) last=1 ;;
 	*-*) at=${5%-*} last=${5#*-} ;;
 	esac
 	while [ "$at" -le "$last" ]; do
@@ -62,7 +65,7 @@
 	if [ -n "$hit" ]; then
 		echo "ok   $1: $hit"
 	else
-		echo "FAIL $1: not caught in seeds $5"
+		echo "FAIL $1: not caught in $5"
 		grep -m1 seed "$d/out"
 	fi
 	rm -rf "$d"
