--- a/test/cell/cell.h
+++ b/test/cell/cell.h
@@ -272,6 +272,9 @@
 void worker_poll(sim_entry_t *en, const sched_poll_t *p);
 /* Hands the list of workers to an entry's scheduler, after its lag. */
 void workers_send_list(sim_entry_t *en);
+/* The worker of which this is or was the id; or NULL. */
+sim_worker_t *worker_by_id(world_t *w, const char *id);
+int64_t worker_clock_ms(const world_t *w, const sim_worker_t *wk);
 /* Brings the worker's lease and runs up to the present. */
 void worker_advance(world_t *w, sim_worker_t *wk);
 
--- a/test/cell/digest.c
+++ b/test/cell/digest.c
@@ -3,7 +3,6 @@
  */
 #include <stdbool.h>
 #include <stdint.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include <glib.h>
@@ -45,20 +44,11 @@
 	d->hash = HASH_SEED;
 }
 
-static int
-by_value(const void *pa, const void *pb)
-{
-	int64_t a = *(const int64_t *)pa, b = *(const int64_t *)pb;
-
-	return a < b ? -1 : a > b;
-}
-
 static void
 sort_small(int64_t *v, int32_t n)
 {
 	for (int32_t i = 1; i < n; i++)
-		for (int32_t k = i; k > 0 && by_value(&v[k - 1], &v[k]) > 0;
-		     k--) {
+		for (int32_t k = i; k > 0 && v[k - 1] > v[k]; k--) {
 			int64_t t = v[k];
 
 			v[k] = v[k - 1];
--- a/test/cell/digest.h
+++ b/test/cell/digest.h
@@ -8,6 +8,7 @@
 #ifndef TEST_CELL_DIGEST_H
 #define TEST_CELL_DIGEST_H
 
+/* Of a kind; further numbers would be taken for the highest. */
 #define DIGEST_RANKED_MAX 256
 
 typedef enum {
@@ -48,7 +49,5 @@
 bool worker_digest_event(digest_t *d, world_t *w, const event_t *e);
 /* Of a worker: which process an id names; by how many processes before this one. */
 int32_t worker_former_index(const sim_worker_t *wk, const char *id);
-sim_worker_t *worker_by_id(world_t *w, const char *id);
-int64_t worker_clock_ms(const world_t *w, const sim_worker_t *wk);
 
 #endif
--- a/test/cell/worker.c
+++ b/test/cell/worker.c
@@ -467,9 +467,9 @@
 	sched_order_result_t result;
 	int64_t clock_ms;
 	int64_t wait_until_ms; /* of a poll */
-	bool is_poll;	       /* set, but not read */
-	GArray *running;       /* of sched_running_t */
-	GArray *ended;	       /* of sched_ended_t */
+	bool is_poll;
+	GArray *running; /* of sched_running_t */
+	GArray *ended;	 /* of sched_ended_t */
 	bool ended_cut;
 	int64_t reported_started_ms;
 } worker_call_t;
@@ -921,7 +921,7 @@
 	int64_t clock_ms = worker_clock_ms(w, c->worker);
 
 	digest_put(d, c->worker->index);
-	digest_put(d, c->to_former << 1 | (c->is_poll != 0));
+	digest_put(d, c->to_former << 1 | c->is_poll);
 	digest_put_rank(d, RANK_START, c->started_ms);
 	if (!c->is_poll) {
 		digest_put(d, c->order.kind);
