Steps: a later step waits for the row where a task is done by an earlier run

What callers could see: a task of a later step with two runs (TWICE). Cause: a new owner that finds a run of a step at work infers that no earlier owner can have started the steps after it, and starts them without waiting for workers that it can't reach. But the task may have had an earlier run, taken for lost, whose end was read later: its owner stopped the second run and started the later step, before it had stored that the task is done. Fix: in that case no task of the job starts before its row is stored. Without a later run nothing waits.

--- a/sched/flush.c
+++ b/sched/flush.c
@@ -300,7 +300,7 @@
 			flush_mark_job(s, j);
 			continue;
 		}
-		if (!j->row_stored)
+		if (!j->row_stored || j->rows_stored < j->starts_after_write)
 			s->start_pass_due = true;
 		j->row_stored = true;
 		j->rows_stored = j->rows_packed;
--- a/sched/report.c
+++ b/sched/report.c
@@ -154,6 +154,20 @@
 		flush_mark_job(s, j);
 }
 
+/*
+ * A task is done by a run after which others were started.  A successor that finds one
+ * of these at work takes the steps after it for ones that nobody has started (see
+ * mark_later_steps), unless it reads that the task is done: that is stored first.
+ */
+static void
+hold_later_steps(const task_t *t, int64_t run)
+{
+	job_t *j = t->step->occ->job;
+
+	if (t->last_run_number > run)
+		j->starts_after_write = j->rows_packed + 1;
+}
+
 /*
  * Handles a run that a worker reports as ended.  The run may be unknown here,
  * as one of an earlier owner.
@@ -176,6 +190,7 @@
 		keep_checkpoint(t, e->checkpoint);
 		if (e->outcome == SCHED_RUN_DONE && !t->step->def->lasting) {
 			suspect_run_done(s, w);
+			hold_later_steps(t, e->run);
 			/* The run may be known for longer than its job. */
 			on_task_done(
 			    s, t, r != NULL && r->task == t ? r : NULL);
--- a/sched/start.c
+++ b/sched/start.c
@@ -140,7 +140,8 @@
 
 /*
  * Whether the job of a step has its row in the store, without which no task of
- * it is started: a successor takes a job without one for not started.  If it
+ * it is started: a successor takes a job without one for not started, and infers
+ * from runs at work what else can't have been (starts_after_write).  If it
  * has not, has it stored when a task could start now, slowed or not, or will start
  * soon, as the step is ahead in the queue or starved, or has room reserved.
  */
@@ -154,9 +155,11 @@
 		starvation_may_slow(s, st) ||
 		place_task(s, st, first_waiting(st)) != NULL))
 		flush_mark_job(s, j);
-	if (!j->row_stored && (j->dirty || j->rows_packed > j->rows_stored))
+	if (j->row_stored && j->rows_stored >= j->starts_after_write)
+		return true;
+	if (j->dirty || j->rows_packed > j->rows_stored)
 		wait_reason_note(s, st, SCHED_WAIT_ROW);
-	return j->row_stored;
+	return false;
 }
 
 /*
--- a/sched/types.h
+++ b/sched/types.h
@@ -202,6 +202,8 @@
 	bool row_stored; /* it has a progress row */
 	/* Writes of that row so far, and the last one that was stored. */
 	uint64_t rows_packed, rows_stored;
+	/* No task is started before that write is stored; see report.c. */
+	uint64_t starts_after_write;
 	int32_t row_detail; /* row_detail_t of progress.c, as last packed */
 	/* An earlier owner may have started tasks of it. */
 	bool maybe_started_before;
--- a/test/unit/ended.c
+++ b/test/unit/ended.c
@@ -323,3 +323,51 @@
 	cr_expect_eq(s->stats.orphans, 0);
 	sched_free(s);
 }
+
+/*
+ * Guards against two runs of a task of a later step: an owner reads the end of a run
+ * that it has taken for lost, stops the next run of the task, and starts the later
+ * step.  If it is lost then, its successor may find that run at work, and takes the
+ * later step for one that nobody can have started: unless the end is stored before.
+ */
+Test(ended, a_later_step_waits_for_the_row)
+{
+	static const struct {
+		const char *name;
+		int64_t last_run;	/* of the task, when run 1 is done */
+		sched_write_result_t r; /* of writes from then on */
+		int32_t starts;
+	} cases[] = {
+		{ "no later run", 1, SCHED_WRITE_IN_DOUBT, 1 },
+		{ "a later run, not stored", 2, SCHED_WRITE_IN_DOUBT, 0 },
+		{ "a later run, stored", 2, SCHED_WRITE_OK, 1 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = new_polling_owner();
+		Sched__Step first = step_def("", 1000, false, 0),
+			    later = step_def("", 1000, false, 0);
+		Sched__Step *steps[] = { &first, &later };
+		int32_t after[] = { 0 };
+		worker_t *w = add_worker(s, "w"), *other = add_worker(s, "o");
+		task_t *t;
+		job_t *j;
+
+		later.after = after;
+		later.n_after = 1;
+		j = add_job_of(s, JOB, steps, 2, 0);
+		t = &first_step(j)->tasks[0];
+		other->next_poll_ms = SCHED_NUMBER_MAX;
+		add_running(
+		    s, first_step(j), 0, cases[i].last_run == 1 ? w : other);
+		await_poll(s, 0, SCHED_WRITE_OK);
+		t->last_run_number = cases[i].last_run;
+		t->run->number = cases[i].last_run;
+		end_poll(s, true, true);
+		cr_expect_eq(t->state, TASK_DONE, "%s", cases[i].name);
+		pass_ms(s, 500, cases[i].r);
+		cr_expect_eq(starts, cases[i].starts, "%s: %d starts",
+		    cases[i].name, starts);
+		sched_free(s);
+	}
+}
