--- a/test/model/arena.c
+++ b/test/model/arena.c
@@ -103,10 +103,11 @@
 free(void *p)
 {
 	head_t *h = head();
-	block_t *b = (block_t *)p - 1;
+	block_t *b;
 
 	if (p == NULL)
 		return;
+	b = (block_t *)p - 1;
 	b->next_free = h->free[b->class];
 	h->free[b->class] = b;
 }
--- a/test/model/fault.c
+++ b/test/model/fault.c
@@ -2,7 +2,6 @@
  * The faults that a search chooses from; see fault.h.  Each does to the simulation
  * what the random schedules do, without chance.
  */
-#include <inttypes.h>
 #include <stdbool.h>
 #include <stdint.h>
 #include <stdio.h>
