Outage: no two owners where the network is split

Cause: an owner that hears three quarters of the other entries miss the store takes that for an outage for all, and extends leases for as long.

Change: two thresholds that exclude each other. A notice says which owner its sender knows (the number of claims); one that knows a later owner, or that the store has told of none since its start, supports no outage. A new owner asks all entries, and takes earlier owners for ended once more than a quarter of those by which they judge know of it; otherwise it waits for the longest outage, 300 s, which an owner keeps to. The owner row names these entries (4 bytes each) before the owner may use an outage. All of it is about workers that don't answer the new owner.

The row of an older build names none; the new owner then counts those that it knows.

--- a/proto/sched.pb-c.c
+++ b/proto/sched.pb-c.c
@@ -1536,7 +1536,7 @@
   (ProtobufCMessageInit) sched__refusal__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sched__owner__field_descriptors[12] =
+static const ProtobufCFieldDescriptor sched__owner__field_descriptors[13] =
 {
   {
     "name",
@@ -1682,10 +1682,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "entries",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Sched__Owner, n_entries),
+    offsetof(Sched__Owner, entries),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sched__owner__field_indices_by_name[] = {
   3,   /* field[3] = beat */
   9,   /* field[9] = counted_ms */
+  12,   /* field[12] = entries */
   2,   /* field[2] = epoch */
   6,   /* field[6] = heir */
   1,   /* field[1] = incarnation */
@@ -1700,7 +1713,7 @@
 static const ProtobufCIntRange sched__owner__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor sched__owner__descriptor =
 {
@@ -1710,7 +1723,7 @@
   "Sched__Owner",
   "sched",
   sizeof(Sched__Owner),
-  12,
+  13,
   sched__owner__field_descriptors,
   sched__owner__field_indices_by_name,
   1,  sched__owner__number_ranges,
@@ -1858,7 +1871,7 @@
   (ProtobufCMessageInit) sched__entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sched__notice__field_descriptors[5] =
+static const ProtobufCFieldDescriptor sched__notice__field_descriptors[7] =
 {
   {
     "name",
@@ -1920,8 +1933,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "epoch",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Sched__Notice, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sched__Notice, ask),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sched__notice__field_indices_by_name[] = {
+  6,   /* field[6] = ask */
+  5,   /* field[5] = epoch */
   1,   /* field[1] = incarnation */
   0,   /* field[0] = name */
   3,   /* field[3] = released */
@@ -1931,7 +1970,7 @@
 static const ProtobufCIntRange sched__notice__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor sched__notice__descriptor =
 {
@@ -1941,7 +1980,7 @@
   "Sched__Notice",
   "sched",
   sizeof(Sched__Notice),
-  5,
+  7,
   sched__notice__field_descriptors,
   sched__notice__field_indices_by_name,
   1,  sched__notice__number_ranges,
--- a/proto/sched.pb-c.h
+++ b/proto/sched.pb-c.h
@@ -339,10 +339,17 @@
    * No run of an earlier owner can be unknown to this one.
    */
   protobuf_c_boolean workers_accounted;
+  /*
+   * Hashes of the names of all entries, ascending: those by which this owner,
+   * or one before it whose leases may be left, judges outages of the store.
+   * An older build lists none.
+   */
+  size_t n_entries;
+  uint32_t *entries;
 };
 #define SCHED__OWNER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sched__owner__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0,NULL }
 
 
 /*
@@ -405,10 +412,19 @@
    * answer, with released: to older builds it is a hint to read the row.
    */
   protobuf_c_boolean served;
+  /*
+   * Of the newest owner that the sender knows of; -1: the store has told its
+   * process of none; 0: there has been none, or an older build sent this.
+   */
+  int64_t epoch;
+  /*
+   * Sent by a new owner, with released, to all: receivers answer.
+   */
+  protobuf_c_boolean ask;
 };
 #define SCHED__NOTICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sched__notice__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/sched/flush.c
+++ b/sched/flush.c
@@ -377,6 +377,7 @@
 	s->cell.version = version;
 	s->cell.confirmed_ms = s->cell.write_sent_ms;
 	s->cell.release_in_doubt = s->cell.release_sent;
+	electorate_stored(s);
 	s->flushed_number = s->flush_number;
 	on_workers_stored(s);
 }
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -49,6 +49,7 @@
 	uint64_t report_number;	 /* reports processed so far */
 	cell_t cell;
 	handover_t handover;
+	electorate_t electorate;
 	GHashTable *jobs;      /* id -> job_t */
 	GHashTable *queues;    /* name -> queue_t */
 	GHashTable *customers; /* name -> customer_t */
@@ -195,6 +196,7 @@
 bool lease_read_stored(worker_t *w, int64_t ms);
 bool lease_update_stored(const sched_t *s, worker_t *w);
 int64_t lease_taken_over(sched_t *s, bool any_owner, int64_t extended_ms);
+void lease_earlier_owners_end(sched_t *s, int64_t extended_ms);
 bool lease_old_ones_ended(const sched_t *s);
 bool lease_may_hide_runs(const sched_t *s, const worker_t *w);
 
@@ -434,6 +436,16 @@
 GByteArray *ownership_pack_row(sched_t *s, bool released);
 bool ownership_may_start_step(const sched_t *s, const step_t *st);
 
+/* electorate.c */
+#define OUTAGE_LIMIT_MS 300000 /* since the last confirmed write; see there */
+void electorate_init(electorate_t *e);
+void electorate_clear(electorate_t *e);
+void electorate_claim(sched_t *s);
+void electorate_pack(sched_t *s, Sched__Owner *o);
+void electorate_stored(sched_t *s);
+int64_t electorate_loaded(sched_t *s, int64_t extended_ms);
+bool electorate_allows_outage(const sched_t *s, int64_t judged_ms);
+
 /* handover.c */
 void handover_update(sched_t *s);
 void handover_worker_back(sched_t *s, worker_t *w);
--- a/sched/lease.c
+++ b/sched/lease.c
@@ -261,6 +261,15 @@
 	return ms;
 }
 
+/* Earlier owners extend leases until extended_ms from now at the latest. */
+void
+lease_earlier_owners_end(sched_t *s, int64_t extended_ms)
+{
+	bound_t *b = &s->cell.old_leases;
+
+	b->ms = MIN(b->ms, s->now_ms + EARLIER_GRANTED_MS + extended_ms);
+}
+
 /* Whether no lease of earlier owners is left on any worker. */
 bool
 lease_old_ones_ended(const sched_t *s)
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -90,6 +90,7 @@
 	/* Owners before that did not, or nothing of theirs can be unknown. */
 	o.rows_before_starts =
 	    s->cell.rows_before_starts || s->cell.workers_accounted;
+	electorate_pack(s, &o);
 	if (released && s->cell.successor != NULL)
 		o.heir = (char *)s->cell.successor;
 	/* Until the jobs are loaded, the last owner's numbers are kept. */
@@ -278,6 +279,7 @@
 	if (r != SCHED_WRITE_OK)
 		return;
 	s->stats.claims++;
+	electorate_stored(s);
 	begin_loading(s, version, s->cell.write_sent_ms);
 }
 
@@ -297,8 +299,8 @@
 	/* An owner that could not renew its claim may have extended leases
 	 * until EXTEND_LIMIT_MS after the last renewal.  When we claimed the
 	 * cell, SILENT_MS of these had passed. */
-	left_ms = lease_taken_over(s, c->had_predecessor,
-	    c->leases_released ? 0 : EXTEND_LIMIT_MS - SILENT_MS);
+	left_ms = electorate_loaded(
+	    s, c->leases_released ? 0 : EXTEND_LIMIT_MS - SILENT_MS);
 	LOG_EVENT(s, SCHED_EVT_OWNED, "cell",
 	    "token=%" PRId64 " jobs=%u workers=%u old_leases_end_in=%" PRId64,
 	    c->token, g_hash_table_size(s->jobs), s->worker_list->len, left_ms);
@@ -317,6 +319,7 @@
 	 * owner before it, which did not release the cell. */
 	c->leases_released =
 	    c->row != NULL && c->row->released && c->row->workers_accounted;
+	electorate_claim(s);
 	c->epoch = c->row == NULL ? 1 : c->row->epoch + 1;
 	c->renewals = 0;
 	c->workers_accounted = c->release_in_doubt = false;
@@ -430,6 +433,7 @@
 	cell_t *c = &s->cell;
 	bool was_on = c->store_outage;
 	bool on = for_all && c->state == CELL_OWNED &&
+	    electorate_allows_outage(s, s->now_ms) &&
 	    (c->store_outage || last_ms - c->confirmed_ms < START_LIMIT_MS);
 
 	if (c->store_outage != on)
@@ -438,12 +442,20 @@
 		    " confirmed_age=%" PRId64,
 		    on, s->now_ms - last_ms, s->now_ms - c->confirmed_ms);
 	c->store_outage = on;
+	c->outage_judged_ms = s->now_ms;
 	/* The store may have stopped answering the others before. */
 	if (on && !was_on)
 		c->outage_may_start =
 		    feeds_current(s, MAX(last_ms, c->confirmed_ms));
 }
 
+static bool
+in_outage(const sched_t *s)
+{
+	return s->cell.store_outage &&
+	    electorate_allows_outage(s, s->cell.outage_judged_ms);
+}
+
 /*
  * Whether tasks may be started, and moved between workers.  (Stops, polls and
  * paces may be ordered as long as the cell is owned.)  During a store outage
@@ -457,7 +469,7 @@
 
 	if (c->state != CELL_OWNED || c->paused || c->releasing)
 		return false;
-	return (c->store_outage && c->outage_may_start) ||
+	return (in_outage(s) && c->outage_may_start) ||
 	    (s->now_ms - c->confirmed_ms < START_LIMIT_MS &&
 		feeds_current(s, s->now_ms));
 }
@@ -469,7 +481,7 @@
 	const cell_t *c = &s->cell;
 
 	return c->state == CELL_OWNED && !c->paused && !c->release_in_doubt &&
-	    (c->store_outage || s->now_ms - c->confirmed_ms < EXTEND_LIMIT_MS);
+	    (in_outage(s) || s->now_ms - c->confirmed_ms < EXTEND_LIMIT_MS);
 }
 
 /*
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -84,12 +84,14 @@
 	s->approval_requests = approval_requests_new();
 	s->evacuated_zones = g_hash_table_new(g_direct_hash, g_direct_equal);
 	s->overload = overload_new();
+	electorate_init(&s->electorate);
 	return s;
 }
 
 void
 sched_free(sched_t *s)
 {
+	electorate_clear(&s->electorate);
 	g_hash_table_unref(s->runs);
 	g_hash_table_unref(s->jobs);
 	g_hash_table_unref(s->workers);
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -194,6 +194,7 @@
 	SCHED_EVT_OWNER_SILENT = 605,
 	SCHED_EVT_STORE_OUTAGE = 606,
 	SCHED_EVT_HANDOVER = 607,
+	SCHED_EVT_EARLIER_OWNERS_END = 608,
 	SCHED_EVT_JOB_SEEN = 611,
 	SCHED_EVT_JOB_ENDED = 612,
 	SCHED_EVT_JOB_CANCEL = 613,
@@ -394,6 +395,25 @@
  */
 void sched_set_store_outage(
     sched_t *s, bool for_all, int64_t last_ms, int64_t now_ms);
+/*
+ * Sets which entries the cell has, this one among them, as hashes of their names,
+ * ascending.  An owner then uses an outage for all only while the stored owner row
+ * names them, and for a limited time.  Not called: sched_set_store_outage() must be
+ * true only if no entry can claim the cell.
+ */
+void sched_set_entries(sched_t *s, const uint32_t *entries, size_t n);
+/*
+ * Epoch of the newest owner that the store has told of; 0: there has been none; -1:
+ * the store has not told.
+ */
+int64_t sched_newest_epoch(const sched_t *s);
+/*
+ * While owners before this one may be in an outage for all: the *n entries by which
+ * they judge it, valid until the next call.  NULL: none can be.
+ */
+const uint32_t *sched_earlier_electorate(const sched_t *s, size_t *n);
+/* So many of these know of this owner that no earlier one judges so any more. */
+void sched_earlier_owners_end(sched_t *s, int64_t now_ms);
 /*
  * Sets how much longer this entry waits before it claims a cell whose owner has
  * failed, so that entries with more capacity claim it first.
--- a/sched/types.h
+++ b/sched/types.h
@@ -451,10 +451,23 @@
 	int32_t claim_delay_ms; /* see sched_set_claim_delay */
 	/* The owner goes on without renewals, as the store answers no entry. */
 	bool store_outage;
+	int64_t outage_judged_ms; /* when that was last seen */
 	/* All feeds were current when the outage began. */
 	bool outage_may_start;
 } cell_t;
 
+/* The entries by which outages of the store are judged; see electorate.c. */
+typedef struct {
+	GArray *entries; /* all that are known: uint32_t, ascending */
+	GArray *earlier; /* as named by the row at our claim */
+	/* An owner before this one may extend leases in an outage for all. */
+	bool earlier_left;
+	bool named_sent;   /* the last row sent names `entries` */
+	bool named_stored; /* and so does the last one stored */
+	/* Until then earlier owners extend leases, if they use no outage. */
+	int64_t extended_until_ms;
+} electorate_t;
+
 /* What handover.c decides by. */
 typedef struct {
 	int32_t own_strength;
--- a/serve/cell_driver.c
+++ b/serve/cell_driver.c
@@ -150,6 +150,7 @@
 	    c->sched, write_result(r), a->version, node_now_ms(c->node));
 	if (r == STORE_CONFLICT)
 		deliver_owner_row(c, a);
+	entries_ask(c->node->entries);
 	node_schedule_tick(c->node);
 }
 
--- a/serve/entries.c
+++ b/serve/entries.c
@@ -6,8 +6,9 @@
  * every SEND_GAP_MS.  One that receives such notices from nearly all others
  * concludes that there is an outage of the store for all, so that nobody can
  * claim the cell it owns; an entry that the store does answer tells such an owner
- * so.  An entry that leaves names its successor among the others, and sends a
- * notice once it has released the cell.
+ * so.  A new owner asks all others until so many have answered that no earlier
+ * owner can see an outage for all.  An entry that leaves names its successor among
+ * the others, and sends a notice once it has released the cell.
  */
 #include <inttypes.h>
 #include <stdbool.h>
@@ -44,6 +45,7 @@
 	outage_report_t report; /* by our clock */
 	int32_t strength;
 	int64_t incarnation;
+	int64_t heard_incarnation; /* of the process that sent the report */
 } peer_entry_t;
 
 struct entries {
@@ -56,6 +58,9 @@
 	outage_t outage; /* as of the last run of send_timer */
 	bool leaving;	 /* its row has been or is being removed */
 	int64_t started_ms;
+	/* Of the newest owner that the store or another entry has told of. */
+	int64_t epoch;
+	bool told; /* the store has, or that there was none */
 };
 
 /* The strength of this entry. */
@@ -109,6 +114,64 @@
 	    s, own, e == NULL ? "" : e->name, e == NULL ? 0 : e->strength);
 }
 
+static int
+compare_ids(const void *a, const void *b)
+{
+	uint32_t x = *(const uint32_t *)a, y = *(const uint32_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+/*
+ * Returns hashes of the names of this entry and the others, uint32_t in ascending
+ * order; of those others only that know of an owner of this epoch or a later one.
+ */
+static GArray *
+list_ids(const entries_t *es, int64_t epoch)
+{
+	GArray *ids = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	uint32_t id = g_str_hash(es->node->opts.name);
+	GHashTableIter it;
+	void *k, *v;
+
+	g_array_append_val(ids, id);
+	g_hash_table_iter_init(&it, es->others);
+	while (g_hash_table_iter_next(&it, &k, &v)) {
+		const peer_entry_t *peer = v;
+
+		id = g_str_hash(k);
+		if (epoch == 0 || peer->report.epoch >= epoch)
+			g_array_append_val(ids, id);
+	}
+	g_array_sort(ids, compare_ids);
+	return ids;
+}
+
+/* Tells the scheduler which entries there are. */
+static void
+update_members(const entries_t *es)
+{
+	g_autoptr(GArray) ids = list_ids(es, 0);
+
+	sched_set_entries(cell_driver_sched(es->node->cell_driver),
+	    (const uint32_t *)ids->data, ids->len);
+}
+
+/*
+ * Epoch of the newest owner that this entry knows of; -1: its process knows of none
+ * by the store.
+ */
+static int64_t
+newest_epoch(entries_t *es)
+{
+	int64_t epoch =
+	    sched_newest_epoch(cell_driver_sched(es->node->cell_driver));
+
+	es->epoch = MAX(es->epoch, epoch);
+	es->told = es->told || epoch >= 0;
+	return es->told ? es->epoch : -1;
+}
+
 static void write_row(entries_t *es);
 
 /* False: a row that doesn't unpack, or holds no address or strength. */
@@ -156,6 +219,7 @@
 		    g_memdup2(&peer, sizeof(peer)));
 	else
 		g_hash_table_remove(es->others, row->key);
+	update_members(es);
 	if (row->bytes != NULL && !ok) {
 		es->node->stats.bad_input++;
 		log_event(EVT_BAD_ROW, "table=entries key=%s why=\"%s\"",
@@ -175,6 +239,7 @@
 
 	notice->name = es->node->opts.name;
 	notice->incarnation = es->node->incarnation;
+	notice->epoch = newest_epoch(es);
 	n = sched__notice__get_packed_size(notice);
 	b = g_malloc(n);
 	sched__notice__pack(notice, b);
@@ -215,6 +280,73 @@
 	send_notice(es, peer, &notice);
 }
 
+/* Tells a new owner that this entry knows of it, and whether the store is silent. */
+static void
+answer_ask(entries_t *es, const peer_entry_t *peer)
+{
+	Sched__Notice notice = SCHED__NOTICE__INIT;
+	int64_t silent_ms = store_silent_ms(es);
+
+	notice.silent_ms = (int32_t)silent_ms;
+	notice.released = notice.served = silent_ms < NOTICE_AFTER_MS;
+	send_notice(es, peer, &notice);
+}
+
+/* Takes in what another entry says of owners, and of the store. */
+static void
+note_report(entries_t *es, peer_entry_t *peer, const Sched__Notice *notice)
+{
+	outage_report_t *r = &peer->report;
+	bool same = notice->incarnation == peer->heard_incarnation;
+
+	es->epoch = MAX(es->epoch, notice->epoch);
+	/* What it was told holds, also where a datagram was overtaken. */
+	r->epoch = same ? MAX(r->epoch, notice->epoch) : notice->epoch;
+	peer->heard_incarnation = notice->incarnation;
+	if (notice->released && !notice->served)
+		return;
+	r->heard_ms = node_now_ms(es->node);
+	r->answered_ms = r->heard_ms - notice->silent_ms;
+	r->served = notice->served;
+}
+
+/*
+ * Whether an earlier owner may yet be in an outage for all; not any more once enough
+ * others know of this one.
+ */
+static bool
+earlier_owner_left(entries_t *es)
+{
+	sched_t *s = cell_driver_sched(es->node->cell_driver);
+	size_t n;
+	const uint32_t *entries = sched_earlier_electorate(s, &n);
+	g_autoptr(GArray) followers = NULL;
+
+	if (entries == NULL)
+		return false;
+	followers = list_ids(es, sched_newest_epoch(s));
+	if (!outage_excluded(
+		entries, n, (const uint32_t *)followers->data, followers->len))
+		return true;
+	sched_earlier_owners_end(s, node_now_ms(es->node));
+	node_schedule_tick(es->node);
+	return false;
+}
+
+void
+entries_ask(entries_t *es)
+{
+	Sched__Notice notice = SCHED__NOTICE__INIT;
+	int64_t silent_ms = store_silent_ms(es);
+
+	if (!earlier_owner_left(es))
+		return;
+	notice.silent_ms = (int32_t)silent_ms;
+	notice.released = notice.ask = true;
+	notice.served = silent_ms < NOTICE_AFTER_MS;
+	send_notice(es, NULL, &notice);
+}
+
 /* A notice of a release makes a read of the owner's row due at once. */
 static void
 on_notice(void *ctx, const uint8_t *data, size_t n)
@@ -229,14 +361,14 @@
 		return;
 	}
 	peer = g_hash_table_lookup(es->others, notice->name);
-	if (notice->released)
+	if (notice->released && !notice->ask)
 		cell_driver_poll_owner(es->node->cell_driver);
-	if (peer != NULL && (notice->served || !notice->released)) {
-		peer->report.heard_ms = node_now_ms(es->node);
-		peer->report.answered_ms =
-		    peer->report.heard_ms - notice->silent_ms;
-		peer->report.served = notice->served;
+	if (peer != NULL) {
+		note_report(es, peer, notice);
+		earlier_owner_left(es);
 	}
+	if (peer != NULL && notice->ask)
+		answer_ask(es, peer);
 	if (peer != NULL && !notice->released)
 		answer_silent(es, notice->name, peer);
 	sched__notice__free_unpacked(notice, NULL);
@@ -247,6 +379,7 @@
 update_outage(entries_t *es, int64_t *last_ms)
 {
 	guint n = g_hash_table_size(es->others), i = 0;
+	sched_t *s = cell_driver_sched(es->node->cell_driver);
 	outage_report_t *reports = g_new(outage_report_t, n);
 	GHashTableIter it;
 	void *v;
@@ -254,6 +387,7 @@
 	g_hash_table_iter_init(&it, es->others);
 	while (g_hash_table_iter_next(&it, NULL, &v))
 		reports[i++] = ((peer_entry_t *)v)->report;
+	es->outage.deposed = es->epoch > sched_newest_epoch(s);
 	outage_update(&es->outage, reports, n, node_now_ms(es->node), last_ms);
 	g_free(reports);
 }
@@ -273,6 +407,7 @@
 
 	/* It also depends on how long the process has run. */
 	update_strengths(es);
+	entries_ask(es);
 	if (silent_ms >= NOTICE_AFTER_MS) {
 		notice.silent_ms = (int32_t)silent_ms;
 		send_notice(es, NULL, &notice);
@@ -358,6 +493,7 @@
 	es->retry_timer.data = es->send_timer.data = es;
 	uv_timer_start(
 	    &es->send_timer, on_send_timer, SEND_GAP_MS, SEND_GAP_MS);
+	update_members(es);
 	update_strengths(es);
 	write_row(es);
 	return es;
--- a/serve/outage.c
+++ b/serve/outage.c
@@ -42,7 +42,9 @@
 		if (r->heard_ms == 0 || now_ms - r->heard_ms >= REPORT_VALID_MS)
 			continue;
 		*last_ms = MAX(*last_ms, r->answered_ms);
-		silent += !r->served;
+		/* A process that the store has told of no owner may have
+		 * known of a later one before it was started again. */
+		silent += !r->served && r->epoch >= 0;
 		served = served || r->served;
 		if (r->served)
 			note_served(o, r->answered_ms);
@@ -50,7 +52,27 @@
 	/* A single answer during an outage does not end it. */
 	served = o->on ? o->served_to_ms - o->served_from_ms >= CLAIM_SPAN_MS :
 			 served;
-	o->on = o->asked && n > 0 && silent * 100 >= n * QUORUM_PCT && !served;
+	o->on = o->asked && n > 0 && silent * 100 >= n * QUORUM_PCT &&
+	    !served && !o->deposed;
 	o->asked = true;
 	return o->on;
 }
+
+/*
+ * One of the followers may be the owner itself: then it knows of a later one.  Else
+ * all of them are others by which it judges.
+ */
+bool
+outage_excluded(const uint32_t *entries, size_t n, const uint32_t *followers,
+    size_t nfollowers)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < n; i++)
+		for (size_t k = 0; k < nfollowers; k++)
+			if (entries[i] == followers[k]) {
+				count++;
+				break;
+			}
+	return count + 1 >= n || (n - 1 - count) * 100 < (n - 1) * QUORUM_PCT;
+}
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -126,6 +126,11 @@
 const char *entries_successor(const entries_t *es);
 /* Notifies the other entries that this one has released the cell. */
 void entries_announce_release(entries_t *es);
+/*
+ * Asks the other entries whether they know that this one has claimed the cell, while
+ * an earlier owner may take an outage of the store for one for all.
+ */
+void entries_ask(entries_t *es);
 
 /* Serves a request of a caller; ctx is the node. */
 void ingress_request(void *ctx, server_req_t *r);
--- a/test/main/fuzz_cell.c
+++ b/test/main/fuzz_cell.c
@@ -417,8 +417,10 @@
 change_settings(cell_t *c)
 {
 	g_autofree char *zone = g_strdup_printf("z%d", below(2));
+	uint32_t entries[3] = { 1, 2, 3 };
+	size_t n;
 
-	switch (below(4)) {
+	switch (below(6)) {
 	case 0:
 		sched_set_zone_evacuated(c->s, zone, chance(10), c->now_ms);
 		break;
@@ -429,6 +431,13 @@
 	case 2:
 		sched_set_store_outage(c->s, chance(30), decoded(), c->now_ms);
 		break;
+	case 3:
+		sched_set_entries(c->s, entries, (size_t)below(4));
+		break;
+	case 4:
+		if (sched_earlier_electorate(c->s, &n) != NULL)
+			sched_earlier_owners_end(c->s, c->now_ms);
+		break;
 	default:
 		sched_store_clock_read(c->s, decoded(), c->now_ms);
 	}
