Outage: no starts beside a later owner that is not heard

Cause: an owner in an outage for all started tasks by what it knew. Where the network is split, a later owner beyond it may have taken over the workers that this one does not reach: their leases had ended for the old owner, which started their tasks again (TWICE), and it started tasks of jobs that had been cancelled or ended there.

Change: in an outage an owner starts tasks only while all other entries report that the store is silent, and know of no later owner. It keeps the leases as before, at three quarters. So an entry that is down, or was started again, during an outage holds up starts until the store answers.

--- a/sched/electorate.c
+++ b/sched/electorate.c
@@ -79,6 +79,12 @@
 		e->named_sent = e->named_stored = false;
 }
 
+void
+sched_set_all_silent(sched_t *s, bool all_silent)
+{
+	s->electorate.all_silent = all_silent;
+}
+
 int64_t
 sched_newest_epoch(const sched_t *s)
 {
@@ -194,3 +200,15 @@
 	    (e->entries->len == 0 ||
 		(e->named_stored && s->now_ms - judged_ms < JUDGED_VALID_MS));
 }
+
+/*
+ * Whether it may also start tasks then.  Beyond a split a later owner may cancel them,
+ * or keep them running on workers that this one takes for lost.
+ */
+bool
+electorate_allows_starts(const sched_t *s)
+{
+	const electorate_t *e = &s->electorate;
+
+	return e->entries->len == 0 || e->all_silent;
+}
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -445,6 +445,7 @@
 void electorate_stored(sched_t *s);
 int64_t electorate_loaded(sched_t *s, int64_t extended_ms);
 bool electorate_allows_outage(const sched_t *s, int64_t judged_ms);
+bool electorate_allows_starts(const sched_t *s);
 
 /* handover.c */
 void handover_update(sched_t *s);
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -469,7 +469,8 @@
 
 	if (c->state != CELL_OWNED || c->paused || c->releasing)
 		return false;
-	return (in_outage(s) && c->outage_may_start) ||
+	return (in_outage(s) && c->outage_may_start &&
+		   electorate_allows_starts(s)) ||
 	    (s->now_ms - c->confirmed_ms < START_LIMIT_MS &&
 		feeds_current(s, s->now_ms));
 }
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -402,6 +402,11 @@
  * true only if no entry can claim the cell.
  */
 void sched_set_entries(sched_t *s, const uint32_t *entries, size_t n);
+/*
+ * Sets whether all other entries say that the store is silent.  Not even beyond a
+ * split can there be a later owner then, so that an owner in an outage starts tasks.
+ */
+void sched_set_all_silent(sched_t *s, bool all_silent);
 /*
  * Epoch of the newest owner that the store has told of; 0: there has been none; -1:
  * the store has not told.
--- a/sched/types.h
+++ b/sched/types.h
@@ -464,6 +464,7 @@
 	bool earlier_left;
 	bool named_sent;   /* the last row sent names `entries` */
 	bool named_stored; /* and so does the last one stored */
+	bool all_silent;   /* see sched_set_all_silent */
 	/* Until then earlier owners extend leases, if they use no outage. */
 	int64_t extended_until_ms;
 } electorate_t;
--- a/serve/entries.c
+++ b/serve/entries.c
@@ -401,6 +401,7 @@
 on_send_timer(uv_timer_t *t)
 {
 	entries_t *es = t->data;
+	sched_t *s = cell_driver_sched(es->node->cell_driver);
 	Sched__Notice notice = SCHED__NOTICE__INIT;
 	int64_t silent_ms = store_silent_ms(es), last_ms = 0;
 	bool was_on = es->outage.on;
@@ -414,9 +415,10 @@
 		update_outage(es, &last_ms);
 	} else
 		memset(&es->outage, 0, sizeof(es->outage));
+	sched_set_all_silent(s, es->outage.all_silent);
 	if (es->outage.on || was_on)
-		sched_set_store_outage(cell_driver_sched(es->node->cell_driver),
-		    es->outage.on, last_ms, node_now_ms(es->node));
+		sched_set_store_outage(
+		    s, es->outage.on, last_ms, node_now_ms(es->node));
 }
 
 static void
--- a/serve/outage.c
+++ b/serve/outage.c
@@ -54,6 +54,7 @@
 			 served;
 	o->on = o->asked && n > 0 && silent * 100 >= n * QUORUM_PCT &&
 	    !served && !o->deposed;
+	o->all_silent = o->on && silent == n;
 	o->asked = true;
 	return o->on;
 }
--- a/serve/outage.h
+++ b/serve/outage.h
@@ -21,6 +21,8 @@
 /* What is known since the store has last answered this entry; zeros at first. */
 typedef struct {
 	bool on;
+	/* All others were heard, and none can be a later owner: no split. */
+	bool all_silent;
 	bool asked; /* the others were told, and may have answered since */
 	/* First and last answer to another entry that reads may have spanned. */
 	int64_t served_from_ms, served_to_ms;
--- a/test/unit/outage.c
+++ b/test/unit/outage.c
@@ -360,13 +360,14 @@
 	static const struct {
 		const char *name;
 		int64_t epoch[4];
-		bool deposed, on;
+		bool deposed, on, all_silent;
 	} cases[] = {
-		{ "all know the owner", { 3, 3, 3, 3 }, false, true },
-		{ "of older builds", { 0, 0, 0, 0 }, false, true },
-		{ "two were started again", { 3, 3, -1, -1 }, false, false },
-		{ "one was", { 3, 3, 3, -1 }, false, true },
-		{ "one knows of another", { 3, 3, 3, 4 }, true, false },
+		{ "all know the owner", { 3, 3, 3, 3 }, false, true, true },
+		{ "of older builds", { 0, 0, 0, 0 }, false, true, true },
+		{ "two were started again", { 3, 3, -1, -1 }, false, false,
+		    false },
+		{ "one was", { 3, 3, 3, -1 }, false, true, false },
+		{ "one knows of another", { 3, 3, 3, 4 }, true, false, false },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -380,6 +381,8 @@
 		outage_update(&o, r, 4, NOW_MS, &last_ms);
 		cr_expect_eq(outage_update(&o, r, 4, NOW_MS, &last_ms),
 		    cases[i].on, "%s", cases[i].name);
+		cr_expect_eq(
+		    o.all_silent, cases[i].all_silent, "%s", cases[i].name);
 	}
 }
 
@@ -433,16 +436,18 @@
 {
 	static const struct {
 		const char *name;
-		int64_t after_ms,
-		    late_ms; /* of confirmation; of the last look */
-		bool other_entries, uses;
+		int64_t after_ms; /* of the confirmation */
+		int64_t late_ms;  /* of the last look */
+		bool other_entries, all_silent, extends, starts;
 	} cases[] = {
-		{ "its row names the entries", 4000, 0, false, true },
-		{ "it has looked lately", 4000, 150, false, true },
-		{ "it is late to look", 4000, 300, false, false },
-		{ "its row names others", 4000, 0, true, false },
-		{ "for long", OUTAGE_LIMIT_MS - 1, 0, false, true },
-		{ "for too long", OUTAGE_LIMIT_MS, 0, false, false },
+		{ "all others report it", 4000, 0, false, true, true, true },
+		{ "one is not heard", 4000, 0, false, false, true, false },
+		{ "it has looked lately", 4000, 150, false, true, true, true },
+		{ "it is late to look", 4000, 300, false, true, false, false },
+		{ "its row names others", 4000, 0, true, true, false, false },
+		{ "for long", OUTAGE_LIMIT_MS - 1, 0, false, true, true, true },
+		{ "for too long", OUTAGE_LIMIT_MS, 0, false, true, false,
+		    false },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -454,13 +459,14 @@
 		if (cases[i].other_entries)
 			sched_set_entries(
 			    s, other_entries, G_N_ELEMENTS(other_entries));
+		sched_set_all_silent(s, cases[i].all_silent);
 		sched_set_store_outage(
 		    s, true, LAST_ANSWER_MS, ms - cases[i].late_ms);
 		s->now_ms = ms;
-		cr_expect_eq(ownership_may_extend_leases(s), cases[i].uses,
+		cr_expect_eq(ownership_may_extend_leases(s), cases[i].extends,
+		    "%s", cases[i].name);
+		cr_expect_eq(ownership_may_start_tasks(s), cases[i].starts,
 		    "%s", cases[i].name);
-		cr_expect_eq(ownership_may_start_tasks(s), cases[i].uses, "%s",
-		    cases[i].name);
 		sched_free(s);
 	}
 }
