Schedules: a split network

build/cells FROM TO -split: at times the store, one entry and half of the workers are on one side for 4 to 14 s, the other entries and eight that only report the store's silence on the other. The entry beside the store claims the cell; the split's end is known there 650 ms before the other owner sees it.

--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,7 @@
 CELL_SEEDS = 1500
 HANDOVER_SEEDS = 2000
 WEAK_SEEDS = 800
+SPLIT_SEEDS = 800
 OVERLOAD_SEEDS = 96
 PKGS = glib-2.0 libuv libh2o libprotobuf-c log4c jansson libcurl openssl
 DEBS = gcc make pkg-config clang clang-format clang-tidy cppcheck curl man-db \
@@ -85,6 +86,7 @@
 	sh test/cells.sh $(B) $(CELL_SEEDS)
 	sh test/cells.sh $(B) $(HANDOVER_SEEDS) -handover
 	sh test/cells.sh $(B) $(WEAK_SEEDS) -weak
+	sh test/cells.sh $(B) $(SPLIT_SEEDS) -split
 	sh test/cells.sh $(B) $(OVERLOAD_SEEDS) -overload
 scenarios: $(B)/scenarios
 	sh test/red.sh $(B)/scenarios
--- a/test/cell/cell.h
+++ b/test/cell/cell.h
@@ -22,6 +22,7 @@
 typedef struct world world_t;
 typedef struct overload overload_t;
 typedef struct idle_check idle_check_t;
+typedef struct split split_t;
 
 /* A callback that is due at a time; seq orders those due at the same time. */
 typedef struct {
@@ -203,6 +204,7 @@
 	int64_t handover_end_ms;
 	double late_read_share; /* of the store */
 	GRand *weak_rand;	/* NULL: no entry is too weak */
+	split_t *split;		/* NULL: the network is not split */
 	/* Customers. */
 	GRand *customer_rand;
 	int32_t ncustomers;
@@ -324,6 +326,22 @@
 /* Whether a poll that has arrived gets no answer, as its sender is weak. */
 bool weak_entry_loses_poll(world_t *w, const sim_entry_t *en);
 
+/* split.c: a network that is split, with the store on the smaller side. */
+/* Splits it at times, the last time before end_ms. */
+void split_begin(world_t *w, int64_t end_ms);
+void split_free(world_t *w);
+void split_entry_booted(world_t *w, sim_entry_t *en);
+bool split_cuts_store(const world_t *w, const sim_entry_t *en);
+bool split_cuts_worker(
+    const world_t *w, const sim_entry_t *en, const sim_worker_t *wk);
+/*
+ * Whether an entry takes the store's silence for an outage for all, which it tells its
+ * scheduler of the others; since when, in *last_ms if it is one side only.
+ */
+bool split_sees_outage(world_t *w, sim_entry_t *en, int64_t *last_ms);
+/* Tells a new owner that the others know of it, unless it can't reach them. */
+void split_tick(world_t *w, sim_entry_t *en);
+
 /* entry.c */
 void entry_boot(world_t *w, sim_entry_t *en);
 void entry_kill(sim_entry_t *en);
--- a/test/cell/customer.c
+++ b/test/cell/customer.c
@@ -191,7 +191,8 @@
 		g_free(timer);
 		return;
 	}
-	if (!en->paused && !en->store_cut && !w->store_down) {
+	if (!en->paused && !en->store_cut && !w->store_down &&
+	    !split_cuts_store(w, en)) {
 		r = g_memdup2(timer, sizeof(*timer));
 		r->as_of_ms = w->now_ms;
 		r->version = w->configs->len;
--- a/test/cell/entry.c
+++ b/test/cell/entry.c
@@ -92,6 +92,18 @@
 	return false;
 }
 
+/* Tells whether there seems to be an outage of the store for all. */
+static void
+set_outage(world_t *w, sim_entry_t *en)
+{
+	int64_t last_ms = w->outage_changed_ms;
+	bool on = w->store_down;
+
+	if (w->split != NULL)
+		on = split_sees_outage(w, en, &last_ms);
+	sched_set_store_outage(en->sched, on, last_ms, w->now_ms);
+}
+
 static void
 on_tick(world_t *w, void *arg)
 {
@@ -115,8 +127,8 @@
 		if (w->ncustomers == 0)
 			sched_feed_read(
 			    en->sched, SCHED_FEED_OPERATORS, w->now_ms);
-		sched_set_store_outage(
-		    en->sched, w->store_down, w->outage_changed_ms, w->now_ms);
+		set_outage(w, en);
+		split_tick(w, en);
 		if (sched_is_owner(en->sched))
 			store_read_changes(en);
 		if (en->leaving && !continue_stop(w, en)) {
@@ -195,6 +207,7 @@
 	world_schedule(w, en->index, on_list, entry_timer_new(en));
 	customers_entry_booted(w, en);
 	weak_entry_booted(w, en);
+	split_entry_booted(w, en);
 }
 
 void
--- a/test/cell/store.c
+++ b/test/cell/store.c
@@ -388,7 +388,8 @@
 	call_t *c = arg;
 	bool write = c->kind == CALL_CLAIM || c->kind == CALL_WRITE;
 
-	if (w->store_down || c->entry->store_cut) {
+	if (w->store_down || c->entry->store_cut ||
+	    split_cuts_store(w, c->entry)) {
 		world_schedule(w, CALL_TIMEOUT_MS, on_timeout, c);
 		return;
 	}
--- a/test/cell/worker.c
+++ b/test/cell/worker.c
@@ -556,7 +556,8 @@
 	worker_call_t *c = arg, *late;
 	sim_worker_t *wk = c->worker;
 
-	if (!wk->up || wk->cut_from[c->entry->index]) {
+	if (!wk->up || wk->cut_from[c->entry->index] ||
+	    split_cuts_worker(w, c->entry, wk)) {
 		c->result = SCHED_ORDER_IN_DOUBT;
 		world_schedule(w, ORDER_TIMEOUT_MS, on_order_answer, c);
 		return;
@@ -764,6 +765,7 @@
 	if (arrives)
 		c->started_ms = wk->started_ms;
 	if (!wk->up || wk->cut_from[c->entry->index] ||
+	    split_cuts_worker(w, c->entry, wk) ||
 	    wk->started_ms != c->started_ms) {
 		c->result = SCHED_ORDER_IN_DOUBT;
 		world_schedule(
--- a/test/cell/world.c
+++ b/test/cell/world.c
@@ -184,6 +184,7 @@
 	sim_overload_free(w);
 	idle_check_free(w);
 	weak_entries_free(w);
+	split_free(w);
 	g_free(w);
 }
 
--- a/test/main/cells.c
+++ b/test/main/cells.c
@@ -2,9 +2,9 @@
  * Random schedules of faults against the scheduler of a cell, in virtual time:
  * faults and jobs until FAULTS_END_MS, then recovery, after which all jobs must
  * have ended.
- * usage: cells FROM TO [-handover | -overload] [-weak] [-v]
- * -handover adds the faults of cell/handover.c, -weak those of cell/weak_entry.c;
- * -overload has the jobs of cell/overload.c instead.  Exits with 1 when a seed failed.
+ * usage: cells FROM TO [-handover | -overload] [-weak] [-split] [-v]
+ * -handover adds the faults of cell/handover.c, -weak those of cell/weak_entry.c,
+ * -split those of cell/split.c; -overload has the jobs of cell/overload.c instead.  Exits with 1 when a seed failed.
  */
 #include <inttypes.h>
 #include <stdbool.h>
@@ -413,6 +413,7 @@
 		if (!en->up || !sched_is_owner(en->sched))
 			en->not_owner_ms = w->now_ms;
 		if (!en->up || en->paused || en->store_cut ||
+		    split_cuts_store(w, en) ||
 		    w->store_latency_ms > SLOW_STORE_MS ||
 		    w->lost_write_share > 0 || w->late_read_share > 0)
 			en->last_fault_ms = w->now_ms;
@@ -490,7 +491,7 @@
 
 /* Schedules the jobs and faults of a world. */
 static void
-begin(world_t *w, schedule_t schedule, bool weak)
+begin(world_t *w, schedule_t schedule, bool weak, bool split)
 {
 	if (schedule == SCHEDULE_OVERLOAD) {
 		if (w->seed % 2 == 0)
@@ -507,12 +508,15 @@
 		handover_begin(w, FAULTS_END_MS);
 	if (weak)
 		weak_entries_begin(w);
+	if (split)
+		split_begin(w, FAULTS_END_MS);
 	customers_run(w, FAULTS_END_MS, FAULTS_END_MS + QUOTA_QUIET_MS,
 	    FAULTS_END_MS + QUOTA_CHANGES_MS);
 }
 
 static bool
-run_seed(uint64_t seed, schedule_t schedule, bool weak, bool verbose)
+run_seed(
+    uint64_t seed, schedule_t schedule, bool weak, bool split, bool verbose)
 {
 	int32_t nworkers = schedule == SCHEDULE_HANDOVER ?
 	    HANDOVER_WORKERS + (int32_t)(seed % 7) :
@@ -523,7 +527,7 @@
 	bool ok;
 
 	w->verbose = verbose;
-	begin(w, schedule, weak);
+	begin(w, schedule, weak, split);
 	world_run_until(w, FAULTS_END_MS);
 	world_run_until(w, FAULTS_END_MS + RECOVERY_MS);
 	while (w->ncustomers > 0 && w->violated_check == NULL &&
@@ -566,11 +570,12 @@
 	    has_flag(argc, argv, "-overload") ? SCHEDULE_OVERLOAD :
 						SCHEDULE_PLAIN;
 	bool weak = has_flag(argc, argv, "-weak");
+	bool split = has_flag(argc, argv, "-split");
 	bool verbose = has_flag(argc, argv, "-v");
 	uint64_t failed = 0;
 
 	for (uint64_t s = from; s <= to; s++)
-		failed += !run_seed(s, schedule, weak, verbose);
+		failed += !run_seed(s, schedule, weak, split, verbose);
 	printf("cells: %" PRIu64 " passed, %" PRIu64 " failed\n",
 	    to - from + 1 - failed, failed);
 	return failed > 0;
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -39,6 +39,7 @@
 	cell_*) prog=cells ;;
 	handover_*) prog=cells flag=-handover ;;
 	weak_*) prog=cells flag=-weak ;;
+	split_*) prog=cells flag=-split ;;
 	overload_*) prog=cells flag=-overload ;;
 	soak_*) prog=soak step=1
 		more='build-own/tanagerspool build-own/standin-users' ;;
