--- a/sched/electorate.c
+++ b/sched/electorate.c
@@ -201,14 +201,29 @@
 		(e->named_stored && s->now_ms - judged_ms < JUDGED_VALID_MS));
 }
 
+/* Whether each worker that this cell's owners have used answers this one. */
+static bool
+all_workers_answer(const sched_t *s)
+{
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		const worker_t *w = g_ptr_array_index(s->worker_list, i);
+
+		if ((w->footprint_stored || w->used_before) &&
+		    (!w->has_answered || w->missed_polls > 0))
+			return false;
+	}
+	return true;
+}
+
 /*
  * Whether it may also start tasks then.  Beyond a split a later owner may cancel them,
- * or keep them running on workers that this one takes for lost.
+ * or keep them running on workers that this one takes for lost; but with no worker
+ * there it has no runs.
  */
 bool
 electorate_allows_starts(const sched_t *s)
 {
 	const electorate_t *e = &s->electorate;
 
-	return e->entries->len == 0 || e->all_silent;
+	return e->entries->len == 0 || e->all_silent || all_workers_answer(s);
 }
