--- a/Makefile
+++ b/Makefile
@@ -57,6 +57,9 @@
 	$(LINK)
 $(B)/cells: $(B)/test/main/cells.o $(CELL) $(LIB)
 	$(LINK)
+# At fixed addresses, so that each run of it is the same.
+$(B)/model: $(B)/test/main/model.o $(call obj,test/model/*.c) $(CELL) $(LIB)
+	$(LINK) -no-pie
 $(B)/fuzz_cell: $(B)/test/main/fuzz_cell.o $(LIB)
 	$(LINK)
 $(B)/unit: $(UNIT) $(CMD_NO_MAIN) $(SERVE) $(IO) $(FAKE) $(SIM) $(LIB)
@@ -86,6 +89,8 @@
 	sh test/cells.sh $(B) $(HANDOVER_SEEDS) -handover
 	sh test/cells.sh $(B) $(WEAK_SEEDS) -weak
 	sh test/cells.sh $(B) $(OVERLOAD_SEEDS) -overload
+model: $(B)/model
+	sh test/model.sh $(B)
 scenarios: $(B)/scenarios
 	sh test/red.sh $(B)/scenarios
 process: all
@@ -96,6 +101,8 @@
 	sh test/soak.sh $(B) $(SEED)
 mutants: $(B)/check $(B)/cells
 	sh test/mutants.sh $(B)
+model-mutants: $(B)/model
+	sh test/mutants.sh $(B) '' test/model-mutants.txt
 soak-mutants: $(BIN)
 	sh test/mutants.sh $(B) '' test/soak-mutants.txt
 policy: $(B)/policy
@@ -143,7 +150,7 @@
 	    $(DESTDIR)$(PREFIX)/share/tanagerspool
 clean:
 	rm -rf build*
-PHONY_TESTS = unit check cells scenarios process soak
+PHONY_TESTS = unit check cells model scenarios process soak
 SEED = 1
-.PHONY: all deps ensure-deps run test $(PHONY_TESTS) mutants soak-mutants policy scaling \
+.PHONY: all deps ensure-deps run test $(PHONY_TESTS) mutants model-mutants soak-mutants policy scaling \
 	ablation bench asan lint fmt install clean
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -26,6 +26,7 @@
  * - overload.c, overload_queue.c, overload_refusal.c, admission.c: what is
  *   delayed and what is refused when there is too little room;
  * - crash.c, quarantine.c: tasks that crash their workers;
+ * - held_up.c: start orders that may be carried out late;
  * - flush.c, interference_row.c, purge.c: rows written to and removed from the
  *   store;
  * - stats.c: counters and the periodic load event;
@@ -188,6 +189,7 @@
 void lease_clock_read(const sched_t *s, worker_t *w, int64_t clock_ms);
 int64_t lease_extend(const sched_t *s, worker_t *w);
 void lease_start_sent(const sched_t *s, worker_t *w);
+void lease_start_done(const sched_t *s, worker_t *w);
 void lease_poll_answered(worker_t *w, int64_t sent_ms);
 bool lease_may_extend(const sched_t *s, const worker_t *w);
 bool lease_has_ended(const sched_t *s, const worker_t *w);
@@ -196,7 +198,8 @@
 int64_t lease_stored_ms(const worker_t *w);
 bool lease_read_stored(worker_t *w, int64_t ms);
 bool lease_update_stored(const sched_t *s, worker_t *w);
-int64_t lease_taken_over(sched_t *s, bool any_owner, int64_t extended_ms);
+int64_t lease_taken_over(
+    sched_t *s, bool any_owner, int64_t claimed_ms, int64_t extended_ms);
 bool lease_old_ones_ended(const sched_t *s);
 bool lease_may_hide_runs(const sched_t *s, const worker_t *w);
 
@@ -404,6 +407,11 @@
 void crash_run_listed(sched_t *s, task_t *t, int64_t run);
 bool crash_is_suspect(const task_t *t);
 
+/* held_up.c */
+void held_up_run_removed(sched_t *s, const run_t *r);
+void held_up_stop_runs(sched_t *s, worker_t *w);
+void held_up_forget(worker_t *w);
+
 /* quarantine.c */
 void quarantine_report(sched_t *s, worker_t *w);
 /* Ends the quarantine on a worker. */
--- a/sched/run.c
+++ b/sched/run.c
@@ -155,8 +155,11 @@
 	task_t *t = r->task;
 	job_t *j = r->job;
 
+	if (r->order_pending && r->last_order == SCHED_START)
+		lease_start_done(s, r->worker);
 	suspect_run_removed(r);
 	crash_run_removed(s, r);
+	held_up_run_removed(s, r);
 	starvation_run_removed(s, r);
 	if (r->holds_resources) {
 		overload_run_removed(s, r);
@@ -341,6 +344,7 @@
 	if (r->state == RUN_STARTING)
 		run_set_state(s, r, RUN_RUNNING);
 	r->in_doubt_ms = 0;
+	r->held_up = false;
 	r->first_seen_ms = s->now_ms;
 	run_mark_job_started(s, r->job);
 	if (r->unwanted)
@@ -389,6 +393,7 @@
 		on_start_rejected(s, r, res);
 		return;
 	}
+	r->held_up = true;
 	s->stats.start_unknown++;
 	r->worker->backoff_until_ms =
 	    MAX(r->worker->backoff_until_ms, s->now_ms + NO_ANSWER_BACKOFF_MS);
@@ -463,6 +468,8 @@
 run_order_done(sched_t *s, run_t *r, sched_order_result_t res, int64_t clock_ms)
 {
 	r->order_pending = false;
+	if (r->last_order == SCHED_START)
+		lease_start_done(s, r->worker);
 	/* Another process may have answered than the one that answers now. */
 	if (clock_ms > 0 && res != SCHED_ORDER_RESTARTED &&
 	    !r->worker_restarted)
--- a/sched/types.h
+++ b/sched/types.h
@@ -259,6 +259,8 @@
 	int64_t ordered_ms; /* its start, by this owner; 0: by another */
 	/* Its start order got no answer; 0: it did, or a report has told since. */
 	int64_t in_doubt_ms;
+	/* It got none, and no report has listed the run. */
+	bool held_up;
 	int64_t stop_acked_ms; /* the worker acknowledged a stop; 0: not yet */
 	int64_t stop_retry_ms; /* no stop order is sent before this time */
 	int32_t percent;       /* progress as last reported */
@@ -308,9 +310,10 @@
 	int64_t read_ms;     /* when it was read from an answer, or NEVER_MS */
 	int64_t deadline_ms; /* latest one sent to its process; its clock */
 	int64_t sent_ms;     /* when this owner last sent one; our clock */
-	/* When a start was last sent, and the last poll that its process has
-	 * answered; our clock, or NEVER_MS. */
+	/* Until when a start was under way, and when the last poll was sent that
+	 * its process has answered; our clock, or NEVER_MS. */
 	int64_t start_sent_ms, answered_poll_ms;
+	int32_t starts_pending; /* that are under way */
 	/* Leases granted before its process first answered us; our clock. */
 	bound_t earlier;
 	/* When all end, as last put in the footprint; the store's clock. */
@@ -371,6 +374,9 @@
 	 * while it is open if it has crashed; or NULL. */
 	GArray *lost_runs;
 	int64_t lost_ms;
+	/* Runs whose start it may yet carry out (held_up_t of held_up.c); or
+	 * NULL. */
+	GArray *held_up;
 	char *address;	    /* "" until known */
 	int64_t started_ms; /* start of its process, since 1970 */
 	lease_t lease;
@@ -434,6 +440,7 @@
 	int64_t epoch;		/* claims of the cell so far */
 	int64_t renewals;	/* writes of the row since our claim */
 	int64_t confirmed_ms;	/* when the last successful write was sent */
+	int64_t claimed_ms;	/* the claim was sent then, or later */
 	bound_t old_leases;	/* of earlier owners; our clock */
 	bool footprint_bad;	/* earlier owners may have used any worker */
 	/* No run of an earlier owner can be unknown to this owner. */
--- a/test/cell/cell.h
+++ b/test/cell/cell.h
@@ -8,14 +8,15 @@
 #ifndef TEST_CELL_H
 #define TEST_CELL_H
 
-#define ENTRIES_MAX	 4
-#define WORKERS_MAX	 12
-#define NETWORK_DELAY_MS 2 /* one way */
-#define STORE_LATENCY_MS 4 /* without a fault */
-#define MAX_LEASE_MS	 6000
-#define MAX_STOP_MS	 400 /* that a run takes to stop */
-#define CUSTOMERS_MAX	 4
-#define CUSTOMER_SEEDS	 5 /* every so many seeds have customers */
+#define ENTRIES_MAX	      4
+#define WORKERS_MAX	      12
+#define NETWORK_DELAY_MS      2 /* one way */
+#define STORE_LATENCY_MS      4 /* without a fault */
+#define MAX_LEASE_MS	      6000
+#define STORE_CLOCK_OFFSET_MS 777000 /* from the clock of the entries */
+#define MAX_STOP_MS	      400    /* that a run takes to stop */
+#define CUSTOMERS_MAX	      4
+#define CUSTOMER_SEEDS	      5 /* every so many seeds have customers */
 /* A worker that crashed leaves the list after so long, unless it is back. */
 #define UNLISTED_AFTER_MS 3300
 
@@ -96,8 +97,9 @@
 	double clock_rate;	 /* of its clock; 1: that of the simulation */
 	int64_t token;		 /* highest fencing token seen */
 	int64_t lease_until_ms;	 /* by its clock */
-	/* Of its process, the last owner that read an answer in time. */
-	int64_t read_token;
+	/* Of its process, the last owner that read an answer in time, and since
+	 * when it does. */
+	int64_t read_token, read_since_ms;
 	GPtrArray *runs;  /* of sim_run_t */
 	GPtrArray *ended; /* of sim_ended_t, not acknowledged */
 	int64_t last_end_seq;
@@ -118,6 +120,9 @@
 	bool leaving;		 /* gracefully, as on SIGTERM */
 	int64_t leaves_after_ms; /* if leaving: it ends no sooner */
 	bool store_cut;
+	bool store_mute;     /* what the store does for it is not answered */
+	bool no_store_clock; /* the store's answers do not tell their time */
+	int32_t slow_store_read_ms; /* how much later its reads are answered */
 	/* Grows with each boot; answers to an earlier process are dropped. */
 	uint64_t generation;
 	int64_t incarnation;
@@ -181,6 +186,10 @@
 struct world {
 	uint64_t seed;
 	GRand *rand;
+	/* No random numbers are drawn: what is not certain does not happen, and of
+	 * a range the number that is so far in it is taken. */
+	bool fixed_choices;
+	int32_t choice_pct;
 	int64_t now_ms;
 	uint64_t last_event_seq;
 	GSequence *events;
@@ -231,9 +240,13 @@
     world_t *w, int64_t ms, void (*fn)(world_t *, void *), void *arg);
 /* Runs all events up to a time, or until a check fails. */
 void world_run_until(world_t *w, int64_t until_ms);
+/* When the next event is due; INT64_MAX: there is none. */
+int64_t world_next_event_ms(const world_t *w);
 /* Records that a check failed; later ones are ignored. */
 void world_fail(world_t *w, const char *check, const char *fmt, ...)
     G_GNUC_PRINTF(3, 4);
+/* The number of a range that fixed choices take. */
+int32_t world_fixed_choice(const world_t *w, int32_t from, int32_t to);
 bool world_chance(world_t *w, double p);
 /* A random number, from and to included. */
 int32_t world_random_int(world_t *w, int32_t from, int32_t to);
@@ -264,6 +277,9 @@
 void worker_poll(sim_entry_t *en, const sched_poll_t *p);
 /* Hands the list of workers to an entry's scheduler, after its lag. */
 void workers_send_list(sim_entry_t *en);
+/* The worker of which this is or was the id; or NULL. */
+sim_worker_t *worker_by_id(world_t *w, const char *id);
+int64_t worker_clock_ms(const world_t *w, const sim_worker_t *wk);
 /* Brings the worker's lease and runs up to the present. */
 void worker_advance(world_t *w, sim_worker_t *wk);
 
@@ -298,6 +314,10 @@
 void handover_free(world_t *w);
 /* Makes these faults possible, without scheduling any. */
 void handover_init(world_t *w);
+/* An entry begins to leave gracefully, to an heir unless it is NULL; its process
+ * ends no sooner than after linger_ms. */
+void handover_leave(
+    world_t *w, sim_entry_t *en, const sim_entry_t *heir, int32_t linger_ms);
 /* The owner begins to leave gracefully, if there is one. */
 void handover_owner_leaves(world_t *w);
 /* How much later than usual the store answers a read. */
--- a/test/cell/store.c
+++ b/test/cell/store.c
@@ -12,10 +12,10 @@
 #include "../../proto/sched.pb-c.h"
 #include "../../sched/sched.h"
 #include "cell.h"
+#include "digest.h"
 
-#define STORE_CLOCK_OFFSET_MS 777000 /* from the clock of the entries */
-#define FEED_GAP_MS	      20     /* between two calls of the feed */
-#define CALL_TIMEOUT_MS	      1500
+#define FEED_GAP_MS	20 /* between two calls of the feed */
+#define CALL_TIMEOUT_MS 1500
 
 typedef enum {
 	CALL_CLAIM,
@@ -289,8 +289,10 @@
 	world_t *w = en->world;
 
 	if (c->kind == CALL_POLL) {
-		sched_store_clock_read(en->sched,
-		    w->now_ms - c->late_ms + STORE_CLOCK_OFFSET_MS, w->now_ms);
+		if (!en->no_store_clock)
+			sched_store_clock_read(en->sched,
+			    w->now_ms - c->late_ms + STORE_CLOCK_OFFSET_MS,
+			    w->now_ms);
 		deliver_owner_row(en,
 		    c->rows->len == 0 ? NULL : g_ptr_array_index(c->rows, 0));
 		return;
@@ -388,11 +390,13 @@
 	call_t *c = arg;
 	bool write = c->kind == CALL_CLAIM || c->kind == CALL_WRITE;
 
-	if (w->store_down || c->entry->store_cut) {
+	if (w->store_down || c->entry->store_cut ||
+	    (!write && c->entry->store_mute)) {
 		world_schedule(w, CALL_TIMEOUT_MS, on_timeout, c);
 		return;
 	}
-	if (write && world_chance(w, w->lost_write_share)) {
+	if (write &&
+	    (c->entry->store_mute || world_chance(w, w->lost_write_share))) {
 		if (w->lost_writes_apply_late)
 			world_schedule(w, world_random_int(w, 1000, 6000),
 			    on_late_write, copy_write(c));
@@ -411,7 +415,8 @@
 		copy_rows(w, c);
 	}
 	if (!write)
-		c->late_ms = handover_read_delay_ms(w, c->kind == CALL_POLL);
+		c->late_ms = handover_read_delay_ms(w, c->kind == CALL_POLL) +
+		    c->entry->slow_store_read_ms;
 	world_schedule(w,
 	    w->store_latency_ms / 2 + NETWORK_DELAY_MS + c->late_ms, on_answer,
 	    c);
@@ -488,3 +493,32 @@
 	c->after_version = en->feed_version;
 	send_call(c);
 }
+
+bool
+store_digest_event(digest_t *d, const event_t *e)
+{
+	const call_t *c = e->arg;
+	bool alive;
+
+	if (e->fn != on_answer && e->fn != on_timeout &&
+	    e->fn != on_late_write && e->fn != on_arrived)
+		return false;
+	alive = entry_is_alive(c->entry, c->generation);
+	if (!alive && (e->fn == on_answer || e->fn == on_timeout))
+		return false;
+	digest_put(d, c->entry->index << 1 | alive);
+	digest_put(d, c->kind);
+	digest_put(d, c->result);
+	digest_put(d, c->late_ms);
+	digest_put(d, (c->load == c->entry->load) << 1 | c->feed);
+	digest_put_rank(d, RANK_VERSION, c->if_version);
+	digest_put_rank(d, RANK_VERSION, c->version);
+	digest_put(d, c->rows->len);
+	for (guint i = 0; i < c->puts->len; i++) {
+		const sched_put_t *p = &g_array_index(c->puts, sched_put_t, i);
+
+		digest_put_string(d, p->key);
+		digest_put(d, p->bytes == NULL ? 0 : p->bytes->len);
+	}
+	return true;
+}
--- a/test/cell/worker.c
+++ b/test/cell/worker.c
@@ -14,11 +14,13 @@
 #include "../../proto/sched.pb-c.h"
 #include "../../sched/sched.h"
 #include "cell.h"
+#include "digest.h"
 
 #define ORDER_TIMEOUT_MS     700
-#define POLL_SLACK_MS	     800	/* a poll's timeout beyond its wait */
-#define LATE_POLL_MAX_MS     6000	/* a poll without an answer */
-#define POLL_CHECK_MS	     20		/* while a poll waits for an end */
+#define KNOWN_PROCESS_MS     300  /* an owner has sent it what it must know */
+#define POLL_SLACK_MS	     800  /* a poll's timeout beyond its wait */
+#define LATE_POLL_MAX_MS     6000 /* a poll without an answer */
+#define POLL_CHECK_MS	     20	  /* while a poll waits for an end */
 #define ALWAYS_FAILS_WORK_MS (-1000000) /* work_left_ms that marks a failure */
 /*
  * Starts are allowed for so long after a drain, an evacuation or a cancel, and
@@ -40,7 +42,7 @@
 /* An order that was sent before an end was stored may arrive so much later. */
 #define IN_FLIGHT_MS (2 * NETWORK_DELAY_MS)
 
-static int64_t
+int64_t
 worker_clock_ms(const world_t *w, const sim_worker_t *wk)
 {
 	return wk->clock_offset_ms +
@@ -472,10 +474,10 @@
 	sched_order_result_t result;
 	int64_t clock_ms;
 	int64_t wait_until_ms; /* of a poll */
-	bool is_poll;	       /* set, but not read */
-	bool answers_late;     /* once the entry has given it up */
-	GArray *running;       /* of sched_running_t */
-	GArray *ended;	       /* of sched_ended_t */
+	bool is_poll;
+	bool answers_late; /* once the entry has given it up */
+	GArray *running;   /* of sched_running_t */
+	GArray *ended;	   /* of sched_ended_t */
 	bool ended_cut;
 	int64_t reported_started_ms;
 } worker_call_t;
@@ -514,14 +516,27 @@
 }
 
 /*
- * An order without an answer arrives at last, unless the worker has restarted.
+ * Whether an order that is carried out late takes effect: at the process that it was
+ * sent to, or at a later one with that id, of which its owner knows for a while.
  */
+static bool
+has_effect_late(const world_t *w, const worker_call_t *c)
+{
+	const sim_worker_t *wk = c->worker;
+
+	if (!wk->up || wk->started_ms == c->started_ms)
+		return wk->up;
+	return !wk->new_ids && wk->read_token == c->order.token &&
+	    w->now_ms - wk->read_since_ms >= KNOWN_PROCESS_MS;
+}
+
+/* An order without an answer arrives at last. */
 static void
 on_order_late(world_t *w, void *arg)
 {
 	worker_call_t *c = arg;
 
-	if (c->worker->up && c->worker->started_ms == c->started_ms) {
+	if (has_effect_late(w, c)) {
 		worker_advance(w, c->worker);
 		execute_order(w, c->worker, &c->order, c->sent_ms);
 	}
@@ -595,7 +610,7 @@
 	world_schedule(w, answer_delay_ms(w, wk), on_order_answer, c);
 }
 
-static sim_worker_t *
+sim_worker_t *
 worker_by_id(world_t *w, const char *id)
 {
 	for (int32_t i = 0; i < w->nworkers; i++) {
@@ -638,8 +653,10 @@
 	if (!sched_is_owner(c->entry->sched) ||
 	    report->started_ms != wk->started_ms)
 		return;
-	if (!c->answers_late)
+	if (!c->answers_late && wk->read_token != c->poll.token) {
 		wk->read_token = c->poll.token;
+		wk->read_since_ms = w->now_ms;
+	}
 	for (size_t i = 0; i < report->nended; i++) {
 		ground_truth_t *truth =
 		    world_ground_truth(w, report->ended[i].task);
@@ -950,3 +967,86 @@
 	else
 		world_schedule(w, en->list_lag_ms, on_list_read, l);
 }
+
+int32_t
+worker_former_index(const sim_worker_t *wk, const char *id)
+{
+	for (guint k = 0; k < wk->former_ids->len; k++)
+		if (strcmp(g_ptr_array_index(wk->former_ids, k), id) == 0)
+			return (int32_t)(wk->former_ids->len - k);
+	return 0;
+}
+
+/* The call of an event as its worker will see it. */
+static void
+digest_call(digest_t *d, world_t *w, const worker_call_t *c)
+{
+	int64_t clock_ms = worker_clock_ms(w, c->worker);
+
+	digest_put(d, c->worker->index);
+	digest_put(d, c->to_former << 1 | c->is_poll);
+	digest_put_rank(d, RANK_START, c->started_ms);
+	if (!c->is_poll) {
+		digest_put(d, c->order.kind);
+		digest_put_string(d, c->task);
+		digest_put_rank(d, RANK_RUN, c->order.run);
+		digest_put_rank(d, RANK_VERSION, c->order.token);
+		digest_put(d, c->order.deadline_ms - clock_ms);
+		return;
+	}
+	digest_put_rank(d, RANK_VERSION, c->poll.token);
+	digest_put(
+	    d, c->poll.deadline_ms == 0 ? 0 : c->poll.deadline_ms - clock_ms);
+	digest_put(d,
+	    c->poll.ended_ack_seq == 0 ?
+		0 :
+		c->worker->last_end_seq - c->poll.ended_ack_seq + 1);
+	digest_put_end(d, c->wait_until_ms);
+}
+
+/* Its answer. */
+static void
+digest_answer(digest_t *d, world_t *w, const worker_call_t *c)
+{
+	digest_put(d, c->result);
+	digest_put(d,
+	    c->clock_ms == 0 ? 0 : c->clock_ms - worker_clock_ms(w, c->worker));
+	digest_put_rank(d, RANK_START, c->reported_started_ms);
+	if (c->running == NULL)
+		return;
+	digest_put(d, c->ended_cut);
+	for (guint i = 0; i < c->running->len; i++) {
+		const sched_running_t *s =
+		    &g_array_index(c->running, sched_running_t, i);
+
+		digest_put_string(d, s->task);
+		digest_put_rank(d, RANK_RUN, s->run);
+	}
+	for (guint i = 0; i < c->ended->len; i++) {
+		const sched_ended_t *s =
+		    &g_array_index(c->ended, sched_ended_t, i);
+
+		digest_put_string(d, s->task);
+		digest_put_rank(d, RANK_RUN, s->run);
+		digest_put(d, s->outcome);
+		digest_put(d, c->worker->last_end_seq - s->seq);
+	}
+}
+
+bool
+worker_digest_event(digest_t *d, world_t *w, const event_t *e)
+{
+	const worker_call_t *c = e->arg;
+	bool late = e->fn == on_poll_late || e->fn == on_order_late, alive;
+
+	if (!late && e->fn != on_order_arrived && e->fn != on_poll_arrived &&
+	    e->fn != on_order_answer && e->fn != on_poll_answer)
+		return false;
+	alive = entry_is_alive(c->entry, c->generation);
+	if (!alive && e->fn == on_poll_answer)
+		return false;
+	digest_put(d, c->entry->index << 1 | alive);
+	digest_call(d, w, c);
+	digest_answer(d, w, c);
+	return true;
+}
