Quarantine: a release takes back a run that is stored and was not ordered

What callors see: a job shown as failed, given up by crashes that were none. Cause: the next run of a task that may crash its worker is stored as one whose worker crashed, before its start. An owner that releases the cell in between never orders it; the next owner counts it. Unit crash a_release_takes_back_a_run_that_was_not_ordered fails without the call. Fix: the flushes of a release take such runs back first.

--- a/sched/flush.c
+++ b/sched/flush.c
@@ -239,6 +239,8 @@
 	s->write_pending = true;
 	s->flush_begun_ms = s->cell.write_sent_ms = s->now_ms;
 	s->cell.renewals++;
+	if (s->cell.releasing)
+		quarantine_release(s);
 	/* In a graceful stop, releases the cell once all dirty jobs fit in. */
 	add_put(puts, g_strdup(SCHED_KEY_OWNER),
 	    ownership_pack_row(s,
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -421,6 +421,7 @@
 quarantine_allows_start(const sched_t *s, const worker_t *w, const task_t *t);
 bool quarantine_start(sched_t *s, step_t *st, task_t *t);
 void quarantine_note_other(sched_t *s);
+void quarantine_release(sched_t *s);
 
 /* straggler.c */
 void straggler_run_done(sched_t *s, const run_t *r);
--- a/sched/quarantine.c
+++ b/sched/quarantine.c
@@ -210,6 +210,33 @@
 	return j->rows_stored >= c->trial_write;
 }
 
+/* Takes back the next run of a task, stored as one whose worker crashed, if it waits. */
+static void
+take_back_trial(sched_t *s, task_t *t)
+{
+	int64_t run = t->crashes == NULL ? 0 : t->crashes->trial_run;
+
+	if (run != 0 && (t->run == NULL || t->run->number != run))
+		crash_take_back(s, t, run);
+}
+
+/* The cell is being released: no run is started any more. */
+void
+quarantine_release(sched_t *s)
+{
+	job_t *j;
+
+	FOREACH_VALUE (j, s->jobs)
+		for (guint i = 0; i < j->occs->len; i++) {
+			occurrence_t *o = g_ptr_array_index(j->occs, i);
+
+			for (size_t k = 0; k < j->def->n_steps; k++)
+				for (int32_t n = 0; n < o->steps[k].ntasks; n++)
+					take_back_trial(
+					    s, &o->steps[k].tasks[n]);
+		}
+}
+
 /* A task that is not suspect found room only on workers that are kept from it. */
 void
 quarantine_note_other(sched_t *s)
--- a/test/unit/crash.c
+++ b/test/unit/crash.c
@@ -195,6 +195,42 @@
 	}
 }
 
+/*
+ * Guards against jobs that are given up without cause: the next run of a suspect task
+ * is stored as one whose worker crashed, and the cell is released before its start.
+ */
+Test(crash, a_release_takes_back_a_run_that_was_not_ordered)
+{
+	static const struct {
+		const char *what;
+		bool ordered;
+		guint crashes; /* that are counted after the release */
+	} cases[] = { { "not ordered", false, 1 }, { "ordered", true, 2 } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		worker_t *w;
+		task_t *t;
+		sched_t *s = owner_with_job(&w, &t, 100000);
+		job_t *j = t->step->occ->job;
+
+		run_for(s, w, t, false, 10);
+		crash_worker_replaced(s, w);
+		run_worker_lost(s, w, "test");
+		cr_expect_not(quarantine_start(s, t->step, t));
+		cr_assert_eq(t->crashes->runs->len, 2);
+		j->rows_stored = ++j->rows_packed;
+		if (cases[i].ordered)
+			cr_assert(quarantine_start(s, t->step, t));
+		j->dirty = false;
+		g_hash_table_remove_all(s->dirty_jobs);
+		quarantine_release(s);
+		cr_expect_eq(t->crashes->runs->len, cases[i].crashes, "%s: %u",
+		    cases[i].what, t->crashes->runs->len);
+		cr_expect_eq(j->dirty, !cases[i].ordered, "%s", cases[i].what);
+		sched_free(s);
+	}
+}
+
 /*
  * A worker crashes with many runs: other work took each worker between two of them
  * that were tried there, so that the last were tried tens of seconds later.
