--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -71,6 +71,19 @@
 		    why, skipped);
 }
 
+static void
+log_unknown_queue(node_t *n, const server_req_t *r)
+{
+	int64_t now = node_now_ms(n), skipped;
+
+	if (auth_log_due(&n->unknown_log, now, &skipped))
+		log_event(EVT_QUEUE_UNKNOWN,
+		    "id=%.100s version=%" PRId64 " table_age_ms=%" PRId64
+		    " skipped=%" PRId64,
+		    r->path, n->config->version, now - n->operators_as_of_ms,
+		    skipped);
+}
+
 /*
  * Allows the call, or answers it.  If it is allowed, sets its customer, or NULL
  * if it has none.
@@ -247,6 +260,7 @@
 		return;
 	if (found != ROUTE_FOUND) {
 		n->stats.no_route++;
+		log_unknown_queue(n, r);
 		reply_text(r, 404, "", "{\"error\":\"no such queue\"}");
 		return;
 	}
--- a/serve/metrics.c
+++ b/serve/metrics.c
@@ -122,5 +122,7 @@
 	put_metric(page, "worker_failed", (int64_t)ps.worker_failed);
 	put_metric(page, "log_dropped", (int64_t)log_dropped_lines());
 	put_metric(page, "requests_open", n->open_requests);
+	put_metric(page, "tables_age_ms",
+	    n->config == NULL ? -1 : node_now_ms(n) - n->operators_as_of_ms);
 	return g_string_free(page, FALSE);
 }
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -15,12 +15,14 @@
 #define EVT_STORE_BACK	     652
 #define EVT_BAD_ROW	     653
 #define EVT_FEED_RESET	     654
+#define EVT_TABLE_BEHIND     655
 #define EVT_ACCEPTED	     661
 #define EVT_REFUSED	     662
 #define EVT_UNSETTLED	     663
 #define EVT_CANCEL_STORED    664
 #define EVT_STATE_UNREADABLE 665
 #define EVT_CALL_REJECTED    666
+#define EVT_QUEUE_UNKNOWN    667
 #define EVT_RELOAD	     671
 #define EVT_PAUSE	     672
 
@@ -236,7 +238,7 @@
 	platform_config_t *config; /* NULL until it was read */
 	/* All changes of the operators' table up to this time were read. */
 	int64_t operators_as_of_ms;
-	auth_log_limit_t rejected_log;
+	auth_log_limit_t rejected_log, unknown_log;
 
 	server_t *front;   /* requests of callers */
 	server_t *ready;   /* probes of the balancer */
--- a/serve/table_watch.c
+++ b/serve/table_watch.c
@@ -29,6 +29,7 @@
 #define LONG_POLL_MS	1000 /* the default of long_poll_ms */
 #define FEED_SLACK_MS	700  /* a feed's timeout beyond its long poll */
 #define RETRY_GAP_MS	120  /* after a failed call */
+#define BEHIND_LOG_MS	500  /* rows that are older are logged */
 
 typedef enum { WATCH_OFF, WATCH_READING, WATCH_FEEDING } watch_state_t;
 
@@ -145,6 +146,33 @@
 		tw->opts.on_row(tw->opts.ctx, &a->rows[i]);
 }
 
+/* The number of rows that a later row of the answer replaces. */
+static guint
+count_superseded(const store_answer_t *a)
+{
+	g_autoptr(GHashTable) keys = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (size_t i = 0; i < a->nrows; i++)
+		g_hash_table_add(keys, (void *)a->rows[i].key);
+	return (guint)a->nrows - g_hash_table_size(keys);
+}
+
+/* Logs rows that are old once they have been handed over. */
+static void
+log_behind(const table_watch_t *tw, const store_answer_t *a, int64_t as_of_ms,
+    int64_t arrived_ms)
+{
+	int64_t now = node_now_ms(tw->opts.node);
+
+	if (a->nrows == 0 || now - as_of_ms <= BEHIND_LOG_MS)
+		return;
+	log_event(EVT_TABLE_BEHIND,
+	    "table=%s behind_ms=%" PRId64 " took_ms=%" PRId64
+	    " rows=%zu superseded=%u",
+	    tw->opts.table, now - as_of_ms, now - arrived_ms, a->nrows,
+	    count_superseded(a));
+}
+
 /* Starts the change feed once the last partition was read. */
 static void
 on_partition_read(table_watch_t *tw)
@@ -211,7 +239,7 @@
 	table_watch_t *tw = c->tw;
 	node_t *n = tw->opts.node;
 	bool stale = c->generation != tw->generation;
-	int64_t sent_ms = c->sent_ms, as_of_ms;
+	int64_t sent_ms = c->sent_ms, now = node_now_ms(n), as_of_ms;
 
 	call_free(c);
 	node_record_store_answer(n, r, a);
@@ -228,9 +256,10 @@
 		return;
 	}
 	tw->version = MAX(tw->version, a->version);
-	as_of_ms = store_clock_local(
-	    &n->store_clock, a->clock_ms, sent_ms, node_now_ms(n));
+	as_of_ms =
+	    store_clock_local(&n->store_clock, a->clock_ms, sent_ms, now);
 	deliver_rows(tw, a);
+	log_behind(tw, a, as_of_ms, now);
 	if (tw->opts.on_synced != NULL && !a->has_more)
 		tw->opts.on_synced(tw->opts.ctx, as_of_ms);
 	if (tw->state == WATCH_FEEDING)
