Calls: an answer that arrives may take longer than the time for its call

A call of the store was given up after a fixed time, however much of its answer had come; then it was asked for again, with more to send. On a weak link a large table could not be read at all. With stall_ms a call goes on while parts of its answer come; unit backend slow_answers (without it "slow, and allowed to be" ends as unknown). Nothing uses it yet.

--- a/test/unit/backend.c
+++ b/test/unit/backend.c
@@ -450,3 +450,65 @@
 	cr_expect_eq(f.outcomes[TS_OUTCOME_UNKNOWN], 0);
 	cr_expect_eq(f.ended, 2);
 }
+
+/* The server's answer, a byte at a time. */
+typedef struct {
+	fixture_t *f;
+	const char *at;
+} slow_answer_t;
+
+static void
+on_slow_timer(uv_timer_t *t)
+{
+	slow_answer_t *s = t->data;
+	uv_buf_t out = uv_buf_init((char *)s->at, 1);
+
+	if (s->f->last == NULL || *s->at == '\0')
+		return;
+	uv_try_write(s->f->last, &out, 1);
+	s->at++;
+}
+
+/*
+ * Guards against tables that an entry never has: an answer that takes longer than the
+ * time for its call was dropped, and asked for again, however much of it had come.
+ */
+Test(backend, slow_answers, .timeout = 30)
+{
+	static const char answer[] = OK "Content-Length: 1\r\n\r\nx";
+	static const struct {
+		const char *name;
+		int gap_ms, stall_ms;
+		ts_outcome_t want;
+	} list[] = {
+		{ "in time", 1, 0, TS_OUTCOME_ANSWERED },
+		{ "slow", 30, 0, TS_OUTCOME_UNKNOWN },
+		{ "slow, and allowed to be", 30, 200, TS_OUTCOME_ANSWERED },
+		{ "stands still", 400, 200, TS_OUTCOME_UNKNOWN },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(list); i++) {
+		fixture_t f = { .server_case = &cases[13] };
+		slow_answer_t s = { &f, answer };
+		backend_call_t call = { .ip = "127.0.0.1",
+			.max_conns = 8,
+			.method = "GET",
+			.path = "/",
+			.headers = "",
+			.timeout_ms = TIMEOUT_MS,
+			.stall_ms = list[i].stall_ms };
+		uv_timer_t t;
+
+		fixture_init(&f);
+		call.port = f.port;
+		uv_timer_init(&f.loop, &t);
+		t.data = &s;
+		uv_timer_start(&t, on_slow_timer, (uint64_t)list[i].gap_ms,
+		    (uint64_t)list[i].gap_ms);
+		backends_send(f.backends, 1, 1, &call);
+		while (f.ended < 1)
+			uv_run(&f.loop, UV_RUN_ONCE);
+		cr_expect_eq(f.outcome, list[i].want, "%s: %d", list[i].name,
+		    (int)f.outcome);
+	}
+}
--- a/trans/backend.c
+++ b/trans/backend.c
@@ -60,10 +60,11 @@
 	uint64_t req;	  /* of the call in progress */
 	int32_t attempt;  /* of the call in progress */
 	struct sockaddr_in to;
-	uint64_t due_ms; /* by the loop's clock: the call's time is over */
-	bool overdue;	 /* one more read has been waited for since */
-	int32_t late_ms; /* for so long after that an answer is waited for */
-	bool late;	 /* it is being waited for */
+	uint64_t due_ms;  /* by the loop's clock: the call's time is over */
+	bool overdue;	  /* one more read has been waited for since */
+	int32_t late_ms;  /* for so long after that an answer is waited for */
+	bool late;	  /* it is being waited for */
+	int32_t stall_ms; /* see backend_call_t */
 } conn_t;
 
 struct backends {
@@ -215,6 +216,32 @@
 	.on_message_complete = on_message_complete,
 };
 
+static void on_timeout(uv_timer_t *t);
+
+/* Starts the timer of a call for the rest of its time. */
+static void
+start_timer(conn_t *conn)
+{
+	uint64_t now = uv_now(conn->backends->loop);
+
+	uv_timer_start(
+	    &conn->timer, on_timeout, conn->due_ms - MIN(conn->due_ms, now), 0);
+}
+
+/* A part of an answer has come: the rest may take its time. */
+static void
+extend_call(conn_t *conn)
+{
+	uint64_t due_ms =
+	    uv_now(conn->backends->loop) + (uint64_t)conn->stall_ms;
+
+	if (conn->stall_ms == 0 || due_ms <= conn->due_ms)
+		return;
+	conn->due_ms = due_ms;
+	conn->overdue = false;
+	start_timer(conn);
+}
+
 static void
 on_alloc(uv_handle_t *h, size_t want, uv_buf_t *buf)
 {
@@ -257,6 +284,8 @@
 		end_call(conn, TS_OUTCOME_ANSWERED);
 	} else if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK)
 		end_call(conn, TS_OUTCOME_UNKNOWN);
+	else
+		extend_call(conn);
 }
 
 static void
@@ -269,18 +298,6 @@
 		end_call(conn, TS_OUTCOME_UNKNOWN);
 }
 
-static void on_timeout(uv_timer_t *t);
-
-/* Starts the timer of a call for the rest of its time. */
-static void
-start_timer(conn_t *conn)
-{
-	uint64_t now = uv_now(conn->backends->loop);
-
-	uv_timer_start(
-	    &conn->timer, on_timeout, conn->due_ms - MIN(conn->due_ms, now), 0);
-}
-
 /* Whether a call whose time is over stays open for a late answer. */
 static bool
 may_be_late(const conn_t *conn)
@@ -417,6 +434,7 @@
 	conn->due_ms =
 	    uv_now(conn->backends->loop) + (uint64_t)MAX(0, c->timeout_ms);
 	conn->late_ms = c->late_ms;
+	conn->stall_ms = c->stall_ms;
 	conn->max_conns = c->max_conns;
 	conn->in_call = true;
 }
@@ -484,6 +502,7 @@
 	to->attempt = from->attempt;
 	to->due_ms = from->due_ms;
 	to->late_ms = from->late_ms;
+	to->stall_ms = from->stall_ms;
 	to->max_conns = from->max_conns;
 	to->is_head = from->is_head;
 	reset_answer(to);
--- a/trans/trans.h
+++ b/trans/trans.h
@@ -129,6 +129,11 @@
 	bool waits;
 	/* For so long after timeout_ms a late answer is waited for; or 0. */
 	int32_t late_ms;
+	/*
+	 * An answer that arrives may take longer than timeout_ms, as long as
+	 * parts of it are at most so far apart; or 0.
+	 */
+	int32_t stall_ms;
 } backend_call_t;
 /* At most so many calls to a server are open after timeout_ms. */
 #define BACKEND_LATE_CALLS 2
