Tables: what was missed is learned by one read, whatever was missed

A watch of a table whose rows are rewritten (operators', workers', entries') now reads it whole after a gap, a failed call, or when the feed becomes a backlog: the cost is that of the table, not of the time away. Rows that a whole read no longer meets are handed over as removed; before, an evacuation that was taken back while the store forgot its history stayed in force for ever. After a gap the operators' table is read first, the other watches call once it has been. Calls that read it go on while their answer arrives, and begin with a short time-out that doubles.

--- a/serve/cell_driver.c
+++ b/serve/cell_driver.c
@@ -421,6 +421,7 @@
 		.table = platform_worker_table,
 		.partition = "",
 		.poll_gap_ms = WORKER_POLL_GAP_MS,
+		.rewritten = true,
 		.on_row = on_worker,
 		.on_loaded = on_workers_loaded,
 		.on_synced = on_workers_synced,
--- a/serve/entries.c
+++ b/serve/entries.c
@@ -341,6 +341,7 @@
 		.partition = ENTRY_PARTITION,
 		.long_poll_ms = LONG_POLL_MS,
 		.poll_gap_ms = RETRY_GAP_MS,
+		.rewritten = true,
 		.on_row = on_row,
 		.ctx = es };
 
--- a/serve/node.c
+++ b/serve/node.c
@@ -41,6 +41,8 @@
 #define STORE_LOST_MS 1500
 /* When it answers after a longer gap, calls in progress count as lost. */
 #define STORE_GAP_MS 900
+/* After such a gap the operators' table is read first, for so long. */
+#define OPERATORS_FIRST_MS 500
 /*
  * A graceful stop serves on for so long before it closes connections: two
  * failed probes, after which the balancer sends no more requests, and a margin.
@@ -75,11 +77,46 @@
 	    INT64_MAX;
 }
 
+/* Lets all watches but that of the operators' table call again, if it is due. */
 static void
-retry_watch(void *watch, void *ctx)
+retry_other_watches(node_t *n)
 {
-	(void)ctx;
-	table_watch_retry_now(watch);
+	if (!n->retry_due)
+		return;
+	n->retry_due = false;
+	uv_timer_stop(&n->retry_timer);
+	for (guint i = 0; i < n->watches->len; i++) {
+		table_watch_t *tw = g_ptr_array_index(n->watches, i);
+
+		if (tw != n->operator_watch)
+			table_watch_retry_now(tw);
+	}
+}
+
+static void
+on_retry_timer(uv_timer_t *t)
+{
+	retry_other_watches(t->data);
+}
+
+/*
+ * Lets the watches call again after a gap: that of the operators' table at once,
+ * as callers are answered by it, the others once it has been read.
+ */
+static void
+retry_watches(node_t *n)
+{
+	table_watch_retry_now(n->operator_watch);
+	n->retry_due = true;
+	uv_timer_start(&n->retry_timer, on_retry_timer, OPERATORS_FIRST_MS, 0);
+}
+
+void
+node_tables_read(node_t *n, int64_t as_of_ms)
+{
+	n->operators_as_of_ms = MAX(n->operators_as_of_ms, as_of_ms);
+	cell_driver_operators_synced(n->cell_driver, as_of_ms);
+	retry_other_watches(n);
 }
 
 void
@@ -97,7 +134,7 @@
 	}
 	n->store_answered_ms = now;
 	if (silent_ms > STORE_GAP_MS)
-		g_ptr_array_foreach(n->watches, retry_watch, NULL);
+		retry_watches(n);
 	if (n->store_lost)
 		log_event(EVT_STORE_BACK, "store=%s", n->opts.store_addr);
 	n->store_lost = false;
@@ -219,10 +256,7 @@
 static void
 on_operators_synced(void *ctx, int64_t as_of_ms)
 {
-	node_t *n = ctx;
-
-	n->operators_as_of_ms = MAX(n->operators_as_of_ms, as_of_ms);
-	cell_driver_operators_synced(n->cell_driver, as_of_ms);
+	node_tables_read(ctx, as_of_ms);
 }
 
 /* The balancer's probe. */
@@ -352,6 +386,7 @@
 		.table = platform_operator_table,
 		.partition = "",
 		.poll_gap_ms = OPERATOR_POLL_GAP_MS,
+		.rewritten = true,
 		.on_row = on_operator_row,
 		.on_synced = on_operators_synced,
 		.ctx = n };
@@ -359,6 +394,8 @@
 	n->incarnation = node_wall_ms(n);
 	n->store_answered_ms = node_now_ms(n);
 	n->watches = g_ptr_array_new();
+	uv_timer_init(n->loop, &n->retry_timer);
+	n->retry_timer.data = n;
 	n->platform = platform_new(&platform);
 	n->cell_driver = cell_driver_new(n);
 	n->operator_watch = table_watch_new(&watch);
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -38,7 +38,9 @@
 /*
  * Watches a table of the store: reads it whole, then follows its change feed.
  * The table is read whole again when the store no longer keeps the changes
- * since the last version read.  Failed calls are retried until they succeed.
+ * since the last version read, and, if its rows are rewritten, when a call has
+ * failed or changes come faster than they are handed over.  Failed calls are
+ * retried until they succeed.
  */
 typedef struct table_watch table_watch_t;
 typedef struct {
@@ -46,13 +48,22 @@
 	const char *table;
 	/* The partition's name, or a prefix that a number follows. */
 	const char *partition;
-	int32_t partitions;   /* numbered from 0; 0: one, without a number */
-	bool read_once;	      /* stop after the first whole read */
+	int32_t partitions; /* numbered from 0; 0: one, without a number */
+	bool read_once;	    /* stop after the first whole read */
+	/*
+	 * Its rows are few, and rewritten rather than added: what was missed is
+	 * learned by reading them anew.
+	 */
+	bool rewritten;
 	int32_t poll_gap_ms;  /* from an answer of the feed to the next call */
 	int32_t long_poll_ms; /* the feed waits for a change; 0: 1000 ms */
 	/* A row was read, or was changed or removed (bytes NULL). */
 	void (*on_row)(void *ctx, const store_row_t *row);
-	/* The table was read whole: rows not handed to on_row don't exist. */
+	/*
+	 * The table was read whole.  If rewritten, rows that were handed over before
+	 * and no longer exist have been handed over as removed; else, rows not
+	 * handed to on_row don't exist.
+	 */
 	void (*on_loaded)(void *ctx);
 	/*
 	 * Called after a whole read and after each answer of the feed: all
@@ -69,8 +80,8 @@
 /* Whether the table is being read or followed. */
 bool table_watch_is_on(const table_watch_t *tw);
 /*
- * Drops the feed call in progress, whose answer may never come, and calls
- * again.  Used when the store answers after a gap.
+ * Drops the calls in progress, whose answers may never come, and calls again.
+ * Used when the store answers after a gap.
  */
 void table_watch_retry_now(table_watch_t *tw);
 
@@ -238,6 +249,9 @@
 	platform_config_t *config; /* NULL until it was read */
 	/* All changes of the operators' table up to this time were read. */
 	int64_t operators_as_of_ms;
+	/* The store answers after a gap; watches are to call again (retry_watches). */
+	bool retry_due;
+	uv_timer_t retry_timer;
 	auth_log_limit_t rejected_log, unknown_log;
 
 	server_t *front;   /* requests of callers */
@@ -263,6 +277,8 @@
  * and for connections; INT64_MAX while the process is not stopping.
  */
 int64_t node_stop_deadline_ms(const node_t *n);
+/* All changes of the operators' tables up to this time were read. */
+void node_tables_read(node_t *n, int64_t as_of_ms);
 /*
  * Must be called with the result of each call to the store.  Keeps the time of
  * the last answer, and retries the change feeds when one comes after a gap.
--- a/serve/table_watch.c
+++ b/serve/table_watch.c
@@ -2,6 +2,10 @@
  * Watches a table of the store for the other modules of the daemon: reads the
  * table whole, all partitions concurrently, and then its change feed by long
  * polls.
+ *
+ * What was missed is learned by reading the table whole again where its rows are
+ * rewritten (opts.rewritten), as this costs the same however much was missed, and
+ * from the feed where rows are added.
  */
 #include <inttypes.h>
 #include <stdbool.h>
@@ -24,12 +28,16 @@
 #include "auth.h"
 #include "serve.h"
 
-#define PAGE_ROWS	500  /* the most that the store returns */
-#define READ_TIMEOUT_MS 1500 /* for a page; the store may be slow */
-#define LONG_POLL_MS	1000 /* the default of long_poll_ms */
-#define FEED_SLACK_MS	700  /* a feed's timeout beyond its long poll */
-#define RETRY_GAP_MS	120  /* after a failed call */
-#define BEHIND_LOG_MS	500  /* rows that are older are logged */
+#define PAGE_ROWS 500 /* the most that the store returns */
+/* Until a page begins to arrive: doubled after each failure, as the store may
+ * be slow or lose answers. */
+#define READ_TIMEOUT_MS	    500
+#define READ_TIMEOUT_MAX_MS 2000
+#define STALL_MS	    1000 /* between parts of an answer */
+#define LONG_POLL_MS	    1000 /* the default of long_poll_ms */
+#define FEED_SLACK_MS	    500	 /* a feed's timeout beyond its long poll */
+#define RETRY_GAP_MS	    120	 /* after a failed call */
+#define BEHIND_MS	    500	 /* what is older when handed over is late */
 
 typedef enum { WATCH_OFF, WATCH_READING, WATCH_FEEDING } watch_state_t;
 
@@ -46,7 +54,12 @@
 	int64_t read_version;
 	int64_t read_began_ms;	   /* the last whole read */
 	int32_t unread_partitions; /* partitions that are not read whole yet */
+	int32_t failures;	   /* of calls, since the last answer */
+	bool behind; /* what the last answer of the feed told was late */
 	uv_timer_t feed_timer;
+	/* If opts.rewritten: the keys handed over, not removed since. */
+	GHashTable *keys;
+	GHashTable *unread_keys; /* of these, not met by the read in progress */
 };
 
 /* A call to the store that has not been answered. */
@@ -117,12 +130,23 @@
 		call_free(c);
 }
 
+static void
+add_key(gpointer key, gpointer value, gpointer set)
+{
+	(void)value;
+	g_hash_table_add(set, g_strdup(key));
+}
+
 /* Starts to read all partitions of the table from their first row. */
 static void
 read_table(table_watch_t *tw)
 {
 	tw->generation++;
 	tw->state = WATCH_READING;
+	tw->behind = false;
+	uv_timer_stop(&tw->feed_timer);
+	g_hash_table_remove_all(tw->unread_keys);
+	g_hash_table_foreach(tw->keys, add_key, tw->unread_keys);
 	tw->read_version = INT64_MAX;
 	tw->read_began_ms = node_now_ms(tw->opts.node);
 	tw->unread_partitions = MAX(1, tw->opts.partitions);
@@ -142,35 +166,56 @@
 static void
 deliver_rows(table_watch_t *tw, const store_answer_t *a)
 {
-	for (size_t i = 0; i < a->nrows; i++)
-		tw->opts.on_row(tw->opts.ctx, &a->rows[i]);
+	for (size_t i = 0; i < a->nrows; i++) {
+		const store_row_t *row = &a->rows[i];
+
+		if (tw->opts.rewritten) {
+			g_hash_table_remove(tw->unread_keys, row->key);
+			if (row->bytes == NULL)
+				g_hash_table_remove(tw->keys, row->key);
+			else
+				g_hash_table_add(tw->keys, g_strdup(row->key));
+		}
+		tw->opts.on_row(tw->opts.ctx, row);
+	}
 }
 
-/* The number of rows that a later row of the answer replaces. */
-static guint
-count_superseded(const store_answer_t *a)
+/* Hands over the removal of the rows that a whole read has not met. */
+static void
+deliver_removals(table_watch_t *tw)
 {
-	g_autoptr(GHashTable) keys = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTableIter it;
+	void *key;
+
+	g_hash_table_iter_init(&it, tw->unread_keys);
+	while (g_hash_table_iter_next(&it, &key, NULL)) {
+		store_row_t row = { .key = key, .version = tw->read_version };
 
-	for (size_t i = 0; i < a->nrows; i++)
-		g_hash_table_add(keys, (void *)a->rows[i].key);
-	return (guint)a->nrows - g_hash_table_size(keys);
+		g_hash_table_remove(tw->keys, key);
+		tw->opts.on_row(tw->opts.ctx, &row);
+	}
+	g_hash_table_remove_all(tw->unread_keys);
 }
 
-/* Logs rows that are old once they have been handed over. */
+/*
+ * Logs rows that are old once they have been handed over, and notes whether the
+ * feed has become a backlog.
+ */
 static void
-log_behind(const table_watch_t *tw, const store_answer_t *a, int64_t as_of_ms,
+note_behind(table_watch_t *tw, const store_answer_t *a, int64_t as_of_ms,
     int64_t arrived_ms)
 {
 	int64_t now = node_now_ms(tw->opts.node);
 
-	if (a->nrows == 0 || now - as_of_ms <= BEHIND_LOG_MS)
+	tw->behind = false;
+	if (a->nrows == 0 || now - as_of_ms <= BEHIND_MS)
 		return;
+	tw->behind = a->superseded > 0 || a->has_more;
 	log_event(EVT_TABLE_BEHIND,
 	    "table=%s behind_ms=%" PRId64 " took_ms=%" PRId64
-	    " rows=%zu superseded=%u",
+	    " rows=%zu superseded=%zu",
 	    tw->opts.table, now - as_of_ms, now - arrived_ms, a->nrows,
-	    count_superseded(a));
+	    a->superseded);
 }
 
 /* Starts the change feed once the last partition was read. */
@@ -181,6 +226,7 @@
 		return;
 	tw->version = tw->read_version;
 	tw->state = tw->opts.read_once ? WATCH_OFF : WATCH_FEEDING;
+	deliver_removals(tw);
 	if (tw->opts.on_synced != NULL)
 		tw->opts.on_synced(tw->opts.ctx, tw->read_began_ms);
 	if (tw->opts.on_loaded != NULL)
@@ -202,9 +248,11 @@
 		return;
 	}
 	if (r != STORE_OK) {
+		tw->failures++;
 		uv_timer_start(&c->retry, on_retry, RETRY_GAP_MS, 0);
 		return;
 	}
+	tw->failures = 0;
 	tw->read_version = MIN(tw->read_version, a->version);
 	deliver_rows(tw, a);
 	if (a->has_more && a->nrows > 0) {
@@ -227,7 +275,9 @@
 		.partition = c->partition,
 		.from = c->next,
 		.limit = PAGE_ROWS,
-		.timeout_ms = READ_TIMEOUT_MS };
+		.timeout_ms = MIN(READ_TIMEOUT_MAX_MS,
+		    READ_TIMEOUT_MS << CLAMP(tw->failures, 0, 4)),
+		.stall_ms = STALL_MS };
 
 	store_scan(tw->opts.node->platform, &scan, on_page, c);
 }
@@ -252,21 +302,26 @@
 		return;
 	}
 	if (r != STORE_OK) {
+		tw->failures++;
 		read_changes_later(tw, RETRY_GAP_MS);
 		return;
 	}
+	tw->failures = 0;
 	tw->version = MAX(tw->version, a->version);
 	as_of_ms =
 	    store_clock_local(&n->store_clock, a->clock_ms, sent_ms, now);
 	deliver_rows(tw, a);
-	log_behind(tw, a, as_of_ms, now);
+	note_behind(tw, a, as_of_ms, now);
 	if (tw->opts.on_synced != NULL && !a->has_more)
 		tw->opts.on_synced(tw->opts.ctx, as_of_ms);
 	if (tw->state == WATCH_FEEDING)
 		read_changes_later(tw, a->has_more ? 0 : tw->opts.poll_gap_ms);
 }
 
-/* Asks the change feed for what is newer than tw->version. */
+/*
+ * Asks the change feed for what is newer than tw->version, or reads the table
+ * whole if that may be much.
+ */
 static void
 read_changes(table_watch_t *tw)
 {
@@ -275,10 +330,15 @@
 	store_feed_t feed = { .table = tw->opts.table,
 		.after_version = tw->version,
 		.wait_ms = wait_ms,
-		.timeout_ms = wait_ms + FEED_SLACK_MS };
-
-	watch_call_t *c = call_new(tw, "");
+		.timeout_ms = wait_ms + FEED_SLACK_MS,
+		.stall_ms = STALL_MS };
+	watch_call_t *c;
 
+	if (tw->opts.rewritten && (tw->behind || tw->failures > 0)) {
+		read_table(tw);
+		return;
+	}
+	c = call_new(tw, "");
 	c->sent_ms = node_now_ms(tw->opts.node);
 	store_feed(tw->opts.node->platform, &feed, on_changes, c);
 }
@@ -289,6 +349,9 @@
 	table_watch_t *tw = g_new0(table_watch_t, 1);
 
 	tw->opts = *o;
+	tw->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	tw->unread_keys =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	uv_timer_init(o->node->loop, &tw->feed_timer);
 	tw->feed_timer.data = tw;
 	g_ptr_array_add(o->node->watches, tw);
@@ -319,8 +382,13 @@
 void
 table_watch_retry_now(table_watch_t *tw)
 {
-	if (tw->state != WATCH_FEEDING)
+	if (tw->state == WATCH_OFF ||
+	    (tw->state == WATCH_READING && !tw->opts.rewritten))
 		return;
+	if (tw->opts.rewritten) {
+		read_table(tw);
+		return;
+	}
 	tw->generation++;
 	uv_timer_stop(&tw->feed_timer);
 	read_changes(tw);
--- a/test/unit/table_watch.c
+++ b/test/unit/table_watch.c
@@ -75,6 +75,7 @@
 		.table = platform_operator_table,
 		.partition = "",
 		.poll_gap_ms = 5,
+		.rewritten = true,
 		.on_row = on_row,
 		.on_synced = on_synced,
 		.ctx = f };
@@ -95,6 +96,8 @@
 	uv_timer_init(&f->loop, &f->node.tick_timer);
 	f->node.cell_driver = cell_driver_new(&f->node);
 	f->watch = table_watch_new(&w);
+	f->node.operator_watch = f->watch;
+	uv_timer_init(&f->loop, &f->node.retry_timer);
 }
 
 static void
