Callers: no queue is unknown, and no entry ready, by tables that are too old

Nothing asked for the age of the tables but the check of keys.

Then the entry is not ready; calls wait for newer tables (serve/held_calls.c): those of a queue that it has for 500 ms at most, as old tables may name another service, then they go on to the store; others until they are due, then 503 with Retry-After. The count of a queue, which needs no call of the store, is answered 503 too. While the store is silent nobody waits.

--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -24,6 +24,8 @@
 #include "serve.h"
 
 #define DEFAULT_TIMEOUT_MS 3000 /* for a request that names none */
+/* A call of a queue that old tables have waits so long for newer ones. */
+#define HOLD_KNOWN_MS 500
 
 int32_t
 request_timeout_ms(const server_req_t *r)
@@ -184,24 +186,24 @@
 }
 
 static void
-submit_job(node_t *n, server_req_t *r, const route_match_t *m,
+submit_job(node_t *n, const incoming_t *in, const route_match_t *m,
     const sched_customer_t *customer)
 {
 	g_autoptr(GError) err = NULL;
-	Sched__Job *job = decode_job(n, r, m->queue, customer, &err);
+	Sched__Job *job = decode_job(n, in->req, m->queue, customer, &err);
 	const char *name = customer == NULL ? "" : customer->name;
 	rejection_t why = { .retry_after_ms = RETRY_AFTER_MS };
 
 	if (job == NULL) {
-		reply_bad_job(n, r, m, err);
+		reply_bad_job(n, in->req, m, err);
 		return;
 	}
 	why.reason = sched_admit(cell_driver_sched(n->cell_driver), m->id, job,
 	    node_now_ms(n), &why.retry_after_ms);
 	if (why.reason == SCHED_ADMITTED)
-		request_begin(n, r, REQUEST_SUBMIT, m, name, pack_job(job));
+		request_begin(n, in, REQUEST_SUBMIT, m, name, pack_job(job));
 	else
-		request_reject(n, r, m, name, &why);
+		request_reject(n, in, m, name, &why);
 	sched__job__free_unpacked(job, NULL);
 }
 
@@ -213,7 +215,8 @@
 	g_autofree char *body = NULL;
 
 	n->stats.queue_counts++;
-	if (jobs < 0) {
+	/* Old tables may have a queue that was removed. */
+	if (jobs < 0 || node_tables_old(n)) {
 		reply_error(
 		    r, 503, "the number is not known now", RETRY_AFTER_MS);
 		return;
@@ -224,29 +227,62 @@
 
 /* Handles a call that is allowed. */
 static void
-serve_call(node_t *n, server_req_t *r, const route_match_t *m,
+serve_call(node_t *n, const incoming_t *in, const route_match_t *m,
     const sched_customer_t *customer)
 {
 	const char *name = customer == NULL ? "" : customer->name;
+	const char *method = in->req->method;
 	bool for_job = m->id[0] != '\0';
 
-	if (!for_job && strcmp(r->method, "GET") == 0)
-		reply_waiting_count(n, r, m);
-	else if (for_job && strcmp(r->method, "POST") == 0)
-		submit_job(n, r, m, customer);
-	else if (for_job && strcmp(r->method, "GET") == 0)
-		request_begin(n, r, REQUEST_STATE, m, name, NULL);
-	else if (for_job && strcmp(r->method, "DELETE") == 0)
-		request_begin(n, r, REQUEST_CANCEL, m, name, NULL);
+	if (!for_job && strcmp(method, "GET") == 0)
+		reply_waiting_count(n, in->req, m);
+	else if (for_job && strcmp(method, "POST") == 0)
+		submit_job(n, in, m, customer);
+	else if (for_job && strcmp(method, "GET") == 0)
+		request_begin(n, in, REQUEST_STATE, m, name, NULL);
+	else if (for_job && strcmp(method, "DELETE") == 0)
+		request_begin(n, in, REQUEST_CANCEL, m, name, NULL);
 	else
-		reply_text(r, 405, "", "{\"error\":\"no such method\"}");
+		reply_text(in->req, 405, "", "{\"error\":\"no such method\"}");
+}
+
+/*
+ * Whether a call waits for newer tables: at first each one does, as old tables may
+ * name another queue.  One that needs the store goes on by old tables later.
+ */
+static bool
+hold(node_t *n, const incoming_t *in, route_result_t found)
+{
+	int64_t until_ms = request_deadline_ms(in);
+
+	if (in->held || !node_tables_old(n) || n->store_lost)
+		return false;
+	if (found == ROUTE_FOUND)
+		until_ms = MIN(until_ms, in->came_ms + HOLD_KNOWN_MS);
+	held_calls_add(n->held_calls, in, until_ms);
+	return true;
+}
+
+/* Answers a call for which there is no queue. */
+static void
+reply_no_queue(node_t *n, server_req_t *r)
+{
+	if (node_tables_old(n)) {
+		n->stats.tables_old++;
+		reply_error(r, 503, "the tables can't be read now",
+		    sched_retry_after_ms(r->path, RETRY_AFTER_MS));
+		return;
+	}
+	n->stats.no_route++;
+	log_unknown_queue(n, r);
+	reply_text(r, 404, "", "{\"error\":\"no such queue\"}");
 }
 
 void
-ingress_request(void *ctx, server_req_t *r)
+ingress_serve(node_t *n, const incoming_t *in)
 {
-	node_t *n = ctx;
 	const sched_customer_t *customer = NULL;
+	server_req_t *r = in->req;
 	route_match_t m = { 0 };
 	route_result_t found;
 
@@ -256,13 +292,21 @@
 		return;
 	}
 	found = route_find(n->config, r->host, r->path, &m);
-	if (found != ROUTE_NOT_FOUND && !authenticate(n, r, &m, &customer))
+	if (hold(n, in, found))
 		return;
-	if (found != ROUTE_FOUND) {
-		n->stats.no_route++;
-		log_unknown_queue(n, r);
-		reply_text(r, 404, "", "{\"error\":\"no such queue\"}");
+	if (found != ROUTE_NOT_FOUND && !authenticate(n, r, &m, &customer))
 		return;
-	}
-	serve_call(n, r, &m, customer);
+	if (found != ROUTE_FOUND)
+		reply_no_queue(n, r);
+	else
+		serve_call(n, in, &m, customer);
+}
+
+void
+ingress_request(void *ctx, server_req_t *r)
+{
+	node_t *n = ctx;
+	incoming_t in = { .req = r, .came_ms = node_now_ms(n) };
+
+	ingress_serve(n, &in);
 }
--- a/serve/metrics.c
+++ b/serve/metrics.c
@@ -61,6 +61,7 @@
 	put_metric(page, "auth_stale", (int64_t)stats->auth_stale);
 	put_metric(page, "foreign", (int64_t)stats->foreign);
 	put_metric(page, "bad_input", (int64_t)stats->bad_input);
+	put_metric(page, "tables_old", (int64_t)stats->tables_old);
 	for (size_t i = 0; i < G_N_ELEMENTS(stats->accept_latency); i++) {
 		total += (int64_t)stats->accept_latency[i];
 		g_string_append_printf(page,
--- a/serve/node.c
+++ b/serve/node.c
@@ -43,6 +43,11 @@
 #define STORE_GAP_MS 900
 /* After such a gap the operators' table is read first, for so long. */
 #define OPERATORS_FIRST_MS 500
+/*
+ * A call that came just in time for a change to be in force is decided by tables
+ * that are younger than the bound by this: for its way and its queues.
+ */
+#define TABLES_MARGIN_MS 500
 /*
  * A graceful stop serves on for so long before it closes connections: two
  * failed probes, after which the balancer sends no more requests, and a margin.
@@ -77,6 +82,20 @@
 	    INT64_MAX;
 }
 
+bool
+node_tables_old(const node_t *n)
+{
+	return n->config == NULL ||
+	    node_now_ms(n) - n->operators_as_of_ms >
+	    n->opts.config_ms - TABLES_MARGIN_MS;
+}
+
+bool
+node_is_ready(const node_t *n)
+{
+	return !n->stopping && !n->store_lost && !node_tables_old(n);
+}
+
 /* Lets all watches but that of the operators' table call again, if it is due. */
 static void
 retry_other_watches(node_t *n)
@@ -117,6 +136,7 @@
 	n->operators_as_of_ms = MAX(n->operators_as_of_ms, as_of_ms);
 	cell_driver_operators_synced(n->cell_driver, as_of_ms);
 	retry_other_watches(n);
+	held_calls_release(n->held_calls);
 }
 
 void
@@ -263,13 +283,10 @@
 static void
 on_ready(void *ctx, server_req_t *r)
 {
-	node_t *n = ctx;
-	bool ready = n->config != NULL && !n->stopping && !n->store_lost;
-
 	if (!platform_is_readiness_path(r->path))
 		server_reply(r, 404, "", "", 0);
 	else
-		server_reply(r, ready ? 200 : 503, "", "", 0);
+		server_reply(r, node_is_ready(ctx) ? 200 : 503, "", "", 0);
 }
 
 static void
@@ -396,6 +413,7 @@
 	n->watches = g_ptr_array_new();
 	uv_timer_init(n->loop, &n->retry_timer);
 	n->retry_timer.data = n;
+	n->held_calls = held_calls_new(n, ingress_serve);
 	n->platform = platform_new(&platform);
 	n->cell_driver = cell_driver_new(n);
 	n->operator_watch = table_watch_new(&watch);
@@ -461,6 +479,8 @@
 		    "longest graceful stop" },
 		{ "drain-ms", SET_INT, &o->drain_ms, "2000", 1000, 60000, "MS",
 		    "after which a worker that leaves gets no more tasks" },
+		{ "config-ms", SET_INT, &o->config_ms, "2000", 1000, 60000,
+		    "MS", "after which a change of the tables is in force" },
 		{ "cpu-share", SET_TEXT, &o->cpu_share, "1", 0, 0, "CORES",
 		    "processor cores this VM may use" },
 		{ "link-mbps", SET_TEXT, &o->link_mbps, "1000", 0, 0, "MBPS",
--- a/serve/request.c
+++ b/serve/request.c
@@ -60,6 +60,14 @@
 static attempt_t *attempt_new(request_t *rq);
 static void read_job_rows(attempt_t *at);
 
+int64_t
+request_deadline_ms(const incoming_t *in)
+{
+	int32_t timeout_ms = request_timeout_ms(in->req);
+
+	return in->came_ms + MAX(timeout_ms - REPLY_RESERVE_MS, timeout_ms / 2);
+}
+
 /* A request is answered by its deadline, and before a graceful stop ends. */
 static int64_t
 reply_deadline_ms(const request_t *rq)
@@ -496,21 +504,19 @@
 }
 
 static request_t *
-request_new(node_t *n, server_req_t *r, request_kind_t kind,
+request_new(node_t *n, const incoming_t *in, request_kind_t kind,
     const route_match_t *m, const char *customer)
 {
-	int32_t timeout_ms = request_timeout_ms(r);
 	request_t *rq = g_new0(request_t, 1);
 
 	rq->node = n;
-	rq->req = r;
+	rq->req = in->req;
 	rq->kind = kind;
 	g_strlcpy(rq->id, m->id, sizeof(rq->id));
 	rq->queue = m->queue->name;
 	rq->customer = customer;
-	rq->began_ms = node_now_ms(n);
-	rq->deadline_ms =
-	    rq->began_ms + MAX(timeout_ms - REPLY_RESERVE_MS, timeout_ms / 2);
+	rq->began_ms = in->came_ms;
+	rq->deadline_ms = request_deadline_ms(in);
 	rq->attempts.is_write =
 	    kind == REQUEST_SUBMIT || kind == REQUEST_CANCEL;
 	rq->rejection.retry_after_ms = RETRY_AFTER_MS;
@@ -522,20 +528,20 @@
 }
 
 void
-request_begin(node_t *n, server_req_t *r, request_kind_t kind,
+request_begin(node_t *n, const incoming_t *in, request_kind_t kind,
     const route_match_t *m, const char *customer, GByteArray *row)
 {
-	request_t *rq = request_new(n, r, kind, m, customer);
+	request_t *rq = request_new(n, in, kind, m, customer);
 
 	rq->row = row;
 	proceed(rq);
 }
 
 void
-request_reject(node_t *n, server_req_t *r, const route_match_t *m,
+request_reject(node_t *n, const incoming_t *in, const route_match_t *m,
     const char *customer, const rejection_t *why)
 {
-	request_t *rq = request_new(n, r, REQUEST_REJECT, m, customer);
+	request_t *rq = request_new(n, in, REQUEST_REJECT, m, customer);
 
 	rq->rejection = *why;
 	proceed(rq);
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -140,8 +140,28 @@
 /* Notifies the other entries that this one has released the cell. */
 void entries_announce_release(entries_t *es);
 
+/* A request of a caller. */
+typedef struct {
+	server_req_t *req;
+	int64_t came_ms;
+	bool held; /* it has waited for newer tables */
+} incoming_t;
+
+/*
+ * Requests that wait for newer tables of the operators: each goes on, by fn, as
+ * soon as these have come, the store is down, or its time is over.
+ */
+typedef struct held_calls held_calls_t;
+typedef void (*held_calls_fn)(node_t *n, const incoming_t *in);
+held_calls_t *held_calls_new(node_t *n, held_calls_fn fn);
+void held_calls_add(held_calls_t *h, const incoming_t *in, int64_t until_ms);
+/* Lets those go on that need wait no longer. */
+void held_calls_release(held_calls_t *h);
+
 /* Serves a request of a caller; ctx is the node. */
 void ingress_request(void *ctx, server_req_t *r);
+/* Serves a request, or lets it wait.  For held_calls_new(). */
+void ingress_serve(node_t *n, const incoming_t *in);
 /*
  * Answer with JSON.  The first takes header lines that end in CR LF; the second
  * adds a Retry-After to 429 and 503, in whole seconds rounded up.
@@ -157,6 +177,8 @@
 
 /* How long the caller waits for its answer. */
 int32_t request_timeout_ms(const server_req_t *r);
+/* By when it is to be answered, so that the answer comes in time. */
+int64_t request_deadline_ms(const incoming_t *in);
 
 typedef enum {
 	REQUEST_SUBMIT,
@@ -169,7 +191,7 @@
  * submission is accepted once its row, which it takes over, is stored; row is
  * NULL for other requests.  customer is the caller's, interned; "": none.
  */
-void request_begin(node_t *n, server_req_t *r, request_kind_t kind,
+void request_begin(node_t *n, const incoming_t *in, request_kind_t kind,
     const route_match_t *m, const char *customer, GByteArray *row);
 /* Why and until when a submission is rejected. */
 typedef struct {
@@ -180,7 +202,7 @@
  * Begins to reject a submission: it is accepted all the same if its row is stored,
  * as it may repeat one that was accepted and whose answer was lost.
  */
-void request_reject(node_t *n, server_req_t *r, const route_match_t *m,
+void request_reject(node_t *n, const incoming_t *in, const route_match_t *m,
     const char *customer, const rejection_t *why);
 
 /*
@@ -212,8 +234,9 @@
 	int32_t keep_ended_ms;
 	int32_t resubmit_window_s;
 	int32_t stop_grace_ms;
-	int32_t drain_ms; /* after which a leaving worker gets no tasks */
-	char *cpu_share;  /* cores, as a decimal number */
+	int32_t drain_ms;  /* after which a leaving worker gets no tasks */
+	int32_t config_ms; /* after which a change of the tables is in force */
+	char *cpu_share;   /* cores, as a decimal number */
 	char *link_mbps;
 	char *log_level;
 } node_opts_t;
@@ -229,7 +252,7 @@
 	uint64_t accepted, resubmitted, refused_store, refused_no_config,
 	    refused_malformed, in_doubt, no_route, state_reads,
 	    state_unknown_job, state_unreadable, cancels, queue_counts,
-	    unauthorized, auth_stale, foreign, bad_input;
+	    unauthorized, auth_stale, foreign, bad_input, tables_old;
 	/*
 	 * Submissions by the time to their answer: element i counts those below
 	 * 1 << i ms that no lower element counts, and the last all slower ones.
@@ -245,6 +268,7 @@
 	cell_driver_t *cell_driver;
 	table_watch_t *operator_watch;
 	entries_t *entries;
+	held_calls_t *held_calls;
 	GPtrArray *watches;	   /* of table_watch_t; all of this process */
 	platform_config_t *config; /* NULL until it was read */
 	/* All changes of the operators' table up to this time were read. */
@@ -277,8 +301,15 @@
  * and for connections; INT64_MAX while the process is not stopping.
  */
 int64_t node_stop_deadline_ms(const node_t *n);
+/*
+ * Whether a change of the operators' tables may be in force that this entry has
+ * not read.  Then it can't tell that a queue does not exist.
+ */
+bool node_tables_old(const node_t *n);
 /* All changes of the operators' tables up to this time were read. */
 void node_tables_read(node_t *n, int64_t as_of_ms);
+/* Whether callers should be sent here. */
+bool node_is_ready(const node_t *n);
 /*
  * Must be called with the result of each call to the store.  Keeps the time of
  * the last answer, and retries the change feeds when one comes after a gap.
--- a/test/unit/stale_tables.c
+++ b/test/unit/stale_tables.c
@@ -23,6 +23,8 @@
 #define FIRST_PORT 18580
 #define LAST_PORT  18680
 #define CALL_MS	   5000
+#define CONFIG_MS  3000
+#define READ_MS	   200 /* after the call the tables are read */
 
 static const char config[] =
     "{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":\"127.0.0.1\","
@@ -54,8 +56,10 @@
 	f->node.opts.name = "e";
 	f->node.opts.drain_ms = 2000;
 	f->node.opts.max_lease_ms = 6000;
+	f->node.opts.config_ms = CONFIG_MS;
 	f->node.platform = platform_new(&o);
 	f->node.watches = g_ptr_array_new();
+	f->node.held_calls = held_calls_new(&f->node, ingress_serve);
 	f->node.store_answered_ms = node_now_ms(&f->node);
 	uv_timer_init(&f->loop, &f->node.tick_timer);
 	f->node.cell_driver = cell_driver_new(&f->node);
@@ -115,3 +119,86 @@
 		    (int)cases[i].age_ms, (int)f.status);
 	}
 }
+
+static void
+on_read(uv_timer_t *t)
+{
+	node_t *n = t->data;
+
+	node_tables_read(n, node_now_ms(n));
+}
+
+/*
+ * Guards against callers that are refused, or told what old tables say, when new ones
+ * come in time: the call waits for them.
+ */
+Test(stale_tables, a_call_waits_for_new_tables, .timeout = 20)
+{
+	static const struct {
+		const char *path;
+		bool read; /* the tables are read, READ_MS after the call */
+		bool store_lost;
+		int32_t want;
+		int64_t least_ms, most_ms;
+	} cases[] = {
+		{ "/other/", true, false, 404, READ_MS - 50, 1500 },
+		{ "/other/", false, true, 503, 0, 150 },
+		/* The count is not known, whatever the tables say. */
+		{ "/q/", true, false, 503, READ_MS - 50, 450 },
+		{ "/q/", false, false, 503, 450, 1500 },
+		{ "/q/", false, true, 503, 0, 150 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		fixture_t f = { 0 };
+		uv_timer_t t;
+		int64_t began_ms, took_ms;
+		int32_t status;
+
+		fixture_init(&f);
+		began_ms = node_now_ms(&f.node);
+		f.node.operators_as_of_ms = began_ms - 10000;
+		f.node.store_lost = cases[i].store_lost;
+		uv_timer_init(&f.loop, &t);
+		t.data = &f.node;
+		if (cases[i].read)
+			uv_timer_start(&t, on_read, READ_MS, 0);
+		status = get(&f, cases[i].path);
+		took_ms = node_now_ms(&f.node) - began_ms;
+		cr_expect_eq(status, cases[i].want, "case %zu: %d", i, status);
+		cr_expect(
+		    took_ms >= cases[i].least_ms && took_ms <= cases[i].most_ms,
+		    "case %zu: %d ms", i, (int)took_ms);
+		cr_expect_eq(f.node.open_requests, 0);
+	}
+}
+
+/*
+ * Guards against an entry that callers are sent to as soon as the store answers it,
+ * seconds before it has the tables.
+ */
+Test(stale_tables, an_entry_with_old_tables_is_not_ready)
+{
+	static const struct {
+		int64_t age_ms;
+		bool config, store_lost, stopping, ready;
+	} cases[] = {
+		{ 0, true, false, false, true },
+		{ 1500, true, false, false, true },
+		{ CONFIG_MS, true, false, false, false },
+		{ 0, false, false, false, false },
+		{ 0, true, true, false, false },
+		{ 0, true, false, true, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		platform_config_t cfg = { 0 };
+		node_t n = { .config = cases[i].config ? &cfg : NULL,
+			.store_lost = cases[i].store_lost,
+			.stopping = cases[i].stopping };
+
+		n.opts.config_ms = CONFIG_MS;
+		n.operators_as_of_ms = node_now_ms(&n) - cases[i].age_ms;
+		cr_expect_eq(node_is_ready(&n), cases[i].ready, "case %zu", i);
+	}
+}
