--- a/sched/sched.c
+++ b/sched/sched.c
@@ -197,7 +197,7 @@
 	w->mem_mb = i->mem_mb;
 	w->gpu = i->gpu;
 	w->draining = i->draining;
-	w->listed = w->seen_in_list = true;
+	w->listed = true;
 	w->zone_evacuated = is_evacuated(s, w);
 	scan_worker_changed(s, w);
 }
@@ -215,18 +215,6 @@
 	    g_hash_table_size(w->runs));
 }
 
-void
-sched_worker_list_read(sched_t *s, int64_t now_ms)
-{
-	for (guint i = 0; i < s->worker_list->len; i++) {
-		worker_t *w = g_ptr_array_index(s->worker_list, i);
-
-		if (!w->seen_in_list)
-			sched_worker_left(s, w->id, now_ms);
-		w->seen_in_list = false;
-	}
-}
-
 void
 sched_set_zone_evacuated(
     sched_t *s, const char *zone, bool evacuated, int64_t now_ms)
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -300,11 +300,6 @@
 sched_worker_listed(sched_t *s, const sched_worker_info_t *w, int64_t now_ms);
 /* A worker is no longer listed. */
 void sched_worker_left(sched_t *s, const char *id, int64_t now_ms);
-/*
- * The whole list has been read: workers that sched_worker_listed has not named
- * since the previous whole read have left.
- */
-void sched_worker_list_read(sched_t *s, int64_t now_ms);
 /* No tasks are started on the workers of an evacuated zone. */
 void sched_set_zone_evacuated(
     sched_t *s, const char *zone, bool evacuated, int64_t now_ms);
--- a/sched/types.h
+++ b/sched/types.h
@@ -327,9 +327,8 @@
 	/* What placement looks at. */
 	const char *service, *zone, *rack; /* interned */
 	GPtrArray *labels;		   /* interned */
-	/* listed: in the platform's list; seen_in_list: since the last whole
-	 * read of the list. */
-	bool listed, seen_in_list, draining;
+	bool listed;			   /* in the platform's list */
+	bool draining;
 	bool zone_evacuated;
 	bool footprint_stored; /* a footprint row with this worker is stored */
 	/* A process of it was in use by earlier owners, perhaps another one. */
--- a/serve/cell_driver.c
+++ b/serve/cell_driver.c
@@ -367,14 +367,6 @@
 	platform_worker_clear(&w);
 }
 
-static void
-on_workers_loaded(void *ctx)
-{
-	cell_driver_t *c = ctx;
-
-	sched_worker_list_read(c->sched, node_now_ms(c->node));
-}
-
 static void
 on_jobs_synced(void *ctx, int64_t as_of_ms)
 {
@@ -423,7 +415,6 @@
 		.poll_gap_ms = WORKER_POLL_GAP_MS,
 		.rewritten = true,
 		.on_row = on_worker,
-		.on_loaded = on_workers_loaded,
 		.on_synced = on_workers_synced,
 		.ctx = c };
 	/* Rows of an ended job stay while its submission may be repeated. */
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -61,8 +61,7 @@
 	void (*on_row)(void *ctx, const store_row_t *row);
 	/*
 	 * The table was read whole.  If rewritten, rows that were handed over before
-	 * and no longer exist have been handed over as removed; else, rows not
-	 * handed to on_row don't exist.
+	 * and no longer exist have been handed over as removed.
 	 */
 	void (*on_loaded)(void *ctx);
 	/*
--- a/serve/table_watch.c
+++ b/serve/table_watch.c
@@ -130,6 +130,12 @@
 		call_free(c);
 }
 
+static GHashTable *
+key_set_new(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+}
+
 static void
 add_key(gpointer key, gpointer value, gpointer set)
 {
@@ -180,21 +186,25 @@
 	}
 }
 
-/* Hands over the removal of the rows that a whole read has not met. */
+/*
+ * Hands over the removal of the rows that a whole read has not met.  A callback may
+ * restart the watch.
+ */
 static void
 deliver_removals(table_watch_t *tw)
 {
+	g_autoptr(GHashTable) gone = tw->unread_keys;
 	GHashTableIter it;
 	void *key;
 
-	g_hash_table_iter_init(&it, tw->unread_keys);
+	tw->unread_keys = key_set_new();
+	g_hash_table_iter_init(&it, gone);
 	while (g_hash_table_iter_next(&it, &key, NULL)) {
 		store_row_t row = { .key = key, .version = tw->read_version };
 
 		g_hash_table_remove(tw->keys, key);
 		tw->opts.on_row(tw->opts.ctx, &row);
 	}
-	g_hash_table_remove_all(tw->unread_keys);
 }
 
 /*
@@ -349,9 +359,8 @@
 	table_watch_t *tw = g_new0(table_watch_t, 1);
 
 	tw->opts = *o;
-	tw->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	tw->unread_keys =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	tw->keys = key_set_new();
+	tw->unread_keys = key_set_new();
 	uv_timer_init(o->node->loop, &tw->feed_timer);
 	tw->feed_timer.data = tw;
 	g_ptr_array_add(o->node->watches, tw);
--- a/test/main/fuzz_cell.c
+++ b/test/main/fuzz_cell.c
@@ -407,8 +407,6 @@
 
 	if (chance(5))
 		sched_worker_left(c->s, w.id, c->now_ms);
-	else if (chance(5))
-		sched_worker_list_read(c->s, c->now_ms);
 	else
 		sched_worker_listed(c->s, &w, c->now_ms);
 }
--- a/test/main/fuzz_platform.c
+++ b/test/main/fuzz_platform.c
@@ -643,7 +643,6 @@
 		    f->sched, SCHED_WRITE_OK, ++f->version, f->now_ms);
 	} else if (f->loading) {
 		f->loading = false;
-		sched_worker_list_read(f->sched, f->now_ms);
 		sched_load_done(f->sched, f->now_ms);
 	} else if (f->writing) {
 		f->writing = false;
--- a/test/model/state.c
+++ b/test/model/state.c
@@ -113,11 +113,10 @@
     const state_tasks_t *tasks)
 {
 	const sim_worker_t *sim = worker_by_id(w, wk->id);
-	const bool flags[] = { wk->listed, wk->seen_in_list, wk->draining,
-		wk->footprint_stored, wk->used_before, wk->has_answered,
-		wk->ended_cut, wk->silent, wk->suspect, wk->poll_soon,
-		wk->poll_without_wait, wk->poll_unanswered, wk->poll_id != 0,
-		wk->lost_runs != NULL };
+	const bool flags[] = { wk->listed, wk->draining, wk->footprint_stored,
+		wk->used_before, wk->has_answered, wk->ended_cut, wk->silent,
+		wk->suspect, wk->poll_soon, wk->poll_without_wait,
+		wk->poll_unanswered, wk->poll_id != 0, wk->lost_runs != NULL };
 	int64_t bits = 0;
 
 	if (sim == NULL)
