Tables: the answer that ends a gap is used, not asked for again

The first answer after a gap makes the watches call again, and so dropped itself when it was the read of the operators' table: two reads in place of one. unit table_watch catching_up_costs_one_value_a_key counts them: 2 before, 1.

--- a/serve/table_watch.c
+++ b/serve/table_watch.c
@@ -55,6 +55,7 @@
 	int64_t read_began_ms;	   /* the last whole read */
 	int32_t unread_partitions; /* partitions that are not read whole yet */
 	int32_t failures;	   /* of calls, since the last answer */
+	bool answering;		   /* an answer to a call of it is handled */
 	bool behind; /* what the last answer of the feed told was late */
 	uv_timer_t feed_timer;
 	/* If opts.rewritten: the keys handed over, not removed since. */
@@ -246,13 +247,27 @@
 		read_changes(tw);
 }
 
+/*
+ * Records an answer.  If it is the first one after a gap, the other watches call
+ * again, but not this one, which has just been answered.
+ */
+static void
+record_answer(const watch_call_t *c, store_result_t r, const store_answer_t *a)
+{
+	table_watch_t *tw = c->tw;
+
+	tw->answering = r == STORE_OK && c->generation == tw->generation;
+	node_record_store_answer(tw->opts.node, r, a);
+	tw->answering = false;
+}
+
 static void
 on_page(void *ctx, store_result_t r, const store_answer_t *a)
 {
 	watch_call_t *c = ctx;
 	table_watch_t *tw = c->tw;
 
-	node_record_store_answer(tw->opts.node, r, a);
+	record_answer(c, r, a);
 	if (c->generation != tw->generation) {
 		call_free(c);
 		return;
@@ -301,8 +316,8 @@
 	bool stale = c->generation != tw->generation;
 	int64_t sent_ms = c->sent_ms, now = node_now_ms(n), as_of_ms;
 
+	record_answer(c, r, a);
 	call_free(c);
-	node_record_store_answer(n, r, a);
 	if (stale)
 		return;
 	if (r == STORE_COMPACTED) {
@@ -391,7 +406,7 @@
 void
 table_watch_retry_now(table_watch_t *tw)
 {
-	if (tw->state == WATCH_OFF ||
+	if (tw->state == WATCH_OFF || tw->answering ||
 	    (tw->state == WATCH_READING && !tw->opts.rewritten))
 		return;
 	if (tw->opts.rewritten) {
--- a/test/unit/table_watch.c
+++ b/test/unit/table_watch.c
@@ -159,6 +159,7 @@
 	run_for(f, AWAY_MS);
 	f->handed = 0;
 	f->store.rows_sent = 0;
+	f->store.reads = 0;
 	f->store.away = false;
 }
 
@@ -180,6 +181,7 @@
 	cr_expect_leq(
 	    f.store.rows_sent, 2, "the store sent %zu rows", f.store.rows_sent);
 	cr_expect_leq(f.handed, 2, "%d rows were handed over", f.handed);
+	cr_expect_eq(f.store.reads, 1, "read %d times", f.store.reads);
 	cr_expect_str_eq(handed_value(&f, "evacuate/z"), "", "still out");
 }
 
