Tables: short time-outs, as a lost answer makes tables old

With answers of the store lost, the operators' tables became old after one lost answer where config_ms is 2,000: the feed was waited for 1.5 s, the bound there. The feed's long poll is half of the bound at most, and calls that get no answer are given up after 0.3 to 0.4 s.

--- a/serve/node.c
+++ b/serve/node.c
@@ -48,6 +48,8 @@
  * that are younger than the bound by this: for its way and its queues.
  */
 #define TABLES_MARGIN_MS 500
+/* Of the operators' feed, so that tables become old only after several calls. */
+#define OPERATORS_LONG_POLL_MAX_MS 1000
 /*
  * A graceful stop serves on for so long before it closes connections: two
  * failed probes, after which the balancer sends no more requests, and a margin.
@@ -82,12 +84,18 @@
 	    INT64_MAX;
 }
 
+/* Tables that are older count as old. */
+static int32_t
+tables_age_max_ms(const node_t *n)
+{
+	return n->opts.config_ms - TABLES_MARGIN_MS;
+}
+
 bool
 node_tables_old(const node_t *n)
 {
 	return n->config == NULL ||
-	    node_now_ms(n) - n->operators_as_of_ms >
-	    n->opts.config_ms - TABLES_MARGIN_MS;
+	    node_now_ms(n) - n->operators_as_of_ms > tables_age_max_ms(n);
 }
 
 bool
@@ -403,6 +411,8 @@
 		.table = platform_operator_table,
 		.partition = "",
 		.poll_gap_ms = OPERATOR_POLL_GAP_MS,
+		.long_poll_ms =
+		    MIN(OPERATORS_LONG_POLL_MAX_MS, tables_age_max_ms(n) / 2),
 		.rewritten = true,
 		.on_row = on_operator_row,
 		.on_synced = on_operators_synced,
--- a/serve/table_watch.c
+++ b/serve/table_watch.c
@@ -29,13 +29,12 @@
 #include "serve.h"
 
 #define PAGE_ROWS 500 /* the most that the store returns */
-/* Until a page begins to arrive: doubled after each failure, as the store may
- * be slow or lose answers. */
-#define READ_TIMEOUT_MS	    500
+/* Until a page begins to arrive; doubled after each failure, up to the second. */
+#define READ_TIMEOUT_MS	    300
 #define READ_TIMEOUT_MAX_MS 2000
 #define STALL_MS	    1000 /* between parts of an answer */
 #define LONG_POLL_MS	    1000 /* the default of long_poll_ms */
-#define FEED_SLACK_MS	    500	 /* a feed's timeout beyond its long poll */
+#define FEED_SLACK_MS	    400	 /* a feed's timeout beyond its long poll */
 #define RETRY_GAP_MS	    120	 /* after a failed call */
 #define BEHIND_MS	    500	 /* what is older when handed over is late */
 
