Tables: tests of slow and forgetful stores, red

A watch that reads from a store or over a link that takes 0.9 s for an answer never has the table: the answer that ends the gap is dropped and the table read anew. The age of what was read counts from the first call of the read, also where a later one was answered (1,739 ms in place of under 500). A store that forgets its history at once is called without a pause (7,792 reads in 1 s). The feed of a store that takes 0.6 s fails each time (5 whole reads in 8 s). The store of the tests answers polls at their end, and may be slow.

--- a/test/unit/store_fixture.c
+++ b/test/unit/store_fixture.c
@@ -29,6 +29,13 @@
 	int64_t version;
 } change_t;
 
+/* A call that is handled, or a poll that is over, after a time. */
+typedef struct {
+	store_fixture_t *store;
+	server_req_t *req;
+	uv_timer_t timer;
+} later_t;
+
 static json_t *
 change_json(const change_t *c)
 {
@@ -77,6 +84,36 @@
 	return rows;
 }
 
+static void
+on_later_closed(uv_handle_t *h)
+{
+	g_free(h->data);
+}
+
+static void
+handle_later(
+    store_fixture_t *f, server_req_t *r, int64_t ms, uv_timer_cb handle)
+{
+	later_t *l = g_new0(later_t, 1);
+
+	l->store = f;
+	l->req = r;
+	uv_timer_init(f->loop, &l->timer);
+	l->timer.data = l;
+	uv_timer_start(&l->timer, handle, (uint64_t)ms, 0);
+}
+
+/* A call of the feed is answered at the end of its wait_ms. */
+static void
+on_poll_over(uv_timer_t *t)
+{
+	later_t *l = t->data;
+
+	if (!l->store->away && g_ptr_array_remove(l->store->held, l->req))
+		reply(l->store, l->req, 200, json_array());
+	uv_close((uv_handle_t *)t, on_later_closed);
+}
+
 /* Answers a call of the feed, or holds it if there is no change. */
 static void
 answer_feed(store_fixture_t *f, server_req_t *r)
@@ -85,12 +122,17 @@
 	int64_t after = g_ascii_strtoll(at + strlen("after="), NULL, 10);
 	json_t *rows;
 
-	if (after < f->kept_from) {
+	if (after < f->kept_from || f->forgets) {
 		reply(f, r, 410, json_array());
 		return;
 	}
 	if (after >= f->version) {
+		const char *wait = strstr(r->path, "wait_ms=");
+
 		g_ptr_array_add(f->held, r);
+		handle_later(f, r,
+		    g_ascii_strtoll(wait + strlen("wait_ms="), NULL, 10),
+		    on_poll_over);
 		return;
 	}
 	rows = json_array();
@@ -104,13 +146,10 @@
 }
 
 static void
-on_request(void *ctx, server_req_t *r)
+handle(store_fixture_t *f, server_req_t *r)
 {
-	store_fixture_t *f = ctx;
 	bool feed = strstr(r->path, "rows-feed") != NULL;
 
-	f->feeds += feed;
-	f->reads += !feed;
 	if (f->away)
 		g_ptr_array_add(f->held, r);
 	else if (feed)
@@ -119,6 +158,29 @@
 		reply(f, r, 200, present_rows(f));
 }
 
+static void
+on_slow(uv_timer_t *t)
+{
+	later_t *l = t->data;
+
+	handle(l->store, l->req);
+	uv_close((uv_handle_t *)t, on_later_closed);
+}
+
+static void
+on_request(void *ctx, server_req_t *r)
+{
+	store_fixture_t *f = ctx;
+	bool feed = strstr(r->path, "rows-feed") != NULL;
+
+	f->feeds += feed;
+	f->reads += !feed;
+	if (f->slow_ms > 0)
+		handle_later(f, r, f->slow_ms, on_slow);
+	else
+		handle(f, r);
+}
+
 void
 store_fixture_init(store_fixture_t *f, uv_loop_t *loop)
 {
@@ -128,6 +190,7 @@
 		.on_request = on_request,
 		.ctx = f };
 
+	f->loop = loop;
 	f->history = g_ptr_array_new();
 	f->held = g_ptr_array_new();
 	for (o.port = FIRST_PORT; f->server == NULL; o.port++) {
--- a/test/unit/store_fixture.h
+++ b/test/unit/store_fixture.h
@@ -8,12 +8,15 @@
 #define STORE_FIXTURE_H
 
 typedef struct {
+	uv_loop_t *loop;
 	server_t *server;
 	char *address;	    /* ip:port */
 	GPtrArray *history; /* of changes, oldest first */
 	int64_t version;    /* of the last change */
 	int64_t kept_from;  /* changes of lower versions are forgotten */
 	bool away;	    /* it answers no call */
+	bool forgets;	    /* it never has the history that is asked for */
+	int32_t slow_ms;    /* each call is handled so much later */
 	GPtrArray *held;    /* of server_req_t, not answered */
 	int reads, feeds;   /* calls so far */
 	size_t rows_sent;   /* in all answers so far */
--- a/test/unit/table_watch.c
+++ b/test/unit/table_watch.c
@@ -121,6 +121,16 @@
 	uv_run(&f->loop, UV_RUN_NOWAIT);
 }
 
+/* Runs for a time in which other calls to the store are answered. */
+static void
+run_beside_answers(fixture_t *f, int32_t ms)
+{
+	for (int32_t i = 0; i < ms / 10; i++) {
+		run_for(f, 10);
+		f->node.store_answered_ms = node_now_ms(&f->node);
+	}
+}
+
 /* Runs until the value of a key is this one; returns how long it took. */
 static int64_t
 run_until_value(fixture_t *f, const char *key, const char *text)
@@ -223,3 +233,74 @@
 	cr_expect_str_eq(handed_value(&f, "config"), "v6");
 	cr_expect_eq(f.handed, 1, "%d rows were handed over", f.handed);
 }
+
+/*
+ * Guards against tables that are never read: the answer that ended a gap was dropped,
+ * and the table read anew, for which a slow store or link took as long again.
+ */
+Test(table_watch, a_slow_store_is_read, .timeout = 20)
+{
+	fixture_t f = { 0 };
+
+	fixture_init(&f);
+	put_numbered(&f, 0);
+	f.store.slow_ms = 950;
+	table_watch_start(f.watch);
+	run_until_value(&f, "config", "v0");
+	cr_expect_str_eq(handed_value(&f, "config"), "v0");
+}
+
+/*
+ * Guards against tables that count as old though they have just come: their age was
+ * counted from the first call of a read, also where the second was answered.
+ */
+Test(table_watch, tables_are_as_old_as_the_answer, .timeout = 20)
+{
+	fixture_t f = { 0 };
+	int64_t age_ms;
+
+	fixture_init(&f);
+	put_numbered(&f, 0);
+	f.store.away = true;
+	table_watch_start(f.watch);
+	run_beside_answers(&f, 1300);
+	f.store.away = false;
+	for (int i = 0; i < 100 && f.as_of_ms == 0; i++)
+		run_beside_answers(&f, 10);
+	age_ms = node_now_ms(&f.node) - f.as_of_ms;
+	cr_expect_lt(age_ms, 500, "%d ms old", (int)age_ms);
+}
+
+/*
+ * Guards against calls at full speed: a store that forgets its history at once was
+ * asked for the table and the feed in turn without a pause.
+ */
+Test(table_watch, a_store_that_forgets_at_once, .timeout = 20)
+{
+	fixture_t f = { 0 };
+
+	fixture_init(&f);
+	put_numbered(&f, 0);
+	f.store.forgets = true;
+	table_watch_start(f.watch);
+	run_beside_answers(&f, 1000);
+	cr_expect_leq(f.store.reads, 12, "%d reads in 1 s", f.store.reads);
+	cr_expect_geq(f.store.reads, 3);
+}
+
+/*
+ * Guards against a table that is read whole again and again: a store that takes longer
+ * than the slack of a poll failed each call of the feed.
+ */
+Test(table_watch, the_feed_of_a_slow_store, .timeout = 20)
+{
+	fixture_t f = { 0 };
+
+	fixture_init(&f);
+	put_numbered(&f, 0);
+	f.store.slow_ms = 600;
+	table_watch_start(f.watch);
+	run_beside_answers(&f, 8000);
+	cr_expect_leq(f.store.reads, 4, "%d whole reads", f.store.reads);
+	cr_expect_geq(f.store.feeds, 3);
+}
