Tables: the answer that ends a gap is used

Cause: an answer after a gap of 0.9 s made the watch read the table anew, also where it was a page of that table, which was dropped. Over a link or from a store that takes 0.9 s for a page this went on without end. A read whose page has just come goes on. table_watch/a_slow_store_is_read: no table in 3 s before, passes after.

--- a/serve/table_watch.c
+++ b/serve/table_watch.c
@@ -55,7 +55,8 @@
 	int64_t read_began_ms;	   /* the last whole read */
 	int32_t unread_partitions; /* partitions that are not read whole yet */
 	int32_t failures;	   /* of calls, since the last answer */
-	bool behind; /* what the last answer of the feed told was late */
+	bool behind;   /* what the last answer of the feed told was late */
+	bool answered; /* a page of the read in progress has just come */
 	uv_timer_t feed_timer;
 	/* If opts.rewritten: the keys handed over, not removed since. */
 	GHashTable *keys;
@@ -242,7 +243,9 @@
 	watch_call_t *c = ctx;
 	table_watch_t *tw = c->tw;
 
+	tw->answered = r == STORE_OK && c->generation == tw->generation;
 	node_record_store_answer(tw->opts.node, r, a);
+	tw->answered = false;
 	if (c->generation != tw->generation) {
 		call_free(c);
 		return;
@@ -382,8 +385,10 @@
 void
 table_watch_retry_now(table_watch_t *tw)
 {
+	/* A read whose answers come goes on: another would take as long again. */
 	if (tw->state == WATCH_OFF ||
-	    (tw->state == WATCH_READING && !tw->opts.rewritten))
+	    (tw->state == WATCH_READING &&
+		(tw->answered || !tw->opts.rewritten)))
 		return;
 	if (tw->opts.rewritten) {
 		read_table(tw);
