Tables: what was read is as old as the oldest page

Cause: the age of a table that was read whole counted from the first call of the read, so that after calls that failed, or pages before, it was old on arrival and callers waited on for the next answer of the feed, 1 s later.

--- a/serve/table_watch.c
+++ b/serve/table_watch.c
@@ -52,7 +52,7 @@
 	int64_t version; /* up to which changes were handed over */
 	/* The lowest version of the pages read; the feed starts from it. */
 	int64_t read_version;
-	int64_t read_began_ms;	   /* the last whole read */
+	int64_t read_as_of_ms;	   /* the oldest of the pages read */
 	int32_t unread_partitions; /* partitions that are not read whole yet */
 	int32_t failures;	   /* of calls, since the last answer */
 	bool behind;   /* what the last answer of the feed told was late */
@@ -68,8 +68,8 @@
 	table_watch_t *tw;
 	uint64_t generation;
 	char partition[STORE_NAME_BYTES];
-	char *next;	 /* first key of the next page */
-	int64_t sent_ms; /* of a call of the feed */
+	char *next; /* first key of the next page */
+	int64_t sent_ms;
 	uv_timer_t retry;
 } watch_call_t;
 
@@ -149,7 +149,7 @@
 	g_hash_table_remove_all(tw->unread_keys);
 	g_hash_table_foreach(tw->keys, add_key, tw->unread_keys);
 	tw->read_version = INT64_MAX;
-	tw->read_began_ms = node_now_ms(tw->opts.node);
+	tw->read_as_of_ms = INT64_MAX;
 	tw->unread_partitions = MAX(1, tw->opts.partitions);
 	for (int32_t i = 0; i < tw->unread_partitions; i++) {
 		char partition[STORE_NAME_BYTES];
@@ -229,7 +229,7 @@
 	tw->state = tw->opts.read_once ? WATCH_OFF : WATCH_FEEDING;
 	deliver_removals(tw);
 	if (tw->opts.on_synced != NULL)
-		tw->opts.on_synced(tw->opts.ctx, tw->read_began_ms);
+		tw->opts.on_synced(tw->opts.ctx, tw->read_as_of_ms);
 	if (tw->opts.on_loaded != NULL)
 		tw->opts.on_loaded(tw->opts.ctx);
 	/* The callbacks may have stopped or restarted the watch. */
@@ -242,6 +242,7 @@
 {
 	watch_call_t *c = ctx;
 	table_watch_t *tw = c->tw;
+	int64_t as_of_ms;
 
 	tw->answered = r == STORE_OK && c->generation == tw->generation;
 	node_record_store_answer(tw->opts.node, r, a);
@@ -257,6 +258,9 @@
 	}
 	tw->failures = 0;
 	tw->read_version = MIN(tw->read_version, a->version);
+	as_of_ms = store_clock_local(&tw->opts.node->store_clock, a->clock_ms,
+	    c->sent_ms, node_now_ms(tw->opts.node));
+	tw->read_as_of_ms = MIN(tw->read_as_of_ms, as_of_ms);
 	deliver_rows(tw, a);
 	if (a->has_more && a->nrows > 0) {
 		/* The next page starts just after the last key. */
@@ -282,6 +286,7 @@
 		    READ_TIMEOUT_MS << CLAMP(tw->failures, 0, 4)),
 		.stall_ms = STALL_MS };
 
+	c->sent_ms = node_now_ms(tw->opts.node);
 	store_scan(tw->opts.node->platform, &scan, on_page, c);
 }
 
