--- a/test/unit/table_watch.c
+++ b/test/unit/table_watch.c
@@ -303,6 +303,6 @@
 	f.store.slow_ms = 600;
 	table_watch_start(f.watch);
 	run_beside_answers(&f, 8000);
-	cr_expect_leq(f.store.reads, 4, "%d whole reads", f.store.reads);
+	cr_expect_leq(f.store.reads, 3, "%d whole reads", f.store.reads);
 	cr_expect_geq(f.store.feeds, 3);
 }
