Tables: a store that forgets at once is called with a pause

Cause: after a 410 the table was read anew at once and the feed asked at once, so that a store which drops its history sooner than a round trip was called at full speed, by each watch.

--- a/serve/table_watch.c
+++ b/serve/table_watch.c
@@ -55,8 +55,10 @@
 	int64_t read_as_of_ms;	   /* the oldest of the pages read */
 	int32_t unread_partitions; /* partitions that are not read whole yet */
 	int32_t failures;	   /* of calls, since the last answer */
-	bool behind;   /* what the last answer of the feed told was late */
-	bool answered; /* a page of the read in progress has just come */
+	bool behind;	/* what the last answer of the feed told was late */
+	bool compacted; /* the store had not the history that was asked for */
+	int32_t resets; /* times that it had not, since it last had */
+	bool answered;	/* a page of the read in progress has just come */
 	uv_timer_t feed_timer;
 	/* If opts.rewritten: the keys handed over, not removed since. */
 	GHashTable *keys;
@@ -144,7 +146,7 @@
 {
 	tw->generation++;
 	tw->state = WATCH_READING;
-	tw->behind = false;
+	tw->behind = tw->compacted = false;
 	uv_timer_stop(&tw->feed_timer);
 	g_hash_table_remove_all(tw->unread_keys);
 	g_hash_table_foreach(tw->keys, add_key, tw->unread_keys);
@@ -306,7 +308,9 @@
 	if (r == STORE_COMPACTED) {
 		log_event(EVT_FEED_RESET, "table=%s version=%" PRId64,
 		    tw->opts.table, tw->version);
-		read_table(tw);
+		/* A store that forgets at once is not called without a pause. */
+		read_changes_later(tw, tw->resets++ > 0 ? RETRY_GAP_MS : 0);
+		tw->compacted = true;
 		return;
 	}
 	if (r != STORE_OK) {
@@ -315,6 +319,7 @@
 		return;
 	}
 	tw->failures = 0;
+	tw->resets = 0;
 	tw->version = MAX(tw->version, a->version);
 	as_of_ms =
 	    store_clock_local(&n->store_clock, a->clock_ms, sent_ms, now);
@@ -342,7 +347,8 @@
 		.stall_ms = STALL_MS };
 	watch_call_t *c;
 
-	if (tw->opts.rewritten && (tw->behind || tw->failures > 0)) {
+	if (tw->compacted ||
+	    (tw->opts.rewritten && (tw->behind || tw->failures > 0))) {
 		read_table(tw);
 		return;
 	}
