Tables: the time for a call follows the time of the last answer

Cause: the slack of a poll was 0.5 s whatever the store took before, and the time for a page began at 0.5 s again after each answer. A store that takes 0.6 s failed each call of the feed, so that the table was read whole again and again; the jobs' feed, which is not replaced by a read, never answered.

--- a/serve/table_watch.c
+++ b/serve/table_watch.c
@@ -29,13 +29,16 @@
 #include "serve.h"
 
 #define PAGE_ROWS 500 /* the most that the store returns */
-/* Until a page begins to arrive: doubled after each failure, as the store may
- * be slow or lose answers. */
+/*
+ * Until an answer begins to arrive: doubled after each failure, as the store may
+ * be slow or lose answers, and at least twice the time of the last answer.
+ */
 #define READ_TIMEOUT_MS	    500
 #define READ_TIMEOUT_MAX_MS 2000
+#define READ_DOUBLINGS	    2
 #define STALL_MS	    1000 /* between parts of an answer */
 #define LONG_POLL_MS	    1000 /* the default of long_poll_ms */
-#define FEED_SLACK_MS	    500	 /* a feed's timeout beyond its long poll */
+#define FEED_DOUBLINGS	    1	 /* a longer wait would hide lost answers */
 #define RETRY_GAP_MS	    120	 /* after a failed call */
 #define BEHIND_MS	    500	 /* what is older when handed over is late */
 
@@ -55,10 +58,11 @@
 	int64_t read_as_of_ms;	   /* the oldest of the pages read */
 	int32_t unread_partitions; /* partitions that are not read whole yet */
 	int32_t failures;	   /* of calls, since the last answer */
-	bool behind;	/* what the last answer of the feed told was late */
-	bool compacted; /* the store had not the history that was asked for */
-	int32_t resets; /* times that it had not, since it last had */
-	bool answered;	/* a page of the read in progress has just come */
+	int32_t took_ms; /* of the last answer, beyond a wait for a change */
+	bool behind;	 /* what the last answer of the feed told was late */
+	bool compacted;	 /* the store had not the history that was asked for */
+	int32_t resets;	 /* times that it had not, since it last had */
+	bool answered;	 /* a page of the read in progress has just come */
 	uv_timer_t feed_timer;
 	/* If opts.rewritten: the keys handed over, not removed since. */
 	GHashTable *keys;
@@ -140,6 +144,22 @@
 	g_hash_table_add(set, g_strdup(key));
 }
 
+/* The time until an answer begins to arrive, at most so often doubled. */
+static int32_t
+answer_timeout_ms(const table_watch_t *tw, int32_t doublings)
+{
+	int32_t ms = READ_TIMEOUT_MS << CLAMP(tw->failures, 0, doublings);
+
+	return MIN(READ_TIMEOUT_MAX_MS, MAX(ms, 2 * tw->took_ms));
+}
+
+static void
+note_answer(table_watch_t *tw, int64_t took_ms)
+{
+	tw->failures = 0;
+	tw->took_ms = (int32_t)CLAMP(took_ms, 0, READ_TIMEOUT_MAX_MS);
+}
+
 /* Starts to read all partitions of the table from their first row. */
 static void
 read_table(table_watch_t *tw)
@@ -258,7 +278,7 @@
 		uv_timer_start(&c->retry, on_retry, RETRY_GAP_MS, 0);
 		return;
 	}
-	tw->failures = 0;
+	note_answer(tw, node_now_ms(tw->opts.node) - c->sent_ms);
 	tw->read_version = MIN(tw->read_version, a->version);
 	as_of_ms = store_clock_local(&tw->opts.node->store_clock, a->clock_ms,
 	    c->sent_ms, node_now_ms(tw->opts.node));
@@ -284,14 +304,20 @@
 		.partition = c->partition,
 		.from = c->next,
 		.limit = PAGE_ROWS,
-		.timeout_ms = MIN(READ_TIMEOUT_MAX_MS,
-		    READ_TIMEOUT_MS << CLAMP(tw->failures, 0, 4)),
+		.timeout_ms = answer_timeout_ms(tw, READ_DOUBLINGS),
 		.stall_ms = STALL_MS };
 
 	c->sent_ms = node_now_ms(tw->opts.node);
 	store_scan(tw->opts.node->platform, &scan, on_page, c);
 }
 
+static int32_t
+long_poll_ms(const table_watch_t *tw)
+{
+	return tw->opts.long_poll_ms == 0 ? LONG_POLL_MS :
+					    tw->opts.long_poll_ms;
+}
+
 static void
 on_changes(void *ctx, store_result_t r, const store_answer_t *a)
 {
@@ -318,7 +344,9 @@
 		read_changes_later(tw, RETRY_GAP_MS);
 		return;
 	}
-	tw->failures = 0;
+	/* An answer with rows has waited for a change, who knows how long. */
+	note_answer(
+	    tw, a->nrows > 0 ? tw->took_ms : now - sent_ms - long_poll_ms(tw));
 	tw->resets = 0;
 	tw->version = MAX(tw->version, a->version);
 	as_of_ms =
@@ -338,12 +366,11 @@
 static void
 read_changes(table_watch_t *tw)
 {
-	int32_t wait_ms =
-	    tw->opts.long_poll_ms == 0 ? LONG_POLL_MS : tw->opts.long_poll_ms;
+	int32_t wait_ms = long_poll_ms(tw);
 	store_feed_t feed = { .table = tw->opts.table,
 		.after_version = tw->version,
 		.wait_ms = wait_ms,
-		.timeout_ms = wait_ms + FEED_SLACK_MS,
+		.timeout_ms = wait_ms + answer_timeout_ms(tw, FEED_DOUBLINGS),
 		.stall_ms = STALL_MS };
 	watch_call_t *c;
 
