--- a/test/unit/stale_tables.c
+++ b/test/unit/stale_tables.c
@@ -192,7 +192,8 @@
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		platform_config_t cfg = { 0 };
+		platform_config_t cfg = { .customers = g_array_new(FALSE, FALSE,
+					      sizeof(sched_customer_t)) };
 		node_t n = { .config = cases[i].config ? &cfg : NULL,
 			.store_lost = cases[i].store_lost,
 			.stopping = cases[i].stopping };
@@ -202,3 +203,27 @@
 		cr_expect_eq(node_is_ready(&n), cases[i].ready, "case %zu", i);
 	}
 }
+
+/*
+ * Guards against callers with valid keys that are refused although they could wait:
+ * tables that are too old to check a key did not count as old.
+ */
+Test(stale_tables, tables_too_old_for_keys_are_old)
+{
+	static const int64_t configs_ms[] = { 2000, 3000, 4000, 60000 };
+	platform_config_t cfg = { .customers = g_array_new(
+				      FALSE, TRUE, sizeof(sched_customer_t)) };
+
+	g_array_set_size(cfg.customers, 1);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(configs_ms); i++) {
+		node_t n = { .config = &cfg };
+
+		n.opts.config_ms = (int32_t)configs_ms[i];
+		n.operators_as_of_ms =
+		    node_now_ms(&n) - AUTH_TABLE_AGE_MAX_MS - 100;
+		cr_expect(
+		    node_tables_old(&n), "config-ms %d", (int)configs_ms[i]);
+		cr_expect(!node_is_ready(&n));
+	}
+}
