Tables: those that are too old to check keys count as old

Cause: two bounds for the age of one copy. Only where there are customers. stale_tables/tables_too_old_for_keys_are_old: red before, passes after.

--- a/serve/node.c
+++ b/serve/node.c
@@ -85,9 +85,14 @@
 bool
 node_tables_old(const node_t *n)
 {
-	return n->config == NULL ||
-	    node_now_ms(n) - n->operators_as_of_ms >
-	    n->opts.config_ms - TABLES_MARGIN_MS;
+	int64_t limit_ms = n->opts.config_ms - TABLES_MARGIN_MS;
+
+	if (n->config == NULL)
+		return true;
+	/* By older ones no key is checked. */
+	if (n->config->customers->len > 0)
+		limit_ms = MIN(limit_ms, AUTH_TABLE_AGE_MAX_MS);
+	return node_now_ms(n) - n->operators_as_of_ms > limit_ms;
 }
 
 bool
