Calls: a test of answers that go on after a short pause, red

backend/slow_answers failed once in a whole run of the unit tests beside busy processes ("slow, and allowed to be"). The trace: a pause of this process that ends within 50 ms after a call's time does not count as one, so that the call is given up with the next part of its answer unread. With a pause of 190 ms in the test it fails each time.

--- a/test/unit/backend.c
+++ b/test/unit/backend.c
@@ -455,6 +455,7 @@
 typedef struct {
 	fixture_t *f;
 	const char *at;
+	int pause_ms; /* in which this process stands still; once */
 } slow_answer_t;
 
 static void
@@ -465,6 +466,11 @@
 
 	if (s->f->last == NULL || *s->at == '\0')
 		return;
+	if (s->pause_ms > 0 && *s->at == '\r') {
+		g_usleep((gulong)s->pause_ms * 1000);
+		s->pause_ms = 0;
+		return;
+	}
 	uv_try_write(s->f->last, &out, 1);
 	s->at++;
 }
@@ -480,16 +486,19 @@
 		const char *name;
 		int gap_ms, stall_ms;
 		ts_outcome_t want;
+		int pause_ms;
 	} list[] = {
-		{ "in time", 1, 0, TS_OUTCOME_ANSWERED },
-		{ "slow", 30, 0, TS_OUTCOME_UNKNOWN },
-		{ "slow, and allowed to be", 30, 200, TS_OUTCOME_ANSWERED },
-		{ "stands still", 400, 200, TS_OUTCOME_UNKNOWN },
+		{ "in time", 1, 0, TS_OUTCOME_ANSWERED, 0 },
+		{ "slow", 30, 0, TS_OUTCOME_UNKNOWN, 0 },
+		{ "slow, and allowed to be", 30, 200, TS_OUTCOME_ANSWERED, 0 },
+		{ "stands still", 400, 200, TS_OUTCOME_UNKNOWN, 0 },
+		{ "a short pause", 30, 200, TS_OUTCOME_ANSWERED, 190 },
+		{ "a long pause", 30, 200, TS_OUTCOME_ANSWERED, 600 },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(list); i++) {
 		fixture_t f = { .server_case = &cases[13] };
-		slow_answer_t s = { &f, answer };
+		slow_answer_t s = { &f, answer, list[i].pause_ms };
 		backend_call_t call = { .ip = "127.0.0.1",
 			.max_conns = 8,
 			.method = "GET",
