--- a/serve/node.c
+++ b/serve/node.c
@@ -88,7 +88,11 @@
 static int32_t
 tables_age_max_ms(const node_t *n)
 {
-	return n->opts.config_ms - TABLES_MARGIN_MS;
+	int32_t ms = n->opts.config_ms - TABLES_MARGIN_MS;
+	bool has_keys = n->config != NULL && n->config->customers->len > 0;
+
+	/* By older ones no key is checked. */
+	return has_keys ? MIN(ms, AUTH_TABLE_AGE_MAX_MS) : ms;
 }
 
 bool
--- a/serve/table_watch.c
+++ b/serve/table_watch.c
@@ -29,12 +29,16 @@
 #include "serve.h"
 
 #define PAGE_ROWS 500 /* the most that the store returns */
-/* Until a page begins to arrive; doubled after each failure, up to the second. */
+/*
+ * Until an answer begins to arrive: doubled after each failure, as the store may
+ * be slow or lose answers, and at least twice the time of the last answer.
+ */
 #define READ_TIMEOUT_MS	    300
 #define READ_TIMEOUT_MAX_MS 2000
+#define READ_DOUBLINGS	    2
 #define STALL_MS	    1000 /* between parts of an answer */
 #define LONG_POLL_MS	    1000 /* the default of long_poll_ms */
-#define FEED_SLACK_MS	    400	 /* a feed's timeout beyond its long poll */
+#define FEED_DOUBLINGS	    1	 /* a longer wait would hide lost answers */
 #define RETRY_GAP_MS	    120	 /* after a failed call */
 #define BEHIND_MS	    500	 /* what is older when handed over is late */
 
@@ -51,11 +55,14 @@
 	int64_t version; /* up to which changes were handed over */
 	/* The lowest version of the pages read; the feed starts from it. */
 	int64_t read_version;
-	int64_t read_began_ms;	   /* the last whole read */
+	int64_t read_as_of_ms;	   /* the oldest of the pages read */
 	int32_t unread_partitions; /* partitions that are not read whole yet */
 	int32_t failures;	   /* of calls, since the last answer */
 	bool answering;		   /* an answer to a call of it is handled */
-	bool behind; /* what the last answer of the feed told was late */
+	int32_t took_ms; /* of the last answer, beyond a wait for a change */
+	bool behind;	 /* what the last answer of the feed told was late */
+	bool compacted;	 /* the store had not the history that was asked for */
+	int32_t resets;	 /* times that it had not, since it last had */
 	uv_timer_t feed_timer;
 	/* If opts.rewritten: the keys handed over, not removed since. */
 	GHashTable *keys;
@@ -67,8 +74,8 @@
 	table_watch_t *tw;
 	uint64_t generation;
 	char partition[STORE_NAME_BYTES];
-	char *next;	 /* first key of the next page */
-	int64_t sent_ms; /* of a call of the feed */
+	char *next; /* first key of the next page */
+	int64_t sent_ms;
 	uv_timer_t retry;
 } watch_call_t;
 
@@ -143,18 +150,34 @@
 	g_hash_table_add(set, g_strdup(key));
 }
 
+/* The time until an answer begins to arrive, at most so often doubled. */
+static int32_t
+answer_timeout_ms(const table_watch_t *tw, int32_t doublings)
+{
+	int32_t ms = READ_TIMEOUT_MS << CLAMP(tw->failures, 0, doublings);
+
+	return MIN(READ_TIMEOUT_MAX_MS, MAX(ms, 2 * tw->took_ms));
+}
+
+static void
+note_answer(table_watch_t *tw, int64_t took_ms)
+{
+	tw->failures = 0;
+	tw->took_ms = (int32_t)CLAMP(took_ms, 0, READ_TIMEOUT_MAX_MS);
+}
+
 /* Starts to read all partitions of the table from their first row. */
 static void
 read_table(table_watch_t *tw)
 {
 	tw->generation++;
 	tw->state = WATCH_READING;
-	tw->behind = false;
+	tw->behind = tw->compacted = false;
 	uv_timer_stop(&tw->feed_timer);
 	g_hash_table_remove_all(tw->unread_keys);
 	g_hash_table_foreach(tw->keys, add_key, tw->unread_keys);
 	tw->read_version = INT64_MAX;
-	tw->read_began_ms = node_now_ms(tw->opts.node);
+	tw->read_as_of_ms = INT64_MAX;
 	tw->unread_partitions = MAX(1, tw->opts.partitions);
 	for (int32_t i = 0; i < tw->unread_partitions; i++) {
 		char partition[STORE_NAME_BYTES];
@@ -238,7 +261,7 @@
 	tw->state = tw->opts.read_once ? WATCH_OFF : WATCH_FEEDING;
 	deliver_removals(tw);
 	if (tw->opts.on_synced != NULL)
-		tw->opts.on_synced(tw->opts.ctx, tw->read_began_ms);
+		tw->opts.on_synced(tw->opts.ctx, tw->read_as_of_ms);
 	if (tw->opts.on_loaded != NULL)
 		tw->opts.on_loaded(tw->opts.ctx);
 	/* The callbacks may have stopped or restarted the watch. */
@@ -265,6 +288,7 @@
 {
 	watch_call_t *c = ctx;
 	table_watch_t *tw = c->tw;
+	int64_t as_of_ms;
 
 	record_answer(c, r, a);
 	if (c->generation != tw->generation) {
@@ -276,8 +300,11 @@
 		uv_timer_start(&c->retry, on_retry, RETRY_GAP_MS, 0);
 		return;
 	}
-	tw->failures = 0;
+	note_answer(tw, node_now_ms(tw->opts.node) - c->sent_ms);
 	tw->read_version = MIN(tw->read_version, a->version);
+	as_of_ms = store_clock_local(&tw->opts.node->store_clock, a->clock_ms,
+	    c->sent_ms, node_now_ms(tw->opts.node));
+	tw->read_as_of_ms = MIN(tw->read_as_of_ms, as_of_ms);
 	deliver_rows(tw, a);
 	if (a->has_more && a->nrows > 0) {
 		/* The next page starts just after the last key. */
@@ -299,13 +326,20 @@
 		.partition = c->partition,
 		.from = c->next,
 		.limit = PAGE_ROWS,
-		.timeout_ms = MIN(READ_TIMEOUT_MAX_MS,
-		    READ_TIMEOUT_MS << CLAMP(tw->failures, 0, 4)),
+		.timeout_ms = answer_timeout_ms(tw, READ_DOUBLINGS),
 		.stall_ms = STALL_MS };
 
+	c->sent_ms = node_now_ms(tw->opts.node);
 	store_scan(tw->opts.node->platform, &scan, on_page, c);
 }
 
+static int32_t
+long_poll_ms(const table_watch_t *tw)
+{
+	return tw->opts.long_poll_ms == 0 ? LONG_POLL_MS :
+					    tw->opts.long_poll_ms;
+}
+
 static void
 on_changes(void *ctx, store_result_t r, const store_answer_t *a)
 {
@@ -322,7 +356,9 @@
 	if (r == STORE_COMPACTED) {
 		log_event(EVT_FEED_RESET, "table=%s version=%" PRId64,
 		    tw->opts.table, tw->version);
-		read_table(tw);
+		/* A store that forgets at once is not called without a pause. */
+		read_changes_later(tw, tw->resets++ > 0 ? RETRY_GAP_MS : 0);
+		tw->compacted = true;
 		return;
 	}
 	if (r != STORE_OK) {
@@ -330,7 +366,10 @@
 		read_changes_later(tw, RETRY_GAP_MS);
 		return;
 	}
-	tw->failures = 0;
+	/* An answer with rows has waited for a change, who knows how long. */
+	note_answer(
+	    tw, a->nrows > 0 ? tw->took_ms : now - sent_ms - long_poll_ms(tw));
+	tw->resets = 0;
 	tw->version = MAX(tw->version, a->version);
 	as_of_ms =
 	    store_clock_local(&n->store_clock, a->clock_ms, sent_ms, now);
@@ -349,16 +388,16 @@
 static void
 read_changes(table_watch_t *tw)
 {
-	int32_t wait_ms =
-	    tw->opts.long_poll_ms == 0 ? LONG_POLL_MS : tw->opts.long_poll_ms;
+	int32_t wait_ms = long_poll_ms(tw);
 	store_feed_t feed = { .table = tw->opts.table,
 		.after_version = tw->version,
 		.wait_ms = wait_ms,
-		.timeout_ms = wait_ms + FEED_SLACK_MS,
+		.timeout_ms = wait_ms + answer_timeout_ms(tw, FEED_DOUBLINGS),
 		.stall_ms = STALL_MS };
 	watch_call_t *c;
 
-	if (tw->opts.rewritten && (tw->behind || tw->failures > 0)) {
+	if (tw->compacted ||
+	    (tw->opts.rewritten && (tw->behind || tw->failures > 0))) {
 		read_table(tw);
 		return;
 	}
