Queues: settings that did not change are not given again

Each setting looks at all jobs, so that this costs the product of both where the entry owns the cell.

Change: the driver keeps the settings as given, and gives those that differ.

--- a/serve/cell_driver.c
+++ b/serve/cell_driver.c
@@ -49,6 +49,7 @@
 	bool watching;		 /* since a load; until the cell is lost */
 	int64_t next_owner_poll_ms;
 	int64_t owner_row_version; /* as last read */
+	GHashTable *queues;	   /* name -> platform_queue_t, as set */
 	GHashTable *odd_workers;   /* key -> why, of odd entries; as logged */
 };
 
@@ -443,6 +444,8 @@
 	if (n->opts.approval_addr == NULL || n->opts.approval_addr[0] == '\0')
 		o.port.request_approval = NULL;
 	c->sched = sched_new(&o);
+	/* The names are interned, so equal ones have the same address. */
+	c->queues = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	c->odd_workers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	c->progress_watch = table_watch_new(&progress);
@@ -451,6 +454,22 @@
 	return c;
 }
 
+/* Whether the scheduler has these settings of a queue; notes them. */
+static bool
+has_settings(cell_driver_t *c, const platform_queue_t *q)
+{
+	const platform_queue_t *has = g_hash_table_lookup(c->queues, q->name);
+
+	if (has != NULL && has->service == q->service &&
+	    has->priority == q->priority &&
+	    has->max_attempts == q->max_attempts &&
+	    has->needs_approval == q->needs_approval)
+		return true;
+	g_hash_table_replace(
+	    c->queues, (void *)q->name, g_memdup2(q, sizeof(*q)));
+	return false;
+}
+
 void
 cell_driver_set_queues(cell_driver_t *c, const platform_config_t *cfg)
 {
@@ -458,6 +477,9 @@
 		const platform_queue_t *q =
 		    &g_array_index(cfg->queues, platform_queue_t, i);
 
+		/* A setting looks at each job. */
+		if (has_settings(c, q))
+			continue;
 		sched_set_queue(c->sched, q->name, q->service, q->priority,
 		    q->max_attempts, q->needs_approval, node_now_ms(c->node));
 	}
