Sched: the settings of all queues are passed in one call

A new configuration set its queues one call each. One call for all lets what a change costs be counted and bounded.

--- a/sched/sched.c
+++ b/sched/sched.c
@@ -263,30 +263,37 @@
 	s->feed_read_ms[feed] = MAX(s->feed_read_ms[feed], as_of_ms);
 }
 
-void
-sched_set_queue(sched_t *s, const char *queue, const char *service,
-    int32_t priority, int32_t max_attempts, bool needs_approval, int64_t now_ms)
+static void
+set_queue(sched_t *s, const sched_queue_t *settings)
 {
-	queue_t *q = queue_get(s, queue);
+	queue_t *q = queue_get(s, settings->name);
 	job_t *j;
 
-	s->now_ms = now_ms;
 	q->configured = true;
-	q->service = g_intern_string(service);
-	q->priority = priority;
-	q->max_attempts = max_attempts;
-	q->needs_approval = needs_approval;
+	q->service = g_intern_string(settings->service);
+	q->priority = settings->priority;
+	q->max_attempts = settings->max_attempts;
+	q->needs_approval = settings->needs_approval;
 	FOREACH_VALUE (j, s->jobs) {
 		if (j->queue != q)
 			continue;
 		j->service = q->service;
-		j->priority = priority;
-		j->max_attempts = max_attempts;
-		j->needs_approval = needs_approval;
+		j->priority = q->priority;
+		j->max_attempts = q->max_attempts;
+		j->needs_approval = q->needs_approval;
 	}
 	scan_begin_round(s);
 }
 
+void
+sched_set_queues(
+    sched_t *s, const sched_queue_t *list, size_t n, int64_t now_ms)
+{
+	s->now_ms = now_ms;
+	for (size_t i = 0; i < n; i++)
+		set_queue(s, &list[i]);
+}
+
 void
 sched_order_done(sched_t *s, uint64_t id, sched_order_result_t r,
     int64_t clock_ms, int64_t now_ms)
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -323,13 +323,19 @@
 void sched_feed_read(sched_t *s, sched_feed_t feed, int64_t as_of_ms);
 /* The store's steady clock, at most 900 ms less than it is. */
 void sched_store_clock_read(sched_t *s, int64_t store_ms, int64_t now_ms);
+/* The settings of a queue. */
+typedef struct {
+	const char *name;
+	const char *service;
+	int32_t priority, max_attempts;
+	bool needs_approval; /* the approval service must permit placements */
+} sched_queue_t;
 /*
- * A queue's settings, which also apply to its present jobs.  needs_approval:
- * the approval service must permit placements.
+ * The settings of queues, which also apply to their present jobs.  Others keep
+ * those that they had.
  */
-void sched_set_queue(sched_t *s, const char *queue, const char *service,
-    int32_t priority, int32_t max_attempts, bool needs_approval,
-    int64_t now_ms);
+void sched_set_queues(
+    sched_t *s, const sched_queue_t *list, size_t n, int64_t now_ms);
 
 /* The settings of a customer. */
 typedef struct {
--- a/serve/cell_driver.c
+++ b/serve/cell_driver.c
@@ -454,13 +454,18 @@
 void
 cell_driver_set_queues(cell_driver_t *c, const platform_config_t *cfg)
 {
+	g_autofree sched_queue_t *queues =
+	    g_new(sched_queue_t, cfg->queues->len);
+
 	for (guint i = 0; i < cfg->queues->len; i++) {
 		const platform_queue_t *q =
 		    &g_array_index(cfg->queues, platform_queue_t, i);
 
-		sched_set_queue(c->sched, q->name, q->service, q->priority,
-		    q->max_attempts, q->needs_approval, node_now_ms(c->node));
+		queues[i] = (sched_queue_t){ q->name, q->service, q->priority,
+			q->max_attempts, q->needs_approval };
 	}
+	sched_set_queues(
+	    c->sched, queues, cfg->queues->len, node_now_ms(c->node));
 	sched_set_customers(c->sched,
 	    (const sched_customer_t *)cfg->customers->data, cfg->customers->len,
 	    node_now_ms(c->node));
--- a/test/cell/entry.c
+++ b/test/cell/entry.c
@@ -179,6 +179,7 @@
 		.port = { do_claim, do_load, do_write, do_order, do_poll, NULL,
 		    NULL, do_event },
 		.ctx = en };
+	sched_queue_t q = { "q", "s", 0, 2, false };
 
 	if (en->up)
 		return;
@@ -189,7 +190,7 @@
 	en->feed_in_progress = false;
 	en->last_tick_ms = en->list_as_of_ms = 0;
 	en->sched = sched_new(&o);
-	sched_set_queue(en->sched, "q", "s", 0, 2, false, w->now_ms);
+	sched_set_queues(en->sched, &q, 1, w->now_ms);
 	world_send_zones(w, en);
 	world_schedule(w, en->index, on_tick, entry_timer_new(en));
 	world_schedule(w, en->index, on_owner_poll, entry_timer_new(en));
--- a/test/cell/overload.c
+++ b/test/cell/overload.c
@@ -346,12 +346,11 @@
 static void
 change_queue(world_t *w)
 {
-	int32_t priority = draw_int(w, 0, 5);
+	sched_queue_t q = { "q", "s", draw_int(w, 0, 5), 2, false };
 
 	for (int32_t i = 0; i < w->nentries; i++)
 		if (w->entries[i].up && !w->entries[i].paused)
-			sched_set_queue(w->entries[i].sched, "q", "s", priority,
-			    2, false, w->now_ms);
+			sched_set_queues(w->entries[i].sched, &q, 1, w->now_ms);
 }
 
 static void
--- a/test/main/fuzz_cell.c
+++ b/test/main/fuzz_cell.c
@@ -417,14 +417,17 @@
 change_settings(cell_t *c)
 {
 	g_autofree char *zone = g_strdup_printf("z%d", below(2));
+	sched_queue_t q = { "q1", "s", 0, 0, false };
 
 	switch (below(4)) {
 	case 0:
 		sched_set_zone_evacuated(c->s, zone, chance(10), c->now_ms);
 		break;
 	case 1:
-		sched_set_queue(c->s, "q1", "s", (int32_t)decoded(),
-		    (int32_t)decoded(), chance(50), c->now_ms);
+		q.priority = (int32_t)decoded();
+		q.max_attempts = (int32_t)decoded();
+		q.needs_approval = chance(50);
+		sched_set_queues(c->s, &q, 1, c->now_ms);
 		break;
 	case 2:
 		sched_set_store_outage(c->s, chance(30), decoded(), c->now_ms);
--- a/test/unit/sched.c
+++ b/test/unit/sched.c
@@ -477,6 +477,7 @@
 		sched_t *s = new_sched();
 		Sched__Step d = step_def("", 1000, false, 0);
 		sched_approval_t a = { approved, cases[i].napproved, 3000 };
+		sched_queue_t q = { "q", "s", 0, 2, true };
 		job_t *j;
 
 		memset(&approval, 0, sizeof(approval));
@@ -487,7 +488,7 @@
 		s->now_ms = 1000;
 		add_worker(s, "a");
 		add_worker(s, "b");
-		sched_set_queue(s, "q", "s", 0, 2, true, s->now_ms);
+		sched_set_queues(s, &q, 1, s->now_ms);
 		j = add_job(s, "0000000000000001", &d, 0);
 		j->needs_approval = true;
 		first_step(j)->ready = true;
