Sched: new tables cost one pass over the jobs and one round

An owner that got new tables walked all its jobs once for each queue of them, and began a round of the scan each time, which looks for what has been passed over and tries to reserve workers for it; also for queues whose settings did not change. With tables that change all the time and thousands of queues, that is processor time that the owner lacks for its work.

Queues are compared with what is in force. Only if one differs are the jobs walked, once for all, and one round is begun. Queues that are not in the new tables keep the settings that they had, as before.

--- a/sched/sched.c
+++ b/sched/sched.c
@@ -263,35 +263,47 @@
 	s->feed_read_ms[feed] = MAX(s->feed_read_ms[feed], as_of_ms);
 }
 
-static void
+/* Whether that changes the settings of a queue. */
+static bool
 set_queue(sched_t *s, const sched_queue_t *settings)
 {
 	queue_t *q = queue_get(s, settings->name);
-	job_t *j;
+	const char *service = g_intern_string(settings->service);
 
+	if (q->configured && q->service == service &&
+	    q->priority == settings->priority &&
+	    q->max_attempts == settings->max_attempts &&
+	    q->needs_approval == settings->needs_approval)
+		return false;
 	q->configured = true;
-	q->service = g_intern_string(settings->service);
+	q->service = service;
 	q->priority = settings->priority;
 	q->max_attempts = settings->max_attempts;
 	q->needs_approval = settings->needs_approval;
-	FOREACH_VALUE (j, s->jobs) {
-		if (j->queue != q)
-			continue;
-		j->service = q->service;
-		j->priority = q->priority;
-		j->max_attempts = q->max_attempts;
-		j->needs_approval = q->needs_approval;
-	}
-	scan_begin_round(s);
+	return true;
 }
 
 void
 sched_set_queues(
     sched_t *s, const sched_queue_t *list, size_t n, int64_t now_ms)
 {
+	bool changed = false;
+	job_t *j;
+
 	s->now_ms = now_ms;
 	for (size_t i = 0; i < n; i++)
-		set_queue(s, &list[i]);
+		changed |= set_queue(s, &list[i]);
+	if (!changed)
+		return;
+	FOREACH_VALUE (j, s->jobs) {
+		if (!j->queue->configured)
+			continue;
+		j->service = j->queue->service;
+		j->priority = j->queue->priority;
+		j->max_attempts = j->queue->max_attempts;
+		j->needs_approval = j->queue->needs_approval;
+	}
+	scan_begin_round(s);
 }
 
 void
