Scan: a round without a pass leaves the next one where it was to begin

The next round goes on with the first step that no pass of the last one came to. Where two rounds are begun before a pass, as new tables, an evacuated zone and the periodic update do, the second forgot where that was and began at the head again: while the tables change all the time, steps behind the looks of one round have no turn.

--- a/sched/scan.c
+++ b/sched/scan.c
@@ -53,8 +53,12 @@
 	s->scan.round_looks = s->stats.places;
 	s->scan.head_looks = 0;
 	s->scan.kept_workers = s->scan.keeping_steps = 0;
-	s->scan.resume_at = s->scan.stopped_at;
-	s->scan.stopped_at = 0;
+	/* A round without a pass leaves the next one where it was to begin. */
+	if (s->scan.pass != s->scan.begun_after_pass) {
+		s->scan.resume_at = s->scan.stopped_at;
+		s->scan.stopped_at = 0;
+	}
+	s->scan.begun_after_pass = s->scan.pass;
 	s->start_pass_due = true;
 	reservation_begin_round(s);
 }
--- a/sched/types.h
+++ b/sched/types.h
@@ -483,10 +483,11 @@
 
 /* Which workers a pass over the queue looks at; see scan.c. */
 typedef struct {
-	uint64_t round;	    /* the number of the present round */
-	uint64_t pass;	    /* the number of the present or last pass */
-	GPtrArray *changed; /* of worker_t */
-	guint next;	    /* index of the first worker to look at */
+	uint64_t round;		   /* the number of the present round */
+	uint64_t pass;		   /* the number of the present or last pass */
+	uint64_t begun_after_pass; /* the last one before the present round */
+	GPtrArray *changed;	   /* of worker_t */
+	guint next;		   /* index of the first worker to look at */
 	/* Values of stats.places when the round and the pass began. */
 	uint64_t round_looks, pass_looks;
 	uint64_t head_looks; /* of the round, for the head of the queue */
