--- a/sched/stats.c
+++ b/sched/stats.c
@@ -89,12 +89,14 @@
 	    "jobs=%u runs=%u waiting=%d past_target=%d isolated=%d "
 	    "longest_idle=%" PRId64 " workers=%u usable=%d "
 	    "cpu=%d used=%d filler=%d slowed=%d workers_accounted=%d "
-	    "quota_blocked=%d reasons=%s",
+	    "quota_blocked=%d rounds=%" PRIu64 " passes=%" PRIu64
+	    " resume_at=%d reasons=%s",
 	    g_hash_table_size(s->jobs), g_hash_table_size(s->runs),
 	    (int)c.waiting, (int)c.past_target, (int)c.isolated,
 	    s->stats.longest_idle_ms, s->worker_list->len, usable,
 	    (int)(cpu / 1000), (int)(used / 1000), (int)(filler / 1000), slowed,
-	    s->cell.workers_accounted, (int)c.quota_blocked, reasons);
+	    s->cell.workers_accounted, (int)c.quota_blocked, s->scan.round,
+	    s->scan.pass, s->scan.resume_at, reasons);
 	wait_reason_log(s);
 	customer_log_held(s);
 }
