Scan: a test of an owner that makes one pass a round, red

With one pass a round a step behind 200 that fit nowhere is never offered a worker (not in 40 rounds, 10 s), though one has room.

--- a/test/unit/scan.c
+++ b/test/unit/scan.c
@@ -146,3 +146,36 @@
 		sched_free(s);
 	}
 }
+
+#define FAR_BEHIND 1000 /* steps */
+
+/*
+ * Guards against steps that are never offered a worker, though one has room, as the
+ * owner has processor time for one pass a round only and that ends at the head.
+ */
+Test(scan, steps_behind_an_unplaced_head_are_offered_with_one_pass_a_round)
+{
+	static const int behind[] = { HEAD_STEPS, HEAD_STEPS + 1, FAR_BEHIND };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(behind); i++) {
+		sched_t *s = owner_of(500, WORKER_CPU_MILLI);
+		Sched__Step large = step_def("", WORKER_CPU_MILLI, false, 0);
+		Sched__Step small = step_def("", 1000, false, 0);
+		worker_t *w = g_ptr_array_index(s->worker_list, 0);
+		step_t *last;
+		int rounds = 0;
+
+		w->used_cpu_milli -= small.cpu_milli;
+		for (int k = 0; k < behind[i]; k++)
+			queue_step(s, k, &large, 0);
+		/* It is due after them. */
+		last = queue_step(s, behind[i], &small, LATER_MS);
+		for (; rounds < ROUNDS_MAX && last->nwaiting > 0; rounds++) {
+			scan_begin_round(s);
+			start_waiting_tasks(s);
+		}
+		cr_expect_eq(last->nwaiting, 0,
+		    "behind %d steps: not in %d rounds", behind[i], rounds);
+		sched_free(s);
+	}
+}
