--- a/serve/cell_driver.c
+++ b/serve/cell_driver.c
@@ -454,18 +454,19 @@
 void
 cell_driver_set_queues(cell_driver_t *c, const platform_config_t *cfg)
 {
-	g_autofree sched_queue_t *queues =
-	    g_new(sched_queue_t, cfg->queues->len);
+	g_autoptr(GArray) queues =
+	    g_array_new(FALSE, FALSE, sizeof(sched_queue_t));
 
 	for (guint i = 0; i < cfg->queues->len; i++) {
 		const platform_queue_t *q =
 		    &g_array_index(cfg->queues, platform_queue_t, i);
-
-		queues[i] = (sched_queue_t){ q->name, q->service, q->priority,
+		sched_queue_t settings = { q->name, q->service, q->priority,
 			q->max_attempts, q->needs_approval };
+
+		g_array_append_val(queues, settings);
 	}
-	sched_set_queues(
-	    c->sched, queues, cfg->queues->len, node_now_ms(c->node));
+	sched_set_queues(c->sched, (const sched_queue_t *)queues->data,
+	    queues->len, node_now_ms(c->node));
 	sched_set_customers(c->sched,
 	    (const sched_customer_t *)cfg->customers->data, cfg->customers->len,
 	    node_now_ms(c->node));
