--- a/sched/scan.c
+++ b/sched/scan.c
@@ -53,12 +53,23 @@
 	s->scan.round_looks = s->stats.places;
 	s->scan.head_looks = 0;
 	s->scan.kept_workers = s->scan.keeping_steps = 0;
-	s->scan.resume_at = s->scan.stopped_at;
-	s->scan.stopped_at = 0;
+	/* A round without a pass leaves the next one where it was to begin. */
+	if (s->scan.pass != s->scan.begun_after_pass) {
+		s->scan.resume_at = s->scan.stopped_at;
+		s->scan.stopped_at = 0;
+	}
+	s->scan.begun_after_pass = s->scan.pass;
 	s->start_pass_due = true;
 	reservation_begin_round(s);
 }
 
+/* Whether a position is at the head of the queue. */
+bool
+scan_is_head(int32_t pos)
+{
+	return pos < HEAD_STEPS;
+}
+
 /* A pass over the queue begins. */
 void
 scan_begin_pass(sched_t *s)
@@ -99,7 +110,7 @@
 {
 	scan_t *c = &s->scan;
 
-	if (pos < HEAD_STEPS || reservation_has(s, st))
+	if (scan_is_head(pos) || reservation_has(s, st))
 		return true;
 	end_head(s);
 	if (scan_has_searched(s, st))
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -251,26 +251,45 @@
 	s->feed_read_ms[feed] = MAX(s->feed_read_ms[feed], as_of_ms);
 }
 
+/* Whether that changes the settings of a queue. */
+static bool
+set_queue(sched_t *s, const sched_queue_t *settings)
+{
+	queue_t *q = queue_get(s, settings->name);
+	const char *service = g_intern_string(settings->service);
+
+	if (q->configured && q->service == service &&
+	    q->priority == settings->priority &&
+	    q->max_attempts == settings->max_attempts &&
+	    q->needs_approval == settings->needs_approval)
+		return false;
+	q->configured = true;
+	q->service = service;
+	q->priority = settings->priority;
+	q->max_attempts = settings->max_attempts;
+	q->needs_approval = settings->needs_approval;
+	return true;
+}
+
 void
-sched_set_queue(sched_t *s, const char *queue, const char *service,
-    int32_t priority, int32_t max_attempts, bool needs_approval, int64_t now_ms)
+sched_set_queues(
+    sched_t *s, const sched_queue_t *list, size_t n, int64_t now_ms)
 {
-	queue_t *q = queue_get(s, queue);
+	bool changed = false;
 	job_t *j;
 
 	s->now_ms = now_ms;
-	q->configured = true;
-	q->service = g_intern_string(service);
-	q->priority = priority;
-	q->max_attempts = max_attempts;
-	q->needs_approval = needs_approval;
+	for (size_t i = 0; i < n; i++)
+		changed |= set_queue(s, &list[i]);
+	if (!changed)
+		return;
 	FOREACH_VALUE (j, s->jobs) {
-		if (j->queue != q)
+		if (!j->queue->configured)
 			continue;
-		j->service = q->service;
-		j->priority = priority;
-		j->max_attempts = max_attempts;
-		j->needs_approval = needs_approval;
+		j->service = j->queue->service;
+		j->priority = j->queue->priority;
+		j->max_attempts = j->queue->max_attempts;
+		j->needs_approval = j->queue->needs_approval;
 	}
 	scan_begin_round(s);
 }
