--- a/test/unit/load.c
+++ b/test/unit/load.c
@@ -62,7 +62,8 @@
 	uv_loop_init(loop);
 	n->loop = loop;
 	n->opts.name = "e";
-	n->opts.drain_ms = 2000;
+	if (n->opts.drain_ms == 0)
+		n->opts.drain_ms = n->opts.config_ms = 2000;
 	n->opts.max_lease_ms = 6000;
 	n->platform = platform_new(&o);
 	n->watches = g_ptr_array_new();
@@ -162,17 +163,28 @@
 }
 
 /*
- * Guards against a task that is started on a worker after it has drained: an order
- * may wait for a connection, while the list of workers grows older.
+ * Guards against a task that is started on a worker after it has drained, or on one
+ * of a service that its queue was taken from (CONFIG): an order may wait for a
+ * connection, while the list of workers and the operators' table grow older.
  */
 Test(load, lists_are_fresh_until_an_order_arrives)
 {
-	node_t n = { 0 };
-	uv_loop_t loop;
-	const sched_t *s = cell_driver_sched(new_driver(&n, &loop));
+	static const struct {
+		int32_t drain_ms, config_ms;
+	} cases[] = { { 2000, 2000 }, { 3000, 3000 }, { 3000, 2000 },
+		{ 2000, 3000 }, { 60000, 2000 }, { 60000, 1500 } };
 
-	cr_expect_leq(
-	    s->opts.feed_limit_ms + PLATFORM_ORDER_TIMEOUT_MS, n.opts.drain_ms);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		node_t n = { .opts = { .drain_ms = cases[i].drain_ms,
+				 .config_ms = cases[i].config_ms } };
+		uv_loop_t loop;
+		const sched_t *s = cell_driver_sched(new_driver(&n, &loop));
+		int32_t most_ms =
+		    s->opts.feed_limit_ms + PLATFORM_ORDER_TIMEOUT_MS;
+
+		cr_expect_leq(most_ms, cases[i].drain_ms, "case %zu", i);
+		cr_expect_leq(most_ms, cases[i].config_ms, "case %zu", i);
+	}
 }
 
 /*
--- a/test/unit/stale_tables.c
+++ b/test/unit/stale_tables.c
@@ -19,6 +19,7 @@
 #include "../../serve/store_clock.h"
 #include "../../serve/auth.h"
 #include "../../serve/serve.h"
+#include "store_fixture.h"
 
 #define FIRST_PORT 18580
 #define LAST_PORT  18680
@@ -26,6 +27,11 @@
 #define CONFIG_MS  3000
 #define READ_MS	   200 /* after the call the tables are read */
 
+#define JOB_ID "5c0e7a21d94b36f8"
+
+static const char job[] =
+    "{\"spec\":\"s\",\"steps\":[{\"count\":1,\"cpu\":500,\"mem_mb\":256,"
+    "\"estimate_ms\":900}]}";
 static const char config[] =
     "{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":\"127.0.0.1\","
     "\"prefix\":\"/q/\",\"service\":\"s\"}]}";
@@ -86,18 +92,24 @@
 
 /* Calls the entry, and waits for the status of its answer. */
 static int32_t
-get(fixture_t *f, const char *path)
+call(fixture_t *f, const char *method, const char *path, const char *body)
 {
 	g_autofree char *url =
 	    g_strdup_printf("http://127.0.0.1:%d%s", f->port, path);
 
 	f->answered = false;
-	client_call(f->client, "GET", url, NULL, NULL, CALL_MS, on_answer, f);
+	client_call(f->client, method, url, NULL, body, CALL_MS, on_answer, f);
 	while (!f->answered)
 		uv_run(&f->loop, UV_RUN_ONCE);
 	return f->status;
 }
 
+static int32_t
+get(fixture_t *f, const char *path)
+{
+	return call(f, "GET", path, NULL);
+}
+
 /*
  * Guards against CONFIG: an entry that knows its tables to be old answered 404 for
  * a queue that they don't have, which operators had added seconds before.
@@ -173,6 +185,55 @@
 	}
 }
 
+/*
+ * Guards against CONFIG, and calls that nobody may make any more: an entry that knows
+ * its tables to be old accepted jobs, and told and cancelled them, for a queue that
+ * operators may have removed, given to another service or closed to the public.
+ */
+Test(stale_tables, nothing_is_decided_by_old_tables, .timeout = 30)
+{
+	static const struct {
+		const char *method, *path, *body;
+		int64_t age_ms;
+		bool read; /* the tables are read, READ_MS after the call */
+		int32_t want;
+	} cases[] = {
+		{ "POST", "/q/" JOB_ID, job, 0, false, 200 },
+		{ "POST", "/q/" JOB_ID, job, 2000, false, 200 },
+		{ "POST", "/q/" JOB_ID, job, 2700, false, 503 },
+		{ "POST", "/q/" JOB_ID, job, 10000, false, 503 },
+		{ "POST", "/q/" JOB_ID, job, 10000, true, 200 },
+		{ "GET", "/q/" JOB_ID, NULL, 0, false, 410 },
+		{ "GET", "/q/" JOB_ID, NULL, 10000, false, 503 },
+		{ "GET", "/q/" JOB_ID, NULL, 10000, true, 410 },
+		{ "DELETE", "/q/" JOB_ID, NULL, 0, false, 410 },
+		{ "DELETE", "/q/" JOB_ID, NULL, 10000, false, 503 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		fixture_t f = { 0 };
+		store_fixture_t store = { 0 };
+		platform_opts_t o = { .loop = &f.loop, .approval_addr = "" };
+		uv_timer_t t;
+
+		fixture_init(&f);
+		store_fixture_init(&store, &f.loop);
+		o.store_addr = store.address;
+		f.node.platform = platform_new(&o);
+		uv_timer_init(&f.loop, &f.node.retry_timer);
+		f.node.retry_timer.data = &f.node;
+		f.node.operators_as_of_ms =
+		    node_now_ms(&f.node) - cases[i].age_ms;
+		uv_timer_init(&f.loop, &t);
+		t.data = &f.node;
+		if (cases[i].read)
+			uv_timer_start(&t, on_read, READ_MS, 0);
+		cr_expect_eq(
+		    call(&f, cases[i].method, cases[i].path, cases[i].body),
+		    cases[i].want, "case %zu: %d", i, (int)f.status);
+	}
+}
+
 /*
  * Guards against an entry that callers are sent to as soon as the store answers it,
  * seconds before it has the tables.
