Callers: no call is decided by tables that are too old, known queue or not

Callers of a queue that an entry's tables have were answered by them however old they were: jobs were accepted for a queue that operators had removed or given to another service (CONFIG), and calls were allowed on routes that had been closed or had been public before the first customers came, as auth.c asks for the age only of keyed routes. Cause: the check stood in single readers (the 404, the count, the keys).

Now one check stands before all of them: after its wait a call is answered 503 when node_tables_old(). Its Retry-After is that of the other answers while the store is silent.

--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -215,8 +215,7 @@
 	g_autofree char *body = NULL;
 
 	n->stats.queue_counts++;
-	/* Old tables may have a queue that was removed. */
-	if (jobs < 0 || node_tables_old(n)) {
+	if (jobs < 0) {
 		reply_error(
 		    r, 503, "the number is not known now", RETRY_AFTER_MS);
 		return;
@@ -247,8 +246,8 @@
 }
 
 /*
- * Whether a call waits for newer tables: at first each one does, as old tables may
- * name another queue.  One that needs the store goes on by old tables later.
+ * Whether a call waits for newer tables: the caller of a queue that old tables have
+ * does better to try another entry soon.
  */
 static bool
 hold(node_t *n, const incoming_t *in, route_result_t found)
@@ -263,16 +262,22 @@
 	return true;
 }
 
+/*
+ * Answers a call that the tables are too old for: its queue may be new, removed, of
+ * another service or closed to the public.
+ */
+static void
+reply_tables_old(node_t *n, server_req_t *r)
+{
+	n->stats.tables_old++;
+	reply_error(r, 503, "the tables can't be read now",
+	    store_retry_after_ms(n, r->path));
+}
+
 /* Answers a call for which there is no queue. */
 static void
 reply_no_queue(node_t *n, server_req_t *r)
 {
-	if (node_tables_old(n)) {
-		n->stats.tables_old++;
-		reply_error(r, 503, "the tables can't be read now",
-		    sched_retry_after_ms(r->path, RETRY_AFTER_MS));
-		return;
-	}
 	n->stats.no_route++;
 	log_unknown_queue(n, r);
 	reply_text(r, 404, "", "{\"error\":\"no such queue\"}");
@@ -294,6 +299,10 @@
 	found = route_find(n->config, r->host, r->path, &m);
 	if (hold(n, in, found))
 		return;
+	if (node_tables_old(n)) {
+		reply_tables_old(n, r);
+		return;
+	}
 	if (found != ROUTE_NOT_FOUND && !authenticate(n, r, &m, &customer))
 		return;
 	if (found != ROUTE_FOUND)
