Starts: the operators' table is asked for its age with config_ms as well

Where config_ms is below drain_ms, a task could be started up to 2.4 s after a change of its queue by an owner that had not read it, on a worker of the former service (CONFIG) or beyond a quota, though the change had to be in force before. Cause: one bound for all three feeds, taken from the rule for workers that leave alone.

The bound is the shorter one, less the time that an order may wait.

--- a/serve/cell_driver.c
+++ b/serve/cell_driver.c
@@ -34,7 +34,7 @@
 #define WRITE_TIMEOUT_MS      1500 /* the store may be slow */
 #define JOB_POLL_GAP_MS	      20
 #define WORKER_POLL_GAP_MS    150
-/* No task is started on older lists of jobs, workers and settings. */
+/* No task is started on older lists of jobs, workers and settings, at most. */
 #define FEED_LIMIT_MS 2000
 
 struct cell_driver {
@@ -428,7 +428,8 @@
 		.ctx = c };
 	/* Rows of an ended job stay while its submission may be repeated. */
 	sched_opts_t o = { .feed_limit_ms = MIN(FEED_LIMIT_MS,
-			       n->opts.drain_ms - PLATFORM_ORDER_TIMEOUT_MS),
+			       MIN(n->opts.drain_ms, n->opts.config_ms) -
+				   PLATFORM_ORDER_TIMEOUT_MS),
 		.name = n->opts.name,
 		.incarnation = n->incarnation,
 		.max_lease_ms = n->opts.max_lease_ms,
