Old copies: a test of the count that others answer from the owner's row, red

The owner counts waiting jobs in a list that may be 2.0 s old and dates the count by the write of its row; other entries give it for 3.5 s more. So the answer may be 5.5 s old; the rule (MIXED) allows visible_ms and 2 s, which are 5.

sched/the_count_of_waiting_jobs_is_as_old_as_the_list_of_jobs fails (cases 3 and 4).

--- a/test/unit/sched.c
+++ b/test/unit/sched.c
@@ -892,6 +892,53 @@
 	}
 }
 
+/*
+ * Guards against a count of waiting jobs that is older than the other entries take it
+ * for (MIXED): the owner had counted them in a list of jobs that was old itself.
+ */
+Test(sched, the_count_of_waiting_jobs_is_as_old_as_the_list_of_jobs)
+{
+	static const struct {
+		int64_t list_age_ms; /* when the owner writes its row */
+		int64_t row_age_ms;
+		int32_t count;
+	} cases[] = {
+		{ 0, 100, 1 },
+		{ 0, 3000, 1 },
+		{ 1500, 1500, 1 },
+		{ 1500, 2500, -1 },
+		{ 1900, 3400, -1 },
+		{ 2100, 100, -1 },
+	};
+	static const int64_t written_ms = 10000, offset_ms = 70000;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *owner = new_owner(), *other = new_sched();
+		Sched__Step d = step_def("a", 1000, false, 0);
+		sched_row_t row = { .key = SCHED_KEY_OWNER, .version = 5 };
+		GByteArray *b;
+
+		owner->opts.name = "owner";
+		owner->now_ms = written_ms;
+		owner->store_clock_offset_ms = other->store_clock_offset_ms =
+		    offset_ms;
+		sched_feed_read(
+		    owner, SCHED_FEED_JOBS, written_ms - cases[i].list_age_ms);
+		add_job(owner, JOB_A, &d, 0);
+		b = ownership_pack_row(owner, false);
+		row.bytes = b->data;
+		row.nbytes = b->len;
+		for (int64_t ms = 0; ms <= cases[i].row_age_ms; ms += 100)
+			sched_owner_row_read(other, &row, written_ms + ms);
+		cr_expect_eq(sched_waiting_jobs(
+				 other, "q", written_ms + cases[i].row_age_ms),
+		    cases[i].count, "case %zu", i);
+		g_byte_array_unref(b);
+		sched_free(owner);
+		sched_free(other);
+	}
+}
+
 static int64_t poll_deadline_ms; /* of the last poll */
 
 static void
