Owner row: its counts are as of the list of jobs they were made from

Now the row carries up to when the jobs were read, and the time that is left of a refusal counts from then as well, so that it ends when it did before.

--- a/sched/admission.c
+++ b/sched/admission.c
@@ -206,9 +206,12 @@
 	s->stats.refused_customers = 0;
 }
 
-/* Returns the refusals to publish, an array of *n; the caller frees both. */
+/*
+ * Returns the refusals to publish in a row as of a time, an array of *n; the caller
+ * frees both.
+ */
 Sched__Refusal **
-admission_pack(sched_t *s, size_t *n)
+admission_pack(sched_t *s, int64_t as_of_ms, size_t *n)
 {
 	const admission_t *a = &s->admission;
 	Sched__Refusal **list;
@@ -220,9 +223,9 @@
 	for (size_t i = 0; i < *n; i++) {
 		list[i] = g_memdup2(
 		    g_ptr_array_index(a->refusals, i), sizeof(*list[i]));
-		/* The row's time is that of its write. */
-		list[i]->retry_after_ms = (int32_t)MAX(
-		    1, list[i]->retry_after_ms - (s->now_ms - a->decided_ms));
+		list[i]->retry_after_ms = (int32_t)CLAMP(
+		    list[i]->retry_after_ms - (as_of_ms - a->decided_ms), 1,
+		    INT32_MAX);
 	}
 	return list;
 }
--- a/sched/customer.h
+++ b/sched/customer.h
@@ -110,6 +110,6 @@
 /* admission.c */
 void admission_update(sched_t *s);
 void admission_forget(sched_t *s);
-Sched__Refusal **admission_pack(sched_t *s, size_t *n);
+Sched__Refusal **admission_pack(sched_t *s, int64_t as_of_ms, size_t *n);
 
 #endif
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -76,6 +76,7 @@
 {
 	Sched__Owner o = SCHED__OWNER__INIT;
 	GByteArray *b = g_byte_array_new();
+	int64_t as_of_ms;
 	g_autofree Sched__Waiting **waiting = NULL;
 	g_autofree Sched__Refusal **refusals = NULL;
 
@@ -103,9 +104,11 @@
 		    s->now_ms - s->cell.row_written_ms > STALE_ROW_MS;
 	} else {
 		stats_count_waiting_jobs(s);
-		o.counted_ms = s->now_ms + s->store_clock_offset_ms;
+		as_of_ms = MIN(s->now_ms, s->feed_read_ms[SCHED_FEED_JOBS]);
+		o.counted_ms = as_of_ms + s->store_clock_offset_ms;
 		waiting = o.waiting = pack_waiting(s, &o.n_waiting);
-		refusals = o.refusals = admission_pack(s, &o.n_refusals);
+		refusals = o.refusals =
+		    admission_pack(s, as_of_ms, &o.n_refusals);
 		o.waiting_stale = s->now_ms - s->feed_read_ms[SCHED_FEED_JOBS] >
 		    s->opts.feed_limit_ms;
 	}
--- a/test/unit/admission.c
+++ b/test/unit/admission.c
@@ -410,7 +410,7 @@
 		size_t n;
 
 		s->now_ms = s->admission.decided_ms + later_ms[i];
-		list = admission_pack(s, &n);
+		list = admission_pack(s, s->now_ms, &n);
 		cr_assert_eq(n, 1);
 		cr_expect_eq(list[0]->retry_after_ms,
 		    MAX(1, r->retry_after_ms - later_ms[i]), "case %zu", i);
--- a/test/unit/share.c
+++ b/test/unit/share.c
@@ -186,7 +186,7 @@
 	shares_pass(s, 30000);
 	cr_expect_eq(share_compare(a, b), 0);
 	cr_expect_eq(s->unowned.received, 0);
-	cr_expect_null(admission_pack(s, &n));
+	cr_expect_null(admission_pack(s, s->now_ms, &n));
 	cr_expect_eq(n, 0);
 	cr_expect_eq(
 	    sched_admit(s, "x", b->def, s->now_ms, &retry_ms), SCHED_ADMITTED);
