Calls: a part of an answer that has arrived is read before a call is given up

Cause: timers are handled before sockets, and only a delay of 50 ms and more counted as a pause, after which the socket is read once more. A pause that ended up to 50 ms after the time of a call that may go on ended it with its next part unread. backend/slow_answers, "a short pause": red before, passes three times after.

--- a/trans/backend.c
+++ b/trans/backend.c
@@ -323,7 +323,8 @@
 /*
  * The request cannot have run if the connection was never established.  After
  * a pause of this process the timers are handled before the sockets: an answer
- * that has arrived meanwhile is read first.
+ * that has arrived meanwhile is read first, and so is a part of one that may go
+ * on.
  */
 static void
 on_timeout(uv_timer_t *t)
@@ -331,7 +332,8 @@
 	conn_t *conn = t->data;
 
 	if (!conn->overdue &&
-	    uv_now(conn->backends->loop) >= conn->due_ms + PAUSE_MS) {
+	    (conn->stall_ms > 0 ||
+		uv_now(conn->backends->loop) >= conn->due_ms + PAUSE_MS)) {
 		conn->overdue = true;
 		uv_timer_start(t, on_timeout, READ_WAIT_MS, 0);
 		return;
