--- a/test/unit/stale_tables.c
+++ b/test/unit/stale_tables.c
@@ -227,3 +227,34 @@
 		cr_expect(!node_is_ready(&n));
 	}
 }
+
+/*
+ * Guards against a caller with a new key that is refused for good (401) by tables
+ * that may lack it.
+ */
+Test(stale_tables, no_key_is_unknown_by_old_tables, .timeout = 20)
+{
+	static const char keyed[] =
+	    "{\"version\":2,\"routes\":[{\"name\":\"q\",\"host\":"
+	    "\"127.0.0.1\",\"prefix\":\"/q/\",\"service\":\"s\"}],"
+	    "\"tenants\":[{\"name\":\"c\",\"api_keys\":[\"k\"]}]}";
+	static const struct {
+		int64_t age_ms;
+		int32_t want;
+	} cases[] = { { 0, 401 }, { 1000, 401 }, { 1700, 503 }, { 2500, 503 } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		fixture_t f = { 0 };
+
+		fixture_init(&f);
+		f.node.opts.config_ms = 2000;
+		f.node.config = platform_config_parse(
+		    (const uint8_t *)keyed, strlen(keyed), NULL);
+		cr_assert_not_null(f.node.config);
+		f.node.store_lost = true;
+		f.node.operators_as_of_ms =
+		    node_now_ms(&f.node) - cases[i].age_ms;
+		cr_expect_eq(get(&f, "/q/"), cases[i].want, "age %d: %d",
+		    (int)cases[i].age_ms, (int)f.status);
+	}
+}
