Leases: log when a new owner has accounted for all workers, and by what

What was missing: that tasks of earlier jobs waited could be read from 642, but not for which workers, nor what ended the wait.

--- a/cmd/log.c
+++ b/cmd/log.c
@@ -65,6 +65,7 @@
 	{ 605, LOG4C_PRIORITY_INFO, "owner_silent" },
 	{ 606, LOG4C_PRIORITY_WARN, "owner_unconfirmed" },
 	{ 607, LOG4C_PRIORITY_WARN, "cell_handed_over" },
+	{ 608, LOG4C_PRIORITY_INFO, "workers_accounted" },
 	{ 611, LOG4C_PRIORITY_INFO, "job_seen" },
 	{ 612, LOG4C_PRIORITY_INFO, "job_end" },
 	{ 613, LOG4C_PRIORITY_INFO, "job_cancel" },
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -201,6 +201,7 @@
 int64_t lease_taken_over(
     sched_t *s, bool any_owner, int64_t claimed_ms, int64_t extended_ms);
 bool lease_old_ones_ended(const sched_t *s);
+bool lease_stored_has_ended(const sched_t *s, const worker_t *w);
 bool lease_may_hide_runs(const sched_t *s, const worker_t *w);
 
 /* scan.c */
--- a/sched/lease.c
+++ b/sched/lease.c
@@ -334,6 +334,15 @@
 	return passed(s->cell.old_leases, s->now_ms + 1);
 }
 
+/* Whether the end that an earlier owner has stored is over. */
+bool
+lease_stored_has_ended(const sched_t *s, const worker_t *w)
+{
+	return s->store_clock_known &&
+	    passed(w->lease.stored,
+		s->now_ms + s->store_clock_offset_ms - STORE_CLOCK_MARGIN_MS);
+}
+
 /*
  * Whether a worker may have runs of earlier owners that are not known here.  One
  * that was restarted under its id may have carried out orders for its process
@@ -343,9 +352,5 @@
 lease_may_hide_runs(const sched_t *s, const worker_t *w)
 {
 	return (w->footprint_stored || w->used_before) && !w->has_answered &&
-	    !lease_old_ones_ended(s) &&
-	    !(s->store_clock_known &&
-		passed(w->lease.stored,
-		    s->now_ms + s->store_clock_offset_ms -
-			STORE_CLOCK_MARGIN_MS));
+	    !lease_old_ones_ended(s) && !lease_stored_has_ended(s, w);
 }
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -355,6 +355,30 @@
 	return true;
 }
 
+/* Logs that all workers are accounted for, and by what. */
+static void
+log_accounted(const sched_t *s)
+{
+	int32_t answered = 0, stored = 0, waited = 0;
+	const char *last = "";
+
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		const worker_t *w = g_ptr_array_index(s->worker_list, i);
+
+		if (w->has_answered)
+			answered += w->footprint_stored || w->used_before;
+		else if (lease_stored_has_ended(s, w))
+			stored++;
+		else if (w->footprint_stored || w->used_before) {
+			waited++;
+			last = w->id;
+		}
+	}
+	LOG_EVENT(s, SCHED_EVT_ACCOUNTED, "cell",
+	    "after=%" PRId64 " answered=%d stored_end=%d waited_out=%d last=%s",
+	    s->now_ms - s->cell.claimed_ms, answered, stored, waited, last);
+}
+
 /*
  * Whether this entry may claim a cell that was released, which is left to the
  * named successor for a while.
@@ -385,6 +409,7 @@
 	if (c->state == CELL_OWNED && !c->workers_accounted &&
 	    all_workers_accounted(s)) {
 		c->workers_accounted = true;
+		log_accounted(s);
 		s->unseen_stale = true;
 		s->start_pass_due = true;
 	}
