Leases: a test of owners in turn that wait for a worker that is gone, red

Each owner that gets no answer from a worker counts 6.5 s from its own claim: 11.3 and 12.9 s for four owners of 1.1 and 1.5 s, 14.6 s where the next owner comes after the wait; the bound is 7.4 s from the first claim (400 ms, 6.12 s, and 0.9 s for the store's clock).

--- a/test/unit/takeover.c
+++ b/test/unit/takeover.c
@@ -749,3 +749,95 @@
 	cr_expect_not(cell_worker_usable(s, cell_worker_get(s, "w0")));
 	sched_free(s);
 }
+
+/* By so much a reader of the footprint may take the store's clock to be behind. */
+#define STORE_CLOCK_MS 900
+
+/*
+ * Has an owner that got no answer from w0 end its time at end_ms; returns what the next
+ * one reads of the worker's lease.  The owner before it has stored until_ms.
+ */
+static int64_t
+owner_without_answer(int64_t claimed_ms, int64_t end_ms, int64_t until_ms,
+    bool listed, bool in_order)
+{
+	sched_t *s = new_entry();
+	Sched__Owner o = other_owner();
+
+	claim_at(s, &o, TOKEN, claimed_ms);
+	read_footprint(s, until_ms);
+	read_job(s);
+	if (listed)
+		list_worker(s, 1);
+	sched_load_done(s, claimed_ms);
+	for (sched_tick(s, claimed_ms, 0); s->cell.state == CELL_OWNED;) {
+		if (s->now_ms >= end_ms) {
+			if (!in_order)
+				break;
+			sched_begin_release(s, s->now_ms);
+		}
+		/* No answer comes in the time for a poll. */
+		if (cell_worker_get(s, "w0")->poll_id != 0 &&
+		    s->now_ms - cell_worker_get(s, "w0")->poll_sent_ms >= 400)
+			sched_poll_done(s, poll_id, "w0", SCHED_ORDER_IN_DOUBT,
+			    NULL, s->now_ms);
+		if (s->write_pending)
+			sched_write_done(
+			    s, SCHED_WRITE_OK, s->cell.version + 1, s->now_ms);
+		sched_tick(s, s->now_ms + 10, 0);
+	}
+	sched_free(s);
+	return written_until_ms != 0 ? written_until_ms : until_ms;
+}
+
+/*
+ * Guards against lasting tasks that are down for too long (LOST), as each owner of a
+ * chain waits anew for the leases of a worker that is gone: the wait counts from the
+ * first claim after its last answer, whoever owns the cell when it is over.
+ */
+Test(takeover, owners_in_turn_wait_once_for_a_worker_that_is_gone)
+{
+	static const struct {
+		const char *name;
+		bool listed, in_order;
+		int32_t owners, each_ms; /* before the last one */
+	} cases[] = {
+		{ "one, stopped in order", true, true, 1, 1000 },
+		{ "one, killed", true, false, 1, 2000 },
+		{ "four, stopped in order", true, true, 4, 1100 },
+		{ "four, killed", true, false, 4, 1500 },
+		{ "three, stopped at once", true, true, 3, 300 },
+		{ "three, killed, the worker has left the list", false, false,
+		    3, 300 },
+		{ "one, stopped after the wait", true, true, 1, 8000 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		int64_t ms = CLAIMED_MS, until_ms = 0, first_ms, wait_ms;
+		sched_t *s;
+		Sched__Owner o = other_owner();
+
+		for (int32_t k = 0; k < cases[i].owners; k++) {
+			until_ms =
+			    owner_without_answer(ms, ms + cases[i].each_ms,
+				until_ms, cases[i].listed, cases[i].in_order);
+			ms += cases[i].each_ms + 100;
+		}
+		s = new_entry();
+		claim_at(s, &o, TOKEN, ms);
+		read_footprint(s, until_ms);
+		read_job(s);
+		sched_load_done(s, ms);
+		while (!s->cell.workers_accounted &&
+		    s->now_ms < ms + 3 * MAX_LEASE_MS)
+			sched_tick(s, s->now_ms + 10, 0);
+		first_ms = CLAIMED_MS + START_CALL_MS + LONGEST_LEASE_MS;
+		wait_ms = s->now_ms - CLAIMED_MS;
+		cr_expect_geq(s->now_ms, first_ms, "%s: %d ms", cases[i].name,
+		    (int)wait_ms);
+		cr_expect_leq(s->now_ms,
+		    MAX(ms, first_ms + STORE_CLOCK_MS) + 100, "%s: %d ms",
+		    cases[i].name, (int)wait_ms);
+		sched_free(s);
+	}
+}
