Leases: a task that runs again tells nothing of the steps after it

What callers could see: a task with two runs (TWICE). Cause: the end of a task of the first step was listed and later steps were started; its worker restarted before that end was stored, so that the task runs again. A new owner that finds it at work takes the later steps for ones that nobody can have started, though the row says that the step between is done, and starts tasks that a worker which has not answered yet still has. Fix: nothing is taken from a run while a task of a step after it runs or is done, and what was taken is dropped when an unknown run of such a step is reported. Left, by reading: later tasks at work of which nothing is stored and whose worker does not answer.

--- a/sched/report.c
+++ b/sched/report.c
@@ -168,6 +168,59 @@
 		j->starts_after_write = j->rows_packed + 1;
 }
 
+/*
+ * Whether a task of a step that comes after st runs or is done.  Sets later[i] for each
+ * step that does.
+ */
+static bool
+find_later_steps(const step_t *st, bool *later)
+{
+	const occurrence_t *o = st->occ;
+	bool begun = false;
+
+	for (size_t i = (size_t)st->number + 1; i < o->job->def->n_steps; i++) {
+		const step_t *l = &o->steps[i];
+
+		for (size_t k = 0; k < l->def->n_after; k++)
+			later[i] = later[i] || l->def->after[k] == st->number ||
+			    later[l->def->after[k]];
+		begun = begun || (later[i] && l->nwaiting < l->ntasks);
+	}
+	return begun;
+}
+
+/*
+ * Marks the steps that come after a step, whose task runs under this owner's
+ * token: no earlier owner can know it done.  With two runs of a task it may
+ * know the other.  Where a later task runs or is done, an earlier owner did know it
+ * done, by an end that has been lost since, and the task runs again.
+ */
+static void
+mark_later_steps(const step_t *st)
+{
+	occurrence_t *o = st->occ;
+	size_t n = o->job->def->n_steps;
+	g_autofree bool *later = g_new0(bool, n);
+
+	if (st->def->duplicates || find_later_steps(st, later))
+		return;
+	for (size_t i = 0; i < n; i++)
+		o->steps[i].not_started_before =
+		    o->steps[i].not_started_before || later[i];
+}
+
+/* A run of the step by an earlier owner is known: what was marked does not hold. */
+static void
+unmark_later_steps(const step_t *st)
+{
+	occurrence_t *o = st->occ;
+
+	if (!st->not_started_before)
+		return;
+	for (size_t i = 0; i < o->job->def->n_steps; i++)
+		o->steps[i].not_started_before = false;
+}
+
 /*
  * Handles a run that a worker reports as ended.  The run may be unknown here,
  * as one of an earlier owner.
@@ -183,6 +236,8 @@
 	LOG_EVENT(s, SCHED_EVT_ENDED, e->task,
 	    "run=%" PRId64 " worker=%s outcome=%d known=%d seq=%" PRId64,
 	    e->run, w->id, e->outcome, r != NULL, e->seq);
+	if (t != NULL && r == NULL)
+		unmark_later_steps(t->step);
 	if (t != NULL && t->state != TASK_DONE) {
 		crash_run_listed(s, t, e->run);
 		t->last_run_number = MAX(t->last_run_number, e->run);
@@ -204,30 +259,6 @@
 		run_remove(s, r);
 }
 
-/*
- * Marks the steps that come after a step, whose task runs under this owner's
- * token: no earlier owner can know it done.  With two runs of a task it may
- * know the other.
- */
-static void
-mark_later_steps(const step_t *st)
-{
-	occurrence_t *o = st->occ;
-
-	if (st->def->duplicates)
-		return;
-	for (size_t i = (size_t)st->number + 1; i < o->job->def->n_steps; i++) {
-		step_t *later = &o->steps[i];
-
-		for (size_t k = 0; k < later->def->n_after; k++) {
-			const step_t *p = &o->steps[later->def->after[k]];
-
-			later->not_started_before = later->not_started_before ||
-			    p == st || p->not_started_before;
-		}
-	}
-}
-
 /*
  * Handles a reported run of a task of which this owner knows no run on the
  * worker.  It becomes the current run of its task if that waits for one, else
@@ -258,6 +289,8 @@
 			r->was_paced = true;
 		}
 	}
+	if (t != NULL)
+		unmark_later_steps(t->step);
 	if (t != NULL && t->state != TASK_DONE)
 		mark_later_steps(t->step);
 	if (j != NULL && j->stage == JOB_OPEN && t->state == TASK_WAITING &&
--- a/test/unit/sched.c
+++ b/test/unit/sched.c
@@ -258,6 +258,81 @@
 	}
 }
 
+/*
+ * Guards against two runs of a task of a later step: the end of a task of the first step
+ * has been lost after later steps were started, so that it runs again.  It then shows
+ * nothing of these.
+ */
+Test(sched, a_task_that_runs_again_shows_nothing_of_later_steps)
+{
+	static const struct {
+		const char *name;
+		int32_t done;	      /* of the two tasks of the second step */
+		const char *reported; /* a run of a later step, or NULL */
+		int32_t step;	      /* of which tasks may run unseen */
+	} cases[] = {
+		{ "the second step is done", 2, NULL, 2 },
+		{ "a task of it is done", 1, NULL, 1 },
+		{ "a task of it runs", 0, "0000000000000001.0.1.0", 1 },
+		{ "a task of the third step runs", 0, "0000000000000001.0.2.0",
+		    2 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		int32_t after[] = { 0, 1 };
+		Sched__Step d[3], *steps[] = { &d[0], &d[1], &d[2] };
+		/* In either order. */
+		sched_running_t runs[][2] = {
+			{ { .task = "0000000000000001.0.0.0",
+			      .run = 1,
+			      .checkpoint = "" },
+			    { .task = cases[i].reported,
+				.run = 1,
+				.checkpoint = "" } },
+			{ { .task = cases[i].reported,
+			      .run = 1,
+			      .checkpoint = "" },
+			    { .task = "0000000000000001.0.0.0",
+				.run = 1,
+				.checkpoint = "" } }
+		};
+
+		for (size_t k = 0; k < 3; k++) {
+			d[k] = step_def("", 1000, false, 0);
+			d[k].count = 2;
+			d[k].n_after = k == 0 ? 0 : 1;
+			d[k].after = k == 0 ? NULL : &after[k - 1];
+		}
+		for (size_t order = 0; order < 2; order++) {
+			sched_t *s = new_owner();
+			worker_t *w = add_worker(s, "w");
+			sched_report_t report = { .clock_ms = 1,
+				.started_ms = 1,
+				.running = runs[order],
+				.nrunning = 2 };
+			step_t *st;
+			job_t *j;
+
+			if (cases[i].reported == NULL) {
+				report.running = runs[0];
+				report.nrunning = 1;
+			}
+			j = add_job_of(s, "0000000000000001", steps, 3, 0);
+			j->maybe_started_before = true;
+			s->cell.workers_accounted = false;
+			st = first_step(j);
+			for (int32_t n = 0; n < cases[i].done; n++)
+				job_mark_task_done(&st[1].tasks[n]);
+			s->now_ms = 1000;
+			report_apply(s, w, &report, 900);
+			cr_expect_not(
+			    ownership_may_start_step(s, &st[cases[i].step]),
+			    "%s, order %d", cases[i].name, (int)order);
+			sched_free(s);
+		}
+	}
+}
+
 /*
  * A worker fails all that it is given: after a few failures that tasks do not
  * explain it is tried with one task at a time.  Each letter is a run that ends:
