--- a/test/unit/takeover.c
+++ b/test/unit/takeover.c
@@ -749,3 +749,164 @@
 	cr_expect_not(cell_worker_usable(s, cell_worker_get(s, "w0")));
 	sched_free(s);
 }
+
+/* By so much a reader of the footprint may take the store's clock to be behind. */
+#define STORE_CLOCK_MS 900
+
+/*
+ * Has an owner that got no answer from w0 end its time at end_ms; returns what the next
+ * one reads of the worker's lease.  The owner before it has stored until_ms.
+ */
+static int64_t
+owner_without_answer(int64_t claimed_ms, int64_t end_ms, int64_t until_ms,
+    bool listed, bool in_order)
+{
+	sched_t *s = new_entry();
+	Sched__Owner o = other_owner();
+
+	claim_at(s, &o, TOKEN, claimed_ms);
+	read_footprint(s, until_ms);
+	read_job(s);
+	if (listed)
+		list_worker(s, 1);
+	sched_feed_read(s, SCHED_FEED_WORKERS, claimed_ms);
+	sched_load_done(s, claimed_ms);
+	for (sched_tick(s, claimed_ms, 0); s->cell.state == CELL_OWNED;) {
+		if (s->now_ms >= end_ms) {
+			if (!in_order)
+				break;
+			sched_begin_release(s, s->now_ms);
+		}
+		/* No answer comes in the time for a poll. */
+		if (cell_worker_get(s, "w0")->poll_id != 0 &&
+		    s->now_ms - cell_worker_get(s, "w0")->poll_sent_ms >= 400)
+			sched_poll_done(s, poll_id, "w0", SCHED_ORDER_IN_DOUBT,
+			    NULL, s->now_ms);
+		if (s->write_pending)
+			sched_write_done(
+			    s, SCHED_WRITE_OK, s->cell.version + 1, s->now_ms);
+		sched_tick(s, s->now_ms + 10, 0);
+	}
+	sched_free(s);
+	return written_until_ms != 0 ? written_until_ms : until_ms;
+}
+
+/*
+ * Guards against lasting tasks that are down for too long (LOST), as each owner of a
+ * chain waits anew for the leases of a worker that is gone: the wait counts from the
+ * first claim after its last answer, whoever owns the cell when it is over.
+ */
+Test(takeover, owners_in_turn_wait_once_for_a_worker_that_is_gone)
+{
+	static const struct {
+		const char *name;
+		bool listed, in_order;
+		int32_t owners, each_ms; /* before the last one */
+	} cases[] = {
+		{ "one, stopped in order", true, true, 1, 1000 },
+		{ "one, killed", true, false, 1, 2000 },
+		{ "four, stopped in order", true, true, 4, 1100 },
+		{ "four, killed", true, false, 4, 1500 },
+		{ "three, stopped at once", true, true, 3, 300 },
+		{ "three, killed, the worker has left the list", false, false,
+		    3, 300 },
+		{ "one, stopped after the wait", true, true, 1, 8000 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		int64_t ms = CLAIMED_MS, until_ms = 0, first_ms, wait_ms;
+		sched_t *s;
+		Sched__Owner o = other_owner();
+
+		for (int32_t k = 0; k < cases[i].owners; k++) {
+			until_ms =
+			    owner_without_answer(ms, ms + cases[i].each_ms,
+				until_ms, cases[i].listed, cases[i].in_order);
+			ms += cases[i].each_ms + 100;
+		}
+		s = new_entry();
+		claim_at(s, &o, TOKEN, ms);
+		read_footprint(s, until_ms);
+		read_job(s);
+		sched_load_done(s, ms);
+		while (!s->cell.workers_accounted &&
+		    s->now_ms < ms + 3 * MAX_LEASE_MS)
+			sched_tick(s, s->now_ms + 10, 0);
+		first_ms = CLAIMED_MS + START_CALL_MS + LONGEST_LEASE_MS;
+		wait_ms = s->now_ms - CLAIMED_MS;
+		cr_expect_geq(s->now_ms, first_ms, "%s: %d ms", cases[i].name,
+		    (int)wait_ms);
+		cr_expect_leq(s->now_ms,
+		    MAX(ms, first_ms + STORE_CLOCK_MS) + 100, "%s: %d ms",
+		    cases[i].name, (int)wait_ms);
+		sched_free(s);
+	}
+}
+/*
+ * Guards against two runs of one task: the end that is stored for a worker which has
+ * not answered yet does not cover what this owner grants after its answer.
+ */
+Test(takeover, no_lease_is_extended_before_a_stored_end_is_withdrawn)
+{
+	sched_t *s = new_owner_of_used_worker();
+	worker_t *w = cell_worker_get(s, "w0");
+
+	while (written_until_ms == 0 && s->now_ms < CLAIMED_MS + 3000) {
+		if (w->poll_id != 0)
+			sched_poll_done(s, poll_id, "w0", SCHED_ORDER_IN_DOUBT,
+			    NULL, s->now_ms);
+		if (s->write_pending)
+			sched_write_done(
+			    s, SCHED_WRITE_OK, s->cell.version + 1, s->now_ms);
+		sched_tick(s, s->now_ms + 10, 0);
+	}
+	cr_assert_neq(written_until_ms, 0, "no end was stored");
+	while (w->poll_id == 0)
+		sched_tick(s, s->now_ms + 10, 0);
+	if (s->write_pending)
+		sched_write_done(
+		    s, SCHED_WRITE_OK, s->cell.version + 1, s->now_ms);
+	answer_poll(s);
+	poll_deadline_ms = 0;
+	for (int32_t i = 0; i < 100; i++) {
+		sched_tick(s, s->now_ms + 10, 0);
+		if (w->poll_id != 0)
+			answer_poll(s);
+		cr_expect_not(cell_worker_usable(s, w));
+		cr_expect_eq(poll_deadline_ms, 0);
+	}
+	/* The write that withdraws it has been under way since. */
+	cr_assert(s->write_pending);
+	sched_write_done(s, SCHED_WRITE_OK, s->cell.version + 1, s->now_ms);
+	s->cell.confirmed_ms = s->now_ms;
+	while (w->poll_id == 0)
+		sched_tick(s, s->now_ms + 10, 0);
+	cr_expect_neq(poll_deadline_ms, 0);
+	sched_free(s);
+}
+
+/*
+ * Guards against two runs of one task: that end is not stored for a worker that has
+ * answered before its present process was listed, as this owner may have started tasks.
+ */
+Test(takeover, no_old_end_is_stored_for_a_worker_that_has_answered)
+{
+	sched_t *s = new_owner_of_used_worker();
+	const worker_t *w = cell_worker_get(s, "w0");
+	int64_t end_ms = s->now_ms + 4000;
+
+	answer_poll(s);
+	list_worker(s, 2);
+	while (s->now_ms < end_ms) {
+		if (w->poll_id != 0)
+			sched_poll_done(s, poll_id, "w0", SCHED_ORDER_IN_DOUBT,
+			    NULL, s->now_ms);
+		if (s->write_pending)
+			sched_write_done(
+			    s, SCHED_WRITE_OK, s->cell.version + 1, s->now_ms);
+		sched_tick(s, s->now_ms + 10, 0);
+	}
+	cr_expect(w->silent);
+	cr_expect_eq(written_until_ms, 0);
+	sched_free(s);
+}
