Tables: rows that change faster than they are sent are read anew

What callers would see: CONFIG, or 503, from entries whose link takes longer for the tables than operators take for the next change.

Cause: the feed sends each version. After a whole read of T ms the next answer of the feed holds all versions of these T ms, in full, and takes a multiple of T; only then was the table read whole again. So the tables in force grew old by turns.

Change: a whole read that took over 100 ms a row and brought news is followed by another, until one brings none. Tables of many small rows stay with the feed.

Unit table_watch/a_row_that_changes_faster_than_it_is_sent: a row that takes 200 ms and changes each 50 ms.

--- a/serve/table_watch.c
+++ b/serve/table_watch.c
@@ -38,6 +38,8 @@
 #define FEED_SLACK_MS	    500	 /* a feed's timeout beyond its long poll */
 #define RETRY_GAP_MS	    120	 /* after a failed call */
 #define BEHIND_MS	    500	 /* what is older when handed over is late */
+/* A row that takes longer is read anew, as the feed would send each version. */
+#define SLOW_ROW_MS 100
 
 typedef enum { WATCH_OFF, WATCH_READING, WATCH_FEEDING } watch_state_t;
 
@@ -53,9 +55,12 @@
 	/* The lowest version of the pages read; the feed starts from it. */
 	int64_t read_version;
 	int64_t read_began_ms;	   /* the last whole read */
+	int64_t known_version;	   /* the newest of rows before it */
+	int64_t row_version;	   /* the newest of rows handed over */
+	int32_t rows_read;	   /* by the whole read so far */
 	int32_t unread_partitions; /* partitions that are not read whole yet */
 	int32_t failures;	   /* of calls, since the last answer */
-	bool behind; /* what the last answer of the feed told was late */
+	bool behind; /* the next answer of the feed would be late */
 	uv_timer_t feed_timer;
 	/* If opts.rewritten: the keys handed over, not removed since. */
 	GHashTable *keys;
@@ -149,6 +154,8 @@
 	g_hash_table_foreach(tw->keys, add_key, tw->unread_keys);
 	tw->read_version = INT64_MAX;
 	tw->read_began_ms = node_now_ms(tw->opts.node);
+	tw->known_version = tw->row_version;
+	tw->rows_read = 0;
 	tw->unread_partitions = MAX(1, tw->opts.partitions);
 	for (int32_t i = 0; i < tw->unread_partitions; i++) {
 		char partition[STORE_NAME_BYTES];
@@ -169,6 +176,7 @@
 	for (size_t i = 0; i < a->nrows; i++) {
 		const store_row_t *row = &a->rows[i];
 
+		tw->row_version = MAX(tw->row_version, row->version);
 		if (tw->opts.rewritten) {
 			g_hash_table_remove(tw->unread_keys, row->key);
 			if (row->bytes == NULL)
@@ -218,6 +226,19 @@
 	    a->superseded);
 }
 
+/*
+ * Whether rows change faster than the feed can tell, as far as a whole read shows:
+ * it brought news, and each row took long.
+ */
+static bool
+outruns_feed(const table_watch_t *tw)
+{
+	int64_t took_ms = node_now_ms(tw->opts.node) - tw->read_began_ms;
+
+	return tw->row_version > tw->known_version &&
+	    took_ms > (int64_t)SLOW_ROW_MS * tw->rows_read;
+}
+
 /* Starts the change feed once the last partition was read. */
 static void
 on_partition_read(table_watch_t *tw)
@@ -227,6 +248,7 @@
 	tw->version = tw->read_version;
 	tw->state = tw->opts.read_once ? WATCH_OFF : WATCH_FEEDING;
 	deliver_removals(tw);
+	tw->behind = outruns_feed(tw);
 	if (tw->opts.on_synced != NULL)
 		tw->opts.on_synced(tw->opts.ctx, tw->read_began_ms);
 	if (tw->opts.on_loaded != NULL)
@@ -254,6 +276,7 @@
 	}
 	tw->failures = 0;
 	tw->read_version = MIN(tw->read_version, a->version);
+	tw->rows_read += (int32_t)a->nrows;
 	deliver_rows(tw, a);
 	if (a->has_more && a->nrows > 0) {
 		/* The next page starts just after the last key. */
--- a/test/unit/store_fixture.c
+++ b/test/unit/store_fixture.c
@@ -42,18 +42,52 @@
 	return j;
 }
 
+typedef struct {
+	uv_timer_t timer;
+	server_req_t *req;
+	int32_t status;
+	char *text;
+} answer_t;
+
+static void
+on_answer_closed(uv_handle_t *h)
+{
+	answer_t *a = h->data;
+
+	free(a->text);
+	g_free(a);
+}
+
+static void
+on_answer_due(uv_timer_t *t)
+{
+	answer_t *a = t->data;
+
+	server_reply(a->req, a->status, "", a->text, strlen(a->text));
+	uv_close((uv_handle_t *)t, on_answer_closed);
+}
+
 static void
 reply(store_fixture_t *f, server_req_t *r, int32_t status, json_t *rows)
 {
 	json_t *j = json_pack("{s:o,s:b,s:I,s:I}", "rows", rows, "has_more", 0,
 	    "schema_version", (json_int_t)f->version, "now_ms",
 	    (json_int_t)(uv_hrtime() / 1000000));
-	char *text = json_dumps(j, JSON_COMPACT);
+	answer_t *a = g_new0(answer_t, 1);
+	size_t n = json_array_size(rows);
 
-	f->rows_sent += json_array_size(rows);
-	server_reply(r, status, "", text, strlen(text));
-	free(text);
+	a->req = r;
+	a->status = status;
+	a->text = json_dumps(j, JSON_COMPACT);
 	json_decref(j);
+	f->rows_sent += n;
+	uv_timer_init(f->loop, &a->timer);
+	a->timer.data = a;
+	if (f->row_ms == 0)
+		on_answer_due(&a->timer);
+	else
+		uv_timer_start(
+		    &a->timer, on_answer_due, (uint64_t)f->row_ms * n, 0);
 }
 
 /* The last change of each key that was not removed. */
@@ -128,6 +162,7 @@
 		.on_request = on_request,
 		.ctx = f };
 
+	f->loop = loop;
 	f->history = g_ptr_array_new();
 	f->held = g_ptr_array_new();
 	for (o.port = FIRST_PORT; f->server == NULL; o.port++) {
--- a/test/unit/store_fixture.h
+++ b/test/unit/store_fixture.h
@@ -13,10 +13,12 @@
 	GPtrArray *history; /* of changes, oldest first */
 	int64_t version;    /* of the last change */
 	int64_t kept_from;  /* changes of lower versions are forgotten */
-	bool away;	    /* it answers no call */
-	GPtrArray *held;    /* of server_req_t, not answered */
-	int reads, feeds;   /* calls so far */
-	size_t rows_sent;   /* in all answers so far */
+	uv_loop_t *loop;
+	int32_t row_ms;	  /* an answer takes so long for each row in it */
+	bool away;	  /* it answers no call */
+	GPtrArray *held;  /* of server_req_t, not answered */
+	int reads, feeds; /* calls so far */
+	size_t rows_sent; /* in all answers so far */
 } store_fixture_t;
 
 void store_fixture_init(store_fixture_t *f, uv_loop_t *loop);
--- a/test/unit/table_watch.c
+++ b/test/unit/table_watch.c
@@ -27,6 +27,11 @@
 #define STEP_MS	    3000 /* the most that a step of a test may take */
 #define AWAY_MS	    2000 /* longer than calls wait, so that some fail */
 #define AGE_FAST_MS 1000 /* after the store is back the tables are newer */
+/* A row that takes longer than the time between two changes of it. */
+#define SLOW_ROW_MS  200
+#define SLOW_GAP_MS  50
+#define SLOW_CHANGES 90
+#define SLOW_UNUSED  4 /* rows on their way, or of a call that was given up */
 
 typedef struct {
 	uv_loop_t loop;
@@ -98,6 +103,7 @@
 	f->watch = table_watch_new(&w);
 	f->node.operator_watch = f->watch;
 	uv_timer_init(&f->loop, &f->node.retry_timer);
+	f->node.retry_timer.data = &f->node;
 }
 
 static void
@@ -223,3 +229,36 @@
 	cr_expect_str_eq(handed_value(&f, "config"), "v6");
 	cr_expect_eq(f.handed, 1, "%d rows were handed over", f.handed);
 }
+
+/*
+ * Guards against CONFIG as above: on a weak link a large table takes longer than the
+ * time between two changes of it, so that the feed, which sends each version, fell
+ * behind by more with each answer.
+ */
+Test(table_watch, a_row_that_changes_faster_than_it_is_sent, .timeout = 20)
+{
+	size_t sent, handed, last_sent = 0;
+	fixture_t f = { 0 };
+
+	fixture_init(&f);
+	put_numbered(&f, 0);
+	f.store.row_ms = SLOW_ROW_MS;
+	table_watch_start(f.watch);
+	run_until_value(&f, "config", "v0");
+	for (int i = 1; i <= SLOW_CHANGES; i++) {
+		put_numbered(&f, i);
+		run_for(&f, SLOW_GAP_MS);
+		/* The feed is asked until it has shown that it is late. */
+		if (i == SLOW_CHANGES / 3) {
+			last_sent = f.store.rows_sent;
+			f.handed = 0;
+		}
+	}
+	sent = f.store.rows_sent - last_sent;
+	handed = (size_t)f.handed;
+	cr_expect_gt(handed, 0);
+	cr_expect_leq(sent, handed + SLOW_UNUSED, "%zu of %zu rows were used",
+	    handed, sent);
+	run_until_value(&f, "config", "v90");
+	cr_expect_str_eq(handed_value(&f, "config"), "v90");
+}
