Process test: an unknown queue while the store is away, and after

What callers of an entry without the store see of a queue that it does not know: 503, and 404 within 1 s of the store's return; its probe says 503 and 200.

--- a/test/serve.sh
+++ b/test/serve.sh
@@ -191,11 +191,21 @@
 wait_for 5 answers secret-1 503
 check unreachable "$(keyed secret-1 GET /q/)" 503
 check unreachable_unknown "$(keyed secret-9 GET /q/)" 503
+# Guards against CONFIG, 404 for a queue that was added meanwhile: without the
+# store no queue is unknown, and with it all are known at once.
+no_such_queue() { [ "$(call_code "$o" GET /other/00000000000000a1)" = 404 ]; }
+check unreachable_queue "$(call_code "$o" GET /other/00000000000000a1)" 503
+check unreachable_ready "$(code "http://127.0.0.5$o:8001/-/ready")" 503
 # After 1 s, and by a hash of the id up to as much again.
 check retry_after "$(curl -s -m 5 -D - -H 'Host: k.example' \
     "http://127.0.0.5$o:8000/q/" | tr -d '\r' |
     grep -ciE '^retry-after: [12]$')" 1
+back_ms=$(date +%s%3N)
 kill -CONT "$(pid_of store)"
+wait_for 5 no_such_queue
+took_ms=$(($(date +%s%3N) - back_ms))
+check reachable_queue "$([ $took_ms -le 1000 ] && echo yes || echo $took_ms ms)" yes
+check reachable_ready "$(wait_for 5 ready "$o" && echo yes)" yes
 wait_for 5 answers secret-1 401
 check withdrawn_later "$(keyed secret-1 GET /q/)" 401
 # The number of waiting jobs is not known until the owner has renewed its row.
