--- a/serve/table_watch.c
+++ b/serve/table_watch.c
@@ -41,6 +41,8 @@
 #define FEED_DOUBLINGS	    1	 /* a longer wait would hide lost answers */
 #define RETRY_GAP_MS	    120	 /* after a failed call */
 #define BEHIND_MS	    500	 /* what is older when handed over is late */
+/* A row that takes longer is read anew, as the feed would send each version. */
+#define SLOW_ROW_MS 100
 
 typedef enum { WATCH_OFF, WATCH_READING, WATCH_FEEDING } watch_state_t;
 
@@ -56,11 +58,15 @@
 	/* The lowest version of the pages read; the feed starts from it. */
 	int64_t read_version;
 	int64_t read_as_of_ms;	   /* the oldest of the pages read */
+	int64_t read_took_ms;	   /* all answers of the whole read so far */
+	int64_t known_version;	   /* the newest of rows before it */
+	int64_t row_version;	   /* the newest of rows handed over */
+	int32_t rows_read;	   /* by the whole read so far */
 	int32_t unread_partitions; /* partitions that are not read whole yet */
 	int32_t failures;	   /* of calls, since the last answer */
 	bool answering;		   /* an answer to a call of it is handled */
 	int32_t took_ms; /* of the last answer, beyond a wait for a change */
-	bool behind;	 /* what the last answer of the feed told was late */
+	bool behind;	 /* the next answer of the feed would be late */
 	bool compacted;	 /* the store had not the history that was asked for */
 	int32_t resets;	 /* times that it had not, since it last had */
 	uv_timer_t feed_timer;
@@ -178,6 +184,9 @@
 	g_hash_table_foreach(tw->keys, add_key, tw->unread_keys);
 	tw->read_version = INT64_MAX;
 	tw->read_as_of_ms = INT64_MAX;
+	tw->read_took_ms = 0;
+	tw->known_version = tw->row_version;
+	tw->rows_read = 0;
 	tw->unread_partitions = MAX(1, tw->opts.partitions);
 	for (int32_t i = 0; i < tw->unread_partitions; i++) {
 		char partition[STORE_NAME_BYTES];
@@ -198,6 +207,7 @@
 	for (size_t i = 0; i < a->nrows; i++) {
 		const store_row_t *row = &a->rows[i];
 
+		tw->row_version = MAX(tw->row_version, row->version);
 		if (tw->opts.rewritten) {
 			g_hash_table_remove(tw->unread_keys, row->key);
 			if (row->bytes == NULL)
@@ -251,6 +261,17 @@
 	    a->superseded);
 }
 
+/*
+ * Whether rows change faster than the feed can tell, as far as a whole read shows:
+ * it brought news, and each row took long.
+ */
+static bool
+outruns_feed(const table_watch_t *tw)
+{
+	return tw->row_version > tw->known_version &&
+	    tw->read_took_ms > (int64_t)SLOW_ROW_MS * tw->rows_read;
+}
+
 /* Starts the change feed once the last partition was read. */
 static void
 on_partition_read(table_watch_t *tw)
@@ -260,6 +281,7 @@
 	tw->version = tw->read_version;
 	tw->state = tw->opts.read_once ? WATCH_OFF : WATCH_FEEDING;
 	deliver_removals(tw);
+	tw->behind = outruns_feed(tw);
 	if (tw->opts.on_synced != NULL)
 		tw->opts.on_synced(tw->opts.ctx, tw->read_as_of_ms);
 	if (tw->opts.on_loaded != NULL)
@@ -288,7 +310,7 @@
 {
 	watch_call_t *c = ctx;
 	table_watch_t *tw = c->tw;
-	int64_t as_of_ms;
+	int64_t as_of_ms, took_ms;
 
 	record_answer(c, r, a);
 	if (c->generation != tw->generation) {
@@ -300,11 +322,14 @@
 		uv_timer_start(&c->retry, on_retry, RETRY_GAP_MS, 0);
 		return;
 	}
-	note_answer(tw, node_now_ms(tw->opts.node) - c->sent_ms);
+	took_ms = node_now_ms(tw->opts.node) - c->sent_ms;
+	note_answer(tw, took_ms);
+	tw->read_took_ms += took_ms;
 	tw->read_version = MIN(tw->read_version, a->version);
 	as_of_ms = store_clock_local(&tw->opts.node->store_clock, a->clock_ms,
 	    c->sent_ms, node_now_ms(tw->opts.node));
 	tw->read_as_of_ms = MIN(tw->read_as_of_ms, as_of_ms);
+	tw->rows_read += (int32_t)a->nrows;
 	deliver_rows(tw, a);
 	if (a->has_more && a->nrows > 0) {
 		/* The next page starts just after the last key. */
--- a/test/unit/store_fixture.h
+++ b/test/unit/store_fixture.h
@@ -17,6 +17,7 @@
 	bool away;	    /* it answers no call */
 	bool forgets;	    /* it never has the history that is asked for */
 	int32_t slow_ms;    /* each call is handled so much later */
+	int32_t row_ms;	    /* an answer takes so long for each row in it */
 	GPtrArray *held;    /* of server_req_t, not answered */
 	int reads, feeds;   /* calls so far */
 	size_t rows_sent;   /* in all answers so far */
