Leases: owners in turn wait once for a worker that is gone

What callers saw: lasting tasks without a run for up to 17 s beside room for them (LOST), where entries were stopped one after another. Cause: an owner that had had no answer from a worker stored nothing of its lease. So the next one counted the 6.5 s from its own claim, and owners of less than 6.5 s each never finished: a wait that each change of owner puts back. Fix: the owner stores the end of all leases of earlier owners for such a worker, once that is silent or has left the list, or the owner leaves in order. It has extended none there, so that nothing can last longer, whichever process has the worker's id. The 6.5 s are not shortened. The end is withdrawn before the worker gets a start or a longer lease, as one that was stored before.

--- a/sched/lease.c
+++ b/sched/lease.c
@@ -282,6 +282,30 @@
 	return valid;
 }
 
+/* Whether a worker is known to have left the list. */
+static bool
+has_left(const sched_t *s, const worker_t *w)
+{
+	return !w->listed &&
+	    s->now_ms - s->feed_read_ms[SCHED_FEED_WORKERS] <=
+	    s->opts.feed_limit_ms;
+}
+
+/*
+ * Whether to store the end of all leases of earlier owners for a worker.  That holds as
+ * no process of it has answered this owner, which has extended no lease there and
+ * started nothing.  Not for one that may answer soon, as it gets no start before
+ * that end is withdrawn.
+ */
+static bool
+stores_old_leases(const sched_t *s, const worker_t *w)
+{
+	return w->lease.earlier.state == BOUND_UNKNOWN &&
+	    !lease_end_is_stored(w) && s->store_clock_known &&
+	    s->cell.old_leases.state == BOUND_ENDS_AT &&
+	    (w->silent || has_left(s, w) || s->cell.releasing);
+}
+
 /*
  * Sets what to store for successors: the end of the lease of a worker that does not
  * answer, once an owner has extended it.  False: it is what was stored before.
@@ -292,10 +316,12 @@
 	lease_t *l = &w->lease;
 	int64_t before_ms = lease_stored_ms(w);
 
-	/* What an earlier owner stored still holds. */
-	if (!w->has_answered)
-		return false;
-	if (w->missed_polls == 0 || l->sent_ms == NEVER_MS)
+	if (!w->has_answered) {
+		/* What an earlier owner stored still holds. */
+		if (stores_old_leases(s, w))
+			l->stored = ENDS_AT(
+			    s->cell.old_leases.ms + s->store_clock_offset_ms);
+	} else if (w->missed_polls == 0 || l->sent_ms == NEVER_MS)
 		l->stored.state = BOUND_EXTENDING;
 	else if (!lease_end_is_stored(w) && s->store_clock_known &&
 	    l->earlier.state == BOUND_ENDS_AT) {
--- a/test/unit/takeover.c
+++ b/test/unit/takeover.c
@@ -769,6 +769,7 @@
 	read_job(s);
 	if (listed)
 		list_worker(s, 1);
+	sched_feed_read(s, SCHED_FEED_WORKERS, claimed_ms);
 	sched_load_done(s, claimed_ms);
 	for (sched_tick(s, claimed_ms, 0); s->cell.state == CELL_OWNED;) {
 		if (s->now_ms >= end_ms) {
@@ -841,3 +842,71 @@
 		sched_free(s);
 	}
 }
+/*
+ * Guards against two runs of one task: the end that is stored for a worker which has
+ * not answered yet does not cover what this owner grants after its answer.
+ */
+Test(takeover, no_lease_is_extended_before_a_stored_end_is_withdrawn)
+{
+	sched_t *s = new_owner_of_used_worker();
+	worker_t *w = cell_worker_get(s, "w0");
+
+	while (written_until_ms == 0 && s->now_ms < CLAIMED_MS + 3000) {
+		if (w->poll_id != 0)
+			sched_poll_done(s, poll_id, "w0", SCHED_ORDER_IN_DOUBT,
+			    NULL, s->now_ms);
+		if (s->write_pending)
+			sched_write_done(
+			    s, SCHED_WRITE_OK, s->cell.version + 1, s->now_ms);
+		sched_tick(s, s->now_ms + 10, 0);
+	}
+	cr_assert_neq(written_until_ms, 0, "no end was stored");
+	while (w->poll_id == 0)
+		sched_tick(s, s->now_ms + 10, 0);
+	if (s->write_pending)
+		sched_write_done(
+		    s, SCHED_WRITE_OK, s->cell.version + 1, s->now_ms);
+	answer_poll(s);
+	poll_deadline_ms = 0;
+	for (int32_t i = 0; i < 100; i++) {
+		sched_tick(s, s->now_ms + 10, 0);
+		if (w->poll_id != 0)
+			answer_poll(s);
+		cr_expect_not(cell_worker_usable(s, w));
+		cr_expect_eq(poll_deadline_ms, 0);
+	}
+	/* The write that withdraws it has been under way since. */
+	cr_assert(s->write_pending);
+	sched_write_done(s, SCHED_WRITE_OK, s->cell.version + 1, s->now_ms);
+	s->cell.confirmed_ms = s->now_ms;
+	while (w->poll_id == 0)
+		sched_tick(s, s->now_ms + 10, 0);
+	cr_expect_neq(poll_deadline_ms, 0);
+	sched_free(s);
+}
+
+/*
+ * Guards against two runs of one task: that end is not stored for a worker that has
+ * answered before its present process was listed, as this owner may have started tasks.
+ */
+Test(takeover, no_old_end_is_stored_for_a_worker_that_has_answered)
+{
+	sched_t *s = new_owner_of_used_worker();
+	const worker_t *w = cell_worker_get(s, "w0");
+	int64_t end_ms = s->now_ms + 4000;
+
+	answer_poll(s);
+	list_worker(s, 2);
+	while (s->now_ms < end_ms) {
+		if (w->poll_id != 0)
+			sched_poll_done(s, poll_id, "w0", SCHED_ORDER_IN_DOUBT,
+			    NULL, s->now_ms);
+		if (s->write_pending)
+			sched_write_done(
+			    s, SCHED_WRITE_OK, s->cell.version + 1, s->now_ms);
+		sched_tick(s, s->now_ms + 10, 0);
+	}
+	cr_expect(w->silent);
+	cr_expect_eq(written_until_ms, 0);
+	sched_free(s);
+}
