--- a/test/unit/crash.c
+++ b/test/unit/crash.c
@@ -479,3 +479,63 @@
 		sched_free(s);
 	}
 }
+
+/*
+ * Guards against lasting tasks that wait in quarantine (LOST): all workers of a data
+ * centre crash at once, and others answer in their place one after the other.  Those
+ * that are back, and those that have been settled, change nothing for the rest.
+ */
+Test(crash, an_outage_makes_nobody_suspect_as_its_workers_come_back)
+{
+	static const struct {
+		const char *what;
+		int32_t workers;
+		bool same_id, suspect;
+	} cases[] = {
+		{ "eight, back with other ids", 8, false, false },
+		{ "eight, back with their ids", 8, true, false },
+		{ "two of a data centre", 2, false, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		worker_t *w[8];
+		task_t *t[8];
+		sched_t *s = owner_with_job(&w[0], &t[0], 100000);
+		Sched__Step d = step_def("", 1000, false, 0);
+		sched_report_t report = { .clock_ms = 1, .started_ms = 2 };
+		int64_t now_ms = s->now_ms;
+
+		for (int32_t k = 1; k < cases[i].workers; k++) {
+			g_autofree char *id = g_strdup_printf("x%d", k);
+			g_autofree char *job = g_strdup_printf("%016d", 50 + k);
+
+			w[k] = add_worker(s, id);
+			s->now_ms = now_ms;
+			t[k] = &first_step(add_job(s, job, &d, 0))->tasks[0];
+		}
+		for (int32_t k = 0; k < cases[i].workers; k++) {
+			w[k]->reported_ms = s->now_ms;
+			run_for(s, w[k], t[k], false, 10);
+		}
+		for (int32_t k = 0; k < cases[i].workers; k++)
+			w[k]->missed_polls = 3;
+		now_ms = s->now_ms += 3500;
+		for (int32_t k = 0; k < cases[i].workers; k++) {
+			g_autofree char *id = g_strdup_printf("y%d", k);
+			worker_t *back =
+			    cases[i].same_id ? w[k] : add_worker(s, id);
+
+			s->now_ms = now_ms + k;
+			if (!cases[i].same_id) {
+				back->has_answered = false;
+				w[k]->listed = false;
+				crash_worker_replaced(s, w[k]);
+				run_worker_lost(s, w[k], "test");
+			}
+			report_apply(s, back, &report, s->now_ms);
+			cr_expect_eq(crash_is_suspect(t[k]), cases[i].suspect,
+			    "%s, worker %d", cases[i].what, k);
+		}
+		sched_free(s);
+	}
+}
