Crashes: an outage is told by the workers that were up as it began

What callers saw: lasting tasks without a run for up to 14 s (LOST), where all workers of an installation crashed at once just after they had been given hundreds of tasks. Cause: whether half of a data centre's workers are down was asked of those that are listed as a worker is settled. Those settled before counted no more, and those back in their place counted as up, so that only the first half counted as lost in an outage; the tasks of the others waited for quarantine. Fix: it is asked of the workers that were up when that worker last reported: their process has ended since, or they miss polls.

--- a/sched/cell_worker.c
+++ b/sched/cell_worker.c
@@ -34,6 +34,7 @@
 	w->labels = g_ptr_array_new();
 	w->runs = g_hash_table_new(g_str_hash, g_str_equal);
 	w->fillers_pace_pct = 100;
+	w->former_reported_ms = NEVER_MS;
 	lease_forget(w);
 	w->footprint_row = (int32_t)(g_str_hash(w->id) % FOOTPRINT_ROWS);
 	g_hash_table_insert(s->workers, (void *)w->id, w);
@@ -115,6 +116,8 @@
 cell_worker_restarted(sched_t *s, worker_t *w, int64_t started_ms)
 {
 	crash_worker_restarted(s, w);
+	if (w->has_answered)
+		w->former_reported_ms = w->reported_ms;
 	w->started_ms = started_ms;
 	w->ended_seq = w->ended_stored_seq = 0;
 	lease_restarted(w);
--- a/sched/crash.c
+++ b/sched/crash.c
@@ -43,6 +43,10 @@
  * that is an outage and not a task's doing. */
 #define OUTAGE_WORKERS	 4
 #define OUTAGE_SHARE_PCT 50
+/* Workers that are up report this often; a poll waits for 1 s and times out. */
+#define REPORTS_MS 1500
+/* All workers have been seen so long after a takeover. */
+#define SEEN_MS 500
 
 /* A run that was on a worker when its lease expired. */
 typedef struct {
@@ -173,25 +177,35 @@
 	return answered_ms - r->first_seen_ms;
 }
 
+/* Whether the process of a worker that it is known by was up at a time. */
+static bool
+was_up(const worker_t *w, int64_t at_ms)
+{
+	return w->first_reported_ms <= at_ms + SEEN_MS &&
+	    w->reported_ms >= at_ms - REPORTS_MS;
+}
+
 /*
  * Whether so many workers of a worker's data centre, itself included, have
- * missed a poll or are lost that the cause is probably an outage.
+ * missed a poll or are lost that the cause is probably an outage.  That is asked of
+ * those that were up when it last was, as others may be back by now.
  */
 static bool
 zone_is_down(const sched_t *s, const worker_t *w)
 {
+	int64_t at_ms = w->reported_ms;
 	guint down = 0, all = 0;
 
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		const worker_t *o = g_ptr_array_index(s->worker_list, i);
+		bool replaced = o->former_reported_ms >= at_ms - REPORTS_MS;
 
-		/* One that has left the list counts while runs may be there. */
 		if (o->zone != w->zone ||
-		    !(o->listed || g_hash_table_size(o->runs) > 0 ||
-			o->lost_runs != NULL))
+		    !(o == w || replaced || was_up(o, at_ms)))
 			continue;
 		all++;
-		down += o == w || o->missed_polls > 0 || o->lost_runs != NULL;
+		down += o == w || replaced || o->missed_polls > 0 ||
+		    o->lost_runs != NULL;
 	}
 	return down >= OUTAGE_WORKERS && down * 100 >= all * OUTAGE_SHARE_PCT;
 }
--- a/sched/report.c
+++ b/sched/report.c
@@ -440,6 +440,8 @@
 					      w->started_ms);
 	}
 	first = !w->has_answered;
+	if (first)
+		w->first_reported_ms = s->now_ms;
 	s->report_number++;
 	w->reported_ms = s->now_ms;
 	lease_clock_read(s, w, report->clock_ms);
--- a/sched/types.h
+++ b/sched/types.h
@@ -386,8 +386,11 @@
 	uint64_t poll_id;     /* poll in flight; 0: none */
 	int64_t poll_sent_ms; /* when the last poll was sent */
 	int64_t next_poll_ms;
-	int64_t reported_ms; /* when its process last sent a report */
-	int64_t back_ms;     /* it came back then, see handover.c; or 0 */
+	int64_t reported_ms;	   /* when its process last sent a report */
+	int64_t first_reported_ms; /* when it first did, to this owner */
+	/* When the process before it last did, or NEVER_MS. */
+	int64_t former_reported_ms;
+	int64_t back_ms; /* it came back then, see handover.c; or 0 */
 	/* When it was up to answer a poll or order of this owner, or NEVER_MS. */
 	int64_t answered_ms;
 	bool poll_soon;		  /* it is in s->polls_soon */
