Entries: an owner learns that the store answers an entry that it does not know

Two owners for 0.02 to 0.11 s: an owner that the store turned away went on as in an outage for all, while an entry that had started later claimed the cell. Cause: it takes its list of entries for the present one, though it can't renew that list just then, and asks those alone.

An entry that the store answers now tells an owner that has not renewed its claim so, unasked, before and right after it claims the cell, and what an entry that isn't listed yet says of the store counts. So neither list has to be new.

--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -29,6 +29,7 @@
 #include "internal.h"
 
 #define SILENT_MS    1200 /* three renewals missed: owner counts as failed */
+#define SUSPECT_MS   700  /* one renewal missed, and a read of the row */
 #define SUCCESSOR_MS 700  /* a live successor has read the row by then */
 #define READ_GAP_MS  1500 /* reads further apart do not prove silence */
 /*
@@ -337,6 +338,18 @@
 	g_byte_array_unref(b);
 }
 
+bool
+sched_owner_is_silent(const sched_t *s)
+{
+	const cell_t *c = &s->cell;
+
+	if (c->row == NULL || c->row->released || row_is_ours(s, c->row))
+		return false;
+	if (c->state == CELL_LOADING || c->state == CELL_OWNED)
+		return true;
+	return c->row_read_ms - c->row_changed_ms >= SUSPECT_MS;
+}
+
 /*
  * Whether each worker that earlier owners used has answered a poll, has been
  * replaced by another process, or is free of their leases, and none has ended
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -420,6 +420,11 @@
 bool sched_is_owner(const sched_t *s);
 /* Name of the owner by the row that was last read; "" without one. */
 const char *sched_owner_name(const sched_t *s);
+/*
+ * Whether that is another entry which has not renewed its claim for a while, or which
+ * this one has taken over from.
+ */
+bool sched_owner_is_silent(const sched_t *s);
 /* Whether the last row that it wrote, as the owner, releases the cell. */
 bool sched_has_released(const sched_t *s);
 /* Whether it has claimed the cell and waits for sched_load_done. */
--- a/serve/entries.c
+++ b/serve/entries.c
@@ -6,7 +6,7 @@
  * every SEND_GAP_MS.  One that receives such notices from nearly all others
  * concludes that there is an outage of the store for all, so that nobody can
  * claim the cell it owns; an entry that the store does answer tells such an owner
- * so.  An entry that leaves names its successor among the others, and sends a
+ * so, also one that does not know it.  An entry that leaves names its successor among the others, and sends a
  * notice once it has released the cell.
  */
 #include <inttypes.h>
@@ -35,6 +35,7 @@
 #define ENTRY_PARTITION	 "e"
 #define NOTICE_AFTER_MS	 700 /* without an answer of the store */
 #define SEND_GAP_MS	 150 /* between two notices to each entry */
+#define UNLISTED_MS	 600 /* so long counts what an unknown entry says */
 #define WRITE_TIMEOUT_MS 1500
 #define RETRY_GAP_MS	 300
 #define LONG_POLL_MS	 20000 /* entries change seldom */
@@ -51,6 +52,8 @@
 	dgram_t *dgram;
 	table_watch_t *watch;
 	GHashTable *others; /* name -> peer_entry_t; without this one */
+	/* Of an entry that is not among them yet, and that the store answers. */
+	outage_report_t unlisted;
 	uv_timer_t send_timer;
 	uv_timer_t retry_timer;
 	outage_t outage; /* as of the last run of send_timer */
@@ -215,6 +218,37 @@
 	send_notice(es, peer, &notice);
 }
 
+/*
+ * Tells an owner that has not renewed its claim for a while that the store answers
+ * this entry.  The owner may not know of it, and so not ask.
+ */
+static void
+tell_silent_owner(entries_t *es)
+{
+	Sched__Notice notice = SCHED__NOTICE__INIT;
+	const sched_t *s = cell_driver_sched(es->node->cell_driver);
+	const peer_entry_t *owner;
+
+	if (!sched_owner_is_silent(s))
+		return;
+	owner = g_hash_table_lookup(es->others, sched_owner_name(s));
+	if (owner == NULL)
+		return;
+	notice.silent_ms = (int32_t)store_silent_ms(es);
+	notice.released = notice.served = true;
+	send_notice(es, owner, &notice);
+}
+
+/* Notes what another entry says of the store. */
+static void
+note_report(
+    const entries_t *es, outage_report_t *report, const Sched__Notice *notice)
+{
+	report->heard_ms = node_now_ms(es->node);
+	report->answered_ms = report->heard_ms - notice->silent_ms;
+	report->served = notice->served;
+}
+
 /* A notice of a release makes a read of the owner's row due at once. */
 static void
 on_notice(void *ctx, const uint8_t *data, size_t n)
@@ -231,12 +265,10 @@
 	peer = g_hash_table_lookup(es->others, notice->name);
 	if (notice->released)
 		cell_driver_poll_owner(es->node->cell_driver);
-	if (peer != NULL && (notice->served || !notice->released)) {
-		peer->report.heard_ms = node_now_ms(es->node);
-		peer->report.answered_ms =
-		    peer->report.heard_ms - notice->silent_ms;
-		peer->report.served = notice->served;
-	}
+	if (peer != NULL && (notice->served || !notice->released))
+		note_report(es, &peer->report, notice);
+	else if (peer == NULL && notice->served)
+		note_report(es, &es->unlisted, notice);
 	if (peer != NULL && !notice->released)
 		answer_silent(es, notice->name, peer);
 	sched__notice__free_unpacked(notice, NULL);
@@ -247,14 +279,17 @@
 update_outage(entries_t *es, int64_t *last_ms)
 {
 	guint n = g_hash_table_size(es->others), i = 0;
-	outage_report_t *reports = g_new(outage_report_t, n);
+	outage_report_t *reports = g_new(outage_report_t, n + 1);
+	int64_t now = node_now_ms(es->node);
 	GHashTableIter it;
 	void *v;
 
 	g_hash_table_iter_init(&it, es->others);
 	while (g_hash_table_iter_next(&it, NULL, &v))
 		reports[i++] = ((peer_entry_t *)v)->report;
-	outage_update(&es->outage, reports, n, node_now_ms(es->node), last_ms);
+	if (now - es->unlisted.heard_ms < UNLISTED_MS)
+		reports[n++] = es->unlisted;
+	outage_update(&es->outage, reports, n, now, last_ms);
 	g_free(reports);
 }
 
@@ -277,8 +312,10 @@
 		notice.silent_ms = (int32_t)silent_ms;
 		send_notice(es, NULL, &notice);
 		update_outage(es, &last_ms);
-	} else
+	} else {
 		memset(&es->outage, 0, sizeof(es->outage));
+		tell_silent_owner(es);
+	}
 	if (es->outage.on || was_on)
 		sched_set_store_outage(cell_driver_sched(es->node->cell_driver),
 		    es->outage.on, last_ms, node_now_ms(es->node));
