--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -474,8 +474,8 @@
 /*
  * Whether tasks may be started, and moved between workers.  (Stops, polls and
  * paces may be ordered as long as the cell is owned.)  During a store outage
- * nothing can be cancelled or taken out of service, so that data which was current
- * when it began does no harm.
+ * the data that was current when it began is used: what changes meanwhile is not
+ * known to any entry.
  */
 bool
 ownership_may_start_tasks(const sched_t *s)
--- a/serve/entries.c
+++ b/serve/entries.c
@@ -6,8 +6,8 @@
  * every SEND_GAP_MS.  One that receives such notices from nearly all others
  * concludes that there is an outage of the store for all, so that nobody can
  * claim the cell it owns; an entry that the store does answer tells such an owner
- * so, also one that does not know it.  An entry that leaves names its successor among the others, and sends a
- * notice once it has released the cell.
+ * so, also one that does not know it.  An entry that leaves names its successor
+ * among the others, and sends a notice once it has released the cell.
  */
 #include <inttypes.h>
 #include <stdbool.h>
