--- a/sched/job.c
+++ b/sched/job.c
@@ -19,7 +19,6 @@
 #include "internal.h"
 
 #define MAX_STEP_TASKS	     10000  /* bounds what one job may take */
-#define MAX_STEPS	     200    /* of one job */
 #define MEAN_WORK_JOBS	     32	    /* jobs in the average work of a queue */
 #define INITIAL_RUN_TIME_PCT 100    /* of the declared time, until learned */
 #define MAX_JOB_TASKS	     200000 /* of all occurrences of a job */
@@ -67,7 +66,7 @@
 	if (def->n_steps == 0)
 		return false;
 	*why = "a job has more steps than are allowed";
-	if (def->n_steps > MAX_STEPS)
+	if (def->n_steps > JOB_MAX_STEPS)
 		return false;
 	for (size_t i = 0; i < def->n_steps; i++) {
 		if (!step_valid(def, i, why))
--- a/sched/report.c
+++ b/sched/report.c
@@ -200,7 +200,7 @@
 {
 	occurrence_t *o = st->occ;
 	size_t n = o->job->def->n_steps;
-	g_autofree bool *later = g_new0(bool, n);
+	bool later[JOB_MAX_STEPS] = { false };
 
 	if (st->def->duplicates || find_later_steps(st, later))
 		return;
--- a/sched/types.h
+++ b/sched/types.h
@@ -16,6 +16,7 @@
 typedef struct customer customer_t;
 typedef struct overload overload_t;
 
+#define JOB_MAX_STEPS	      200  /* of one job */
 #define RUN_NUMBERS_PER_OWNER 1000 /* for the runs of a task by one owner */
 
 /* Slowed starts may bring what a worker's fillers declare to so many times its
