Tables: the answer that ends a gap is used, and as old as its call

Cause: the first answer after a gap lets all watches call again before it is handled. And a read that succeeds after failed calls counted as old as the first of them.

Change: an answer does not make its own watch call again. A whole read is as old as the calls that succeeded.

--- a/serve/table_watch.c
+++ b/serve/table_watch.c
@@ -54,13 +54,14 @@
 	int64_t version; /* up to which changes were handed over */
 	/* The lowest version of the pages read; the feed starts from it. */
 	int64_t read_version;
-	int64_t read_began_ms;	   /* the last whole read */
-	int64_t known_version;	   /* the newest of rows before it */
-	int64_t row_version;	   /* the newest of rows handed over */
-	int32_t rows_read;	   /* by the whole read so far */
+	int64_t read_as_of_ms; /* its first page was asked for, with success */
+	int64_t known_version; /* the newest of rows before it */
+	int64_t row_version;   /* the newest of rows handed over */
+	int32_t rows_read;     /* by the whole read so far */
 	int32_t unread_partitions; /* partitions that are not read whole yet */
 	int32_t failures;	   /* of calls, since the last answer */
-	bool behind; /* the next answer of the feed would be late */
+	bool behind;	/* the next answer of the feed would be late */
+	bool answering; /* an answer is being handled: none is to be awaited */
 	uv_timer_t feed_timer;
 	/* If opts.rewritten: the keys handed over, not removed since. */
 	GHashTable *keys;
@@ -72,8 +73,8 @@
 	table_watch_t *tw;
 	uint64_t generation;
 	char partition[STORE_NAME_BYTES];
-	char *next;	 /* first key of the next page */
-	int64_t sent_ms; /* of a call of the feed */
+	char *next; /* first key of the next page */
+	int64_t sent_ms;
 	uv_timer_t retry;
 } watch_call_t;
 
@@ -153,7 +154,7 @@
 	g_hash_table_remove_all(tw->unread_keys);
 	g_hash_table_foreach(tw->keys, add_key, tw->unread_keys);
 	tw->read_version = INT64_MAX;
-	tw->read_began_ms = node_now_ms(tw->opts.node);
+	tw->read_as_of_ms = INT64_MAX;
 	tw->known_version = tw->row_version;
 	tw->rows_read = 0;
 	tw->unread_partitions = MAX(1, tw->opts.partitions);
@@ -233,7 +234,7 @@
 static bool
 outruns_feed(const table_watch_t *tw)
 {
-	int64_t took_ms = node_now_ms(tw->opts.node) - tw->read_began_ms;
+	int64_t took_ms = node_now_ms(tw->opts.node) - tw->read_as_of_ms;
 
 	return tw->row_version > tw->known_version &&
 	    took_ms > (int64_t)SLOW_ROW_MS * tw->rows_read;
@@ -250,7 +251,7 @@
 	deliver_removals(tw);
 	tw->behind = outruns_feed(tw);
 	if (tw->opts.on_synced != NULL)
-		tw->opts.on_synced(tw->opts.ctx, tw->read_began_ms);
+		tw->opts.on_synced(tw->opts.ctx, tw->read_as_of_ms);
 	if (tw->opts.on_loaded != NULL)
 		tw->opts.on_loaded(tw->opts.ctx);
 	/* The callbacks may have stopped or restarted the watch. */
@@ -258,14 +259,28 @@
 		read_changes(tw);
 }
 
+/*
+ * Notes an answer.  It may be the first after a gap, upon which all watches call
+ * again, but the one that it is for.
+ */
+static void
+record_answer(
+    table_watch_t *tw, bool stale, store_result_t r, const store_answer_t *a)
+{
+	tw->answering = !stale;
+	node_record_store_answer(tw->opts.node, r, a);
+	tw->answering = false;
+}
+
 static void
 on_page(void *ctx, store_result_t r, const store_answer_t *a)
 {
 	watch_call_t *c = ctx;
 	table_watch_t *tw = c->tw;
+	bool stale = c->generation != tw->generation;
 
-	node_record_store_answer(tw->opts.node, r, a);
-	if (c->generation != tw->generation) {
+	record_answer(tw, stale, r, a);
+	if (stale) {
 		call_free(c);
 		return;
 	}
@@ -276,6 +291,7 @@
 	}
 	tw->failures = 0;
 	tw->read_version = MIN(tw->read_version, a->version);
+	tw->read_as_of_ms = MIN(tw->read_as_of_ms, c->sent_ms);
 	tw->rows_read += (int32_t)a->nrows;
 	deliver_rows(tw, a);
 	if (a->has_more && a->nrows > 0) {
@@ -302,6 +318,7 @@
 		    READ_TIMEOUT_MS << CLAMP(tw->failures, 0, 4)),
 		.stall_ms = STALL_MS };
 
+	c->sent_ms = node_now_ms(tw->opts.node);
 	store_scan(tw->opts.node->platform, &scan, on_page, c);
 }
 
@@ -315,7 +332,7 @@
 	int64_t sent_ms = c->sent_ms, now = node_now_ms(n), as_of_ms;
 
 	call_free(c);
-	node_record_store_answer(n, r, a);
+	record_answer(tw, stale, r, a);
 	if (stale)
 		return;
 	if (r == STORE_COMPACTED) {
@@ -405,7 +422,7 @@
 void
 table_watch_retry_now(table_watch_t *tw)
 {
-	if (tw->state == WATCH_OFF ||
+	if (tw->state == WATCH_OFF || tw->answering ||
 	    (tw->state == WATCH_READING && !tw->opts.rewritten))
 		return;
 	if (tw->opts.rewritten) {
--- a/test/unit/table_watch.c
+++ b/test/unit/table_watch.c
@@ -189,6 +189,23 @@
 	cr_expect_str_eq(handed_value(&f, "evacuate/z"), "", "still out");
 }
 
+/*
+ * Guards against CONFIG as above: the answer that showed that the store was back was
+ * thrown away, though it was the table, and the table read again.
+ */
+Test(table_watch, the_answer_that_ends_a_gap_is_used, .timeout = 20)
+{
+	fixture_t f = { 0 };
+
+	fixture_init(&f);
+	fall_behind(&f);
+	run_until_value(&f, "config", "v40");
+	run_for(&f, 200);
+	cr_expect_str_eq(handed_value(&f, "config"), "v40");
+	cr_expect_eq(
+	    f.store.rows_sent, 1, "the store sent %zu rows", f.store.rows_sent);
+}
+
 /*
  * Guards against a data centre that stays out of use for ever: its evacuation was
  * taken back while the store forgot its history, so that the table is read whole.
