Tables: the first time-out of a read is 0.5 s

A store of 0.6 s failed three reads in a row with 0.3 s (unit table_watch the_feed_of_a_slow_store, beside load). Answers of reads are not lost where the platform loses answers, as far as seen.

--- a/serve/table_watch.c
+++ b/serve/table_watch.c
@@ -33,7 +33,7 @@
  * Until an answer begins to arrive: doubled after each failure, as the store may
  * be slow or lose answers, and at least twice the time of the last answer.
  */
-#define READ_TIMEOUT_MS	    300
+#define READ_TIMEOUT_MS	    500
 #define READ_TIMEOUT_MAX_MS 2000
 #define READ_DOUBLINGS	    2
 #define STALL_MS	    1000 /* between parts of an answer */
