--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -274,7 +274,7 @@
 {
 	n->stats.tables_old++;
 	reply_error(r, 503, "the tables can't be read now",
-	    store_retry_after_ms(n, r->path));
+	    sched_retry_after_ms(r->path, RETRY_AFTER_MS));
 }
 
 /* Answers a call for which there is no queue. */
--- a/serve/request.c
+++ b/serve/request.c
@@ -127,14 +127,6 @@
 	finish(rq, 200, "{}");
 }
 
-int32_t
-store_retry_after_ms(const node_t *n, const char *id)
-{
-	int64_t silent_ms = node_now_ms(n) - n->store_answered_ms;
-
-	return sched_retry_after_ms(id, MIN(silent_ms, OUTAGE_RETRY_MAX_MS));
-}
-
 /* Answers 504 for a write in doubt, 503 otherwise. */
 static void
 give_up(request_t *rq)
@@ -155,7 +147,9 @@
 		finish(rq, 504, why);
 		return;
 	}
-	rq->rejection.retry_after_ms = store_retry_after_ms(n, rq->id);
+	/* An outage goes on for about as long again as it has lasted. */
+	rq->rejection.retry_after_ms =
+	    sched_retry_after_ms(rq->id, MIN(silent_ms, OUTAGE_RETRY_MAX_MS));
 	if (rq->kind == REQUEST_STATE)
 		n->stats.state_unreadable++;
 	else
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -170,11 +170,6 @@
 void reply_error(
     server_req_t *r, int32_t status, const char *why, int32_t retry_after_ms);
 #define RETRY_AFTER_MS 1000 /* when nothing tells more */
-/*
- * For a caller of what the store must answer first: as long as it has been silent, as
- * an outage goes on for about as long again as it has lasted.
- */
-int32_t store_retry_after_ms(const node_t *n, const char *id);
 /* Logs a call that was rejected because of its key, unless there are many. */
 void log_rejected_call(
     node_t *n, const char *queue, const char *id, const char *why);
