--- a/serve/node.c
+++ b/serve/node.c
@@ -496,7 +496,7 @@
 		    "longest graceful stop" },
 		{ "drain-ms", SET_INT, &o->drain_ms, "2000", 1000, 60000, "MS",
 		    "after which a worker that leaves gets no more tasks" },
-		{ "config-ms", SET_INT, &o->config_ms, "2000", 1000, 60000,
+		{ "config-ms", SET_INT, &o->config_ms, "2000", 2000, 60000,
 		    "MS", "after which a change of the tables is in force" },
 		{ "cpu-share", SET_TEXT, &o->cpu_share, "1", 0, 0, "CORES",
 		    "processor cores this VM may use" },
