--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+. "$(dirname "$0")/../lib.sh"
+play recurring review/1
--- a/review/standin/src/cases.c
+++ b/review/standin/src/cases.c
@@ -1,5 +1,6 @@
 /* The cases: what is done, and the check of the rule. */
 #define _GNU_SOURCE
+#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -67,6 +68,7 @@
 #define REPEAT_STEPS 30
 #define REPEAT_MS    150
 #define OTHERS	     60
+#define STUCK_TRIES  5
 
 static void
 recurring_workers(void)
@@ -121,9 +123,10 @@
 	    store_max_row);
 	for (int i = 0; i < OTHERS; i++) {
 		snprintf(other, sizeof(other), "aaaaaaaaaaaa%04x", i);
-		if (accepted[i] && is_open(state_of(other)))
-			open++;
-		if (accepted[i] && stuck == 0 && open == 1)
+		if (!accepted[i] || !is_open(state_of(other)))
+			continue;
+		open++;
+		if (stuck == 0 && open <= STUCK_TRIES)
 			stuck += is_stuck(other);
 	}
 	note("%d jobs of others are accepted and not completed; one has "
@@ -397,12 +400,104 @@
 	return foreign_starts > 0 ? 1 : 0;
 }
 
+/*
+ * silent: all open channels to the store and the workers go silent, new ones work.
+ */
+#define CLIENTS	    42	 /* the site has 41 */
+#define CALLING_MS  1500 /* for so long they ask for states of jobs */
+#define CALM_MS	    4000 /* "the 3 s and the 4 s before them are calm" */
+#define OBSERVED_MS 40000
+
+static void
+silent_workers(void)
+{
+	add_workers(6, 8, 64000);
+}
+
+static void *
+client(void *number)
+{
+	int n = (int)(intptr_t)number;
+	int64_t began = now_ms();
+	char path[128];
+
+	snprintf(path, sizeof(path), PREFIX "aaaaaaaaaaaa%04x", n % 12);
+	while (now_ms() - began < CALLING_MS)
+		call(n % ENTRIES, "GET", path, NULL, 3000, NULL, 0);
+	return NULL;
+}
+
+static void
+play_clients(void)
+{
+	pthread_t t[CLIENTS];
+
+	note("%d clients ask for states of jobs", CLIENTS);
+	for (int i = 0; i < CLIENTS; i++)
+		pthread_create(&t[i], NULL, client, (void *)(intptr_t)i);
+	for (int i = 0; i < CLIENTS; i++)
+		pthread_join(t[i], NULL);
+}
+
+static int
+silent_play(bool trouble)
+{
+	static const char small[] =
+	    "{\"spec\":\"ms 300\",\"steps\":[{\"count\":200,\"cpu\":500,"
+	    "\"mem_mb\":10,\"estimate_ms\":300}]}";
+	static const char job[] =
+	    "{\"spec\":\"ms 20000\",\"steps\":[{\"count\":6,\"cpu\":2000,"
+	    "\"mem_mb\":10,\"estimate_ms\":20000}]}";
+	const char *id = "5c0e7a21d94b0006";
+	int64_t calm, idle_since = 0, longest = 0;
+	char other[20];
+
+	for (int i = 0; i < 12; i++) {
+		snprintf(other, sizeof(other), "aaaaaaaaaaaa%04x", i);
+		submit(i % ENTRIES, other, small);
+		sleep_ms(300);
+	}
+	if (submit(0, id, job) != 200)
+		return 2;
+	sleep_ms(2000);
+	play_clients();
+	lock();
+	if (trouble)
+		server_silence();
+	unlock();
+	calm = now_ms() + CALM_MS;
+	sleep_ms(CALM_MS);
+	while (now_ms() - calm < OBSERVED_MS) {
+		int64_t now = now_ms();
+		bool idle;
+
+		lock();
+		idle = runs_of(id) == 0 && done_of(id) < 6;
+		unlock();
+		if (!idle)
+			idle_since = 0;
+		else if (idle_since == 0)
+			idle_since = now;
+		if (idle && now - idle_since > longest)
+			longest = now - idle_since;
+		sleep_ms(20);
+	}
+	state_of(id);
+	note("longest time of %s with nothing running, in calm: %lld ms", id,
+	    (long long)longest);
+	if (longest < STUCK_MS)
+		return 0;
+	note("BROKEN LOST: nothing ran for 3 s, the 4 s before were calm");
+	return 1;
+}
+
 static const case_t cases[] = { { "recurring", recurring_workers,
 				    recurring_play },
 	{ "cancel", cancel_workers, cancel_play },
 	{ "gang", gang_workers, gang_play },
 	{ "crash", crash_workers, crash_play },
-	{ "kind", kind_workers, kind_play } };
+	{ "kind", kind_workers, kind_play },
+	{ "silent", silent_workers, silent_play } };
 
 #define NCASES (sizeof(cases) / sizeof(cases[0]))
 
--- a/review/standin/src/server.c
+++ b/review/standin/src/server.c
@@ -25,7 +25,7 @@
 	char *in, *out;
 	size_t nin, ain, nout, aout;
 	uint64_t requests; /* so far; the last one may be unanswered */
-	bool busy, dead;
+	bool busy, dead, silent;
 	conn_t *next;
 };
 
@@ -131,6 +131,21 @@
 			conn_end(c, true);
 }
 
+void
+server_silence(void)
+{
+	int n = 0;
+
+	for (conn_t *c = conns; c != NULL; c = c->next) {
+		if (c->dead || c->silent)
+			continue;
+		c->silent = true;
+		n++;
+		epoll_ctl(epfd, EPOLL_CTL_DEL, c->fd, NULL);
+	}
+	note("%d open connections go silent", n);
+}
+
 static void
 watch(conn_t *c)
 {
@@ -166,7 +181,7 @@
 	char head[200];
 	size_t nb = strlen(body), nh;
 
-	if (c->dead)
+	if (c->dead || c->silent)
 		return;
 	nh = (size_t)snprintf(head, sizeof(head),
 	    "HTTP/1.1 %d -\r\nContent-Type: application/json\r\n"
@@ -208,7 +223,8 @@
 bool
 server_waits(later_t l)
 {
-	return !l.conn->dead && l.conn->requests == l.n && l.conn->busy;
+	return !l.conn->dead && !l.conn->silent && l.conn->requests == l.n &&
+	    l.conn->busy;
 }
 
 void
--- a/review/standin/src/standin.h
+++ b/review/standin/src/standin.h
@@ -43,6 +43,8 @@
 bool server_listen(const char *ip, int port, int owner, serve_fn fn);
 /* Closes the listener and resets the connections of an owner. */
 void server_close(int owner);
+/* All open connections carry nothing any more and stay open; new ones work. */
+void server_silence(void);
 void server_reply(conn_t *c, int status, const char *body);
 /* Replies after a delay, unless the connection has ended by then. */
 void server_reply_after(conn_t *c, int ms, int status, const char *body);
