--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 . "$(dirname "$0")/../lib.sh"
-play gang review/3
+play cancel review/3
