Jobs that repeat: finished occurrences are released, of which only numbers are kept

Cause: the progress row of a job had an entry for each step with done tasks of each occurrence, also of finished ones, and nothing bounded it. After about 7,000 entries it was longer than the 65,536 bytes that the store takes. In memory finished occurrences were kept as well, and found by a search of all.

Change: an occurrence whose end is stored, and of which no run is left, is released; the row and the owner keep the numbers of the done ones as ranges (number_set.c), as a cumulative acknowledgement with selective ones beside it. So many occurrences are open at a time as the row has room for, if all are partly done. The limit of 200,000 tasks is for an occurrence now, as the others cost nothing; a lasting job, whose occurrences don't end, is refused if not all of them can be open.

--- a/proto/sched.pb-c.c
+++ b/proto/sched.pb-c.c
@@ -1318,7 +1318,7 @@
   (ProtobufCMessageInit) sched__step_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sched__progress__field_descriptors[5] =
+static const ProtobufCFieldDescriptor sched__progress__field_descriptors[6] =
 {
   {
     "steps",
@@ -1380,9 +1380,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "done_occurrences",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_INT32,
+    offsetof(Sched__Progress, n_done_occurrences),
+    offsetof(Sched__Progress, done_occurrences),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sched__progress__field_indices_by_name[] = {
   4,   /* field[4] = customer */
+  5,   /* field[5] = done_occurrences */
   2,   /* field[2] = ended_ms */
   3,   /* field[3] = not_started */
   1,   /* field[1] = state */
@@ -1391,7 +1404,7 @@
 static const ProtobufCIntRange sched__progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor sched__progress__descriptor =
 {
@@ -1401,7 +1414,7 @@
   "Sched__Progress",
   "sched",
   sizeof(Sched__Progress),
-  5,
+  6,
   sched__progress__field_descriptors,
   sched__progress__field_indices_by_name,
   1,  sched__progress__number_ranges,
--- a/proto/sched.pb-c.h
+++ b/proto/sched.pb-c.h
@@ -252,10 +252,17 @@
    * as in the job; "": none
    */
   char *customer;
+  /*
+   * Occurrences of which all tasks are done, as ranges: of each, in ascending
+   * order, the first one and the one after the last.  None of these is in
+   * steps.
+   */
+  size_t n_done_occurrences;
+  int32_t *done_occurrences;
 };
 #define SCHED__PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sched__progress__descriptor) \
-    , 0,NULL, SCHED__STATE__PENDING, 0, 0, (char *)protobuf_c_empty_string }
+    , 0,NULL, SCHED__STATE__PENDING, 0, 0, (char *)protobuf_c_empty_string, 0,NULL }
 
 
 /*
@@ -330,7 +337,8 @@
    */
   protobuf_c_boolean rows_before_starts;
   /*
-   * When waiting and refusals were decided, by the store's clock.
+   * Up to when the jobs behind waiting and refusals were read, by the
+   * store's clock; times in refusals count from it.
    */
   int64_t counted_ms;
   size_t n_refusals;
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -140,11 +140,9 @@
 /* job.c */
 job_t *job_new(sched_t *s, const char *id, Sched__Job *def);
 void job_free(void *j);
-occurrence_t *job_occurrence(job_t *j, int32_t number);
 task_t *job_find_task(job_t *j, const char *name);
 task_t *job_lookup_task(sched_t *s, const char *name);
 void job_task_name(const task_t *t, char *name, size_t n);
-void job_mark_task_done(task_t *t);
 int32_t task_failed_runs(const task_t *t);
 bool task_add_failed_run(task_t *t, int64_t run);
 int64_t job_task_ms(const step_t *st);
@@ -153,6 +151,18 @@
 void job_update_paths(occurrence_t *o);
 queue_t *queue_get(sched_t *s, const char *name);
 
+/* occurrence.c */
+/* How many occurrences of a job may be open at a time. */
+int32_t occurrence_max_open(const Sched__Job *def);
+void occurrence_init_job(job_t *j);
+void occurrence_clear_job(job_t *j);
+occurrence_t *job_occurrence(job_t *j, int32_t number);
+bool occurrence_is_done(const occurrence_t *o);
+void job_mark_task_done(task_t *t);
+number_set_t *occurrence_done_set(const job_t *j);
+bool occurrence_read_done(job_t *j, const int32_t *bounds, size_t n);
+void occurrence_add_due(sched_t *s, job_t *j);
+
 /* progress.c */
 void progress_apply(job_t *j, const Sched__Progress *p);
 GByteArray *progress_pack(job_t *j);
--- a/sched/job.c
+++ b/sched/job.c
@@ -1,5 +1,5 @@
 /*
- * Jobs, their occurrences, steps and tasks.
+ * Jobs, their steps and tasks.
  */
 #include <stdbool.h>
 #include <stdint.h>
@@ -21,7 +21,7 @@
 #define MAX_STEP_TASKS	     10000  /* bounds what one job may take */
 #define MEAN_WORK_JOBS	     32	    /* jobs in the average work of a queue */
 #define INITIAL_RUN_TIME_PCT 100    /* of the declared time, until learned */
-#define MAX_JOB_TASKS	     200000 /* of all occurrences of a job */
+#define MAX_JOB_TASKS	     200000 /* of an occurrence of a job */
 
 /* Checks step n of a job; sets why to the fault if false is returned. */
 static bool
@@ -57,6 +57,22 @@
 	    def->stretch >= 0 && def->stretch <= SCHED_STRETCH_MAX;
 }
 
+/* Checks how often a job repeats; sets why to the fault if false is returned. */
+static bool
+repeats_valid(const Sched__Job *def, const char **why)
+{
+	bool lasting = false;
+
+	*why = "a job repeats more often than is allowed";
+	if (def->repeats > JOB_MAX_REPEATS)
+		return false;
+	/* Its occurrences don't end, so that all of them are open at a time. */
+	*why = "a lasting job repeats more often than is allowed";
+	for (size_t i = 0; i < def->n_steps; i++)
+		lasting = lasting || def->steps[i]->lasting;
+	return !lasting || def->repeats <= occurrence_max_open(def);
+}
+
 bool
 sched_job_valid(const Sched__Job *def, const char **why)
 {
@@ -74,7 +90,9 @@
 		ntasks += def->steps[i]->count;
 	}
 	*why = "a job has more tasks than are allowed";
-	if (ntasks * MAX(1, def->repeats) > MAX_JOB_TASKS)
+	if (ntasks > MAX_JOB_TASKS)
+		return false;
+	if (!repeats_valid(def, why))
 		return false;
 	*why = "a job's time is out of range";
 	if (!times_valid(def))
@@ -124,66 +142,6 @@
 	    def->target_ms + (int64_t)(def->stretch * (double)longest_ms);
 }
 
-/* Creates an occurrence whose tasks are all waiting. */
-static occurrence_t *
-occurrence_new(sched_t *s, job_t *j, int32_t number)
-{
-	occurrence_t *o = g_new0(occurrence_t, 1);
-	const Sched__Job *def = j->def;
-
-	o->job = j;
-	o->number = number;
-	o->due_wall_ms = def->repeats > 0 ?
-	    def->first_ms + number * def->interval_ms :
-	    def->accepted_ms;
-	o->steps = g_new0(step_t, def->n_steps);
-	for (size_t i = 0; i < def->n_steps; i++) {
-		step_t *st = &o->steps[i];
-
-		st->occ = o;
-		st->number = (int32_t)i;
-		st->def = def->steps[i];
-		st->image = interference_image(s, st->def->image);
-		if (st->image >= 0 && st->def->filler)
-			s->filler_images |= IMAGE_BIT(st->image);
-		if (st->image >= 0 && st->def->tail_target_ms > 0 &&
-		    !st->def->filler)
-			st->load = g_new0(serving_load_t, 1);
-		st->ntasks = st->nwaiting = st->def->count;
-		st->tasks = g_new0(task_t, st->ntasks);
-		for (int32_t k = 0; k < st->ntasks; k++) {
-			st->tasks[k].step = st;
-			st->tasks[k].index = k;
-		}
-	}
-	return o;
-}
-
-/* Frees an occurrence with its steps and tasks; for the job's array. */
-static void
-occurrence_free(void *p)
-{
-	occurrence_t *o = p;
-
-	for (size_t i = 0; i < o->job->def->n_steps; i++) {
-		step_t *st = &o->steps[i];
-
-		for (int32_t k = 0; k < st->ntasks; k++) {
-			g_free(st->tasks[k].checkpoint);
-			if (st->tasks[k].failed_runs != NULL)
-				g_array_unref(st->tasks[k].failed_runs);
-			crash_forget(&st->tasks[k]);
-		}
-		queue_remove_step(st);
-		approval_step_free(st);
-		g_free(st->gang_checkpoint);
-		g_free(st->load);
-		g_free(st->tasks);
-	}
-	g_free(o->steps);
-	g_free(o);
-}
-
 /* Returns the queue with this name; creates it if there is none. */
 queue_t *
 queue_get(sched_t *s, const char *name)
@@ -228,7 +186,7 @@
 	j->max_attempts = q->configured ? q->max_attempts : def->max_attempts;
 	j->needs_approval = q->configured && q->needs_approval;
 	customer_job_added(s, j);
-	j->occs = g_ptr_array_new_with_free_func(occurrence_free);
+	occurrence_init_job(j);
 	o = job_occurrence(j, 0);
 	for (size_t i = 0; i < def->n_steps; i++) {
 		if (def->steps[i]->filler)
@@ -252,7 +210,7 @@
 {
 	job_t *j = p;
 
-	g_ptr_array_unref(j->occs);
+	occurrence_clear_job(j);
 	sched__job__free_unpacked(j->def, NULL);
 	g_free(j);
 }
@@ -279,22 +237,6 @@
 	return most;
 }
 
-/* Returns the occurrence with this number; creates it if there is none. */
-occurrence_t *
-job_occurrence(job_t *j, int32_t number)
-{
-	occurrence_t *o;
-
-	for (guint i = 0; i < j->occs->len; i++) {
-		o = g_ptr_array_index(j->occs, i);
-		if (o->number == number)
-			return o;
-	}
-	o = occurrence_new(j->sched, j, number);
-	g_ptr_array_add(j->occs, o);
-	return o;
-}
-
 /*
  * Writes the name of a task, JOB.OCCURRENCE.STEP.INDEX, into a buffer of n
  * bytes.
@@ -363,24 +305,3 @@
 	g_array_append_val(t->failed_runs, run);
 	return true;
 }
-
-/* Marks a task done, and its step and occurrence if it was their last. */
-void
-job_mark_task_done(task_t *t)
-{
-	step_t *st = t->step;
-	occurrence_t *o = st->occ;
-
-	if (t->state == TASK_DONE)
-		return;
-	if (t->state == TASK_WAITING)
-		st->nwaiting--;
-	t->state = TASK_DONE;
-	g_clear_pointer(&t->checkpoint, g_free);
-	st->ndone++;
-	if (st->ndone < st->ntasks)
-		return;
-	o->steps_done++;
-	if ((size_t)o->steps_done == o->job->def->n_steps)
-		o->job->occs_done++;
-}
--- a/sched/progress.c
+++ b/sched/progress.c
@@ -15,6 +15,7 @@
 #include "run_time.h"
 #include "types.h"
 #include "customer.h"
+#include "number_set.h"
 #include "internal.h"
 
 /*
@@ -95,7 +96,8 @@
 	step_t *st;
 
 	if (p->step < 0 || (size_t)p->step >= j->def->n_steps ||
-	    p->occurrence < 0 || p->occurrence >= MAX(1, j->def->repeats))
+	    p->occurrence < 0 || p->occurrence >= MAX(1, j->def->repeats) ||
+	    number_set_contains(j->released_occs, p->occurrence))
 		return;
 	st = &job_occurrence(j, p->occurrence)->steps[p->step];
 	for (int32_t i = 0; i < st->ntasks; i++)
@@ -106,14 +108,26 @@
 		apply_entry(st, p->tasks[i]);
 }
 
+/* Whether the fields of a progress row have values that they may have. */
+static bool
+progress_valid(const Sched__Progress *p)
+{
+	number_set_t *done = number_set_new();
+	bool valid = protobuf_c_enum_descriptor_get_value(
+			 &sched__state__descriptor, (int)p->state) != NULL &&
+	    number_set_read(done, p->done_occurrences, p->n_done_occurrences,
+		JOB_MAX_REPEATS);
+
+	number_set_free(done);
+	return valid;
+}
+
 Sched__Progress *
 sched_progress_unpack(const uint8_t *bytes, size_t n)
 {
 	Sched__Progress *p = sched__progress__unpack(NULL, n, bytes);
 
-	if (p == NULL ||
-	    protobuf_c_enum_descriptor_get_value(
-		&sched__state__descriptor, (int)p->state) != NULL)
+	if (p == NULL || progress_valid(p))
 		return p;
 	sched__progress__free_unpacked(p, NULL);
 	return NULL;
@@ -124,6 +138,10 @@
 progress_apply(job_t *j, const Sched__Progress *p)
 {
 	j->started = !p->not_started;
+	if (!occurrence_read_done(
+		j, p->done_occurrences, p->n_done_occurrences))
+		LOG_EVENT(j->sched, SCHED_EVT_ROW_BAD, j->id,
+		    "why=\"its done occurrences are not valid\"");
 	for (size_t i = 0; i < p->n_steps; i++)
 		apply_step_progress(j, p->steps[i]);
 }
@@ -255,34 +273,46 @@
 	g_free(p);
 }
 
+/* Adds the steps of an occurrence with progress to a row with room for them. */
+static void
+add_steps(Sched__Progress *p, const occurrence_t *o, row_detail_t detail)
+{
+	for (size_t k = 0; k < o->job->def->n_steps; k++) {
+		Sched__StepProgress *sp = g_new(Sched__StepProgress, 1);
+
+		if (fill_step_progress(sp, &o->steps[k], detail))
+			p->steps[p->n_steps++] = sp;
+		else
+			free_step_progress(sp);
+	}
+}
+
 static GByteArray *
 pack_open(const job_t *j, row_detail_t detail)
 {
 	Sched__Progress p = SCHED__PROGRESS__INIT;
 	GByteArray *b = g_byte_array_new();
 	size_t n = j->occs->len * j->def->n_steps;
+	number_set_t *done = occurrence_done_set(j);
 
 	p.steps = g_new0(Sched__StepProgress *, n);
 	p.state = SCHED__STATE__RUNNING;
 	p.not_started = !j->started;
 	p.customer = j->def->customer;
+	p.done_occurrences =
+	    (int32_t *)number_set_bounds(done, &p.n_done_occurrences);
 	for (guint i = 0; i < j->occs->len; i++) {
-		occurrence_t *o = g_ptr_array_index(j->occs, i);
-
-		for (size_t k = 0; k < j->def->n_steps; k++) {
-			Sched__StepProgress *sp = g_new(Sched__StepProgress, 1);
+		const occurrence_t *o = g_ptr_array_index(j->occs, i);
 
-			if (fill_step_progress(sp, &o->steps[k], detail))
-				p.steps[p.n_steps++] = sp;
-			else
-				free_step_progress(sp);
-		}
+		if (!occurrence_is_done(o))
+			add_steps(&p, o, detail);
 	}
 	g_byte_array_set_size(b, (guint)sched__progress__get_packed_size(&p));
 	sched__progress__pack(&p, b->data);
 	for (size_t i = 0; i < p.n_steps; i++)
 		free_step_progress(p.steps[i]);
 	g_free(p.steps);
+	number_set_free(done);
 	return b;
 }
 
--- a/sched/run.c
+++ b/sched/run.c
@@ -71,6 +71,7 @@
 	r->task = t;
 	r->job = t->step->occ->job;
 	r->job->nruns++;
+	t->step->occ->nruns++;
 	r->holds_resources = true;
 	cell_worker_count_task(r->worker, t->step, 1);
 	customer_count_run(r, 1);
@@ -167,6 +168,7 @@
 		cell_worker_count_task(r->worker, t->step, -1);
 		customer_count_run(r, -1);
 		share_count_run(r, -1);
+		t->step->occ->nruns--;
 		if (--j->nruns == 0 && r->first_seen_ms != 0) {
 			j->idle_since_ms = s->now_ms;
 			starvation_job_idle(j);
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -314,14 +314,8 @@
 	for (guint i = 0; i < s->recurring_jobs->len; i++) {
 		job_t *j = g_ptr_array_index(s->recurring_jobs, i);
 
-		if (j->stage != JOB_OPEN)
-			continue;
-		while (j->occs_made_ready < j->def->repeats &&
-		    j->def->first_ms +
-			    j->occs_made_ready * j->def->interval_ms <=
-			s->wall_ms)
-			run_add_ready_steps(
-			    s, job_occurrence(j, j->occs_made_ready++));
+		if (j->stage == JOB_OPEN)
+			occurrence_add_due(s, j);
 	}
 }
 
--- a/sched/types.h
+++ b/sched/types.h
@@ -8,6 +8,7 @@
 #ifndef SCHED_TYPES_H
 #define SCHED_TYPES_H
 
+typedef struct number_set number_set_t;
 typedef struct job job_t;
 typedef struct step step_t;
 typedef struct run run_t;
@@ -16,7 +17,8 @@
 typedef struct customer customer_t;
 typedef struct overload overload_t;
 
-#define JOB_MAX_STEPS	      200  /* of one job */
+#define JOB_MAX_STEPS	      200 /* of one job */
+#define JOB_MAX_REPEATS	      1000000
 #define RUN_NUMBERS_PER_OWNER 1000 /* for the runs of a task by one owner */
 
 /* Slowed starts may bring what a worker's fillers declare to so many times its
@@ -85,6 +87,9 @@
 	int64_t due_wall_ms; /* when its steps may start */
 	int32_t steps_done;
 	step_t *steps;
+	int32_t nruns; /* runs of its tasks that hold resources */
+	/* All its tasks are done: as that write of the job's row tells. */
+	uint64_t done_write;
 	/* Late for the sake of others, by the last plan; see overload_queue.c. */
 	bool deferred;
 	double running_work; /* of its runs, at the last plan */
@@ -189,7 +194,10 @@
 	const char *service;
 	int32_t priority; /* lower goes first */
 	int32_t max_attempts;
-	GPtrArray *occs; /* of occurrence_t */
+	/* Occurrences that have begun or may begin, in the order of their numbers
+	 * (of occurrence_t); see occurrence.c. */
+	GPtrArray *occs;
+	number_set_t *released_occs; /* done, stored as such, and freed */
 	job_stage_t stage;
 	Sched__State end_state; /* valid unless the job is open */
 	bool needs_approval;	/* its queue requires approval of placements */
@@ -215,8 +223,9 @@
 	int64_t allowed_ms; /* time allowed from when an occurrence is due */
 	/* Declared work: the sum of cpu_milli x estimate_ms over all tasks. */
 	double work_milli_ms;
-	int32_t occs_done;
-	int32_t occs_made_ready; /* occurrences whose due time has come */
+	int32_t occs_done; /* in all; of them in occs: */
+	int32_t occs_unreleased;
+	int32_t occs_made_ready; /* of all that were due, the next one */
 };
 
 typedef enum {
--- a/sched/unseen.c
+++ b/sched/unseen.c
@@ -221,7 +221,9 @@
 			int64_t runs = def->steps[i]->duplicates ? 2 : 1;
 
 			add_runs(&c->may_ended, def->steps[i],
-			    runs * def->steps[i]->count * MAX(1, def->repeats));
+			    runs * def->steps[i]->count *
+				CLAMP(
+				    def->repeats, 1, occurrence_max_open(def)));
 		}
 	}
 	sched__job__free_unpacked(def, NULL);
