Writes of the owner: within the limits of a call, and one rejected row holds up no other

Cause: a transaction had the renewal and up to 90 rows, with no limit in bytes; what the store rejects as such (400, 403, 404, 413) was taken for a write in doubt and sent again as it was, for ever.

Change: row_batch.c bounds a call by rows and by encoded bytes, footprint.c bounds its rows (a worker that finds no room in its row is not used) and what they take of a call. A rejected write is known as such (SCHED_WRITE_REJECTED): the claim is renewed alone, then the jobs of that write are tried in halves, each rejection followed by a renewal. A job whose row is rejected alone is held back, tried again each second, and failed after the third time; ends of runs are not acknowledged meanwhile. Events 617 and 618, the counter writes_rejected.

--- a/sched/flush.c
+++ b/sched/flush.c
@@ -3,9 +3,9 @@
  * Each transaction also writes the owner row, which renews the claim of the
  * cell.
  *
- * The footprint is the set of workers on which tasks of the cell may run.  A
- * worker is in a stored footprint row before the first task is started on it,
- * so that a successor can find all workers where runs may exist.
+ * What the store rejects as such it would reject again, and with it the renewal and
+ * the rows of all other jobs.  So the claim is renewed alone then, and the jobs of
+ * that write are tried in halves, until the one at fault is known; see rejected.c.
  */
 #include <stdbool.h>
 #include <stdint.h>
@@ -20,41 +20,29 @@
 #include "run_time.h"
 #include "types.h"
 #include "customer.h"
+#include "row_batch.h"
 #include "internal.h"
 
-#define MAX_ROWS_PER_FLUSH	 90 /* in a transaction; the store accepts 100 */
-#define FOOTPRINT_ROWS_PER_WRITE 16  /* a transaction has at most 1 MB */
-#define FLUSH_GAP_MS		 25  /* shortest, so that each writes more */
-#define RENEWAL_MS		 400 /* longest time without a flush */
-
-/*
- * Adds a row to those of a transaction, which takes ownership of key and bytes.
- */
-static void
-add_put(GArray *puts, char *key, GByteArray *bytes)
-{
-	sched_put_t p = { key, bytes };
-
-	g_array_append_val(puts, p);
-}
-
-/* Frees the contents of a row to be written; for arrays. */
-static void
-clear_put(void *p)
-{
-	sched_put_t *u = p;
-
-	g_free(u->key);
-	if (u->bytes != NULL)
-		g_byte_array_unref(u->bytes);
-}
+#define FLUSH_GAP_MS 25	 /* shortest, so that each writes more */
+#define RENEWAL_MS   400 /* longest time without a flush */
+/* A graceful stop releases the cell with a write of at most so many jobs. */
+#define RELEASE_JOBS_MAX 30
 
 /* Marks a job's progress row as to be written. */
 void
 flush_mark_job(sched_t *s, job_t *j)
 {
 	j->dirty = true;
-	g_hash_table_insert(s->dirty_jobs, j->id, j);
+	if (!rejected_holds(j))
+		g_hash_table_insert(s->dirty_jobs, j->id, j);
+}
+
+/* Whether some job has progress that no write so far has. */
+static bool
+unstored_jobs(const sched_t *s)
+{
+	return g_hash_table_size(s->dirty_jobs) > 0 ||
+	    s->rejected.held->len > 0;
 }
 
 /*
@@ -67,7 +55,7 @@
 {
 	if (w->ended_seq == w->ended_stored_seq || w->ended_flush != 0)
 		return;
-	if (g_hash_table_size(s->dirty_jobs) == 0 && !s->write_pending) {
+	if (!unstored_jobs(s) && !s->write_pending) {
 		w->ended_stored_seq = w->ended_seq;
 		return;
 	}
@@ -75,149 +63,80 @@
 	w->ended_flush_seq = w->ended_seq;
 }
 
-/* Adds the progress row of an open or ending job. */
-static void
-add_job_row(sched_t *s, GArray *puts, job_t *j)
-{
-	j->rows_packed++;
-	if (j->stage == JOB_OPEN) {
-		add_put(puts, g_strconcat(j->id, SCHED_KEY_PROGRESS, NULL),
-		    progress_pack(j));
-		return;
-	}
-	add_put(puts, g_strconcat(j->id, SCHED_KEY_PROGRESS, NULL),
-	    progress_pack_ended(j, s->wall_ms));
-}
-
-/*
- * Whether a worker belongs in the footprint: it is listed, has runs, or may
- * have runs of earlier owners or of former leases.
- */
-static bool
-in_footprint(const sched_t *s, const worker_t *w)
-{
-	return w->listed || g_hash_table_size(w->runs) > 0 ||
-	    ((w->footprint_stored || w->used_before) &&
-		(!s->cell.workers_accounted || !lease_has_ended(s, w)));
-}
-
 /*
- * Updates what the footprint says about a worker for the flush that begins;
- * true when its row must be written.
+ * Adds the row of a job to a write; false if it has no room.  One that the store
+ * would reject is held back.
  */
 static bool
-update_footprint_entry(const sched_t *s, worker_t *w)
+add_job_row(sched_t *s, row_batch_t *batch, job_t *j)
 {
-	bool in = in_footprint(s, w);
-	bool had_end = lease_end_is_stored(w);
-	bool changed = (lease_update_stored(s, w) && in) ||
-	    in != (w->footprint_flush != 0);
-
-	/* Its lease is extended again.  It gets new tasks once the row is
-	 * stored, as until then a successor reads that the lease has ended. */
-	if (in && had_end && !lease_end_is_stored(w)) {
-		w->footprint_stored = false;
-		w->footprint_flush = s->flush_number;
+	char *key = g_strconcat(j->id, SCHED_KEY_PROGRESS, NULL);
+	GByteArray *row = j->stage == JOB_OPEN ?
+	    progress_pack(j) :
+	    progress_pack_ended(j, s->wall_ms);
+
+	bool fits = row_batch_fits(batch, key, row->len);
+
+	if (!fits) {
+		if (row->len > SCHED_ROW_MAX_BYTES)
+			rejected_hold(s, j);
+		g_free(key);
+		g_byte_array_unref(row);
+		return j->held_until_ms != 0;
 	}
-	w->footprint_flush = !in    ? 0 :
-	    w->footprint_flush == 0 ? s->flush_number :
-				      w->footprint_flush;
-	w->footprint_stored = w->footprint_stored && in;
-	w->used_before = w->used_before && in;
-	return changed;
+	j->rows_packed++;
+	j->dirty = false;
+	row_batch_add(batch, key, row);
+	g_ptr_array_add(s->flushing_jobs, j);
+	return true;
 }
 
-/* Adds a row of the footprint with all its workers. */
+/* Adds the rows of dirty jobs, as far as they have room. */
 static void
-add_footprint_row(sched_t *s, GArray *puts, int32_t row)
+add_dirty_jobs(sched_t *s, row_batch_t *batch)
 {
-	Sched__Footprint f = SCHED__FOOTPRINT__INIT;
-	GByteArray *b = g_byte_array_new();
-
-	f.workers = g_new0(char *, s->worker_list->len + 1);
-	f.born_ms = g_new0(int64_t, s->worker_list->len + 1);
-	f.until_ms = g_new0(int64_t, s->worker_list->len + 1);
-	for (guint i = 0; i < s->worker_list->len; i++) {
-		const worker_t *w = g_ptr_array_index(s->worker_list, i);
+	GHashTableIter it;
+	void *v;
 
-		if (w->footprint_flush == 0 || w->footprint_row != row)
-			continue;
-		f.workers[f.n_workers++] =
-		    g_strconcat(w->id, " ", w->address, NULL);
-		f.born_ms[f.n_born_ms++] = w->started_ms;
-		f.until_ms[f.n_until_ms++] = lease_stored_ms(w);
-	}
-	g_byte_array_set_size(b, (guint)sched__footprint__get_packed_size(&f));
-	sched__footprint__pack(&f, b->data);
-	add_put(puts, g_strdup_printf(SCHED_KEY_FOOTPRINT ".%02d", row), b);
-	for (size_t i = 0; i < f.n_workers; i++)
-		g_free(f.workers[i]);
-	g_free(f.workers);
-	g_free(f.born_ms);
-	g_free(f.until_ms);
+	g_hash_table_iter_init(&it, s->dirty_jobs);
+	while (
+	    g_hash_table_iter_next(&it, NULL, &v) && add_job_row(s, batch, v))
+		g_hash_table_iter_remove(&it);
 }
 
-/*
- * Adds the rows of the footprint that have changed, up to a limit; further ones
- * follow in the next flush.
- */
+/* Adds the rows of the jobs that are tried after a write was rejected. */
 static void
-add_footprint_rows(sched_t *s, GArray *puts)
+add_tried_jobs(sched_t *s, row_batch_t *batch)
 {
-	bool changed[FOOTPRINT_ROWS] = { false };
-	int32_t rows = 0;
+	g_autoptr(GPtrArray) jobs = rejected_next(s);
 
-	for (guint i = 0; i < s->worker_list->len; i++) {
-		worker_t *w = g_ptr_array_index(s->worker_list, i);
-		int32_t row = w->footprint_row;
+	for (guint i = 0; i < jobs->len; i++) {
+		job_t *j = g_ptr_array_index(jobs, i);
 
-		if (!changed[row] && rows == FOOTPRINT_ROWS_PER_WRITE)
-			continue;
-		if (!update_footprint_entry(s, w) || changed[row])
-			continue;
-		changed[row] = true;
-		rows++;
+		if (!add_job_row(s, batch, j))
+			return;
+		g_hash_table_remove(s->dirty_jobs, j->id);
 	}
-	for (int32_t i = 0; i < FOOTPRINT_ROWS; i++)
-		if (changed[i])
-			add_footprint_row(s, puts, i);
 }
 
-/*
- * Processes a footprint row while the cell is loaded: earlier owners may have
- * left runs on these workers.  False: it doesn't name all of them.
- */
-bool
-flush_footprint_read(sched_t *s, const Sched__Footprint *f)
+/* Adds the rows of a usual flush: all that has changed, as far as it has room. */
+static void
+add_changed_rows(sched_t *s, row_batch_t *batch)
 {
-	bool complete = f->n_workers == f->n_born_ms;
-
-	for (size_t i = 0; i < f->n_workers && i < f->n_born_ms; i++) {
-		g_auto(GStrv) part = g_strsplit(f->workers[i], " ", 2);
-		worker_t *w;
+	g_autoptr(GPtrArray) purged = NULL;
+	GByteArray *interference;
 
-		if (part[0] == NULL || part[1] == NULL) {
-			complete = false;
-			continue;
-		}
-		w = cell_worker_get(s, part[0]);
-		if (w->address[0] == '\0') {
-			g_free(w->address);
-			w->address = g_strdup(part[1]);
-		}
-		w->started_ms = MAX(w->started_ms, f->born_ms[i]);
-		w->used_before = true;
-		/* What the row says of leases is not of a newer process. */
-		if (w->started_ms == f->born_ms[i] || f->born_ms[i] == 0) {
-			w->footprint_stored = true;
-			w->footprint_flush = 1;
-			complete =
-			    lease_read_stored(
-				w, i < f->n_until_ms ? f->until_ms[i] : 0) &&
-			    complete;
-		}
-	}
-	return complete;
+	footprint_add_rows(s, batch);
+	interference = interference_row_pack(s);
+	if (interference != NULL)
+		row_batch_add(
+		    batch, g_strdup(SCHED_KEY_INTERFERENCE), interference);
+	purged = purge_take_rows(s);
+	for (guint i = 0; i < purged->len; i++)
+		row_batch_add(
+		    batch, g_strdup(g_ptr_array_index(purged, i)), NULL);
+	s->write_removes_rows = purged->len > 0;
+	add_dirty_jobs(s, batch);
 }
 
 /*
@@ -228,47 +147,35 @@
 static void
 begin_flush(sched_t *s)
 {
-	g_autoptr(GArray) puts = g_array_new(FALSE, FALSE, sizeof(sched_put_t));
-	g_autoptr(GPtrArray) purged = NULL;
-	GByteArray *interference;
-	GHashTableIter it;
-	void *v;
+	flush_kind_t kind = rejected_flush_kind(s);
+	bool may_release = s->cell.releasing && kind == FLUSH_CHANGED &&
+	    g_hash_table_size(s->dirty_jobs) <= RELEASE_JOBS_MAX;
+	row_batch_t batch;
 
-	g_array_set_clear_func(puts, clear_put);
+	row_batch_init(&batch);
 	s->flush_number++;
 	s->write_pending = true;
 	s->flush_begun_ms = s->cell.write_sent_ms = s->now_ms;
 	s->cell.renewals++;
 	if (s->cell.releasing)
 		quarantine_release(s);
-	/* In a graceful stop, releases the cell once all dirty jobs fit in. */
-	add_put(puts, g_strdup(SCHED_KEY_OWNER),
-	    ownership_pack_row(s,
-		s->cell.releasing &&
-		    g_hash_table_size(s->dirty_jobs) <=
-			MAX_ROWS_PER_FLUSH / 3));
-	add_footprint_rows(s, puts);
-	interference = interference_row_pack(s);
-	if (interference != NULL)
-		add_put(puts, g_strdup(SCHED_KEY_INTERFERENCE), interference);
-	purged = purge_take_rows(s);
-	for (guint i = 0; i < purged->len; i++)
-		add_put(puts, g_strdup(g_ptr_array_index(purged, i)), NULL);
-	s->write_removes_rows = purged->len > 0;
-	g_hash_table_iter_init(&it, s->dirty_jobs);
-	while (puts->len < MAX_ROWS_PER_FLUSH &&
-	    g_hash_table_iter_next(&it, NULL, &v)) {
-		job_t *j = v;
-
-		add_job_row(s, puts, j);
-		j->dirty = false;
-		g_hash_table_iter_remove(&it);
-		g_ptr_array_add(s->flushing_jobs, j);
-	}
+	row_batch_add(&batch, g_strdup(SCHED_KEY_OWNER),
+	    kind == FLUSH_RENEWAL ? ownership_pack_renewal(s) :
+				    ownership_pack_row(s, false));
+	if (kind == FLUSH_CHANGED)
+		add_changed_rows(s, &batch);
+	else if (kind == FLUSH_TRIED)
+		add_tried_jobs(s, &batch);
 	/* Workers forget ended runs only after a flush with all dirty jobs. */
-	s->flush_partial = g_hash_table_size(s->dirty_jobs) > 0;
+	s->flush_partial = unstored_jobs(s);
+	/* In a graceful stop, releases the cell once all dirty jobs fit in. */
+	if (may_release && !s->flush_partial)
+		row_batch_replace_first(&batch, ownership_pack_row(s, true));
 	s->stats.writes++;
-	s->opts.port.write(s->opts.ctx, s->cell.version, puts);
+	s->rejected.flush_bytes = batch.bytes;
+	s->rejected.flush_rows = batch.puts->len;
+	s->opts.port.write(s->opts.ctx, s->cell.version, batch.puts);
+	row_batch_clear(&batch);
 }
 
 /*
@@ -284,7 +191,8 @@
 		return;
 	if (age >= RENEWAL_MS ||
 	    (age >= FLUSH_GAP_MS &&
-		(g_hash_table_size(s->dirty_jobs) > 0 || s->cell.releasing)))
+		(g_hash_table_size(s->dirty_jobs) > 0 || s->cell.releasing ||
+		    rejected_due(s))))
 		begin_flush(s);
 }
 
@@ -361,6 +269,7 @@
 		g_ptr_array_set_size(s->flushing_jobs, 0);
 		return;
 	}
+	rejected_write_done(s, r);
 	on_jobs_stored(s, r == SCHED_WRITE_OK);
 	if (r != SCHED_WRITE_OK) {
 		/* Ended runs wait for the next flush, which also adds the new
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -99,6 +99,7 @@
 	int64_t flush_begun_ms;
 	bool flush_partial;	  /* some dirty jobs did not fit */
 	GPtrArray *flushing_jobs; /* jobs that it writes */
+	rejected_t rejected;
 	/* Since the last pass over waiting steps, something has changed that
 	 * may let a task start. */
 	bool start_pass_due;
@@ -441,10 +442,25 @@
 /* flush.c */
 void flush_mark_job(sched_t *s, job_t *j);
 void flush_acknowledge_ended(sched_t *s, worker_t *w);
-bool flush_footprint_read(sched_t *s, const Sched__Footprint *f);
 void flush_if_due(sched_t *s);
 void flush_done(sched_t *s, sched_write_result_t r, int64_t version);
 
+/* footprint.c */
+void footprint_add_rows(sched_t *s, row_batch_t *batch);
+bool footprint_row_read(sched_t *s, const Sched__Footprint *f);
+
+/* rejected.c */
+void rejected_init(rejected_t *r);
+void rejected_clear(rejected_t *r);
+void rejected_forget(sched_t *s);
+void rejected_job_removed(sched_t *s, job_t *j);
+bool rejected_holds(const job_t *j);
+bool rejected_due(const sched_t *s);
+flush_kind_t rejected_flush_kind(sched_t *s);
+GPtrArray *rejected_next(const sched_t *s);
+void rejected_hold(sched_t *s, job_t *j);
+void rejected_write_done(sched_t *s, sched_write_result_t result);
+
 /* ownership.c */
 void ownership_tick(sched_t *s);
 void ownership_lost(sched_t *s, const char *why);
@@ -456,6 +472,7 @@
 void ownership_set_store_outage(sched_t *s, bool for_all, int64_t last_ms);
 bool ownership_may_start_tasks(const sched_t *s);
 GByteArray *ownership_pack_row(sched_t *s, bool released);
+GByteArray *ownership_pack_renewal(sched_t *s);
 bool ownership_may_start_step(const sched_t *s, const step_t *st);
 
 /* handover.c */
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -71,9 +71,9 @@
 	return list;
 }
 
-/* Returns the owner row for the next write; released gives the cell up. */
-GByteArray *
-ownership_pack_row(sched_t *s, bool released)
+/* bare: without what may make the row long. */
+static GByteArray *
+pack_row(sched_t *s, bool bare, bool released)
 {
 	Sched__Owner o = SCHED__OWNER__INIT;
 	GByteArray *b = g_byte_array_new();
@@ -103,7 +103,9 @@
 		o.n_refusals = s->cell.row->n_refusals;
 		o.waiting_stale = s->cell.row->waiting_stale ||
 		    s->now_ms - s->cell.row_written_ms > STALE_ROW_MS;
-	} else {
+	} else if (bare)
+		o.waiting_stale = true;
+	else {
 		stats_count_waiting_jobs(s);
 		as_of_ms = MIN(s->now_ms, s->feed_read_ms[SCHED_FEED_JOBS]);
 		o.counted_ms = as_of_ms + s->store_clock_offset_ms;
@@ -122,6 +124,20 @@
 	return b;
 }
 
+/* Returns the owner row for the next write; released gives the cell up. */
+GByteArray *
+ownership_pack_row(sched_t *s, bool released)
+{
+	return pack_row(s, false, released);
+}
+
+/* Returns an owner row that only renews the claim: it is always short. */
+GByteArray *
+ownership_pack_renewal(sched_t *s)
+{
+	return pack_row(s, true, false);
+}
+
 /*
  * Discards jobs, runs and all other state that only an owner keeps, as after a
  * loss or before a load of the cell.
@@ -131,6 +147,7 @@
 {
 	g_ptr_array_set_size(s->flushing_jobs, 0);
 	g_hash_table_remove_all(s->dirty_jobs);
+	rejected_forget(s);
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		worker_t *w = g_ptr_array_index(s->worker_list, i);
 
--- a/sched/rows.c
+++ b/sched/rows.c
@@ -107,7 +107,7 @@
 	Sched__Footprint *f;
 
 	f = sched__footprint__unpack(NULL, row->nbytes, row->bytes);
-	if (f == NULL || !flush_footprint_read(s, f)) {
+	if (f == NULL || !footprint_row_read(s, f)) {
 		LOG_EVENT(s, SCHED_EVT_ROW_BAD, row->key,
 		    "why=\"not the workers in use\" version=%" PRId64,
 		    row->version);
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -31,6 +31,7 @@
 	customer_job_removed(s, j);
 	g_hash_table_remove(s->dirty_jobs, j->id);
 	g_ptr_array_remove(s->recurring_jobs, j);
+	rejected_job_removed(s, j);
 	job_free(j);
 }
 
@@ -60,6 +61,7 @@
 	s->dirty_jobs = g_hash_table_new(g_str_hash, g_str_equal);
 	s->recurring_jobs = g_ptr_array_new();
 	s->flushing_jobs = g_ptr_array_new();
+	rejected_init(&s->rejected);
 	s->jobs = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, on_job_removed);
 	s->queues =
@@ -110,6 +112,7 @@
 	g_hash_table_unref(s->dirty_jobs);
 	g_ptr_array_unref(s->recurring_jobs);
 	g_ptr_array_unref(s->flushing_jobs);
+	rejected_clear(&s->rejected);
 	g_sequence_free(s->ready_steps);
 	overload_free(s->overload);
 	if (s->cell.row != NULL)
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -202,6 +202,8 @@
 	SCHED_EVT_ROW_BAD = 614,
 	SCHED_EVT_PURGE = 615,
 	SCHED_EVT_ROW_SHORTENED = 616,
+	SCHED_EVT_WRITE_REJECTED = 617,
+	SCHED_EVT_JOB_ROW_REJECTED = 618,
 	SCHED_EVT_START = 621,
 	SCHED_EVT_START_FAILED = 622,
 	SCHED_EVT_STOP = 623,
@@ -278,7 +280,8 @@
 typedef enum {
 	SCHED_WRITE_OK,
 	SCHED_WRITE_CONFLICT, /* refused: the owner row has another version */
-	SCHED_WRITE_IN_DOUBT  /* no answer: it may have been carried out */
+	SCHED_WRITE_IN_DOUBT, /* no answer: it may have been carried out */
+	SCHED_WRITE_REJECTED /* not carried out, nor will it be if sent again */
 } sched_write_result_t;
 
 /* The owner row was read; version 0 and bytes NULL when it does not exist. */
@@ -487,7 +490,8 @@
  * handovers, releases to a stronger entry;
  * over_rate, jobs accepted beyond their customer's rate, and refused_*,
  * submissions that sched_admit refused; refused_customers, those of whom the
- * owner has them refused; writes, flushes; paces, pace orders; places, workers
+ * owner has them refused; writes, flushes; rejected_writes, those that the store
+ * would reject again; paces, pace orders; places, workers
  * that placement looked at; quota_waits, times that a step began to wait for its
  * customer's quota; queued, steps with tasks to be started; running, runs in any
  * state; deferred_jobs, jobs that the plan for an overload defers; waiting_tasks,
@@ -498,7 +502,7 @@
 	uint64_t starts, start_rejects, start_unknown, stops, done, failed,
 	    lost, adopted, orphans, claims, deposed, writes, polls, paces,
 	    places, quota_waits, over_rate, refused_over_rate, refused_hopeless,
-	    handovers;
+	    handovers, rejected_writes;
 	int64_t jobs, queued, running, workers, refused_customers,
 	    deferred_jobs, longest_idle_ms;
 	int32_t waiting_tasks[SCHED_WAIT_REASONS];
--- a/sched/types.h
+++ b/sched/types.h
@@ -9,6 +9,7 @@
 #define SCHED_TYPES_H
 
 typedef struct number_set number_set_t;
+typedef struct row_batch row_batch_t;
 typedef struct job job_t;
 typedef struct step step_t;
 typedef struct run run_t;
@@ -27,7 +28,7 @@
 
 #define MB_BYTES ((int64_t)1024 * 1024)
 
-/* Rows of the footprint; each is below 64 KiB with 29,000 workers. */
+/* Rows of the footprint; each has room for 200 workers or more. */
 #define FOOTPRINT_ROWS 64
 
 /* A job counts as late up to so many times the time allowed for it. */
@@ -214,6 +215,10 @@
 	/* No task is started before that write is stored; see report.c. */
 	uint64_t starts_after_write;
 	int32_t row_detail; /* row_detail_t of progress.c, as last packed */
+	/* Its row was rejected by itself, so often in a row, and is not written
+	 * before that time; 0: it is written with others.  See rejected.c. */
+	int32_t rejections;
+	int64_t held_until_ms;
 	/* An earlier owner may have started tasks of it. */
 	bool maybe_started_before;
 	int32_t nruns; /* runs that hold resources on workers */
@@ -432,6 +437,25 @@
 	double slack[IMAGES_MAX];
 };
 
+/* What a flush consists of, besides the row that renews the claim. */
+typedef enum {
+	FLUSH_CHANGED, /* all that has changed */
+	FLUSH_RENEWAL, /* nothing */
+	FLUSH_TRIED    /* jobs of a write that the store has rejected */
+} flush_kind_t;
+
+/* What is known of writes that the store rejects; see rejected.c. */
+typedef struct {
+	bool renew_alone; /* the next flush is nothing but the renewal */
+	GPtrArray
+	    *suspects;	 /* job_t of a rejected write, one may be at fault */
+	GPtrArray *held; /* job_t whose rows were rejected alone */
+	/* Of the flush in flight. */
+	flush_kind_t flush_kind;
+	guint flush_rows;
+	size_t flush_bytes;
+} rejected_t;
+
 typedef enum {
 	CELL_FOLLOWING, /* another entry owns the cell, or none does */
 	CELL_CLAIMING,	/* our conditional write is in flight */
--- a/serve/cell_driver.c
+++ b/serve/cell_driver.c
@@ -62,10 +62,16 @@
 static sched_write_result_t
 write_result(store_result_t r)
 {
-	if (r == STORE_OK)
+	switch (r) {
+	case STORE_OK:
 		return SCHED_WRITE_OK;
-	return r == STORE_CONFLICT ? SCHED_WRITE_CONFLICT :
-				     SCHED_WRITE_IN_DOUBT;
+	case STORE_CONFLICT:
+		return SCHED_WRITE_CONFLICT;
+	case STORE_REJECTED:
+		return SCHED_WRITE_REJECTED;
+	default:
+		return SCHED_WRITE_IN_DOUBT;
+	}
 }
 
 static sched_row_t
--- a/serve/metrics.c
+++ b/serve/metrics.c
@@ -88,6 +88,7 @@
 	put_metric(page, "deposed", (int64_t)stats->deposed);
 	put_metric(page, "handovers", (int64_t)stats->handovers);
 	put_metric(page, "progress_writes", (int64_t)stats->writes);
+	put_metric(page, "writes_rejected", (int64_t)stats->rejected_writes);
 	put_metric(page, "looks", (int64_t)stats->polls);
 	put_metric(page, "jobs_over_rate", (int64_t)stats->over_rate);
 	put_metric(
--- a/serve/node.c
+++ b/serve/node.c
@@ -157,7 +157,7 @@
 	int64_t now = node_now_ms(n);
 	int64_t silent_ms = now - n->store_answered_ms;
 
-	if (r == STORE_REFUSED || r == STORE_IN_DOUBT)
+	if (r == STORE_REFUSED || r == STORE_REJECTED || r == STORE_IN_DOUBT)
 		return;
 	if (a->clock_ms != 0) {
 		store_clock_read(&n->store_clock, a->clock_ms, now);
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -312,7 +312,7 @@
 /*
  * Must be called with the result of each call to the store.  Keeps the time of
  * the last answer, and retries the change feeds when one comes after a gap.
- * STORE_REFUSED and STORE_IN_DOUBT don't count as answers.
+ * Only STORE_OK, STORE_CONFLICT and STORE_COMPACTED count as answers.
  */
 void
 node_record_store_answer(node_t *n, store_result_t r, const store_answer_t *a);
