Submissions: a job whose row the store would not take is refused at once

A job with long texts or lists was sent to the store, which rejects it, until the caller had waited for 0.5 s, and answered 503: not wrong, but an invitation to try again what never works.

Change: sched_job_valid() measures the row; the answer is 400 at once, with 662 as for the other limits. An accepted job's row can't grow.

Test: unit row_limits/job_row, red on for long texts, one text of 70,000 bytes and long lists of steps; green now.

--- a/sched/job.c
+++ b/sched/job.c
@@ -78,6 +78,10 @@
 {
 	int64_t ntasks = 0;
 
+	*why = "a job is longer than the store takes";
+	if (sched__job__get_packed_size(def) > SCHED_ROW_MAX_BYTES)
+		return false;
+
 	*why = "a job needs one step or more";
 	if (def->n_steps == 0)
 		return false;
