Owner row: what it lists of queues and refusals has a longest length

With 6,000 queues of usual names it had 202,902 bytes: the store rejects it, and nobody can own the cell.

Change: the lists end where they have taken 36,000 and 16,000 bytes. A queue that had no room is not known to the other entries (503 to a count, by the new field waiting_cut), while the owner answers all; refusals without room are not applied, so that these jobs are accepted.

Test: unit row_limits/owner_row, red on (a row of 202,902 bytes), green now.

--- a/proto/sched.pb-c.c
+++ b/proto/sched.pb-c.c
@@ -1549,7 +1549,7 @@
   (ProtobufCMessageInit) sched__refusal__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sched__owner__field_descriptors[12] =
+static const ProtobufCFieldDescriptor sched__owner__field_descriptors[13] =
 {
   {
     "name",
@@ -1695,6 +1695,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "waiting_cut",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sched__Owner, waiting_cut),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sched__owner__field_indices_by_name[] = {
   3,   /* field[3] = beat */
@@ -1707,13 +1719,14 @@
   4,   /* field[4] = released */
   8,   /* field[8] = rows_before_starts */
   5,   /* field[5] = waiting */
+  12,   /* field[12] = waiting_cut */
   7,   /* field[7] = waiting_stale */
   11,   /* field[11] = workers_accounted */
 };
 static const ProtobufCIntRange sched__owner__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor sched__owner__descriptor =
 {
@@ -1723,7 +1736,7 @@
   "Sched__Owner",
   "sched",
   sizeof(Sched__Owner),
-  12,
+  13,
   sched__owner__field_descriptors,
   sched__owner__field_indices_by_name,
   1,  sched__owner__number_ranges,
--- a/proto/sched.pb-c.h
+++ b/proto/sched.pb-c.h
@@ -347,10 +347,14 @@
    * No run of an earlier owner can be unknown to this one.
    */
   protobuf_c_boolean workers_accounted;
+  /*
+   * Not all queues with such jobs had room in waiting.
+   */
+  protobuf_c_boolean waiting_cut;
 };
 #define SCHED__OWNER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sched__owner__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 /*
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -40,6 +40,11 @@
 #define EXTEND_LIMIT_MS 2200
 
 #define STALE_ROW_MS 2000 /* older numbers of waiting jobs are not passed on */
+/* What the owner row lists may take of it, and of that an element its tag and length. */
+#define WAITING_BYTES  36000
+#define REFUSALS_BYTES 16000
+#define LISTED_BYTES   3
+
 /* Whether the owner row names this process as the owner. */
 static bool
 row_is_ours(const sched_t *s, const Sched__Owner *o)
@@ -50,27 +55,52 @@
 
 /*
  * Returns for each queue that has jobs which have not started how many there
- * are: an array of *n elements, which the caller frees, as well as the array.
+ * are, as far as the row has room: an array of *n elements, which the caller frees,
+ * as well as the array.  *cut: some had no room.
  */
 static Sched__Waiting **
-pack_waiting(const sched_t *s, size_t *n)
+pack_waiting(const sched_t *s, size_t *n, protobuf_c_boolean *cut)
 {
 	Sched__Waiting **list =
 	    g_new0(Sched__Waiting *, g_hash_table_size(s->queues) + 1);
+	size_t bytes = 0;
 	const queue_t *q;
 
 	*n = 0;
+	*cut = false;
 	FOREACH_VALUE (q, s->queues) {
+		Sched__Waiting w = SCHED__WAITING__INIT;
+
 		if (q->waiting_jobs == 0)
 			continue;
-		list[*n] = g_new(Sched__Waiting, 1);
-		sched__waiting__init(list[*n]);
-		list[*n]->queue = (char *)q->name;
-		list[(*n)++]->jobs = q->waiting_jobs;
+		w.queue = (char *)q->name;
+		w.jobs = q->waiting_jobs;
+		bytes += LISTED_BYTES + sched__waiting__get_packed_size(&w);
+		if (bytes > WAITING_BYTES) {
+			*cut = true;
+			break;
+		}
+		list[(*n)++] = g_memdup2(&w, sizeof(w));
 	}
 	return list;
 }
 
+/* How many of n refusals have room in the row, the first ones. */
+static size_t
+refusals_with_room(Sched__Refusal *const *list, size_t n)
+{
+	size_t bytes = 0, fit = 0;
+
+	while (fit < n) {
+		bytes +=
+		    LISTED_BYTES + sched__refusal__get_packed_size(list[fit]);
+		if (bytes > REFUSALS_BYTES)
+			break;
+		fit++;
+	}
+	return fit;
+}
+
 /* bare: without what may make the row long. */
 static GByteArray *
 pack_row(sched_t *s, bool bare, bool released)
@@ -80,6 +110,7 @@
 	int64_t as_of_ms;
 	g_autofree Sched__Waiting **waiting = NULL;
 	g_autofree Sched__Refusal **refusals = NULL;
+	size_t nrefusals = 0;
 
 	s->cell.release_sent = released;
 	s->cell.release_in_doubt = s->cell.release_in_doubt || released;
@@ -101,6 +132,7 @@
 		o.n_waiting = s->cell.row->n_waiting;
 		o.refusals = s->cell.row->refusals;
 		o.n_refusals = s->cell.row->n_refusals;
+		o.waiting_cut = s->cell.row->waiting_cut;
 		o.waiting_stale = s->cell.row->waiting_stale ||
 		    s->now_ms - s->cell.row_written_ms > STALE_ROW_MS;
 	} else if (bare)
@@ -109,9 +141,10 @@
 		stats_count_waiting_jobs(s);
 		as_of_ms = MIN(s->now_ms, s->feed_read_ms[SCHED_FEED_JOBS]);
 		o.counted_ms = as_of_ms + s->store_clock_offset_ms;
-		waiting = o.waiting = pack_waiting(s, &o.n_waiting);
-		refusals = o.refusals =
-		    admission_pack(s, as_of_ms, &o.n_refusals);
+		waiting = o.waiting =
+		    pack_waiting(s, &o.n_waiting, &o.waiting_cut);
+		refusals = o.refusals = admission_pack(s, as_of_ms, &nrefusals);
+		o.n_refusals = refusals_with_room(refusals, nrefusals);
 		o.waiting_stale = s->now_ms - s->feed_read_ms[SCHED_FEED_JOBS] >
 		    s->opts.feed_limit_ms;
 	}
@@ -119,7 +152,7 @@
 	sched__owner__pack(&o, b->data);
 	for (size_t i = 0; waiting != NULL && i < o.n_waiting; i++)
 		g_free(waiting[i]);
-	for (size_t i = 0; refusals != NULL && i < o.n_refusals; i++)
+	for (size_t i = 0; refusals != NULL && i < nrefusals; i++)
 		g_free(refusals[i]);
 	return b;
 }
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -437,7 +437,7 @@
 /*
  * Number of jobs of a queue that have not started: counted by the owner; other
  * entries return the number in the owner row that they last read.  -1 when that
- * number is too old, as after a long pause of the owner.
+ * number is too old, as after a long pause of the owner, or had no room in the row.
  */
 int32_t sched_waiting_jobs(const sched_t *s, const char *queue, int64_t now_ms);
 
--- a/sched/stats.c
+++ b/sched/stats.c
@@ -125,7 +125,7 @@
 	for (size_t i = 0; i < o->n_waiting; i++)
 		if (strcmp(o->waiting[i]->queue, queue) == 0)
 			return o->waiting[i]->jobs;
-	return 0;
+	return o->waiting_cut ? -1 : 0;
 }
 
 sched_stats_t
