Cancels and refusals: what is answered as gone is written, so that no late write undoes it

Also without a lost answer: a cancel that comes before its submission.

Cause: a cancel that found no row of the job wrote nothing. A write without an answer may be performed seconds later if its condition still holds, and the only condition of a submission was that there is no row. A refusal (429, 503), which means that the job never runs, was drawn from the same absence.

After a cancel the id is used up (410); after a refusal a submission begins anew on the condition of that row.

Why it works: the store decides by versions of rows, so that of a submission and a cancel just one finds its condition true, whenever it is performed, by whatever entry, after any restart.

--- a/cmd/log.c
+++ b/cmd/log.c
@@ -74,6 +74,7 @@
 	{ 616, LOG4C_PRIORITY_WARN, "row_shortened" },
 	{ 617, LOG4C_PRIORITY_ERROR, "write_rejected" },
 	{ 618, LOG4C_PRIORITY_ERROR, "job_row_rejected" },
+	{ 619, LOG4C_PRIORITY_INFO, "tombstones_removed" },
 	{ 621, LOG4C_PRIORITY_INFO, "run_start" },
 	{ 622, LOG4C_PRIORITY_WARN, "run_start_failed" },
 	{ 623, LOG4C_PRIORITY_INFO, "run_stop" },
--- a/proto/sched.pb-c.c
+++ b/proto/sched.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &sched__progress__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sched__tombstone__init
+                     (Sched__Tombstone         *message)
+{
+  static const Sched__Tombstone init_value = SCHED__TOMBSTONE__INIT;
+  *message = init_value;
+}
+size_t sched__tombstone__get_packed_size
+                     (const Sched__Tombstone *message)
+{
+  assert(message->base.descriptor == &sched__tombstone__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sched__tombstone__pack
+                     (const Sched__Tombstone *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sched__tombstone__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sched__tombstone__pack_to_buffer
+                     (const Sched__Tombstone *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sched__tombstone__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sched__Tombstone *
+       sched__tombstone__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sched__Tombstone *)
+     protobuf_c_message_unpack (&sched__tombstone__descriptor,
+                                allocator, len, data);
+}
+void   sched__tombstone__free_unpacked
+                     (Sched__Tombstone *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sched__tombstone__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   sched__waiting__init
                      (Sched__Waiting         *message)
 {
@@ -1421,6 +1466,57 @@
   (ProtobufCMessageInit) sched__progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor sched__tombstone__field_descriptors[2] =
+{
+  {
+    "written_ms",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Sched__Tombstone, written_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "customer",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sched__Tombstone, customer),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sched__tombstone__field_indices_by_name[] = {
+  1,   /* field[1] = customer */
+  0,   /* field[0] = written_ms */
+};
+static const ProtobufCIntRange sched__tombstone__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor sched__tombstone__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sched.Tombstone",
+  "Tombstone",
+  "Sched__Tombstone",
+  "sched",
+  sizeof(Sched__Tombstone),
+  2,
+  sched__tombstone__field_descriptors,
+  sched__tombstone__field_indices_by_name,
+  1,  sched__tombstone__number_ranges,
+  (ProtobufCMessageInit) sched__tombstone__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor sched__waiting__field_descriptors[2] =
 {
   {
--- a/proto/sched.pb-c.h
+++ b/proto/sched.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct Sched__TaskProgress Sched__TaskProgress;
 typedef struct Sched__StepProgress Sched__StepProgress;
 typedef struct Sched__Progress Sched__Progress;
+typedef struct Sched__Tombstone Sched__Tombstone;
 typedef struct Sched__Waiting Sched__Waiting;
 typedef struct Sched__Refusal Sched__Refusal;
 typedef struct Sched__Owner Sched__Owner;
@@ -265,6 +266,27 @@
     , 0,NULL, SCHED__STATE__PENDING, 0, 0, (char *)protobuf_c_empty_string, 0,NULL }
 
 
+/*
+ * A cancel of a job, or a refusal of its submission.  Without a row of the job it keeps
+ * writes that are still on their way from being performed, until it is removed.
+ */
+struct  Sched__Tombstone
+{
+  ProtobufCMessage base;
+  /*
+   * since 1970
+   */
+  int64_t written_ms;
+  /*
+   * of the caller; "": none
+   */
+  char *customer;
+};
+#define SCHED__TOMBSTONE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sched__tombstone__descriptor) \
+    , 0, (char *)protobuf_c_empty_string }
+
+
 /*
  * Number of jobs of a queue that have not started.
  */
@@ -557,6 +579,25 @@
 void   sched__progress__free_unpacked
                      (Sched__Progress *message,
                       ProtobufCAllocator *allocator);
+/* Sched__Tombstone methods */
+void   sched__tombstone__init
+                     (Sched__Tombstone         *message);
+size_t sched__tombstone__get_packed_size
+                     (const Sched__Tombstone   *message);
+size_t sched__tombstone__pack
+                     (const Sched__Tombstone   *message,
+                      uint8_t             *out);
+size_t sched__tombstone__pack_to_buffer
+                     (const Sched__Tombstone   *message,
+                      ProtobufCBuffer     *buffer);
+Sched__Tombstone *
+       sched__tombstone__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sched__tombstone__free_unpacked
+                     (Sched__Tombstone *message,
+                      ProtobufCAllocator *allocator);
 /* Sched__Waiting methods */
 void   sched__waiting__init
                      (Sched__Waiting         *message);
@@ -726,6 +767,9 @@
 typedef void (*Sched__Progress_Closure)
                  (const Sched__Progress *message,
                   void *closure_data);
+typedef void (*Sched__Tombstone_Closure)
+                 (const Sched__Tombstone *message,
+                  void *closure_data);
 typedef void (*Sched__Waiting_Closure)
                  (const Sched__Waiting *message,
                   void *closure_data);
@@ -762,6 +806,7 @@
 extern const ProtobufCMessageDescriptor sched__task_progress__descriptor;
 extern const ProtobufCMessageDescriptor sched__step_progress__descriptor;
 extern const ProtobufCMessageDescriptor sched__progress__descriptor;
+extern const ProtobufCMessageDescriptor sched__tombstone__descriptor;
 extern const ProtobufCMessageDescriptor sched__waiting__descriptor;
 extern const ProtobufCMessageDescriptor sched__refusal__descriptor;
 extern const ProtobufCMessageDescriptor sched__owner__descriptor;
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -88,6 +88,8 @@
 	 * read, which stays until the cell is lost. */
 	GHashTable *loaded_progress;
 	GHashTable *ended_jobs; /* id -> ended_job_t of purge.c */
+	/* id -> when a cancel or refusal without a job was written (int64_t). */
+	GHashTable *tombstones;
 	/* While loading: ids of jobs whose runs may be being stopped. */
 	GHashTable *stopped_jobs;
 	GSequence *ready_steps;	   /* step_t with waiting tasks, sorted */
@@ -108,7 +110,8 @@
 	int64_t all_polled_ms; /* when all workers were last looked at */
 	/* When ready_steps was last sorted and the load event last logged. */
 	int64_t sorted_ms, stats_logged_ms;
-	int64_t purged_ms;	 /* when the last round of removals began */
+	int64_t purged_ms; /* when the last round of removals began */
+	int64_t tombstones_purged_ms; /* the same, of tombstones */
 	bool write_removes_rows; /* the flush in flight removes progress rows */
 	int64_t interference_packed_ms; /* last write of the interference row */
 	bool store_clock_known;		/* it was read */
@@ -344,6 +347,11 @@
 GPtrArray *purge_take_rows(sched_t *s);
 void purge_write_done(sched_t *s, bool ok);
 
+/* tombstone.c */
+GHashTable *tombstone_table_new(void);
+void tombstone_read(sched_t *s, const char *id, const sched_row_t *row);
+void tombstone_tick(sched_t *s);
+
 /* stats.c */
 void stats_count_waiting_jobs(sched_t *s);
 void stats_log(sched_t *s);
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -216,6 +216,7 @@
 	share_forget(s);
 	g_hash_table_remove_all(s->loaded_progress);
 	g_hash_table_remove_all(s->ended_jobs);
+	g_hash_table_remove_all(s->tombstones);
 	g_hash_table_remove_all(s->stopped_jobs);
 	s->cell.footprint_bad = false;
 	s->cell.old_leases.state = BOUND_UNKNOWN;
--- a/sched/rows.c
+++ b/sched/rows.c
@@ -45,6 +45,7 @@
 	}
 	j = job_new(s, id, def);
 	g_hash_table_insert(s->jobs, j->id, j);
+	sched_tombstone_has_job(s, id);
 	if (def->repeats > 0)
 		g_ptr_array_add(s->recurring_jobs, j);
 	if (p != NULL)
@@ -116,6 +117,15 @@
 	sched__footprint__free_unpacked(f, NULL);
 }
 
+/* Whether the row of a job that isn't there is one that keeps it from coming. */
+static bool
+is_tombstone(const sched_t *s, const char *id, const char *kind)
+{
+	return !g_hash_table_contains(s->ended_jobs, id) &&
+	    (strcmp(kind, SCHED_KEY_CANCEL) == 0 ||
+		strcmp(kind, SCHED_KEY_REFUSAL) == 0);
+}
+
 void
 sched_row_read(sched_t *s, const sched_row_t *row, int64_t now_ms)
 {
@@ -137,12 +147,15 @@
 			interference_row_read(s, row);
 		return;
 	}
-	if (row->key[0] == '!' || strlen(row->key) < SCHED_JOB_ID_BYTES ||
-	    row->bytes == NULL)
+	if (row->key[0] == '!' || strlen(row->key) < SCHED_JOB_ID_BYTES)
 		return;
 	g_strlcpy(id, row->key, sizeof(id));
 	kind = row->key + SCHED_JOB_ID_BYTES;
 	j = g_hash_table_lookup(s->jobs, id);
+	if (j == NULL && is_tombstone(s, id, kind))
+		tombstone_read(s, id, row);
+	if (row->bytes == NULL)
+		return;
 	if (strcmp(kind, SCHED_KEY_PROGRESS) == 0) {
 		if (!loading)
 			return;
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -81,6 +81,7 @@
 	s->loaded_progress = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, progress_free);
 	s->ended_jobs = purge_table_new();
+	s->tombstones = tombstone_table_new();
 	s->stopped_jobs =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	s->approval_requests = approval_requests_new();
@@ -106,6 +107,7 @@
 	g_hash_table_unref(s->images);
 	g_hash_table_unref(s->loaded_progress);
 	g_hash_table_unref(s->ended_jobs);
+	g_hash_table_unref(s->tombstones);
 	g_hash_table_unref(s->stopped_jobs);
 	g_hash_table_unref(s->approval_requests);
 	g_hash_table_unref(s->evacuated_zones);
@@ -357,6 +359,7 @@
 	handover_update(s);
 	poll_tick(s);
 	purge_tick(s);
+	tombstone_tick(s);
 	flush_if_due(s);
 	return s->start_pass_due || g_hash_table_size(s->dirty_jobs) > 0 ?
 	    TICK_BUSY_MS :
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -38,6 +38,7 @@
 #define SCHED_KEY_FOOTPRINT    "!workers" /* prefix; a row number follows */
 #define SCHED_KEY_INTERFERENCE "!harm"
 #define SCHED_KEY_CANCEL       ".c"
+#define SCHED_KEY_REFUSAL      ".r"
 #define SCHED_KEY_PROGRESS     ".p"
 
 typedef struct sched sched_t;
@@ -204,6 +205,7 @@
 	SCHED_EVT_ROW_SHORTENED = 616,
 	SCHED_EVT_WRITE_REJECTED = 617,
 	SCHED_EVT_JOB_ROW_REJECTED = 618,
+	SCHED_EVT_TOMBSTONES = 619,
 	SCHED_EVT_START = 621,
 	SCHED_EVT_START_FAILED = 622,
 	SCHED_EVT_STOP = 623,
@@ -250,6 +252,9 @@
 	/* Removes the rows that callers wrote for these jobs; answered by
 	 * sched_purge_done for each.  NULL: no rows are ever removed. */
 	void (*purge)(void *ctx, const char *const *ids, size_t n);
+	/* Removes the cancels and refusals of jobs that never came; whether that
+	 * worked is read from the rows.  NULL: none is ever removed. */
+	void (*purge_tombstones)(void *ctx, const char *const *ids, size_t n);
 	/* Answered by sched_approval_done.  NULL: no approval service. */
 	void (*request_approval)(void *ctx, const sched_approval_request_t *a);
 	/* Logs an event; takes ownership of fields. */
@@ -260,10 +265,11 @@
 typedef struct {
 	/* No task is started on older data of a feed. */
 	int32_t feed_limit_ms;
-	const char *name;	    /* of this entry */
-	int64_t incarnation;	    /* identifies this process of the entry */
-	int32_t max_lease_ms;	    /* longest lease that a worker accepts */
-	int64_t ended_retention_ms; /* how long rows of ended jobs are kept */
+	const char *name;     /* of this entry */
+	int64_t incarnation;  /* identifies this process of the entry */
+	int32_t max_lease_ms; /* longest lease that a worker accepts */
+	/* How long rows of ended jobs and tombstones of others are kept. */
+	int64_t ended_retention_ms;
 	sched_port_t port;
 	void *ctx;
 } sched_opts_t;
@@ -296,6 +302,8 @@
 /* sched_port_t.write has ended; version is the owner row's new one. */
 void sched_write_done(
     sched_t *s, sched_write_result_t r, int64_t version, int64_t now_ms);
+/* A job that sched_port_t.purge_tombstones was to find absent is there. */
+void sched_tombstone_has_job(sched_t *s, const char *id);
 /* The removal of a job's rows by sched_port_t.purge has ended. */
 void sched_purge_done(sched_t *s, const char *id, bool ok, int64_t now_ms);
 
--- a/serve/cell_driver.c
+++ b/serve/cell_driver.c
@@ -23,6 +23,7 @@
 #include "../cmd/cmd.h"
 #include "store_clock.h"
 #include "auth.h"
+#include "rate_limit.h"
 #include "serve.h"
 
 /* Intervals between polls of the owner's row. */
@@ -164,10 +165,11 @@
 {
 	cell_driver_t *c = ctx;
 	store_put_t put = { SCHED_KEY_OWNER, owner->data, owner->len };
+	store_condition_t unchanged = { SCHED_KEY_OWNER, version };
 	store_tx_t tx = { .table = CELL_TABLE,
 		.partition = CELL_PARTITION,
-		.if_key = SCHED_KEY_OWNER,
-		.if_version = version,
+		.conditions = &unchanged,
+		.nconditions = 1,
 		.puts = &put,
 		.nputs = 1,
 		.timeout_ms = WRITE_TIMEOUT_MS };
@@ -215,10 +217,11 @@
 {
 	cell_driver_t *c = ctx;
 	g_autofree store_put_t *rows = g_new0(store_put_t, puts->len);
+	store_condition_t unchanged = { SCHED_KEY_OWNER, version };
 	store_tx_t tx = { .table = CELL_TABLE,
 		.partition = CELL_PARTITION,
-		.if_key = SCHED_KEY_OWNER,
-		.if_version = version,
+		.conditions = &unchanged,
+		.nconditions = 1,
 		.puts = rows,
 		.nputs = puts->len,
 		.timeout_ms = WRITE_TIMEOUT_MS };
@@ -277,6 +280,14 @@
 	job_rows_remove(c->node, ids, n);
 }
 
+static void
+do_purge_tombstones(void *ctx, const char *const *ids, size_t n)
+{
+	cell_driver_t *c = ctx;
+
+	job_tombstones_remove(c->node, ids, n);
+}
+
 static void
 on_approval(void *ctx, uint64_t id, const sched_approval_t *a)
 {
@@ -433,7 +444,8 @@
 		.ended_retention_ms = n->opts.keep_ended_ms +
 		    n->opts.resubmit_window_s * (int64_t)1000,
 		.port = { do_claim, do_load, do_write, do_order, do_poll,
-		    do_purge, do_request_approval, do_event },
+		    do_purge, do_purge_tombstones, do_request_approval,
+		    do_event },
 		.ctx = c };
 
 	c->node = n;
--- a/serve/entries.c
+++ b/serve/entries.c
@@ -29,6 +29,7 @@
 #include "outage.h"
 #include "strength.h"
 #include "auth.h"
+#include "rate_limit.h"
 #include "serve.h"
 
 #define ENTRY_TABLE	 "entry"
--- a/serve/held_calls.c
+++ b/serve/held_calls.c
@@ -18,6 +18,7 @@
 #include "../platform/platform.h"
 #include "store_clock.h"
 #include "auth.h"
+#include "rate_limit.h"
 #include "serve.h"
 
 #define CHECK_MS 50
--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -21,6 +21,7 @@
 #include "../cmd/cmd.h"
 #include "store_clock.h"
 #include "auth.h"
+#include "rate_limit.h"
 #include "serve.h"
 
 #define DEFAULT_TIMEOUT_MS 3000 /* for a request that names none */
--- a/serve/metrics.c
+++ b/serve/metrics.c
@@ -19,6 +19,7 @@
 #include "../cmd/cmd.h"
 #include "store_clock.h"
 #include "auth.h"
+#include "rate_limit.h"
 #include "serve.h"
 
 static void
@@ -56,6 +57,10 @@
 	put_metric(page, "states_gone", (int64_t)stats->state_unknown_job);
 	put_metric(page, "states_unreadable", (int64_t)stats->state_unreadable);
 	put_metric(page, "cancels", (int64_t)stats->cancels);
+	put_metric(page, "tombstones", (int64_t)stats->tombstones);
+	put_metric(
+	    page, "tombstones_refused", (int64_t)stats->tombstones_refused);
+	put_metric(page, "cancelled_before", (int64_t)stats->cancelled_before);
 	put_metric(page, "counts", (int64_t)stats->queue_counts);
 	put_metric(page, "unauthorized", (int64_t)stats->unauthorized);
 	put_metric(page, "auth_stale", (int64_t)stats->auth_stale);
--- a/serve/node.c
+++ b/serve/node.c
@@ -24,6 +24,7 @@
 #include "../cmd/cmd.h"
 #include "store_clock.h"
 #include "auth.h"
+#include "rate_limit.h"
 #include "serve.h"
 
 #define TICK_MS		     50
@@ -425,6 +426,7 @@
 		.on_synced = on_operators_synced,
 		.ctx = n };
 
+	request_init_limits(n);
 	n->incarnation = node_wall_ms(n);
 	n->store_answered_ms = node_now_ms(n);
 	n->watches = g_ptr_array_new();
--- a/serve/request.c
+++ b/serve/request.c
@@ -5,7 +5,8 @@
  *
  * A write without an answer may still be applied later, so a submission or a
  * cancel is refused (503) only when none of its writes is in doubt; otherwise
- * the answer is 504.
+ * the answer is 504.  That a job isn't there does not mean that it won't come; see
+ * job_rows.h.
  */
 #include <inttypes.h>
 #include <stdbool.h>
@@ -26,12 +27,20 @@
 #include "../cmd/cmd.h"
 #include "store_clock.h"
 #include "auth.h"
+#include "rate_limit.h"
 #include "serve.h"
 #include "attempts.h"
+#include "job_rows.h"
 
 #define OUTAGE_RETRY_MAX_MS 8000 /* without the spread over callers */
-#define REPLY_RESERVE_MS    150	 /* of the timeout, for the answer's way back */
-#define NO_SUCH_JOB	    "{\"error\":\"no such job\"}"
+/* Rows without a job that callers may have an entry write; see job_rows.h. */
+#define TOMBSTONES_PER_S 20
+#define TOMBSTONES_BURST 200
+#define REFUSALS_PER_S	 20
+#define REFUSALS_BURST	 100
+#define REPLY_RESERVE_MS 150 /* of the timeout, for the answer's way back */
+#define NO_SUCH_JOB	 "{\"error\":\"no such job\"}"
+#define CANCELLED_BEFORE "{\"error\":\"the job was cancelled\"}"
 
 /* A request in progress. */
 typedef struct {
@@ -43,6 +52,10 @@
 	const char *customer; /* interned; "": none */
 	GByteArray *row;
 	rejection_t rejection; /* its reason only of REQUEST_REJECT */
+	/* Of REQUEST_REJECT: it is written, so that it stays true. */
+	bool writes_refusal;
+	int64_t
+	    refusal; /* version of the refusal's row as last read; 0: none */
 	int64_t began_ms;
 	int64_t deadline_ms;
 	attempts_t attempts;
@@ -59,6 +72,9 @@
 static void proceed(request_t *rq);
 static attempt_t *attempt_new(request_t *rq);
 static void read_job_rows(attempt_t *at);
+static void write_row(attempt_t *at, job_row_kind_t kind, store_answer_fn fn);
+static void write_submission(attempt_t *at);
+static void write_refusal(attempt_t *at);
 
 int64_t
 request_deadline_ms(const incoming_t *in)
@@ -192,19 +208,6 @@
 	    rq, r == STORE_IN_DOUBT ? ATTEMPT_UNANSWERED : ATTEMPT_REFUSED);
 }
 
-/* The row of a job with this key suffix, or NULL. */
-static const store_row_t *
-find_row(const store_answer_t *ans, const char *id, const char *suffix)
-{
-	g_autofree char *key = g_strconcat(id, suffix, NULL);
-
-	for (size_t i = 0; i < ans->nrows; i++)
-		if (strcmp(ans->rows[i].key, key) == 0 &&
-		    ans->rows[i].bytes != NULL)
-			return &ans->rows[i];
-	return NULL;
-}
-
 /* Rejects a submission that has no row: it was never accepted. */
 static void
 finish_rejected(request_t *rq)
@@ -219,6 +222,14 @@
 	finish(rq, over_rate ? 429 : 503, why);
 }
 
+/* Answers a read or a cancel of a job that isn't there. */
+static void
+finish_gone(request_t *rq)
+{
+	rq->node->stats.state_unknown_job++;
+	finish(rq, 410, NO_SUCH_JOB);
+}
+
 /* Ends a request for a job of another customer. */
 static void
 finish_foreign(request_t *rq)
@@ -261,21 +272,49 @@
 	return allowed;
 }
 
-/* The row of a submitted job exists: by another attempt, or from earlier. */
+/* Ends a submission of a job that was cancelled before it was stored. */
 static void
-on_submit_conflict(request_t *rq, const store_answer_t *ans)
+finish_cancelled_before(request_t *rq, const store_row_t *cancel)
 {
-	const store_row_t *row = find_row(ans, rq->id, "");
+	if (!job_rows_cancelled_by(cancel, rq->customer)) {
+		finish_foreign(rq);
+		return;
+	}
+	rq->node->stats.cancelled_before++;
+	log_event(EVT_REFUSED, "id=%s queue=%s why=\"cancelled before\"",
+	    rq->id, rq->queue);
+	finish(rq, 410, CANCELLED_BEFORE);
+}
 
-	if (row == NULL)
-		/* The answer doesn't tell whose job it is. */
+/*
+ * A row keeps a submission or a refusal from being written: the job's own, by another
+ * attempt or from earlier, a cancel, or another refusal than the one that was read.
+ */
+static void
+on_write_conflict(request_t *rq, const store_answer_t *ans)
+{
+	bool submits = rq->kind == REQUEST_SUBMIT;
+	job_rows_t rows;
+
+	job_rows_find(ans, rq->id, &rows);
+	if (rows.job != NULL) {
+		if (check_access(rq, rows.job))
+			finish_accepted(rq, !submits || rq->attempts.sent == 1);
+	} else if (rows.cancel != NULL)
+		finish_cancelled_before(rq, rows.cancel);
+	else if (rows.refusal != 0 && rows.refusal != rq->refusal) {
+		rq->refusal = rows.refusal;
+		if (submits)
+			write_submission(attempt_new(rq));
+		else
+			write_refusal(attempt_new(rq));
+	} else
+		/* The answer doesn't tell which one it is. */
 		read_job_rows(attempt_new(rq));
-	else if (check_access(rq, row))
-		finish_accepted(rq, rq->attempts.sent == 1);
 }
 
 static void
-on_submit_written(void *ctx, store_result_t r, const store_answer_t *ans)
+on_submission_written(void *ctx, store_result_t r, const store_answer_t *ans)
 {
 	request_t *rq = attempt_end(ctx, r, ans);
 
@@ -284,7 +323,23 @@
 	if (r == STORE_OK)
 		finish_accepted(rq, false);
 	else if (r == STORE_CONFLICT)
-		on_submit_conflict(rq, ans);
+		on_write_conflict(rq, ans);
+	else
+		on_write_failed(rq, r);
+}
+
+/* Once a refusal is stored, no submission that is on its way can be. */
+static void
+on_refusal_written(void *ctx, store_result_t r, const store_answer_t *ans)
+{
+	request_t *rq = attempt_end(ctx, r, ans);
+
+	if (rq == NULL)
+		return;
+	if (r == STORE_OK)
+		finish_rejected(rq);
+	else if (r == STORE_CONFLICT)
+		on_write_conflict(rq, ans);
 	else
 		on_write_failed(rq, r);
 }
@@ -301,11 +356,34 @@
 		return;
 	}
 	rq->node->stats.cancels++;
-	log_event(EVT_CANCEL_STORED, "id=%s queue=%s tries=%d", rq->id,
+	log_event(EVT_CANCEL_STORED, "id=%s queue=%s tries=%d job=1", rq->id,
 	    rq->queue, rq->attempts.sent);
 	finish(rq, 200, "{}");
 }
 
+/* A job that isn't there is cancelled for good once its tombstone is stored. */
+static void
+on_tombstone_written(void *ctx, store_result_t r, const store_answer_t *ans)
+{
+	request_t *rq = attempt_end(ctx, r, ans);
+
+	if (rq == NULL)
+		return;
+	if (r == STORE_CONFLICT) {
+		/* The job has come, or another attempt was first. */
+		read_job_rows(attempt_new(rq));
+		return;
+	}
+	if (r != STORE_OK) {
+		on_write_failed(rq, r);
+		return;
+	}
+	rq->node->stats.tombstones++;
+	log_event(EVT_CANCEL_STORED, "id=%s queue=%s tries=%d job=0", rq->id,
+	    rq->queue, rq->attempts.sent);
+	finish_gone(rq);
+}
+
 /* Calls of an attempt wait as long as the caller does. */
 static int32_t
 call_timeout_ms(const request_t *rq)
@@ -313,23 +391,30 @@
 	return (int32_t)MAX(1, reply_deadline_ms(rq) - node_now_ms(rq->node));
 }
 
-/* Writes a row of the job, which must not exist yet. */
 static void
-write_row(attempt_t *at, const char *key, const uint8_t *bytes, size_t n,
-    store_answer_fn fn)
+write_row(attempt_t *at, job_row_kind_t kind, store_answer_fn fn)
 {
 	request_t *rq = at->request;
-	char partition[STORE_NAME_BYTES];
-	store_put_t put = { key, bytes, n };
-	store_tx_t tx = { .table = JOB_TABLE,
-		.partition = partition,
-		.if_key = key,
-		.puts = &put,
-		.nputs = 1,
+	job_row_write_t w = { .kind = kind,
+		.id = rq->id,
+		.customer = rq->customer,
+		.job = rq->row,
+		.refusal = rq->refusal,
 		.timeout_ms = call_timeout_ms(rq) };
 
-	job_partition(rq->id, partition);
-	store_tx(rq->node->platform, &tx, fn, at);
+	job_rows_write(rq->node, &w, fn, at);
+}
+
+static void
+write_submission(attempt_t *at)
+{
+	write_row(at, JOB_ROW_SUBMITTED, on_submission_written);
+}
+
+static void
+write_refusal(attempt_t *at)
+{
+	write_row(at, JOB_ROW_REFUSED, on_refusal_written);
 }
 
 static attempt_t *
@@ -352,18 +437,54 @@
 	finish(rq, 200, body);
 }
 
-/* The rows that callers wrote: the job's, and that of a cancel request. */
+/*
+ * There is no job to cancel: writes a tombstone, so that none can come, or refuses
+ * while callers have had too many of these written.
+ */
+static void
+cancel_absent(request_t *rq)
+{
+	if (rate_limit_take(&rq->node->tombstones, node_now_ms(rq->node))) {
+		write_row(
+		    attempt_new(rq), JOB_ROW_TOMBSTONE, on_tombstone_written);
+		return;
+	}
+	rq->node->stats.tombstones_refused++;
+	log_rejected_call(rq->node, rq->queue, rq->id,
+	    "too many cancels of jobs that aren't there");
+	finish(rq, 503, "too many cancels of jobs that aren't there");
+}
+
+/* The rows of callers were read, and the job's own isn't among them. */
+static void
+on_no_job(request_t *rq, const job_rows_t *rows)
+{
+	rq->refusal = rows->refusal;
+	if (rq->kind == REQUEST_STATE)
+		finish_gone(rq);
+	else if (rq->kind == REQUEST_CANCEL && rows->cancel != NULL)
+		finish_gone(rq);
+	else if (rq->kind == REQUEST_CANCEL)
+		cancel_absent(rq);
+	else if (rows->cancel != NULL)
+		finish_cancelled_before(rq, rows->cancel);
+	else if (rq->kind == REQUEST_REJECT)
+		finish_rejected(rq);
+	else
+		/* It has met a row that may have been its own. */
+		on_failed(rq, ATTEMPT_UNANSWERED);
+}
+
+/* The rows that callers wrote: the job's, that of a cancel, and of a refusal. */
 static void
 on_job_rows(void *ctx, store_result_t r, const store_answer_t *ans)
 {
 	request_t *rq = attempt_end(ctx, r, ans);
-	const store_row_t *row;
-	g_autofree char *key = NULL;
+	job_rows_t rows;
 
 	if (rq == NULL)
 		return;
-	row = find_row(ans, rq->id, "");
-	if (r != STORE_OK || (row == NULL && rq->kind == REQUEST_SUBMIT)) {
+	if (r != STORE_OK) {
 		/*
 		 * A read that failed leaves nothing in doubt, but a submission
 		 * has met a row that may be its own.
@@ -373,48 +494,32 @@
 						 ATTEMPT_REFUSED);
 		return;
 	}
-	key = g_strconcat(rq->id, SCHED_KEY_CANCEL, NULL);
-	if (row == NULL && rq->kind == REQUEST_REJECT) {
-		finish_rejected(rq);
+	job_rows_find(ans, rq->id, &rows);
+	if (rows.job == NULL) {
+		on_no_job(rq, &rows);
 		return;
 	}
-	if (row == NULL) {
-		rq->node->stats.state_unknown_job++;
-		finish(rq, 410, NO_SUCH_JOB);
-		return;
-	}
-	if (!check_access(rq, row))
+	if (!check_access(rq, rows.job))
 		return;
 	if (rq->kind == REQUEST_SUBMIT)
 		finish_accepted(rq, rq->attempts.sent == 1);
 	else if (rq->kind == REQUEST_REJECT)
 		finish_accepted(rq, true);
 	else if (rq->kind == REQUEST_CANCEL)
-		write_row(attempt_new(rq), key, (const uint8_t *)"c", 1,
-		    on_cancel_written);
+		write_row(
+		    attempt_new(rq), JOB_ROW_CANCELLED, on_cancel_written);
 	else
 		finish_state(rq,
-		    find_row(ans, rq->id, SCHED_KEY_CANCEL) != NULL ?
-			SCHED__STATE__CANCELLED :
-			SCHED__STATE__PENDING);
+		    rows.cancel != NULL ? SCHED__STATE__CANCELLED :
+					  SCHED__STATE__PENDING);
 }
 
 static void
 read_job_rows(attempt_t *at)
 {
 	request_t *rq = at->request;
-	/* Keys are the id, and the id, '.' and a letter; '/' follows '.'. */
-	g_autofree char *to = g_strconcat(rq->id, "/", NULL);
-	char partition[STORE_NAME_BYTES];
-	store_scan_t scan = { .table = JOB_TABLE,
-		.partition = partition,
-		.from = rq->id,
-		.to = to,
-		.limit = 2,
-		.timeout_ms = call_timeout_ms(rq) };
 
-	job_partition(rq->id, partition);
-	store_scan(rq->node->platform, &scan, on_job_rows, at);
+	job_rows_read(rq->node, rq->id, call_timeout_ms(rq), on_job_rows, at);
 }
 
 /* The row that owners write; a job that has not started may have none. */
@@ -422,7 +527,7 @@
 on_progress_row(void *ctx, store_result_t r, const store_answer_t *ans)
 {
 	request_t *rq = attempt_end(ctx, r, ans);
-	const store_row_t *row;
+	const store_row_t *row = NULL;
 	Sched__Progress *p = NULL;
 
 	if (rq == NULL)
@@ -431,7 +536,9 @@
 		on_failed(rq, ATTEMPT_REFUSED);
 		return;
 	}
-	row = find_row(ans, rq->id, SCHED_KEY_PROGRESS);
+	/* Nothing but this row is in the range that was read. */
+	if (ans->nrows > 0 && ans->rows[0].bytes != NULL)
+		row = &ans->rows[0];
 	if (row != NULL)
 		p = sched_progress_unpack(row->bytes, row->nbytes);
 	if (row != NULL && p == NULL)
@@ -468,8 +575,9 @@
 	attempt_t *at = attempt_new(rq);
 
 	if (rq->kind == REQUEST_SUBMIT)
-		write_row(
-		    at, rq->id, rq->row->data, rq->row->len, on_submit_written);
+		write_submission(at);
+	else if (rq->kind == REQUEST_REJECT && rq->writes_refusal)
+		write_refusal(at);
 	else if (rq->kind == REQUEST_CANCEL || rq->kind == REQUEST_REJECT)
 		read_job_rows(at);
 	else
@@ -527,6 +635,13 @@
 	return rq;
 }
 
+void
+request_init_limits(node_t *n)
+{
+	n->tombstones = (rate_limit_t){ TOMBSTONES_PER_S, TOMBSTONES_BURST };
+	n->refusals = (rate_limit_t){ REFUSALS_PER_S, REFUSALS_BURST };
+}
+
 void
 request_begin(node_t *n, const incoming_t *in, request_kind_t kind,
     const route_match_t *m, const char *customer, GByteArray *row)
@@ -544,5 +659,7 @@
 	request_t *rq = request_new(n, in, REQUEST_REJECT, m, customer);
 
 	rq->rejection = *why;
+	rq->writes_refusal = rate_limit_take(&n->refusals, node_now_ms(n));
+	rq->attempts.is_write = rq->writes_refusal;
 	proceed(rq);
 }
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -4,8 +4,8 @@
  * scheduler of sched/; the entry that owns the cell schedules its jobs.  All
  * durable state is in the store, so a restarted entry reads everything again.
  *
- * Include what platform.h needs, then trans.h, platform.h, store_clock.h and
- * auth.h, first.
+ * Include what platform.h needs, then trans.h, platform.h, store_clock.h, auth.h
+ * and rate_limit.h, first.
  */
 #ifndef SERVE_H
 #define SERVE_H
@@ -125,6 +125,8 @@
  * for each to the scheduler.
  */
 void job_rows_remove(node_t *n, const char *const *ids, size_t count);
+/* Removes the cancels and refusals of these jobs, as long as there is no job. */
+void job_tombstones_remove(node_t *n, const char *const *ids, size_t count);
 
 /*
  * The other entries of the cell.  Reports an outage of the store that all
@@ -192,6 +194,8 @@
  */
 void request_begin(node_t *n, const incoming_t *in, request_kind_t kind,
     const route_match_t *m, const char *customer, GByteArray *row);
+/* Sets how many rows without a job callers may have an entry write. */
+void request_init_limits(node_t *n);
 /* Why and until when a submission is rejected. */
 typedef struct {
 	sched_admission_t reason;
@@ -245,13 +249,16 @@
  * state_unknown_job also count cancels.  unauthorized and auth_stale count all
  * calls answered 401, and 503 as the operators' table was too old; foreign,
  * those for a job of another customer.  bad_input counts malformed input from
- * the platform and from other entries, none of callers.
+ * the platform and from other entries, none of callers.  tombstones counts cancels
+ * of jobs that weren't there, tombstones_refused those beyond the limit, and
+ * cancelled_before the submissions after one.
  */
 typedef struct {
 	uint64_t accepted, resubmitted, refused_store, refused_no_config,
 	    refused_malformed, in_doubt, no_route, state_reads,
 	    state_unknown_job, state_unreadable, cancels, queue_counts,
-	    unauthorized, auth_stale, foreign, bad_input, tables_old;
+	    unauthorized, auth_stale, foreign, bad_input, tables_old,
+	    tombstones, tombstones_refused, cancelled_before;
 	/*
 	 * Submissions by the time to their answer: element i counts those below
 	 * 1 << i ms that no lower element counts, and the last all slower ones.
@@ -276,6 +283,8 @@
 	bool retry_due;
 	uv_timer_t retry_timer;
 	auth_log_limit_t rejected_log, unknown_log;
+	/* Rows without a job that callers have this entry write; see job_rows.h. */
+	rate_limit_t tombstones, refusals;
 
 	server_t *front;   /* requests of callers */
 	server_t *ready;   /* probes of the balancer */
--- a/serve/table_watch.c
+++ b/serve/table_watch.c
@@ -26,6 +26,7 @@
 #include "../cmd/cmd.h"
 #include "store_clock.h"
 #include "auth.h"
+#include "rate_limit.h"
 #include "serve.h"
 
 #define PAGE_ROWS 500 /* the most that the store returns */
--- a/test/cell/entry.c
+++ b/test/cell/entry.c
@@ -177,7 +177,7 @@
 		.name = en->name,
 		.max_lease_ms = MAX_LEASE_MS,
 		.port = { do_claim, do_load, do_write, do_order, do_poll, NULL,
-		    NULL, do_event },
+		    NULL, NULL, do_event },
 		.ctx = en };
 	sched_queue_t q = { "q", "s", 0, 2, false };
 
--- a/test/main/fuzz_cell.c
+++ b/test/main/fuzz_cell.c
@@ -638,7 +638,7 @@
 		.name = "e",
 		.max_lease_ms = MAX_LEASE_MS,
 		.port = { on_claim, on_load, on_write, on_order, on_poll, NULL,
-		    on_approval, on_event },
+		    NULL, on_approval, on_event },
 		.ctx = &c };
 	uint64_t starts;
 
--- a/test/main/fuzz_platform.c
+++ b/test/main/fuzz_platform.c
@@ -506,7 +506,8 @@
 	store_scan_t scan = { "t", "p", "a", "b", 10, TIMEOUT_MS };
 	store_feed_t feed = { "t", 1, 0, TIMEOUT_MS };
 	store_put_t put = { "k", (const uint8_t *)"v", 1 };
-	store_tx_t tx = { "t", "p", "k", 1, &put, 1, TIMEOUT_MS };
+	store_condition_t condition = { "k", 1 };
+	store_tx_t tx = { "t", "p", &condition, 1, &put, 1, TIMEOUT_MS };
 	call_t *c = g_new0(call_t, 1);
 
 	c->fuzz = f;
--- a/test/serve.sh
+++ b/test/serve.sh
@@ -74,6 +74,33 @@
 wait_for 10 is_state 1 00000000000000a3 cancelled
 check is_cancelled "$(state 1 00000000000000a3)" cancelled
 
+# Guards against UNASKED: a cancel finds no job, as the write of its submission gets no
+# answer, and the write is performed after the cancel was answered 410.
+lose() { curl -s -m 5 -o /dev/null "http://$STORE/test/lose?key=$1&ms=$2"; }
+lose 00000000000000e1 2500
+check lost_submission "$(code -H 'Host: h.example' -d "$JOB" \
+    -H 'Tanagerspool-Deadline-Ms: 700' \
+    http://127.0.0.51:8000/q/00000000000000e1)" 504
+check lost_cancelled "$(call_code 2 DELETE /q/00000000000000e1)" 410
+wait_for 5 grep -q "late write" "$T/store.out"
+check lost_write "$(grep "late write" "$T/store.out")" "late write refused"
+check lost_gone "$(call_code 1 GET /q/00000000000000e1)" 410
+check lost_again "$(call_code 1 POST /q/00000000000000e1 "$JOB")" 410
+check cancelled_first "$(call_code 1 DELETE /q/00000000000000e2)" 410
+check submitted_later "$(call_code 2 POST /q/00000000000000e2 "$JOB")" 410
+
+# Guards against LOST: the row of a job that repeats grew with what had finished, and
+# was refused by the store together with all other writes.  More than 7,000 steps here.
+STEP='{"count":1,"cpu":10,"mem_mb":1,"estimate_ms":300}'
+STEPS=$(yes "$STEP" | head -n 200 | paste -sd ,)
+call_code 1 POST /q/00000000000000f1 "{\"spec\":\"x\",\"repeat_count\":40,\"start_ms\":$(date +%s%3N),\"interval_ms\":400,\"steps\":[$STEPS]}" >/dev/null
+wait_for 60 is_state 1 00000000000000f1 completed
+check repeated_completed "$(state 1 00000000000000f1)" completed
+check repeated_other "$(call_code 2 POST /q/00000000000000f2 "$JOB")" 200
+wait_for 10 is_state 1 00000000000000f2 completed
+check repeated_other_completed "$(state 1 00000000000000f2)" completed
+check no_write_rejected "$(grep -l name=write_rejected "$T"/s?.out)" ""
+
 # A queue whose placements need approval.
 check approved_accepted "$(code -H 'Host: 127.0.0.59' -d "$JOB" \
     http://127.0.0.51:8000/q/00000000000000a5)" 200
--- a/test/standin/users.c
+++ b/test/standin/users.c
@@ -4,7 +4,9 @@
  * task takes TASK_MS.  Prints one line for each start and end of a run at a
  * worker.  SIGUSR1 restarts the next worker.  SIGUSR2 writes a configuration in
  * which the changing key of customer "one" is the next: secret-0, secret-1...; it
- * prints "keys" and the number.
+ * prints "keys" and the number.  GET /test/lose?key=KEY&ms=MS has the next write whose
+ * first row has this key be lost: it gets no answer, and is performed after MS if its
+ * conditions still hold.
  *
  * usage: standin-users PORT [WORKERS [PORT-IN-ROWS [CPU]]]
  *
@@ -34,6 +36,8 @@
 #define TICK_MS		 20
 #define BODY_MAX_BYTES	 (1024 * 1024)
 #define ROW_BYTES	 65536 /* of a row's value, as decoded */
+#define CALL_ENTRIES	 100
+#define CALL_BYTES	 1000000
 #define FEED_ROWS	 2 /* in an answer of the change feed, if there are more */
 #define TASK_CPU_MILLI	 500
 #define TICKET_VALID_MS	 3000
@@ -62,6 +66,12 @@
 	int restarts;	       /* of workers, so far */
 	int key_changes;       /* so far */
 	GPtrArray *feed_calls; /* of feed_call_t */
+	/* The next write of this row is not answered, and performed so much
+	 * later; NULL: none is. */
+	char *lost_key;
+	int lost_ms;
+	json_t *lost_tx; /* or NULL */
+	int64_t lost_until_ms;
 } standin;
 
 static int64_t
@@ -150,29 +160,33 @@
 	return s == NULL ? "" : s;
 }
 
-/* Whether a transaction puts a value that is longer than a row may be. */
+/* Whether a transaction has more or longer rows than the store takes. */
 static bool
-has_long_row(const json_t *tx)
+exceeds_limits(const json_t *tx, size_t body_bytes)
 {
+	static const char *const lists[] = { "precondition", "puts", "remove" };
 	const json_t *e;
-	size_t i;
+	size_t i, entries = 0;
 
+	for (size_t k = 0; k < G_N_ELEMENTS(lists); k++)
+		entries += json_array_size(json_object_get(tx, lists[k]));
 	json_array_foreach(json_object_get(tx, "puts"), i, e)
 	{
 		if (strlen(text_field(e, "value")) > ROW_BYTES / 3 * 4 + 4)
 			return true;
 	}
-	return false;
+	return entries > CALL_ENTRIES || body_bytes > CALL_BYTES;
 }
 
-static void
-store_tx(server_req_t *r)
+/* The rows of a transaction's preconditions that don't hold. */
+static json_t *
+conflicts_of(const json_t *tx)
 {
-	json_t *j = json_loadb(r->body, r->body_bytes, 0, NULL), *e;
 	json_t *conflicts = json_array();
+	const json_t *e;
 	size_t i;
 
-	json_array_foreach(json_object_get(j, "precondition"), i, e)
+	json_array_foreach(json_object_get(tx, "precondition"), i, e)
 	{
 		row_t *o = find_row(text_field(e, "table"),
 		    text_field(e, "part"), text_field(e, "key"));
@@ -187,17 +201,15 @@
 		    json_integer_value(json_object_get(e, "schema_version")))
 			json_array_append_new(conflicts, json_object());
 	}
-	if (json_array_size(conflicts) > 0) {
-		http_reply_json(r, 412, answer_json(conflicts));
-		json_decref(j);
-		return;
-	}
-	json_decref(conflicts);
-	if (has_long_row(j)) {
-		server_reply(r, 400, "", "", 0);
-		json_decref(j);
-		return;
-	}
+	return conflicts;
+}
+
+static void
+apply_tx(const json_t *j)
+{
+	const json_t *e;
+	size_t i;
+
 	standin.version++;
 	json_array_foreach(json_object_get(j, "puts"), i, e)
 	{
@@ -209,10 +221,75 @@
 		put_row(text_field(e, "table"), text_field(e, "part"),
 		    text_field(e, "key"), NULL);
 	}
-	http_reply_json(r, 200, answer_json(json_array()));
+}
+
+/* Whether a transaction is to be lost; keeps it to be performed late. */
+static bool
+lose_tx(json_t *j)
+{
+	const json_t *put = json_array_get(json_object_get(j, "puts"), 0);
+
+	if (standin.lost_key == NULL ||
+	    strcmp(text_field(put, "key"), standin.lost_key) != 0)
+		return false;
+	g_clear_pointer(&standin.lost_key, g_free);
+	json_decref(standin.lost_tx);
+	standin.lost_tx = json_incref(j);
+	standin.lost_until_ms = now_ms() + standin.lost_ms;
+	return true;
+}
+
+/* Performs a lost transaction when that is due, if its conditions still hold. */
+static void
+perform_lost_tx(void)
+{
+	json_t *conflicts;
+
+	if (standin.lost_tx == NULL || now_ms() < standin.lost_until_ms)
+		return;
+	conflicts = conflicts_of(standin.lost_tx);
+	printf("late write %s\n",
+	    json_array_size(conflicts) == 0 ? "performed" : "refused");
+	fflush(stdout);
+	if (json_array_size(conflicts) == 0)
+		apply_tx(standin.lost_tx);
+	json_decref(conflicts);
+	json_decref(standin.lost_tx);
+	standin.lost_tx = NULL;
+}
+
+static void
+store_tx(server_req_t *r)
+{
+	json_t *j = json_loadb(r->body, r->body_bytes, 0, NULL);
+	json_t *conflicts = conflicts_of(j);
+
+	if (exceeds_limits(j, r->body_bytes))
+		server_reply(r, 400, "", "", 0);
+	else if (lose_tx(j))
+		; /* no answer */
+	else if (json_array_size(conflicts) > 0)
+		http_reply_json(r, 412, answer_json(json_incref(conflicts)));
+	else {
+		apply_tx(j);
+		http_reply_json(r, 200, answer_json(json_array()));
+	}
+	json_decref(conflicts);
 	json_decref(j);
 }
 
+/* Has the next write of a row be lost, and performed after ms. */
+static void
+lose_next_tx(server_req_t *r)
+{
+	g_autofree char *ms = query_field(r->path, "ms");
+
+	g_free(standin.lost_key);
+	standin.lost_key = query_field(r->path, "key");
+	standin.lost_ms = atoi(ms);
+	server_reply(r, 200, "", "", 0);
+}
+
 static int
 by_key(gconstpointer a, gconstpointer b)
 {
@@ -340,6 +417,8 @@
 		store_scan(r);
 	else if (g_str_has_prefix(r->path, "/-/rows-feed"))
 		store_feed(r);
+	else if (g_str_has_prefix(r->path, "/test/lose"))
+		lose_next_tx(r);
 	else if (g_str_has_prefix(r->path, "/-/advise"))
 		approve_all(r);
 	else
@@ -357,6 +436,7 @@
 
 	(void)t;
 	http_workers_tick(standin.http_workers);
+	perform_lost_tx();
 	for (guint i = standin.feed_calls->len; i-- > 0;) {
 		feed_call_t *call = g_ptr_array_index(standin.feed_calls, i);
 		json_t *answer =
--- a/test/unit/load.c
+++ b/test/unit/load.c
@@ -24,6 +24,7 @@
 #include "../../platform/platform.h"
 #include "../../serve/store_clock.h"
 #include "../../serve/auth.h"
+#include "../../serve/rate_limit.h"
 #include "../../serve/serve.h"
 #include "sched_fixture.h"
 
--- a/test/unit/newcomers.c
+++ b/test/unit/newcomers.c
@@ -25,6 +25,7 @@
 #include "../../platform/platform.h"
 #include "../../serve/store_clock.h"
 #include "../../serve/auth.h"
+#include "../../serve/rate_limit.h"
 #include "../../serve/serve.h"
 #include "store_fixture.h"
 
--- a/test/unit/stale_tables.c
+++ b/test/unit/stale_tables.c
@@ -18,6 +18,7 @@
 #include "../../platform/platform.h"
 #include "../../serve/store_clock.h"
 #include "../../serve/auth.h"
+#include "../../serve/rate_limit.h"
 #include "../../serve/serve.h"
 #include "store_fixture.h"
 
@@ -67,6 +68,7 @@
 	f->node.watches = g_ptr_array_new();
 	f->node.held_calls = held_calls_new(&f->node, ingress_serve);
 	f->node.store_answered_ms = node_now_ms(&f->node);
+	request_init_limits(&f->node);
 	uv_timer_init(&f->loop, &f->node.tick_timer);
 	f->node.cell_driver = cell_driver_new(&f->node);
 	f->node.config = platform_config_parse(
