Gangs: same_rack is waited for only while a rack can take all tasks

Change: the gang spreads at once if no rack could take it even when empty, and 1.5 s after it was queued if one could but has not; its reservation likewise, after the racks.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -239,6 +239,7 @@
 bool place_fits_empty(const sched_t *s, const worker_t *w, const step_t *st);
 int64_t place_filler_capacity(const worker_t *w);
 bool place_allowed(const sched_t *s, const step_t *st, const worker_t *w);
+bool place_gang_may_spread(const sched_t *s, const step_t *st);
 bool place_gang(sched_t *s, step_t *st, worker_t **at);
 void place_count_refusals(
     const sched_t *s, const step_t *st, const task_t *t, int32_t *counts);
--- a/sched/place.c
+++ b/sched/place.c
@@ -25,6 +25,8 @@
 #define SERVING_PEAK_USE_PCT 50
 /* So many workers that can take a task are compared, if there are more. */
 #define ENOUGH_WORKERS 64
+/* A gang waits so long for one of the racks that could take it. */
+#define SAME_RACK_WAIT_MS 1500
 /*
  * Deductions from a worker's score, and additions to it.  It counts thousandths
  * of a core that are free for fillers.
@@ -479,9 +481,58 @@
 	return n == st->ntasks;
 }
 
+/* How many tasks of a step a worker could run if it ran nothing else. */
+static int64_t
+tasks_if_empty(const sched_t *s, const worker_t *w, const step_t *st)
+{
+	const Sched__Step *d = st->def;
+	int64_t n = st->ntasks;
+
+	if (!place_fits_empty(s, w, st))
+		return 0;
+	if (d->cpu_milli > 0 && !d->filler)
+		n = MIN(n, w->cpu_milli / d->cpu_milli);
+	if (d->mem_mb > 0)
+		n = MIN(n, w->mem_mb / d->mem_mb);
+	if (d->gpu > 0)
+		n = MIN(n, w->gpu / d->gpu);
+	return d->per_worker > 0 ? MIN(n, d->per_worker) : n;
+}
+
+/* Whether some rack could take a gang if nothing else ran there. */
+static bool
+fits_a_rack(const sched_t *s, const step_t *st)
+{
+	g_autoptr(GHashTable) tasks = g_hash_table_new(NULL, NULL);
+
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		const worker_t *w = g_ptr_array_index(s->worker_list, i);
+		gintptr n = (gintptr)g_hash_table_lookup(tasks, w->rack) +
+		    tasks_if_empty(s, w, st);
+
+		if (n >= st->ntasks)
+			return true;
+		g_hash_table_insert(tasks, (void *)w->rack, (void *)n);
+	}
+	return false;
+}
+
 /*
- * Finds workers for all tasks of a gang, all in one rack if the step requires
- * it.  Returns true and sets at[i] for each task if all fit at the same time.
+ * Whether the tasks of a gang need not run in one rack: the step does not ask for it,
+ * no rack could take them, or none has for a while.  Tasks in several racks are slow,
+ * those that wait for a rack make no progress at all.
+ */
+bool
+place_gang_may_spread(const sched_t *s, const step_t *st)
+{
+	return !st->def->same_rack ||
+	    s->now_ms - st->passed_over_since_ms >= SAME_RACK_WAIT_MS ||
+	    !fits_a_rack(s, st);
+}
+
+/*
+ * Finds workers for all tasks of a gang, in one rack if the step requires it and one
+ * can be had.  Returns true and sets at[i] for each task if all fit at the same time.
  */
 bool
 place_gang(sched_t *s, step_t *st, worker_t **at)
@@ -502,7 +553,8 @@
 		    place_gang_in_rack(s, st, w->rack, at))
 			return true;
 	}
-	return false;
+	return place_gang_may_spread(s, st) &&
+	    place_gang_in_rack(s, st, NULL, at);
 }
 
 /*
--- a/sched/reservation.c
+++ b/sched/reservation.c
@@ -196,11 +196,11 @@
 }
 
 /*
- * Reserves the workers, of one rack if the step requires it, on which all tasks of a
- * gang will fit soonest; false: there are not enough.
+ * Reserves the workers, of one rack or of any, on which all tasks of a gang will fit
+ * soonest; false: there are not enough.
  */
 static bool
-reserve_gang(sched_t *s, step_t *st, const GArray *options)
+reserve_gang_in(sched_t *s, step_t *st, const GArray *options, bool one_rack)
 {
 	g_autoptr(GHashTable) fits = g_hash_table_new(NULL, NULL);
 	const char *rack = NULL;
@@ -211,7 +211,7 @@
 		const room_option_t *o =
 		    &g_array_index(options, room_option_t, last);
 
-		rack = st->def->same_rack ? o->worker->rack : NULL;
+		rack = one_rack ? o->worker->rack : NULL;
 		n = GPOINTER_TO_UINT(g_hash_table_lookup(fits, rack)) +
 		    (guint)o->tasks;
 		g_hash_table_insert(fits, (void *)rack, GUINT_TO_POINTER(n));
@@ -230,6 +230,15 @@
 	return true;
 }
 
+/* Reserves workers for all tasks of a gang, if possible in the rack that it needs. */
+static bool
+reserve_gang(sched_t *s, step_t *st, const GArray *options)
+{
+	return (st->def->same_rack && reserve_gang_in(s, st, options, true)) ||
+	    (place_gang_may_spread(s, st) &&
+		reserve_gang_in(s, st, options, false));
+}
+
 /* The first option whose worker need not be avoided, or else the first. */
 static const room_option_t *
 soonest(const sched_t *s, const GArray *options)
--- a/test/unit/sched.c
+++ b/test/unit/sched.c
@@ -54,6 +54,59 @@
 	}
 }
 
+/*
+ * Guards against LOST (review/4): a gang whose tasks are best in one rack never started
+ * where no rack could take all of them.
+ */
+Test(sched, a_gang_waits_for_a_rack_only_where_one_can_take_it)
+{
+	static const struct {
+		const char *what;
+		int32_t tasks;
+		int32_t busy; /* workers of each rack, taken by others */
+		int64_t waited_ms;
+		bool placed, one_rack;
+	} cases[] = {
+		{ "a rack has room", 3, 0, 0, true, true },
+		{ "it is wider than a rack", 4, 0, 0, true, false },
+		{ "it is wider than all racks", 7, 0, 5000, false, false },
+		{ "the racks are in use", 3, 1, 0, false, false },
+		{ "and have been for long", 3, 1, 2000, true, false },
+		{ "there is no room at all", 3, 3, 2000, false, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		Sched__Step d = step_def("", 40000, false, 0);
+		sched_t *s = new_owner();
+		worker_t *at[8] = { NULL };
+		bool one_rack = true;
+		step_t *st;
+
+		d.count = cases[i].tasks;
+		d.gang = d.same_rack = true;
+		s->now_ms = 10000;
+		for (int32_t k = 0; k < 6; k++) {
+			char id[8];
+			worker_t *w;
+
+			g_snprintf(id, sizeof(id), "w%d", k);
+			w = add_worker(s, id);
+			w->rack = g_intern_string(k < 3 ? "r1" : "r2");
+			if (k % 3 < cases[i].busy)
+				w->used_cpu_milli = 60000;
+		}
+		st = first_step(add_job(s, JOB_A, &d, 0));
+		st->passed_over_since_ms = s->now_ms - cases[i].waited_ms;
+		cr_expect_eq(place_gang(s, st, at), cases[i].placed, "%s",
+		    cases[i].what);
+		for (int32_t k = 1; k < d.count && cases[i].placed; k++)
+			one_rack = one_rack && at[k]->rack == at[0]->rack;
+		cr_expect(!cases[i].placed || one_rack == cases[i].one_rack,
+		    "%s", cases[i].what);
+		sched_free(s);
+	}
+}
+
 /* Work of different kinds competes for the same resources. */
 Test(sched, queue_orders_steps_by_tier)
 {
