--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 LIB = $(B)/libtanagerspool.a
 CMD_NO_MAIN = $(filter-out $(B)/cmd/main.o,$(call obj,cmd/*.c))
 TESTS = check scenarios fuzz fuzz_platform
-BENCH = policy scaling loadgen
+BENCH = policy scaling loadgen recurring
 MAINS = $(TESTS) $(BENCH) embed cells fuzz_cell soak
 BIN = $(B)/tanagerspool $(B)/standin-platform $(B)/standin-worker $(B)/standin-users \
 	$(addprefix $(B)/,$(MAINS))
