Connections: one that goes silent takes the idle ones with it that prove no more

Cause: a call without an answer closed its own connection only; each of the other idle ones, as many as the busiest moment before had opened, cost another call its time.

Change: such a call closes the idle connections to the same server on which nothing has come since it was sent. One that was answered meanwhile is kept.

--- a/test/unit/backend.c
+++ b/test/unit/backend.c
@@ -88,6 +88,7 @@
 	const server_case_t *server_case;
 	backends_t *backends;
 	int accepted;	      /* connections that the server has accepted */
+	int silent;	      /* of these, the first ones are not answered */
 	int ended;	      /* calls, with those that are still open */
 	int open;	      /* of these: a late answer may follow */
 	int outcomes[3];      /* calls by how they ended */
@@ -99,6 +100,7 @@
 typedef struct {
 	uv_tcp_t tcp;
 	fixture_t *fixture;
+	int number; /* from 1 on */
 	char buf[4096];
 } server_conn_t;
 
@@ -131,6 +133,8 @@
 		return;
 	}
 	conn->fixture->last = st;
+	if (conn->number <= conn->fixture->silent)
+		return;
 	/* The server never reads the rest of a long request. */
 	if (c->request_bytes > 0)
 		uv_read_stop(st);
@@ -160,7 +164,7 @@
 
 	(void)status;
 	conn->fixture = f;
-	f->accepted++;
+	conn->number = ++f->accepted;
 	uv_tcp_init(&f->loop, &conn->tcp);
 	uv_accept(l, (uv_stream_t *)&conn->tcp);
 	uv_tcp_nodelay(&conn->tcp, 1);
@@ -330,6 +334,83 @@
 	}
 }
 
+/*
+ * Guards against LOST (review/2): connections that go silent at one time cost as many
+ * calls their time, one after the other, while new ones would work.
+ */
+Test(backend, connections_that_go_silent_together)
+{
+	static const struct {
+		const char *name;
+		int silent; /* of five connections; the last one is used first */
+		int unknown, accepted;
+	} list[] = {
+		{ "none", 0, 0, 5 },
+		{ "all", 5, 1, 6 },
+		{ "all but the last", 4, 0, 5 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(list); i++) {
+		fixture_t f = { .server_case = &cases[0] };
+		backend_call_t call = { .ip = "127.0.0.1",
+			.max_conns = 5,
+			.method = "GET",
+			.path = "/",
+			.headers = "",
+			.timeout_ms = TIMEOUT_MS };
+
+		fixture_init(&f);
+		call.port = f.port;
+		for (uint64_t k = 1; k <= 5; k++)
+			backends_send(f.backends, k, 1, &call);
+		while (f.ended < 5)
+			uv_run(&f.loop, UV_RUN_ONCE);
+		/* A later call than those that were answered. */
+		g_usleep(5000);
+		uv_update_time(&f.loop);
+		f.silent = list[i].silent;
+		for (int k = 0; k < 4; k++)
+			call_server(&f);
+		cr_expect_eq(f.outcomes[TS_OUTCOME_UNKNOWN], list[i].unknown,
+		    "%s: %d calls without an answer", list[i].name,
+		    f.outcomes[TS_OUTCOME_UNKNOWN]);
+		cr_expect_eq(f.accepted, list[i].accepted, "%s: %d connections",
+		    list[i].name, f.accepted);
+		backends_close_idle(f.backends);
+		uv_close((uv_handle_t *)&f.listener, NULL);
+		uv_run(&f.loop, UV_RUN_NOWAIT);
+	}
+}
+
+/* A connection that was answered while another one was silent is kept. */
+Test(backend, a_connection_that_works_is_kept)
+{
+	fixture_t f = { .server_case = &cases[0], .silent = 1 };
+	backend_call_t call = { .ip = "127.0.0.1",
+		.max_conns = 2,
+		.method = "GET",
+		.path = "/",
+		.headers = "",
+		.timeout_ms = TIMEOUT_MS };
+
+	fixture_init(&f);
+	call.port = f.port;
+	backends_send(f.backends, 1, 1, &call);
+	while (f.accepted < 1)
+		uv_run(&f.loop, UV_RUN_ONCE);
+	g_usleep(5000);
+	backends_send(f.backends, 2, 1, &call);
+	while (f.ended < 2)
+		uv_run(&f.loop, UV_RUN_ONCE);
+	cr_expect_eq(f.outcomes[TS_OUTCOME_UNKNOWN], 1);
+	call_server(&f);
+	cr_expect_eq(f.outcome, TS_OUTCOME_ANSWERED);
+	cr_expect_eq(f.accepted, 2, "%d connections", f.accepted);
+	backends_close_idle(f.backends);
+	uv_close((uv_handle_t *)&f.listener, NULL);
+	uv_run(&f.loop, UV_RUN_NOWAIT);
+}
+
 /* Calls with a higher limit do not wait behind those with a lower one. */
 Test(backend, a_connection_in_reserve)
 {
--- a/trans/backend.c
+++ b/trans/backend.c
@@ -2,7 +2,8 @@
  * A pool of persistent HTTP connections to backend servers, with one call at a
  * time on each connection.  An answer is passed on only when it is complete.  A
  * connection on which a call failed is closed, so that a late answer cannot be
- * taken for the answer to the next call.
+ * taken for the answer to the next call.  If it failed for want of an answer, idle
+ * connections that have been silent for as long are closed, too.
  */
 #include <stdbool.h>
 #include <stdint.h>
@@ -27,7 +28,7 @@
 /* A backend server. */
 typedef struct {
 	char *address; /* "ip:port" */
-	GQueue idle;   /* of conn_t, most recently used first */
+	GQueue idle;   /* of conn_t, the last answered first */
 	int32_t conns; /* open connections, idle ones included */
 	/* Of conn_t without a connection: calls that wait for one, in turn. */
 	GQueue waiting;
@@ -60,7 +61,9 @@
 	uint64_t req;	  /* of the call in progress */
 	int32_t attempt;  /* of the call in progress */
 	struct sockaddr_in to;
-	uint64_t due_ms;  /* by the loop's clock: the call's time is over */
+	/* By the loop's clock: when the last request was sent, when the last answer was
+	 * complete, and when the call's time is over. */
+	uint64_t sent_ms, answered_ms, due_ms;
 	bool overdue;	  /* one more read has been waited for since */
 	int32_t late_ms;  /* for so long after that an answer is waited for */
 	bool late;	  /* it is being waited for */
@@ -137,6 +140,7 @@
 		a.body = conn->answer_body->data;
 		a.body_bytes = conn->answer_body->len;
 	}
+	conn->answered_ms = uv_now(b->loop);
 	if (outcome == TS_OUTCOME_ANSWERED && conn->keep_alive &&
 	    !conn->writing && !conn->closing)
 		g_queue_push_head(&conn->backend->idle, conn);
@@ -298,6 +302,21 @@
 		end_call(conn, TS_OUTCOME_UNKNOWN);
 }
 
+/*
+ * A call got no answer in its time: connections on which nothing has come since it was
+ * sent may have gone silent with its own.  Each of them would cost another call its time.
+ */
+static void
+close_unproved(const conn_t *silent)
+{
+	GQueue *idle = &silent->backend->idle;
+	conn_t *oldest;
+
+	while ((oldest = g_queue_peek_tail(idle)) != NULL &&
+	    oldest->answered_ms <= silent->sent_ms)
+		conn_close(oldest);
+}
+
 /* Whether a call whose time is over stays open for a late answer. */
 static bool
 may_be_late(const conn_t *conn)
@@ -338,6 +357,8 @@
 		uv_timer_start(t, on_timeout, READ_WAIT_MS, 0);
 		return;
 	}
+	if (conn->connected)
+		close_unproved(conn);
 	if (may_be_late(conn)) {
 		report_late(conn);
 		return;
@@ -354,6 +375,7 @@
 
 	conn->write.data = conn;
 	conn->writing = true;
+	conn->sent_ms = uv_now(conn->backends->loop);
 	start_timer(conn);
 	if (uv_write(&conn->write, (uv_stream_t *)&conn->tcp, &buf, 1,
 		on_request_written) == 0)
