Submissions: one that is tried again does not pass a refusal that was written meanwhile

Change: only the first try of a request goes on from a refusal that it finds; a later one is refused with it (503).

Test: unit late_writes/what_is_refused_never_runs waits for the answer of the lost submission now: red before (200, and the job there, in two cases), green now.

--- a/serve/request.h
+++ b/serve/request.h
@@ -51,6 +51,8 @@
 void request_answer_accepted(request_t *rq, bool resubmitted);
 /* A submission that has no row: it was never accepted. */
 void request_answer_rejected(request_t *rq);
+/* A submission that was refused elsewhere while it was tried here. */
+void request_answer_refused(request_t *rq);
 /* A submission of a job that was cancelled before it was stored. */
 void request_answer_cancelled(request_t *rq, const store_row_t *cancel);
 /* A read or a cancel of a job that isn't there. */
--- a/serve/request_answer.c
+++ b/serve/request_answer.c
@@ -58,6 +58,16 @@
 	request_finish(rq, over_rate ? 429 : 503, why);
 }
 
+void
+request_answer_refused(request_t *rq)
+{
+	static const char why[] = "refused at another entry";
+
+	log_event(EVT_REFUSED, "id=%s queue=%s retry_after_ms=%d why=\"%s\"",
+	    rq->id, rq->queue, rq->rejection.retry_after_ms, why);
+	request_finish(rq, 503, why);
+}
+
 void
 request_answer_gone(request_t *rq)
 {
--- a/serve/request_call.c
+++ b/serve/request_call.c
@@ -65,6 +65,22 @@
 	    rq, r == STORE_IN_DOUBT ? ATTEMPT_UNANSWERED : ATTEMPT_REFUSED);
 }
 
+/*
+ * A refusal was written that the request had not read.  One that has tried to submit
+ * the job before may be the call that was refused elsewhere, and does not run either.
+ */
+static void
+on_other_refusal(request_t *rq, int64_t refusal)
+{
+	rq->refusal = refusal;
+	if (rq->kind == REQUEST_REJECT)
+		write_refusal(attempt_new(rq));
+	else if (rq->attempts.sent == 1)
+		write_submission(attempt_new(rq));
+	else
+		request_answer_refused(rq);
+}
+
 /*
  * A row keeps a submission or a refusal from being written: the job's own, by another
  * attempt or from earlier, a cancel, or another refusal than the one that was read.
@@ -72,23 +88,19 @@
 static void
 on_write_conflict(request_t *rq, const store_answer_t *ans)
 {
-	bool submits = rq->kind == REQUEST_SUBMIT;
 	job_rows_t rows;
 
 	job_rows_find(ans, rq->id, &rows);
 	if (rows.job != NULL) {
 		if (request_check_access(rq, rows.job))
-			request_answer_accepted(
-			    rq, !submits || rq->attempts.sent == 1);
+			request_answer_accepted(rq,
+			    rq->kind == REQUEST_REJECT ||
+				rq->attempts.sent == 1);
 	} else if (rows.cancel != NULL)
 		request_answer_cancelled(rq, rows.cancel);
-	else if (rows.refusal != 0 && rows.refusal != rq->refusal) {
-		rq->refusal = rows.refusal;
-		if (submits)
-			write_submission(attempt_new(rq));
-		else
-			write_refusal(attempt_new(rq));
-	} else
+	else if (rows.refusal != 0 && rows.refusal != rq->refusal)
+		on_other_refusal(rq, rows.refusal);
+	else
 		/* The answer doesn't tell which one it is. */
 		read_job_rows(attempt_new(rq));
 }
@@ -220,7 +232,6 @@
 static void
 on_no_job(request_t *rq, const job_rows_t *rows)
 {
-	rq->refusal = rows->refusal;
 	if (rq->kind == REQUEST_STATE)
 		request_answer_gone(rq);
 	else if (rq->kind == REQUEST_CANCEL && rows->cancel != NULL)
@@ -231,6 +242,8 @@
 		request_answer_cancelled(rq, rows->cancel);
 	else if (rq->kind == REQUEST_REJECT)
 		request_answer_rejected(rq);
+	else if (rows->refusal != rq->refusal)
+		on_other_refusal(rq, rows->refusal);
 	else
 		/* It has met a row that may have been its own. */
 		request_attempt_failed(rq, ATTEMPT_UNANSWERED);
--- a/test/unit/late_writes.c
+++ b/test/unit/late_writes.c
@@ -323,14 +323,22 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		fixture_t f;
+		bool lost = false;
 
 		fixture_init(&f);
 		for (const step_t *st = cases[i].steps; st->op != END; st++) {
 			int32_t got = take_step(&f, st);
 
+			lost = lost || st->op == LOSE;
 			cr_expect_eq(got, st->want, "%s, step %td: %d",
 			    cases[i].what, st - cases[i].steps, got);
 		}
+		/* The submission is tried again beside the write. */
+		while (lost && !f.lost_answered)
+			uv_run(&f.loop, UV_RUN_ONCE);
+		cr_expect(!lost || f.lost_status == (cases[i].job ? 200 : 503),
+		    "%s: the submission is answered %d", cases[i].what,
+		    f.lost_status);
 		cr_expect_eq(late_store_has(&f.store, JOB_ID), cases[i].job,
 		    "%s", cases[i].what);
 	}
