--- a/sched/footprint.c
+++ b/sched/footprint.c
@@ -157,9 +157,10 @@
 		const worker_t *w = g_ptr_array_index(s->worker_list, i);
 		footprint_row_t *row = &rows[w->footprint_row];
 
-		row->most_bytes += entry_bytes(w);
 		if (w->footprint_flush != 0)
 			row->bytes += entry_bytes(w);
+		if (w->footprint_flush != 0 || in_footprint(s, w))
+			row->most_bytes += entry_bytes(w);
 	}
 	mark_changed_rows(s, rows);
 	for (int32_t i = 0; i < FOOTPRINT_ROWS; i++)
--- a/test/main/fuzz_cell.c
+++ b/test/main/fuzz_cell.c
@@ -262,7 +262,7 @@
 	Sched__StepProgress steps[LIST_MAX], *list[LIST_MAX];
 	Sched__TaskProgress task = SCHED__TASK_PROGRESS__INIT, *tasks = &task;
 	int64_t runs[LIST_MAX];
-	int32_t like[LIST_MAX];
+	int32_t like[LIST_MAX], bounds[LIST_MAX];
 	uint8_t done[LIST_MAX];
 	g_autofree char *key = g_strconcat(job_id(), SCHED_KEY_PROGRESS, NULL);
 
@@ -292,6 +292,11 @@
 	p.state = chance(80) ? SCHED__STATE__RUNNING : (int)number();
 	p.ended_ms = number();
 	p.not_started = chance(50);
+	for (int i = 0; i < LIST_MAX; i++)
+		bounds[i] = chance(95) ? i + 1 : (int32_t)number();
+	p.done_occurrences = bounds;
+	p.n_done_occurrences =
+	    chance(80) ? 2 * (size_t)below(2) : (size_t)below(LIST_MAX);
 	pass_row(c, key, &p.base);
 }
 
@@ -348,10 +353,12 @@
 static void
 pass_cancel(cell_t *c)
 {
-	g_autofree char *key = g_strconcat(job_id(), SCHED_KEY_CANCEL, NULL);
-	Sched__Job nothing = SCHED__JOB__INIT;
+	g_autofree char *key = g_strconcat(
+	    job_id(), chance(70) ? SCHED_KEY_CANCEL : SCHED_KEY_REFUSAL, NULL);
+	Sched__Tombstone t = SCHED__TOMBSTONE__INIT;
 
-	pass_row(c, key, &nothing.base);
+	t.written_ms = number();
+	pass_row(c, key, &t.base);
 }
 
 static void
