--- a/sched/flush.c
+++ b/sched/flush.c
@@ -74,15 +74,14 @@
 	GByteArray *row = j->stage == JOB_OPEN ?
 	    progress_pack(j) :
 	    progress_pack_ended(j, s->wall_ms);
+	bool too_long = row->len > SCHED_ROW_MAX_BYTES;
 
-	bool fits = row_batch_fits(batch, key, row->len);
-
-	if (!fits) {
-		if (row->len > SCHED_ROW_MAX_BYTES)
+	if (!row_batch_fits(batch, key, row->len)) {
+		if (too_long)
 			rejected_hold(s, j);
 		g_free(key);
 		g_byte_array_unref(row);
-		return j->held_until_ms != 0;
+		return too_long;
 	}
 	j->rows_packed++;
 	j->dirty = false;
@@ -119,7 +118,10 @@
 	}
 }
 
-/* Adds the rows of a usual flush: all that has changed, as far as it has room. */
+/*
+ * Adds the rows of a usual flush: changed footprint rows, the interference row if due,
+ * removals of progress rows, and progress rows of as many dirty jobs as fit.
+ */
 static void
 add_changed_rows(sched_t *s, row_batch_t *batch)
 {
@@ -139,11 +141,7 @@
 	add_dirty_jobs(s, batch);
 }
 
-/*
- * Begins a flush: sends a transaction with the owner row, changed footprint
- * rows, the interference row if due, removals of progress rows, and progress
- * rows of as many dirty jobs as fit.
- */
+/* Begins a flush: sends a transaction with the owner row and what else is due. */
 static void
 begin_flush(sched_t *s)
 {
--- a/sched/occurrence.c
+++ b/sched/occurrence.c
@@ -140,9 +140,10 @@
 	return o != NULL && o->number == number ? o : NULL;
 }
 
-/* A released occurrence is needed once more, for a run that was not known. */
+/* Marks all tasks as done of an occurrence that was released, and is made anew for a
+ * run of it that was not known. */
 static void
-mark_released(occurrence_t *o)
+mark_all_done(occurrence_t *o)
 {
 	for (size_t i = 0; i < o->job->def->n_steps; i++) {
 		step_t *st = &o->steps[i];
@@ -169,7 +170,7 @@
 		return o;
 	o = occurrence_new(j, number);
 	if (number_set_contains(j->released_occs, number))
-		mark_released(o);
+		mark_all_done(o);
 	g_ptr_array_insert(j->occs, (gint)index_from(j, number), o);
 	return o;
 }
--- a/serve/request_call.c
+++ b/serve/request_call.c
@@ -105,35 +105,22 @@
 		read_job_rows(attempt_new(rq));
 }
 
+/* Once a refusal is stored, no submission that is on its way can be. */
 static void
-on_submission_written(void *ctx, store_result_t r, const store_answer_t *ans)
+on_row_written(void *ctx, store_result_t r, const store_answer_t *ans)
 {
 	request_t *rq = attempt_end(ctx, r, ans);
 
 	if (rq == NULL)
 		return;
-	if (r == STORE_OK)
-		request_answer_accepted(rq, false);
-	else if (r == STORE_CONFLICT)
+	if (r == STORE_CONFLICT)
 		on_write_conflict(rq, ans);
-	else
+	else if (r != STORE_OK)
 		on_write_failed(rq, r);
-}
-
-/* Once a refusal is stored, no submission that is on its way can be. */
-static void
-on_refusal_written(void *ctx, store_result_t r, const store_answer_t *ans)
-{
-	request_t *rq = attempt_end(ctx, r, ans);
-
-	if (rq == NULL)
-		return;
-	if (r == STORE_OK)
+	else if (rq->kind == REQUEST_REJECT)
 		request_answer_rejected(rq);
-	else if (r == STORE_CONFLICT)
-		on_write_conflict(rq, ans);
 	else
-		on_write_failed(rq, r);
+		request_answer_accepted(rq, false);
 }
 
 static void
@@ -201,13 +188,13 @@
 static void
 write_submission(attempt_t *at)
 {
-	write_row(at, JOB_ROW_SUBMITTED, on_submission_written);
+	write_row(at, JOB_ROW_SUBMITTED, on_row_written);
 }
 
 static void
 write_refusal(attempt_t *at)
 {
-	write_row(at, JOB_ROW_REFUSED, on_refusal_written);
+	write_row(at, JOB_ROW_REFUSED, on_row_written);
 }
 
 /*
--- a/test/unit/late_writes.c
+++ b/test/unit/late_writes.c
@@ -217,17 +217,42 @@
 	}
 }
 
+typedef struct {
+	const char *what;
+	step_t steps[STEPS_MAX];
+	bool job; /* it is there at the end */
+} case_t;
+
+/* Plays a case; a submission whose write was lost is answered so if no job is there. */
+static void
+play(const case_t *c, int32_t without_job)
+{
+	fixture_t f;
+	bool lost = false;
+
+	fixture_init(&f);
+	for (const step_t *st = c->steps; st->op != END; st++) {
+		int32_t got = take_step(&f, st);
+
+		lost = lost || st->op == LOSE;
+		cr_expect_eq(got, st->want, "%s, step %td: %d", c->what,
+		    st - c->steps, got);
+	}
+	/* The submission is tried again beside the write. */
+	while (lost && !f.lost_answered)
+		uv_run(&f.loop, UV_RUN_ONCE);
+	cr_expect_eq(late_store_has(&f.store, JOB_ID), c->job, "%s", c->what);
+	cr_expect(!lost || f.lost_status == (c->job ? 200 : without_job),
+	    "%s: the submission is answered %d", c->what, f.lost_status);
+}
+
 /*
  * Guards against UNASKED (review/3): a cancel was answered 410, as there was no row of
  * the job, while a write of its submission was on its way.  The job ran.
  */
 Test(late_writes, what_is_gone_stays_gone, .timeout = 60)
 {
-	static const struct {
-		const char *what;
-		step_t steps[STEPS_MAX];
-		bool job; /* it is there at the end */
-	} cases[] = {
+	static const case_t cases[] = {
 		{ "cancelled at another entry",
 		    { { LOSE, 0, NONE }, { CANCEL, 1, 410 }, { PERFORM, 0, 0 },
 			{ STATE, 0, 410 }, { STATE, 1, 410 } },
@@ -263,27 +288,8 @@
 		    true },
 	};
 
-	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		fixture_t f;
-		bool lost = false;
-
-		fixture_init(&f);
-		for (const step_t *st = cases[i].steps; st->op != END; st++) {
-			int32_t got = take_step(&f, st);
-
-			lost = lost || st->op == LOSE;
-			cr_expect_eq(got, st->want, "%s, step %td: %d",
-			    cases[i].what, st - cases[i].steps, got);
-		}
-		/* The submission is tried again beside the write. */
-		while (lost && !f.lost_answered)
-			uv_run(&f.loop, UV_RUN_ONCE);
-		cr_expect_eq(late_store_has(&f.store, JOB_ID), cases[i].job,
-		    "%s", cases[i].what);
-		cr_expect(!lost || f.lost_status == (cases[i].job ? 200 : 410),
-		    "%s: the submission is answered %d", cases[i].what,
-		    f.lost_status);
-	}
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		play(&cases[i], 410);
 }
 
 /*
@@ -292,11 +298,7 @@
  */
 Test(late_writes, what_is_refused_never_runs, .timeout = 60)
 {
-	static const struct {
-		const char *what;
-		step_t steps[STEPS_MAX];
-		bool job;
-	} cases[] = {
+	static const case_t cases[] = {
 		{ "after one in doubt",
 		    { { LOSE, 0, NONE }, { REFUSE, 1, 429 }, { PERFORM, 0, 0 },
 			{ STATE, 0, 410 } },
@@ -321,27 +323,8 @@
 		    true },
 	};
 
-	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		fixture_t f;
-		bool lost = false;
-
-		fixture_init(&f);
-		for (const step_t *st = cases[i].steps; st->op != END; st++) {
-			int32_t got = take_step(&f, st);
-
-			lost = lost || st->op == LOSE;
-			cr_expect_eq(got, st->want, "%s, step %td: %d",
-			    cases[i].what, st - cases[i].steps, got);
-		}
-		/* The submission is tried again beside the write. */
-		while (lost && !f.lost_answered)
-			uv_run(&f.loop, UV_RUN_ONCE);
-		cr_expect(!lost || f.lost_status == (cases[i].job ? 200 : 503),
-		    "%s: the submission is answered %d", cases[i].what,
-		    f.lost_status);
-		cr_expect_eq(late_store_has(&f.store, JOB_ID), cases[i].job,
-		    "%s", cases[i].what);
-	}
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		play(&cases[i], 503);
 }
 
 /* A submission that follows a refusal is in doubt itself, and refused again. */
