Unit flush and occurrence: bounds from the target, and a case that could not fail

The bounds of 2,000 bytes and 200 occurrences had no source: by the target, what has finished costs nothing, so the rest of a job must take no more than its first tenth. The case with a rejected footprint row passed before the fix, too, as that row was not in the first write; it is the row of the worker now. Twelve rejections were a guess: five by the halves.

--- a/test/unit/flush.c
+++ b/test/unit/flush.c
@@ -51,6 +51,16 @@
 	}
 }
 
+/* Adds a worker that is to be stored; returns the key of its row, to be freed. */
+static char *
+add_new_worker(sched_t *s)
+{
+	worker_t *w = add_worker(s, "w");
+
+	w->footprint_stored = false;
+	return g_strdup_printf(SCHED_KEY_FOOTPRINT ".%02d", w->footprint_row);
+}
+
 static int32_t
 stored_jobs(const cell_store_t *c, int32_t n)
 {
@@ -73,37 +83,29 @@
 {
 	static const struct {
 		const char *what;
-		int32_t job; /* whose row is rejected; -1: refused_key */
-		const char *refused_key;
+		int32_t job; /* whose row is rejected; -1: that of a worker */
 		int32_t jobs, stored;
 	} cases[] = {
-		{ "the first job", 0, NULL, JOBS, JOBS - 1 },
-		{ "one of them", 23, NULL, JOBS, JOBS - 1 },
-		{ "the last job", JOBS - 1, NULL, JOBS, JOBS - 1 },
-		{ "the only job", 0, NULL, 1, 0 },
-		{ "of workers", -1, SCHED_KEY_FOOTPRINT ".00", JOBS, JOBS },
+		{ "the first job", 0, JOBS, JOBS - 1 },
+		{ "one of them", 23, JOBS, JOBS - 1 },
+		{ "the last job", JOBS - 1, JOBS, JOBS - 1 },
+		{ "the only job", 0, 1, 0 },
+		{ "that of a worker", -1, JOBS, JOBS },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		g_autofree char *key = cases[i].job < 0 ?
-		    g_strdup(cases[i].refused_key) :
-		    g_strconcat(job_id(cases[i].job), SCHED_KEY_PROGRESS, NULL);
+		g_autofree char *key = NULL;
 		int64_t renewed = 1000, longest = 0, now;
 		int64_t version = 0;
 		cell_store_t c;
 
 		cell_store_init(&c);
+		key = cases[i].job < 0 ?
+		    add_new_worker(c.sched) :
+		    g_strconcat(job_id(cases[i].job), SCHED_KEY_PROGRESS, NULL);
 		c.refused_key = key;
 		c.refused_above = 8;
 		add_jobs(c.sched, cases[i].jobs);
-		for (int32_t k = 0; k < 300; k++) {
-			char id[16];
-
-			g_snprintf(id, sizeof(id), "w%d", k);
-			if (cases[i].job < 0)
-				add_worker(c.sched, id)->footprint_stored =
-				    false;
-		}
 		for (now = 1000; now <= 1000 + USUAL_MS; now += TICK_MS) {
 			cell_store_tick(&c, now);
 			if (c.version != version)
@@ -148,7 +150,8 @@
 	cr_expect_eq(p->state, SCHED__STATE__FAILED);
 	sched__progress__free_unpacked(p, NULL);
 	cr_expect_eq(w->ended_stored_seq, 7);
-	cr_expect_leq(c.sched->stats.rejected_writes, 12, "%" PRIu64,
+	/* All three jobs, two, one; and that one twice more. */
+	cr_expect_leq(c.sched->stats.rejected_writes, 5, "%" PRIu64,
 	    c.sched->stats.rejected_writes);
 	cell_store_clear(&c);
 }
--- a/test/unit/occurrence.c
+++ b/test/unit/occurrence.c
@@ -24,6 +24,8 @@
 #define JOB_ID	  "00000000000000a1"
 #define STEPS_MAX 200
 #define TICK_MS	  50
+/* Of a row with two numbers, the longer they are. */
+#define GROWTH_BYTES 4
 
 typedef struct {
 	size_t steps;
@@ -87,6 +89,16 @@
 	return true;
 }
 
+/* The length of the job's progress row; 0 without one. */
+static guint
+row_bytes(const cell_store_t *c)
+{
+	const GByteArray *row =
+	    g_hash_table_lookup(c->rows, JOB_ID SCHED_KEY_PROGRESS);
+
+	return row == NULL ? 0 : row->len;
+}
+
 /*
  * Guards against LOST (review/1): each occurrence that had ended made the row of its
  * job longer, until the store refused it and all that was written with it.
@@ -104,25 +116,32 @@
 		cell_store_t c;
 		Sched__Progress *p;
 		int64_t now = 1000;
-		guint open = 0;
+		/* Up to the first tenth of the occurrences, and after it. */
+		guint kept[2] = { 0 }, bytes[2] = { 0 };
 
 		cell_store_init(&c);
 		add_repeating(c.sched, &cases[i]);
 		for (bool goes_on = true; goes_on && c.refused == 0;) {
 			job_t *j = g_hash_table_lookup(c.sched->jobs, JOB_ID);
 
-			open = MAX(open, j == NULL ? 0 : j->occs->len);
+			bool late =
+			    j == NULL || j->occs_done > cases[i].repeats / 10;
+
+			kept[late] =
+			    MAX(kept[late], j == NULL ? 0 : j->occs->len);
 			now += MAX(TICK_MS, cases[i].interval_ms);
 			cell_store_tick(&c, now);
+			bytes[late] = MAX(bytes[late], row_bytes(&c));
 			goes_on = end_due(c.sched);
 		}
 		cell_store_tick(&c, now + 2 * TICK_MS);
 		cr_expect_eq(c.refused, 0, "case %zu: a row of %zu bytes", i,
 		    c.longest_row);
-		cr_expect_leq(c.longest_row, 2000, "case %zu: %zu bytes", i,
-		    c.longest_row);
-		cr_expect_leq(
-		    open, 200, "case %zu: %u occurrences kept", i, open);
+		cr_expect_leq(bytes[1], bytes[0] + GROWTH_BYTES,
+		    "case %zu: %u bytes, %u later", i, bytes[0], bytes[1]);
+		cr_expect_leq(kept[1], kept[0],
+		    "case %zu: %u occurrences kept, %u later", i, kept[0],
+		    kept[1]);
 		p = cell_store_progress(&c, JOB_ID);
 		cr_expect(p != NULL && p->state == SCHED__STATE__COMPLETED,
 		    "case %zu: completed", i);
@@ -163,7 +182,6 @@
 	next->wall_ms = 21000;
 	occurrence_add_due(next, loaded);
 	cr_expect_eq(loaded->occs_made_ready, j->occs_made_ready);
-	cr_expect_leq(loaded->occs->len, 20);
 	for (guint i = 0; i < loaded->occs->len; i++) {
 		const occurrence_t *o = g_ptr_array_index(loaded->occs, i);
 
