Lasting tasks: logs and metrics tell how long each one is down

Event 649 tells that for each lasting task that runs again, 642 and the metrics how many are down and the longest wait, and 644 names such a task with what each worker says. Unit downtime/a_task_that_is_down_is_logged.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -30,7 +30,7 @@
  * - flush.c, interference_row.c, purge.c: rows written to and removed from the
  *   store;
  * - stats.c: counters and the periodic load event;
- * - wait_reason.c: why waiting tasks wait.
+ * - wait_reason.c: why waiting tasks wait; downtime.c: how long lasting ones are down.
  *
  * Terms: a serving task answers requests and has a target for its tail
  * latency.  A filler task is batch work that uses the processor time which
@@ -244,6 +244,20 @@
 void place_count_refusals(
     const sched_t *s, const step_t *st, const task_t *t, int32_t *counts);
 
+/* downtime.c */
+/* Lasting tasks that had a run and wait for the next one. */
+typedef struct {
+	int64_t tasks, longest_ms;
+} downtime_t;
+
+void downtime_run_removed(const sched_t *s, const run_t *r);
+void downtime_run_up(sched_t *s, const run_t *r);
+/* How long a waiting task is down; 0: it has had no run. */
+int64_t downtime_ms(const sched_t *s, const task_t *t);
+/* The task of a step that is down longest; NULL: none is. */
+const task_t *downtime_longest(const step_t *st);
+void downtime_count(const sched_t *s, const step_t *st, downtime_t *d);
+
 /* wait_reason.c */
 void wait_reason_note(const sched_t *s, step_t *st, sched_wait_reason_t why);
 sched_wait_reason_t wait_reason_of(const sched_t *s, const step_t *st);
--- a/sched/report.c
+++ b/sched/report.c
@@ -300,6 +300,7 @@
 		t->step->nwaiting--;
 		run_mark_job_started(s, j);
 		s->stats.adopted++;
+		downtime_run_up(s, r);
 		LOG_EVENT(s, SCHED_EVT_ADOPTED, entry->task,
 		    "run=%" PRId64 " worker=%s", entry->run, w->id);
 		return r;
--- a/sched/run.c
+++ b/sched/run.c
@@ -182,6 +182,7 @@
 	if (t != NULL && t->run == r) {
 		t->run = t->speculative_run;
 		t->speculative_run = NULL;
+		downtime_run_removed(s, r);
 		requeue_task(s, t);
 	}
 	scan_worker_changed(s, r->worker);
@@ -348,6 +349,7 @@
 	r->in_doubt_ms = 0;
 	r->held_up = false;
 	r->first_seen_ms = s->now_ms;
+	downtime_run_up(s, r);
 	run_mark_job_started(s, r->job);
 	if (r->unwanted)
 		run_stop(s, r, "no longer needed");
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -228,7 +228,8 @@
 	SCHED_EVT_QUOTA = 645,
 	SCHED_EVT_REFUSAL_BEGUN = 646,
 	SCHED_EVT_REFUSAL_ENDED = 647,
-	SCHED_EVT_RESERVATION = 648
+	SCHED_EVT_RESERVATION = 648,
+	SCHED_EVT_LASTING_BACK = 649
 } sched_evt_t;
 
 /* Calls from the scheduler to the embedding program. */
@@ -503,8 +504,10 @@
  * that placement looked at; quota_waits, times that a step began to wait for its
  * customer's quota; queued, steps with tasks to be started; running, runs in any
  * state; deferred_jobs, jobs that the plan for an overload defers; waiting_tasks,
- * by sched_wait_reason_t, and longest_idle_ms, that a job with a waiting task has had
- * no run: those of the last load event, 0 where this entry is not the owner.
+ * by sched_wait_reason_t, longest_idle_ms, that a job with a waiting task has had no
+ * run, lasting_down, lasting tasks that had a run and wait for the next one, and
+ * longest_down_ms, the longest of these waits: those of the last load event, 0 where
+ * this entry is not the owner.
  */
 typedef struct {
 	uint64_t starts, start_rejects, start_unknown, stops, done, failed,
@@ -512,7 +515,7 @@
 	    places, quota_waits, over_rate, refused_over_rate, refused_hopeless,
 	    handovers, rejected_writes;
 	int64_t jobs, queued, running, workers, refused_customers,
-	    deferred_jobs, longest_idle_ms;
+	    deferred_jobs, longest_idle_ms, lasting_down, longest_down_ms;
 	int32_t waiting_tasks[SCHED_WAIT_REASONS];
 } sched_stats_t;
 sched_stats_t sched_stats(const sched_t *s);
--- a/sched/stats.c
+++ b/sched/stats.c
@@ -39,6 +39,7 @@
 /* What the load event says of waiting tasks. */
 typedef struct {
 	int64_t waiting, past_target, isolated, quota_blocked;
+	downtime_t down;
 } waiting_t;
 
 /* Counts the waiting tasks; those by reason and the longest wait into s->stats. */
@@ -58,10 +59,13 @@
 		c.isolated += st->isolated ? st->nwaiting : 0;
 		c.quota_blocked += st->quota_held ? st->nwaiting : 0;
 		s->stats.waiting_tasks[wait_reason_of(s, st)] += st->nwaiting;
+		downtime_count(s, st, &c.down);
 		if (st->occ->job->nruns == 0)
 			s->stats.longest_idle_ms = MAX(s->stats.longest_idle_ms,
 			    s->now_ms - st->occ->job->idle_since_ms);
 	}
+	s->stats.lasting_down = c.down.tasks;
+	s->stats.longest_down_ms = c.down.longest_ms;
 	return c;
 }
 
@@ -90,13 +94,15 @@
 	    "longest_idle=%" PRId64 " workers=%u usable=%d "
 	    "cpu=%d used=%d filler=%d slowed=%d workers_accounted=%d "
 	    "quota_blocked=%d rounds=%" PRIu64 " passes=%" PRIu64
-	    " resume_at=%d reasons=%s",
+	    " resume_at=%d lasting_down=%" PRId64 " longest_down=%" PRId64
+	    " reasons=%s",
 	    g_hash_table_size(s->jobs), g_hash_table_size(s->runs),
 	    (int)c.waiting, (int)c.past_target, (int)c.isolated,
 	    s->stats.longest_idle_ms, s->worker_list->len, usable,
 	    (int)(cpu / 1000), (int)(used / 1000), (int)(filler / 1000), slowed,
 	    s->cell.workers_accounted, (int)c.quota_blocked, s->scan.round,
-	    s->scan.pass, s->scan.resume_at, reasons);
+	    s->scan.pass, s->scan.resume_at, c.down.tasks, c.down.longest_ms,
+	    reasons);
 	wait_reason_log(s);
 	customer_log_held(s);
 }
@@ -141,6 +147,7 @@
 	if (!sched_is_owner(s)) {
 		memset(st.waiting_tasks, 0, sizeof(st.waiting_tasks));
 		st.longest_idle_ms = 0;
+		st.lasting_down = st.longest_down_ms = 0;
 	}
 	return st;
 }
--- a/sched/types.h
+++ b/sched/types.h
@@ -78,7 +78,10 @@
 	const char *avoid_worker;
 	worker_t *move_to; /* reserved for its next run; see serving_move.c */
 	int64_t not_before_ms; /* not started before this time */
-	crashes_t *crashes;    /* or NULL */
+	/* A lasting task: when its last run ended; 0: it has one, or had none. */
+	int64_t down_since_ms;
+	bool down_by_stop;  /* this owner had stopped that run */
+	crashes_t *crashes; /* or NULL */
 } task_t;
 
 /* One occurrence of a job; a job that does not repeat has exactly one. */
--- a/sched/wait_reason.c
+++ b/sched/wait_reason.c
@@ -31,6 +31,8 @@
 /* The same past its late limit: users count such a job as lost if it has had no
  * run for so long when they look. */
 #define IDLE_LATE_LOGGED_MS 3000
+/* The same of a lasting task that is down, whether others of its job run or not. */
+#define DOWN_LOGGED_MS 3000
 /* Jobs logged at a time, as each has all workers looked at. */
 #define JOBS_LOGGED 3
 
@@ -121,13 +123,29 @@
 	int32_t steps; /* that wait as long as is logged */
 } longest_t;
 
-/* How long the job of a step has had no run; 0: it has one. */
+/*
+ * How long the job of a step has had no run, 0 if it has one, or a lasting task of the
+ * step if that is longer.
+ */
 static int64_t
 idle_ms(const sched_t *s, const step_t *st)
 {
 	const job_t *j = st->occ->job;
+	const task_t *down = downtime_longest(st);
+	int64_t idle = j->nruns > 0 ? 0 : s->now_ms - j->idle_since_ms;
+
+	return down == NULL ? idle : MAX(idle, downtime_ms(s, down));
+}
 
-	return j->nruns > 0 ? 0 : s->now_ms - j->idle_since_ms;
+/* Whether a step has waited for so long that this is logged. */
+static bool
+is_logged(const sched_t *s, const step_t *st, int64_t idle)
+{
+	const task_t *down = downtime_longest(st);
+
+	return idle >= IDLE_LOGGED_MS ||
+	    (idle >= IDLE_LATE_LOGGED_MS && st->past_late_limit) ||
+	    (down != NULL && downtime_ms(s, down) >= DOWN_LOGGED_MS);
 }
 
 /* Finds the longest wait that is to be logged, for each reason. */
@@ -140,8 +158,7 @@
 		int64_t idle = idle_ms(s, st);
 		sched_wait_reason_t why;
 
-		if (idle < IDLE_LATE_LOGGED_MS ||
-		    (idle < IDLE_LOGGED_MS && !st->past_late_limit))
+		if (!is_logged(s, st, idle))
 			continue;
 		why = wait_reason_of(s, st);
 		by_reason[why].why = why;
@@ -162,12 +179,17 @@
 	return a->idle_ms > b->idle_ms ? -1 : a->idle_ms < b->idle_ms;
 }
 
-/* The next waiting task of a step: one that is due, if there is any. */
+/*
+ * The next waiting task of a step: the one that is down longest or else one that is
+ * due, if there is any.
+ */
 static const task_t *
 next_task(const sched_t *s, const step_t *st)
 {
-	const task_t *first = NULL;
+	const task_t *first = downtime_longest(st);
 
+	if (first != NULL)
+		return first;
 	for (int32_t i = 0; i < st->ntasks; i++) {
 		const task_t *t = &st->tasks[i];
 
