Known failure: lasting tasks that are down together wait for each other

Unit lasting/all_that_are_down_are_back_in_time: 30 workers full of short work, a third of them drains (at once or in turn), is lost, or its lasting runs fail. And a_task_is_stopped_only_for_a_place_that_is_held: the room for which a run is stopped is taken by a short task before the run has ended.

--- /dev/null
+++ b/test/unit/lasting.c
@@ -0,0 +1,324 @@
+/*
+ * Lasting tasks that are down at the same time, on a cell that is full of short work.
+ */
+#include <stdbool.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <criterion/criterion.h>
+#include <glib.h>
+
+#include "../../proto/sched.pb-c.h"
+#include "tanagerspool.h"
+#include "../../sched/sched.h"
+#include "../../sched/image_set.h"
+#include "../../sched/headroom.h"
+#include "../../sched/run_time.h"
+#include "../../sched/types.h"
+#include "../../sched/customer.h"
+#include "../../sched/internal.h"
+#include "sched_fixture.h"
+
+#define WORKERS	      30
+#define LASTING_MILLI 10000 /* of the 64000 of a worker */
+#define PER_WORKER    3	    /* lasting tasks */
+#define SHORT_MILLI   6000
+#define SHORT_MS      1000
+#define SHORT_WIDTH   20   /* tasks of a job */
+#define STOP_MS	      500  /* until a stopped run has ended */
+#define LEAVES_MS     4000 /* after a worker begins to drain */
+#define STEP_MS	      50
+#define ROUND_MS      250
+#define SETTLE_MS     4000  /* before tasks go down */
+#define WATCHED_MS    30000 /* after that */
+/* The users call a lasting task lost that is down for so long beside room for it. */
+#define DOWN_MAX_MS 6000
+
+/* What happens to the workers of the first third. */
+typedef enum {
+	THEY_DRAIN,
+	THEIR_RUNS_FAIL,
+	THEY_ARE_LOST,
+	THEY_DRAIN_IN_TURN
+} event_t;
+
+typedef struct {
+	sched_t *s;
+	GPtrArray *lasting; /* of step_t */
+	int next_job;
+	int64_t longest_ms; /* that a lasting task was down */
+	int down;	    /* lasting tasks that were down at some time */
+	int64_t since_ms[WORKERS * PER_WORKER];
+} scene_t;
+
+static worker_t *
+worker(const scene_t *c, guint i)
+{
+	return g_ptr_array_index(c->s->worker_list, i);
+}
+
+static step_t *
+add_step(scene_t *c, const Sched__Step *d)
+{
+	g_autofree char *id = g_strdup_printf("%016d", ++c->next_job);
+	step_t *st = first_step(add_job(c->s, id, d, c->s->wall_ms));
+
+	st->ready = true;
+	return st;
+}
+
+/* Lasting jobs of some tasks each, spread over all workers. */
+static void
+add_lasting(scene_t *c, int width)
+{
+	Sched__Step d = step_def("", LASTING_MILLI, false, 0);
+	int left = 0;
+	step_t *st = NULL;
+
+	d.lasting = true;
+	d.count = width;
+	for (int i = 0; i < WORKERS * PER_WORKER; i++) {
+		if (left == 0) {
+			st = add_step(c, &d);
+			g_ptr_array_add(c->lasting, st);
+			left = width;
+		}
+		add_running(
+		    c->s, st, width - left--, worker(c, (guint)(i % WORKERS)))
+		    ->first_seen_ms = 1;
+	}
+}
+
+/* Short jobs, so that some always wait. */
+static void
+add_short(scene_t *c)
+{
+	Sched__Step d = step_def("", SHORT_MILLI, false, 0);
+
+	d.count = SHORT_WIDTH;
+	d.estimate_ms = SHORT_MS;
+	while (g_sequence_get_length(c->s->ready_steps) < 20)
+		queue_add_step(c->s, add_step(c, &d));
+}
+
+/* Ends the runs whose time has come. */
+static void
+end_runs(scene_t *c)
+{
+	g_autoptr(GList) all = g_hash_table_get_values(c->s->runs);
+
+	for (GList *i = all; i != NULL; i = i->next) {
+		run_t *r = i->data;
+		int64_t age = c->s->now_ms - r->state_since_ms;
+
+		if (r->state == RUN_STARTING)
+			run_order_done(c->s, r, SCHED_ORDER_OK, 0);
+		else if (r->state == RUN_STOPPING && age >= STOP_MS)
+			run_remove(c->s, r);
+		else if (r->state == RUN_RUNNING &&
+		    !r->task->step->def->lasting && age >= SHORT_MS) {
+			job_mark_task_done(r->task);
+			run_remove(c->s, r);
+		}
+	}
+}
+
+/* Ends all runs on a worker, of short work too if the worker is lost. */
+static void
+end_all_on(scene_t *c, worker_t *w, bool lost)
+{
+	g_autoptr(GList) all = g_hash_table_get_values(w->runs);
+
+	for (GList *i = all; i != NULL; i = i->next)
+		if (lost || ((run_t *)i->data)->task->step->def->lasting)
+			run_remove(c->s, i->data);
+}
+
+static void
+begin_event(scene_t *c, event_t e, guint i)
+{
+	worker_t *w = worker(c, i);
+
+	if (e == THEIR_RUNS_FAIL)
+		end_all_on(c, w, false);
+	else if (e == THEY_ARE_LOST) {
+		w->listed = false;
+		end_all_on(c, w, true);
+	} else
+		w->draining = true;
+}
+
+/* A worker that drains has left after a while. */
+static void
+leave(scene_t *c, guint i)
+{
+	if (!worker(c, i)->draining)
+		return;
+	worker(c, i)->listed = false;
+	end_all_on(c, worker(c, i), true);
+}
+
+/* Notes how long each lasting task has been down. */
+static void
+look(scene_t *c)
+{
+	int n = 0;
+
+	for (guint i = 0; i < c->lasting->len; i++) {
+		const step_t *st = g_ptr_array_index(c->lasting, i);
+
+		for (int32_t k = 0; k < st->ntasks; k++, n++) {
+			if (st->tasks[k].run != NULL) {
+				c->since_ms[n] = 0;
+				continue;
+			}
+			c->down += c->since_ms[n] == 0;
+			if (c->since_ms[n] == 0)
+				c->since_ms[n] = c->s->now_ms;
+			c->longest_ms =
+			    MAX(c->longest_ms, c->s->now_ms - c->since_ms[n]);
+		}
+	}
+}
+
+static void
+step(scene_t *c)
+{
+	sched_t *s = c->s;
+
+	s->now_ms += STEP_MS;
+	s->wall_ms += STEP_MS;
+	end_runs(c);
+	add_short(c);
+	for (guint i = 0; i < WORKERS; i++)
+		if (worker(c, i)->listed)
+			straggler_report(s, worker(c, i));
+	if (s->now_ms % ROUND_MS == 0) {
+		queue_resort(s);
+		scan_begin_round(s);
+	}
+	start_waiting_tasks(s);
+	look(c);
+}
+
+static scene_t
+new_scene(int width)
+{
+	scene_t c = { .s = new_owner(), .lasting = g_ptr_array_new() };
+
+	c.s->now_ms = c.s->wall_ms = 100000;
+	for (int i = 0; i < WORKERS; i++) {
+		g_autofree char *id = g_strdup_printf("w%02d", i);
+
+		add_worker(c.s, id);
+	}
+	add_lasting(&c, width);
+	return c;
+}
+
+/*
+ * Guards against lasting tasks that are down for long, as what becomes free goes to
+ * other work first or only to one of them at a time.
+ */
+Test(lasting, all_that_are_down_are_back_in_time)
+{
+	static const struct {
+		const char *what;
+		event_t event;
+		int width; /* of a lasting job; it divides the number of tasks */
+	} cases[] = {
+		{ "workers drain, wide jobs", THEY_DRAIN, 15 },
+		{ "workers drain, narrow jobs", THEY_DRAIN, 1 },
+		{ "workers drain in turn, wide jobs", THEY_DRAIN_IN_TURN, 15 },
+		{ "workers drain in turn, one job", THEY_DRAIN_IN_TURN, 90 },
+		{ "runs fail, wide jobs", THEIR_RUNS_FAIL, 15 },
+		{ "runs fail, narrow jobs", THEIR_RUNS_FAIL, 1 },
+		{ "runs fail, one job", THEIR_RUNS_FAIL, 90 },
+		{ "workers are lost, wide jobs", THEY_ARE_LOST, 15 },
+		{ "workers are lost, narrow jobs", THEY_ARE_LOST, 1 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		scene_t c = new_scene(cases[i].width);
+		int64_t at_ms = c.s->now_ms + SETTLE_MS;
+
+		while (c.s->now_ms < at_ms)
+			step(&c);
+		cr_assert_eq(c.down, 0, "%s: before", cases[i].what);
+		for (int64_t n = 0; n < WATCHED_MS / STEP_MS; n++) {
+			int64_t ms = n * STEP_MS;
+			bool in_turn = cases[i].event == THEY_DRAIN_IN_TURN;
+
+			for (guint k = 0; k < WORKERS / 3; k++) {
+				int64_t from = in_turn ? (int64_t)k * 300 : 0;
+
+				if (ms == from)
+					begin_event(&c, cases[i].event, k);
+				if (ms == from + LEAVES_MS)
+					leave(&c, k);
+			}
+			step(&c);
+		}
+		cr_expect_geq(c.down, WORKERS / 3 * PER_WORKER, "%s: %d down",
+		    cases[i].what, c.down);
+		cr_expect_lt(c.longest_ms, DOWN_MAX_MS, "%s: down for %d ms",
+		    cases[i].what, (int)c.longest_ms);
+		g_ptr_array_free(c.lasting, TRUE);
+		sched_free(c.s);
+	}
+}
+
+/*
+ * Guards against a task that is stopped as its worker drains, and then waits as other
+ * work has taken the room that was free for it.
+ */
+Test(lasting, a_task_is_stopped_only_for_a_place_that_is_held)
+{
+	static const struct {
+		const char *what;
+		int64_t used_milli; /* on the other worker */
+		bool stopped;
+	} cases[] = {
+		{ "there is room for it", WORKER_CPU_MILLI - LASTING_MILLI,
+		    true },
+		{ "there is not", WORKER_CPU_MILLI - LASTING_MILLI + 1, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		scene_t c = { .s = new_owner() };
+		worker_t *from = add_worker(c.s, "from"),
+			 *to = add_worker(c.s, "to");
+		Sched__Step d = step_def("", LASTING_MILLI, false, 0);
+		Sched__Step other = step_def("", SHORT_MILLI, false, 0);
+		step_t *st;
+		run_t *r;
+
+		c.s->now_ms = c.s->wall_ms = 100000;
+		d.lasting = true;
+		st = add_step(&c, &d);
+		r = add_running(c.s, st, 0, from);
+		r->first_seen_ms = 1;
+		other.cpu_milli = cases[i].used_milli;
+		add_running(c.s, add_step(&c, &other), 0, to)->state_since_ms =
+		    c.s->now_ms + WATCHED_MS;
+		from->draining = true;
+		scan_begin_round(c.s);
+		straggler_report(c.s, from);
+		cr_expect_eq(r->state == RUN_STOPPING, cases[i].stopped, "%s",
+		    cases[i].what);
+		if (!cases[i].stopped) {
+			sched_free(c.s);
+			continue;
+		}
+		other.cpu_milli = SHORT_MILLI;
+		queue_add_step(c.s, add_step(&c, &other));
+		scan_begin_round(c.s);
+		start_waiting_tasks(c.s);
+		run_remove(c.s, r);
+		start_waiting_tasks(c.s);
+		cr_expect(
+		    st->tasks[0].run != NULL && st->tasks[0].run->worker == to,
+		    "%s: it does not run again", cases[i].what);
+		sched_free(c.s);
+	}
+}
