--- a/test/unit/late_writes.c
+++ b/test/unit/late_writes.c
@@ -96,11 +96,15 @@
 	e->node.opts.config_ms = 600000;
 	e->node.platform = platform_new(&o);
 	e->node.watches = g_ptr_array_new();
+	e->node.operator_watch =
+	    table_watch_new(&(table_watch_opts_t){ .node = &e->node });
 	e->node.held_calls = held_calls_new(&e->node, ingress_serve);
 	e->node.store_answered_ms = node_now_ms(&e->node);
 	e->node.operators_as_of_ms = node_now_ms(&e->node);
 	e->node.tombstones = e->node.refusals = (rate_limit_t){ 10, 20 };
 	uv_timer_init(&f->loop, &e->node.tick_timer);
+	uv_timer_init(&f->loop, &e->node.retry_timer);
+	e->node.retry_timer.data = &e->node;
 	e->node.cell_driver = cell_driver_new(&e->node);
 	e->node.config = platform_config_parse(
 	    (const uint8_t *)config, strlen(config), NULL);
