Lasting tasks: after a change of the owner those without a run count as down

A new owner does not know which lasting tasks had runs: they waited behind short work, as new ones. Once all runs of earlier owners are known, those of jobs that had begun count as down since the claim.

--- a/sched/downtime.c
+++ b/sched/downtime.c
@@ -30,6 +30,46 @@
 	t->down_by_stop = r->state == RUN_STOPPING;
 }
 
+/* The waiting tasks of a lasting step have been down since a time. */
+static void
+mark_down(sched_t *s, step_t *st, int64_t since_ms)
+{
+	for (int32_t i = 0; i < st->ntasks; i++) {
+		task_t *t = &st->tasks[i];
+
+		if (t->state != TASK_WAITING || t->down_since_ms != 0)
+			continue;
+		t->down_since_ms = since_ms;
+		st->ndown++;
+	}
+	queue_move_step(s, st);
+}
+
+/*
+ * All runs of earlier owners are known: the lasting tasks without one, of jobs that had
+ * begun, are taken for down since the claim.
+ */
+void
+downtime_taken_over(sched_t *s)
+{
+	job_t *j;
+
+	FOREACH_VALUE (j, s->jobs) {
+		if (!j->maybe_started_before || !j->started ||
+		    j->stage != JOB_OPEN)
+			continue;
+		for (guint i = 0; i < j->occs->len; i++) {
+			occurrence_t *o = g_ptr_array_index(j->occs, i);
+
+			for (size_t k = 0; k < j->def->n_steps; k++)
+				if (o->steps[k].def->lasting &&
+				    o->steps[k].ready)
+					mark_down(s, &o->steps[k],
+					    s->cell.claimed_ms);
+		}
+	}
+}
+
 /* A worker has acknowledged a run of a task, or reports it. */
 void
 downtime_run_up(sched_t *s, const run_t *r)
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -262,6 +262,7 @@
 	int64_t tasks, longest_ms;
 } downtime_t;
 
+void downtime_taken_over(sched_t *s);
 void downtime_run_removed(const sched_t *s, const run_t *r);
 bool downtime_is_down(const task_t *t);
 void downtime_run_up(sched_t *s, const run_t *r);
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -478,6 +478,7 @@
 	    all_workers_accounted(s)) {
 		c->workers_accounted = true;
 		log_accounted(s);
+		downtime_taken_over(s);
 		s->unseen_stale = true;
 		s->start_pass_due = true;
 	}
--- a/test/unit/lasting.c
+++ b/test/unit/lasting.c
@@ -336,3 +336,47 @@
 		sched_free(c.s);
 	}
 }
+
+/*
+ * Guards against lasting tasks that stay down after a change of the owner, as the new one
+ * does not know that they had runs.
+ */
+Test(lasting, a_new_owner_starts_those_without_a_run_first)
+{
+	static const struct {
+		const char *what;
+		bool begun; /* by an earlier owner */
+		bool first; /* it goes before short work */
+	} cases[] = {
+		{ "its job had begun", true, true },
+		{ "its job is new", false, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		scene_t c = { .s = new_owner() };
+		Sched__Step d = step_def("", LASTING_MILLI, false, 0);
+		Sched__Step other = step_def("", LASTING_MILLI, false, 0);
+		step_t *lasting, *late;
+
+		set_time(c.s, 100000);
+		add_worker(c.s, "w")->used_cpu_milli =
+		    WORKER_CPU_MILLI - LASTING_MILLI;
+		d.lasting = true;
+		lasting = add_step(&c, &d);
+		lasting->occ->job->maybe_started_before =
+		    lasting->occ->job->started = cases[i].begun;
+		late = add_step(&c, &other);
+		queue_add_step(c.s, lasting);
+		queue_add_step(c.s, late);
+		c.s->cell.workers_accounted = false;
+		c.s->cell.claimed_ms = c.s->now_ms - 1000;
+		ownership_tick(c.s);
+		cr_assert(c.s->cell.workers_accounted);
+		start_waiting_tasks(c.s);
+		cr_expect_eq(lasting->nwaiting == 0, cases[i].first, "%s",
+		    cases[i].what);
+		cr_expect_eq(
+		    late->nwaiting == 0, !cases[i].first, "%s", cases[i].what);
+		sched_free(c.s);
+	}
+}
