--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 CMD_NO_MAIN = $(filter-out $(B)/cmd/main.o,$(call obj,cmd/*.c))
 TESTS = check scenarios fuzz fuzz_platform
 BENCH = policy scaling loadgen recurring
-MAINS = $(TESTS) $(BENCH) embed cells fuzz_cell soak
+MAINS = $(TESTS) $(BENCH) embed cells fuzz_cell soak crowd
 BIN = $(B)/tanagerspool $(B)/standin-platform $(B)/standin-worker $(B)/standin-users \
 	$(addprefix $(B)/,$(MAINS))
 SRC = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard */*.[ch] */*/*.[ch]))
@@ -55,6 +55,8 @@
 	$(LINK)
 $(B)/soak: $(call obj,test/soak/*.c) $(IO) $(LIB)
 	$(LINK)
+$(B)/crowd: $(B)/test/main/crowd.o
+	$(LINK)
 $(B)/cells: $(B)/test/main/cells.o $(CELL) $(LIB)
 	$(LINK)
 # At fixed addresses, so that each run of it is the same.
@@ -79,7 +81,7 @@
 	@$(MAKE) --no-print-directory all
 	sh test/run.sh $(B)
 test: ensure-deps
-	@$(MAKE) --no-print-directory all unit check cells scenarios process
+	@$(MAKE) --no-print-directory all unit check cells scenarios process crowd
 unit: $(B)/unit
 	sh test/unit.sh $(B)
 check: $(B)/check
@@ -97,6 +99,8 @@
 	sh test/process.sh $(B)
 	sh test/red.sh sh test/serve.sh $(B)
 	sh test/red.sh sh test/odd_entries.sh $(B)
+crowd: all
+	sh test/red.sh sh test/crowd.sh $(B)
 soak: $(B)/soak $(B)/standin-users $(B)/tanagerspool
 	sh test/soak.sh $(B) $(SEED)
 mutants: $(B)/check $(B)/cells
@@ -150,7 +154,7 @@
 	    $(DESTDIR)$(PREFIX)/share/tanagerspool
 clean:
 	rm -rf build*
-PHONY_TESTS = unit check cells model scenarios process soak
+PHONY_TESTS = unit check cells model scenarios process crowd soak
 SEED = 1
 .PHONY: all deps ensure-deps run test $(PHONY_TESTS) mutants model-mutants soak-mutants policy scaling \
 	ablation bench asan lint fmt install clean
