Drains: a run goes to a worker with room before the one nominated for its task

Callers would see a lasting task stay on a worker that drains until this leaves, and be down from then on. Cause: once a worker was nominated, no other one was looked at for a run, as nominate_place() does for a task without one; what is in the way on the nominated worker is stopped only for a task that is down.

Unit nominate/a_worker_with_room_is_taken_before_the_nominated_one: red before, green after.

--- a/sched/nominate.c
+++ b/sched/nominate.c
@@ -160,14 +160,15 @@
 	task_t *t = r->task;
 	worker_t *w;
 
-	if (t->nominated != NULL)
-		return fits(s, t);
+	if (t->nominated != NULL && fits(s, t))
+		return true;
 	w = place_elsewhere(s, r);
 	if (w != NULL) {
+		nominate_withdraw(s, t);
 		nominate(s, t, w);
 		return true;
 	}
-	if (s->scan.unplaced_down == 0)
+	if (t->nominated == NULL && s->scan.unplaced_down == 0)
 		nominate_soonest(s, t);
 	return false;
 }
