Nominations: a task that fits nowhere does not end those of others

Callers would see runs on workers that drain go down with these, and fillers wait for moves, for as long as some lasting task of any service is down that no worker can take (its label is gone, it is too large, all is held by lasting tasks). Cause: each task that is down without a nomination counted as one that room is to be left for. Now only those count for which the pass had no search left.

Unit nominate/a_task_without_any_worker_is_in_nobodys_way: red before, green after.

--- a/sched/nominate.c
+++ b/sched/nominate.c
@@ -107,26 +107,29 @@
 }
 
 /*
- * Nominates the worker on which a task will fit soonest.  False: the runs that never
- * end leave no room for it, or too many searches were made in this pass.
+ * Nominates the worker on which a task will fit soonest, unless the runs that never end
+ * leave no room for it anywhere, so that it is in nobody's way, or too many searches
+ * were made in this pass.
  */
-static bool
+static void
 nominate_soonest(sched_t *s, task_t *t)
 {
 	step_t *st = t->step;
 	worker_t *w;
 
-	if (st->unnominated_round == s->scan.round ||
-	    s->scan.nominate_searches >= SEARCHES_PER_PASS)
-		return false;
+	if (st->unnominated_round == s->scan.round)
+		return;
+	if (s->scan.nominate_searches >= SEARCHES_PER_PASS) {
+		s->scan.unplaced_down += t->run == NULL;
+		return;
+	}
 	s->scan.nominate_searches++;
 	w = room_find_soonest(s, t);
 	if (w == NULL) {
 		st->unnominated_round = s->scan.round;
-		return false;
+		return;
 	}
 	nominate(s, t, w);
-	return true;
 }
 
 /*
@@ -144,8 +147,8 @@
 		w = place_task(s, t->step, t);
 	if (w != NULL)
 		nominate_withdraw(s, t);
-	else if (t->nominated == NULL && !nominate_soonest(s, t))
-		s->scan.unplaced_down++;
+	else if (t->nominated == NULL)
+		nominate_soonest(s, t);
 	return w;
 }
 
--- a/sched/types.h
+++ b/sched/types.h
@@ -538,7 +538,7 @@
 	/* Of this round: workers that are kept, and the steps they are kept for. */
 	guint kept_workers, keeping_steps;
 	int32_t nominate_searches; /* of this pass, by nominate.c */
-	/* Tasks that are down and have no nominated worker, by the last pass. */
+	/* Tasks that are down, for which the last pass had no search left. */
 	int32_t unplaced_down;
 	int32_t resume_at; /* the steps before were offered in the last round */
 	int32_t stopped_at; /* position of the first that was not; 0: none */
