Lasting steps: tasks do not wait for one that is down and may not start

Callers would see tasks of a lasting step without a run for 6 s and more beside free workers, as another one of the step is in quarantine or delayed after a crash or a refused start. Cause: while any task of a step is down, those that had no run are left out. Now only while one is down that waits for nothing but room; one without room still ends no offer of those behind it that are down.

--- a/sched/start.c
+++ b/sched/start.c
@@ -99,6 +99,23 @@
 	return NULL;
 }
 
+/*
+ * Whether a task of a step is down that goes before those that had no run: not one that
+ * has to wait for something else than room.
+ */
+static bool
+has_down_to_start(const sched_t *s, const step_t *st)
+{
+	for (int32_t i = 0; st->ndown > 0 && i < st->ntasks; i++) {
+		const task_t *t = &st->tasks[i];
+
+		if (downtime_is_down(t) && t->not_before_ms <= s->now_ms &&
+		    !crash_is_suspect(t))
+			return true;
+	}
+	return false;
+}
+
 /*
  * Starts waiting tasks of a step while they fit, those of a gang all or none, and while
  * some of a lasting step are down only these; returns how many.
@@ -106,7 +123,7 @@
 static int32_t
 start_step(sched_t *s, step_t *st)
 {
-	bool only_down = st->ndown > 0;
+	bool only_down = has_down_to_start(s, st);
 	int32_t n = 0;
 
 	if (st->def->gang) {
@@ -140,7 +157,10 @@
 			continue;
 		if (w == NULL) {
 			room_keep(s, st);
-			break;
+			only_down = true;
+			if (st->ndown == 0)
+				break;
+			continue;
 		}
 		if (!run_start(s, t, w, start_run_number(s, t)))
 			continue;
--- a/test/unit/nominate.c
+++ b/test/unit/nominate.c
@@ -537,6 +537,32 @@
 	}
 }
 
+/*
+ * Guards against a suspect task that is not offered quarantine, as one before it in its
+ * step that had no run finds no room.
+ */
+Test(nominate, a_task_that_is_down_is_offered_behind_one_without_room)
+{
+	sched_t *s = new_scene();
+	worker_t *w = new_worker(s, "w");
+	step_t *st = add_lasting(s, 2, LASTING_MILLI);
+	task_t *down = &st->tasks[1];
+	int64_t run = 1;
+
+	run_lasting(s, add_lasting(s, 1, WORKER_CPU_MILLI), 0, w);
+	down->down_since_ms = s->now_ms;
+	st->ndown = 1;
+	down->crashes = g_new0(crashes_t, 1);
+	down->crashes->runs = g_array_new(FALSE, TRUE, sizeof(int64_t));
+	g_array_append_val(down->crashes->runs, run);
+	down->crashes->soon = true;
+	queue_add_step(s, st);
+	go_on(s, 0);
+	/* No worker had room for its trial, which is tried again soon. */
+	cr_expect_gt(down->not_before_ms, s->now_ms);
+	sched_free(s);
+}
+
 /* Guards against work that is stopped for a task that can't start all the same. */
 Test(nominate, nothing_is_stopped_for_a_task_that_may_not_start)
 {
