Nominations: no work is stopped for a task that may not start

Callers would see batch runs stopped for nothing: for a lasting task that is delayed, that has no quota left, or while the owner may start no task (a store that does not answer, the cell just lost). Cause: only the time since the nomination was looked at.

--- a/sched/nominate.c
+++ b/sched/nominate.c
@@ -258,11 +258,12 @@
 	}
 }
 
-/* Whether a task has been down beside its nominated worker for long. */
+/* Whether a task has been down beside its nominated worker for long, for want of room. */
 static bool
 waits_long(const sched_t *s, const task_t *t)
 {
-	return t->run == NULL &&
+	return t->run == NULL && t->not_before_ms <= s->now_ms &&
+	    ownership_may_start_tasks(s) && customer_allows_start(t->step) &&
 	    s->now_ms - MAX(t->nominated_ms, t->down_since_ms) >=
 	    PREEMPT_AFTER_MS;
 }
