Nominations: one ends when its worker or its customer's quota can't take the task

Callers would see a lasting task down beside workers that get free, and room that nobody may use: the worker nominated is of another service by now, has no ticket of the approval service, or became too small, or the customer's quota is used up meanwhile. Cause: only whether the worker is usable was looked at.

Unit nominate/a_worker_that_may_not_take_the_task_is_given_up: red before in all four cases (one more than listed: no quota), green after.

--- a/sched/nominate.c
+++ b/sched/nominate.c
@@ -180,8 +180,13 @@
 static bool
 is_stale(const sched_t *s, const task_t *t)
 {
-	if (!cell_worker_usable(s, t->nominated) ||
-	    !quarantine_allows_start(s, t->nominated, t) || crash_is_suspect(t))
+	const worker_t *w = t->nominated;
+
+	if (!place_fits_empty(s, w, t->step) ||
+	    !approval_allows(s, t->step, w) ||
+	    !quarantine_allows_start(s, w, t) || crash_is_suspect(t))
+		return true;
+	if (t->run == NULL && !customer_allows_start(t->step))
 		return true;
 	return t->run != NULL && t->run->state != RUN_STOPPING &&
 	    !t->run->worker->draining;
@@ -263,7 +268,7 @@
 waits_long(const sched_t *s, const task_t *t)
 {
 	return t->run == NULL && t->not_before_ms <= s->now_ms &&
-	    ownership_may_start_tasks(s) && customer_allows_start(t->step) &&
+	    ownership_may_start_tasks(s) &&
 	    s->now_ms - MAX(t->nominated_ms, t->down_since_ms) >=
 	    PREEMPT_AFTER_MS;
 }
--- a/test/unit/nominate.c
+++ b/test/unit/nominate.c
@@ -650,11 +650,12 @@
 {
 	static const struct {
 		const char *what;
-		bool other_service, no_ticket, too_small;
+		bool other_service, no_ticket, too_small, no_quota;
 	} cases[] = {
-		{ "another service", true, false, false },
-		{ "no approval", false, true, false },
-		{ "too small by now", false, false, true },
+		{ "another service", true, false, false, false },
+		{ "no approval", false, true, false, false },
+		{ "too small by now", false, false, true, false },
+		{ "no quota", false, false, false, true },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -673,6 +674,13 @@
 		st->occ->job->needs_approval = cases[i].no_ticket;
 		if (cases[i].too_small)
 			list_again(s, w, LASTING_MILLI - 1, w->started_ms);
+		if (cases[i].no_quota) {
+			st->occ->job->customer = customer_get(s, "c");
+			st->occ->job->customer->quota.limit.cpu_milli =
+			    LASTING_MILLI;
+			st->occ->job->customer->quota.used.cpu_milli =
+			    LASTING_MILLI;
+		}
 		scan_begin_round(s);
 		cr_expect_null(st->tasks[0].nominated, "%s", cases[i].what);
 		sched_free(s);
