Nominations: tasks on a worker do not wait for each other's room

Callers would see two lasting tasks down for ever though either would fit: both have the same worker nominated, which has no room for both any more (its size has changed, or a run has come there that was not known), and what each needs keeps the other from starting. Cause: nothing gives up a nomination on a worker that can still be used.

Where batch runs can't make room for all that counts as used on a worker, the last nomination there is withdrawn now, and no run is stopped; where the task does not fit for another reason than room, its own is.

Unit nominate/tasks_on_a_worker_do_not_wait_for_each_other: "room for one" red before (neither runs in 6 s), green after.

--- a/sched/nominate.c
+++ b/sched/nominate.c
@@ -225,44 +225,100 @@
 	return all;
 }
 
-/* Adds to amounts that are missing on a worker what a run holds of them (sign -1). */
+/* Amounts that are missing on a worker; at most 0: none. */
+typedef struct {
+	int64_t cpu_milli, mem_mb, gpu;
+} missing_t;
+
+static bool
+is_missing(const missing_t *m)
+{
+	return m->cpu_milli > 0 || m->mem_mb > 0 || m->gpu > 0;
+}
+
+/* Takes what a run holds from what is missing. */
 static void
-add_run(
-    const run_t *r, int sign, int64_t *cpu_milli, int64_t *mem_mb, int64_t *gpu)
+take_run(const run_t *r, missing_t *m)
 {
 	const Sched__Step *d = r->task->step->def;
 
-	*cpu_milli += d->filler ? 0 : sign * d->cpu_milli;
-	*mem_mb += sign * d->mem_mb;
-	*gpu += sign * d->gpu;
+	m->cpu_milli -= d->filler ? 0 : d->cpu_milli;
+	m->mem_mb -= d->mem_mb;
+	m->gpu -= d->gpu;
 }
 
-/* Stops batch runs on a worker until what counts as used there has room. */
+/*
+ * Whether a run leaves what it holds in time: it is stopped, or will be able to be, if it
+ * does not end.
+ */
+static bool
+gives_way(const run_t *r)
+{
+	return r->holds_resources &&
+	    (r->state == RUN_STOPPING ||
+		(room_ends_soon(r, true) && !r->task->step->def->gang));
+}
+
+/* Stops batch runs until nothing is missing on their worker. */
 static void
-preempt(sched_t *s, worker_t *w)
+preempt(sched_t *s, const worker_t *w, missing_t m)
 {
-	int64_t cpu_milli = w->used_cpu_milli - w->cpu_milli;
-	int64_t mem_mb = w->used_mem_mb - w->mem_mb;
-	int64_t gpu = w->used_gpu - w->gpu;
 	g_autoptr(GPtrArray) victims = find_victims(w);
 	const run_t *r;
 
 	FOREACH_VALUE (r, w->runs)
 		if (r->state == RUN_STOPPING && r->holds_resources)
-			add_run(r, -1, &cpu_milli, &mem_mb, &gpu);
+			take_run(r, &m);
 	for (guint i = 0; i < victims->len; i++) {
 		run_t *v = g_ptr_array_index(victims, i);
 		const Sched__Step *d = v->task->step->def;
 
-		if (!((cpu_milli > 0 && !d->filler && d->cpu_milli > 0) ||
-			(mem_mb > 0 && d->mem_mb > 0) ||
-			(gpu > 0 && d->gpu > 0)))
+		if (!((m.cpu_milli > 0 && !d->filler && d->cpu_milli > 0) ||
+			(m.mem_mb > 0 && d->mem_mb > 0) ||
+			(m.gpu > 0 && d->gpu > 0)))
 			continue;
-		add_run(v, -1, &cpu_milli, &mem_mb, &gpu);
+		take_run(v, &m);
 		run_stop(s, v, "makes room for a lasting task");
 	}
 }
 
+/*
+ * Stops batch runs on a worker, where more counts as used than it has.  False: the
+ * others leave too little room for it; then none is stopped.
+ */
+static bool
+make_room(sched_t *s, const worker_t *w, missing_t m)
+{
+	missing_t left = m;
+	const run_t *r;
+
+	FOREACH_VALUE (r, w->runs)
+		if (gives_way(r))
+			take_run(r, &left);
+	if (is_missing(&left))
+		return false;
+	preempt(s, w, m);
+	return true;
+}
+
+/* The last of the tasks with a worker nominated, those that run yet after the others. */
+static task_t *
+last_nominated(const sched_t *s, const worker_t *w)
+{
+	task_t *last = NULL;
+
+	for (guint i = 0; i < s->nominations->len; i++) {
+		task_t *t = g_ptr_array_index(s->nominations, i);
+
+		if (t->nominated == w &&
+		    (last == NULL || (t->run != NULL) > (last->run != NULL) ||
+			((t->run != NULL) == (last->run != NULL) &&
+			    t->nominated_ms >= last->nominated_ms)))
+			last = t;
+	}
+	return last;
+}
+
 /* Whether a task has been down beside its nominated worker for long, for want of room. */
 static bool
 waits_long(const sched_t *s, const task_t *t)
@@ -273,16 +329,39 @@
 	    PREEMPT_AFTER_MS;
 }
 
+/*
+ * Makes room for a task that has been down beside its nominated worker for long.  If
+ * there can't be room for all tasks there, the last of them is withdrawn, so that the
+ * others do not wait for it; if room is not what the task waits for, its own is.
+ */
+static void
+unblock(sched_t *s, task_t *t)
+{
+	const worker_t *w = t->nominated;
+	missing_t m = { .cpu_milli = w->used_cpu_milli - w->cpu_milli,
+		.mem_mb = w->used_mem_mb - w->mem_mb,
+		.gpu = w->used_gpu - w->gpu };
+
+	if (!is_missing(&m))
+		nominate_withdraw(s, t);
+	else if (!make_room(s, w, m))
+		nominate_withdraw(s, last_nominated(s, w));
+}
+
 /* Looks after the nominations, once in a round. */
 void
 nominate_update(sched_t *s)
 {
 	for (guint i = s->nominations->len; i-- > 0;) {
-		task_t *t = g_ptr_array_index(s->nominations, i);
+		task_t *t;
 
+		/* Another one than the present was withdrawn. */
+		if (i >= s->nominations->len)
+			continue;
+		t = g_ptr_array_index(s->nominations, i);
 		if (is_stale(s, t))
 			nominate_withdraw(s, t);
 		else if (waits_long(s, t) && !fits(s, t))
-			preempt(s, t->nominated);
+			unblock(s, t);
 	}
 }
