Nominations: a worker where a gang is in the way comes last

Callers would see a lasting task down for as long as a gang runs past its expected time: its worker counts as the one with room soonest, and gangs are not stopped for the task, while on another worker what is in the way could be.

Unit nominate/a_worker_that_never_gets_room_is_given_up: red before (6000 ms), green after.

--- a/sched/room.c
+++ b/sched/room.c
@@ -46,6 +46,13 @@
 	int32_t gpu;
 } amounts_t;
 
+/* Whose end is waited for, but for tasks that last or serve. */
+typedef enum {
+	ENDS_BUT_FILLERS,
+	ENDS_ALL,
+	ENDS_BUT_GANGS /* which are not stopped if they last longer than expected */
+} ends_t;
+
 /* Resources that get free. */
 typedef struct {
 	int64_t ms; /* after this time */
@@ -61,6 +68,13 @@
 	    (fillers_too || !d->filler) && d->tail_target_ms == 0;
 }
 
+static bool
+is_waited_for(const run_t *r, ends_t ends)
+{
+	return room_ends_soon(r, ends != ENDS_BUT_FILLERS) &&
+	    (ends != ENDS_BUT_GANGS || !r->task->step->def->gang);
+}
+
 int64_t
 room_time_left_ms(const sched_t *s, const run_t *r)
 {
@@ -81,8 +95,7 @@
 
 /* What gets free on a worker within a time, the soonest first. */
 static GArray *
-find_ends(
-    const sched_t *s, const worker_t *w, int64_t limit_ms, bool fillers_too)
+find_ends(const sched_t *s, const worker_t *w, int64_t limit_ms, ends_t ends)
 {
 	GArray *all = g_array_new(FALSE, FALSE, sizeof(end_t));
 	GHashTableIter it;
@@ -93,7 +106,7 @@
 		const run_t *r = v;
 		end_t e;
 
-		if (!room_ends_soon(r, fillers_too))
+		if (!is_waited_for(r, ends))
 			continue;
 		e.ms = room_time_left_ms(s, r);
 		e.def = r->task->step->def;
@@ -147,7 +160,7 @@
 /* What is free once all runs have ended that end within a time. */
 static amounts_t
 amounts_after(const sched_t *s, const worker_t *w, int64_t limit_ms,
-    bool fillers_too, bool filler)
+    ends_t ends, bool filler)
 {
 	amounts_t a = free_amounts(s, w, filler);
 	GHashTableIter it;
@@ -158,7 +171,7 @@
 		const run_t *r = v;
 		end_t e;
 
-		if (!room_ends_soon(r, fillers_too) ||
+		if (!is_waited_for(r, ends) ||
 		    room_time_left_ms(s, r) > limit_ms)
 			continue;
 		e.def = r->task->step->def;
@@ -172,13 +185,12 @@
  * gang as many as can, else at most one; and after which time.
  */
 static void
-set_wait(const sched_t *s, const step_t *st, int64_t limit_ms, bool fillers_too,
+set_wait(const sched_t *s, const step_t *st, int64_t limit_ms, ends_t ends,
     room_option_t *o)
 {
 	const Sched__Step *d = st->def;
 	amounts_t now = free_amounts(s, o->worker, d->filler);
-	amounts_t then =
-	    amounts_after(s, o->worker, limit_ms, fillers_too, d->filler);
+	amounts_t then = amounts_after(s, o->worker, limit_ms, ends, d->filler);
 	g_autoptr(GArray) all = NULL;
 
 	o->tasks = tasks_in(&then, d);
@@ -187,7 +199,7 @@
 	/* Most workers have room now or never; sorting is for the others. */
 	if (tasks_in(&now, d) >= o->tasks)
 		return;
-	all = find_ends(s, o->worker, limit_ms, fillers_too);
+	all = find_ends(s, o->worker, limit_ms, ends);
 	for (guint i = 0; i < all->len && tasks_in(&now, d) < o->tasks; i++) {
 		const end_t *e = &g_array_index(all, end_t, i);
 
@@ -236,7 +248,7 @@
 	    !place_allowed(s, st, w))
 		return false;
 	o->worker = w;
-	set_wait(s, st, limit_ms, fillers_too, o);
+	set_wait(s, st, limit_ms, fillers_too ? ENDS_ALL : ENDS_BUT_FILLERS, o);
 	return o->tasks > 0;
 }
 
@@ -248,8 +260,8 @@
 	    w->failures_in_row * UNSUITED_MS;
 }
 
-worker_t *
-room_find_soonest(const sched_t *s, const task_t *t)
+static worker_t *
+find_soonest(const sched_t *s, const task_t *t, ends_t ends)
 {
 	const step_t *st = t->step;
 	room_option_t o = { 0 };
@@ -268,7 +280,7 @@
 		    g_hash_table_contains(w->runs, name))
 			continue;
 		o.worker = w;
-		set_wait(s, st, INT64_MAX, true, &o);
+		set_wait(s, st, INT64_MAX, ends, &o);
 		ms = o.wait_ms + penalty_ms(w, t);
 		if (o.tasks == 0 || ms >= least)
 			continue;
@@ -278,6 +290,14 @@
 	return best;
 }
 
+worker_t *
+room_find_soonest(const sched_t *s, const task_t *t)
+{
+	worker_t *w = find_soonest(s, t, ENDS_BUT_GANGS);
+
+	return w != NULL ? w : find_soonest(s, t, ENDS_ALL);
+}
+
 GArray *
 room_find_options(
     const sched_t *s, const step_t *st, int64_t limit_ms, bool fillers_too)
