--- a/sched/room.c
+++ b/sched/room.c
@@ -272,20 +272,21 @@
 	job_task_name(t, name, sizeof(name));
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		worker_t *w = g_ptr_array_index(s->worker_list, i);
-		int64_t ms;
+		int64_t later_ms = penalty_ms(w, t);
 
-		if (w->cpu_milli - w->serving_cpu_milli < st->def->cpu_milli ||
+		if (later_ms >= least ||
+		    w->cpu_milli - w->serving_cpu_milli < st->def->cpu_milli ||
 		    !quarantine_allows_start(s, w, t) ||
 		    !place_allowed(s, st, w) ||
 		    g_hash_table_contains(w->runs, name))
 			continue;
 		o.worker = w;
-		set_wait(s, st, INT64_MAX, ends, &o);
-		ms = o.wait_ms + penalty_ms(w, t);
-		if (o.tasks == 0 || ms >= least)
+		/* Only what gets free before that of the best one matters. */
+		set_wait(s, st, least - later_ms - 1, ends, &o);
+		if (o.tasks == 0)
 			continue;
 		best = w;
-		least = ms;
+		least = o.wait_ms + later_ms;
 	}
 	return best;
 }
