Nominations: what finds no worker is searched for once in a round

Unit nominate/needs_that_find_no_worker_are_searched_for_once_a_round: red before in two of four cases, green after.

--- a/sched/nominate.c
+++ b/sched/nominate.c
@@ -106,6 +106,36 @@
 	return ok;
 }
 
+/* Whether a search in this round was in vain for a task that needs no more. */
+static bool
+is_in_vain(const sched_t *s, const step_t *st)
+{
+	const needs_t *n = &s->scan.unnominated;
+
+	return st->unnominated_round == s->scan.round ||
+	    (s->scan.unnominated_round == s->scan.round &&
+		n->service == st->occ->job->service &&
+		n->cpu_milli <= st->def->cpu_milli &&
+		n->mem_mb <= st->def->mem_mb && n->gpu <= st->def->gpu);
+}
+
+/* Notes that a search was in vain, also for other steps if only room was wanting. */
+static void
+note_in_vain(sched_t *s, step_t *st)
+{
+	const Sched__Step *d = st->def;
+
+	st->unnominated_round = s->scan.round;
+	if (st->occ->job->needs_approval || d->per_worker != 0 ||
+	    d->label[0] != '\0')
+		return;
+	s->scan.unnominated_round = s->scan.round;
+	s->scan.unnominated = (needs_t){ .service = st->occ->job->service,
+		.cpu_milli = d->cpu_milli,
+		.mem_mb = d->mem_mb,
+		.gpu = d->gpu };
+}
+
 /*
  * Nominates the worker on which a task will fit soonest, unless the runs that never end
  * leave no room for it anywhere, so that it is in nobody's way, or too many searches
@@ -117,7 +147,7 @@
 	step_t *st = t->step;
 	worker_t *w;
 
-	if (st->unnominated_round == s->scan.round)
+	if (is_in_vain(s, st))
 		return;
 	if (s->scan.nominate_searches >= SEARCHES_PER_PASS) {
 		s->scan.unplaced_down += t->run == NULL;
@@ -125,11 +155,10 @@
 	}
 	s->scan.nominate_searches++;
 	w = room_find_soonest(s, t);
-	if (w == NULL) {
-		st->unnominated_round = s->scan.round;
-		return;
-	}
-	nominate(s, t, w);
+	if (w == NULL)
+		note_in_vain(s, st);
+	else
+		nominate(s, t, w);
 }
 
 /*
--- a/sched/types.h
+++ b/sched/types.h
@@ -524,6 +524,12 @@
 	int64_t next_ms; /* no hand-over before */
 } handover_t;
 
+/* What a task needs, and of which service (interned). */
+typedef struct {
+	const char *service;
+	int64_t cpu_milli, mem_mb, gpu;
+} needs_t;
+
 /* Which workers a pass over the queue looks at; see scan.c. */
 typedef struct {
 	uint64_t round;		   /* the number of the present round */
@@ -538,6 +544,9 @@
 	/* Of this round: workers that are kept, and the steps they are kept for. */
 	guint kept_workers, keeping_steps;
 	int32_t nominate_searches; /* of this pass, by nominate.c */
+	/* That found no worker in this round, as would none that needs as much. */
+	needs_t unnominated;
+	uint64_t unnominated_round;
 	/* Tasks that are down, for which the last pass had no search left. */
 	int32_t unplaced_down;
 	int32_t resume_at; /* the steps before were offered in the last round */
--- a/test/unit/nominate.c
+++ b/test/unit/nominate.c
@@ -686,3 +686,49 @@
 		sched_free(s);
 	}
 }
+
+/*
+ * Guards against an owner that spends its processor time on searches in vain while
+ * nothing that lasting tasks need gets free.
+ */
+Test(nominate, needs_that_find_no_worker_are_searched_for_once_a_round)
+{
+	static const struct {
+		const char *what;
+		int64_t cpu_milli; /* of the second task, in thousandths */
+		const char *label; /* of the first one */
+		int32_t searches;
+	} cases[] = {
+		{ "as much", LASTING_MILLI, "", 1 },
+		{ "more", LASTING_MILLI + 1, "", 1 },
+		{ "less", LASTING_MILLI - 1, "", 2 },
+		{ "as much, the first one needs a label", LASTING_MILLI, "gpu",
+		    2 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = new_scene();
+		worker_t *w = new_worker(s, "w");
+		Sched__Step d = step_def("", LASTING_MILLI, false, 0);
+		step_t *st[2];
+
+		run_lasting(s, add_lasting(s, 1, WORKER_CPU_MILLI), 0, w);
+		d.lasting = true;
+		d.label = (char *)cases[i].label;
+		st[0] = add_step(s, &d);
+		st[1] = add_lasting(s, 1, cases[i].cpu_milli);
+		for (int k = 0; k < 2; k++) {
+			st[k]->tasks[0].down_since_ms = s->now_ms;
+			st[k]->ndown = 1;
+			queue_add_step(s, st[k]);
+		}
+		/* The first one is before the other in the queue. */
+		st[0]->sort_key_ms = st[1]->sort_key_ms - 1;
+		queue_move_step(s, st[0]);
+		go_on(s, 0);
+		cr_expect_eq(s->scan.nominate_searches, cases[i].searches,
+		    "%s: %d searches", cases[i].what,
+		    s->scan.nominate_searches);
+		sched_free(s);
+	}
+}
