Known failure: lasting tasks that fail at once take all starts from short work

400 lasting tasks that fail 200 ms after each start, an owner that makes a pass each 100 ms, 40 workers with room for all: a short task is not started in 10 s, with narrow and with wide jobs. Lasting tasks that are down go first since, and have no delay after a failure.

--- a/test/unit/nominate.c
+++ b/test/unit/nominate.c
@@ -732,3 +732,72 @@
 		sched_free(s);
 	}
 }
+
+#define FAILS_MS 200 /* after its start */
+#define PASS_MS	 100 /* of an owner that has little processor time */
+#define FAILING	 400 /* lasting tasks */
+#define TRIED_MS 10000
+
+/* All lasting runs that have been up for FAILS_MS fail, short ones end then. */
+static void
+fail_lasting(sched_t *s)
+{
+	g_autoptr(GList) all = g_hash_table_get_values(s->runs);
+
+	for (GList *i = all; i != NULL; i = i->next) {
+		run_t *r = i->data;
+
+		if (r->state != RUN_RUNNING ||
+		    s->now_ms - r->state_since_ms < FAILS_MS)
+			continue;
+		if (!r->task->step->def->lasting)
+			job_mark_task_done(r->task);
+		run_remove(s, r);
+	}
+}
+
+/*
+ * Guards against short work that never starts, beside free workers, as lasting tasks
+ * that fail right after each start are before it in each pass.
+ */
+Test(nominate, lasting_tasks_that_fail_at_once_leave_starts_to_others)
+{
+	static const struct {
+		const char *what;
+		int32_t width; /* of the lasting jobs */
+	} cases[] = { { "narrow jobs", 1 }, { "wide jobs", 50 } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = new_scene();
+		Sched__Step d = step_def("", 1000, false, 0);
+		step_t *shorts;
+		int64_t end_ms = s->now_ms + TRIED_MS;
+
+		for (int k = 0; k < 40; k++) {
+			g_autofree char *id = g_strdup_printf("w%d", k);
+
+			new_worker(s, id);
+		}
+		for (int k = 0; k < FAILING / cases[i].width; k++) {
+			step_t *st = add_lasting(s, cases[i].width, 1000);
+
+			st->ndown = cases[i].width;
+			for (int32_t n = 0; n < st->ntasks; n++)
+				st->tasks[n].down_since_ms = s->now_ms;
+			queue_add_step(s, st);
+		}
+		shorts = add_step(s, &d);
+		queue_add_step(s, shorts);
+		while (s->now_ms < end_ms && shorts->ndone == 0) {
+			set_time(s, s->now_ms + PASS_MS);
+			end_stopped(s);
+			fail_lasting(s);
+			if (s->now_ms % ROUND_MS == 0)
+				scan_begin_round(s);
+			start_waiting_tasks(s);
+		}
+		cr_expect_eq(shorts->ndone, 1, "%s: not done in %d ms",
+		    cases[i].what, TRIED_MS);
+		sched_free(s);
+	}
+}
