Starts: lasting tasks that are down leave as many starts of a pass to other work

Callers would see short work that never starts beside free workers while hundreds of lasting tasks fail right after each start: they are before all other work, and their starts use up what a pass may start (64, or a whole wide step). Now they have a limit of their own, of the same size.

Unit nominate/lasting_tasks_that_fail_at_once_leave_starts_to_others: red before in both cases (not done in 10 s), green after.

--- a/sched/start.c
+++ b/sched/start.c
@@ -16,7 +16,9 @@
 #include "customer.h"
 #include "internal.h"
 
-#define STARTS_PER_PASS 64 /* so that other events get a turn */
+/* So that other events get a turn; as many of lasting tasks that are down, which may
+ * fail again at once, and leave the others to other work. */
+#define STARTS_PER_PASS 64
 /* So many jobs at the head of the queue have their rows stored in advance. */
 #define STORED_AHEAD 32
 /* A pass ends after so many steps that were offered all workers in vain. */
@@ -236,7 +238,7 @@
 start_waiting_tasks(sched_t *s)
 {
 	GSequenceIter *i = g_sequence_get_begin_iter(s->ready_steps), *next;
-	int32_t started = 0, pos = 0, searches = 0;
+	int32_t started = 0, started_down = 0, pos = 0, searches = 0;
 
 	if (s->unseen_stale)
 		customer_count_unseen(s);
@@ -246,14 +248,17 @@
 		step_t *st = g_sequence_get(i);
 		bool searched = scan_has_searched(s, st);
 		bool was_down = st->ndown > 0;
+		int32_t n;
 
 		next = g_sequence_iter_next(i);
-		if (waits_for_quota(s, st)) {
+		if (waits_for_quota(s, st) ||
+		    (was_down && started_down >= STARTS_PER_PASS)) {
 			i = next;
 			continue;
 		}
-		if (scan_offers(s, st, pos))
-			started += offer_step(s, st, pos);
+		n = scan_offers(s, st, pos) ? offer_step(s, st, pos) : 0;
+		started_down += was_down ? n : 0;
+		started += was_down ? 0 : n;
 		searches +=
 		    st->ndown == 0 && !searched && scan_has_searched(s, st);
 		if (st->nwaiting == 0)
@@ -266,4 +271,5 @@
 	}
 	scan_end_pass(
 	    s, pos, started < STARTS_PER_PASS && searches < SEARCHES_PER_PASS);
+	s->start_pass_due |= started_down >= STARTS_PER_PASS;
 }
