Approval is asked for before there is room, for lasting tasks that are down

Callers would see a lasting task of a queue with advice down for 30 s and more on a full cell. Cause: approval was requested only of workers that had room at that moment; by the time of the answer others had taken it, and without a ticket no worker could be reserved. Now, where no worker has room, it is requested ahead of workers that may get some, of as many as there may be tickets in a request, for steps with tasks that are down only.

--- a/sched/approval.c
+++ b/sched/approval.c
@@ -157,19 +157,69 @@
 	s->opts.port.request_approval(s->opts.ctx, &o);
 }
 
+/* Whether a lasting task that is down could run on a worker once others have ended. */
+static bool
+may_get_room(const sched_t *s, const worker_t *w, const step_t *st)
+{
+	return w->cpu_milli - w->serving_cpu_milli >= st->def->cpu_milli &&
+	    place_fits_empty(s, w, st);
+}
+
+/* Number of workers with a ticket for a step that may get room for its tasks. */
+static guint
+count_tickets(const sched_t *s, const step_t *st)
+{
+	guint n = 0;
+
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		const worker_t *w = g_ptr_array_index(s->worker_list, i);
+
+		n +=
+		    approval_ticket(s, st, w) != NULL && may_get_room(s, w, st);
+	}
+	return n;
+}
+
+/*
+ * Adds to workers, up to a number of them, those without a decision about a step: that
+ * could run a task of it now or, ahead, that may get room for one.
+ */
+static void
+add_workers(sched_t *s, const step_t *st, bool ahead, guint max_workers,
+    GPtrArray *workers)
+{
+	bool may_slow = starvation_may_slow(s, st);
+
+	for (guint i = 0; i < s->worker_list->len && workers->len < max_workers;
+	     i++) {
+		/* Each request begins at another worker, to spread the load. */
+		worker_t *w = g_ptr_array_index(s->worker_list,
+		    (i + (guint)s->last_id) % s->worker_list->len);
+		const approval_t *a = find_approval(st, w);
+
+		if ((a != NULL && a->ticket == NULL) ||
+		    approval_ticket(s, st, w) != NULL)
+			continue;
+		if (ahead ? may_get_room(s, w, st) :
+			    place_possible(s, w, st, may_slow))
+			g_ptr_array_add(workers, (void *)w->id);
+	}
+}
+
 /*
  * Requests approval of workers that could run waiting tasks of a step, if its
  * job needs that, no request for the step is in flight or has just failed, and
  * fewer than MAX_REQUESTS are in flight in all.  Called for each step that a
- * pass over the queue leaves with waiting tasks.
+ * pass over the queue leaves with waiting tasks.  For lasting tasks that are down it
+ * is requested before there is room, of as many workers.
  */
 void
 approval_request_if_needed(sched_t *s, step_t *st)
 {
 	g_autoptr(GPtrArray) workers = NULL;
-	bool may_slow = starvation_may_slow(s, st);
 	guint max_workers = (guint)CLAMP(st->nwaiting * WORKERS_PER_TASK,
 	    MIN_WORKERS_PER_REQUEST, MAX_WORKERS_PER_REQUEST);
+	guint ntickets;
 
 	if (!st->occ->job->needs_approval || st->approval_request_id != 0 ||
 	    s->now_ms < st->approval_retry_ms ||
@@ -177,18 +227,12 @@
 	    g_hash_table_size(s->approval_requests) >= MAX_REQUESTS)
 		return;
 	workers = g_ptr_array_new();
-	for (guint i = 0; i < s->worker_list->len && workers->len < max_workers;
-	     i++) {
-		/* Each request begins at another worker, to spread the load. */
-		worker_t *w = g_ptr_array_index(s->worker_list,
-		    (i + (guint)s->last_id) % s->worker_list->len);
-		const approval_t *a = find_approval(st, w);
-
-		if (a != NULL && a->ticket == NULL)
-			continue;
-		if (approval_ticket(s, st, w) == NULL &&
-		    place_possible(s, w, st, may_slow))
-			g_ptr_array_add(workers, (void *)w->id);
+	add_workers(s, st, false, max_workers, workers);
+	/* Room that others leave to tasks that are down is not to wait for an answer. */
+	if (workers->len == 0 && downtime_longest(st) != NULL) {
+		ntickets = count_tickets(s, st);
+		add_workers(s, st, true,
+		    max_workers - MIN(ntickets, max_workers), workers);
 	}
 	if (workers->len > 0)
 		send_request(s, st, workers);
