Quarantine: a lasting task that is down has what becomes free soonest

Callers would see lasting tasks down for 16 to 30 s after crashes of workers on a full cell. Cause: a suspect task has no reservation (reservation.c leaves it out); quarantine looks only for a worker with room now, and what becomes free goes to short work meanwhile. Now the worker on which a lasting one will fit soonest, within 3 s, is reserved for it until then, within the share of workers that quarantine has.

Unit quarantine/a_lasting_task_has_what_becomes_free_soonest: red before (nothing reserved, other work starts there, the task does not), green after.

--- a/sched/quarantine.c
+++ b/sched/quarantine.c
@@ -293,6 +293,28 @@
 	w->reserved_until_ms = s->now_ms + RESERVED_MS;
 }
 
+/*
+ * Reserves the worker on which a lasting task will fit soonest, if that is soon; returns
+ * it, or NULL.  Nothing else takes what becomes free there.
+ */
+static worker_t *
+reserve_soonest(sched_t *s, step_t *st, task_t *t)
+{
+	g_autoptr(GArray) options = room_find_options(s, st, RESERVED_MS, true);
+
+	for (guint i = 0; i < options->len; i++) {
+		const room_option_t *o =
+		    &g_array_index(options, room_option_t, i);
+
+		if (o->worker->id == t->avoid_worker)
+			continue;
+		reserve(s, o->worker, t);
+		o->worker->reserved_until_ms += o->wait_ms;
+		return o->worker;
+	}
+	return NULL;
+}
+
 /*
  * Whether a task may be tried together with others: an earlier owner may have been
  * lost before it knew of a crash of the task, which may not have many more then.
@@ -364,8 +386,12 @@
 		return NULL;
 	if (w != NULL)
 		return place_alone(s, st, t, w);
-	if (may_reserve(s) && !gives_way(s, t))
+	if (may_reserve(s) && !gives_way(s, t)) {
 		w = place_alone(s, st, t, NULL);
+		if (w == NULL && st->def->lasting &&
+		    reserve_soonest(s, st, t) != NULL)
+			return NULL;
+	}
 	if (w == NULL)
 		return join_trial(s, st, t);
 	reserve(s, w, t);
--- a/test/unit/quarantine.c
+++ b/test/unit/quarantine.c
@@ -52,11 +52,10 @@
 
 /* Queues a job of one task; suspect: after a crash soon after its start. */
 static task_t *
-queue_job(sched_t *s, int number, int64_t cpu_milli, bool suspect)
+queue_step(sched_t *s, int number, const Sched__Step *d, bool suspect)
 {
 	g_autofree char *id = g_strdup_printf("%016d", number);
-	Sched__Step d = step_def("", cpu_milli, false, 0);
-	step_t *st = first_step(add_job(s, id, &d, s->wall_ms));
+	step_t *st = first_step(add_job(s, id, d, s->wall_ms));
 
 	if (suspect)
 		crash_add(&st->tasks[0], 1, true);
@@ -65,6 +64,23 @@
 	return &st->tasks[0];
 }
 
+static task_t *
+queue_job(sched_t *s, int number, int64_t cpu_milli, bool suspect)
+{
+	Sched__Step d = step_def("", cpu_milli, false, 0);
+
+	return queue_step(s, number, &d, suspect);
+}
+
+/* Some run on a worker. */
+static run_t *
+first_run(const worker_t *w)
+{
+	g_autoptr(GList) all = g_hash_table_get_values(w->runs);
+
+	return all->data;
+}
+
 /* Puts a task of its own in quarantine on a worker. */
 static void
 quarantine_on(sched_t *s, worker_t *w, int number)
@@ -206,3 +222,63 @@
 		sched_free(s);
 	}
 }
+
+/*
+ * Guards against a lasting task that is down and suspect and finds no worker with
+ * room, as what becomes free is taken by others.
+ */
+Test(quarantine, a_lasting_task_has_what_becomes_free_soonest)
+{
+	static const struct {
+		const char *what;
+		bool lasting;
+		int64_t
+		    left_ms;   /* until the run in its way ends on one worker */
+		bool reserved; /* that worker */
+		bool other_starts; /* other work, after that */
+	} cases[] = {
+		{ "soon", true, 1000, true, false },
+		{ "not soon", true, 60000, false, true },
+		{ "a task that does not last", false, 1000, false, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = owner_of(3, 0);
+		Sched__Step d = step_def("", WORKER_CPU_MILLI / 2, false, 0);
+		Sched__Step long_def = step_def("", WORKER_CPU_MILLI, false, 0);
+		Sched__Step first_def = long_def;
+		worker_t *w = worker(s, 1);
+		task_t *t, *other;
+
+		d.lasting = cases[i].lasting;
+		long_def.estimate_ms = 60000;
+		first_def.estimate_ms = cases[i].left_ms;
+		for (int k = 0; k < 3; k++) {
+			task_t *o = queue_step(
+			    s, 2 + k, k == 1 ? &first_def : &long_def, false);
+
+			run_start(s, o, worker(s, k), 1);
+			run_order_done(s, o->run, SCHED_ORDER_OK, 0);
+		}
+		t = queue_step(s, 1, &d, true);
+		pass(s);
+		cr_expect_eq(
+		    w->reserved_for == t && s->now_ms < w->reserved_until_ms,
+		    cases[i].reserved, "%s", cases[i].what);
+		other = queue_job(s, 5, 1000, false);
+		job_mark_task_done(first_run(w)->task);
+		run_remove(s, first_run(w));
+		pass(s);
+		cr_expect_eq(other->run != NULL, cases[i].other_starts,
+		    "%s: other work", cases[i].what);
+		for (int k = 0; k < 3 && cases[i].reserved; k++) {
+			s->now_ms += RUN_MS / 6;
+			answer_all(s);
+			pass(s);
+		}
+		cr_expect(!cases[i].reserved ||
+			(t->run != NULL && t->run->worker == w),
+		    "%s: it does not start", cases[i].what);
+		sched_free(s);
+	}
+}
