Known failure: leases of a released cell are counted from the claim

Unit takeover/leases_of_a_released_cell_count_from_the_release, red in three of six cases: a cell that was released 4.5 or 8 s before its claim is accounted for 6520 ms after the claim, though its writer granted no lease since the release.

--- a/test/unit/takeover.c
+++ b/test/unit/takeover.c
@@ -37,6 +37,7 @@
 static int64_t poll_deadline_ms;
 static bool claimed_accounted;
 static int64_t written_until_ms; /* of the worker; 0: none was written */
+static GByteArray *released_row; /* of the owner, as last written; or NULL */
 
 static void
 take_poll(void *ctx, const sched_poll_t *p)
@@ -65,6 +66,18 @@
 	(void)ctx;
 }
 
+/* Notes an owner row that releases the cell. */
+static void
+take_owner_row(GByteArray *b)
+{
+	Sched__Owner *o = sched__owner__unpack(NULL, b->len, b->data);
+
+	cr_assert_not_null(o);
+	if (o->released && released_row == NULL)
+		released_row = g_byte_array_ref(b);
+	sched__owner__free_unpacked(o, NULL);
+}
+
 /* Notes the end of the worker's lease in a row of the footprint. */
 static void
 take_write(void *ctx, int64_t version, const GArray *puts)
@@ -75,6 +88,8 @@
 		const sched_put_t *p = &g_array_index(puts, sched_put_t, i);
 		Sched__Footprint *f;
 
+		if (strcmp(p->key, SCHED_KEY_OWNER) == 0)
+			take_owner_row(p->bytes);
 		if (!g_str_has_prefix(p->key, SCHED_KEY_FOOTPRINT))
 			continue;
 		f = sched__footprint__unpack(
@@ -910,3 +925,78 @@
 	cr_expect_eq(written_until_ms, 0);
 	sched_free(s);
 }
+
+/* An owner that w0 has answered releases the cell at a time; returns its row. */
+static Sched__Owner *
+release_at(int64_t at_ms, int32_t clock_behind_ms, bool clock_known)
+{
+	sched_t *s = new_owner_of_used_worker();
+	Sched__Owner *o;
+
+	s->store_clock_known = clock_known;
+	s->store_clock_offset_ms = -clock_behind_ms;
+	answer_poll(s);
+	sched_write_done(s, SCHED_WRITE_OK, TOKEN + 1, CLAIMED_MS + 10);
+	sched_begin_release(s, at_ms);
+	sched_tick(s, at_ms, 0);
+	cr_assert_not_null(released_row);
+	o = sched__owner__unpack(NULL, released_row->len, released_row->data);
+	g_byte_array_unref(released_row);
+	released_row = NULL;
+	sched_free(s);
+	return o;
+}
+
+/*
+ * Guards against lasting tasks that are down for too long (LOST): nobody claims a cell
+ * that was released for a while, and then the next owner waits from its claim on for a
+ * worker that has left since.  Its leases end by when its owner released the cell.
+ */
+Test(takeover, leases_of_a_released_cell_count_from_the_release)
+{
+	static const struct {
+		const char *name;
+		int32_t claimed_after_ms; /* after the release */
+		int32_t clock_behind_ms;  /* that of the one who releases */
+		bool clock_known, next_clock_known;
+		bool from_release;
+	} cases[] = {
+		{ "claimed at once", 100, 0, true, true, true },
+		{ "claimed later", 4500, 0, true, true, true },
+		{ "claimed after the leases", 8000, 0, true, true, true },
+		{ "its clock is behind", 4500, STORE_CLOCK_MS, true, true,
+		    true },
+		{ "it does not know the store's clock", 4500, 0, false, true,
+		    false },
+		{ "the next one does not", 4500, 0, true, false, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		int64_t released_ms = CLAIMED_MS + 300;
+		int64_t claimed_ms = released_ms + cases[i].claimed_after_ms;
+		int64_t end_ms = released_ms + START_CALL_MS + LONGEST_LEASE_MS;
+		int64_t latest_ms =
+		    claimed_ms + START_CALL_MS + LONGEST_LEASE_MS;
+		Sched__Owner *o = release_at(released_ms,
+		    cases[i].clock_behind_ms, cases[i].clock_known);
+		sched_t *s = new_entry();
+
+		claim_at(s, o, TOKEN + 3, claimed_ms);
+		s->store_clock_known = cases[i].next_clock_known;
+		read_footprint(s, 0);
+		read_job(s);
+		sched_load_done(s, claimed_ms);
+		while (!s->cell.workers_accounted &&
+		    s->now_ms < claimed_ms + 3 * MAX_LEASE_MS)
+			sched_tick(s, s->now_ms + 10, 0);
+		if (cases[i].from_release)
+			latest_ms = MIN(latest_ms,
+			    MAX(claimed_ms, end_ms + STORE_CLOCK_MS));
+		cr_expect_geq(s->now_ms, MAX(claimed_ms, end_ms), "%s: %d ms",
+		    cases[i].name, (int)(s->now_ms - claimed_ms));
+		cr_expect_leq(s->now_ms, latest_ms + 100, "%s: %d ms",
+		    cases[i].name, (int)(s->now_ms - claimed_ms));
+		sched__owner__free_unpacked(o, NULL);
+		sched_free(s);
+	}
+}
