Takeover: a row that releases the cell says until when all leases last

Cause: leases were counted from the claim, as the reader of the row can't tell when it was written.

The owner that releases grants nothing any more, so it writes when the leases end that it and earlier owners have granted, by the store's clock; the next one takes that, with the margin that stored ends of single workers have, where it is sooner. It is never later than before.

--- a/proto/sched.pb-c.c
+++ b/proto/sched.pb-c.c
@@ -1645,7 +1645,7 @@
   (ProtobufCMessageInit) sched__refusal__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sched__owner__field_descriptors[13] =
+static const ProtobufCFieldDescriptor sched__owner__field_descriptors[14] =
 {
   {
     "name",
@@ -1803,6 +1803,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leases_until_ms",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Sched__Owner, leases_until_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sched__owner__field_indices_by_name[] = {
   3,   /* field[3] = beat */
@@ -1810,6 +1822,7 @@
   2,   /* field[2] = epoch */
   6,   /* field[6] = heir */
   1,   /* field[1] = incarnation */
+  13,   /* field[13] = leases_until_ms */
   0,   /* field[0] = name */
   10,   /* field[10] = refusals */
   4,   /* field[4] = released */
@@ -1822,7 +1835,7 @@
 static const ProtobufCIntRange sched__owner__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor sched__owner__descriptor =
 {
@@ -1832,7 +1845,7 @@
   "Sched__Owner",
   "sched",
   sizeof(Sched__Owner),
-  13,
+  14,
   sched__owner__field_descriptors,
   sched__owner__field_indices_by_name,
   1,  sched__owner__number_ranges,
--- a/proto/sched.pb-c.h
+++ b/proto/sched.pb-c.h
@@ -373,10 +373,15 @@
    * Not all queues with such jobs had room in waiting.
    */
   protobuf_c_boolean waiting_cut;
+  /*
+   * Of a row that releases the cell: no lease that its writer or earlier
+   * owners have granted ends later, by the store's clock; 0: not known.
+   */
+  int64_t leases_until_ms;
 };
 #define SCHED__OWNER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sched__owner__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0 }
 
 
 /*
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -212,8 +212,9 @@
 int64_t lease_stored_ms(const worker_t *w);
 bool lease_read_stored(worker_t *w, int64_t ms);
 bool lease_update_stored(const sched_t *s, worker_t *w);
-int64_t lease_taken_over(
-    sched_t *s, bool any_owner, int64_t claimed_ms, int64_t extended_ms);
+int64_t lease_released_until_ms(const sched_t *s);
+int64_t lease_taken_over(sched_t *s, bool any_owner, int64_t claimed_ms,
+    int64_t extended_ms, int64_t released_until_ms);
 bool lease_old_ones_ended(const sched_t *s);
 bool lease_stored_has_ended(const sched_t *s, const worker_t *w);
 bool lease_may_hide_runs(const sched_t *s, const worker_t *w);
--- a/sched/lease.c
+++ b/sched/lease.c
@@ -333,22 +333,54 @@
 	return lease_stored_ms(w) != before_ms;
 }
 
+/* How long the leases last at most that owners granted until a moment. */
+static int64_t
+granted_ms(const sched_t *s)
+{
+	/* A worker may have started again under its id before their last start,
+	 * which takes their deadlines for the longest lease. */
+	return MAX(GRANTED_MS,
+	    START_CALL_MS +
+		(int64_t)s->opts.max_lease_ms * (100 + CLOCK_DRIFT_PCT) / 100);
+}
+
+/*
+ * Until when the leases last that this owner, which grants no more, and earlier ones have
+ * granted; by the store's clock, 0: not known.
+ */
+int64_t
+lease_released_until_ms(const sched_t *s)
+{
+	const bound_t *old = &s->cell.old_leases;
+
+	if (s->cell.state != CELL_OWNED || !s->store_clock_known ||
+	    old->state != BOUND_ENDS_AT)
+		return 0;
+	return MAX(s->now_ms + granted_ms(s), old->ms) +
+	    s->store_clock_offset_ms;
+}
+
 /*
  * A takeover is complete, of a cell that was claimed at claimed_ms: earlier owners sent
- * no start after that, and extended leases until extended_ms from now at the latest.
- * Returns how long these may last.
+ * no start after that, and extended leases until extended_ms from now at the latest;
+ * where the last one has released the cell, its row says until when all these last
+ * (released_until_ms, by the store's clock; 0: it does not).  Returns how long they may
+ * last.
  */
 int64_t
-lease_taken_over(
-    sched_t *s, bool any_owner, int64_t claimed_ms, int64_t extended_ms)
+lease_taken_over(sched_t *s, bool any_owner, int64_t claimed_ms,
+    int64_t extended_ms, int64_t released_until_ms)
 {
-	int64_t longest =
-	    (int64_t)s->opts.max_lease_ms * (100 + CLOCK_DRIFT_PCT) / 100;
-	/* A worker may have started again under its id before their last start,
-	 * which takes their deadlines for the longest lease. */
-	int64_t end_ms = MAX(s->now_ms + GRANTED_MS + extended_ms,
-	    claimed_ms + START_CALL_MS + longest);
+	int64_t end_ms = MAX(
+	    s->now_ms + GRANTED_MS + extended_ms, claimed_ms + granted_ms(s));
 
+	if (released_until_ms > 0 && released_until_ms <= SCHED_NUMBER_MAX &&
+	    s->store_clock_known) {
+		int64_t ms = released_until_ms - s->store_clock_offset_ms +
+		    STORE_CLOCK_MARGIN_MS;
+
+		end_ms = CLAMP(ms, s->now_ms, end_ms);
+	}
 	s->cell.old_leases = ENDS_AT(any_owner ? end_ms : s->now_ms);
 	return s->cell.old_leases.ms - s->now_ms;
 }
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -125,6 +125,8 @@
 	    s->cell.rows_before_starts || s->cell.workers_accounted;
 	if (released && s->cell.successor != NULL)
 		o.heir = (char *)s->cell.successor;
+	if (released)
+		o.leases_until_ms = lease_released_until_ms(s);
 	/* Until the jobs are loaded, the last owner's numbers are kept. */
 	if (s->cell.state != CELL_OWNED && s->cell.row != NULL) {
 		o.counted_ms = s->cell.row->counted_ms;
@@ -356,7 +358,8 @@
 	 * until EXTEND_LIMIT_MS after the last renewal.  When we claimed the
 	 * cell, SILENT_MS of these had passed. */
 	left_ms = lease_taken_over(s, c->had_predecessor, c->claimed_ms,
-	    c->leases_released ? 0 : EXTEND_LIMIT_MS - SILENT_MS);
+	    c->leases_released ? 0 : EXTEND_LIMIT_MS - SILENT_MS,
+	    c->released_until_ms);
 	LOG_EVENT(s, SCHED_EVT_OWNED, "cell",
 	    "token=%" PRId64 " jobs=%u workers=%u old_leases_end_in=%" PRId64,
 	    c->token, g_hash_table_size(s->jobs), s->worker_list->len, left_ms);
@@ -375,6 +378,8 @@
 	 * owner before it, which did not release the cell. */
 	c->leases_released =
 	    c->row != NULL && c->row->released && c->row->workers_accounted;
+	c->released_until_ms =
+	    c->row != NULL && c->row->released ? c->row->leases_until_ms : 0;
 	c->epoch = c->row == NULL ? 1 : c->row->epoch + 1;
 	c->renewals = 0;
 	c->workers_accounted = c->release_in_doubt = false;
--- a/sched/types.h
+++ b/sched/types.h
@@ -494,8 +494,10 @@
 	/* Earlier owners stored a job's row before they started tasks of it. */
 	bool rows_before_starts;
 	bool leases_released; /* no earlier owner extends leases any more */
-	bool forget_pending;  /* next tick discards what only an owner needs */
-	bool release_sent;    /* the last row sent releases the cell */
+	/* All their leases end by then, by the store's clock; 0: not known. */
+	int64_t released_until_ms;
+	bool forget_pending; /* next tick discards what only an owner needs */
+	bool release_sent;   /* the last row sent releases the cell */
 	/* A row that releases the cell was sent, and no later one is stored. */
 	bool release_in_doubt;
 	const char *successor;	/* interned; NULL or "": any entry */
