--- a/test/unit/lasting_held.c
+++ b/test/unit/lasting_held.c
@@ -25,6 +25,8 @@
 #define LASTING_MILLI 24000 /* of the 64000 of a worker, which has one */
 /* Of lasting tasks, and as much again for short work. */
 #define QUOTA_MILLI (2 * WORKERS * LASTING_MILLI)
+/* Of three lasting tasks, and short work of one. */
+#define TIGHT_MILLI (4 * LASTING_MILLI)
 #define SHORT_MILLI 2000 /* so that what one leaves is not enough */
 #define SHORT_MS    700	 /* the shortest; others take up to twice that */
 #define SHORT_WIDTH 20	 /* tasks of a job */
@@ -51,9 +53,11 @@
 typedef struct {
 	int width;     /* of a lasting job; it divides the number of tasks */
 	bool full;     /* short work takes all that is free */
+	bool gang;     /* the lasting jobs are gangs */
 	bool approval; /* the lasting jobs need approval */
 	int64_t
 	    quota_milli; /* of the one customer of all jobs; 0: it has none */
+	bool tight; /* only the first lasting job and some short ones have it */
 	bool earlier_owner; /* it may have started tasks of the jobs */
 	guint refusing;	    /* workers that refuse to start lasting tasks */
 } scene_opts_t;
@@ -97,7 +101,7 @@
 	g_autofree char *id = g_strdup_printf("%016d", ++c->next_job);
 	step_t *st = first_step(add_job(c->s, id, d, c->s->wall_ms));
 
-	if (c->o.quota_milli != 0)
+	if (c->o.quota_milli != 0 && !c->o.tight)
 		st->occ->job->customer = customer_get(c->s, "c");
 	st->ready = true;
 	return st;
@@ -112,6 +116,7 @@
 	step_t *st = NULL;
 
 	d.lasting = true;
+	d.gang = c->o.gang;
 	d.count = c->o.width;
 	for (int i = 0; i < WORKERS; i++) {
 		run_t *r;
@@ -122,6 +127,9 @@
 			st->occ->job->maybe_started_before = c->o.earlier_owner;
 			g_ptr_array_add(c->lasting, st);
 			left = c->o.width;
+			if (c->o.tight && i == 0)
+				st->occ->job->customer =
+				    customer_get(c->s, "c");
 		}
 		r = add_running(
 		    c->s, st, c->o.width - left--, worker(c, (guint)i));
@@ -129,16 +137,22 @@
 	}
 }
 
-/* Short jobs, so that some always wait. */
+/* Short jobs, so that some always wait; of the customer, if it has few. */
 static void
 add_short(scene_t *c)
 {
 	Sched__Step d = step_def("", SHORT_MILLI, false, 0);
+	int32_t most = c->o.full ? 120 : c->o.tight ? 3 : 0;
 
 	d.count = SHORT_WIDTH;
 	d.estimate_ms = SHORT_MS;
-	while (c->o.full && g_sequence_get_length(c->s->ready_steps) < 120)
-		queue_add_step(c->s, add_step(c, &d));
+	while (g_sequence_get_length(c->s->ready_steps) < most) {
+		step_t *st = add_step(c, &d);
+
+		if (c->o.tight)
+			st->occ->job->customer = customer_get(c->s, "c");
+		queue_add_step(c->s, st);
+	}
 }
 
 /* Answers a start, or ends a run whose time has come. */
@@ -497,6 +511,38 @@
 	check(cases, G_N_ELEMENTS(cases));
 }
 
+/*
+ * Guards against lasting tasks that stay down as other work of a customer with little
+ * quota takes theirs while something else holds them.
+ */
+Test(lasting_held, a_tight_quota_is_left_to_them)
+{
+	static const case_t cases[] = {
+		{ "one fails", THEIR_RUNS_FAIL, 1,
+		    { .width = 3, .quota_milli = TIGHT_MILLI, .tight = true } },
+		{ "three fail", THEIR_RUNS_FAIL, 3,
+		    { .width = 3, .quota_milli = TIGHT_MILLI, .tight = true } },
+		{ "three leave", THEY_LEAVE, 3,
+		    { .width = 3, .quota_milli = TIGHT_MILLI, .tight = true } },
+		{ "one suspect", THEY_CRASH, 1,
+		    { .width = 3, .quota_milli = TIGHT_MILLI, .tight = true } },
+		{ "three suspects", THEY_CRASH, 3,
+		    { .width = 3, .quota_milli = TIGHT_MILLI, .tight = true } },
+		{ "one, approval", THEIR_RUNS_FAIL, 1,
+		    { .width = 3,
+			.quota_milli = TIGHT_MILLI,
+			.tight = true,
+			.approval = true } },
+		{ "three, approval", THEIR_RUNS_FAIL, 3,
+		    { .width = 3,
+			.quota_milli = TIGHT_MILLI,
+			.tight = true,
+			.approval = true } },
+	};
+
+	check(cases, G_N_ELEMENTS(cases));
+}
+
 /*
  * Guards against lasting tasks that stay down beside workers that refuse to start them
  * and count as having the most room.
@@ -516,3 +562,24 @@
 
 	check(cases, G_N_ELEMENTS(cases));
 }
+
+/* Guards against lasting gangs that stay down, as room for all of one never comes. */
+Test(lasting_held, gangs_are_back_in_time)
+{
+	static const case_t cases[] = {
+		{ "one, room", THEY_LEAVE, 3, { .width = 3, .gang = true } },
+		{ "three, room", THEY_LEAVE, 9, { .width = 3, .gang = true } },
+		{ "one, full", THEY_LEAVE, 3,
+		    { .width = 3, .gang = true, .full = true } },
+		{ "three, full", THEY_LEAVE, 9,
+		    { .width = 3, .gang = true, .full = true } },
+		{ "three, full, their runs fail", THEIR_RUNS_FAIL, 9,
+		    { .width = 3, .gang = true, .full = true } },
+		{ "five, full", THEY_LEAVE, 10,
+		    { .width = 2, .gang = true, .full = true } },
+		{ "ten of one task, full", THEY_LEAVE, 10,
+		    { .width = 1, .gang = true, .full = true } },
+	};
+
+	check(cases, G_N_ELEMENTS(cases));
+}
