Quotas: what lasting tasks that are down need is left to them

Callers would see lasting tasks down for 6.8 to 30 s where their customer's quota is tight. Cause: a run that ends gives its quota back, and the customer's short work takes it while the task waits for something else: quarantine, approval, room. The quota is reserved for one step at a time, 2 or 3.5 s after its last start, and never for suspects.

Now what all lasting tasks of a customer need that are down is left to them by its other steps from the next round on, as far as the quota allows them beside its other lasting tasks, and only where some worker could take them.

--- a/sched/customer.c
+++ b/sched/customer.c
@@ -6,7 +6,8 @@
  * by unseen.c.
  *
  * What is reserved of a quota for a step that has been passed over (reservation.c) is
- * left to it by the customer's other steps.
+ * left to it by the customer's other steps; and so is what its lasting tasks need that
+ * are down, whatever else they wait for.
  */
 #include <inttypes.h>
 #include <stdbool.h>
@@ -134,23 +135,89 @@
 		adopt_settings(c, def);
 }
 
+/* Whether a task of a step that lasts had a run and waits for one. */
+static bool
+is_down(const task_t *t)
+{
+	return t->state == TASK_WAITING && t->down_since_ms != 0;
+}
+
 /*
- * Whether what is reserved of the quota for another step is left beside a demand; q:
- * the quota, with what would be used.
+ * Whether what is reserved of the quota for others is left beside a demand: for another
+ * step, and for tasks that are down; q: the quota, with what would be used.
  */
 static bool
 leaves_reserved(const customer_t *c, const ts_quota_t *q, const step_t *st,
     const ts_res_t *demand)
 {
-	ts_res_t sum = c->reserved;
-
-	if (c->reserved_round != st->occ->job->sched->scan.round ||
-	    c->reserved_for == st)
+	bool for_other = c->reserved_round == st->occ->job->sched->scan.round &&
+	    c->reserved_for != st;
+	bool for_down = (c->down.cpu_milli > 0 || c->down.mem_bytes > 0 ||
+			    c->down.accel > 0) &&
+	    downtime_longest(st) == NULL;
+	ts_res_t sum = *demand;
+
+	if (!for_other && !for_down)
 		return true;
-	ts_res_add_times(&sum, demand, 1);
+	if (for_other)
+		ts_res_add_times(&sum, &c->reserved, 1);
+	if (for_down)
+		ts_res_add_times(&sum, &c->down, 1);
 	return ts_quota_fits(q, &sum);
 }
 
+/* Whether some worker could run a task of a step if it ran nothing else. */
+static bool
+has_worker(const sched_t *s, const step_t *st)
+{
+	for (guint i = 0; i < s->worker_list->len; i++)
+		if (place_fits_empty(
+			s, g_ptr_array_index(s->worker_list, i), st))
+			return true;
+	return false;
+}
+
+/* Adds what the tasks of a step need that are down, as far as the quota allows them. */
+static void
+add_down(customer_t *c, const step_t *st)
+{
+	ts_res_t one = customer_task_demand(st->def);
+	ts_quota_t q = c->quota;
+
+	q.used = c->lasting;
+	for (int32_t i = 0; i < st->ntasks; i++) {
+		ts_res_t sum = c->down;
+
+		if (!is_down(&st->tasks[i]))
+			continue;
+		ts_res_add_times(&sum, &one, 1);
+		if (!ts_quota_fits(&q, &sum))
+			return;
+		c->down = sum;
+	}
+}
+
+/* Finds what lasting tasks need that are down, for the round that begins. */
+void
+customer_begin_round(sched_t *s)
+{
+	customer_t *c;
+
+	if (g_hash_table_size(s->customers) == 0)
+		return;
+	FOREACH_VALUE (c, s->customers)
+		memset(&c->down, 0, sizeof(c->down));
+	for (GSequenceIter *i = g_sequence_get_begin_iter(s->ready_steps);
+	     !g_sequence_iter_is_end(i); i = g_sequence_iter_next(i)) {
+		const step_t *st = g_sequence_get(i);
+
+		c = st->occ->job->customer;
+		if (c != NULL && downtime_longest(st) != NULL &&
+		    has_worker(s, st))
+			add_down(c, st);
+	}
+}
+
 /* Whether the quota of its customer lets a task of the step start. */
 bool
 customer_allows_start(const step_t *st)
@@ -315,6 +382,7 @@
 		memset(&c->quota.used, 0, sizeof(c->quota.used));
 		memset(&c->quota.unseen, 0, sizeof(c->quota.unseen));
 		memset(&c->lasting, 0, sizeof(c->lasting));
+		memset(&c->down, 0, sizeof(c->down));
 		memset(&c->may_ended, 0, sizeof(c->may_ended));
 		c->held = false;
 		c->held_ms = 0;
--- a/sched/customer.h
+++ b/sched/customer.h
@@ -65,6 +65,8 @@
 	task_sum_t may_ended; /* the same, of jobs that are removed */
 	int64_t held_ms;      /* when the quota last held a step; 0: never */
 	bool held;	      /* as last logged */
+	/* What its lasting tasks need that are down, as of the round of scan.c. */
+	ts_res_t down;
 	/* The step that a part of the quota is reserved for in that round of
 	 * scan.c, and what it needs; see reservation.c.  Never dereferenced. */
 	const step_t *reserved_for;
@@ -82,6 +84,7 @@
 bool customer_allows_step(const step_t *st);
 bool customer_allows_move(const run_t *r);
 bool customer_holds(sched_t *s, step_t *st);
+void customer_begin_round(sched_t *s);
 bool customer_may_reserve(const sched_t *s, const step_t *st);
 bool customer_reserve(sched_t *s, const step_t *st);
 void customer_count_run(const run_t *r, int sign);
--- a/test/unit/quota_held.c
+++ b/test/unit/quota_held.c
@@ -197,3 +197,47 @@
 	cr_expect_not_null(strstr(sent.load_event, " quota_blocked=0"));
 	sched_free(s);
 }
+
+/*
+ * Guards against short work that waits for good beside a lasting task which is down
+ * and can't run: its quota is left to it only if a worker and the quota allow that.
+ */
+Test(quota_held, the_quota_is_left_only_to_what_can_run)
+{
+	static const struct {
+		const char *what;
+		int64_t needs_milli, quota_milli;
+		bool down;	   /* it had a run */
+		bool other_starts; /* short work of the customer */
+	} cases[] = {
+		{ "it waits for room", 40000, 41000, true, false },
+		{ "room in the quota for both", 40000, 42000, true, true },
+		{ "no worker is large enough", 70000, 71000, true, true },
+		{ "the quota is too small", 40000, 39000, true, true },
+		{ "it has not run yet", 40000, 41000, false, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = quota_owner();
+		sched_customer_t c = { .quota_cpu_milli =
+					   cases[i].quota_milli };
+		Sched__Step d = step_def("", cases[i].needs_milli, false, 0);
+		Sched__Step full_def = step_def("", 60000, false, 0);
+		Sched__Step other_def = step_def("", 2000, false, 0);
+		step_t *full, *st, *other;
+
+		add_worker_now(s, "w");
+		set_customer(s, &c);
+		full = queue_step(s, JOB_A, NULL, &full_def);
+		quota_pass(s);
+		cr_assert_eq(full->nwaiting, 0, "%s", cases[i].what);
+		d.lasting = true;
+		st = queue_step(s, JOB_B, "c", &d);
+		st->tasks[0].down_since_ms = cases[i].down ? s->now_ms : 0;
+		other = queue_step(s, JOB_C, "c", &other_def);
+		quota_pass(s);
+		cr_expect_eq(other->nwaiting == 0, cases[i].other_starts, "%s",
+		    cases[i].what);
+		sched_free(s);
+	}
+}
