Unit lasting_held: runs make progress, stops take time; approval of workers that can get room

The scene reported no progress of short runs, so that all workers counted as slow and short runs were stopped, which made room. Now they make progress, a stop takes 500 ms, and short work keeps its room: the tests are harder.

--- a/sched/approval.c
+++ b/sched/approval.c
@@ -157,12 +157,29 @@
 	s->opts.port.request_approval(s->opts.ctx, &o);
 }
 
-/* Whether a lasting task that is down could run on a worker once others have ended. */
+/* Whether a lasting task could run on a worker once the runs that end have ended. */
 static bool
 may_get_room(const sched_t *s, const worker_t *w, const step_t *st)
 {
-	return w->cpu_milli - w->serving_cpu_milli >= st->def->cpu_milli &&
-	    place_fits_empty(s, w, st);
+	int64_t cpu_milli = w->cpu_milli - w->used_cpu_milli;
+	int64_t mem_mb = w->mem_mb - w->used_mem_mb;
+	int32_t gpu = w->gpu - w->used_gpu;
+	const run_t *r;
+
+	if (!place_fits_empty(s, w, st))
+		return false;
+	FOREACH_VALUE (r, w->runs) {
+		const Sched__Step *d;
+
+		if (!room_ends_soon(r, true))
+			continue;
+		d = r->task->step->def;
+		cpu_milli += d->filler ? 0 : d->cpu_milli;
+		mem_mb += d->mem_mb;
+		gpu += d->gpu;
+	}
+	return (st->def->filler || cpu_milli >= st->def->cpu_milli) &&
+	    mem_mb >= st->def->mem_mb && gpu >= st->def->gpu;
 }
 
 /* Number of workers with a ticket for a step that may get room for its tasks. */
--- a/test/unit/lasting_held.c
+++ b/test/unit/lasting_held.c
@@ -31,6 +31,8 @@
 #define SHORT_MS    700	 /* the shortest; others take up to twice that */
 #define SHORT_WIDTH 20	 /* tasks of a job */
 #define STEP_MS	    50
+#define SUSPECT_MS  20000 /* a suspect task takes */
+#define STOP_MS	    500	  /* until a stopped run has ended */
 #define ROUND_MS    250
 #define STORE_MS    200	  /* until a row is stored */
 #define APPROVAL_MS 300	  /* until a request for approval is answered */
@@ -155,6 +157,14 @@
 	}
 }
 
+/* How long a run takes that does not last. */
+static int64_t
+run_ms(const run_t *r)
+{
+	return r->task->step->def->estimate_ms +
+	    (int64_t)(r->id % 15) * STEP_MS;
+}
+
 /* Answers a start, or ends a run whose time has come. */
 static void
 update_run(scene_t *c, run_t *r)
@@ -167,10 +177,12 @@
 		    lasting && r->worker->id[0] == 'x' ? SCHED_ORDER_NO_ROOM :
 							 SCHED_ORDER_OK,
 		    0);
-	else if (r->state == RUN_STOPPING)
+	else if (r->state == RUN_STOPPING && age_ms >= STOP_MS)
 		run_remove(c->s, r);
-	else if (!lasting &&
-	    age_ms >= SHORT_MS + (int64_t)(r->id % 15) * STEP_MS) {
+	else if (r->state == RUN_RUNNING && !lasting) {
+		r->percent = (int32_t)(age_ms * 100 / run_ms(r));
+		if (r->percent < 100)
+			return;
 		job_mark_task_done(r->task);
 		run_remove(c->s, r);
 	}
@@ -583,3 +595,49 @@
 
 	check(cases, G_N_ELEMENTS(cases));
 }
+
+/*
+ * Guards against a lasting task that is down for as long as a suspect is tried on the
+ * worker on which it is to start.
+ */
+Test(lasting_held, no_suspect_is_tried_in_their_place)
+{
+	static const struct {
+		const char *what;
+		int32_t crashes; /* of the suspect: tried for 1.5 or 10 s */
+	} cases[] = { { "after one crash", 1 }, { "after three", 3 } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		scene_t c = { .s = new_owner(),
+			.lasting = g_ptr_array_new(),
+			.requests = g_ptr_array_new() };
+		Sched__Step d = step_def("", LASTING_MILLI, false, 0);
+		Sched__Step suspect_def = step_def("", 1000, false, 0);
+		Sched__Step in_way = step_def("", 0, false, 0);
+		worker_t *from, *to;
+		step_t *st, *suspect;
+
+		from = add_worker(c.s, "from");
+		to = add_worker(c.s, "to");
+		set_time(c.s, BEGIN_MS);
+		d.lasting = in_way.lasting = true;
+		in_way.cpu_milli = WORKER_CPU_MILLI - LASTING_MILLI - 1000;
+		st = add_step(&c, &d);
+		g_ptr_array_add(c.lasting, st);
+		add_running(c.s, st, 0, from)->first_seen_ms = 1;
+		add_running(c.s, add_step(&c, &in_way), 0, to)->first_seen_ms =
+		    1;
+		run_for(&c, ROUND_MS);
+		from->draining = true;
+		straggler_report(c.s, from);
+		suspect_def.estimate_ms = SUSPECT_MS;
+		suspect = add_step(&c, &suspect_def);
+		for (int32_t k = 0; k < cases[i].crashes; k++)
+			crash_add(&suspect->tasks[0], k + 1, k == 0);
+		queue_add_step(c.s, suspect);
+		run_for(&c, 3 * DOWN_MAX_MS);
+		cr_expect_lt(c.longest_ms, DOWN_MAX_MS, "%s: down for %d ms",
+		    cases[i].what, (int)c.longest_ms);
+		end_scene(&c);
+	}
+}
