--- a/sched/approval.c
+++ b/sched/approval.c
@@ -246,7 +246,7 @@
 	workers = g_ptr_array_new();
 	add_workers(s, st, false, max_workers, workers);
 	/* Room that others leave to tasks that are down is not to wait for an answer. */
-	if (workers->len == 0 && downtime_longest(st) != NULL) {
+	if (workers->len == 0 && st->ndown > 0) {
 		ntickets = count_tickets(s, st);
 		add_workers(s, st, true,
 		    max_workers - MIN(ntickets, max_workers), workers);
--- a/sched/customer.c
+++ b/sched/customer.c
@@ -135,16 +135,10 @@
 		adopt_settings(c, def);
 }
 
-/* Whether a task of a step that lasts had a run and waits for one. */
-static bool
-is_down(const task_t *t)
-{
-	return t->state == TASK_WAITING && t->down_since_ms != 0;
-}
-
 /*
  * Whether what is reserved of the quota for others is left beside a demand: for another
- * step, and for tasks that are down; q: the quota, with what would be used.
+ * step, and for tasks that are down; q: the quota, with what would be used.  A step with
+ * such a task goes first.
  */
 static bool
 leaves_reserved(const customer_t *c, const ts_quota_t *q, const step_t *st,
@@ -152,12 +146,11 @@
 {
 	bool for_other = c->reserved_round == st->occ->job->sched->scan.round &&
 	    c->reserved_for != st;
-	bool for_down = (c->down.cpu_milli > 0 || c->down.mem_bytes > 0 ||
-			    c->down.accel > 0) &&
-	    downtime_longest(st) == NULL;
+	bool for_down =
+	    c->down.cpu_milli > 0 || c->down.mem_bytes > 0 || c->down.accel > 0;
 	ts_res_t sum = *demand;
 
-	if (!for_other && !for_down)
+	if (st->ndown > 0 || (!for_other && !for_down))
 		return true;
 	if (for_other)
 		ts_res_add_times(&sum, &c->reserved, 1);
@@ -188,7 +181,9 @@
 	for (int32_t i = 0; i < st->ntasks; i++) {
 		ts_res_t sum = c->down;
 
-		if (!is_down(&st->tasks[i]))
+		/* A nominated one counts as used. */
+		if (!downtime_is_down(&st->tasks[i]) ||
+		    st->tasks[i].nominated != NULL)
 			continue;
 		ts_res_add_times(&sum, &one, 1);
 		if (!ts_quota_fits(&q, &sum))
@@ -212,8 +207,7 @@
 		const step_t *st = g_sequence_get(i);
 
 		c = st->occ->job->customer;
-		if (c != NULL && downtime_longest(st) != NULL &&
-		    has_worker(s, st))
+		if (c != NULL && st->ndown > 0 && has_worker(s, st))
 			add_down(c, st);
 	}
 }
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -180,6 +180,7 @@
 static void
 forget_state(sched_t *s)
 {
+	nominate_forget(s);
 	g_ptr_array_set_size(s->flushing_jobs, 0);
 	g_hash_table_remove_all(s->dirty_jobs);
 	rejected_forget(s);
@@ -482,6 +483,7 @@
 	    all_workers_accounted(s)) {
 		c->workers_accounted = true;
 		log_accounted(s);
+		downtime_taken_over(s);
 		s->unseen_stale = true;
 		s->start_pass_due = true;
 	}
--- a/test/unit/quota_held.c
+++ b/test/unit/quota_held.c
@@ -24,6 +24,7 @@
 #define JOB_A "f000000000000001"
 #define JOB_B "f000000000000002"
 #define JOB_C "f000000000000003"
+#define JOB_D "f000000000000004"
 
 /*
  * Thousands of held steps at the head of the queue: searches for workers, rows
@@ -207,14 +208,22 @@
 	static const struct {
 		const char *what;
 		int64_t needs_milli, quota_milli;
-		bool down;	   /* it had a run */
+		int64_t
+		    held_milli; /* by another lasting task of the customer */
+		bool down;	/* it had a run */
+		bool suspect;
 		bool other_starts; /* short work of the customer */
 	} cases[] = {
-		{ "it waits for room", 40000, 41000, true, false },
-		{ "room in the quota for both", 40000, 42000, true, true },
-		{ "no worker is large enough", 70000, 71000, true, true },
-		{ "the quota is too small", 40000, 39000, true, true },
-		{ "it has not run yet", 40000, 41000, false, true },
+		{ "it waits for room", 40000, 41000, 0, true, false, false },
+		{ "a suspect waits for room", 40000, 41000, 0, true, true,
+		    false },
+		{ "room in the quota for both", 40000, 42000, 0, true, false,
+		    true },
+		{ "no worker is large enough", 70000, 71000, 0, true, false,
+		    true },
+		{ "others hold the quota", 40000, 41000, 30000, true, false,
+		    true },
+		{ "it has not run yet", 40000, 41000, 0, false, false, true },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -222,18 +231,32 @@
 		sched_customer_t c = { .quota_cpu_milli =
 					   cases[i].quota_milli };
 		Sched__Step d = step_def("", cases[i].needs_milli, false, 0);
+		Sched__Step held_def =
+		    step_def("", cases[i].held_milli, false, 0);
 		Sched__Step full_def = step_def("", 60000, false, 0);
 		Sched__Step other_def = step_def("", 2000, false, 0);
-		step_t *full, *st, *other;
+		worker_t *small;
+		step_t *full, *held, *st, *other;
 
 		add_worker_now(s, "w");
 		set_customer(s, &c);
 		full = queue_step(s, JOB_A, NULL, &full_def);
 		quota_pass(s);
 		cr_assert_eq(full->nwaiting, 0, "%s", cases[i].what);
-		d.lasting = true;
+		/* It has room for the others, and none for the lasting one. */
+		small = add_worker_now(s, "small");
+		small->cpu_milli = 35000;
+		d.lasting = held_def.lasting = true;
+		if (cases[i].held_milli > 0) {
+			held = queue_step(s, JOB_D, "c", &held_def);
+			quota_pass(s);
+			cr_assert_eq(held->nwaiting, 0, "%s", cases[i].what);
+		}
 		st = queue_step(s, JOB_B, "c", &d);
 		st->tasks[0].down_since_ms = cases[i].down ? s->now_ms : 0;
+		st->ndown = cases[i].down;
+		if (cases[i].suspect)
+			crash_add(&st->tasks[0], 1, true);
 		other = queue_step(s, JOB_C, "c", &other_def);
 		quota_pass(s);
 		cr_expect_eq(other->nwaiting == 0, cases[i].other_starts, "%s",
