Quarantine: no suspect is tried on a worker that is nominated for a lasting task

Callers would see a lasting task down for 10 s that was stopped as its worker drains. Cause: between the stop and the start a suspect batch task was tried on the nominated worker, where nothing else starts for up to 10 s. Now such a worker is not taken for a suspect, nor reserved for one; and a suspect that is nominated gives that up, as quarantine reserves a worker for it.

--- a/sched/place.c
+++ b/sched/place.c
@@ -280,6 +280,9 @@
 		return SCHED_WAIT_APPROVAL;
 	if (!quarantine_allows_start(s, w, q->task))
 		return SCHED_WAIT_RESERVED;
+	/* The nominated task could not start while a suspect is tried there. */
+	if (q->alone && w->nnominated > 0)
+		return SCHED_WAIT_RESERVED;
 	if (!downtime_is_down(q->task) && !room_allows_start(s, w, st))
 		return SCHED_WAIT_KEPT;
 	if (q->slowed)
--- a/sched/quarantine.c
+++ b/sched/quarantine.c
@@ -306,7 +306,8 @@
 		const room_option_t *o =
 		    &g_array_index(options, room_option_t, i);
 
-		if (o->worker->id == t->avoid_worker)
+		if (o->worker->id == t->avoid_worker ||
+		    o->worker->nnominated > 0)
 			continue;
 		reserve(s, o->worker, t);
 		o->worker->reserved_until_ms += o->wait_ms;
@@ -411,6 +412,8 @@
 	/* No worker is reserved, nor a run stored, for a start that must wait. */
 	if (!customer_allows_start(st))
 		return false;
+	/* It has a worker of its own, reserved here. */
+	nominate_withdraw(s, t);
 	w = find_worker(s, st, t);
 	if (w == NULL) {
 		t->not_before_ms = s->now_ms + RETRY_MS;
