--- a/sched/customer.c
+++ b/sched/customer.c
@@ -159,17 +159,6 @@
 	return ts_quota_fits(q, &sum);
 }
 
-/* Whether some worker could run a task of a step if it ran nothing else. */
-static bool
-has_worker(const sched_t *s, const step_t *st)
-{
-	for (guint i = 0; i < s->worker_list->len; i++)
-		if (place_fits_empty(
-			s, g_ptr_array_index(s->worker_list, i), st))
-			return true;
-	return false;
-}
-
 /* Adds what the tasks of a step need that are down, as far as the quota allows them. */
 static void
 add_down(customer_t *c, const step_t *st)
@@ -207,7 +196,7 @@
 		const step_t *st = g_sequence_get(i);
 
 		c = st->occ->job->customer;
-		if (c != NULL && st->ndown > 0 && has_worker(s, st))
+		if (c != NULL && st->ndown > 0 && place_has_worker(s, st))
 			add_down(c, st);
 	}
 }
--- a/sched/place.c
+++ b/sched/place.c
@@ -184,6 +184,17 @@
 	return empty_refusal(s, w, st) == SCHED_WAIT_NONE;
 }
 
+/* Whether some worker could run a task of a step if it ran nothing else. */
+bool
+place_has_worker(const sched_t *s, const step_t *st)
+{
+	for (guint i = 0; i < s->worker_list->len; i++)
+		if (place_fits_empty(
+			s, g_ptr_array_index(s->worker_list, i), st))
+			return true;
+	return false;
+}
+
 /*
  * Whether a worker may run one more task of the step, regardless of its free
  * resources and of the other images there.
--- a/sched/reservation.c
+++ b/sched/reservation.c
@@ -270,23 +270,12 @@
 	return true;
 }
 
-/* Whether some worker could run a task of a step if it ran nothing else. */
-static bool
-has_worker(const sched_t *s, const step_t *st)
-{
-	for (guint i = 0; i < s->worker_list->len; i++)
-		if (place_fits_empty(
-			s, g_ptr_array_index(s->worker_list, i), st))
-			return true;
-	return false;
-}
-
 /* Reserves what a step waits for; false: that can't help it. */
 static bool
 reserve(sched_t *s, step_t *st)
 {
 	bool reserved =
-	    st->quota_held ? has_worker(s, st) : reserve_workers(s, st);
+	    st->quota_held ? place_has_worker(s, st) : reserve_workers(s, st);
 
 	if (!reserved) {
 		st->reserve_retry_ms = st->def->lasting ?
