Suspect workers: a lasting task that is up for 1.5 s is a sign that its worker is sound

A worker that failed three tasks in a row is tried with one task until that is done. A lasting one never is, so that nothing else started there for good, and lasting tasks that were down waited beside its room. Now one that has been up for 1.5 s ends the suspicion.

Unit suspect/a_worker_that_a_lasting_task_tries: red before, green after.

--- a/sched/suspect.c
+++ b/sched/suspect.c
@@ -3,7 +3,7 @@
  * fault, so that only failures of several tasks in a row, which their jobs do
  * not explain, make a worker suspect.  A suspect worker is tried with one task
  * at a time, after a back-off that doubles with each failure, until one is
- * done.
+ * done or, as a lasting one never is, has been up for a while.
  */
 #include <inttypes.h>
 #include <stdbool.h>
@@ -25,6 +25,8 @@
 #define SUSPECT_FAILURES 3 /* in a row */
 #define BACKOFF_MIN_MS	 400
 #define BACKOFF_MAX_MS	 3200
+/* A lasting task that tries a worker has been up for so long. */
+#define LASTING_UP_MS CRASH_SOON_MS
 
 /*
  * Whether a failure tells more about the worker than about the task: the last
@@ -57,7 +59,7 @@
 	    "failures=%d backoff=%" PRId64, w->failures_in_row, backoff_ms);
 }
 
-/* A run of a task has been done on a worker. */
+/* A run of a task has been done on a worker, or is taken for a sign that it is sound. */
 void
 suspect_run_done(sched_t *s, worker_t *w)
 {
@@ -76,6 +78,18 @@
 	w->last_failed_job[0] = '\0';
 }
 
+/* A worker has reported: the lasting task that tries it may be up for long enough. */
+void
+suspect_report(sched_t *s, worker_t *w)
+{
+	const run_t *r = w->probe;
+
+	if (r != NULL && r->task != NULL && r->task->step->def->lasting &&
+	    r->state == RUN_RUNNING &&
+	    s->now_ms - r->state_since_ms >= LASTING_UP_MS)
+		suspect_run_done(s, w);
+}
+
 /* A run is started: on a suspect worker it is the one that tries it. */
 void
 suspect_run_started(run_t *r)
