Reservations: lasting gangs that are down have theirs at once

No worker is nominated for gangs. On a full cell one gang at a time had a reservation, 3.5 s after it went down, so that the last of n was down for n times that and more. Now all that are down have one at once, as far as a round's tries go.

Unit lasting_held/gangs_are_back_in_time: up to 16350 ms on the joined code before, green after.

--- a/sched/reservation.c
+++ b/sched/reservation.c
@@ -58,10 +58,19 @@
 #define REPLAN_MS 10000
 #define AVOID_MS  60000
 
+/* Whether a step is a lasting gang that is down: no worker is nominated for that. */
+static bool
+is_gang_down(const step_t *st)
+{
+	return st->def->gang && st->ndown > 0;
+}
+
 /* The wait after which a step counts as passed over. */
 static int64_t
 limit_ms(const step_t *st)
 {
+	if (is_gang_down(st))
+		return 0;
 	if (st->quota_held && !st->past_late_limit)
 		return HELD_PASSED_OVER_MS;
 	return st->def->lasting ? LASTING_PASSED_OVER_MS : PASSED_OVER_MS;
@@ -307,7 +316,8 @@
 	for (guint i = 0; i < all->len; i++) {
 		step_t *st = g_ptr_array_index(all, i);
 
-		if (!st->quota_held && n < most && tries++ < most_tries)
+		if (!st->quota_held && (n < most || is_gang_down(st)) &&
+		    tries++ < most_tries)
 			n += reserve(s, st);
 		else if (st->quota_held && in_vain < most_tries &&
 		    customer_may_reserve(s, st))
