--- a/sched/internal.h
+++ b/sched/internal.h
@@ -214,8 +214,9 @@
 int64_t lease_stored_ms(const worker_t *w);
 bool lease_read_stored(worker_t *w, int64_t ms);
 bool lease_update_stored(const sched_t *s, worker_t *w);
-int64_t lease_taken_over(
-    sched_t *s, bool any_owner, int64_t claimed_ms, int64_t extended_ms);
+int64_t lease_released_until_ms(const sched_t *s);
+int64_t lease_taken_over(sched_t *s, bool any_owner, int64_t claimed_ms,
+    int64_t extended_ms, int64_t released_until_ms);
 bool lease_old_ones_ended(const sched_t *s);
 bool lease_stored_has_ended(const sched_t *s, const worker_t *w);
 bool lease_may_hide_runs(const sched_t *s, const worker_t *w);
@@ -240,6 +241,7 @@
 place_possible(const sched_t *s, worker_t *w, const step_t *st, bool may_slow);
 bool place_fits(sched_t *s, task_t *t, worker_t *w);
 bool place_fits_empty(const sched_t *s, const worker_t *w, const step_t *st);
+bool place_has_worker(const sched_t *s, const step_t *st);
 int64_t place_filler_capacity(const worker_t *w);
 bool place_allowed(const sched_t *s, const step_t *st, const worker_t *w);
 bool place_gang_may_spread(const sched_t *s, const step_t *st);
@@ -428,6 +430,7 @@
 /* suspect.c */
 void suspect_run_failed(sched_t *s, worker_t *w, const task_t *t);
 void suspect_run_done(sched_t *s, worker_t *w);
+void suspect_report(sched_t *s, worker_t *w);
 void suspect_forget(worker_t *w);
 void suspect_run_started(run_t *r);
 void suspect_run_removed(const run_t *r);
--- a/sched/place.c
+++ b/sched/place.c
@@ -184,6 +184,17 @@
 	return empty_refusal(s, w, st) == SCHED_WAIT_NONE;
 }
 
+/* Whether some worker could run a task of a step if it ran nothing else. */
+bool
+place_has_worker(const sched_t *s, const step_t *st)
+{
+	for (guint i = 0; i < s->worker_list->len; i++)
+		if (place_fits_empty(
+			s, g_ptr_array_index(s->worker_list, i), st))
+			return true;
+	return false;
+}
+
 /*
  * Whether a worker may run one more task of the step, regardless of its free
  * resources and of the other images there.
@@ -280,6 +291,9 @@
 		return SCHED_WAIT_APPROVAL;
 	if (!quarantine_allows_start(s, w, q->task))
 		return SCHED_WAIT_RESERVED;
+	/* The nominated task could not start while a suspect is tried there. */
+	if (q->alone && w->nnominated > 0)
+		return SCHED_WAIT_RESERVED;
 	if (!downtime_is_down(q->task) && !room_allows_start(s, w, st))
 		return SCHED_WAIT_KEPT;
 	if (q->slowed)
