cells -lasting: random schedules of lasting tasks that go down together

None of the modes of build/cells fills a cell with lasting tasks, ends many of their runs at one moment, and has other work wait for whatever becomes free; the check that lasting tasks run (idle_check.c) held in -overload only, and only where half of the capacity was free, which the users do not ask for a lasting task.

The checks: "idle", the users' rule, now without the half for lasting tasks in all modes; "down", stricter: 6 s in calm while the workers could hold all that are down twice over beside the lasting runs that they have; "avail", the users' rule on may_miss. A drain, a leave and a failed run silence none of them. -count lets runs go on to their end and prints the totals.

--- a/test/cell/cell.h
+++ b/test/cell/cell.h
@@ -9,7 +9,7 @@
 #define TEST_CELL_H
 
 #define ENTRIES_MAX	      4
-#define WORKERS_MAX	      12
+#define WORKERS_MAX	      24
 #define NETWORK_DELAY_MS      2 /* one way */
 #define STORE_LATENCY_MS      4 /* without a fault */
 #define MAX_LEASE_MS	      6000
@@ -23,6 +23,8 @@
 typedef struct world world_t;
 typedef struct overload overload_t;
 typedef struct idle_check idle_check_t;
+typedef struct lasting lasting_t;
+typedef struct down_check down_check_t;
 
 /* A callback that is due at a time; seq orders those due at the same time. */
 typedef struct {
@@ -105,6 +107,8 @@
 	int64_t last_end_seq;
 	int64_t cpu_milli, mem_mb;
 	bool draining, listed;
+	const char *label; /* NULL: it has none */
+	int64_t unwell_ms; /* when idle_check.c last saw a fault of it */
 	int64_t drain_began_ms;
 	/* task -> highest run that was stopped or ended; int64_t */
 	GHashTable *highest_rejected_run;
@@ -225,6 +229,9 @@
 	int64_t customer_owed_ms[CUSTOMERS_MAX];
 	overload_t *overload;	  /* NULL: there is none */
 	idle_check_t *idle_check; /* NULL: not checked */
+	lasting_t *lasting;	  /* NULL: no such jobs and events */
+	down_check_t *down_check; /* NULL: not checked */
+	bool only_counts_down; /* lasting tasks without a run fail no check */
 	/* The first check that failed, or NULL. */
 	const char *violated_check;
 	char violation_detail[256];
@@ -271,6 +278,8 @@
 /* worker.c: the workers, and the calls of an entry's scheduler to them. */
 void worker_boot(world_t *w, sim_worker_t *wk);
 void worker_crash(world_t *w, sim_worker_t *wk);
+/* Ends all lasting runs on a worker as failed. */
+void worker_fail_lasting(world_t *w, sim_worker_t *wk);
 /* Whether a task crashes each worker that starts it. */
 bool worker_task_is_deadly(const sim_job_t *job, const char *task);
 void worker_order(sim_entry_t *en, const sched_order_t *o);
@@ -326,6 +335,8 @@
 void handover_entry_left(world_t *w, sim_entry_t *en);
 
 /* overload.c */
+/* Gives serving and filler images their effects, without scheduling any. */
+void sim_overload_init(world_t *w);
 /* Schedules the jobs of an overload until a time, and late faults after it. */
 void sim_overload_begin(world_t *w, int64_t end_ms);
 void sim_overload_free(world_t *w);
@@ -340,6 +351,38 @@
 /* Begins to check that what can run does; no jobs come after last_job_ms. */
 void idle_check_begin(world_t *w, int64_t last_job_ms);
 void idle_check_free(world_t *w);
+/* Since when all is calm, as there was no fault for a while before; may be later. */
+int64_t idle_check_calm_since_ms(const world_t *w);
+/* Whether a worker is up and well, has been for a while, and is not about to leave. */
+bool idle_check_takes_starts(const world_t *w, const sim_worker_t *wk);
+/* Processor time and memory that runs on a worker reserve; of lasting ones only. */
+void idle_check_count_used(const sim_worker_t *wk, bool only_lasting,
+    int64_t *cpu_milli, int64_t *mem_mb);
+/* How many more tasks of a step fit beside what is reserved on a worker. */
+int64_t idle_check_places(const sim_worker_t *wk, const Sched__Step *st,
+    int64_t cpu_milli, int64_t mem_mb);
+
+/* lasting.c */
+/* Schedules lasting jobs with short work and fillers beside them, and until a time
+ * the events that end their runs, many at a time. */
+void sim_lasting_begin(world_t *w, int64_t end_ms);
+void sim_lasting_free(world_t *w);
+
+/* down_check.c */
+/* Begins to check that lasting tasks that can have a place get one in time. */
+void down_check_begin(world_t *w);
+void down_check_free(world_t *w);
+/* Of lasting tasks that had a run: how many were down at a time at most, the longest
+ * time that one was, and how often one was for longer than it may. */
+typedef struct {
+	int32_t most, too_long;
+	int64_t longest_ms;
+	int64_t stops; /* orders that ended lasting runs */
+} down_totals_t;
+/* A run of a task begins; an order ends a lasting run of a job that goes on. */
+void down_check_start(world_t *w, const char *task);
+void down_check_stop(world_t *w, const sim_worker_t *wk, const sim_run_t *run);
+down_totals_t down_check_totals(const world_t *w);
 
 /* weak_entry.c: entries too weak for the cell. */
 void weak_entries_begin(world_t *w);
--- a/test/cell/idle_check.c
+++ b/test/cell/idle_check.c
@@ -2,9 +2,11 @@
  * The check that work which can run does run.  From END_MS after the last new job
  * on no job may, for SPAN_MS on end, have nothing running while the turn of a task
  * has come, there is capacity for it twice over, and under half of the workers'
- * capacity is in use.  The same holds for each lasting task at any time, from
- * LASTING_MS after its last run.  The span and CALM_MS before it are free of faults.
+ * capacity is in use.  For each lasting task that holds at any time, from LASTING_MS
+ * after its last run, however much is in use.  The span and CALM_MS before it are free
+ * of faults; a worker that drains or has left is none.
  *
+ * Jobs of customers may wait for their quota; quota_check.c has the check for them.
  * Capacity is what workers reject starts by: fillers reserve only memory.
  */
 #include <inttypes.h>
@@ -53,6 +55,14 @@
 			!wk->listed;
 }
 
+/* A worker that fails what it starts is an ordinary event beside lasting jobs. */
+static bool
+is_unplanned(const world_t *w, const sim_worker_t *wk)
+{
+	return !worker_is_well(w, wk) &&
+	    (w->lasting == NULL || !wk->fails_all_tasks);
+}
+
 static bool
 has_fault(const world_t *w)
 {
@@ -66,28 +76,37 @@
 		    en->store_cut || en->list_lag_ms > 0;
 	}
 	for (int32_t i = 0; i < w->nworkers; i++)
-		fault = fault || !worker_is_well(w, &w->workers[i]);
+		fault = fault || is_unplanned(w, &w->workers[i]);
 	return fault;
 }
 
-/* What the runs on a worker reserve, as its check of starts has it. */
-static void
-count_used(const sim_worker_t *wk, int64_t *cpu_milli, int64_t *mem_mb)
+int64_t
+idle_check_calm_since_ms(const world_t *w)
+{
+	return w->idle_check->last_fault_ms + CALM_MS;
+}
+
+void
+idle_check_count_used(const sim_worker_t *wk, bool only_lasting,
+    int64_t *cpu_milli, int64_t *mem_mb)
 {
 	*cpu_milli = *mem_mb = 0;
 	for (guint i = 0; i < wk->runs->len; i++) {
 		const Sched__Step *st =
 		    ((sim_run_t *)g_ptr_array_index(wk->runs, i))->step;
 
+		if (only_lasting && !st->lasting)
+			continue;
 		*cpu_milli += st->filler ? 0 : st->cpu_milli;
 		*mem_mb += st->mem_mb;
 	}
 }
 
-static bool
-takes_starts(const world_t *w, const sim_worker_t *wk)
+bool
+idle_check_takes_starts(const world_t *w, const sim_worker_t *wk)
 {
 	return wk->up && wk->listed && !wk->draining &&
+	    w->now_ms - wk->unwell_ms >= CALM_MS &&
 	    !g_hash_table_contains(w->evacuated_since, wk->zone);
 }
 
@@ -102,7 +121,22 @@
 	return n;
 }
 
-/* Whether there is capacity for two tasks of a step, and half of all is free. */
+int64_t
+idle_check_places(const sim_worker_t *wk, const Sched__Step *st,
+    int64_t cpu_milli, int64_t mem_mb)
+{
+	int64_t fit = MIN((wk->cpu_milli - cpu_milli) / MAX(1, st->cpu_milli),
+	    (wk->mem_mb - mem_mb) / MAX(1, st->mem_mb));
+
+	if (st->label[0] != '\0' && g_strcmp0(st->label, wk->label) != 0)
+		return 0;
+	if (st->per_worker > 0)
+		fit = MIN(fit, st->per_worker - runs_of(wk, st));
+	return MAX(0, fit);
+}
+
+/* Whether there is capacity for two tasks of a step, and, unless they are to last,
+ * half of all is free. */
 static bool
 has_capacity(const world_t *w, const Sched__Step *st)
 {
@@ -110,22 +144,19 @@
 
 	for (int32_t i = 0; i < w->nworkers; i++) {
 		const sim_worker_t *wk = &w->workers[i];
-		int64_t cpu, mem, fit;
+		int64_t cpu, mem;
 
-		if (!takes_starts(w, wk))
+		if (!idle_check_takes_starts(w, wk))
 			continue;
-		count_used(wk, &cpu, &mem);
+		idle_check_count_used(wk, false, &cpu, &mem);
 		all_cpu += wk->cpu_milli;
 		all_mem += wk->mem_mb;
 		cpu_used += cpu;
 		mem_used += mem;
-		fit = MIN((wk->cpu_milli - cpu) / MAX(1, st->cpu_milli),
-		    (wk->mem_mb - mem) / MAX(1, st->mem_mb));
-		if (st->per_worker > 0)
-			fit = MIN(fit, st->per_worker - runs_of(wk, st));
-		n += MAX(0, fit);
+		n += idle_check_places(wk, st, cpu, mem);
 	}
-	return n >= 2 && cpu_used * 2 < all_cpu && mem_used * 2 < all_mem;
+	return n >= 2 &&
+	    (st->lasting || (cpu_used * 2 < all_cpu && mem_used * 2 < all_mem));
 }
 
 static const ground_truth_t *
@@ -172,7 +203,8 @@
 		i->could_ms = w->now_ms;
 	from_ms = MAX(i->could_ms, c->last_fault_ms + CALM_MS);
 	if (i->could_ms == 0 || w->now_ms - from_ms < SPAN_MS ||
-	    (st->lasting && w->now_ms - i->ran_ms < LASTING_MS))
+	    (st->lasting &&
+		(w->now_ms - i->ran_ms < LASTING_MS || w->only_counts_down)))
 		return;
 	world_fail(w, "idle",
 	    "%s %s, %s, %" PRId64 " milli, %" PRId64
@@ -231,6 +263,9 @@
 	(void)arg;
 	if (has_fault(w))
 		c->last_fault_ms = w->now_ms;
+	for (int32_t i = 0; i < w->nworkers; i++)
+		if (!worker_is_well(w, &w->workers[i]))
+			w->workers[i].unwell_ms = w->now_ms;
 	/* Runs may have ended on workers that got no call lately. */
 	for (int32_t i = 0; i < w->nworkers; i++)
 		worker_advance(w, &w->workers[i]);
@@ -242,7 +277,8 @@
 			continue;
 		if (job->def->steps[0]->lasting)
 			look_at_lasting(w, job);
-		else if (w->now_ms >= c->last_job_ms + END_MS - SPAN_MS)
+		else if (job->def->customer[0] == '\0' &&
+		    w->now_ms >= c->last_job_ms + END_MS - SPAN_MS)
 			look_at_job(w, job);
 	}
 	world_schedule(w, LOOK_MS, on_look, NULL);
--- a/test/cell/overload.c
+++ b/test/cell/overload.c
@@ -386,14 +386,22 @@
 	}
 }
 
+void
+sim_overload_init(world_t *w)
+{
+	w->overload = g_new0(overload_t, 1);
+	w->overload->rand = g_rand_new_with_seed((guint32)w->seed ^ RAND_SALT);
+	draw_images(w);
+}
+
 void
 sim_overload_begin(world_t *w, int64_t end_ms)
 {
-	overload_t *o = w->overload = g_new0(overload_t, 1);
+	overload_t *o;
 
-	o->rand = g_rand_new_with_seed((guint32)w->seed ^ RAND_SALT);
+	sim_overload_init(w);
+	o = w->overload;
 	o->end_ms = end_ms;
-	draw_images(w);
 	for (int32_t i = 0; i < w->nworkers; i++)
 		o->slow[i] = draw(w) < SLOW_WORKERS_SHARE;
 	o->job_gap_ms = (int64_t)(MEAN_JOB_CORE_MS /
--- a/test/cell/worker.c
+++ b/test/cell/worker.c
@@ -184,7 +184,9 @@
 			run->work_left_ms -= sim_overload_speed(w, wk, run) *
 			    (double)(w->now_ms - run->counted_at_ms);
 		run->counted_at_ms = w->now_ms;
-		if (run->work_left_ms > 0 || run->step->lasting)
+		if (run->work_left_ms > 0 ||
+		    (run->step->lasting &&
+			(w->lasting == NULL || !wk->fails_all_tasks)))
 			continue;
 		end_run(w, wk, run,
 		    wk->fails_all_tasks ||
@@ -194,6 +196,18 @@
 	}
 }
 
+void
+worker_fail_lasting(world_t *w, sim_worker_t *wk)
+{
+	worker_advance(w, wk);
+	for (guint i = wk->runs->len; i-- > 0;) {
+		sim_run_t *run = g_ptr_array_index(wk->runs, i);
+
+		if (run->step->lasting)
+			end_run(w, wk, run, SCHED_RUN_FAILED);
+	}
+}
+
 static sim_run_t *
 find_run(sim_worker_t *wk, const char *task)
 {
@@ -429,6 +443,7 @@
 	if (worker_task_is_deadly(job, o->task))
 		arm_deadly_run(w, wk, job, o);
 	world_ground_truth(w, o->task)->running++;
+	down_check_start(w, o->task);
 	job->begun = true;
 	job->start_ms = w->now_ms;
 	w->starts++;
@@ -453,6 +468,8 @@
 	}
 	reject_runs_up_to(wk, o->task, o->run);
 	if (run != NULL && run->run == o->run && !run->stopping) {
+		if (run->step->lasting && !run->job->cancelled)
+			down_check_stop(w, wk, run);
 		run->stopping = true;
 		run->stops_at_ms =
 		    w->now_ms + world_random_int(w, 0, MAX_STOP_MS);
@@ -900,6 +917,7 @@
 	uint64_t generation;
 	int64_t as_of_ms;
 	sched_worker_info_t info[WORKERS_MAX];
+	const char *labels[WORKERS_MAX][2]; /* each list ends with NULL */
 	bool listed[WORKERS_MAX];
 	guint former[WORKERS_MAX]; /* former processes of each worker */
 } worker_list_t;
@@ -949,6 +967,7 @@
 	for (int32_t i = 0; i < w->nworkers; i++) {
 		const sim_worker_t *wk = &w->workers[i];
 
+		l->labels[i][0] = wk->label;
 		l->listed[i] = wk->listed;
 		l->former[i] = wk->former_ids->len;
 		l->info[i] =
@@ -957,6 +976,7 @@
 			    .address = wk->address,
 			    .zone = wk->zone,
 			    .rack = "r1",
+			    .labels = l->labels[i],
 			    .cpu_milli = wk->cpu_milli,
 			    .mem_mb = wk->mem_mb,
 			    .started_ms = wk->started_ms,
--- a/test/cell/world.c
+++ b/test/cell/world.c
@@ -203,6 +203,8 @@
 	handover_free(w);
 	sim_overload_free(w);
 	idle_check_free(w);
+	down_check_free(w);
+	sim_lasting_free(w);
 	weak_entries_free(w);
 	g_free(w);
 }
--- a/test/main/cells.c
+++ b/test/main/cells.c
@@ -2,9 +2,11 @@
  * Random schedules of faults against the scheduler of a cell, in virtual time:
  * faults and jobs until FAULTS_END_MS, then recovery, after which all jobs must
  * have ended.
- * usage: cells FROM TO [-handover | -overload] [-weak] [-v]
+ * usage: cells FROM TO [-handover | -overload | -lasting [-count]] [-weak] [-v]
  * -handover adds the faults of cell/handover.c, -weak those of cell/weak_entry.c;
- * -overload has the jobs of cell/overload.c instead.  Exits with 1 when a seed failed.
+ * -overload has the jobs of cell/overload.c instead, -lasting the jobs and faults of
+ * cell/lasting.c; with -count lasting tasks that are down for long fail no check, so
+ * that the totals are those of whole runs.  Exits with 1 when a seed failed.
  */
 #include <inttypes.h>
 #include <stdbool.h>
@@ -34,8 +36,10 @@
 /* Fewest workers with -handover: lasting tasks and suspect ones, which are many
  * there, must not fill them all. */
 #define HANDOVER_WORKERS 6
-#define HANDOVER_DEADLY	 4    /* every so many seeds have deadly tasks */
-#define DEADLY_SHARE	 0.02 /* of jobs: a task crashes its workers */
+#define LASTING_WORKERS	 14 /* fewest with -lasting, where they are to be full */
+#define LASTING_WORK_MS	 10000 /* from FAULTS_END_MS: short work comes there */
+#define HANDOVER_DEADLY	 4     /* every so many seeds have deadly tasks */
+#define DEADLY_SHARE	 0.02  /* of jobs: a task crashes its workers */
 
 enum {
 	ENTRY_KILLED,
@@ -55,6 +59,9 @@
 };
 enum { STORE_DOWN, STORE_SLOW, STORE_LOSES_WRITES, STORE_DROPS_HISTORY };
 
+/* Of all runs. */
+static down_totals_t down_totals;
+
 static void
 make_step(world_t *w, Sched__Step *st)
 {
@@ -485,7 +492,8 @@
 typedef enum {
 	SCHEDULE_PLAIN,
 	SCHEDULE_HANDOVER,
-	SCHEDULE_OVERLOAD
+	SCHEDULE_OVERLOAD,
+	SCHEDULE_LASTING
 } schedule_t;
 
 /* Schedules the jobs and faults of a world. */
@@ -499,9 +507,15 @@
 			handover_init(w);
 		sim_overload_begin(w, FAULTS_END_MS);
 		idle_check_begin(w, FAULTS_END_MS);
+	} else if (schedule == SCHEDULE_LASTING) {
+		handover_init(w);
+		sim_lasting_begin(w, FAULTS_END_MS);
+		idle_check_begin(w, FAULTS_END_MS + LASTING_WORK_MS);
+		down_check_begin(w);
 	} else
 		world_schedule(w, 1500, submit, NULL);
-	world_schedule(w, 3000, fault, NULL);
+	if (schedule != SCHEDULE_LASTING)
+		world_schedule(w, 3000, fault, NULL);
 	world_schedule(w, 3000, check_waiting_count, NULL);
 	if (schedule == SCHEDULE_HANDOVER)
 		handover_begin(w, FAULTS_END_MS);
@@ -511,18 +525,46 @@
 	    FAULTS_END_MS + QUOTA_CHANGES_MS);
 }
 
-static bool
-run_seed(uint64_t seed, schedule_t schedule, bool weak, bool verbose)
+static int32_t
+number_of_workers(uint64_t seed, schedule_t schedule)
 {
-	int32_t nworkers = schedule == SCHEDULE_HANDOVER ?
+	if (schedule == SCHEDULE_LASTING)
+		return LASTING_WORKERS +
+		    (int32_t)(seed % (WORKERS_MAX - LASTING_WORKERS + 1));
+	return schedule == SCHEDULE_HANDOVER ?
 	    HANDOVER_WORKERS + (int32_t)(seed % 7) :
 	    4 + (int32_t)(seed % 9);
-	world_t *w = world_new(seed, 2 + (int32_t)(seed % 3), nworkers);
+}
+
+/* Prints and adds up what became of the lasting tasks of a run. */
+static void
+count_down(const world_t *w, bool verbose)
+{
+	down_totals_t t = down_check_totals(w);
+
+	if (verbose)
+		printf("seed %" PRIu64 ": %d lasting tasks down at a time, "
+		       "%.3f s at most, %d for too long, %" PRId64 " stopped\n",
+		    w->seed, t.most, (double)t.longest_ms / 1000, t.too_long,
+		    t.stops);
+	down_totals.most = MAX(down_totals.most, t.most);
+	down_totals.longest_ms = MAX(down_totals.longest_ms, t.longest_ms);
+	down_totals.too_long += t.too_long;
+	down_totals.stops += t.stops;
+}
+
+static bool
+run_seed(
+    uint64_t seed, schedule_t schedule, bool weak, bool count, bool verbose)
+{
+	world_t *w = world_new(
+	    seed, 2 + (int32_t)(seed % 3), number_of_workers(seed, schedule));
 	GHashTableIter it;
 	void *v;
 	bool ok;
 
 	w->verbose = verbose;
+	w->only_counts_down = count;
 	begin(w, schedule, weak);
 	world_run_until(w, FAULTS_END_MS);
 	world_run_until(w, FAULTS_END_MS + RECOVERY_MS);
@@ -543,6 +585,8 @@
 	else if (verbose)
 		printf("seed %" PRIu64 ": %u jobs, %" PRId64 " starts\n", seed,
 		    g_hash_table_size(w->jobs), w->starts);
+	if (w->down_check != NULL)
+		count_down(w, verbose);
 	world_free(w);
 	return ok;
 }
@@ -564,13 +608,20 @@
 	schedule_t schedule = has_flag(argc, argv, "-handover") ?
 	    SCHEDULE_HANDOVER :
 	    has_flag(argc, argv, "-overload") ? SCHEDULE_OVERLOAD :
+	    has_flag(argc, argv, "-lasting")  ? SCHEDULE_LASTING :
 						SCHEDULE_PLAIN;
 	bool weak = has_flag(argc, argv, "-weak");
+	bool count = has_flag(argc, argv, "-count");
 	bool verbose = has_flag(argc, argv, "-v");
 	uint64_t failed = 0;
 
 	for (uint64_t s = from; s <= to; s++)
-		failed += !run_seed(s, schedule, weak, verbose);
+		failed += !run_seed(s, schedule, weak, count, verbose);
+	if (schedule == SCHEDULE_LASTING)
+		printf("lasting: %d down at a time, %.3f s at most, %d for too "
+		       "long, %" PRId64 " stopped\n",
+		    down_totals.most, (double)down_totals.longest_ms / 1000,
+		    down_totals.too_long, down_totals.stops);
 	printf("cells: %" PRIu64 " passed, %" PRIu64 " failed\n",
 	    to - from + 1 - failed, failed);
 	return failed > 0;
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -47,6 +47,7 @@
 	handover_*) prog=cells flag=-handover ;;
 	weak_*) prog=cells flag=-weak ;;
 	overload_*) prog=cells flag=-overload ;;
+	lasting_*) prog=cells flag=-lasting ;;
 	model_*) prog=model flag=$5 ;;
 	soak_*) prog=soak step=1
 		more='build-own/tanagerspool build-own/standin-users' ;;
