--- a/test/cell/lasting.c
+++ b/test/cell/lasting.c
@@ -413,6 +413,8 @@
 		if (i >= l->nworkers_up)
 			w->workers[i].up = w->workers[i].listed = false;
 	}
+	for (int32_t i = 0; i < w->nentries; i++)
+		w->entries[i].slow_reads_until_ms = 0;
 	if (w->seed % SERVING_SEEDS == 0)
 		sim_overload_init(w);
 	world_schedule(w, LASTING_FROM_MS - w->now_ms, on_lasting, NULL);
