--- a/test/cell/idle_check.c
+++ b/test/cell/idle_check.c
@@ -181,6 +181,24 @@
 	return true;
 }
 
+/* Prints what is free where a step's tasks could start. */
+static void
+print_places(const world_t *w, const Sched__Step *st)
+{
+	for (int32_t i = 0; w->verbose && i < w->nworkers; i++) {
+		const sim_worker_t *wk = &w->workers[i];
+		int64_t cpu, mem;
+
+		if (!idle_check_takes_starts(w, wk))
+			continue;
+		idle_check_count_used(wk, false, &cpu, &mem);
+		printf("%7.3f %s cpu=%" PRId64 " mem_mb=%" PRId64
+		       " places=%" PRId64 "\n",
+		    (double)w->now_ms / 1000, wk->id, wk->cpu_milli - cpu,
+		    wk->mem_mb - mem, idle_check_places(wk, st, cpu, mem));
+	}
+}
+
 /* Notes whether a job or lasting task could run now; fails if so for too long. */
 static void
 note(world_t *w, const char *key, bool running, bool could,
@@ -206,6 +224,7 @@
 	    (st->lasting &&
 		(w->now_ms - i->ran_ms < LASTING_MS || w->only_counts_down)))
 		return;
+	print_places(w, st);
 	world_fail(w, "idle",
 	    "%s %s, %s, %" PRId64 " milli, %" PRId64
 	    " MB, target %d ms, accepted %.3f, could run since %.3f, last "
