--- a/sched/internal.h
+++ b/sched/internal.h
@@ -429,6 +429,7 @@
 
 /* suspect.c */
 void suspect_run_failed(sched_t *s, worker_t *w, const task_t *t);
+bool suspect_is_up(const sched_t *s, const run_t *r);
 void suspect_run_done(sched_t *s, worker_t *w);
 void suspect_report(sched_t *s, worker_t *w);
 void suspect_forget(worker_t *w);
--- a/sched/report.c
+++ b/sched/report.c
@@ -127,17 +127,18 @@
 }
 
 /*
- * Handles a failed run: the task is tried again after a delay, or its job fails
+ * Handles a failed run, r if it is known: the task is tried again after a delay, or its job fails
  * when no attempt is left.  Lasting tasks are always restarted.
  */
 static void
-on_task_failed(sched_t *s, task_t *t, worker_t *w, int64_t run)
+on_task_failed(sched_t *s, task_t *t, worker_t *w, int64_t run, const run_t *r)
 {
 	job_t *j = t->step->occ->job;
 	int32_t nfailed;
 
 	s->stats.failed++;
-	suspect_run_failed(s, w, t);
+	if (r == NULL || !suspect_is_up(s, r))
+		suspect_run_failed(s, w, t);
 	t->avoid_worker = w->id;
 	if (t->step->def->lasting || !task_add_failed_run(t, run))
 		return;
@@ -250,7 +251,7 @@
 			on_task_done(
 			    s, t, r != NULL && r->task == t ? r : NULL);
 		} else if (e->outcome == SCHED_RUN_FAILED)
-			on_task_failed(s, t, w, e->run);
+			on_task_failed(s, t, w, e->run, r);
 		else if (e->checkpoint[0] != '\0' &&
 		    t->step->occ->job->stage == JOB_OPEN)
 			flush_mark_job(s, t->step->occ->job);
--- a/sched/suspect.c
+++ b/sched/suspect.c
@@ -78,15 +78,23 @@
 	w->last_failed_job[0] = '\0';
 }
 
+/*
+ * Whether a run is one of a lasting task, which is never done, and has been up for so
+ * long that its worker is sound: such a task may fail at any time by itself.
+ */
+bool
+suspect_is_up(const sched_t *s, const run_t *r)
+{
+	return r->task != NULL && r->task->step->def->lasting &&
+	    r->state == RUN_RUNNING &&
+	    s->now_ms - r->state_since_ms >= LASTING_UP_MS;
+}
+
 /* A worker has reported: the lasting task that tries it may be up for long enough. */
 void
 suspect_report(sched_t *s, worker_t *w)
 {
-	const run_t *r = w->probe;
-
-	if (r != NULL && r->task != NULL && r->task->step->def->lasting &&
-	    r->state == RUN_RUNNING &&
-	    s->now_ms - r->state_since_ms >= LASTING_UP_MS)
+	if (w->probe != NULL && suspect_is_up(s, w->probe))
 		suspect_run_done(s, w);
 }
 
--- a/test/unit/suspect.c
+++ b/test/unit/suspect.c
@@ -112,3 +112,54 @@
 		sched_free(s);
 	}
 }
+
+/*
+ * Guards against room that nobody gets: workers whose lasting tasks failed together, as
+ * they may at any time, would take no others for seconds.
+ */
+Test(suspect, lasting_tasks_that_fail_together)
+{
+	static const struct {
+		const char *what;
+		bool lasting;
+		int64_t up_ms;
+		bool suspect;
+	} cases[] = {
+		{ "up for long", true, 5000, false },
+		{ "just started", true, 500, true },
+		{ "they don't last", false, 5000, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = new_owner();
+		worker_t *w = add_worker(s, "w");
+		char names[FAILURES][64];
+		sched_ended_t ended[FAILURES] = { 0 };
+		sched_report_t r = { .started_ms = w->started_ms,
+			.ended = ended,
+			.nended = FAILURES };
+
+		s->now_ms = s->wall_ms = s->cell.confirmed_ms = BEGIN_MS;
+		s->write_pending = true; /* nothing is written here */
+		for (int k = 0; k < FAILURES; k++) {
+			step_t *st = queue_step(s, k + 1, cases[i].lasting);
+			run_t *run = add_running(s, st, 0, w);
+
+			run->first_seen_ms = run->state_since_ms =
+			    BEGIN_MS - cases[i].up_ms;
+			g_strlcpy(names[k], run->name, sizeof(names[k]));
+			ended[k] = (sched_ended_t){ .seq = k + 1,
+				.task = names[k],
+				.run = run->number,
+				.outcome = SCHED_RUN_FAILED,
+				.checkpoint = "" };
+		}
+		r.clock_ms = s->now_ms;
+		w->poll_id = 1;
+		w->poll_sent_ms = s->now_ms;
+		sched_poll_done(s, 1, w->id, SCHED_ORDER_OK, &r, s->now_ms);
+		cr_assert_eq(g_hash_table_size(w->runs), 0);
+		cr_expect_eq(w->suspect, cases[i].suspect, "%s", cases[i].what);
+		sched_free(s);
+	}
+}
