--- a/sched/queue.c
+++ b/sched/queue.c
@@ -28,8 +28,8 @@
 #define FIXED_VALUE_SHARE 0.3 /* of a job's value; the rest follows its work */
 
 /*
- * Main sort key, lower first: lasting tasks that are down; short work, neither lasting nor filler, that can
- * meet its target; such work of jobs that are late, but still count and need only
+ * Main sort key, lower first: lasting tasks that are down; short work, neither
+ * lasting nor filler, that can meet its target; such work of jobs that are late, but still count and need only
  * the rest of their work; lasting tasks, which keep their resources for good;
  * filler work that can meet its target; work that could, but is deferred for the
  * sake of others (overload_queue.c); other late work; and work that is too late
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -464,7 +464,7 @@
 	SCHED_WAIT_ROW,		 /* its job's progress row is not stored yet */
 	SCHED_WAIT_BACKOFF,	 /* it is started again after a while */
 	SCHED_WAIT_GANG_RUNS,	 /* of its gang have not ended yet */
-	SCHED_WAIT_NOMINATED,	 /* to the worker that it is moved to */
+	SCHED_WAIT_NOMINATED,	 /* for room on the worker nominated for it */
 	SCHED_WAIT_QUARANTINE,	 /* it may crash its worker */
 	SCHED_WAIT_NO_WORKER,	 /* none of its service, or in its rack */
 	SCHED_WAIT_LEAVING,	 /* unlisted, drained or evacuated */
