--- a/test/unit/takeover.c
+++ b/test/unit/takeover.c
@@ -1000,3 +1000,43 @@
 		sched_free(s);
 	}
 }
+
+/*
+ * Guards against two runs of one task: the row that releases a cell says that all leases
+ * end before they do by what the owner itself goes by for one of its workers, which it
+ * may have sent a start that a new process carries out.
+ */
+Test(takeover, a_release_covers_a_start_that_is_under_way)
+{
+	static const struct {
+		const char *name;
+		int32_t starts_pending;
+	} cases[] = {
+		{ "no start", 0 },
+		{ "a start without an answer yet", 1 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = new_owner_of_used_worker();
+		worker_t *w = cell_worker_get(s, "w0");
+		int64_t until_ms, end_ms = s->now_ms;
+
+		s->store_clock_known = true;
+		s->store_clock_offset_ms = 0;
+		answer_poll(s);
+		for (int32_t k = 0; k < cases[i].starts_pending; k++)
+			lease_start_sent(s, w);
+		until_ms = lease_released_until_ms(s);
+		/* The worker says nothing any more, and the owner waits. */
+		while (!lease_has_ended(s, w)) {
+			s->now_ms += 10;
+			if (cases[i].starts_pending > 0 &&
+			    w->lease.starts_pending > 0 &&
+			    s->now_ms - end_ms >= START_CALL_MS)
+				lease_start_done(s, w);
+		}
+		cr_expect_geq(until_ms, s->now_ms - 10, "%s: %d ms too early",
+		    cases[i].name, (int)(s->now_ms - 10 - until_ms));
+		sched_free(s);
+	}
+}
