Takeover: a released row counts a start that is under way as its owner does

The row that releases a cell counted the longest lease without EXPIRY_MARGIN_MS, 200 ms less than lease_has_ended() of the same owner for a start without an answer: with a store clock over 700 ms behind a successor could start a task beside it (TWICE).

--- a/sched/lease.c
+++ b/sched/lease.c
@@ -346,7 +346,7 @@
 
 /*
  * Until when the leases last that this owner, which grants no more, and earlier ones have
- * granted; by the store's clock, 0: not known.
+ * granted, a start that is under way included; by the store's clock, 0: not known.
  */
 int64_t
 lease_released_until_ms(const sched_t *s)
@@ -356,7 +356,8 @@
 	if (s->cell.state != CELL_OWNED || !s->store_clock_known ||
 	    old->state != BOUND_ENDS_AT)
 		return 0;
-	return MAX(s->now_ms + granted_ms(s), old->ms) +
+	return MAX(s->now_ms + MAX(GRANTED_MS, START_CALL_MS + longest_ms(s)),
+		   old->ms) +
 	    s->store_clock_offset_ms;
 }
 
