Lasting tasks: the time that a lost worker was silent counts as time down

A worker is known to be lost 4.3 s after its last answer; the tasks on it counted as down from then on, so that batch work in their way was stopped 1.5 s later, over 6 s after they were up last.

--- a/sched/downtime.c
+++ b/sched/downtime.c
@@ -17,6 +17,23 @@
 #include "customer.h"
 #include "internal.h"
 
+/*
+ * A run is about to be removed as its worker is lost: its task may have been down since the
+ * worker last answered.
+ */
+void
+downtime_run_lost(const sched_t *s, const run_t *r)
+{
+	task_t *t = r->task;
+
+	if (t == NULL || !t->step->def->lasting || t->run != r ||
+	    t->speculative_run != NULL || r->first_seen_ms == 0)
+		return;
+	t->down_since_ms =
+	    CLAMP(r->worker->answered_ms, r->first_seen_ms, s->now_ms);
+	t->down_by_stop = r->state == RUN_STOPPING;
+}
+
 /* A run is removed, which may have been the only one of a lasting task. */
 void
 downtime_run_removed(const sched_t *s, const run_t *r)
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -265,6 +265,7 @@
 } downtime_t;
 
 void downtime_taken_over(sched_t *s);
+void downtime_run_lost(const sched_t *s, const run_t *r);
 void downtime_run_removed(const sched_t *s, const run_t *r);
 bool downtime_is_down(const task_t *t);
 void downtime_run_up(sched_t *s, const run_t *r);
--- a/sched/nominate.c
+++ b/sched/nominate.c
@@ -354,7 +354,7 @@
 {
 	return t->run == NULL && t->not_before_ms <= s->now_ms &&
 	    ownership_may_start_tasks(s) &&
-	    s->now_ms - MAX(t->nominated_ms, t->down_since_ms) >=
+	    MAX(downtime_ms(s, t), s->now_ms - t->nominated_ms) >=
 	    PREEMPT_AFTER_MS;
 }
 
--- a/sched/run.c
+++ b/sched/run.c
@@ -574,6 +574,7 @@
 		run_t *r = i->data;
 
 		s->stats.lost++;
+		downtime_run_lost(s, r);
 		LOG_EVENT(s, SCHED_EVT_LOST, r->name,
 		    "run=%" PRId64 " worker=%s why=\"%s\"", r->number, w->id,
 		    why);
--- a/test/unit/lasting.c
+++ b/test/unit/lasting.c
@@ -26,6 +26,7 @@
 #define SHORT_MS      1000
 #define SHORT_WIDTH   20   /* tasks of a job */
 #define STOP_MS	      500  /* until a stopped run has ended */
+#define SILENT_MS     4300 /* until a lease has ended for sure */
 #define LEAVES_MS     4000 /* after a worker begins to drain */
 #define STEP_MS	      50
 #define ROUND_MS      250
@@ -380,3 +381,39 @@
 		sched_free(c.s);
 	}
 }
+
+/*
+ * Guards against a task that is down for as long again as it took to learn that its worker
+ * is lost, as other work is stopped for it only a while after that.
+ */
+Test(lasting, the_time_a_lost_worker_was_silent_counts)
+{
+	scene_t c = { .s = new_owner() };
+	Sched__Step d = step_def("", LASTING_MILLI, false, 0);
+	Sched__Step other = step_def("", WORKER_CPU_MILLI, false, 0);
+	worker_t *lost = add_worker(c.s, "lost"), *w = add_worker(c.s, "w");
+	int64_t silent_since_ms = 100000;
+	step_t *st;
+
+	set_time(c.s, silent_since_ms + SILENT_MS);
+	lost->answered_ms = silent_since_ms;
+	d.lasting = true;
+	st = add_step(&c, &d);
+	add_running(c.s, st, 0, lost)->first_seen_ms = 1;
+	other.estimate_ms = WATCHED_MS;
+	/* As end_runs() goes by. */
+	add_running(c.s, add_step(&c, &other), 0, w)->state_since_ms +=
+	    WATCHED_MS;
+	lost->listed = false;
+	run_worker_lost(c.s, lost, "test");
+	while (st->tasks[0].run == NULL &&
+	    c.s->now_ms < silent_since_ms + WATCHED_MS) {
+		scan_begin_round(c.s);
+		start_waiting_tasks(c.s);
+		set_time(c.s, c.s->now_ms + ROUND_MS);
+		end_runs(&c);
+	}
+	cr_expect_lt(c.s->now_ms - silent_since_ms, DOWN_MAX_MS, "%d ms",
+	    (int)(c.s->now_ms - silent_since_ms));
+	sched_free(c.s);
+}
