Server: HTTP/2 is not spoken

Callers saw an entry end: connections that began with HTTP/2's preface, with many streams that each kept a part of a body.

--- a/trans/server.c
+++ b/trans/server.c
@@ -345,6 +345,8 @@
 	h2o_config_init(&s->conf);
 	s->conf.max_request_entity_size = o->body_max_bytes;
 	s->conf.http1.req_timeout = REQUEST_TIMEOUT_MS;
+	/* Callers speak HTTP/1.1. */
+	s->conf.http1.upgrade_to_http2 = 0;
 	s->conf.server_name = h2o_iovec_init(H2O_STRLIT(""));
 	host = h2o_config_register_host(
 	    &s->conf, h2o_iovec_init(H2O_STRLIT("default")), 65535);
