Peers: before the proof of the key no more than a hello is kept

Anybody who reaches the peer port could have an entry keep a frame of 16 MB, stopped short, and 64 KB for each connection, until the 1.5 s for the proof were over. A link that was accepted is closed once it has sent more than 4 KB without proof, and all links share one buffer for reading, which is used up at once.

--- a/trans/peer.c
+++ b/trans/peer.c
@@ -21,6 +21,7 @@
 #define REDIAL_DELAY_MS	     200
 #define HANDSHAKE_TIMEOUT_MS 1500 /* to connect and authenticate */
 #define READ_BUF_BYTES	     (64 * 1024)
+#define HELLO_MAX_BYTES	     4096 /* more is not received before the proof */
 #define SEND_QUEUE_MAX_BYTES (32 * 1024 * 1024)
 #define BACKLOG		     128
 
@@ -56,13 +57,13 @@
 	uint8_t own_nonce[NONCE_BYTES];
 	uint8_t peer_nonce[NONCE_BYTES];
 	GByteArray *recv_buf; /* bytes received and not yet unpacked */
-	char read_buf[READ_BUF_BYTES];
 };
 
 struct peers {
 	peers_opts_t opts;
 	uv_tcp_t listener;
 	GHashTable *by_name; /* name -> peer_t */
+	char read_buf[READ_BUF_BYTES]; /* of all links: a read is used at once */
 };
 
 /* A write in progress. */
@@ -283,7 +284,7 @@
 	link_t *l = h->data;
 
 	(void)want;
-	*buf = uv_buf_init(l->read_buf, READ_BUF_BYTES);
+	*buf = uv_buf_init(l->peers->read_buf, READ_BUF_BYTES);
 }
 
 static void
@@ -304,6 +305,9 @@
 	}
 	if (err != NULL && !l->closing)
 		link_reject(l, err->message);
+	else if (!l->closing && !l->dialled && !l->authenticated &&
+	    l->recv_buf->len > HELLO_MAX_BYTES)
+		link_reject(l, "no hello at the beginning");
 }
 
 static void
