Callers: one account of what they hold bounds memory and connections of serve

Callers saw an entry end, out of memory, or found no connection: nothing bounded what clients that do not behave have it hold. Many bodies that stop short of their end, whole ones while the store is slow, heads without an end, pipelined requests and idle connections each took memory or descriptors until none was left, on each of the three listeners, and h2o's buffers were not given back.

--- a/cmd/cmd.h
+++ b/cmd/cmd.h
@@ -68,6 +68,7 @@
 #define EVT_BAD_WORKER	     503
 #define EVT_OPERATOR_REFUSED 504
 #define EVT_LOG_DROPPED	     505
+#define EVT_CALLERS_CLOSED   506
 /*
  * Opens the log on standard output; false if there is no such level.  Until
  * log_attach_loop() is called, writing a line may block.
@@ -87,6 +88,32 @@
 /* NULL if there is no such event. */
 const char *log_event_name(int number);
 
+/*
+ * What callers may hold of this process (trans/budget.h), for the daemons.
+ */
+#define CALLER_MEMORY_SETTING(dest) \
+	{ \
+		"memory-mb", SET_INT, (dest), "1024", 64, 1048576, "MB", \
+		    "memory that this process may use" \
+	}
+#define CALLER_FDS_SETTING(dest) \
+	{ \
+		"max-fds", SET_INT, (dest), "4100", 256, 1048576, "N", \
+		    "descriptors that this process may have open" \
+	}
+typedef struct callers callers_t;
+/*
+ * The account, which is logged under the daemon's name; also sets how the allocator
+ * gives memory back.
+ */
+callers_t *callers_new(const char *name, int32_t memory_mb, int32_t max_fds);
+budget_t *callers_budget(const callers_t *c);
+/*
+ * At each tick: logs how many connections and requests had to go since the last
+ * time, and gives memory back to the system once callers have let go of much.
+ */
+void callers_tick(callers_t *c, int64_t now_ms);
+
 /*
  * Makes an HTTP call and waits for its answer, for commands that have no loop
  * of their own.  Returns the HTTP status, or 0 if no answer came.  The caller
--- a/cmd/log.c
+++ b/cmd/log.c
@@ -58,6 +58,7 @@
 	{ EVT_BAD_WORKER, LOG4C_PRIORITY_WARN, "bad_worker_input" },
 	{ EVT_OPERATOR_REFUSED, LOG4C_PRIORITY_WARN, "operator_refused" },
 	{ EVT_LOG_DROPPED, LOG4C_PRIORITY_WARN, "log_dropped" },
+	{ EVT_CALLERS_CLOSED, LOG4C_PRIORITY_WARN, "callers_closed" },
 	{ 601, LOG4C_PRIORITY_INFO, "cell_claimed" },
 	{ 602, LOG4C_PRIORITY_INFO, "cell_owned" },
 	{ 603, LOG4C_PRIORITY_WARN, "cell_lost" },
--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -25,6 +25,11 @@
 #include "serve.h"
 
 #define DEFAULT_TIMEOUT_MS 3000 /* for a request that names none */
+/*
+ * What is kept for a submission beside its request, by the length of its row: the row
+ * and three calls to the store with it as base64 text.
+ */
+#define KEPT_PER_ROW_BYTE 5
 /* A call of a queue that old tables have waits so long for newer ones. */
 #define HOLD_KNOWN_MS 500
 
@@ -87,6 +92,22 @@
 		    skipped);
 }
 
+/*
+ * Whether a call may wait, with so many bytes kept for it.  If not, it is answered: a
+ * submission may repeat one that was accepted, so that nothing is said about it.
+ */
+static bool
+may_wait(node_t *n, server_req_t *r, size_t bytes)
+{
+	if (server_wait(r, bytes))
+		return true;
+	n->stats.no_room++;
+	reply_error(r, strcmp(r->method, "POST") == 0 ? 504 : 503,
+	    "too many calls wait",
+	    sched_retry_after_ms(r->path, RETRY_AFTER_MS));
+	return false;
+}
+
 /*
  * Allows the call, or answers it.  If it is allowed, sets its customer, or NULL
  * if it has none.
@@ -197,11 +218,17 @@
 	Sched__Job *job = decode_job(n, in->req, m->queue, customer, &err);
 	const char *name = customer == NULL ? "" : customer->name;
 	rejection_t why = { .retry_after_ms = RETRY_AFTER_MS };
+	size_t bytes;
 
 	if (job == NULL) {
 		reply_bad_job(n, in->req, m, err);
 		return;
 	}
+	bytes = KEPT_PER_ROW_BYTE * sched__job__get_packed_size(job);
+	if (!may_wait(n, in->req, bytes)) {
+		sched__job__free_unpacked(job, NULL);
+		return;
+	}
 	why.reason = sched_admit(cell_driver_sched(n->cell_driver), m->id, job,
 	    node_now_ms(n), &why.retry_after_ms);
 	if (why.reason == SCHED_ADMITTED)
@@ -236,21 +263,22 @@
 	const char *name = customer == NULL ? "" : customer->name;
 	const char *method = in->req->method;
 	bool for_job = m->id[0] != '\0';
+	bool asks = strcmp(method, "GET") == 0;
+	bool cancels = strcmp(method, "DELETE") == 0;
 
-	if (!for_job && strcmp(method, "GET") == 0)
+	if (!for_job && asks)
 		reply_waiting_count(n, in->req, m);
 	else if (for_job && strcmp(method, "POST") == 0)
 		submit_job(n, in, m, customer);
-	else if (for_job && strcmp(method, "GET") == 0)
-		request_begin(n, in, REQUEST_STATE, m, name, NULL);
-	else if (for_job && strcmp(method, "DELETE") == 0)
-		request_begin(n, in, REQUEST_CANCEL, m, name, NULL);
-	else
+	else if (!for_job || (!asks && !cancels))
 		reply_text(in->req, 405, "", "{\"error\":\"no such method\"}");
+	else if (may_wait(n, in->req, 0))
+		request_begin(n, in, asks ? REQUEST_STATE : REQUEST_CANCEL, m,
+		    name, NULL);
 }
 
 /*
- * Whether a call waits for newer tables: the caller of a queue that old tables have
+ * Whether a call waits for newer tables, or is answered that it can't: the caller of a queue that old tables have
  * does better to try another entry soon.
  */
 static bool
@@ -262,7 +290,8 @@
 		return false;
 	if (found == ROUTE_FOUND)
 		until_ms = MIN(until_ms, in->came_ms + HOLD_KNOWN_MS);
-	held_calls_add(n->held_calls, in, until_ms);
+	if (may_wait(n, in->req, 0))
+		held_calls_add(n->held_calls, in, until_ms);
 	return true;
 }
 
--- a/serve/metrics.c
+++ b/serve/metrics.c
@@ -13,6 +13,7 @@
 #include "../proto/peer.pb-c.h"
 #include "../proto/sched.pb-c.h"
 #include "tanagerspool.h"
+#include "../trans/budget.h"
 #include "../trans/trans.h"
 #include "../sched/sched.h"
 #include "../platform/platform.h"
@@ -67,6 +68,7 @@
 	put_metric(page, "foreign", (int64_t)stats->foreign);
 	put_metric(page, "bad_input", (int64_t)stats->bad_input);
 	put_metric(page, "tables_old", (int64_t)stats->tables_old);
+	put_metric(page, "refused_no_room", (int64_t)stats->no_room);
 	for (size_t i = 0; i < G_N_ELEMENTS(stats->accept_latency); i++) {
 		total += (int64_t)stats->accept_latency[i];
 		g_string_append_printf(page,
@@ -75,6 +77,17 @@
 	}
 }
 
+/* What callers hold. */
+static void
+put_callers(GString *page, const budget_stats_t *stats)
+{
+	put_metric(page, "caller_connections", stats->connections);
+	put_metric(page, "caller_waiting", stats->waiting);
+	put_metric(page, "caller_bytes", stats->bytes);
+	put_metric(page, "callers_closed", (int64_t)stats->closed);
+	put_metric(page, "callers_not_accepted", (int64_t)stats->not_accepted);
+}
+
 static void
 put_sched(GString *page, const sched_stats_t *stats)
 {
@@ -121,9 +134,11 @@
 	GString *page = g_string_new(NULL);
 	sched_stats_t ss = sched_stats(cell_driver_sched(n->cell_driver));
 	platform_stats_t ps = platform_stats(n->platform);
+	budget_stats_t callers = budget_stats(callers_budget(n->callers));
 
 	put_requests(page, &n->stats);
 	put_sched(page, &ss);
+	put_callers(page, &callers);
 	put_metric(page, "store_reads", (int64_t)ps.store_reads);
 	put_metric(page, "store_writes", (int64_t)ps.store_writes);
 	put_metric(page, "store_failed", (int64_t)ps.store_failed);
--- a/serve/node.c
+++ b/serve/node.c
@@ -234,6 +234,7 @@
 
 	cell_driver_tick(n->cell_driver);
 	detect_store_loss(n);
+	callers_tick(n->callers, now);
 	if (n->stopping)
 		continue_stop(n, now);
 	uv_timer_start(&n->tick_timer, on_tick, TICK_MS, 0);
@@ -349,7 +350,8 @@
 	server_opts_t o = { .loop = n->loop,
 		.body_max_bytes = BODY_MAX_BYTES,
 		.on_request = fn,
-		.ctx = n };
+		.ctx = n,
+		.budget = callers_budget(n->callers) };
 	net_addr_t at;
 	server_t *s;
 
@@ -504,6 +506,8 @@
 		    "processor cores this VM may use" },
 		{ "link-mbps", SET_TEXT, &o->link_mbps, "1000", 0, 0, "MBPS",
 		    "capacity of its network link" },
+		CALLER_MEMORY_SETTING(&o->memory_mb),
+		CALLER_FDS_SETTING(&o->max_fds),
 		{ "log-level", SET_TEXT, &o->log_level, "INFO", 0, 0, "LEVEL",
 		    "DEBUG, INFO, WARN or ERROR" },
 		{ 0 },
@@ -519,6 +523,7 @@
 	if (!parse_seconds("keep-ended-s", keep_ended, &o->keep_ended_ms) ||
 	    !parse_seconds("grace-s", grace, &o->stop_grace_ms))
 		return EXIT_USAGE;
+	n.callers = callers_new(o->name, o->memory_mb, o->max_fds);
 	n.loop = uv_default_loop();
 	log_attach_loop(n.loop);
 	watch_signals(&n);
--- a/serve/serve.h
+++ b/serve/serve.h
@@ -241,6 +241,7 @@
 	int32_t config_ms; /* after which a change of the tables is in force */
 	char *cpu_share;   /* cores, as a decimal number */
 	char *link_mbps;
+	int32_t memory_mb, max_fds; /* of this process */
 	char *log_level;
 } node_opts_t;
 
@@ -251,14 +252,15 @@
  * those for a job of another customer.  bad_input counts malformed input from
  * the platform and from other entries, none of callers.  tombstones counts cancels
  * of jobs that weren't there, tombstones_refused those beyond the limit, and
- * cancelled_before the submissions after one.
+ * cancelled_before the submissions after one.  no_room counts those that could not
+ * wait as callers hold too much.
  */
 typedef struct {
 	uint64_t accepted, resubmitted, refused_store, refused_no_config,
 	    refused_malformed, in_doubt, no_route, state_reads,
 	    state_unknown_job, state_unreadable, cancels, queue_counts,
 	    unauthorized, auth_stale, foreign, bad_input, tables_old,
-	    tombstones, tombstones_refused, cancelled_before;
+	    tombstones, tombstones_refused, cancelled_before, no_room;
 	/*
 	 * Submissions by the time to their answer: element i counts those below
 	 * 1 << i ms that no lower element counts, and the last all slower ones.
@@ -286,9 +288,10 @@
 	/* Rows without a job that callers have this entry write; see job_rows.h. */
 	rate_limit_t tombstones, refusals;
 
-	server_t *front;   /* requests of callers */
-	server_t *ready;   /* probes of the balancer */
-	server_t *metrics; /* NULL: no metrics page */
+	server_t *front;	 /* requests of callers */
+	server_t *ready;	 /* probes of the balancer */
+	server_t *metrics;	 /* NULL: no metrics page */
+	struct callers *callers; /* what they hold, of all three; see cmd.h */
 	uv_timer_t tick_timer;
 	uv_signal_t term, intr, hup; /* SIGTERM, SIGINT, SIGHUP */
 	bool stopping;		     /* a graceful stop has begun */
--- a/trans/peer.c
+++ b/trans/peer.c
@@ -63,7 +63,8 @@
 	peers_opts_t opts;
 	uv_tcp_t listener;
 	GHashTable *by_name; /* name -> peer_t */
-	char read_buf[READ_BUF_BYTES]; /* of all links: a read is used at once */
+	/* Of all links: what is read is used at once. */
+	char read_buf[READ_BUF_BYTES];
 };
 
 /* A write in progress. */
--- a/trans/server.c
+++ b/trans/server.c
@@ -2,10 +2,16 @@
  * The HTTP server, on the h2o library.  It refuses requests whose length is
  * ambiguous, which could be used for request smuggling, before they reach
  * on_request.
+ *
+ * If it has an account of what callers hold (budget.h), a connection reads only what
+ * the account has room for: the server stands between libuv and h2o's callbacks for
+ * reading, by the two fields of uv_stream_t, so that it is asked before h2o's buffer
+ * grows.
  */
 #include <stdbool.h>
 #include <stdint.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include <glib.h>
 #include <jansson.h>
@@ -14,11 +20,24 @@
 
 #include "../proto/peer.pb-c.h"
 #include "tanagerspool.h"
+#include "budget.h"
 #include "trans.h"
 
 #define BACKLOG		   1024
 #define REQUEST_TIMEOUT_MS 10000 /* until a request is complete */
 #define HEADERS_MAX_BYTES  16384 /* the most that callers of the platform send */
+#define READ_MIN_BYTES	   4096	 /* of room that h2o makes before it reads */
+/*
+ * In one turn of the loop, if there is an account: few against those that may be open,
+ * so that a request that comes with its connection is read before others push it out.
+ */
+#define ACCEPTS_PER_TURN  32
+#define READ_MAX_BYTES	  65536	 /* at once, if there is an account */
+#define LONG_BUFFER_BYTES 131072 /* from here on the system maps it by itself */
+/* Of h2o's buffer; it is part of what each connection takes. */
+#define INPUT_FREE_BYTES 8192
+/* Of what is kept for a request that waits, the same. */
+#define WAIT_FREE_BYTES 4096
 
 struct server {
 	server_opts_t opts;
@@ -29,6 +48,11 @@
 	int connections;
 	bool stopped;
 	uint64_t refused; /* by refuse(); h2o counts its own refusals */
+	/* If there is an account: those on which h2o was seen to write. */
+	GQueue writing; /* of conn_t */
+	uv_prepare_t prepare;
+	int accepts;	 /* in this turn of the loop */
+	bool accept_due; /* a connection has to wait for the next turn */
 };
 
 /*
@@ -38,6 +62,12 @@
 typedef struct {
 	uv_tcp_t tcp;
 	server_t *server;
+	h2o_socket_t *sock;
+	budget_holder_t holder;
+	uv_alloc_cb h2o_alloc; /* of the handle, before the server's own */
+	uv_read_cb h2o_read;
+	GList writing_link;
+	bool writing; /* it is in server->writing */
 } conn_t;
 
 typedef struct {
@@ -54,6 +84,8 @@
 typedef struct {
 	server_req_t pub;
 	server_t *server;
+	int64_t held_bytes;    /* by server_wait() */
+	bool waits;	       /* server_wait() was granted */
 	h2o_req_t *req;	       /* NULL: the caller has disconnected */
 	struct anchor *anchor; /* valid while req is */
 	char *method;
@@ -62,17 +94,247 @@
 } req_impl_t;
 
 typedef struct anchor {
+	conn_t *conn;
 	req_impl_t *impl; /* NULL: answered */
 } anchor_t;
 
 G_DEFINE_QUARK(trans_error, trans_error)
 
+static void on_prepare(uv_prepare_t *p);
+static void on_connection(uv_stream_t *l, int status);
+
+/*
+ * What callers hold: the account is told before h2o's buffer for a connection grows.
+ */
+
+/* Charges a connection for its buffer and, beside it, for an answer. */
+static bool
+charge(conn_t *conn, size_t input_bytes, size_t answer_bytes)
+{
+	size_t input = input_bytes - MIN(input_bytes, INPUT_FREE_BYTES);
+
+	return budget_charge(&conn->holder, (int64_t)(input + answer_bytes));
+}
+
+/* The bytes in front of the free part of a buffer: former requests' stand there, too. */
+static size_t
+used_bytes(const h2o_buffer_t *input)
+{
+	if (input->bytes == NULL)
+		return 0;
+	return (size_t)(input->bytes - input->_buf) + input->size;
+}
+
+/* The capacity of h2o's buffer after it has made room for the next read. */
+static size_t
+capacity_after_growth(const h2o_buffer_t *input)
+{
+	size_t capacity =
+	    MAX(input->capacity, (size_t)H2O_SOCKET_INITIAL_INPUT_BUFFER_SIZE);
+
+	if (capacity - used_bytes(input) >= READ_MIN_BYTES)
+		return capacity;
+	do
+		capacity *= 2;
+	while (capacity - input->size < READ_MIN_BYTES);
+	return capacity;
+}
+
+/*
+ * What a buffer of such a capacity takes if so many bytes more are read: of a long one
+ * the system provides only the pages that are used.
+ */
+static size_t
+buffer_takes(const h2o_buffer_t *input, size_t capacity, size_t more)
+{
+	return capacity < LONG_BUFFER_BYTES ?
+	    capacity :
+	    MIN(capacity, used_bytes(input) + more);
+}
+
+static void
+on_conn_alloc(uv_handle_t *h, size_t suggested, uv_buf_t *buf)
+{
+	conn_t *conn = (conn_t *)h;
+	const h2o_buffer_t *input = conn->sock->input;
+	size_t capacity = capacity_after_growth(input);
+
+	/* Without a buffer the read ends with an error, and h2o closes. */
+	if (!charge(conn, buffer_takes(input, capacity, READ_MAX_BYTES), 0)) {
+		*buf = uv_buf_init(NULL, 0);
+		return;
+	}
+	conn->h2o_alloc(h, suggested, buf);
+	buf->len = MIN(buf->len, READ_MAX_BYTES);
+}
+
+/* h2o writes on this connection: it may start reading again by itself. */
+static void
+note_writing(conn_t *conn)
+{
+	server_t *s = conn->server;
+
+	if (!conn->holder.open || conn->writing)
+		return;
+	g_queue_push_tail_link(&s->writing, &conn->writing_link);
+	conn->writing = true;
+	uv_prepare_start(&s->prepare, on_prepare);
+}
+
+static void
+on_conn_read(uv_stream_t *st, ssize_t n, const uv_buf_t *buf)
+{
+	conn_t *conn = (conn_t *)st;
+
+	conn->h2o_read(st, n, buf);
+	/* An answer, or that a caller may go on (100). */
+	if (conn->holder.open && h2o_socket_is_writing(conn->sock))
+		note_writing(conn);
+}
+
+/* Puts the server's callbacks for reading before those that h2o has just set. */
+static void
+watch_reads(conn_t *conn)
+{
+	if (conn->tcp.read_cb == on_conn_read)
+		return;
+	conn->h2o_alloc = conn->tcp.alloc_cb;
+	conn->h2o_read = conn->tcp.read_cb;
+	conn->tcp.alloc_cb = on_conn_alloc;
+	conn->tcp.read_cb = on_conn_read;
+}
+
+/* Lets the next read or write of h2o fail, at which it closes. */
+static void
+close_soon(conn_t *conn)
+{
+	uv_os_fd_t fd;
+
+	if (uv_fileno((uv_handle_t *)&conn->tcp, &fd) == 0)
+		shutdown(fd, SHUT_RDWR);
+}
+
+/* The account closes an unfinished connection: not one that h2o is working on. */
+static void
+on_holder_close(budget_holder_t *h)
+{
+	conn_t *conn = (conn_t *)((char *)h - offsetof(conn_t, holder));
+	uv_buf_t none = uv_buf_init(NULL, 0);
+
+	if (!h2o_socket_is_reading(conn->sock)) {
+		close_soon(conn);
+		return;
+	}
+	/* To h2o it is an error of a read: it closes at once. */
+	watch_reads(conn);
+	conn->h2o_read((uv_stream_t *)&conn->tcp, UV_ECONNRESET, &none);
+}
+
+/* h2o waits for a request: lets go of a large buffer that is empty. */
+static void
+shrink_input(conn_t *conn)
+{
+	h2o_buffer_t **input = &conn->sock->input;
+
+	if ((*input)->size == 0 && (*input)->capacity > INPUT_FREE_BYTES) {
+		h2o_buffer_dispose(input);
+		h2o_buffer_init(input, &h2o_socket_buffer_prototype);
+	}
+	if (!charge(conn, buffer_takes(*input, (*input)->capacity, 0), 0))
+		close_soon(conn);
+}
+
+static void
+remove_writing(conn_t *conn)
+{
+	if (conn->writing)
+		g_queue_unlink(&conn->server->writing, &conn->writing_link);
+	conn->writing = false;
+}
+
+/*
+ * h2o may read again where it has written.  Each of these is looked at once; charging
+ * one may close others and take them out of the queue.
+ */
+static void
+watch_written(server_t *s)
+{
+	guint count = s->writing.length;
+
+	for (; count > 0 && s->writing.head != NULL; count--) {
+		conn_t *conn = s->writing.head->data;
+
+		remove_writing(conn);
+		if (h2o_socket_is_writing(conn->sock))
+			note_writing(conn);
+		else if (h2o_socket_is_reading(conn->sock)) {
+			watch_reads(conn);
+			shrink_input(conn);
+		}
+	}
+}
+
+/* Before the loop waits for input. */
+static void
+on_prepare(uv_prepare_t *p)
+{
+	server_t *s = p->data;
+	bool accept_due = s->accept_due && !s->stopped;
+
+	s->accepts = 0;
+	s->accept_due = false;
+	watch_written(s);
+	if (accept_due)
+		on_connection((uv_stream_t *)&s->listener, 0);
+	if (g_queue_is_empty(&s->writing) && s->accepts == 0)
+		uv_prepare_stop(p);
+}
+
+/* Whether one more connection may be accepted in this turn of the loop. */
+static bool
+accept_now(server_t *s)
+{
+	if (s->opts.budget == NULL)
+		return true;
+	uv_prepare_start(&s->prepare, on_prepare);
+	/* Until it is accepted, libuv takes no other one. */
+	s->accept_due = s->accepts >= ACCEPTS_PER_TURN;
+	s->accepts += !s->accept_due;
+	return !s->accept_due;
+}
+
+/* A whole request is about to be answered. */
+static void
+conn_answer(conn_t *conn, size_t answer_bytes)
+{
+	const h2o_buffer_t *input;
+
+	if (!conn->holder.open)
+		return;
+	input = conn->sock->input;
+	note_writing(conn);
+	budget_unfinished(&conn->holder);
+	if (!charge(
+		conn, buffer_takes(input, input->capacity, 0), answer_bytes))
+		close_soon(conn);
+}
+
+static conn_t *
+conn_of(const h2o_req_t *req)
+{
+	h2o_socket_t *sock = req->conn->callbacks->get_socket(req->conn);
+
+	return sock->on_close.data;
+}
+
 /* h2o frees a request: it was answered, or the caller has disconnected. */
 static void
 on_h2o_dispose(void *p)
 {
 	anchor_t *a = p;
 
+	/* The next request is waited for, unless the connection is closing. */
+	budget_unfinished(&a->conn->holder);
 	if (a->impl == NULL)
 		return;
 	a->impl->req = NULL;
@@ -176,16 +438,19 @@
 {
 	server_t *s = ((handler_t *)h)->server;
 	int status = refusal_status(req);
+	conn_t *conn = conn_of(req);
 	req_impl_t *r;
 
 	if (status != 0)
 		return refuse(s, req, status);
+	budget_whole(&conn->holder);
 	r = g_new0(req_impl_t, 1);
 	r->server = s;
 	r->req = req;
 	r->anchor =
 	    h2o_mem_alloc_shared(&req->pool, sizeof(anchor_t), on_h2o_dispose);
 	r->anchor->impl = r;
+	r->anchor->conn = conn;
 	r->method = g_strndup(req->method.base, req->method.len);
 	r->path = g_strndup(req->path.base, req->path.len);
 	r->host = g_strndup(req->authority.base, req->authority.len);
@@ -278,6 +543,21 @@
 	}
 }
 
+bool
+server_wait(server_req_t *pub, size_t bytes)
+{
+	req_impl_t *r = pub->impl;
+	budget_t *b = r->server->opts.budget;
+
+	if (b == NULL)
+		return true;
+	if (r->waits)
+		budget_wait_ended(b, r->held_bytes);
+	r->held_bytes = (int64_t)(bytes - MIN(bytes, WAIT_FREE_BYTES));
+	r->waits = budget_wait(b, r->held_bytes);
+	return r->waits;
+}
+
 void
 server_reply(server_req_t *pub, int32_t status, const char *headers,
     const void *body, size_t n)
@@ -285,8 +565,11 @@
 	req_impl_t *r = pub->impl;
 	h2o_req_t *req = r->req;
 
+	if (r->waits)
+		budget_wait_ended(r->server->opts.budget, r->held_bytes);
 	if (req != NULL) {
 		r->anchor->impl = NULL;
+		conn_answer(r->anchor->conn, n);
 		req->res.status = status;
 		req->res.reason = "-";
 		req->res.content_length = n;
@@ -306,30 +589,74 @@
 {
 	conn_t *conn = (conn_t *)h;
 
+	budget_leave(&conn->holder);
 	conn->server->connections--;
 	g_free(conn);
 }
 
+/* h2o has freed what it held for a connection. */
+static void
+on_h2o_close(void *p)
+{
+	conn_t *conn = p;
+
+	remove_writing(conn);
+	budget_leave(&conn->holder);
+}
+
+/* Whether the account has room for a connection more, or there is none. */
+static bool
+enter(conn_t *conn)
+{
+	budget_t *b = conn->server->opts.budget;
+
+	conn->writing_link.data = conn;
+	conn->holder.close = on_holder_close;
+	return b == NULL || budget_enter(b, &conn->holder);
+}
+
 static void
 on_connection(uv_stream_t *l, int status)
 {
 	server_t *s = l->data;
 	conn_t *conn;
+	bool admitted;
 
-	if (status != 0)
+	if (status != 0 || !accept_now(s))
 		return;
 	conn = g_new0(conn_t, 1);
 	conn->server = s;
 	uv_tcp_init(s->opts.loop, &conn->tcp);
 	s->connections++;
-	if (uv_accept(l, (uv_stream_t *)&conn->tcp) != 0) {
+	admitted = enter(conn);
+	if (uv_accept(l, (uv_stream_t *)&conn->tcp) != 0 || !admitted) {
 		uv_close((uv_handle_t *)&conn->tcp, on_connection_closed);
 		return;
 	}
 	uv_tcp_nodelay(&conn->tcp, 1);
-	h2o_accept(&s->accept,
-	    h2o_uv_socket_create(
-		(uv_stream_t *)&conn->tcp, on_connection_closed));
+	conn->sock = h2o_uv_socket_create(
+	    (uv_stream_t *)&conn->tcp, on_connection_closed);
+	conn->sock->on_close.cb = on_h2o_close;
+	conn->sock->on_close.data = conn;
+	h2o_accept(&s->accept, conn->sock);
+	if (conn->holder.open)
+		watch_reads(conn);
+}
+
+/* What the kernel keeps for a connection is bounded, too. */
+static void
+init_account(server_t *s)
+{
+	int bytes = BUDGET_RECEIVE_BYTES;
+
+	g_queue_init(&s->writing);
+	uv_prepare_init(s->opts.loop, &s->prepare);
+	uv_unref((uv_handle_t *)&s->prepare);
+	s->prepare.data = s;
+	/* Accepted connections take it from the listener; where it can't be
+	 * set, they have the system's. */
+	if (s->opts.budget != NULL)
+		uv_recv_buffer_size((uv_handle_t *)&s->listener, &bytes);
 }
 
 server_t *
@@ -345,7 +672,7 @@
 	h2o_config_init(&s->conf);
 	s->conf.max_request_entity_size = o->body_max_bytes;
 	s->conf.http1.req_timeout = REQUEST_TIMEOUT_MS;
-	/* Callers speak HTTP/1.1. */
+	/* Callers speak HTTP/1.1; what HTTP/2 keeps isn't accounted for. */
 	s->conf.http1.upgrade_to_http2 = 0;
 	s->conf.server_name = h2o_iovec_init(H2O_STRLIT(""));
 	host = h2o_config_register_host(
@@ -362,6 +689,7 @@
 	e = uv_ip4_addr(o->ip, o->port, &a);
 	if (e == 0)
 		e = uv_tcp_bind(&s->listener, (struct sockaddr *)&a, 0);
+	init_account(s);
 	if (e == 0)
 		e = uv_listen(
 		    (uv_stream_t *)&s->listener, BACKLOG, on_connection);
--- a/trans/trans.h
+++ b/trans/trans.h
@@ -49,6 +49,7 @@
  */
 typedef struct server server_t;
 typedef struct server_req server_req_t;
+typedef struct budget budget_t; /* what callers hold; see budget.h */
 
 typedef struct {
 	uv_loop_t *loop;
@@ -57,6 +58,7 @@
 	size_t body_max_bytes; /* requests with longer bodies are refused */
 	void (*on_request)(void *ctx, server_req_t *r);
 	void *ctx;
+	budget_t *budget; /* NULL: callers are not bounded */
 } server_opts_t;
 
 /*
@@ -90,6 +92,11 @@
  * g_free().
  */
 char *server_forward_headers(const server_req_t *r);
+/*
+ * A request isn't answered at once, and so many bytes are kept for it beside its own,
+ * until server_reply().  False: there is no room, and it is to be refused now.
+ */
+bool server_wait(server_req_t *r, size_t bytes);
 /* Answers a request and frees it.  headers: lines that end in CR LF. */
 void server_reply(server_req_t *r, int32_t status, const char *headers,
     const void *body, size_t body_bytes);
