Callers: the account also bounds callers, operators and strangers of entry

The older engine, too, could be ended by clients that do not behave, on its three TCP listeners: bodies of up to 4 MB that stop short or wait for a backend server, heads without an end, and connections that use up the descriptors, also those of strangers at the peer port, whose 1.5 s for the proof didn't bound their number.

--- a/cmd/entry.c
+++ b/cmd/entry.c
@@ -25,6 +25,8 @@
 #define TICK_INTERVAL_MS 20
 #define BODY_MAX_BYTES	 (4 * 1024 * 1024)
 #define DEADLINE_MAX_MS	 600000
+/* Kept for a request: its body, and it in a call to a backend server or a peer. */
+#define KEPT_PER_BODY_BYTE 2
 
 void
 entry_handle_event(entry_t *e, const ts_ev_t *ev)
@@ -96,15 +98,33 @@
 		token_hash(s + 7, hash);
 }
 
+/* Answers a request that can't wait, as callers hold too much. */
+static void
+refuse_waiting(server_req_t *r)
+{
+	static const char body[] = "{\"error\":\"no_room\",\"outcome\":"
+				   "\"not-run\",\"retry_after_ms\":1000}\n";
+
+	server_reply(r, 503,
+	    "content-type: application/json\r\nx-outcome: not-run\r\n"
+	    "retry-after: 1\r\n",
+	    body, sizeof(body) - 1);
+}
+
 static void
 on_request(void *ctx, server_req_t *r)
 {
 	entry_t *e = ctx;
-	request_t *request = request_new(e);
+	request_t *request;
 	g_autofree char *key = server_header(r, "idempotency-key");
 	ts_ev_t ev = { .kind = TS_EV_REQUEST };
 	char hash[TOKEN_HASH_SIZE];
 
+	if (!server_wait(r, KEPT_PER_BODY_BYTE * r->body_bytes)) {
+		refuse_waiting(r);
+		return;
+	}
+	request = request_new(e);
 	request->caller = r;
 	request->method = g_strdup(r->method);
 	request->path = g_strdup(r->path);
@@ -365,6 +385,7 @@
 	int64_t now = clock_now(&e->clock);
 
 	platform_poll_vms(e, now);
+	callers_tick(e->callers, now);
 	entry_handle_event(e, &ev);
 	/*
 	 * Before the loop stops, callers get up to a second to read their
@@ -394,10 +415,11 @@
 listen_all(entry_t *e, const char *ip, int32_t port, int32_t operator_port,
     int32_t peer_port, const char *key)
 {
+	budget_t *budget = callers_budget(e->callers);
 	server_opts_t caller_opts = { e->loop, ip, port, BODY_MAX_BYTES,
-		on_request, e };
+		on_request, e, budget };
 	server_opts_t operator_opts = { e->loop, ip, operator_port,
-		BODY_MAX_BYTES, operator_request, e };
+		BODY_MAX_BYTES, operator_request, e, budget };
 	peers_opts_t peer_opts = { 0 };
 	g_autoptr(GError) err = NULL;
 
@@ -411,6 +433,7 @@
 	peer_opts.on_message = on_peer_message;
 	peer_opts.on_protocol_error = on_peer_protocol_error;
 	peer_opts.ctx = e;
+	peer_opts.budget = budget;
 	if ((e->caller_server = server_new(&caller_opts, &err)) == NULL ||
 	    (e->operator_server = server_new(&operator_opts, &err)) == NULL ||
 	    (e->peers = peers_new(&peer_opts, &err)) == NULL) {
@@ -456,7 +479,7 @@
 	entry_t e = { 0 };
 	ts_core_opts_t core_opts = { 0 };
 	char *zone, *ip, *key, *level;
-	int32_t port, operator_port, peer_port;
+	int32_t port, operator_port, peer_port, memory_mb, max_fds;
 	const setting_t settings[] = {
 		{ "name", SET_TEXT, &e.name, NULL, 0, 0, "NAME",
 		    "name of this VM in the platform's list of VMs", false },
@@ -500,6 +523,7 @@
 		{ "drain-ms", SET_INT, &core_opts.drain_ms, "20000", 100,
 		    600000, "MS", "longest time that a graceful stop may take",
 		    false },
+		CALLER_MEMORY_SETTING(&memory_mb), CALLER_FDS_SETTING(&max_fds),
 		{ NULL, 0, NULL, NULL, 0, 0, NULL, NULL, false }
 	};
 	GStrv args;
@@ -516,6 +540,7 @@
 		    level);
 		return EXIT_USAGE;
 	}
+	e.callers = callers_new(e.name, memory_mb, max_fds);
 	entry_init(&e);
 	log_attach_loop(e.loop);
 	core_opts.name = e.name;
--- a/cmd/entry.h
+++ b/cmd/entry.h
@@ -37,6 +37,7 @@
 	server_t *caller_server;
 	server_t *operator_server;
 	peers_t *peers;
+	callers_t *callers; /* what they hold, of all three listeners */
 	client_t *client;
 	backends_t *backends;
 	GHashTable *requests;	  /* id -> request_t */
--- a/trans/peer.c
+++ b/trans/peer.c
@@ -16,6 +16,7 @@
 #include "../proto/peer.pb-c.h"
 #include "tanagerspool.h"
 #include "../proto/proto.h"
+#include "budget.h"
 #include "trans.h"
 
 #define REDIAL_DELAY_MS	     200
@@ -56,7 +57,8 @@
 	int64_t incarnation;
 	uint8_t own_nonce[NONCE_BYTES];
 	uint8_t peer_nonce[NONCE_BYTES];
-	GByteArray *recv_buf; /* bytes received and not yet unpacked */
+	GByteArray *recv_buf;	/* bytes received and not yet unpacked */
+	budget_holder_t holder; /* until the proof, if it was accepted */
 };
 
 struct peers {
@@ -131,6 +133,7 @@
 	if (l->closing)
 		return;
 	l->closing = true;
+	budget_leave(&l->holder);
 	l->open_handles = 2;
 	uv_close((uv_handle_t *)&l->tcp, on_link_closed);
 	uv_close((uv_handle_t *)&l->timer, on_link_closed);
@@ -208,6 +211,7 @@
 	peer_t *peer;
 
 	l->authenticated = true;
+	budget_leave(&l->holder);
 	uv_timer_stop(&l->timer);
 	if (l->dialled) {
 		peer = l->peer;
@@ -364,16 +368,28 @@
 		link_end(l, TS_PEER_DOWN);
 }
 
+/* The account closes a link whose other end has not proved the key. */
+static void
+on_holder_close(budget_holder_t *h)
+{
+	link_end(
+	    (link_t *)((char *)h - offsetof(link_t, holder)), TS_PEER_DOWN);
+}
+
 static void
 on_accept(uv_stream_t *s, int status)
 {
 	peers_t *p = s->data;
+	bool admitted;
 	link_t *l;
 
 	if (status != 0)
 		return;
 	l = link_new(p, false);
-	if (uv_accept(s, (uv_stream_t *)&l->tcp) != 0) {
+	l->holder.close = on_holder_close;
+	admitted =
+	    p->opts.budget == NULL || budget_enter(p->opts.budget, &l->holder);
+	if (uv_accept(s, (uv_stream_t *)&l->tcp) != 0 || !admitted) {
 		link_close(l);
 		return;
 	}
--- a/trans/trans.h
+++ b/trans/trans.h
@@ -209,6 +209,7 @@
 	/* A peer violated the protocol; its connection is being closed. */
 	void (*on_protocol_error)(void *ctx, const char *why);
 	void *ctx;
+	budget_t *budget; /* of those that have not proved the key; or NULL */
 } peers_opts_t;
 
 /* Listens for peers. */
