Crowd test: h2c streams after an upgrade, and no connection is kept

What stays after the crowd is counted by the crowd's own addresses, none may, where it was eight sockets more than before. A lock keeps two runs apart: another run on the same addresses had disturbed one.

--- a/test/crowd.sh
+++ b/test/crowd.sh
@@ -9,9 +9,12 @@
 . test/lib.sh
 trap 'kill -9 $PIDS 2>/dev/null; rm -rf "$T"' EXIT
 trap 'exit 1' INT TERM
+# One such test at a time: they share their addresses, and load disturbs them.
+exec 9>"${TMPDIR:-/tmp}/tanagerspool-crowd.lock"
+flock -w 900 9 || die "another run of this test goes on"
 passed=0 failed=0
 STORE=127.0.0.1:8440
-AT=127.0.0.81	 # the entry of serve
+AT=127.0.0.81	 # the entry of serve; of entry: 127.0.0.11
 MEMORY_MB=64	 # of the machine
 FDS_MANY=1400	 # descriptors of the machine, where memory is the matter
 FDS_FEW=400	 # where descriptors are
@@ -31,13 +34,13 @@
 # limited COMMAND...: with the lowered limits of the machine, for start().
 limited() {
 	TANAGERSPOOL_MEMORY_MB=$MEMORY_MB TANAGERSPOOL_MAX_FDS=$fds \
-	    start entry sh -c 'ulimit -n "$0"; exec "$@"' "$fds" "$@"
+	    start entry sh -c 'ulimit -n "$0"; exec "$@"' "$fds" "$@" 9>&-
 	pid=$(pid_of entry)
 }
 
 # One entry of serve with a store, or one of entry with a platform and a worker.
 start_serve() {
-	start store "$B/standin-users" 8440
+	start store "$B/standin-users" 8440 9>&-
 	limited "$B/tanagerspool" serve --name s1 --zone z --ip $AT \
 	    --front $AT:8000 --ready $AT:8001 --store $STORE --advice=
 	wait_for $ANSWER_S serve_ready || fail "not ready at the start"
@@ -49,9 +52,9 @@
 }
 start_entry_of() {
 	vm_list 1 1 >"$T/vms.json"
-	start platform "$B/standin-platform" 127.0.0.1 8100 "$T/vms.json"
+	start platform "$B/standin-platform" 127.0.0.1 8100 "$T/vms.json" 9>&-
 	wait_for 10 curl -sf $PLATFORM/v1/stats || fail "no platform"
-	start_worker 1
+	start_worker 1 9>&-
 	"$B/tanagerspool" table put --version 0 example/run/routes.conf \
 	    example/run/pools.conf >"$T/put.out"
 	limited "$B/tanagerspool" entry --name e1 --zone bilbao --ip 127.0.0.11
@@ -97,13 +100,20 @@
 	[ "$_n" -le "$most" ] || most=$_n
 }
 settled() { count_sockets; grep -q settled "$T/crowd.out"; }
-closed() { [ "$(sockets_of "$pid")" -le $((before + 8)) ]; }
+# kept: the connections of the crowd (127.0.9.*) that the process still has; 01 and
+# 08 are established and half closed ones (/proc/net/tcp).
+kept() {
+	awk -v to="$([ $kind = serve ] && echo 51 || echo 0B)00007F:" \
+	    'index($2, to) == 1 && $3 ~ /^..09007F:/ && ($4 == "01" || $4 == "08") { n++ }
+	    END { print n + 0 }' /proc/net/tcp
+}
+closed() { [ "$(kept)" = 0 ]; }
 
 # crowd IP PORT FORM COUNT [PATH [BODY-BYTES]]: a crowd, up to where it has settled.
 crowd() {
 	rm -f "$T/go"; mkfifo "$T/go"
-	most=0 before=$(sockets_of "$pid")
-	start crowd sh -c 'exec "$@" <"$0"' "$T/go" "$B/crowd" "$@"
+	most=0
+	start crowd sh -c 'exec "$@" <"$0"' "$T/go" "$B/crowd" "$@" 9>&-
 	exec 8>"$T/go" # the crowd lasts until this is closed
 	wait_for 60 settled || fail "the crowd did not settle"
 }
@@ -116,7 +126,7 @@
 	exec 8>&-
 	wait "$(pid_of crowd)"
 	wait_for $ANSWER_S closed 2>/dev/null ||
-	    fail "$(sockets_of "$pid") sockets after the crowd, $before before"
+	    fail "$(kept) connections are kept after the crowd"
 	check_answered "after the crowd"
 	check_bounds "after the crowd"
 }
--- a/test/main/crowd.c
+++ b/test/main/crowd.c
@@ -214,9 +214,12 @@
 	g_string_append_len(s, data, (gssize)n);
 }
 
-/* HTTP/2 (RFC 9113): streams that each post a body and do not end it. */
+/*
+ * HTTP/2 (RFC 9113): streams, from the one of this number on, that each post a body
+ * and do not end it.
+ */
 static GString *
-body_h2(void)
+body_streams(uint32_t first)
 {
 	enum { DATA = 0, HEADERS = 1, SETTINGS = 4, END_HEADERS = 4 };
 	static const char fields[] = "\x83\x86\x01\x09h.example\x04\x04/q/1";
@@ -225,14 +228,29 @@
 
 	h2_frame(s, SETTINGS, 0, 0, "", 0);
 	for (uint32_t i = 0; i < H2_STREAMS; i++) {
-		h2_frame(s, HEADERS, END_HEADERS, 2 * i + 1, fields,
-		    sizeof(fields) - 1);
+		uint32_t id = first + 2 * i;
+
+		h2_frame(
+		    s, HEADERS, END_HEADERS, id, fields, sizeof(fields) - 1);
 		for (int k = 0; k < H2_FRAMES; k++)
-			h2_frame(s, DATA, 0, 2 * i + 1, data, H2_FRAME_BYTES);
+			h2_frame(s, DATA, 0, id, data, H2_FRAME_BYTES);
 	}
 	return s;
 }
 
+static GString *
+body_h2(void)
+{
+	return body_streams(1);
+}
+
+/* Stream 1 is that of the request that asked for the upgrade. */
+static GString *
+body_h2_upgraded(void)
+{
+	return body_streams(3);
+}
+
 /* A frame of the entries' own connections that stops one byte short. */
 static GString *
 body_frame(void)
@@ -264,7 +282,7 @@
 	{ "pipelined", head_length, body_whole, 8 },
 	{ "unread", head_get, body_none, 2000, .unread = true },
 	{ "preface", head_none, body_h2, 1 },
-	{ "upgrade", head_upgrade, body_h2, 1 },
+	{ "upgrade", head_upgrade, body_h2_upgraded, 1 },
 	{ "idle", head_none, body_none, 1 },
 	{ "frames", head_none, body_frame, 1 },
 	{ "datagrams", head_none, body_datagrams, 200, DATAGRAM_BYTES,
