Entry: a call to a backend server says whether it waits, and for how long

act_send_request() left three fields of the call unset: whether it waits for a connection, how long a late answer is waited for, and how far apart parts of an answer may be. So a call could wait in turn, or for longer than its time, by what stood on the stack. No other use of backend_call_t does so.

--- a/cmd/entry.c
+++ b/cmd/entry.c
@@ -229,7 +229,7 @@
 act_send_request(entry_t *e, const ts_act_t *a)
 {
 	request_t *request = request_find(e, a->u.send.req);
-	backend_call_t call;
+	backend_call_t call = { 0 };
 
 	if (request == NULL)
 		return;
