--- a/trans/peer.c
+++ b/trans/peer.c
@@ -16,11 +16,13 @@
 #include "../proto/peer.pb-c.h"
 #include "tanagerspool.h"
 #include "../proto/proto.h"
+#include "budget.h"
 #include "trans.h"
 
 #define REDIAL_DELAY_MS	     200
 #define HANDSHAKE_TIMEOUT_MS 1500 /* to connect and authenticate */
 #define READ_BUF_BYTES	     (64 * 1024)
+#define HELLO_MAX_BYTES	     4096 /* more is not received before the proof */
 #define SEND_QUEUE_MAX_BYTES (32 * 1024 * 1024)
 #define BACKLOG		     128
 
@@ -55,14 +57,16 @@
 	int64_t incarnation;
 	uint8_t own_nonce[NONCE_BYTES];
 	uint8_t peer_nonce[NONCE_BYTES];
-	GByteArray *recv_buf; /* bytes received and not yet unpacked */
-	char read_buf[READ_BUF_BYTES];
+	GByteArray *recv_buf;	/* bytes received and not yet unpacked */
+	budget_holder_t holder; /* until the proof, if it was accepted */
 };
 
 struct peers {
 	peers_opts_t opts;
 	uv_tcp_t listener;
 	GHashTable *by_name; /* name -> peer_t */
+	/* Of all links: what is read is used at once. */
+	char read_buf[READ_BUF_BYTES];
 };
 
 /* A write in progress. */
@@ -129,6 +133,7 @@
 	if (l->closing)
 		return;
 	l->closing = true;
+	budget_leave(&l->holder);
 	l->open_handles = 2;
 	uv_close((uv_handle_t *)&l->tcp, on_link_closed);
 	uv_close((uv_handle_t *)&l->timer, on_link_closed);
@@ -206,6 +211,7 @@
 	peer_t *peer;
 
 	l->authenticated = true;
+	budget_leave(&l->holder);
 	uv_timer_stop(&l->timer);
 	if (l->dialled) {
 		peer = l->peer;
@@ -283,7 +289,7 @@
 	link_t *l = h->data;
 
 	(void)want;
-	*buf = uv_buf_init(l->read_buf, READ_BUF_BYTES);
+	*buf = uv_buf_init(l->peers->read_buf, READ_BUF_BYTES);
 }
 
 static void
@@ -304,6 +310,9 @@
 	}
 	if (err != NULL && !l->closing)
 		link_reject(l, err->message);
+	else if (!l->closing && !l->dialled && !l->authenticated &&
+	    l->recv_buf->len > HELLO_MAX_BYTES)
+		link_reject(l, "no hello at the beginning");
 }
 
 static void
@@ -359,16 +368,28 @@
 		link_end(l, TS_PEER_DOWN);
 }
 
+/* The account closes a link whose other end has not proved the key. */
+static void
+on_holder_close(budget_holder_t *h)
+{
+	link_end(
+	    (link_t *)((char *)h - offsetof(link_t, holder)), TS_PEER_DOWN);
+}
+
 static void
 on_accept(uv_stream_t *s, int status)
 {
 	peers_t *p = s->data;
+	bool admitted;
 	link_t *l;
 
 	if (status != 0)
 		return;
 	l = link_new(p, false);
-	if (uv_accept(s, (uv_stream_t *)&l->tcp) != 0) {
+	l->holder.close = on_holder_close;
+	admitted =
+	    p->opts.budget == NULL || budget_enter(p->opts.budget, &l->holder);
+	if (uv_accept(s, (uv_stream_t *)&l->tcp) != 0 || !admitted) {
 		link_close(l);
 		return;
 	}
