--- a/sched/nominate.c
+++ b/sched/nominate.c
@@ -106,27 +106,59 @@
 	return ok;
 }
 
+/* Whether a search in this round was in vain for a task that needs no more. */
+static bool
+is_in_vain(const sched_t *s, const step_t *st)
+{
+	const needs_t *n = &s->scan.unnominated;
+
+	return st->unnominated_round == s->scan.round ||
+	    (s->scan.unnominated_round == s->scan.round &&
+		n->service == st->occ->job->service &&
+		n->cpu_milli <= st->def->cpu_milli &&
+		n->mem_mb <= st->def->mem_mb && n->gpu <= st->def->gpu);
+}
+
+/* Notes that a search was in vain, also for other steps if only room was wanting. */
+static void
+note_in_vain(sched_t *s, step_t *st)
+{
+	const Sched__Step *d = st->def;
+
+	st->unnominated_round = s->scan.round;
+	if (st->occ->job->needs_approval || d->per_worker != 0 ||
+	    d->label[0] != '\0')
+		return;
+	s->scan.unnominated_round = s->scan.round;
+	s->scan.unnominated = (needs_t){ .service = st->occ->job->service,
+		.cpu_milli = d->cpu_milli,
+		.mem_mb = d->mem_mb,
+		.gpu = d->gpu };
+}
+
 /*
- * Nominates the worker on which a task will fit soonest.  False: the runs that never
- * end leave no room for it, or too many searches were made in this pass.
+ * Nominates the worker on which a task will fit soonest, unless the runs that never end
+ * leave no room for it anywhere, so that it is in nobody's way, or too many searches
+ * were made in this pass.
  */
-static bool
+static void
 nominate_soonest(sched_t *s, task_t *t)
 {
 	step_t *st = t->step;
 	worker_t *w;
 
-	if (st->unnominated_round == s->scan.round ||
-	    s->scan.nominate_searches >= SEARCHES_PER_PASS)
-		return false;
+	if (is_in_vain(s, st))
+		return;
+	if (s->scan.nominate_searches >= SEARCHES_PER_PASS) {
+		s->scan.unplaced_down += t->run == NULL;
+		return;
+	}
 	s->scan.nominate_searches++;
 	w = room_find_soonest(s, t);
-	if (w == NULL) {
-		st->unnominated_round = s->scan.round;
-		return false;
-	}
-	nominate(s, t, w);
-	return true;
+	if (w == NULL)
+		note_in_vain(s, st);
+	else
+		nominate(s, t, w);
 }
 
 /*
@@ -144,8 +176,8 @@
 		w = place_task(s, t->step, t);
 	if (w != NULL)
 		nominate_withdraw(s, t);
-	else if (t->nominated == NULL && !nominate_soonest(s, t))
-		s->scan.unplaced_down++;
+	else if (t->nominated == NULL)
+		nominate_soonest(s, t);
 	return w;
 }
 
@@ -160,14 +192,15 @@
 	task_t *t = r->task;
 	worker_t *w;
 
-	if (t->nominated != NULL)
-		return fits(s, t);
+	if (t->nominated != NULL && fits(s, t))
+		return true;
 	w = place_elsewhere(s, r);
 	if (w != NULL) {
+		nominate_withdraw(s, t);
 		nominate(s, t, w);
 		return true;
 	}
-	if (s->scan.unplaced_down == 0)
+	if (t->nominated == NULL && s->scan.unplaced_down == 0)
 		nominate_soonest(s, t);
 	return false;
 }
@@ -176,8 +209,13 @@
 static bool
 is_stale(const sched_t *s, const task_t *t)
 {
-	if (!cell_worker_usable(s, t->nominated) ||
-	    !quarantine_allows_start(s, t->nominated, t) || crash_is_suspect(t))
+	const worker_t *w = t->nominated;
+
+	if (!place_fits_empty(s, w, t->step) ||
+	    !approval_allows(s, t->step, w) ||
+	    !quarantine_allows_start(s, w, t) || crash_is_suspect(t))
+		return true;
+	if (t->run == NULL && !customer_allows_start(t->step))
 		return true;
 	return t->run != NULL && t->run->state != RUN_STOPPING &&
 	    !t->run->worker->draining;
@@ -216,63 +254,143 @@
 	return all;
 }
 
-/* Adds to amounts that are missing on a worker what a run holds of them (sign -1). */
+/* Amounts that are missing on a worker; at most 0: none. */
+typedef struct {
+	int64_t cpu_milli, mem_mb, gpu;
+} missing_t;
+
+static bool
+is_missing(const missing_t *m)
+{
+	return m->cpu_milli > 0 || m->mem_mb > 0 || m->gpu > 0;
+}
+
+/* Takes what a run holds from what is missing. */
 static void
-add_run(
-    const run_t *r, int sign, int64_t *cpu_milli, int64_t *mem_mb, int64_t *gpu)
+take_run(const run_t *r, missing_t *m)
 {
 	const Sched__Step *d = r->task->step->def;
 
-	*cpu_milli += d->filler ? 0 : sign * d->cpu_milli;
-	*mem_mb += sign * d->mem_mb;
-	*gpu += sign * d->gpu;
+	m->cpu_milli -= d->filler ? 0 : d->cpu_milli;
+	m->mem_mb -= d->mem_mb;
+	m->gpu -= d->gpu;
+}
+
+/*
+ * Whether a run leaves what it holds in time: it is stopped, or will be able to be, if it
+ * does not end.
+ */
+static bool
+gives_way(const run_t *r)
+{
+	return r->holds_resources &&
+	    (r->state == RUN_STOPPING ||
+		(room_ends_soon(r, true) && !r->task->step->def->gang));
 }
 
-/* Stops batch runs on a worker until what counts as used there has room. */
+/* Stops batch runs until nothing is missing on their worker. */
 static void
-preempt(sched_t *s, worker_t *w)
+preempt(sched_t *s, const worker_t *w, missing_t m)
 {
-	int64_t cpu_milli = w->used_cpu_milli - w->cpu_milli;
-	int64_t mem_mb = w->used_mem_mb - w->mem_mb;
-	int64_t gpu = w->used_gpu - w->gpu;
 	g_autoptr(GPtrArray) victims = find_victims(w);
 	const run_t *r;
 
 	FOREACH_VALUE (r, w->runs)
 		if (r->state == RUN_STOPPING && r->holds_resources)
-			add_run(r, -1, &cpu_milli, &mem_mb, &gpu);
+			take_run(r, &m);
 	for (guint i = 0; i < victims->len; i++) {
 		run_t *v = g_ptr_array_index(victims, i);
 		const Sched__Step *d = v->task->step->def;
 
-		if (!((cpu_milli > 0 && !d->filler && d->cpu_milli > 0) ||
-			(mem_mb > 0 && d->mem_mb > 0) ||
-			(gpu > 0 && d->gpu > 0)))
+		if (!((m.cpu_milli > 0 && !d->filler && d->cpu_milli > 0) ||
+			(m.mem_mb > 0 && d->mem_mb > 0) ||
+			(m.gpu > 0 && d->gpu > 0)))
 			continue;
-		add_run(v, -1, &cpu_milli, &mem_mb, &gpu);
+		take_run(v, &m);
 		run_stop(s, v, "makes room for a lasting task");
 	}
 }
 
-/* Whether a task has been down beside its nominated worker for long. */
+/*
+ * Stops batch runs on a worker, where more counts as used than it has.  False: the
+ * others leave too little room for it; then none is stopped.
+ */
+static bool
+make_room(sched_t *s, const worker_t *w, missing_t m)
+{
+	missing_t left = m;
+	const run_t *r;
+
+	FOREACH_VALUE (r, w->runs)
+		if (gives_way(r))
+			take_run(r, &left);
+	if (is_missing(&left))
+		return false;
+	preempt(s, w, m);
+	return true;
+}
+
+/* The last of the tasks with a worker nominated, those that run yet after the others. */
+static task_t *
+last_nominated(const sched_t *s, const worker_t *w)
+{
+	task_t *last = NULL;
+
+	for (guint i = 0; i < s->nominations->len; i++) {
+		task_t *t = g_ptr_array_index(s->nominations, i);
+
+		if (t->nominated == w &&
+		    (last == NULL || (t->run != NULL) > (last->run != NULL) ||
+			((t->run != NULL) == (last->run != NULL) &&
+			    t->nominated_ms >= last->nominated_ms)))
+			last = t;
+	}
+	return last;
+}
+
+/* Whether a task has been down beside its nominated worker for long, for want of room. */
 static bool
 waits_long(const sched_t *s, const task_t *t)
 {
-	return t->run == NULL &&
+	return t->run == NULL && t->not_before_ms <= s->now_ms &&
+	    ownership_may_start_tasks(s) &&
 	    s->now_ms - MAX(t->nominated_ms, t->down_since_ms) >=
 	    PREEMPT_AFTER_MS;
 }
 
+/*
+ * Makes room for a task that has been down beside its nominated worker for long.  If
+ * there can't be room for all tasks there, the last of them is withdrawn, so that the
+ * others do not wait for it; if room is not what the task waits for, its own is.
+ */
+static void
+unblock(sched_t *s, task_t *t)
+{
+	const worker_t *w = t->nominated;
+	missing_t m = { .cpu_milli = w->used_cpu_milli - w->cpu_milli,
+		.mem_mb = w->used_mem_mb - w->mem_mb,
+		.gpu = w->used_gpu - w->gpu };
+
+	if (!is_missing(&m))
+		nominate_withdraw(s, t);
+	else if (!make_room(s, w, m))
+		nominate_withdraw(s, last_nominated(s, w));
+}
+
 /* Looks after the nominations, once in a round. */
 void
 nominate_update(sched_t *s)
 {
 	for (guint i = s->nominations->len; i-- > 0;) {
-		task_t *t = g_ptr_array_index(s->nominations, i);
+		task_t *t;
 
+		/* Another one than the present was withdrawn. */
+		if (i >= s->nominations->len)
+			continue;
+		t = g_ptr_array_index(s->nominations, i);
 		if (is_stale(s, t))
 			nominate_withdraw(s, t);
 		else if (waits_long(s, t) && !fits(s, t))
-			preempt(s, t->nominated);
+			unblock(s, t);
 	}
 }
--- a/sched/start.c
+++ b/sched/start.c
@@ -16,7 +16,9 @@
 #include "customer.h"
 #include "internal.h"
 
-#define STARTS_PER_PASS 64 /* so that other events get a turn */
+/* So that other events get a turn; as many of lasting tasks that are down, which may
+ * fail again at once, and leave the others to other work. */
+#define STARTS_PER_PASS 64
 /* So many jobs at the head of the queue have their rows stored in advance. */
 #define STORED_AHEAD 32
 /* A pass ends after so many steps that were offered all workers in vain. */
@@ -99,6 +101,23 @@
 	return NULL;
 }
 
+/*
+ * Whether a task of a step is down that goes before those that had no run: not one that
+ * has to wait for something else than room.
+ */
+static bool
+has_down_to_start(const sched_t *s, const step_t *st)
+{
+	for (int32_t i = 0; st->ndown > 0 && i < st->ntasks; i++) {
+		const task_t *t = &st->tasks[i];
+
+		if (downtime_is_down(t) && t->not_before_ms <= s->now_ms &&
+		    !crash_is_suspect(t))
+			return true;
+	}
+	return false;
+}
+
 /*
  * Starts waiting tasks of a step while they fit, those of a gang all or none, and while
  * some of a lasting step are down only these; returns how many.
@@ -106,7 +125,7 @@
 static int32_t
 start_step(sched_t *s, step_t *st)
 {
-	bool only_down = st->ndown > 0;
+	bool only_down = has_down_to_start(s, st);
 	int32_t n = 0;
 
 	if (st->def->gang) {
@@ -140,7 +159,10 @@
 			continue;
 		if (w == NULL) {
 			room_keep(s, st);
-			break;
+			only_down = true;
+			if (st->ndown == 0)
+				break;
+			continue;
 		}
 		if (!run_start(s, t, w, start_run_number(s, t)))
 			continue;
@@ -216,7 +238,7 @@
 start_waiting_tasks(sched_t *s)
 {
 	GSequenceIter *i = g_sequence_get_begin_iter(s->ready_steps), *next;
-	int32_t started = 0, pos = 0, searches = 0;
+	int32_t started = 0, started_down = 0, pos = 0, searches = 0;
 
 	if (s->unseen_stale)
 		customer_count_unseen(s);
@@ -226,14 +248,17 @@
 		step_t *st = g_sequence_get(i);
 		bool searched = scan_has_searched(s, st);
 		bool was_down = st->ndown > 0;
+		int32_t n;
 
 		next = g_sequence_iter_next(i);
-		if (waits_for_quota(s, st)) {
+		if (waits_for_quota(s, st) ||
+		    (was_down && started_down >= STARTS_PER_PASS)) {
 			i = next;
 			continue;
 		}
-		if (scan_offers(s, st, pos))
-			started += offer_step(s, st, pos);
+		n = scan_offers(s, st, pos) ? offer_step(s, st, pos) : 0;
+		started_down += was_down ? n : 0;
+		started += was_down ? 0 : n;
 		searches +=
 		    st->ndown == 0 && !searched && scan_has_searched(s, st);
 		if (st->nwaiting == 0)
@@ -246,4 +271,5 @@
 	}
 	scan_end_pass(
 	    s, pos, started < STARTS_PER_PASS && searches < SEARCHES_PER_PASS);
+	s->start_pass_due |= started_down >= STARTS_PER_PASS;
 }
