--- a/sched/crash.c
+++ b/sched/crash.c
@@ -245,6 +245,9 @@
 	if (t == NULL || t->state == TASK_DONE || r->job->stage != JOB_OPEN)
 		return false;
 	c = t->crashes;
+	/* It was emptied, and has left by itself. */
+	if (r->worker->draining && (c == NULL || c->trial_run != r->number))
+		return false;
 	if (find_crash(t, r->number) >= 0 &&
 	    (c == NULL || c->trial_run != r->number))
 		return false;
--- a/test/unit/crash.c
+++ b/test/unit/crash.c
@@ -480,6 +480,36 @@
 	}
 }
 
+/*
+ * Guards against tasks that wait in quarantine (LOST) as their worker was emptied and has
+ * left, which ends the runs that are still there.
+ */
+Test(crash, a_worker_that_drained_and_left_makes_nobody_suspect)
+{
+	static const struct {
+		const char *what;
+		bool draining, suspect;
+	} cases[] = {
+		{ "it had to leave", true, false },
+		{ "it had not", false, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		worker_t *w;
+		task_t *t;
+		sched_t *s = owner_with_job(&w, &t, 100000);
+
+		run_for(s, w, t, false, 10);
+		w->draining = cases[i].draining;
+		w->missed_polls = 3;
+		w->listed = false;
+		crash_worker_lost(s, w);
+		cr_expect_eq(
+		    crash_is_suspect(t), cases[i].suspect, "%s", cases[i].what);
+		sched_free(s);
+	}
+}
+
 /*
  * Guards against lasting tasks that wait in quarantine (LOST): all workers of a data
  * centre crash at once, and others answer in their place one after the other.  Those
