--- a/sched/occurrence.c
+++ b/sched/occurrence.c
@@ -86,6 +86,21 @@
 	return o;
 }
 
+/* Workers that are kept or reserved for a step are not any more, as it is freed. */
+static void
+forget_step(sched_t *s, const step_t *st)
+{
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		worker_t *w = g_ptr_array_index(s->worker_list, i);
+
+		if (w->kept_for == st)
+			w->kept_for = NULL;
+		if (w->reserved_for >= st->tasks &&
+		    w->reserved_for < st->tasks + st->ntasks)
+			w->reserved_for = NULL;
+	}
+}
+
 /* Frees an occurrence with its steps and tasks; for the job's array. */
 static void
 occurrence_free(void *p)
@@ -102,6 +117,7 @@
 			crash_forget(&st->tasks[k]);
 			nominate_withdraw(o->job->sched, &st->tasks[k]);
 		}
+		forget_step(o->job->sched, st);
 		queue_remove_step(st);
 		approval_step_free(st);
 		g_free(st->gang_checkpoint);
