Drains: work in the way of a lasting run that has to leave is stopped, too

A run whose worker drains stayed there as long as short work filled the worker nominated for its task, went down with its worker, and to learn that takes as long as a lease, 4.3 s. Batch runs in the way are stopped after 1.5 s now, as for tasks that are down. Unit lasting/a_run_leaves_a_draining_worker_before_it_is_gone fails before.

--- a/sched/nominate.c
+++ b/sched/nominate.c
@@ -28,7 +28,7 @@
 #include "customer.h"
 #include "internal.h"
 
-/* Batch runs in the way of a task that is down are stopped after this time. */
+/* Batch runs in the way of a task are stopped after this time. */
 #define PREEMPT_AFTER_MS 1500
 /* Searches for the soonest worker in a pass, as each looks at all runs. */
 #define SEARCHES_PER_PASS 16
@@ -348,18 +348,20 @@
 	return last;
 }
 
-/* Whether a task has been down beside its nominated worker for long, for want of room. */
+/*
+ * Whether a task has waited for room on its nominated worker for long: it is down, or
+ * will be soon as its worker drains.
+ */
 static bool
 waits_long(const sched_t *s, const task_t *t)
 {
-	return t->run == NULL && t->not_before_ms <= s->now_ms &&
-	    ownership_may_start_tasks(s) &&
+	return t->not_before_ms <= s->now_ms && ownership_may_start_tasks(s) &&
 	    MAX(downtime_ms(s, t), s->now_ms - t->nominated_ms) >=
 	    PREEMPT_AFTER_MS;
 }
 
 /*
- * Makes room for a task that has been down beside its nominated worker for long.  If
+ * Makes room for a task that has waited for it on its nominated worker for long.  If
  * there can't be room for all tasks there, the last of them is withdrawn, so that the
  * others do not wait for it; if room is not what the task waits for, its own is.
  */
--- a/test/unit/lasting.c
+++ b/test/unit/lasting.c
@@ -417,3 +417,36 @@
 	    (int)(c.s->now_ms - silent_since_ms));
 	sched_free(c.s);
 }
+
+/*
+ * Guards against a task that goes down with the worker that it has to leave, as short work
+ * is in its way elsewhere: to learn that it is down takes as long as a lease.
+ */
+Test(lasting, a_run_leaves_a_draining_worker_before_it_is_gone)
+{
+	scene_t c = { .s = new_owner() };
+	Sched__Step d = step_def("", LASTING_MILLI, false, 0);
+	Sched__Step other = step_def("", WORKER_CPU_MILLI, false, 0);
+	worker_t *from = add_worker(c.s, "from"), *to = add_worker(c.s, "to");
+	step_t *st;
+
+	set_time(c.s, 100000);
+	d.lasting = true;
+	st = add_step(&c, &d);
+	add_running(c.s, st, 0, from)->first_seen_ms = 1;
+	other.estimate_ms = WATCHED_MS;
+	/* As end_runs() goes by. */
+	add_running(c.s, add_step(&c, &other), 0, to)->state_since_ms +=
+	    WATCHED_MS;
+	from->draining = true;
+	for (int64_t ms = 0; ms < LEAVES_MS; ms += ROUND_MS) {
+		straggler_report(c.s, from);
+		scan_begin_round(c.s);
+		start_waiting_tasks(c.s);
+		set_time(c.s, c.s->now_ms + ROUND_MS);
+		end_runs(&c);
+	}
+	cr_assert_not_null(st->tasks[0].run);
+	cr_expect_eq(st->tasks[0].run->worker, to);
+	sched_free(c.s);
+}
