--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,7 @@
 HANDOVER_SEEDS = 2000
 WEAK_SEEDS = 800
 OVERLOAD_SEEDS = 96
+LASTING_SEEDS = 96
 PKGS = glib-2.0 libuv libh2o libprotobuf-c log4c jansson libcurl openssl
 DEBS = gcc make pkg-config clang clang-format clang-tidy cppcheck curl man-db \
 	libuv1-dev libh2o-dev libprotobuf-c-dev liblog4c-dev libcriterion-dev \
@@ -91,6 +92,7 @@
 	sh test/cells.sh $(B) $(HANDOVER_SEEDS) -handover
 	sh test/cells.sh $(B) $(WEAK_SEEDS) -weak
 	sh test/cells.sh $(B) $(OVERLOAD_SEEDS) -overload
+	sh test/cells.sh $(B) $(LASTING_SEEDS) -lasting
 model: $(B)/model
 	sh test/model.sh $(B)
 scenarios: $(B)/scenarios
