Quotas: what a nominated task needs is left to it as well

A nomination counts at its worker, not in its customer's quota, so that other work could take the quota before the task started. Unit nominate/the_quota_is_left_to_the_task fails before.

--- a/sched/customer.c
+++ b/sched/customer.c
@@ -170,9 +170,7 @@
 	for (int32_t i = 0; i < st->ntasks; i++) {
 		ts_res_t sum = c->down;
 
-		/* A nominated one counts as used. */
-		if (!downtime_is_down(&st->tasks[i]) ||
-		    st->tasks[i].nominated != NULL)
+		if (!downtime_is_down(&st->tasks[i]))
 			continue;
 		ts_res_add_times(&sum, &one, 1);
 		if (!ts_quota_fits(&q, &sum))
--- a/sched/queue.c
+++ b/sched/queue.c
@@ -29,11 +29,11 @@
 
 /*
  * Main sort key, lower first: lasting tasks that are down; short work, neither
- * lasting nor filler, that can meet its target; such work of jobs that are late, but still count and need only
- * the rest of their work; lasting tasks, which keep their resources for good;
- * filler work that can meet its target; work that could, but is deferred for the
- * sake of others (overload_queue.c); other late work; and work that is too late
- * even to count as late, of which starved jobs go first.
+ * lasting nor filler, that can meet its target; such work of jobs that are late, but
+ * still count and need only the rest of their work; lasting tasks, which keep their
+ * resources for good; filler work that can meet its target; work that could, but is
+ * deferred for the sake of others (overload_queue.c); other late work; and work that
+ * is too late even to count as late, of which starved jobs go first.
  */
 static int
 tier(const step_t *st)
--- a/test/unit/nominate.c
+++ b/test/unit/nominate.c
@@ -801,3 +801,39 @@
 		sched_free(s);
 	}
 }
+
+/*
+ * Guards against a task that is down and can't start once there is room on its nominated
+ * worker, as its customer's quota has gone to other work.
+ */
+Test(nominate, the_quota_is_left_to_the_task)
+{
+	static const bool nominated[] = { false, true };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(nominated); i++) {
+		sched_t *s = new_scene();
+		worker_t *full = new_worker(s, "full");
+		customer_t *c = customer_get(s, "c");
+		step_t *st = add_lasting(s, 1, LASTING_MILLI), *other;
+		Sched__Step d = step_def("", LASTING_MILLI, false, 0);
+		run_t *r;
+
+		c->quota.limit.cpu_milli = LASTING_MILLI;
+		c->quota.limit.mem_bytes = 1000 * 1024 * 1024 * 1024LL;
+		st->occ->job->customer = c;
+		r = run_lasting(s, st, 0, full);
+		run_short(s, full, 54000, 60000, false);
+		run_remove(s, r);
+		run_short(s, full, LASTING_MILLI, 60000, false);
+		if (nominated[i])
+			nominate(s, &st->tasks[0], full);
+		other = add_step(s, &d);
+		other->occ->job->customer = c;
+		queue_add_step(s, other);
+		new_worker(s, "free")->service = g_intern_string("t");
+		other->occ->job->service = g_intern_string("t");
+		go_on(s, ROUND_MS);
+		cr_expect_eq(other->nwaiting, 1, "nominated: %d", nominated[i]);
+		sched_free(s);
+	}
+}
