--- a/test/unit/lasting.c
+++ b/test/unit/lasting.c
@@ -52,15 +52,6 @@
 	int64_t since_ms[WORKERS * PER_WORKER];
 } scene_t;
 
-/* The owner's claim and its tables are fresh. */
-static void
-set_time(sched_t *s, int64_t now_ms)
-{
-	s->now_ms = s->wall_ms = s->cell.confirmed_ms = now_ms;
-	for (int i = 0; i < SCHED_NFEEDS; i++)
-		s->feed_read_ms[i] = now_ms;
-}
-
 static worker_t *
 worker(const scene_t *c, guint i)
 {
@@ -202,7 +193,7 @@
 {
 	sched_t *s = c->s;
 
-	set_time(s, s->now_ms + STEP_MS);
+	set_fresh_time(s, s->now_ms + STEP_MS);
 	end_runs(c);
 	add_short(c);
 	for (guint i = 0; i < WORKERS; i++)
@@ -221,7 +212,7 @@
 {
 	scene_t c = { .s = new_owner(), .lasting = g_ptr_array_new() };
 
-	set_time(c.s, 100000);
+	set_fresh_time(c.s, 100000);
 	for (int i = 0; i < WORKERS; i++) {
 		g_autofree char *id = g_strdup_printf("w%02d", i);
 
@@ -308,7 +299,7 @@
 		step_t *st;
 		run_t *r;
 
-		set_time(c.s, 100000);
+		set_fresh_time(c.s, 100000);
 		d.lasting = true;
 		st = add_step(&c, &d);
 		r = add_running(c.s, st, 0, from);
@@ -359,7 +350,7 @@
 		Sched__Step other = step_def("", LASTING_MILLI, false, 0);
 		step_t *lasting, *late;
 
-		set_time(c.s, 100000);
+		set_fresh_time(c.s, 100000);
 		add_worker(c.s, "w")->used_cpu_milli =
 		    WORKER_CPU_MILLI - LASTING_MILLI;
 		d.lasting = true;
@@ -395,7 +386,7 @@
 	int64_t silent_since_ms = 100000;
 	step_t *st;
 
-	set_time(c.s, silent_since_ms + SILENT_MS);
+	set_fresh_time(c.s, silent_since_ms + SILENT_MS);
 	lost->answered_ms = silent_since_ms;
 	d.lasting = true;
 	st = add_step(&c, &d);
@@ -410,7 +401,7 @@
 	    c.s->now_ms < silent_since_ms + WATCHED_MS) {
 		scan_begin_round(c.s);
 		start_waiting_tasks(c.s);
-		set_time(c.s, c.s->now_ms + ROUND_MS);
+		set_fresh_time(c.s, c.s->now_ms + ROUND_MS);
 		end_runs(&c);
 	}
 	cr_expect_lt(c.s->now_ms - silent_since_ms, DOWN_MAX_MS, "%d ms",
@@ -430,7 +421,7 @@
 	worker_t *from = add_worker(c.s, "from"), *to = add_worker(c.s, "to");
 	step_t *st;
 
-	set_time(c.s, 100000);
+	set_fresh_time(c.s, 100000);
 	d.lasting = true;
 	st = add_step(&c, &d);
 	add_running(c.s, st, 0, from)->first_seen_ms = 1;
@@ -443,7 +434,7 @@
 		straggler_report(c.s, from);
 		scan_begin_round(c.s);
 		start_waiting_tasks(c.s);
-		set_time(c.s, c.s->now_ms + ROUND_MS);
+		set_fresh_time(c.s, c.s->now_ms + ROUND_MS);
 		end_runs(&c);
 	}
 	cr_assert_not_null(st->tasks[0].run);
--- a/test/unit/lasting_held.c
+++ b/test/unit/lasting_held.c
@@ -88,15 +88,6 @@
 	return g_ptr_array_index(c->s->worker_list, i);
 }
 
-/* The owner's claim and its tables are fresh. */
-static void
-set_time(sched_t *s, int64_t now_ms)
-{
-	s->now_ms = s->wall_ms = s->cell.confirmed_ms = now_ms;
-	for (int i = 0; i < SCHED_NFEEDS; i++)
-		s->feed_read_ms[i] = now_ms;
-}
-
 static step_t *
 add_step(scene_t *c, const Sched__Step *d)
 {
@@ -304,7 +295,7 @@
 {
 	sched_t *s = c->s;
 
-	set_time(s, s->now_ms + STEP_MS);
+	set_fresh_time(s, s->now_ms + STEP_MS);
 	answer_all(c);
 	add_short(c);
 	if (s->now_ms % STORE_MS == 0)
@@ -350,7 +341,7 @@
 
 		add_worker(c->s, id);
 	}
-	set_time(c->s, BEGIN_MS);
+	set_fresh_time(c->s, BEGIN_MS);
 	if (o->quota_milli != 0)
 		sched_set_customers(c->s, &q, 1, c->s->now_ms);
 	add_lasting(c);
@@ -619,7 +610,7 @@
 
 		from = add_worker(c.s, "from");
 		to = add_worker(c.s, "to");
-		set_time(c.s, BEGIN_MS);
+		set_fresh_time(c.s, BEGIN_MS);
 		d.lasting = in_way.lasting = true;
 		in_way.cpu_milli = WORKER_CPU_MILLI - LASTING_MILLI - 1000;
 		st = add_step(&c, &d);
--- a/test/unit/nominate.c
+++ b/test/unit/nominate.c
@@ -27,21 +27,12 @@
 /* The users call a lasting task lost that is down for so long beside room for it. */
 #define DOWN_MAX_MS 6000
 
-/* The owner's claim and its tables are fresh. */
-static void
-set_time(sched_t *s, int64_t now_ms)
-{
-	s->now_ms = s->wall_ms = s->cell.confirmed_ms = now_ms;
-	for (int i = 0; i < SCHED_NFEEDS; i++)
-		s->feed_read_ms[i] = now_ms;
-}
-
 static sched_t *
 new_scene(void)
 {
 	sched_t *s = new_owner();
 
-	set_time(s, 100000);
+	set_fresh_time(s, 100000);
 	return s;
 }
 
@@ -52,7 +43,7 @@
 	int64_t now_ms = s->now_ms;
 	worker_t *w = add_worker(s, id);
 
-	set_time(s, now_ms);
+	set_fresh_time(s, now_ms);
 	return w;
 }
 
@@ -119,7 +110,7 @@
 static void
 go_on(sched_t *s, int64_t ms)
 {
-	set_time(s, s->now_ms + ms);
+	set_fresh_time(s, s->now_ms + ms);
 	end_stopped(s);
 	scan_begin_round(s);
 	start_waiting_tasks(s);
@@ -357,7 +348,8 @@
 	else if (n < 70)
 		lose_cell(s, g);
 	else {
-		set_time(s, s->now_ms + ROUND_MS * g_rand_int_range(g, 0, 4));
+		set_fresh_time(
+		    s, s->now_ms + ROUND_MS * g_rand_int_range(g, 0, 4));
 		/* Ends of jobs are stored. */
 		FOREACH_VALUE (j, s->jobs)
 			if (j->stage == JOB_ENDING)
@@ -600,7 +592,7 @@
 		    cases[i].quota_used_milli;
 		st->tasks[0].not_before_ms = s->now_ms + cases[i].delay_ms;
 		for (int k = 0; k < 10; k++) {
-			set_time(s, s->now_ms + ROUND_MS);
+			set_fresh_time(s, s->now_ms + ROUND_MS);
 			s->cell.confirmed_ms -= cases[i].claim_age_ms;
 			scan_begin_round(s);
 		}
@@ -789,7 +781,7 @@
 		shorts = add_step(s, &d);
 		queue_add_step(s, shorts);
 		while (s->now_ms < end_ms && shorts->ndone == 0) {
-			set_time(s, s->now_ms + PASS_MS);
+			set_fresh_time(s, s->now_ms + PASS_MS);
 			end_stopped(s);
 			fail_lasting(s);
 			if (s->now_ms % ROUND_MS == 0)
--- a/test/unit/sched_fixture.c
+++ b/test/unit/sched_fixture.c
@@ -60,6 +60,14 @@
 	return s;
 }
 
+void
+set_fresh_time(sched_t *s, int64_t now_ms)
+{
+	s->now_ms = s->wall_ms = s->cell.confirmed_ms = now_ms;
+	for (int i = 0; i < SCHED_NFEEDS; i++)
+		s->feed_read_ms[i] = now_ms;
+}
+
 Sched__Job
 job_def(Sched__Step **steps, size_t nsteps, int64_t accepted_ms)
 {
--- a/test/unit/sched_fixture.h
+++ b/test/unit/sched_fixture.h
@@ -15,6 +15,8 @@
 sched_t *new_sched(void);
 /* A scheduler that owns the cell and ignores what it orders. */
 sched_t *new_owner(void);
+/* It is that time, at which the owner's claim and its tables are fresh. */
+void set_fresh_time(sched_t *s, int64_t now_ms);
 /* A job of queue "q" and service "s" without a customer. */
 Sched__Job job_def(Sched__Step **steps, size_t nsteps, int64_t accepted_ms);
 /* Adds a job whose progress row is in the store. */
