--- a/sched/customer.c
+++ b/sched/customer.c
@@ -25,6 +25,7 @@
 #include "types.h"
 #include "customer.h"
 #include "internal.h"
+#include "down.h"
 
 #define WEIGHT_UNKNOWN 1.0 /* of a customer without settings */
 /* Counted of one run: the sum of 200,000 of them fits into an int32_t. */
--- a/sched/downtime.c
+++ b/sched/downtime.c
@@ -16,6 +16,7 @@
 #include "types.h"
 #include "customer.h"
 #include "internal.h"
+#include "down.h"
 
 /*
  * A run is about to be removed as its worker is lost: its task may have been down since the
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -13,7 +13,8 @@
  * - place.c, scan.c, approval.c: choice of a worker for a task;
  * - room.c: room that is kept for large tasks; reservation.c: room and quota that
  *   are reserved for the work that has been passed over longest;
- * - nominate.c: workers for lasting tasks that are down or have to move;
+ * - nominate.c, downtime.c (down.h): workers for lasting tasks that are down or have
+ *   to move, and how long they are down;
  * - start.c, run.c: starting and stopping runs of tasks;
  * - poll.c, report.c: polling workers and processing their reports;
  * - headroom.c, interference.c: how much filler tasks slow down serving tasks;
@@ -31,7 +32,7 @@
  * - flush.c, interference_row.c, purge.c: rows written to and removed from the
  *   store;
  * - stats.c: counters and the periodic load event;
- * - wait_reason.c: why waiting tasks wait; downtime.c: how long lasting ones are down.
+ * - wait_reason.c: why waiting tasks wait.
  *
  * Terms: a serving task answers requests and has a target for its tail
  * latency.  A filler task is batch work that uses the processor time which
@@ -249,32 +250,6 @@
 void place_count_refusals(
     const sched_t *s, const step_t *st, const task_t *t, int32_t *counts);
 
-/* nominate.c */
-void nominate(sched_t *s, task_t *t, worker_t *w);
-void nominate_withdraw(sched_t *s, task_t *t);
-void nominate_forget(sched_t *s);
-int32_t nominate_count(const worker_t *w, const step_t *st);
-worker_t *nominate_place(sched_t *s, task_t *t);
-bool nominate_elsewhere(sched_t *s, const run_t *r);
-void nominate_update(sched_t *s);
-
-/* downtime.c */
-/* Lasting tasks that had a run and wait for the next one. */
-typedef struct {
-	int64_t tasks, longest_ms;
-} downtime_t;
-
-void downtime_taken_over(sched_t *s);
-void downtime_run_lost(const sched_t *s, const run_t *r);
-void downtime_run_removed(const sched_t *s, const run_t *r);
-bool downtime_is_down(const task_t *t);
-void downtime_run_up(sched_t *s, const run_t *r);
-/* How long a waiting task is down; 0: it has had no run. */
-int64_t downtime_ms(const sched_t *s, const task_t *t);
-/* The task of a step that is down longest; NULL: none is. */
-const task_t *downtime_longest(const step_t *st);
-void downtime_count(const sched_t *s, const step_t *st, downtime_t *d);
-
 /* wait_reason.c */
 void wait_reason_note(const sched_t *s, step_t *st, sched_wait_reason_t why);
 sched_wait_reason_t wait_reason_of(const sched_t *s, const step_t *st);
--- a/sched/nominate.c
+++ b/sched/nominate.c
@@ -27,6 +27,7 @@
 #include "types.h"
 #include "customer.h"
 #include "internal.h"
+#include "down.h"
 
 /* Batch runs in the way of a task are stopped after this time. */
 #define PREEMPT_AFTER_MS 1500
--- a/sched/occurrence.c
+++ b/sched/occurrence.c
@@ -24,6 +24,7 @@
 #include "customer.h"
 #include "number_set.h"
 #include "internal.h"
+#include "down.h"
 
 /* Of the progress row of a job: what its open occurrences may take at most.  The
  * rest is for checkpoints and histories of tasks. */
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -27,6 +27,7 @@
 #include "types.h"
 #include "customer.h"
 #include "internal.h"
+#include "down.h"
 
 #define SILENT_MS    1200 /* three renewals missed: owner counts as failed */
 #define SUSPECT_MS   700  /* one renewal missed, and a read of the row */
--- a/sched/place.c
+++ b/sched/place.c
@@ -17,6 +17,7 @@
 #include "types.h"
 #include "customer.h"
 #include "internal.h"
+#include "down.h"
 
 /*
  * Serving tasks use at most this share of the processor time reserved for them;
--- a/sched/quarantine.c
+++ b/sched/quarantine.c
@@ -28,6 +28,7 @@
 #include "types.h"
 #include "customer.h"
 #include "internal.h"
+#include "down.h"
 
 #define RESERVED_MS 3000 /* a worker, while its newest runs grow old enough */
 #define ANSWERED_MS 250	 /* oldest last answer of the worker at the start */
--- a/sched/report.c
+++ b/sched/report.c
@@ -17,6 +17,7 @@
 #include "types.h"
 #include "customer.h"
 #include "internal.h"
+#include "down.h"
 
 #define RETRY_DELAY_MIN_MS 100 /* after a failed run; doubled each time */
 #define RETRY_DELAY_MAX_MS 800
--- a/sched/reservation.c
+++ b/sched/reservation.c
@@ -33,6 +33,7 @@
 #include "types.h"
 #include "customer.h"
 #include "internal.h"
+#include "down.h"
 
 /* A step that has waited for so long has been passed over. */
 #define PASSED_OVER_MS 10000
--- a/sched/run.c
+++ b/sched/run.c
@@ -23,6 +23,7 @@
 #include "types.h"
 #include "customer.h"
 #include "internal.h"
+#include "down.h"
 
 #define STOP_RETRY_MS 500 /* between stop orders for a run */
 #define PACE_RETRY_MS 500 /* after a pace order that may not have had effect */
--- a/sched/scan.c
+++ b/sched/scan.c
@@ -26,6 +26,7 @@
 #include "types.h"
 #include "customer.h"
 #include "internal.h"
+#include "down.h"
 
 #define HEAD_STEPS 200 /* of the queue */
 /* Looks for the other steps, so that a round is over before the next is due. */
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -18,6 +18,7 @@
 #include "types.h"
 #include "customer.h"
 #include "internal.h"
+#include "down.h"
 
 #define UPDATE_MS    250 /* between updates of the queue order and the models */
 #define STATS_LOG_MS 1000 /* between load events */
--- a/sched/serving_move.c
+++ b/sched/serving_move.c
@@ -25,6 +25,7 @@
 #include "types.h"
 #include "customer.h"
 #include "internal.h"
+#include "down.h"
 #include "regroup.h"
 
 #define WANTED_TIME_MS 2000 /* time constant of the mean of wanted_fillers */
--- a/sched/start.c
+++ b/sched/start.c
@@ -15,6 +15,7 @@
 #include "types.h"
 #include "customer.h"
 #include "internal.h"
+#include "down.h"
 
 /* So that other events get a turn; as many of lasting tasks that are down, which may
  * fail again at once, and leave the others to other work. */
--- a/sched/stats.c
+++ b/sched/stats.c
@@ -17,6 +17,7 @@
 #include "types.h"
 #include "customer.h"
 #include "internal.h"
+#include "down.h"
 
 /* Older numbers of waiting jobs are not given. */
 #define WAITING_LIMIT_MS 3500
--- a/sched/straggler.c
+++ b/sched/straggler.c
@@ -19,6 +19,7 @@
 #include "types.h"
 #include "customer.h"
 #include "internal.h"
+#include "down.h"
 
 #define STARTUP_MS 300 /* approximate time until a task makes progress */
 /* Until more is known a worker counts as having made this at full speed. */
--- a/sched/wait_reason.c
+++ b/sched/wait_reason.c
@@ -23,6 +23,7 @@
 #include "types.h"
 #include "customer.h"
 #include "internal.h"
+#include "down.h"
 
 /* A noted reason is not used for longer: several rounds of scan.c. */
 #define NOTED_MS 2000
--- a/test/unit/nominate.c
+++ b/test/unit/nominate.c
@@ -19,6 +19,7 @@
 #include "../../sched/types.h"
 #include "../../sched/customer.h"
 #include "../../sched/internal.h"
+#include "../../sched/down.h"
 #include "sched_fixture.h"
 
 #define LASTING_MILLI 10000 /* of the 64000 of a worker */
--- a/test/unit/wait_reason.c
+++ b/test/unit/wait_reason.c
@@ -18,6 +18,7 @@
 #include "../../sched/types.h"
 #include "../../sched/customer.h"
 #include "../../sched/internal.h"
+#include "../../sched/down.h"
 #include "sched_fixture.h"
 
 #define NOW_MS	    100000
