Unit nominate: what is drawn for a step does not depend on the order of evaluation

Two numbers were drawn among the arguments of one call, whose order C leaves open: the compiler takes the last first here, the first first on arm64, so that the sequences differ. Each is drawn in a statement of its own now, in the order of arm64; the check is as it was.

--- a/test/unit/nominate.c
+++ b/test/unit/nominate.c
@@ -237,8 +237,10 @@
 {
 	while (g_hash_table_size(s->jobs) < STEPS) {
 		bool lasting = g_rand_int_range(g, 0, 3) > 0;
-		Sched__Step d = step_def("", 1000 * g_rand_int_range(g, 1, 30),
-		    false, lasting ? g_rand_int_range(g, 0, 2) * 50 : 0);
+		int64_t cpu_milli = 1000 * g_rand_int_range(g, 1, 30);
+		int32_t target_ms =
+		    lasting ? g_rand_int_range(g, 0, 2) * 50 : 0;
+		Sched__Step d = step_def("", cpu_milli, false, target_ms);
 
 		d.lasting = lasting;
 		d.count = g_rand_int_range(g, 1, WIDTH);
