--- a/sched/internal.h
+++ b/sched/internal.h
@@ -370,6 +370,9 @@
 void stats_count_waiting_jobs(sched_t *s);
 void stats_log(sched_t *s);
 
+/* room_use.c */
+void room_use_log(sched_t *s);
+
 /* interference_row.c */
 GByteArray *interference_row_pack(sched_t *s);
 void interference_row_read(sched_t *s, const sched_row_t *row);
--- a/sched/stats.c
+++ b/sched/stats.c
@@ -104,6 +104,7 @@
 	    s->cell.workers_accounted, (int)c.quota_blocked, s->scan.round,
 	    s->scan.pass, s->scan.resume_at, c.down.tasks, c.down.longest_ms,
 	    reasons);
+	room_use_log(s);
 	wait_reason_log(s);
 	customer_log_held(s);
 }
