--- a/test/unit/backend.c
+++ b/test/unit/backend.c
@@ -222,6 +222,41 @@
 	f->port = ntohs(a.sin_port);
 }
 
+/* A call of the server, over so many connections at most. */
+static backend_call_t
+new_call(int max_conns)
+{
+	return (backend_call_t){ .ip = "127.0.0.1",
+		.max_conns = max_conns,
+		.method = "GET",
+		.path = "/",
+		.headers = "",
+		.timeout_ms = TIMEOUT_MS };
+}
+
+/* Sends a call so many times, under the numbers from 1 on. */
+static void
+send_calls(fixture_t *f, const backend_call_t *call, int n)
+{
+	for (int k = 1; k <= n; k++)
+		backends_send(f->backends, (uint64_t)k, 1, call);
+}
+
+static void
+run_until_ended(fixture_t *f, int calls)
+{
+	while (f->ended < calls)
+		uv_run(&f->loop, UV_RUN_ONCE);
+}
+
+static void
+close_all(fixture_t *f)
+{
+	backends_close_idle(f->backends);
+	uv_close((uv_handle_t *)&f->listener, NULL);
+	uv_run(&f->loop, UV_RUN_NOWAIT);
+}
+
 Test(backend, answers)
 {
 	fixture_t f = { 0 };
@@ -306,20 +341,13 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(list); i++) {
 		fixture_t f = { .server_case = &cases[list[i].server_case] };
-		backend_call_t call = { .ip = "127.0.0.1",
-			.max_conns = 2,
-			.method = "GET",
-			.path = "/",
-			.headers = "",
-			.timeout_ms = TIMEOUT_MS,
-			.waits = list[i].waits };
+		backend_call_t call = new_call(2);
 
 		fixture_init(&f);
 		call.port = f.port;
-		for (uint64_t k = 1; k <= 5; k++)
-			backends_send(f.backends, k, 1, &call);
-		while (f.ended < 5)
-			uv_run(&f.loop, UV_RUN_ONCE);
+		call.waits = list[i].waits;
+		send_calls(&f, &call, 5);
+		run_until_ended(&f, 5);
 		uv_run(&f.loop, UV_RUN_NOWAIT);
 		cr_expect_eq(f.outcomes[TS_OUTCOME_ANSWERED], list[i].answered,
 		    "%s", list[i].name);
@@ -330,9 +358,7 @@
 		cr_expect_eq(f.ended, 5, "%s", list[i].name);
 		cr_expect_eq(f.accepted, list[i].conns, "%s: %d connections",
 		    list[i].name, f.accepted);
-		backends_close_idle(f.backends);
-		uv_close((uv_handle_t *)&f.listener, NULL);
-		uv_run(&f.loop, UV_RUN_NOWAIT);
+		close_all(&f);
 	}
 }
 
@@ -354,19 +380,12 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(list); i++) {
 		fixture_t f = { .server_case = &cases[0] };
-		backend_call_t call = { .ip = "127.0.0.1",
-			.max_conns = 5,
-			.method = "GET",
-			.path = "/",
-			.headers = "",
-			.timeout_ms = TIMEOUT_MS };
+		backend_call_t call = new_call(5);
 
 		fixture_init(&f);
 		call.port = f.port;
-		for (uint64_t k = 1; k <= 5; k++)
-			backends_send(f.backends, k, 1, &call);
-		while (f.ended < 5)
-			uv_run(&f.loop, UV_RUN_ONCE);
+		send_calls(&f, &call, 5);
+		run_until_ended(&f, 5);
 		/* A later call than those that were answered. */
 		g_usleep(5000);
 		uv_update_time(&f.loop);
@@ -378,9 +397,7 @@
 		    f.outcomes[TS_OUTCOME_UNKNOWN]);
 		cr_expect_eq(f.accepted, list[i].accepted, "%s: %d connections",
 		    list[i].name, f.accepted);
-		backends_close_idle(f.backends);
-		uv_close((uv_handle_t *)&f.listener, NULL);
-		uv_run(&f.loop, UV_RUN_NOWAIT);
+		close_all(&f);
 	}
 }
 
@@ -388,12 +405,7 @@
 Test(backend, a_connection_that_works_is_kept)
 {
 	fixture_t f = { .server_case = &cases[0], .silent = 1 };
-	backend_call_t call = { .ip = "127.0.0.1",
-		.max_conns = 2,
-		.method = "GET",
-		.path = "/",
-		.headers = "",
-		.timeout_ms = TIMEOUT_MS };
+	backend_call_t call = new_call(2);
 
 	fixture_init(&f);
 	call.port = f.port;
@@ -402,38 +414,28 @@
 		uv_run(&f.loop, UV_RUN_ONCE);
 	g_usleep(5000);
 	backends_send(f.backends, 2, 1, &call);
-	while (f.ended < 2)
-		uv_run(&f.loop, UV_RUN_ONCE);
+	run_until_ended(&f, 2);
 	cr_expect_eq(f.outcomes[TS_OUTCOME_UNKNOWN], 1);
 	call_server(&f);
 	cr_expect_eq(f.outcome, TS_OUTCOME_ANSWERED);
 	cr_expect_eq(f.accepted, 2, "%d connections", f.accepted);
-	backends_close_idle(f.backends);
-	uv_close((uv_handle_t *)&f.listener, NULL);
-	uv_run(&f.loop, UV_RUN_NOWAIT);
+	close_all(&f);
 }
 
 /* Calls with a higher limit do not wait behind those with a lower one. */
 Test(backend, a_connection_in_reserve)
 {
 	fixture_t f = { .server_case = &cases[0] };
-	backend_call_t call = { .ip = "127.0.0.1",
-		.max_conns = 2,
-		.method = "GET",
-		.path = "/",
-		.headers = "",
-		.timeout_ms = TIMEOUT_MS,
-		.waits = true };
+	backend_call_t call = new_call(2);
 
 	fixture_init(&f);
 	call.port = f.port;
-	for (uint64_t k = 1; k <= 4; k++)
-		backends_send(f.backends, k, 1, &call);
+	call.waits = true;
+	send_calls(&f, &call, 4);
 	call.max_conns = 3;
 	call.waits = false;
 	backends_send(f.backends, 5, 1, &call);
-	while (f.ended < 5)
-		uv_run(&f.loop, UV_RUN_ONCE);
+	run_until_ended(&f, 5);
 	cr_expect_eq(f.outcomes[TS_OUTCOME_ANSWERED], 5);
 	cr_expect_eq(f.accepted, 3);
 }
@@ -464,20 +466,13 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(list); i++) {
 		fixture_t f = { .server_case = &cases[13] };
-		backend_call_t call = { .ip = "127.0.0.1",
-			.max_conns = 8,
-			.method = "GET",
-			.path = "/",
-			.headers = "",
-			.timeout_ms = TIMEOUT_MS,
-			.late_ms = 2 * TIMEOUT_MS };
+		backend_call_t call = new_call(8);
 
 		fixture_init(&f);
 		call.port = f.port;
-		for (int k = 1; k <= list[i].calls; k++)
-			backends_send(f.backends, (uint64_t)k, 1, &call);
-		while (f.ended < list[i].calls)
-			uv_run(&f.loop, UV_RUN_ONCE);
+		call.late_ms = 2 * TIMEOUT_MS;
+		send_calls(&f, &call, list[i].calls);
+		run_until_ended(&f, list[i].calls);
 		cr_expect_eq(
 		    f.open, list[i].open, "%s: %d open", list[i].name, f.open);
 		if (list[i].answered) {
@@ -486,8 +481,7 @@
 
 			uv_try_write(f.last, &out, 1);
 		}
-		while (f.ended < list[i].ended)
-			uv_run(&f.loop, UV_RUN_ONCE);
+		run_until_ended(&f, list[i].ended);
 		cr_expect_eq(f.outcomes[TS_OUTCOME_UNKNOWN], list[i].unknown,
 		    "%s", list[i].name);
 		cr_expect_eq(f.outcomes[TS_OUTCOME_ANSWERED], list[i].answers,
@@ -509,13 +503,7 @@
 Test(backend, no_waiting_call_is_sent_after_its_time)
 {
 	fixture_t f = { 0 };
-	backend_call_t call = { .ip = "127.0.0.1",
-		.max_conns = 1,
-		.method = "GET",
-		.path = "/",
-		.headers = "",
-		.timeout_ms = LONG_TIMEOUT_MS,
-		.waits = true };
+	backend_call_t call = new_call(1);
 	const server_case_t pause = { "before a pause of this process",
 		OK "Content-Length: 5\r\n\r\nhello", false, 1,
 		TS_OUTCOME_ANSWERED, "hello", true, 0, LONG_TIMEOUT_MS * 2 };
@@ -523,10 +511,10 @@
 	f.server_case = &pause;
 	fixture_init(&f);
 	call.port = f.port;
-	for (uint64_t k = 1; k <= 2; k++)
-		backends_send(f.backends, k, 1, &call);
-	while (f.ended < 2)
-		uv_run(&f.loop, UV_RUN_ONCE);
+	call.timeout_ms = LONG_TIMEOUT_MS;
+	call.waits = true;
+	send_calls(&f, &call, 2);
+	run_until_ended(&f, 2);
 	cr_expect_eq(f.outcomes[TS_OUTCOME_ANSWERED], 1);
 	cr_expect_eq(f.outcomes[TS_OUTCOME_NOT_RUN], 1);
 	cr_expect_eq(f.outcomes[TS_OUTCOME_UNKNOWN], 0);
@@ -581,24 +569,18 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(list); i++) {
 		fixture_t f = { .server_case = &cases[13] };
 		slow_answer_t s = { &f, answer, list[i].pause_ms };
-		backend_call_t call = { .ip = "127.0.0.1",
-			.max_conns = 8,
-			.method = "GET",
-			.path = "/",
-			.headers = "",
-			.timeout_ms = TIMEOUT_MS,
-			.stall_ms = list[i].stall_ms };
+		backend_call_t call = new_call(8);
 		uv_timer_t t;
 
 		fixture_init(&f);
 		call.port = f.port;
+		call.stall_ms = list[i].stall_ms;
 		uv_timer_init(&f.loop, &t);
 		t.data = &s;
 		uv_timer_start(&t, on_slow_timer, (uint64_t)list[i].gap_ms,
 		    (uint64_t)list[i].gap_ms);
 		backends_send(f.backends, 1, 1, &call);
-		while (f.ended < 1)
-			uv_run(&f.loop, UV_RUN_ONCE);
+		run_until_ended(&f, 1);
 		cr_expect_eq(f.outcome, list[i].want, "%s: %d", list[i].name,
 		    (int)f.outcome);
 	}
