--- a/test/unit/late_writes.c
+++ b/test/unit/late_writes.c
@@ -22,22 +22,15 @@
 #include "../../serve/rate_limit.h"
 #include "../../serve/serve.h"
 #include "../../serve/job_rows.h"
+#include "entry_fixture.h"
 #include "late_store.h"
 
 #define FIRST_PORT 18910
-#define LAST_PORT  18999
 #define CALL_MS	   5000
-#define JOB_ID	   "5c0e7a21d94b36f8"
+#define CONFIG_MS  600000
 #define STEPS_MAX  10
 #define NONE	   0 /* instead of a status: no answer is waited for */
 
-static const char job[] =
-    "{\"spec\":\"s\",\"steps\":[{\"count\":1,\"cpu\":500,\"mem_mb\":256,"
-    "\"estimate_ms\":900}]}";
-static const char config[] =
-    "{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":\"127.0.0.1\","
-    "\"prefix\":\"/q/\",\"service\":\"s\"}]}";
-
 typedef struct fixture fixture_t;
 
 typedef struct {
@@ -79,40 +72,21 @@
 entry_new(fixture_t *f)
 {
 	entry_t *e = g_new0(entry_t, 1);
-	platform_opts_t o = { .loop = &f->loop,
-		.store_addr = f->store.address,
-		.approval_addr = "" };
-	server_opts_t s = { .loop = &f->loop,
-		.ip = "127.0.0.1",
-		.body_max_bytes = 4096,
-		.on_request = on_request,
-		.ctx = e };
 
 	e->fixture = f;
-	e->node.loop = &f->loop;
-	e->node.opts.name = "e";
-	e->node.opts.drain_ms = 2000;
-	e->node.opts.max_lease_ms = 6000;
-	e->node.opts.config_ms = 600000;
-	e->node.platform = platform_new(&o);
-	e->node.watches = g_ptr_array_new();
+	e->port = entry_fixture_init(&e->node,
+	    &(entry_opts_t){ .loop = &f->loop,
+		.store_addr = f->store.address,
+		.config_ms = CONFIG_MS,
+		.first_port = FIRST_PORT,
+		.on_request = on_request,
+		.ctx = e });
 	e->node.operator_watch =
 	    table_watch_new(&(table_watch_opts_t){ .node = &e->node });
-	e->node.held_calls = held_calls_new(&e->node, ingress_serve);
-	e->node.store_answered_ms = node_now_ms(&e->node);
 	e->node.operators_as_of_ms = node_now_ms(&e->node);
 	e->node.tombstones = e->node.refusals = (rate_limit_t){ 10, 20 };
-	uv_timer_init(&f->loop, &e->node.tick_timer);
 	uv_timer_init(&f->loop, &e->node.retry_timer);
 	e->node.retry_timer.data = &e->node;
-	e->node.cell_driver = cell_driver_new(&e->node);
-	e->node.config = platform_config_parse(
-	    (const uint8_t *)config, strlen(config), NULL);
-	for (s.port = FIRST_PORT; e->node.front == NULL; s.port++) {
-		cr_assert_lt(s.port, LAST_PORT);
-		e->node.front = server_new(&s, NULL);
-	}
-	e->port = s.port - 1;
 	return e;
 }
 
@@ -156,7 +130,7 @@
 	    "http://127.0.0.1:%d/q/%s", f->entries[entry]->port, id);
 
 	client_call(f->client, method, url, NULL,
-	    strcmp(method, "POST") == 0 ? job : NULL, CALL_MS, fn, f);
+	    strcmp(method, "POST") == 0 ? entry_job : NULL, CALL_MS, fn, f);
 }
 
 /* Calls an entry, and waits for the status of its answer. */
@@ -174,8 +148,8 @@
 static void
 lose_submission(fixture_t *f, int entry)
 {
-	f->store.lost_key = JOB_ID;
-	send_call(f, entry, "POST", JOB_ID, on_lost_answer);
+	f->store.lost_key = ENTRY_JOB_ID;
+	send_call(f, entry, "POST", ENTRY_JOB_ID, on_lost_answer);
 	while (f->store.lost_key != NULL)
 		uv_run(&f->loop, UV_RUN_ONCE);
 }
@@ -204,11 +178,11 @@
 	switch (st->op) {
 	case SUBMIT:
 	case REFUSE:
-		return call(f, st->entry, "POST", JOB_ID);
+		return call(f, st->entry, "POST", ENTRY_JOB_ID);
 	case CANCEL:
-		return call(f, st->entry, "DELETE", JOB_ID);
+		return call(f, st->entry, "DELETE", ENTRY_JOB_ID);
 	case STATE:
-		return call(f, st->entry, "GET", JOB_ID);
+		return call(f, st->entry, "GET", ENTRY_JOB_ID);
 	case PERFORM:
 		return late_store_perform(&f->store);
 	case LOSE:
@@ -245,7 +219,8 @@
 	/* The submission is tried again beside the write. */
 	while (lost && !f.lost_answered)
 		uv_run(&f.loop, UV_RUN_ONCE);
-	cr_expect_eq(late_store_has(&f.store, JOB_ID), c->job, "%s", c->what);
+	cr_expect_eq(
+	    late_store_has(&f.store, ENTRY_JOB_ID), c->job, "%s", c->what);
 	cr_expect(!lost || f.lost_status == (c->job ? 200 : without_job),
 	    "%s: the submission is answered %d", c->what, f.lost_status);
 }
@@ -338,19 +313,19 @@
 
 	fixture_init(&f);
 	f.refuses = true;
-	cr_expect_eq(call(&f, 0, "POST", JOB_ID), 429);
+	cr_expect_eq(call(&f, 0, "POST", ENTRY_JOB_ID), 429);
 	f.refuses = false;
 	/* The first write meets the refusal, the second one is lost. */
-	send_call(&f, 0, "POST", JOB_ID, on_lost_answer);
+	send_call(&f, 0, "POST", ENTRY_JOB_ID, on_lost_answer);
 	while (f.store.writes < 2)
 		uv_run(&f.loop, UV_RUN_ONCE);
-	f.store.lost_key = JOB_ID;
+	f.store.lost_key = ENTRY_JOB_ID;
 	while (f.store.lost_key != NULL)
 		uv_run(&f.loop, UV_RUN_ONCE);
 	f.refuses = true;
-	cr_expect_eq(call(&f, 1, "POST", JOB_ID), 429);
+	cr_expect_eq(call(&f, 1, "POST", ENTRY_JOB_ID), 429);
 	cr_expect_eq(late_store_perform(&f.store), 0);
-	cr_expect(!late_store_has(&f.store, JOB_ID));
+	cr_expect(!late_store_has(&f.store, ENTRY_JOB_ID));
 }
 
 /*
@@ -365,7 +340,7 @@
 	fixture_init(&f);
 	lose_submission(&f, 0);
 	f.store.refuses = true;
-	status = call(&f, 1, "POST", JOB_ID);
+	status = call(&f, 1, "POST", ENTRY_JOB_ID);
 	f.store.refuses = false;
 	cr_expect(status == 503 || status == 504, "%d", status);
 	cr_expect(late_store_perform(&f.store) == 0 || status == 504,
@@ -399,22 +374,23 @@
 /* Once a tombstone is removed the id may be used; with a job it stays. */
 Test(late_writes, tombstones_are_removed, .timeout = 20)
 {
-	static const char *const id[] = { JOB_ID };
+	static const char *const id[] = { ENTRY_JOB_ID };
 	fixture_t f;
 
 	fixture_init(&f);
-	cr_expect_eq(call(&f, 0, "DELETE", JOB_ID), 410);
-	cr_expect(late_store_has(&f.store, JOB_ID ".c"));
+	cr_expect_eq(call(&f, 0, "DELETE", ENTRY_JOB_ID), 410);
+	cr_expect(late_store_has(&f.store, ENTRY_JOB_ID ".c"));
 	job_tombstones_remove(&f.entries[0]->node, id, 1);
 	while (f.store.writes < 2)
 		uv_run(&f.loop, UV_RUN_ONCE);
-	cr_expect(!late_store_has(&f.store, JOB_ID ".c"));
-	cr_expect_eq(call(&f, 1, "POST", JOB_ID), 200);
-	cr_expect_eq(call(&f, 0, "DELETE", JOB_ID), 200);
+	cr_expect(!late_store_has(&f.store, ENTRY_JOB_ID ".c"));
+	cr_expect_eq(call(&f, 1, "POST", ENTRY_JOB_ID), 200);
+	cr_expect_eq(call(&f, 0, "DELETE", ENTRY_JOB_ID), 200);
 	job_tombstones_remove(&f.entries[0]->node, id, 1);
 	while (f.store.writes < 5)
 		uv_run(&f.loop, UV_RUN_ONCE);
-	cr_expect(late_store_has(&f.store, JOB_ID ".c"), "a job is there");
+	cr_expect(
+	    late_store_has(&f.store, ENTRY_JOB_ID ".c"), "a job is there");
 }
 
 Test(late_writes, rate_limit)
--- a/test/unit/stale_tables.c
+++ b/test/unit/stale_tables.c
@@ -20,23 +20,14 @@
 #include "../../serve/auth.h"
 #include "../../serve/rate_limit.h"
 #include "../../serve/serve.h"
+#include "entry_fixture.h"
 #include "store_fixture.h"
 
 #define FIRST_PORT 18580
-#define LAST_PORT  18680
 #define CALL_MS	   5000
 #define CONFIG_MS  3000
 #define READ_MS	   200 /* after the call the tables are read */
 
-#define JOB_ID "5c0e7a21d94b36f8"
-
-static const char job[] =
-    "{\"spec\":\"s\",\"steps\":[{\"count\":1,\"cpu\":500,\"mem_mb\":256,"
-    "\"estimate_ms\":900}]}";
-static const char config[] =
-    "{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":\"127.0.0.1\","
-    "\"prefix\":\"/q/\",\"service\":\"s\"}]}";
-
 typedef struct {
 	uv_loop_t loop;
 	node_t node;
@@ -49,35 +40,15 @@
 static void
 fixture_init(fixture_t *f)
 {
-	platform_opts_t o = { .loop = &f->loop,
+	uv_loop_init(&f->loop);
+	f->port = entry_fixture_init(&f->node,
+	    &(entry_opts_t){ .loop = &f->loop,
 		.store_addr = "127.0.0.1:1",
-		.approval_addr = "" };
-	server_opts_t s = { .loop = &f->loop,
-		.ip = "127.0.0.1",
-		.body_max_bytes = 4096,
+		.config_ms = CONFIG_MS,
+		.first_port = FIRST_PORT,
 		.on_request = ingress_request,
-		.ctx = &f->node };
-
-	uv_loop_init(&f->loop);
-	f->node.loop = &f->loop;
-	f->node.opts.name = "e";
-	f->node.opts.drain_ms = 2000;
-	f->node.opts.max_lease_ms = 6000;
-	f->node.opts.config_ms = CONFIG_MS;
-	f->node.platform = platform_new(&o);
-	f->node.watches = g_ptr_array_new();
-	f->node.held_calls = held_calls_new(&f->node, ingress_serve);
-	f->node.store_answered_ms = node_now_ms(&f->node);
+		.ctx = &f->node });
 	request_init_limits(&f->node);
-	uv_timer_init(&f->loop, &f->node.tick_timer);
-	f->node.cell_driver = cell_driver_new(&f->node);
-	f->node.config = platform_config_parse(
-	    (const uint8_t *)config, strlen(config), NULL);
-	for (s.port = FIRST_PORT; f->node.front == NULL; s.port++) {
-		cr_assert_lt(s.port, LAST_PORT);
-		f->node.front = server_new(&s, NULL);
-	}
-	f->port = s.port - 1;
 	f->client = client_new(&f->loop);
 }
 
@@ -202,16 +173,16 @@
 		bool read; /* the tables are read, READ_MS after the call */
 		int32_t want;
 	} cases[] = {
-		{ "POST", "/q/" JOB_ID, job, 0, false, 200 },
-		{ "POST", "/q/" JOB_ID, job, 2000, false, 200 },
-		{ "POST", "/q/" JOB_ID, job, 2700, false, 503 },
-		{ "POST", "/q/" JOB_ID, job, 10000, false, 503 },
-		{ "POST", "/q/" JOB_ID, job, 10000, true, 200 },
-		{ "GET", "/q/" JOB_ID, NULL, 0, false, 410 },
-		{ "GET", "/q/" JOB_ID, NULL, 10000, false, 503 },
-		{ "GET", "/q/" JOB_ID, NULL, 10000, true, 410 },
-		{ "DELETE", "/q/" JOB_ID, NULL, 0, false, 410 },
-		{ "DELETE", "/q/" JOB_ID, NULL, 10000, false, 503 },
+		{ "POST", "/q/" ENTRY_JOB_ID, entry_job, 0, false, 200 },
+		{ "POST", "/q/" ENTRY_JOB_ID, entry_job, 2000, false, 200 },
+		{ "POST", "/q/" ENTRY_JOB_ID, entry_job, 2700, false, 503 },
+		{ "POST", "/q/" ENTRY_JOB_ID, entry_job, 10000, false, 503 },
+		{ "POST", "/q/" ENTRY_JOB_ID, entry_job, 10000, true, 200 },
+		{ "GET", "/q/" ENTRY_JOB_ID, NULL, 0, false, 410 },
+		{ "GET", "/q/" ENTRY_JOB_ID, NULL, 10000, false, 503 },
+		{ "GET", "/q/" ENTRY_JOB_ID, NULL, 10000, true, 410 },
+		{ "DELETE", "/q/" ENTRY_JOB_ID, NULL, 0, false, 410 },
+		{ "DELETE", "/q/" ENTRY_JOB_ID, NULL, 10000, false, 503 },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
