Backends: what has arrived by the time of a call is read, however late the process gets to it

Callers: after a pause of an entry's process the answer of a worker, another entry or the store that waited in the socket could be thrown away, and the call counted as unknown: a start in doubt, a row in doubt, a submission answered 504. Cause: after a pause the timer of the call comes before the socket, so one more millisecond is waited for a read; a process that does not run in that millisecond gets to the timer first again. Now the call ends only after the loop has polled its sockets once.

--- a/test/unit/backend.c
+++ b/test/unit/backend.c
@@ -496,6 +496,38 @@
 	}
 }
 
+/*
+ * Guards against answers that are thrown away though they have arrived: after a pause the
+ * process does not run for some more milliseconds, before it gets to its sockets.
+ */
+Test(backend, what_has_arrived_is_read_after_a_pause)
+{
+	static const struct {
+		const char *name;
+		ulong turn_us; /* between two turns of the loop */
+	} list[] = { { "it runs on at once", 0 }, { "it does not", 20000 } };
+	const server_case_t pause = { "before a pause of this process",
+		OK "Content-Length: 5\r\n\r\nhello", false, 1,
+		TS_OUTCOME_ANSWERED, "hello", true, 0, LONG_TIMEOUT_MS * 2 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(list); i++) {
+		fixture_t f = { .server_case = &pause };
+		backend_call_t call = new_call(1);
+
+		fixture_init(&f);
+		call.port = f.port;
+		call.timeout_ms = LONG_TIMEOUT_MS;
+		send_calls(&f, &call, 1);
+		while (f.ended < 1) {
+			uv_run(&f.loop, UV_RUN_ONCE);
+			g_usleep(list[i].turn_us);
+		}
+		cr_expect_eq(f.outcome, TS_OUTCOME_ANSWERED, "%s: outcome %d",
+		    list[i].name, f.outcome);
+		close_all(&f);
+	}
+}
+
 /*
  * Guards against starts that leave seconds after they were ordered: the process stands
  * still while a call waits for a connection, and then reads the answer that frees one.
--- a/trans/backend.c
+++ b/trans/backend.c
@@ -64,7 +64,8 @@
 	/* By the loop's clock: when the last request was sent, when the last answer was
 	 * complete, and when the call's time is over. */
 	uint64_t sent_ms, answered_ms, due_ms;
-	bool overdue;	  /* one more read has been waited for since */
+	bool overdue;	       /* what has arrived by then is still read */
+	uint64_t overdue_poll; /* b->polls then */
 	int32_t late_ms;  /* for so long after that an answer is waited for */
 	bool late;	  /* it is being waited for */
 	int32_t stall_ms; /* see backend_call_t */
@@ -75,6 +76,8 @@
 	backend_fn fn;
 	void *ctx;
 	GHashTable *by_address; /* address -> backend_t */
+	uv_check_t polled;
+	uint64_t polls; /* of the loop for events of sockets */
 	uv_timer_t failed_timer;
 	GQueue failed_calls; /* of failed_call_t */
 	char read_buf[READ_BUF_BYTES];
@@ -342,8 +345,8 @@
 /*
  * The request cannot have run if the connection was never established.  After
  * a pause of this process the timers are handled before the sockets: an answer
- * that has arrived meanwhile is read first, and so is a part of one that may go
- * on.
+ * that has arrived meanwhile is read first, however long the process takes to get to
+ * it, and so is a part of one that may go on.
  */
 static void
 on_timeout(uv_timer_t *t)
@@ -354,6 +357,9 @@
 	    (conn->stall_ms > 0 ||
 		uv_now(conn->backends->loop) >= conn->due_ms + PAUSE_MS)) {
 		conn->overdue = true;
+		conn->overdue_poll = conn->backends->polls;
+	}
+	if (conn->overdue && conn->overdue_poll == conn->backends->polls) {
 		uv_timer_start(t, on_timeout, READ_WAIT_MS, 0);
 		return;
 	}
@@ -591,6 +597,14 @@
 	return backend;
 }
 
+static void
+on_polled(uv_check_t *c)
+{
+	backends_t *b = c->data;
+
+	b->polls++;
+}
+
 backends_t *
 backends_new(uv_loop_t *loop, backend_fn fn, void *ctx)
 {
@@ -603,6 +617,10 @@
 	g_queue_init(&b->failed_calls);
 	uv_timer_init(loop, &b->failed_timer);
 	b->failed_timer.data = b;
+	uv_check_init(loop, &b->polled);
+	b->polled.data = b;
+	uv_check_start(&b->polled, on_polled);
+	uv_unref((uv_handle_t *)&b->polled);
 	return b;
 }
 
