--- a/review/lib.sh
+++ b/review/lib.sh
@@ -14,7 +14,8 @@
 	    -e 's/{{bounds.max_hold_ms}}/6000/' -e 's/{{bounds.status_s}}/120/' \
 	    -e 's/{{bounds.grace_s}}/6/' -e 's/{{bounds.drain_ms}}/2000/' \
 	    -e 's/{{bounds.config_ms}}/2000/' -e 's/{{limits.cpu_share}}/0.25/' \
-	    -e 's/{{limits.link_mbps}}/1000.0/'
+	    -e 's/{{limits.link_mbps}}/1000.0/' -e 's/{{limits.memory_mb}}/160/' \
+	    -e 's/{{limits.max_fds}}/4100/'
 }
 
 play() {
