Workers: no start by an entry of another process than the one that answers

Operators: a worker that crashed while it was cut off from the store and came back as another kind under its id got tasks that need the label of before (ROUTE), until its old entry was removed (3.3 s). Cause: the owner learned from `born` that another process answers, and went by the entry of the former one. Now such a worker takes no starts (reason=new_worker) until its entry is that of the process that answers.

--- a/sched/cell_worker.c
+++ b/sched/cell_worker.c
@@ -79,6 +79,17 @@
 	}
 }
 
+/*
+ * Whether the entry of a worker is that of another process than the one that is known:
+ * its labels, service and amounts may not be those of that one.
+ */
+static bool
+entry_is_of_other_process(const worker_t *w)
+{
+	return w->listed_started_ms != 0 && w->started_ms != 0 &&
+	    w->listed_started_ms != w->started_ms;
+}
+
 /* Why no task may be started on a worker; SCHED_WAIT_NONE: one may. */
 sched_wait_reason_t
 cell_worker_refusal(const sched_t *s, const worker_t *w)
@@ -88,7 +99,8 @@
 	if (w->missed_polls > 0 || w->silent)
 		return SCHED_WAIT_SILENT;
 	if (!w->footprint_stored || lease_end_is_stored(w) ||
-	    !w->has_answered || lease_clock_is_old(s, w))
+	    !w->has_answered || lease_clock_is_old(s, w) ||
+	    entry_is_of_other_process(w))
 		return SCHED_WAIT_NEW_WORKER;
 	if (w->nunknown > 0)
 		return SCHED_WAIT_UNKNOWN_RUNS;
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -206,6 +206,7 @@
 	w->mem_mb = i->mem_mb;
 	w->gpu = i->gpu;
 	w->draining = i->draining;
+	w->listed_started_ms = i->started_ms;
 	w->listed = true;
 	w->zone_evacuated = is_evacuated(s, w);
 	scan_worker_changed(s, w);
--- a/sched/types.h
+++ b/sched/types.h
@@ -402,6 +402,8 @@
 	GArray *held_up;
 	char *address;	    /* "" until known */
 	int64_t started_ms; /* start of its process, since 1970 */
+	int64_t
+	    listed_started_ms; /* the same by its entry; 0: that does not say */
 	lease_t lease;
 	/* Polls. */
 	uint64_t poll_id;     /* poll in flight; 0: none */
