Unit lasting_ends: tasks of wide lasting jobs that fail at one moment

No test had just that shape: unit lasting removes runs by hand, on workers that three jobs share.

The test lists the ends as failed in the workers' reports, so that report.c, suspect.c and the polls take part.

--- a/Makefile
+++ b/Makefile
@@ -105,7 +105,7 @@
 	sh test/red.sh sh test/crowd.sh $(B)
 soak: $(B)/soak $(B)/standin-users $(B)/tanagerspool
 	sh test/soak.sh $(B) $(SEED)
-mutants: $(B)/check $(B)/cells
+mutants: $(B)/check $(B)/cells $(B)/unit
 	sh test/mutants.sh $(B)
 model-mutants: $(B)/model
 	sh test/mutants.sh $(B) '' test/model-mutants.txt
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Mutation test: applies each entry of a list to a copy of the tree, builds it,
-# and runs random schedules, the soak or the model, until one prints the expected
-# violation.  A schedule of the model must pass without the mutant.
+# and runs random schedules, the soak, the model or a unit test, until one prints the
+# expected violation.  A schedule of the model must pass without the mutant.
 # usage: mutants.sh BUILD-FOLDER [NAME [LIST]]
 B=$1
 only=${2:-}
@@ -13,6 +13,7 @@
 	case $1 in
 	check) "$2/check" "$3" 50 ;;
 	cells) "$2/cells" "$3" $(($3 + 49)) $4 ;;
+	unit) "$2/unit" --filter "$4" ;;
 	soak) "$2/soak" "$2" "$3" 3 15 ;;
 	model) G_SLICE=always-malloc timeout "$MODEL_S" "$2/model" $4 ;;
 	esac
@@ -39,8 +40,8 @@
 		echo "FAIL $1: the expression changes nothing"
 		return
 	fi
-	# Mutants of the cell scheduler are run by build/cells, others with real
-	# processes by build/soak.
+	# Mutants of the cell scheduler are run by build/cells or one unit test, others
+	# with real processes by build/soak.
 	prog=check more= step=50 flag=
 	case $1 in
 	cell_*) prog=cells ;;
@@ -48,6 +49,7 @@
 	weak_*) prog=cells flag=-weak ;;
 	overload_*) prog=cells flag=-overload ;;
 	lasting_*) prog=cells flag=-lasting ;;
+	unit_*) prog=unit flag=$5 ;;
 	model_*) prog=model flag=$5 ;;
 	soak_*) prog=soak step=1
 		more='build-own/tanagerspool build-own/standin-users' ;;
@@ -60,7 +62,7 @@
 	fi
 	at=1 last=$5
 	case $prog:$5 in
-	model:*) last=1 ;;
+	model:* | unit:*) last=1 ;;
 	*-*) at=${5%-*} last=${5#*-} ;;
 	esac
 	while [ "$at" -le "$last" ]; do
--- /dev/null
+++ b/test/unit/full_cell.h
@@ -0,0 +1,52 @@
+/*
+ * A cell that is full of short work, with lasting tasks, whose workers answer polls and
+ * orders.  Ends of runs come in as workers list them.
+ *
+ * Include what sched_fixture.h needs first.
+ */
+#ifndef FULL_CELL_H
+#define FULL_CELL_H
+
+/* The users call a lasting task lost that is down for so long beside room for it. */
+#define DOWN_MAX_MS 6000
+
+/* Short work of a service; some of it always waits. */
+typedef struct {
+	const char *service; /* NULL: none */
+	int64_t cpu_milli, ms;
+	int32_t width; /* tasks of a job */
+	bool filler;
+} short_work_t;
+
+typedef struct {
+	sched_t *s;
+	short_work_t work[2];
+	GPtrArray *lasting; /* steps, of which the times down are noted */
+	GHashTable *down; /* of their tasks that are down: since when, in ms */
+	GHashTable *failing; /* tasks whose runs fail by the next report */
+	GPtrArray *requests; /* workers for which approval was asked last */
+	GString *returns;    /* times down of the tasks that came back, in s */
+	int64_t longest_ms;  /* that one of these tasks was down */
+	int64_t request_id;  /* for approval, to be answered; 0: none */
+	int bad_workers;     /* the first ones fail what they run */
+	int64_t bad_until_ms;
+	int32_t failed; /* runs of lasting tasks */
+	int64_t last_job, version;
+} full_cell_t;
+
+/* A cell of workers w00, w01 and so on of service "s". */
+void full_cell_init(full_cell_t *c, int workers);
+void full_cell_free(full_cell_t *c);
+worker_t *full_cell_worker(const full_cell_t *c, int i);
+/* A new job with one step; service: or NULL for "s". */
+step_t *
+full_cell_add_step(full_cell_t *c, const Sched__Step *d, const char *service);
+/* A new job of lasting tasks, whose times down are noted. */
+step_t *full_cell_add_lasting(full_cell_t *c, const Sched__Step *d);
+/* A task of it has run on a worker for long. */
+void full_cell_run(full_cell_t *c, step_t *st, int32_t index, worker_t *w);
+/* The run of a task is listed as failed by the next report. */
+void full_cell_fail(full_cell_t *c, task_t *t);
+void full_cell_pass(full_cell_t *c, int64_t ms);
+
+#endif
