Nominations: tasks that no worker can take leave the searches to others

What callers would see: lasting tasks are down for good, beside workers full of short work, and runs stay on draining workers until these leave, while many other lasting tasks can run nowhere, as all workers with their label are gone.

Cause: a pass makes 16 searches for the soonest worker, in the order of the queue, and what found none was searched for again in each round. Tasks whose needs no earlier search covers (a label, a worker each, approval) so used up all searches of each round, if there are 16 of them for each pass of a round; those behind them had none, and runs that have to leave their worker have none while a task that is down has none.

Change: a task has one search a turn. A turn is a round as before, but goes on until all that asked for a search had one, runs on draining workers too, which ask again with their worker's next report.

Evidence: unit lasting_many/tasks_without_a_worker_are_in_nobodys_way.

--- a/sched/nominate.c
+++ b/sched/nominate.c
@@ -33,6 +33,8 @@
 #define PREEMPT_AFTER_MS 1500
 /* Searches for the soonest worker in a pass, as each looks at all runs. */
 #define SEARCHES_PER_PASS 16
+/* Each worker reports in this time, and with that a run asks again for a search. */
+#define ASKS_AGAIN_MS 1200
 
 /* Nominates a worker for the next run of a task. */
 void
@@ -107,14 +109,14 @@
 	return ok;
 }
 
-/* Whether a search in this round was in vain for a task that needs no more. */
+/* Whether a search in this turn was in vain for a task that needs no more. */
 static bool
 is_in_vain(const sched_t *s, const step_t *st)
 {
 	const needs_t *n = &s->scan.unnominated;
 
-	return st->unnominated_round == s->scan.round ||
-	    (s->scan.unnominated_round == s->scan.round &&
+	return st->unnominated_turn == s->scan.nominate_turn ||
+	    (s->scan.unnominated_turn == s->scan.nominate_turn &&
 		n->service == st->occ->job->service &&
 		n->cpu_milli <= st->def->cpu_milli &&
 		n->mem_mb <= st->def->mem_mb && n->gpu <= st->def->gpu);
@@ -126,17 +128,47 @@
 {
 	const Sched__Step *d = st->def;
 
-	st->unnominated_round = s->scan.round;
+	st->unnominated_turn = s->scan.nominate_turn;
 	if (st->occ->job->needs_approval || d->per_worker != 0 ||
 	    d->label[0] != '\0')
 		return;
-	s->scan.unnominated_round = s->scan.round;
+	s->scan.unnominated_turn = s->scan.nominate_turn;
 	s->scan.unnominated = (needs_t){ .service = st->occ->job->service,
 		.cpu_milli = d->cpu_milli,
 		.mem_mb = d->mem_mb,
 		.gpu = d->gpu };
 }
 
+/*
+ * Begins a new turn, in which each task may be searched for once, if all that asked had
+ * their search in the last one: those that find no worker leave searches to others.
+ */
+static void
+begin_turn(sched_t *s)
+{
+	if (s->scan.unplaced_down == 0 &&
+	    s->now_ms - s->scan.search_refused_ms >= ASKS_AGAIN_MS)
+		s->scan.nominate_turn++;
+}
+
+/* Whether a task has a search left in this turn. */
+static bool
+may_search(const sched_t *s, const task_t *t)
+{
+	return t->searched_turn != s->scan.nominate_turn &&
+	    !is_in_vain(s, t->step);
+}
+
+/* A task has no search in this pass, as others have used them up or go first. */
+static void
+refuse_search(sched_t *s, const task_t *t)
+{
+	if (t->run == NULL)
+		s->scan.unplaced_down++;
+	else
+		s->scan.search_refused_ms = s->now_ms;
+}
+
 /*
  * Nominates the worker on which a task will fit soonest, unless the runs that never end
  * leave no room for it anywhere, so that it is in nobody's way, or too many searches
@@ -148,13 +180,15 @@
 	step_t *st = t->step;
 	worker_t *w;
 
-	if (is_in_vain(s, st))
+	if (!may_search(s, t))
 		return;
-	if (s->scan.nominate_searches >= SEARCHES_PER_PASS) {
-		s->scan.unplaced_down += t->run == NULL;
+	if (s->scan.nominate_searches >= SEARCHES_PER_PASS ||
+	    (t->run != NULL && s->scan.unplaced_down > 0)) {
+		refuse_search(s, t);
 		return;
 	}
 	s->scan.nominate_searches++;
+	t->searched_turn = s->scan.nominate_turn;
 	w = room_find_soonest(s, t);
 	if (w == NULL)
 		note_in_vain(s, st);
@@ -201,7 +235,7 @@
 		nominate(s, t, w);
 		return true;
 	}
-	if (t->nominated == NULL && s->scan.unplaced_down == 0)
+	if (t->nominated == NULL)
 		nominate_soonest(s, t);
 	return false;
 }
@@ -384,6 +418,7 @@
 void
 nominate_update(sched_t *s)
 {
+	begin_turn(s);
 	for (guint i = s->nominations->len; i-- > 0;) {
 		task_t *t;
 
--- a/sched/types.h
+++ b/sched/types.h
@@ -76,9 +76,10 @@
 	/* Interned id of the worker that the task last failed on, crashed or was moved
 	 * away from, which placement avoids; or NULL. */
 	const char *avoid_worker;
-	worker_t *nominated;   /* for its next run, or NULL; see nominate.c */
-	int64_t nominated_ms;  /* since then */
-	int64_t not_before_ms; /* not started before this time */
+	worker_t *nominated;	/* for its next run, or NULL; see nominate.c */
+	int64_t nominated_ms;	/* since then */
+	uint64_t searched_turn; /* a worker to nominate was searched for */
+	int64_t not_before_ms;	/* not started before this time */
 	/* A lasting task: when its last run ended; 0: it has one, or had none. */
 	int64_t down_since_ms;
 	bool down_by_stop;  /* this owner had stopped that run */
@@ -123,10 +124,10 @@
 	GSequenceIter *queue_iter; /* position in ready_steps, or NULL */
 	uint64_t unplaced_round;   /* round of scan.c without a worker for it */
 	uint64_t unmovable_round;  /* the same for a task that runs */
-	uint64_t unnominated_round; /* no worker will have room for it */
-	uint64_t kept_round;	  /* round in which workers were kept for it */
-	uint64_t reserved_round;  /* the same, by reservation.c */
-	int64_t reserve_after_ms; /* which tries it again then */
+	uint64_t unnominated_turn; /* no worker will have room for it */
+	uint64_t kept_round;	   /* round in which workers were kept for it */
+	uint64_t reserved_round;   /* the same, by reservation.c */
+	int64_t reserve_after_ms;  /* which tries it again then */
 	int64_t
 	    reserve_retry_ms; /* the time until that; 0: not tried in vain */
 	/* Since when it is in the queue and no task of it has started. */
@@ -546,9 +547,12 @@
 	/* Of this round: workers that are kept, and the steps they are kept for. */
 	guint kept_workers, keeping_steps;
 	int32_t nominate_searches; /* of this pass, by nominate.c */
-	/* That found no worker in this round, as would none that needs as much. */
+	uint64_t nominate_turn;	   /* one search a task; see nominate.c */
+	/* That found no worker in this turn, as would none that needs as much. */
 	needs_t unnominated;
-	uint64_t unnominated_round;
+	uint64_t unnominated_turn;
+	/* When a run that has to leave its worker was last refused a search. */
+	int64_t search_refused_ms;
 	/* Tasks that are down, for which the last pass had no search left. */
 	int32_t unplaced_down;
 	int32_t resume_at; /* the steps before were offered in the last round */
--- a/test/unit/full_cell.c
+++ b/test/unit/full_cell.c
@@ -47,15 +47,32 @@
 	(void)puts;
 }
 
+/* A request for approval. */
+typedef struct {
+	uint64_t id;
+	GPtrArray *workers; /* interned */
+} request_t;
+
+static void
+request_free(void *p)
+{
+	request_t *r = p;
+
+	g_ptr_array_unref(r->workers);
+	g_free(r);
+}
+
 static void
 take_request(void *ctx, const sched_approval_request_t *a)
 {
 	full_cell_t *c = ctx;
+	request_t *r = g_new0(request_t, 1);
 
-	c->request_id = (int64_t)a->id;
-	g_ptr_array_set_size(c->requests, 0);
+	r->id = a->id;
+	r->workers = g_ptr_array_new();
 	for (size_t i = 0; i < a->nworkers; i++)
-		g_ptr_array_add(c->requests, (void *)a->workers[i]);
+		g_ptr_array_add(r->workers, (void *)a->workers[i]);
+	g_ptr_array_add(c->requests, r);
 }
 
 void
@@ -65,7 +82,7 @@
 		.lasting = g_ptr_array_new(),
 		.down = g_hash_table_new_full(NULL, NULL, NULL, g_free),
 		.failing = g_hash_table_new(NULL, NULL),
-		.requests = g_ptr_array_new(),
+		.requests = g_ptr_array_new_with_free_func(request_free),
 		.returns = g_string_new("") };
 	c->s->opts.ctx = c;
 	c->s->opts.port.order = ignore_order;
@@ -132,6 +149,13 @@
 	g_hash_table_add(c->failing, t);
 }
 
+void
+full_cell_lose(full_cell_t *c, worker_t *w)
+{
+	w->listed = false;
+	run_worker_lost(c->s, w, "it is gone");
+}
+
 /* Adds jobs of short work, so that some always wait. */
 static void
 add_work(full_cell_t *c, const short_work_t *k)
@@ -248,21 +272,17 @@
 
 /* The service approves of all workers that it was asked for. */
 static void
-answer_request(full_cell_t *c)
+approve(full_cell_t *c, const request_t *r)
 {
-	g_autofree sched_ticket_t *t =
-	    g_new0(sched_ticket_t, c->requests->len + 1);
+	g_autofree sched_ticket_t *t = g_new0(sched_ticket_t, r->workers->len);
 	sched_approval_t a = { .approved = t,
-		.napproved = c->requests->len,
+		.napproved = r->workers->len,
 		.valid_ms = TICKETS_MS };
-	uint64_t id = (uint64_t)c->request_id;
 
-	for (guint i = 0; i < c->requests->len; i++)
+	for (guint i = 0; i < r->workers->len; i++)
 		t[i] =
-		    (sched_ticket_t){ g_ptr_array_index(c->requests, i), "t" };
-	c->request_id = 0;
-	if (id != 0)
-		sched_approval_done(c->s, id, &a, c->s->now_ms);
+		    (sched_ticket_t){ g_ptr_array_index(r->workers, i), "t" };
+	sched_approval_done(c->s, r->id, &a, c->s->now_ms);
 }
 
 /* Notes how long a task has been down. */
@@ -309,7 +329,9 @@
 		if (w->listed)
 			report(c, w);
 	}
-	answer_request(c);
+	for (guint i = 0; i < c->requests->len; i++)
+		approve(c, g_ptr_array_index(c->requests, i));
+	g_ptr_array_set_size(c->requests, 0);
 	for (size_t i = 0; i < G_N_ELEMENTS(c->work); i++)
 		if (c->work[i].service != NULL)
 			add_work(c, &c->work[i]);
@@ -317,7 +339,8 @@
 		queue_resort(s);
 		scan_begin_round(s);
 	}
-	start_waiting_tasks(s);
+	if (!c->weak || s->now_ms % ROUND_MS == 0)
+		start_waiting_tasks(s);
 	look(c);
 }
 
--- a/test/unit/full_cell.h
+++ b/test/unit/full_cell.h
@@ -30,6 +30,7 @@
 	int64_t request_id;  /* for approval, to be answered; 0: none */
 	int bad_workers;     /* the first ones fail what they run */
 	int64_t bad_until_ms;
+	bool weak;	/* the owner has time for one pass a round */
 	int32_t failed; /* runs of lasting tasks */
 	int64_t last_job, version;
 } full_cell_t;
@@ -47,6 +48,8 @@
 void full_cell_run(full_cell_t *c, step_t *st, int32_t index, worker_t *w);
 /* The run of a task is listed as failed by the next report. */
 void full_cell_fail(full_cell_t *c, task_t *t);
+/* A worker is gone, with what it runs. */
+void full_cell_lose(full_cell_t *c, worker_t *w);
 void full_cell_pass(full_cell_t *c, int64_t ms);
 
 #endif
--- /dev/null
+++ b/test/unit/lasting_many.c
@@ -0,0 +1,206 @@
+/*
+ * Many lasting tasks of different needs that are down at one moment, on a cell that is
+ * full of short work.
+ */
+#include <stdbool.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <criterion/criterion.h>
+#include <glib.h>
+
+#include "../../proto/sched.pb-c.h"
+#include "tanagerspool.h"
+#include "../../sched/sched.h"
+#include "../../sched/image_set.h"
+#include "../../sched/headroom.h"
+#include "../../sched/run_time.h"
+#include "../../sched/types.h"
+#include "../../sched/customer.h"
+#include "../../sched/internal.h"
+#include "../../sched/down.h"
+#include "sched_fixture.h"
+#include "full_cell.h"
+
+#define SETTLE_MS  4000 /* before tasks go down */
+#define WATCHED_MS 30000
+#define LEAVES_MS  4000 /* after a worker begins to drain */
+#define LABEL	   "label"
+
+static void
+add_label(worker_t *w)
+{
+	g_ptr_array_add(w->labels, (void *)g_intern_string(LABEL));
+}
+
+/* A lasting job of one task, which runs on a worker, and the job's step. */
+static step_t *
+add_one(full_cell_t *c, Sched__Step d, worker_t *w)
+{
+	step_t *st;
+
+	d.lasting = true;
+	st = full_cell_add_lasting(c, &d);
+	st->occ->job->service = w->service;
+	full_cell_run(c, st, 0, w);
+	return st;
+}
+
+#define WORKERS	   60
+#define LOST	   20 /* of the workers */
+#define PER_WORKER 6  /* lasting tasks */
+
+/* What tasks that go down at one moment need besides room. */
+typedef enum {
+	NOTHING = 0,
+	A_LABEL = 1,
+	A_WORKER_EACH = 2,
+	APPROVAL = 4,
+	TWO_SERVICES = 8,
+	ALL = 15
+} needs_also_t;
+
+/* Lasting jobs of one task each; no two need as much. */
+static void
+add_different(full_cell_t *c, needs_also_t also)
+{
+	for (int n = 0; n < WORKERS * PER_WORKER; n++) {
+		worker_t *w = full_cell_worker(c, n / PER_WORKER);
+		int kind = 1 << (n % 4);
+		Sched__Step d = step_def("", 4000 + n * 5, false, 0);
+		step_t *st;
+
+		if ((also & kind & A_LABEL) != 0 && w->labels->len > 0)
+			d.label = (char *)LABEL;
+		d.per_worker = (also & kind & A_WORKER_EACH) != 0;
+		st = add_one(c, d, w);
+		st->occ->job->needs_approval = (also & kind & APPROVAL) != 0;
+	}
+}
+
+/*
+ * Guards against lasting tasks that stay down as the owner looks for workers for others
+ * of theirs, of which there are many with different needs.
+ */
+Test(lasting_many, steps_that_differ_are_back_in_time)
+{
+	static const struct {
+		const char *what;
+		needs_also_t also;
+		bool drain, weak;
+	} cases[] = {
+		{ "only room", NOTHING, false, false },
+		{ "a label", A_LABEL, false, false },
+		{ "a worker each", A_WORKER_EACH, false, false },
+		{ "approval", APPROVAL, false, false },
+		{ "two services", TWO_SERVICES, false, false },
+		{ "all", ALL, false, false },
+		{ "all, drained", ALL, true, false },
+		{ "only room, a weak owner", NOTHING, false, true },
+		{ "all, a weak owner", ALL, false, true },
+		{ "all, drained, a weak owner", ALL, true, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		full_cell_t c;
+
+		full_cell_init(&c, WORKERS);
+		c.weak = cases[i].weak;
+		c.work[0] = (short_work_t){ "s", 3000, 1000, 20, false };
+		for (int k = 0; k < WORKERS; k++) {
+			worker_t *w = full_cell_worker(&c, k);
+
+			if (k % 2 == 0)
+				add_label(w);
+			if ((cases[i].also & TWO_SERVICES) != 0 && k % 3 == 2)
+				w->service = g_intern_string("t");
+		}
+		if ((cases[i].also & TWO_SERVICES) != 0)
+			c.work[1] =
+			    (short_work_t){ "t", 3000, 1000, 20, false };
+		add_different(&c, cases[i].also);
+		full_cell_pass(&c, SETTLE_MS);
+		for (int k = 0; k < LOST; k++)
+			if (cases[i].drain)
+				full_cell_worker(&c, k)->draining = true;
+			else
+				full_cell_lose(&c, full_cell_worker(&c, k));
+		if (cases[i].drain) {
+			full_cell_pass(&c, LEAVES_MS);
+			for (int k = 0; k < LOST; k++)
+				full_cell_lose(&c, full_cell_worker(&c, k));
+		}
+		full_cell_pass(&c, WATCHED_MS);
+		cr_log_info("%s: %d ms", cases[i].what, (int)c.longest_ms);
+		cr_expect_lt(c.longest_ms, DOWN_MAX_MS, "%s: down for %d ms",
+		    cases[i].what, (int)c.longest_ms);
+		full_cell_free(&c);
+	}
+}
+
+#define LASTING_MILLI 24000
+
+/*
+ * Guards against lasting tasks that stay down, or on a worker that drains, as others
+ * are before them for which there is no worker at all.
+ */
+Test(lasting_many, tasks_without_a_worker_are_in_nobodys_way)
+{
+	static const struct {
+		const char *what;
+		int without; /* tasks that no worker can take */
+		bool drain, weak;
+	} cases[] = {
+		{ "one", 1, false, false },
+		{ "16", 16, false, false },
+		{ "17", 17, false, false },
+		{ "120", 120, false, false },
+		{ "16, a weak owner", 16, false, true },
+		{ "17, a weak owner", 17, false, true },
+		{ "120, a weak owner", 120, false, true },
+		{ "16, drained", 16, true, false },
+		{ "17, drained", 17, true, false },
+		{ "120, drained", 120, true, false },
+		{ "17, drained, a weak owner", 17, true, true },
+		{ "120, drained, a weak owner", 120, true, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		Sched__Step d = step_def("", 100, false, 0);
+		full_cell_t c;
+
+		full_cell_init(&c, 12);
+		c.weak = cases[i].weak;
+		c.work[0] = (short_work_t){ "s", 3000, 1000, 20, false };
+		add_label(full_cell_worker(&c, 0));
+		d.label = (char *)LABEL;
+		for (int n = 0; n < cases[i].without; n++)
+			add_one(&c, d, full_cell_worker(&c, 0));
+		/* These are down for good, and rightly. */
+		g_ptr_array_set_size(c.lasting, 0);
+		for (int n = 1; n < 12; n++)
+			add_one(&c, step_def("", LASTING_MILLI + n, false, 0),
+			    full_cell_worker(&c, n));
+		full_cell_pass(&c, SETTLE_MS);
+		full_cell_lose(&c, full_cell_worker(&c, 0));
+		full_cell_pass(&c, SETTLE_MS);
+		for (int k = 1; k < 5; k++)
+			if (cases[i].drain)
+				full_cell_worker(&c, k)->draining = true;
+			else
+				full_cell_lose(&c, full_cell_worker(&c, k));
+		full_cell_pass(&c, LEAVES_MS);
+		for (int k = 1; k < 5 && cases[i].drain; k++) {
+			cr_expect_eq(
+			    g_hash_table_size(full_cell_worker(&c, k)->runs), 0,
+			    "%s: %s has not been left", cases[i].what,
+			    full_cell_worker(&c, k)->id);
+			full_cell_lose(&c, full_cell_worker(&c, k));
+		}
+		full_cell_pass(&c, WATCHED_MS);
+		cr_log_info("%s: %d ms", cases[i].what, (int)c.longest_ms);
+		cr_expect_lt(c.longest_ms, DOWN_MAX_MS, "%s: down for %d ms",
+		    cases[i].what, (int)c.longest_ms);
+		full_cell_free(&c);
+	}
+}
