Nominations: a filler without a worker says nothing of other lasting tasks

What callers would see: a lasting task is down for good beside workers full of short work, while a lasting task that uses what others leave (filler) and needs less finds no worker.

Cause: what found no worker is not searched for again, nor what needs as much. Fillers and others were compared by their processors, though a filler needs its own of what others leave: where the fillers of all workers declare the most they may, a search for one is in vain and counted for all others that need more.

Change: only needs of the same kind are compared.

Evidence: unit lasting_many/a_filler_without_a_worker_says_nothing_of_others: down for 29950 ms (never back) before, 1300 ms now.

--- a/sched/nominate.c
+++ b/sched/nominate.c
@@ -118,6 +118,7 @@
 	return st->unnominated_turn == s->scan.nominate_turn ||
 	    (s->scan.unnominated_turn == s->scan.nominate_turn &&
 		n->service == st->occ->job->service &&
+		n->filler == st->def->filler &&
 		n->cpu_milli <= st->def->cpu_milli &&
 		n->mem_mb <= st->def->mem_mb && n->gpu <= st->def->gpu);
 }
@@ -136,7 +137,8 @@
 	s->scan.unnominated = (needs_t){ .service = st->occ->job->service,
 		.cpu_milli = d->cpu_milli,
 		.mem_mb = d->mem_mb,
-		.gpu = d->gpu };
+		.gpu = d->gpu,
+		.filler = d->filler };
 }
 
 /*
--- a/sched/types.h
+++ b/sched/types.h
@@ -531,6 +531,7 @@
 typedef struct {
 	const char *service;
 	int64_t cpu_milli, mem_mb, gpu;
+	bool filler; /* it needs processors of those that others leave */
 } needs_t;
 
 /* Which workers a pass over the queue looks at; see scan.c. */
--- a/test/unit/lasting_many.c
+++ b/test/unit/lasting_many.c
@@ -204,3 +204,30 @@
 		full_cell_free(&c);
 	}
 }
+
+/*
+ * Guards against a lasting task that stays down as one that uses what others leave, and
+ * needs less, finds no worker: their needs can't be compared.
+ */
+Test(lasting_many, a_filler_without_a_worker_says_nothing_of_others)
+{
+	Sched__Step filler = step_def("", 60000, true, 0);
+	full_cell_t c;
+
+	full_cell_init(&c, 4);
+	c.work[0] = (short_work_t){ "s", 3000, 1000, 20, false };
+	/* Fillers may declare eight times a worker's processors. */
+	for (int n = 0; n < 27; n++)
+		add_one(&c, filler, full_cell_worker(&c, n % 3));
+	filler.cpu_milli = LASTING_MILLI / 2;
+	add_one(&c, filler, full_cell_worker(&c, 3));
+	g_ptr_array_set_size(c.lasting, 0);
+	add_one(&c, step_def("", 60000, false, 0), full_cell_worker(&c, 3));
+	full_cell_pass(&c, SETTLE_MS);
+	full_cell_lose(&c, full_cell_worker(&c, 3));
+	full_cell_pass(&c, WATCHED_MS);
+	cr_log_info("%d ms", (int)c.longest_ms);
+	cr_expect_lt(
+	    c.longest_ms, DOWN_MAX_MS, "down for %d ms", (int)c.longest_ms);
+	full_cell_free(&c);
+}
