Lasting tasks that use what others leave are back beside full processors

What callers would see: a lasting task whose queue says `fills` is down for good while short work uses the processors, though these don't count against its capacity by the users' pages.

Cause: placement takes a filler only where it could run at full speed. Slowed starts are for jobs without any run, in turns; a wide lasting job has others at work. A nominated worker counted as having room by what slowed fillers may use, but the start there asked for full speed: the nomination was withdrawn in each round and made anew.

Change: a lasting filler that is down (or has to leave its worker) starts slowed if it can't at full speed, on the worker where serving tasks lack least by it, at once and without a turn of starvation.c, as it is never done.

Evidence: unit lasting_many/fillers_that_last_are_back_in_time, seven cases.

Unit nominate's random sequences (what counts as used is held by runs and nominations) have a quarter of the lasting tasks as fillers now, which they left out; the check is as it was.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -418,6 +418,7 @@
 
 /* starvation.c */
 bool starvation_is_starved(const sched_t *s, const step_t *st);
+bool starvation_is_lasting(const step_t *st);
 bool starvation_may_slow(const sched_t *s, const step_t *st);
 int32_t starvation_cpu_times(const sched_t *s);
 void starvation_job_idle(job_t *j);
--- a/sched/nominate.c
+++ b/sched/nominate.c
@@ -191,7 +191,9 @@
 	}
 	s->scan.nominate_searches++;
 	t->searched_turn = s->scan.nominate_turn;
-	w = room_find_soonest(s, t);
+	w = starvation_is_lasting(st) ? place_slowed(s, st, t) : NULL;
+	if (w == NULL)
+		w = room_find_soonest(s, t);
 	if (w == NULL)
 		note_in_vain(s, st);
 	else
--- a/sched/place.c
+++ b/sched/place.c
@@ -419,15 +419,23 @@
 	return w;
 }
 
-/* Whether a task could start on a worker now, which has no earlier run of it. */
+/*
+ * Whether a lasting task could start on a worker now, which has no earlier run of it;
+ * a filler also slowed.
+ */
 bool
 place_fits(sched_t *s, task_t *t, worker_t *w)
 {
 	query_t q = { .step = t->step, .task = t };
+	bool ok = can_take(s, w, &q);
 	char name[64];
 
+	if (!ok && starvation_is_lasting(t->step)) {
+		q.slowed = true;
+		ok = can_take(s, w, &q);
+	}
 	job_task_name(t, name, sizeof(name));
-	return can_take(s, w, &q) && !g_hash_table_contains(w->runs, name);
+	return ok && !g_hash_table_contains(w->runs, name);
 }
 
 /*
--- a/sched/start.c
+++ b/sched/start.c
@@ -119,6 +119,17 @@
 	return false;
 }
 
+/* Starts a waiting task on a worker; a lasting filler that is down slowed if need be. */
+static bool
+start_on(sched_t *s, step_t *st, task_t *t, worker_t *w)
+{
+	int64_t number = start_run_number(s, t);
+
+	return downtime_is_down(t) && starvation_is_lasting(st) ?
+	    starvation_run_start(s, st, t, w, number) :
+	    run_start(s, t, w, number);
+}
+
 /*
  * Starts waiting tasks of a step while they fit, those of a gang all or none, and while
  * some of a lasting step are down only these; returns how many.
@@ -165,7 +176,7 @@
 				break;
 			continue;
 		}
-		if (!run_start(s, t, w, start_run_number(s, t)))
+		if (!start_on(s, st, t, w))
 			continue;
 		room_started(s, w, st);
 		n++;
--- a/sched/starvation.c
+++ b/sched/starvation.c
@@ -84,6 +84,16 @@
 	    starvation_is_starved(s, st);
 }
 
+/*
+ * Whether the tasks of a step are lasting fillers: as they are never done, they need not
+ * wait for full speed once they are down, nor for a turn.
+ */
+bool
+starvation_is_lasting(const step_t *st)
+{
+	return st->def->filler && st->def->lasting && !st->def->gang;
+}
+
 /*
  * Whether a task of a step may be started slowed now.  When nothing comes that
  * could use the workers better, its job need not have waited for STARVED_MS.
@@ -91,6 +101,8 @@
 bool
 starvation_may_slow(const sched_t *s, const step_t *st)
 {
+	if (starvation_is_lasting(st) && st->ndown > 0)
+		return true;
 	if (jobs_come(s))
 		return waits_for_turn(s, st) && has_share_left(s);
 	return can_start_slowed(st) &&
@@ -163,14 +175,15 @@
     sched_t *s, const step_t *st, task_t *t, worker_t *w, int64_t number)
 {
 	bool full_speed = isolation_margin(s, w, st) >= 0;
+	bool has_turn = t->down_since_ms == 0;
 
 	if (!run_start(s, t, w, number))
 		return false;
 	/* It starts standing still; pacing.c raises the pace as it can. */
 	if (!full_speed)
 		t->run->wanted_pace_pct = 0;
-	t->run->started_slowed = true;
-	s->starved_runs++;
+	t->run->started_slowed = has_turn;
+	s->starved_runs += has_turn;
 	/* Makes pacing_report set paces even if none was slowed before. */
 	w->fillers_pace_pct = 0;
 	return true;
@@ -188,7 +201,9 @@
 
 	s->turn_wanted = s->turn_wanted ||
 	    (jobs_come(s) && waits_for_turn(s, st) && !has_share_left(s));
-	if (!starvation_may_slow(s, st) || !customer_allows_start(st))
+	/* Those that are down have been offered workers already, also slowed. */
+	if (st->ndown > 0 || !starvation_may_slow(s, st) ||
+	    !customer_allows_start(st))
 		return false;
 	for (int32_t i = 0; t == NULL && i < st->ntasks; i++)
 		if (st->tasks[i].state == TASK_WAITING &&
--- a/test/unit/lasting_many.c
+++ b/test/unit/lasting_many.c
@@ -231,3 +231,53 @@
 	    c.longest_ms, DOWN_MAX_MS, "down for %d ms", (int)c.longest_ms);
 	full_cell_free(&c);
 }
+
+/*
+ * Guards against lasting tasks that use what others leave, and stay down for as long as
+ * other work uses all processors, though these do not count as taken by them.
+ */
+Test(lasting_many, fillers_that_last_are_back_in_time)
+{
+	static const struct {
+		const char *what;
+		int failing; /* of 12 tasks, one on each worker */
+		int64_t cpu_milli, mem_mb;
+		bool lost, full; /* else they fail */
+	} cases[] = {
+		{ "some fail, room", 4, 8000, 1000, false, false },
+		{ "some fail, full", 4, 8000, 1000, false, true },
+		{ "all fail, full", 12, 8000, 1000, false, true },
+		{ "wide ones fail, full", 4, 30000, 1000, false, true },
+		{ "some are lost, room", 4, 8000, 1000, true, false },
+		{ "some are lost, full", 4, 8000, 1000, true, true },
+		{ "some are lost, much memory", 4, 1000, 120000, true, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		Sched__Step d = step_def("", cases[i].cpu_milli, true, 0);
+		full_cell_t c;
+		step_t *st;
+
+		full_cell_init(&c, 12);
+		if (cases[i].full)
+			c.work[0] =
+			    (short_work_t){ "s", 3000, 1000, 20, false };
+		d.lasting = true;
+		d.count = 12;
+		d.mem_mb = cases[i].mem_mb;
+		st = full_cell_add_lasting(&c, &d);
+		for (int n = 0; n < 12; n++)
+			full_cell_run(&c, st, n, full_cell_worker(&c, n));
+		full_cell_pass(&c, SETTLE_MS);
+		for (int n = 0; n < cases[i].failing; n++)
+			if (cases[i].lost)
+				full_cell_lose(&c, full_cell_worker(&c, n));
+			else
+				full_cell_fail(&c, &st->tasks[n]);
+		full_cell_pass(&c, WATCHED_MS);
+		cr_log_info("%s: %d ms", cases[i].what, (int)c.longest_ms);
+		cr_expect_lt(c.longest_ms, DOWN_MAX_MS, "%s: down for %d ms",
+		    cases[i].what, (int)c.longest_ms);
+		full_cell_free(&c);
+	}
+}
--- a/test/unit/nominate.c
+++ b/test/unit/nominate.c
@@ -246,7 +246,8 @@
 		d.count = g_rand_int_range(g, 1, WIDTH);
 		d.mem_mb = 1000 * g_rand_int_range(g, 1, 60);
 		d.per_worker = (uint32_t)g_rand_int_range(g, 0, 3);
-		d.filler = !lasting && g_rand_boolean(g);
+		d.filler = lasting ? g_rand_int_range(g, 0, 4) == 0 :
+				     g_rand_boolean(g);
 		queue_add_step(s, add_step(s, &d));
 	}
 }
