Nominations: room is not kept idle for a run that can't be stopped, while a task that is down waits

Callers saw lasting tasks down for over 6 s beside workers with room (LOST). Cause: a run on a draining worker has a worker nominated, on which its needs count as used; when its own worker no longer answers, the run can neither be stopped nor its task started before the lease has ended (4.3 s), and the room stood idle for that long, while tasks that were known to be down found none. Now such a nomination yields to a task that is down and fits there.

--- a/sched/nominate.c
+++ b/sched/nominate.c
@@ -162,6 +162,68 @@
 		nominate(s, t, w);
 }
 
+/* A nomination that does not count as used for the moment. */
+typedef struct {
+	task_t *task;
+	worker_t *worker;
+} aside_t;
+
+static void
+set_aside(GArray *all, task_t *t)
+{
+	aside_t a = { t, t->nominated };
+
+	cell_worker_count_task(a.worker, t->step, -1);
+	t->nominated = NULL;
+	g_array_append_val(all, a);
+}
+
+/*
+ * Whether a task can't start on its nominated worker for long, as its run has to leave a
+ * worker that does not answer: not before the lease there has ended.
+ */
+static bool
+must_wait(const task_t *t)
+{
+	return t->run != NULL && t->run->worker->missed_polls > 0;
+}
+
+/*
+ * Returns the worker on which a task that is down can start now beside the nominations
+ * other than those that must wait, and withdraws these there; or NULL.
+ */
+static worker_t *
+take_room(sched_t *s, task_t *t)
+{
+	g_autoptr(GArray) all = g_array_new(FALSE, FALSE, sizeof(aside_t));
+	worker_t *w = NULL;
+
+	if (s->scan.nominate_searches >= SEARCHES_PER_PASS)
+		return NULL;
+	if (t->nominated != NULL)
+		set_aside(all, t);
+	for (guint i = 0; i < s->nominations->len && w == NULL; i++) {
+		task_t *o = g_ptr_array_index(s->nominations, i);
+		worker_t *at = o->nominated;
+
+		if (o == t || !must_wait(o))
+			continue;
+		set_aside(all, o);
+		if (place_fits(s, t, at))
+			w = at;
+	}
+	s->scan.nominate_searches += all->len > 0;
+	for (guint i = 0; i < all->len; i++) {
+		aside_t *a = &g_array_index(all, aside_t, i);
+
+		a->task->nominated = a->worker;
+		cell_worker_count_task(a->worker, a->task->step, 1);
+		if (a->worker == w && a->task != t)
+			nominate_withdraw(s, a->task);
+	}
+	return w;
+}
+
 /*
  * Returns the worker on which a task that is down can start now; if there is none,
  * nominates one.
@@ -175,6 +237,8 @@
 		w = NULL;
 	if (w == NULL)
 		w = place_task(s, t->step, t);
+	if (w == NULL)
+		w = take_room(s, t);
 	if (w != NULL)
 		nominate_withdraw(s, t);
 	else if (t->nominated == NULL)
--- a/test/unit/nominate.c
+++ b/test/unit/nominate.c
@@ -832,3 +832,56 @@
 		sched_free(s);
 	}
 }
+
+/*
+ * Guards against room that is kept idle for a task whose run can't be stopped, as its
+ * worker does not answer, while a task that is down waits for it.
+ */
+Test(nominate, room_is_not_kept_for_a_run_that_can_not_be_stopped)
+{
+	static const struct {
+		const char *what;
+		int32_t missed_polls; /* of the worker that is to be left */
+		int32_t leaving;      /* runs there */
+		int64_t milli;	      /* of the task that is down */
+		bool starts, kept;    /* it, and the nominations */
+	} cases[] = {
+		{ "it does not answer", 1, 1, LASTING_MILLI, true, false },
+		{ "two are in the way", 1, 2, 2 * LASTING_MILLI, true, false },
+		{ "it answers", 0, 1, LASTING_MILLI, false, true },
+		{ "there is room beside it", 1, 1, WORKER_CPU_MILLI / 2, true,
+		    true },
+		{ "too large", 1, 1, WORKER_CPU_MILLI + 1, false, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = new_scene();
+		worker_t *from = new_worker(s, "from"),
+			 *to = new_worker(s, "to");
+		int32_t n = cases[i].leaving;
+		step_t *leaving = add_lasting(s, n, LASTING_MILLI);
+		step_t *down = add_lasting(s, 1, cases[i].milli);
+
+		run_short(s, to,
+		    cases[i].milli == WORKER_CPU_MILLI / 2 ?
+			0 :
+			WORKER_CPU_MILLI - n * LASTING_MILLI,
+		    60000, true);
+		from->draining = true;
+		for (int32_t k = 0; k < n; k++) {
+			run_lasting(s, leaving, k, from);
+			nominate(s, &leaving->tasks[k], to);
+		}
+		from->missed_polls = cases[i].missed_polls;
+		down->tasks[0].down_since_ms = s->now_ms - 1000;
+		down->ndown = 1;
+		queue_add_step(s, down);
+		go_on(s, ROUND_MS);
+		cr_expect_eq(down->tasks[0].run != NULL, cases[i].starts, "%s",
+		    cases[i].what);
+		cr_expect_eq(nominate_count(to, leaving), cases[i].kept ? n : 0,
+		    "%s: %d", cases[i].what, nominate_count(to, leaving));
+		check_workers(s, 0, (int)i);
+		sched_free(s);
+	}
+}
