Crashes: a run of an earlier owner is no suspect as its worker restarts under its id

Callers saw lasting tasks down for long beside room after a change of the owner (LOST). Cause: how long a run was up when its worker restarted was counted from the new owner's first report of it, though it may be much older; where the lease expires instead, such a run is taken for older than CRASH_SOON_MS. So lasting tasks at work for 15 s became suspect, and waited for quarantine. Now both ask the same function.

--- a/sched/crash.c
+++ b/sched/crash.c
@@ -158,6 +158,16 @@
 		crash_take_back(s, t, run);
 }
 
+/* For how long a run that was seen is known to have been up at a time. */
+static int64_t
+up_until_ms(const run_t *r, int64_t at_ms)
+{
+	int64_t ms = MAX(0, at_ms - r->first_seen_ms);
+
+	/* A run first seen in a report may be older. */
+	return r->first_seen_percent > 0 ? MAX(CRASH_SOON_MS, ms) : ms;
+}
+
 /*
  * How long the worker is known to have been up after it acknowledged the start
  * of a run or, without an answer, after that was ordered.
@@ -171,10 +181,7 @@
 		return r->up_ms;
 	if (r->first_seen_ms == 0)
 		return MAX(0, answered_ms - r->ordered_ms);
-	/* A run first seen in a report may be older. */
-	if (r->first_seen_percent > 0)
-		return MAX(CRASH_SOON_MS, answered_ms - r->first_seen_ms);
-	return answered_ms - r->first_seen_ms;
+	return up_until_ms(r, answered_ms);
 }
 
 /* Whether the process of a worker that it is known by was up at a time. */
@@ -371,8 +378,8 @@
 		run_t *r = v;
 
 		/* Only reports tell which process has answered. */
-		r->up_ms = MIN(crash_known_up_ms(r),
-		    MAX(0, w->reported_ms - r->first_seen_ms));
+		r->up_ms =
+		    MIN(crash_known_up_ms(r), up_until_ms(r, w->reported_ms));
 		r->worker_restarted = true;
 	}
 }
--- a/test/unit/crash.c
+++ b/test/unit/crash.c
@@ -434,6 +434,49 @@
 	}
 }
 
+/*
+ * Guards against lasting tasks that wait in quarantine though they ran for long: their
+ * worker starts again under its id soon after a change of the owner.
+ */
+Test(crash, a_run_of_an_earlier_owner_is_no_suspect_by_a_restart)
+{
+	static const struct {
+		const char *what;
+		bool adopted, suspect;
+	} cases[] = {
+		{ "by an earlier owner", true, false },
+		{ "by this one, just before", false, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		worker_t *w;
+		task_t *t;
+		sched_t *s = owner_with_job(&w, &t, 100000);
+		sched_running_t run = { .task = JOB ".0.0.0",
+			.run = 1,
+			.checkpoint = "",
+			.percent = 100 };
+		sched_report_t report = { .clock_ms = 500000,
+			.started_ms = 1,
+			.running = &run,
+			.nrunning = 1 };
+
+		if (!cases[i].adopted) {
+			run_for(s, w, t, false, 0);
+			run.run = t->last_run_number;
+		}
+		report_apply(s, w, &report, s->now_ms);
+		cr_assert_not_null(t->run);
+		s->now_ms += 3000;
+		report = (sched_report_t){ .clock_ms = 1, .started_ms = 2 };
+		report_apply(s, w, &report, s->now_ms - 5);
+		cr_assert_null(t->run);
+		cr_expect_eq(
+		    crash_is_suspect(t), cases[i].suspect, "%s", cases[i].what);
+		sched_free(s);
+	}
+}
+
 /*
  * A data centre loses power: its workers stop answering, leave the list, and
  * their leases expire one after the other.  The first to expire is no single
