Nominations: the run of a suspect task leaves a worker that drains

What callers would see: a lasting task whose workers had crashed before stays on a worker that drains until that is gone, on a full service. To learn that takes a lease (4.3 s), and then it waits for its trial in quarantine.

Cause: a nomination for a suspect task was withdrawn in each round, as such a task has a worker of quarantine.c. That holds once it is down; a run that has to leave needs the nomination to be stopped for a place.

Change: it is withdrawn only where the task has no run.

Evidence: unit lasting_many/suspects_leave_workers_that_drain.

--- a/sched/nominate.c
+++ b/sched/nominate.c
@@ -252,9 +252,11 @@
 
 	if (!place_fits_empty(s, w, t->step) ||
 	    !approval_allows(s, t->step, w) ||
-	    !quarantine_allows_start(s, w, t) || crash_is_suspect(t))
+	    !quarantine_allows_start(s, w, t))
 		return true;
-	if (t->run == NULL && !customer_allows_start(t->step))
+	/* A suspect task has a worker of quarantine.c once it is down. */
+	if (t->run == NULL &&
+	    (crash_is_suspect(t) || !customer_allows_start(t->step)))
 		return true;
 	return t->run != NULL && t->run->state != RUN_STOPPING &&
 	    !t->run->worker->draining;
--- a/test/unit/lasting_many.c
+++ b/test/unit/lasting_many.c
@@ -281,3 +281,55 @@
 		full_cell_free(&c);
 	}
 }
+
+/*
+ * Guards against a suspect task that stays on a worker that drains, as no worker stays
+ * nominated for it, or that is down for long after its stop, as it waits for a trial.
+ */
+Test(lasting_many, suspects_leave_workers_that_drain)
+{
+	static const struct {
+		const char *what;
+		int32_t crashes;
+		bool full, weak;
+	} cases[] = {
+		{ "room", 1, false, false },
+		{ "full", 1, true, false },
+		{ "full, after three crashes", 3, true, false },
+		{ "full, a weak owner", 1, true, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		Sched__Step d = step_def("", LASTING_MILLI, false, 0);
+		full_cell_t c;
+
+		full_cell_init(&c, 12);
+		c.weak = cases[i].weak;
+		if (cases[i].full)
+			c.work[0] =
+			    (short_work_t){ "s", 3000, 1000, 20, false };
+		for (int n = 0; n < 12; n++) {
+			step_t *st = add_one(&c, d, full_cell_worker(&c, n));
+
+			for (int32_t k = 0; n < 4 && k < cases[i].crashes; k++)
+				crash_add(&st->tasks[0], -k - 1, k == 0);
+		}
+		full_cell_pass(&c, SETTLE_MS);
+		for (int n = 0; n < 4; n++)
+			full_cell_worker(&c, n)->draining = true;
+		full_cell_pass(&c, LEAVES_MS);
+		for (int n = 0; n < 4; n++) {
+			worker_t *w = full_cell_worker(&c, n);
+
+			cr_expect_eq(g_hash_table_size(w->runs), 0,
+			    "%s: %s has not been left", cases[i].what, w->id);
+			full_cell_lose(&c, w);
+		}
+		full_cell_pass(&c, WATCHED_MS);
+		cr_log_info("%s: %d ms;%s", cases[i].what, (int)c.longest_ms,
+		    c.returns->str);
+		cr_expect_lt(c.longest_ms, DOWN_MAX_MS, "%s: down for %d ms",
+		    cases[i].what, (int)c.longest_ms);
+		full_cell_free(&c);
+	}
+}
