--- a/test/unit/full_cell.c
+++ b/test/unit/full_cell.c
@@ -50,6 +50,7 @@
 /* A request for approval. */
 typedef struct {
 	uint64_t id;
+	int64_t sent_ms;
 	GPtrArray *workers; /* interned */
 } request_t;
 
@@ -69,6 +70,7 @@
 	request_t *r = g_new0(request_t, 1);
 
 	r->id = a->id;
+	r->sent_ms = c->s->now_ms;
 	r->workers = g_ptr_array_new();
 	for (size_t i = 0; i < a->nworkers; i++)
 		g_ptr_array_add(r->workers, (void *)a->workers[i]);
@@ -285,6 +287,20 @@
 	sched_approval_done(c->s, r->id, &a, c->s->now_ms);
 }
 
+/* Answers the requests for approval that have waited for long enough. */
+static void
+answer_requests(full_cell_t *c)
+{
+	while (c->requests->len > 0) {
+		const request_t *r = g_ptr_array_index(c->requests, 0);
+
+		if (c->s->now_ms - r->sent_ms < c->approval_ms)
+			break;
+		approve(c, r);
+		g_ptr_array_remove_index(c->requests, 0);
+	}
+}
+
 /* Notes how long a task has been down. */
 static void
 look_at(full_cell_t *c, const task_t *t)
@@ -329,9 +345,7 @@
 		if (w->listed)
 			report(c, w);
 	}
-	for (guint i = 0; i < c->requests->len; i++)
-		approve(c, g_ptr_array_index(c->requests, i));
-	g_ptr_array_set_size(c->requests, 0);
+	answer_requests(c);
 	for (size_t i = 0; i < G_N_ELEMENTS(c->work); i++)
 		if (c->work[i].service != NULL)
 			add_work(c, &c->work[i]);
--- a/test/unit/lasting_many.c
+++ b/test/unit/lasting_many.c
@@ -88,11 +88,14 @@
 		const char *what;
 		needs_also_t also;
 		bool drain, weak;
+		int64_t approval_ms;
 	} cases[] = {
 		{ "only room", NOTHING, false, false },
 		{ "a label", A_LABEL, false, false },
 		{ "a worker each", A_WORKER_EACH, false, false },
 		{ "approval", APPROVAL, false, false },
+		{ "approval, a weak owner", APPROVAL, false, true },
+		{ "approval after 300 ms", APPROVAL, false, false, 300 },
 		{ "two services", TWO_SERVICES, false, false },
 		{ "all", ALL, false, false },
 		{ "all, drained", ALL, true, false },
@@ -106,6 +109,7 @@
 
 		full_cell_init(&c, WORKERS);
 		c.weak = cases[i].weak;
+		c.approval_ms = cases[i].approval_ms;
 		c.work[0] = (short_work_t){ "s", 3000, 1000, 20, false };
 		for (int k = 0; k < WORKERS; k++) {
 			worker_t *w = full_cell_worker(&c, k);
