Crashes: a lasting task is given up only after crashes in a row in quarantine

Cause: the bounds for tasks that crash their workers are those of short work. A lasting task meets many crashes in its time that are not its doing: any five were enough, or two soon after a start, the last in quarantine.

Change: beyond two, only crashes soon after starts in quarantine, alone, count for a lasting task. It is guilty after the second of these in a row with another one before, or after four if the starts were not acknowledged. A run that is up there, or a later crash, begins anew.

--- a/sched/crash.c
+++ b/sched/crash.c
@@ -10,6 +10,12 @@
  * or its second if both came soon after starts that were acknowledged; or after
  * CRASHES_MAX crashes anywhere.  Then its job fails.
  *
+ * A lasting task is to be started again however it ends, and meets many crashes in its
+ * time.  So only crashes soon after starts in quarantine count beyond two, until it is
+ * up there or one comes later; it is guilty after LASTING_CRASHES, or one less if the
+ * last two came so after starts that were acknowledged.  A gang, which has no quarantine:
+ * soon after any start.
+ *
  * A worker that is only unreachable has not crashed.  When its lease expires the
  * crashes are counted, as its tasks start again then, but count for guilt only
  * once another process answers in its place; they are taken back when the same
@@ -39,6 +45,11 @@
 #define CRASHES_MAX	   5
 #define QUARANTINE_CRASHES 3
 #define SOON_CRASHES	   2
+#define LASTING_CRASHES	   4
+/* Crashes that are kept of a lasting task if the last does not tell against it, so
+ * that it is suspect; and once it was up in quarantine, so that it is not. */
+#define LASTING_KEPT 2
+#define PASSED_KEPT  1
 /* At least so many, and this share, of a data centre's workers are down at once:
  * that is an outage and not a task's doing. */
 #define OUTAGE_WORKERS	 4
@@ -210,6 +221,20 @@
 	return down >= OUTAGE_WORKERS && down * 100 >= all * OUTAGE_SHARE_PCT;
 }
 
+/* Forgets all but so many crashes under a task, but never that of one run. */
+static void
+keep_crashes(crashes_t *c, guint n, int64_t run)
+{
+	for (guint i = 0; c->runs->len > n && i < c->runs->len;) {
+		if (g_array_index(c->runs, int64_t, i) == run) {
+			i++;
+			continue;
+		}
+		g_array_remove_index(c->runs, i);
+		c->unproved -= i < c->unproved;
+	}
+}
+
 /*
  * Whether a task is guilty, if its last crash is proved.  alone: that was in
  * quarantine; sure_before: the one before came soon after an acknowledged start.
@@ -227,6 +252,24 @@
 		    t->crashes->start_acked));
 }
 
+/*
+ * Settles what the last crash, with the worker of a run, tells of a lasting task; returns
+ * whether that is guilty, if the crash is proved.
+ */
+static bool
+judge_lasting(task_t *t, const run_t *r, bool alone, bool sure_before)
+{
+	crashes_t *c = t->crashes;
+	bool tells = c->soon && (alone || t->step->def->gang);
+
+	c->start_acked = c->start_acked && tells;
+	if (!tells)
+		keep_crashes(c, LASTING_KEPT, r->number);
+	return tells &&
+	    proved_crashes(t) + (sure_before && c->start_acked) >=
+	    LASTING_CRASHES;
+}
+
 /*
  * Counts the crash of its worker under the task of a run, once: sets *counted.
  * The task avoids the worker from now on.  A run that was up for HARMLESS_MS is
@@ -264,7 +307,9 @@
 	c->trial_run = 0;
 	c->soon = crash_known_up_ms(r) < CRASH_SOON_MS && !r->worker->zone_down;
 	c->start_acked = r->first_seen_ms != 0;
-	guilty = is_guilty(t, alone, sure_before);
+	guilty = t->step->def->lasting ?
+	    judge_lasting(t, r, alone, sure_before) :
+	    is_guilty(t, alone, sure_before);
 	t->avoid_worker = r->worker->id;
 	if (c->soon || c->runs->len > 1)
 		LOG_EVENT(s, SCHED_EVT_TASK_SUSPECT, r->name,
@@ -444,6 +489,22 @@
 		crash_take_back(s, r->task, r->number);
 }
 
+/* A run in quarantine is up: its last crash was none that comes soon. */
+void
+crash_trial_passed(sched_t *s, const run_t *r)
+{
+	crashes_t *c = r->task->crashes;
+
+	if (c == NULL || !(c->soon || r->task->step->def->lasting))
+		return;
+	c->soon = false;
+	/* Its own is among them until it ends. */
+	if (r->task->step->def->lasting)
+		keep_crashes(
+		    c, PASSED_KEPT + (c->trial_run == r->number), c->trial_run);
+	mark_row(s, r->task);
+}
+
 /* Whether the next run of a task is to start in quarantine. */
 bool
 crash_is_suspect(const task_t *t)
@@ -453,8 +514,8 @@
 	    (t->crashes->soon || t->crashes->runs->len > 1);
 }
 
-/* Gives up a job with a task that is guilty by the number of its crashes alone;
- * called for each job that is loaded. */
+/* Gives up a job with a task that is guilty by the number of its crashes alone, which a
+ * lasting one never is; called for each job that is loaded. */
 void
 crash_job_loaded(sched_t *s, job_t *j)
 {
@@ -463,8 +524,9 @@
 
 		for (size_t k = 0; k < j->def->n_steps; k++)
 			for (int32_t n = 0; n < o->steps[k].ntasks; n++)
-				if (proved_crashes(&o->steps[k].tasks[n]) >=
-				    CRASHES_MAX)
+				if (!j->def->steps[k]->lasting &&
+				    proved_crashes(&o->steps[k].tasks[n]) >=
+					CRASHES_MAX)
 					give_up(s, &o->steps[k].tasks[n], "");
 	}
 }
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -443,6 +443,7 @@
 void crash_forget_worker(worker_t *w);
 void crash_run_removed(sched_t *s, const run_t *r);
 void crash_run_listed(sched_t *s, task_t *t, int64_t run);
+void crash_trial_passed(sched_t *s, const run_t *r);
 bool crash_is_suspect(const task_t *t);
 
 /* held_up.c */
--- a/sched/quarantine.c
+++ b/sched/quarantine.c
@@ -108,16 +108,6 @@
 	    r->task->step->def->lasting || up_ms >= LONGEST_MS;
 }
 
-/* A run in quarantine is up: its last crash was none that comes soon. */
-static void
-trial_passed(sched_t *s, const run_t *r)
-{
-	if (r->task->crashes == NULL || !r->task->crashes->soon)
-		return;
-	r->task->crashes->soon = false;
-	flush_mark_job(s, r->job);
-}
-
 /* Ends the quarantine on a worker whose task has been up for long enough. */
 void
 quarantine_report(sched_t *s, worker_t *w)
@@ -128,11 +118,11 @@
 
 	if (r == NULL || !is_up(r))
 		return;
-	trial_passed(s, r);
+	crash_trial_passed(s, r);
 	g_hash_table_iter_init(&it, w->runs);
 	while (w->tried_together && g_hash_table_iter_next(&it, NULL, &v))
 		if (is_trial(v) && is_up(v))
-			trial_passed(s, v);
+			crash_trial_passed(s, v);
 	end(s, w);
 }
 
