Quarantine: lasting suspects that find no worker are tried in groups at once

Cause: each suspect is tried for 1.5 s on a worker of its own; after 1 s up to four that crashed once share one, none after two crashes or of jobs that an earlier owner had. So the wait grows with the number of suspects.

Change: a lasting suspect for which no worker is left joins the smallest group on a worker at once, up to 16. It may after one crash, and after two if the last came late. If a group crashes its tasks are tried alone, so that a task that does crash its workers has one crash more at most.

--- a/sched/quarantine.c
+++ b/sched/quarantine.c
@@ -11,8 +11,13 @@
  * A worker that crashes with many runs makes all of them suspect.  So the next one
  * follows at once on a worker where one has been tried: nothing new runs there.  If
  * there are more than workers, so that a job has had no run for JOIN_MS, a task that
- * has crashed once joins others of that kind.  A crash at once after a start counts
- * as one of that task in quarantine, else under all as one that was not.
+ * has crashed once joins others of that kind.  A crash then counts under all as one that
+ * was not in quarantine.
+ *
+ * Lasting tasks are to be back soon, however many are suspect.  Those that one crash
+ * soon after a start made suspect are nearly all innocent, and so are those whose last
+ * one came later; so if no worker is left for one, it joins the group on a worker at
+ * once.  If that crashes, those of the group are tried alone.
  */
 #include <stdbool.h>
 #include <stdint.h>
@@ -39,6 +44,8 @@
 /* A job has had no run for so long when a task of it joins others in quarantine. */
 #define JOIN_MS	   1000
 #define TRIALS_MAX 4 /* tried together on a worker */
+/* Lasting tasks in a group: one deadly task stops so many others once more. */
+#define GROUP_MAX 16
 
 /* Ends the quarantine on a worker, which is kept for the next task that waits. */
 static void
@@ -148,23 +155,39 @@
 				       w->reserved_for == t);
 }
 
+/* Whether a lasting task may be tried in a group. */
+static bool
+may_group(const task_t *t)
+{
+	guint n = earlier_crashes(t);
+
+	return t->step->def->lasting &&
+	    (n <= 1 || (n == 2 && !t->crashes->soon));
+}
+
 /*
- * Whether a run on a worker may yet turn out to crash it; one that is tried there
- * only until it is no longer likely to.
+ * Whether a run on a worker may yet turn out to crash it, before a task starts there;
+ * one that is tried there only until it is no longer likely to, and none of a group
+ * that the task joins.
  */
 static bool
-has_new_runs(const worker_t *w)
+has_new_runs(const worker_t *w, const task_t *t)
 {
 	GHashTableIter it;
 	void *v;
 
 	g_hash_table_iter_init(&it, w->runs);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		if (crash_known_up_ms(v) <
-		    (is_trial(v) && w->quarantined_run != NULL ?
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const run_t *r = v;
+
+		if (is_trial(r) && may_group(t) && may_group(r->task))
+			continue;
+		if (crash_known_up_ms(r) <
+		    (is_trial(r) && w->quarantined_run != NULL ?
 			    CRASH_AT_ONCE_MS :
 			    CRASH_SOON_MS))
 			return true;
+	}
 	return false;
 }
 
@@ -354,6 +377,66 @@
 	return NULL;
 }
 
+/* Whether a group is tried on a worker that is in quarantine, and may become larger. */
+static bool
+has_group(const worker_t *w)
+{
+	GHashTableIter it;
+	int32_t n = 0;
+	void *v;
+
+	g_hash_table_iter_init(&it, w->runs);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const run_t *r = v;
+
+		if (!is_trial(r) || crash_known_up_ms(r) >= CRASH_SOON_MS)
+			continue;
+		n++;
+		if (!may_group(r->task))
+			return false;
+	}
+	return n > 0 && n < GROUP_MAX;
+}
+
+/*
+ * Whether a worker with a group can take a task.  The reservation for that is given back,
+ * as others may start there before the row of this one is stored.
+ */
+static bool
+group_takes(sched_t *s, step_t *st, task_t *t, worker_t *w)
+{
+	const task_t *reserved_for = w->reserved_for;
+	int64_t until_ms = w->reserved_until_ms;
+	bool takes;
+
+	if (!has_group(w))
+		return false;
+	reserve(s, w, t);
+	takes = place_alone(s, st, t, w) != NULL;
+	w->reserved_for = reserved_for;
+	w->reserved_until_ms = until_ms;
+	return takes;
+}
+
+/* Of the workers with a group that can take a task the one with the fewest, or NULL. */
+static worker_t *
+find_group(sched_t *s, step_t *st, task_t *t)
+{
+	worker_t *best = NULL;
+	int32_t least = GROUP_MAX;
+
+	for (guint i = 0; may_group(t) && i < s->worker_list->len; i++) {
+		worker_t *w = g_ptr_array_index(s->worker_list, i);
+
+		if (w->quarantined_run == NULL || count_trials(w) >= least ||
+		    !group_takes(s, st, t, w))
+			continue;
+		best = w;
+		least = count_trials(w);
+	}
+	return best;
+}
+
 /*
  * Whether a task leaves the workers to others that wait: its job has a run, and
  * theirs have none.
@@ -384,10 +467,12 @@
 		    reserve_soonest(s, st, t) != NULL)
 			return NULL;
 	}
-	if (w == NULL)
-		return join_trial(s, st, t);
-	reserve(s, w, t);
-	return w;
+	if (w != NULL) {
+		reserve(s, w, t);
+		return w;
+	}
+	w = find_group(s, st, t);
+	return w != NULL ? w : join_trial(s, st, t);
 }
 
 /*
@@ -414,7 +499,7 @@
 		return false;
 	}
 	/* Stored last, as a run that is stored counts even if not started. */
-	if (has_new_runs(w) || !trial_stored(s, t) ||
+	if (has_new_runs(w, t) || !trial_stored(s, t) ||
 	    s->now_ms - w->answered_ms > ANSWERED_MS)
 		return false;
 	started = starvation_may_slow(s, st) ?
--- a/test/unit/quarantine.c
+++ b/test/unit/quarantine.c
@@ -25,6 +25,10 @@
 /* A job that can run has a run within this time; a bound of the users. */
 #define RUN_MS	 3000
 #define JOBS_MAX 64
+/* The users call a lasting task lost that is down for so long beside room for it. */
+#define DOWN_MAX_MS 6000
+#define BACK_MS	    1500 /* after a crash another process answers */
+#define LOST_MS	    4300 /* after its last answer a worker is known to be lost */
 
 /* An owner with n workers, the last silent of which do not answer. */
 static sched_t *
@@ -282,3 +286,146 @@
 		sched_free(s);
 	}
 }
+
+/* Steps, rounds and passes until a time. */
+static void
+run_until(sched_t *s, int64_t until_ms)
+{
+	while (s->now_ms < until_ms) {
+		s->now_ms += STEP_MS;
+		s->wall_ms += STEP_MS;
+		answer_all(s);
+		if (s->now_ms % ROUND_MS == 0)
+			pass(s);
+		else
+			start_waiting_tasks(s);
+	}
+}
+
+/* Queues a lasting task that is down and suspect after so many crashes. */
+static task_t *
+queue_lasting(sched_t *s, int number, int crashes, int64_t down_ms)
+{
+	Sched__Step d = step_def("", 1000, false, 0);
+	task_t *t;
+
+	d.lasting = true;
+	t = queue_step(s, number, &d, false);
+	for (int k = 0; k < crashes; k++)
+		crash_add(t, k + 1, crashes == 1);
+	t->down_since_ms = s->now_ms - down_ms;
+	t->step->ndown = 1;
+	return t;
+}
+
+/*
+ * Guards against lasting tasks that stay down (LOST) as those of workers that crashed
+ * wait to be tried one after the other, whatever their number.
+ */
+Test(quarantine, all_lasting_suspects_of_a_crash_are_back_in_time)
+{
+	static const struct {
+		const char *what;
+		int workers, tasks, crashes;
+		bool earlier_owner, other_waits;
+		int64_t known_ms; /* from the end of their runs on */
+	} cases[] = {
+		{ "all of 3 are back", 3, 24, 1, false, false, BACK_MS },
+		{ "all of 3, more tasks", 3, 60, 1, false, false, BACK_MS },
+		{ "all of 3, after two crashes", 3, 40, 2, false, false,
+		    BACK_MS },
+		{ "all of 3, an earlier owner", 3, 40, 1, true, false,
+		    BACK_MS },
+		{ "all of 3, other work", 3, 40, 1, false, true, BACK_MS },
+		{ "one is lost, 3 are left", 3, 24, 1, false, false, LOST_MS },
+		{ "10 are left", 10, 60, 1, false, false, LOST_MS },
+		{ "10 are left, after two crashes", 10, 60, 2, false, false,
+		    LOST_MS },
+		{ "10 are left, other work", 10, 60, 1, false, true, LOST_MS },
+		{ "30 are left", 30, 60, 1, false, false, LOST_MS },
+		{ "30 are left, an earlier owner", 30, 60, 1, true, false,
+		    LOST_MS },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = owner_of(cases[i].workers, 0);
+		task_t *tasks[JOBS_MAX];
+		int waiting = 0;
+
+		for (int k = 0; k < cases[i].tasks; k++) {
+			tasks[k] = queue_lasting(
+			    s, k + 1, cases[i].crashes, cases[i].known_ms);
+			tasks[k]->step->occ->job->maybe_started_before =
+			    cases[i].earlier_owner;
+		}
+		/* Nothing that takes all of a worker fits beside them. */
+		for (int k = 0; cases[i].other_waits && k < JOBS_MAX; k++)
+			queue_job(s, 100 + k, WORKER_CPU_MILLI / 8, false);
+		run_until(s, BEGIN_MS + DOWN_MAX_MS - cases[i].known_ms);
+		for (int k = 0; k < cases[i].tasks; k++)
+			waiting += tasks[k]->run == NULL;
+		cr_expect_eq(waiting, 0, "%s: %d of %d are down", cases[i].what,
+		    waiting, cases[i].tasks);
+		sched_free(s);
+	}
+}
+
+/* Crashes the worker of a task that has run for so long; whether it did. */
+static bool
+crash_deadly(sched_t *s, const task_t *t, int64_t after_ms)
+{
+	worker_t *w;
+
+	if (t->run == NULL || t->run->first_seen_ms == 0 ||
+	    crash_known_up_ms(t->run) < after_ms)
+		return false;
+	w = t->run->worker;
+	crash_worker_replaced(s, w);
+	run_worker_lost(s, w, "it crashed");
+	return true;
+}
+
+/*
+ * Guards against a task that crashes its workers and is not found, or others that are
+ * given up for it, as it is tried together with many.
+ */
+Test(quarantine, a_deadly_task_among_many_is_found)
+{
+	static const struct {
+		const char *what;
+		int workers, tasks, deadly;
+		int64_t after_ms; /* its start */
+	} cases[] = {
+		{ "at once, 3 workers", 3, 24, 5, 0 },
+		{ "later, 3 workers", 3, 24, 5, 800 },
+		{ "the first", 3, 24, 0, 800 },
+		{ "the last", 3, 24, 23, 800 },
+		{ "at once, 10 workers", 10, 60, 33, 0 },
+		{ "later, 10 workers", 10, 60, 33, 1200 },
+		{ "30 workers", 30, 60, 33, 800 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = owner_of(cases[i].workers, 0);
+		task_t *tasks[JOBS_MAX];
+		const task_t *deadly;
+		int crashes = 0;
+
+		for (int k = 0; k < cases[i].tasks; k++)
+			tasks[k] = queue_lasting(s, k + 1, 1, BACK_MS);
+		deadly = tasks[cases[i].deadly];
+		while (s->now_ms < BEGIN_MS + 10 * DOWN_MAX_MS) {
+			run_until(s, s->now_ms + STEP_MS);
+			crashes += crash_deadly(s, deadly, cases[i].after_ms);
+		}
+		cr_expect_leq(
+		    crashes, 3, "%s: %d more crashes", cases[i].what, crashes);
+		for (int k = 0; k < cases[i].tasks; k++)
+			cr_expect_eq(
+			    tasks[k]->step->occ->job->stage == JOB_OPEN &&
+				tasks[k]->run != NULL,
+			    k != cases[i].deadly, "%s: task %d", cases[i].what,
+			    k);
+		sched_free(s);
+	}
+}
