--- a/sched/nominate.c
+++ b/sched/nominate.c
@@ -31,7 +31,8 @@
 
 /* Batch runs in the way of a task are stopped after this time. */
 #define PREEMPT_AFTER_MS 1500
-/* Searches for the soonest worker in a pass, as each looks at all runs. */
+/* Searches for the soonest worker in a pass, as each looks at all runs; as many for room
+ * that is kept for runs which must wait. */
 #define SEARCHES_PER_PASS 16
 /* Each worker reports in this time, and with that a run asks again for a search. */
 #define ASKS_AGAIN_MS 1200
@@ -236,21 +237,21 @@
 	g_autoptr(GArray) all = g_array_new(FALSE, FALSE, sizeof(aside_t));
 	worker_t *w = NULL;
 
-	if (s->scan.nominate_searches >= SEARCHES_PER_PASS)
+	if (s->scan.rooms_sought >= SEARCHES_PER_PASS)
 		return NULL;
-	if (t->nominated != NULL)
-		set_aside(all, t);
 	for (guint i = 0; i < s->nominations->len && w == NULL; i++) {
 		task_t *o = g_ptr_array_index(s->nominations, i);
 		worker_t *at = o->nominated;
 
 		if (o == t || !must_wait(o))
 			continue;
+		if (all->len == 0 && t->nominated != NULL)
+			set_aside(all, t);
 		set_aside(all, o);
 		if (place_fits(s, t, at))
 			w = at;
 	}
-	s->scan.nominate_searches += all->len > 0;
+	s->scan.rooms_sought += all->len > 0;
 	for (guint i = 0; i < all->len; i++) {
 		aside_t *a = &g_array_index(all, aside_t, i);
 
--- a/sched/scan.c
+++ b/sched/scan.c
@@ -71,7 +71,8 @@
 scan_begin_pass(sched_t *s)
 {
 	s->scan.pass++;
-	s->scan.nominate_searches = s->scan.unplaced_down = 0;
+	s->scan.nominate_searches = s->scan.rooms_sought = 0;
+	s->scan.unplaced_down = 0;
 	s->scan.pass_looks = s->stats.places;
 	s->scan.head_offered = false;
 	s->scan.stopped_at = 0;
--- a/sched/types.h
+++ b/sched/types.h
@@ -549,8 +549,9 @@
 	bool head_offered;   /* by this pass */
 	/* Of this round: workers that are kept, and the steps they are kept for. */
 	guint kept_workers, keeping_steps;
-	int32_t nominate_searches; /* of this pass, by nominate.c */
-	uint64_t nominate_turn;	   /* one search a task; see nominate.c */
+	int32_t nominate_searches,
+	    rooms_sought;	/* of this pass, by nominate.c */
+	uint64_t nominate_turn; /* one search a task; see nominate.c */
 	/* That found no worker in this turn, as would none that needs as much. */
 	needs_t unnominated;
 	uint64_t unnominated_turn;
