Quarantine: a suspect filler is tried at full speed where it can't be slowed

What callers would see: a lasting task that uses what others leave is down for good, and a free worker takes nothing meanwhile.

Cause: a suspect task that may start slowed was offered workers only as one that does. A worker that has failed tasks takes none slowed, but it has room, so that it was reserved for the task, for 3 s again and again.

Change: workers are looked for at full speed first, then slowed.

Evidence: unit lasting_many/a_suspect_filler_is_tried_on_a_suspect_worker.

--- a/sched/place.c
+++ b/sched/place.c
@@ -438,9 +438,18 @@
 	return ok && !g_hash_table_contains(w->runs, name);
 }
 
+/* Returns a worker for the task of a query; reserved: the only one, unless NULL. */
+static worker_t *
+find_alone(sched_t *s, query_t *q, worker_t *reserved)
+{
+	if (reserved != NULL)
+		return can_take(s, reserved, q) ? reserved : NULL;
+	return find_best_worker(s, q);
+}
+
 /*
  * Returns a worker for a task that may crash it, or NULL; reserved: the only one
- * to consider, unless NULL.
+ * to consider, unless NULL.  A suspect worker can't take it slowed.
  */
 worker_t *
 place_alone(sched_t *s, step_t *st, const task_t *t, worker_t *reserved)
@@ -449,14 +458,15 @@
 		.task = t,
 		.workers = s->worker_list,
 		.enough = G_MAXUINT,
-		.slowed = starvation_may_slow(s, st),
 		.alone = true };
-	worker_t *w;
+	worker_t *w = find_alone(s, &q, reserved);
 
-	if (reserved != NULL)
-		return can_take(s, reserved, &q) ? reserved : NULL;
-	w = find_best_worker(s, &q);
-	if (w == NULL)
+	if (w == NULL && starvation_may_slow(s, st)) {
+		q.slowed = true;
+		q.kept = 0;
+		w = find_alone(s, &q, reserved);
+	}
+	if (w == NULL && reserved == NULL)
 		room_not_found(s, st, q.kept);
 	return w;
 }
--- a/test/unit/lasting_many.c
+++ b/test/unit/lasting_many.c
@@ -337,3 +337,45 @@
 		full_cell_free(&c);
 	}
 }
+
+/*
+ * Guards against a suspect task that keeps a worker reserved on which it never starts: a
+ * filler that may start slowed, but not on a worker that has failed tasks.
+ */
+Test(lasting_many, a_suspect_filler_is_tried_on_a_suspect_worker)
+{
+	static const struct {
+		const char *what;
+		bool sibling; /* its job has a run */
+	} cases[] = {
+		{ "its job has no run", false },
+		{ "its job has a run", true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		Sched__Step d = step_def("", LASTING_MILLI, true, 0);
+		full_cell_t c;
+		step_t *st;
+
+		full_cell_init(&c, 3);
+		d.lasting = true;
+		d.label = (char *)LABEL;
+		d.count = cases[i].sibling ? 2 : 1;
+		st = full_cell_add_lasting(&c, &d);
+		full_cell_run(&c, st, 0, full_cell_worker(&c, 0));
+		if (cases[i].sibling)
+			full_cell_run(&c, st, 1, full_cell_worker(&c, 2));
+		add_label(full_cell_worker(&c, 0));
+		add_label(full_cell_worker(&c, 1));
+		full_cell_worker(&c, 1)->suspect = true;
+		full_cell_worker(&c, 1)->failures_in_row = 3;
+		full_cell_pass(&c, SETTLE_MS);
+		crash_add(&st->tasks[0], -1, true);
+		full_cell_lose(&c, full_cell_worker(&c, 0));
+		full_cell_pass(&c, WATCHED_MS);
+		cr_log_info("%s: %d ms", cases[i].what, (int)c.longest_ms);
+		cr_expect_lt(c.longest_ms, DOWN_MAX_MS, "%s: down for %d ms",
+		    cases[i].what, (int)c.longest_ms);
+		full_cell_free(&c);
+	}
+}
