--- a/test/unit/lasting_many.c
+++ b/test/unit/lasting_many.c
@@ -379,3 +379,55 @@
 		full_cell_free(&c);
 	}
 }
+
+/*
+ * Guards against lasting tasks that stay down after a crash as few workers suit them, on
+ * which suspect tasks are tried one after the other, alone.
+ */
+Test(lasting_many, suspects_of_few_workers_are_back_in_time)
+{
+	static const struct {
+		const char *what;
+		int suspects, others; /* tasks that go down */
+		int workers;	      /* with their label, that are left */
+		bool full, weak;
+	} cases[] = {
+		{ "9 on one", 9, 0, 1, false, false },
+		{ "9 on one, full", 9, 0, 1, true, false },
+		{ "9 on one, a weak owner", 9, 0, 1, false, true },
+		{ "18 on one", 18, 0, 1, false, false },
+		{ "3 on three beside 9 others", 3, 9, 3, false, false },
+		{ "9 on three beside 9 others", 9, 9, 3, false, false },
+		{ "18 on three beside 9 others", 18, 9, 3, false, false },
+		{ "18 on three beside 9 others, weak", 18, 9, 3, true, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		int n = cases[i].suspects + cases[i].others;
+		Sched__Step d = step_def("", 2000, false, 0);
+		full_cell_t c;
+
+		full_cell_init(&c, 18);
+		c.weak = cases[i].weak;
+		if (cases[i].full)
+			c.work[0] =
+			    (short_work_t){ "s", 3000, 1000, 20, false };
+		for (int k = 0; k <= cases[i].workers; k++)
+			add_label(full_cell_worker(&c, k));
+		d.label = (char *)LABEL;
+		for (int k = 0; k < n; k++) {
+			step_t *st = add_one(&c, d, full_cell_worker(&c, 0));
+
+			if (k < cases[i].suspects)
+				crash_add(&st->tasks[0], -1, true);
+		}
+		full_cell_pass(&c, SETTLE_MS);
+		full_cell_lose(&c, full_cell_worker(&c, 0));
+		full_cell_pass(&c, WATCHED_MS);
+		cr_log_info("%s: %d ms;%s", cases[i].what, (int)c.longest_ms,
+		    c.returns->str);
+		cr_expect_lt(c.longest_ms, DOWN_MAX_MS, "%s: down for %d ms",
+		    cases[i].what, (int)c.longest_ms);
+		full_cell_free(&c);
+	}
+}
