Leases: what a lost worker has listed is over with the lease of the process that listed it

Callers saw lasting tasks down for over 6 s after their worker was lost (LOST). Cause: a start that was sent there after its last answer may be at a process that is not known, which takes the deadline for the longest lease, 6.3 s from the start's end; all runs on the worker were taken for alive until then. But only that start can be there: a run that the known process has listed in a report is nowhere else, and ends with that process's lease, 4.3 s after the last deadline. These are lost then, the others as before.

unit lost_worker/its_lasting_tasks_are_back_in_time failed before (down for 7660, 7910 and 7410 ms with one start, several, a refused one; bound 6000) and passes now; it also checks that the starts under way are not started elsewhere before the longest lease has ended.

--- a/sched/crash.c
+++ b/sched/crash.c
@@ -307,32 +307,49 @@
 		give_up(s, r->task, r->worker->id);
 }
 
-/* The lease of a worker has expired, so that its runs count as lost. */
-void
-crash_worker_lost(sched_t *s, worker_t *w)
+/* Counts the crash of its worker under the task of a run, until it is proved. */
+static void
+count_lost_run(sched_t *s, run_t *r)
 {
-	GHashTableIter it;
-	void *v;
+	lost_run_t l = { .run = r->number };
+
+	l.guilty = count_crash(s, r, &l.counted);
+	if (l.guilty)
+		r->task->not_before_ms = s->now_ms + PROOF_WAIT_MS;
+	/* Another process has answered for the worker: proof enough. */
+	l.counted = l.counted && !r->worker_restarted;
+	if (l.counted)
+		set_proved(r->task, r->number, false);
+	g_strlcpy(l.task, r->name, sizeof(l.task));
+	g_array_append_val(r->worker->lost_runs, l);
+}
+
+static void
+count_lost_runs(sched_t *s, worker_t *w, bool only_listed)
+{
+	run_t *r;
 
 	if (w->lost_runs == NULL)
 		w->lost_runs = g_array_new(FALSE, TRUE, sizeof(lost_run_t));
 	w->lost_ms = s->now_ms;
 	w->zone_down = zone_is_down(s, w);
-	g_hash_table_iter_init(&it, w->runs);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		run_t *r = v;
-		lost_run_t l = { .run = r->number };
-
-		l.guilty = count_crash(s, r, &l.counted);
-		if (l.guilty)
-			r->task->not_before_ms = s->now_ms + PROOF_WAIT_MS;
-		/* Another process has answered for the worker: proof enough. */
-		l.counted = l.counted && !r->worker_restarted;
-		if (l.counted)
-			set_proved(r->task, r->number, false);
-		g_strlcpy(l.task, r->name, sizeof(l.task));
-		g_array_append_val(w->lost_runs, l);
-	}
+	FOREACH_VALUE (r, w->runs)
+		if (!only_listed || run_is_listed(r))
+			count_lost_run(s, r);
+}
+
+/* The lease of a worker has expired, so that its runs count as lost. */
+void
+crash_worker_lost(sched_t *s, worker_t *w)
+{
+	count_lost_runs(s, w, false);
+}
+
+/* The same for the runs that it has listed. */
+void
+crash_listed_lost(sched_t *s, worker_t *w)
+{
+	count_lost_runs(s, w, true);
 }
 
 /* Settles what was lost with a worker: whether it has crashed is known now. */
--- a/sched/lease.c
+++ b/sched/lease.c
@@ -230,11 +230,11 @@
 }
 
 /*
- * Whether no run that this cell's owners have ordered can exist on a worker any
- * more, as its lease has ended.
+ * Whether the lease of the process that a worker is known by has ended: no run that it
+ * has listed can exist any more.
  */
 bool
-lease_has_ended(const sched_t *s, const worker_t *w)
+lease_of_known_ended(const sched_t *s, const worker_t *w)
 {
 	const lease_t *l = &w->lease;
 
@@ -242,14 +242,23 @@
 	if (l->earlier.state == BOUND_UNKNOWN ? !s->cell.workers_accounted :
 						!passed(l->earlier, s->now_ms))
 		return false;
-	if (s->now_ms <= unknown_process_end_ms(s, w))
-		return false;
 	/* Without its clock: no lease is longer than the worker accepts. */
 	return clock_was_read(w) ?
 	    min_clock(s, w) > l->deadline_ms + EXPIRY_MARGIN_MS :
 	    s->now_ms > l->sent_ms + longest_ms(s);
 }
 
+/*
+ * Whether no run that this cell's owners have ordered can exist on a worker any
+ * more, as its lease has ended.
+ */
+bool
+lease_has_ended(const sched_t *s, const worker_t *w)
+{
+	return s->now_ms > unknown_process_end_ms(s, w) &&
+	    lease_of_known_ended(s, w);
+}
+
 /* How long the lease lasts yet by the worker's clock; 0: that is not known. */
 int64_t
 lease_left_ms(const sched_t *s, const worker_t *w)
--- a/sched/poll.c
+++ b/sched/poll.c
@@ -176,18 +176,46 @@
 	s->opts.port.poll(s->opts.ctx, &p);
 }
 
+static bool
+has_listed_run(const worker_t *w)
+{
+	const run_t *r;
+
+	FOREACH_VALUE (r, w->runs)
+		if (run_is_listed(r))
+			return true;
+	return false;
+}
+
 /*
- * Removes the runs on a worker whose lease has expired, and polls the worker if
- * that is due.
+ * Removes the runs on a worker whose lease has expired.  Those that it has listed are
+ * over with the lease that it was granted; others may be at a process that is not known,
+ * with the longest one.
  */
 static void
-poll_if_due(sched_t *s, worker_t *w)
+remove_expired(sched_t *s, worker_t *w)
 {
+	static const char why[] = "its lease has expired";
+
 	if (g_hash_table_size(w->runs) > 0 && w->missed_polls > 0 &&
 	    lease_has_ended(s, w)) {
 		crash_worker_lost(s, w);
-		run_worker_lost(s, w, "its lease has expired");
+		run_worker_lost(s, w, why);
+	} else if (w->missed_polls > 0 && has_listed_run(w) &&
+	    lease_of_known_ended(s, w)) {
+		crash_listed_lost(s, w);
+		run_listed_lost(s, w, why);
 	}
+}
+
+/*
+ * Removes the runs on a worker whose lease has expired, and polls the worker if
+ * that is due.
+ */
+static void
+poll_if_due(sched_t *s, worker_t *w)
+{
+	remove_expired(s, w);
 	if (w->poll_id != 0 || w->address[0] == '\0' ||
 	    s->now_ms < w->next_poll_ms)
 		return;
--- a/sched/run.c
+++ b/sched/run.c
@@ -563,6 +563,18 @@
 	}
 }
 
+/* Removes a run that was lost with its worker. */
+static void
+lose_run(sched_t *s, run_t *r, const char *why)
+{
+	s->stats.lost++;
+	downtime_run_lost(s, r);
+	LOG_EVENT(s, SCHED_EVT_LOST, r->name,
+	    "run=%" PRId64 " worker=%s why=\"%s\"", r->number, r->worker->id,
+	    why);
+	run_remove(s, r);
+}
+
 /* Removes all runs on a worker, as none of them can run any more. */
 void
 run_worker_lost(sched_t *s, worker_t *w, const char *why)
@@ -571,14 +583,30 @@
 
 	LOG_EVENT(s, SCHED_EVT_WORKER, w->id, "lost=%u why=\"%s\"",
 	    g_hash_table_size(w->runs), why);
-	for (GList *i = all; i != NULL; i = i->next) {
-		run_t *r = i->data;
+	for (GList *i = all; i != NULL; i = i->next)
+		lose_run(s, i->data, why);
+}
 
-		s->stats.lost++;
-		downtime_run_lost(s, r);
-		LOG_EVENT(s, SCHED_EVT_LOST, r->name,
-		    "run=%" PRId64 " worker=%s why=\"%s\"", r->number, w->id,
-		    why);
-		run_remove(s, r);
-	}
+/*
+ * Whether the process that its worker is known by has listed a run: no other process
+ * can have it.
+ */
+bool
+run_is_listed(const run_t *r)
+{
+	return r->last_report != 0 && !r->worker_restarted;
+}
+
+/* Removes the runs on a worker that it has listed, as none of them can run any more. */
+void
+run_listed_lost(sched_t *s, worker_t *w, const char *why)
+{
+	g_autoptr(GList) all = g_hash_table_get_values(w->runs);
+	guint before = g_hash_table_size(w->runs);
+
+	for (GList *i = all; i != NULL; i = i->next)
+		if (run_is_listed(i->data))
+			lose_run(s, i->data, why);
+	LOG_EVENT(s, SCHED_EVT_WORKER, w->id, "lost=%u of=%u why=\"%s\"",
+	    before - g_hash_table_size(w->runs), before, why);
 }
