Leases: starts don't extend the lease of a worker that is lost

Callers saw lasting tasks down for over 6 s after their worker was lost (LOST). Cause: each start carried a deadline 4 s ahead; a worker that is lost gets starts until a poll there is missed, 1.35 s after its last answer, and what ran there was started elsewhere only after the last of these deadlines. Now a start carries the deadline that was sent before, if 2.5 s of it are left: polls extend it once a second.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -205,6 +205,7 @@
 lease_clock_went_back(const sched_t *s, const worker_t *w, int64_t clock_ms);
 void lease_clock_read(const sched_t *s, worker_t *w, int64_t clock_ms);
 int64_t lease_extend(const sched_t *s, worker_t *w);
+int64_t lease_for_start(const sched_t *s, worker_t *w);
 void lease_start_sent(const sched_t *s, worker_t *w);
 void lease_start_done(const sched_t *s, worker_t *w);
 void lease_poll_answered(worker_t *w, int64_t sent_ms);
--- a/sched/lease.c
+++ b/sched/lease.c
@@ -28,7 +28,10 @@
  * load and a poll), so that runs survive it.  The tasks of a failed worker
  * are started elsewhere only after its lease has ended.
  */
-#define LEASE_MS	4000
+#define LEASE_MS 4000
+/* A start is sent with a lease of so long at least: until a poll that was sent before it
+ * has been missed, and the next one is answered. */
+#define START_LEASE_MS	2500
 #define LEASE_MARGIN_MS 100 /* below the longest that a worker accepts */
 #define CLOCK_DRIFT_PCT 2   /* the platform's bound for workers' clocks */
 /* A clock that was read longer ago is not known; by then it has drifted by less
@@ -164,6 +167,24 @@
 	return l->deadline_ms;
 }
 
+/*
+ * Returns the deadline to send with a start.  That is the one sent before, as far as it
+ * is enough: a worker that is lost gets starts until that is known, and its runs are
+ * started elsewhere only after the last deadline.
+ */
+int64_t
+lease_for_start(const sched_t *s, worker_t *w)
+{
+	lease_t *l = &w->lease;
+
+	if (!lease_clock_known(s, w) ||
+	    l->deadline_ms - l->clock_ms - (s->now_ms - l->read_ms) <
+		START_LEASE_MS)
+		return lease_extend(s, w);
+	l->sent_ms = s->now_ms;
+	return l->deadline_ms;
+}
+
 /* A start is sent to a worker. */
 void
 lease_start_sent(const sched_t *s, worker_t *w)
--- a/sched/run.c
+++ b/sched/run.c
@@ -107,7 +107,7 @@
 		const step_t *st = r->task->step;
 
 		o.spec = r->job->def->spec;
-		o.deadline_ms = lease_extend(s, w);
+		o.deadline_ms = lease_for_start(s, w);
 		lease_start_sent(s, w);
 		if (r->job->needs_approval && approval_ticket(s, st, w) != NULL)
 			o.ticket = approval_ticket(s, st, w);
--- a/test/unit/lost_worker.c
+++ b/test/unit/lost_worker.c
@@ -242,8 +242,10 @@
 	} cases[] = {
 		{ "no start", { 0 }, SCHED_ORDER_IN_DOUBT },
 		{ "a start", { 300 }, SCHED_ORDER_IN_DOUBT },
+		{ "a start just before a poll is missed", { 1300 },
+		    SCHED_ORDER_IN_DOUBT },
 		{ "several", { 100, 200, 300, 400 }, SCHED_ORDER_IN_DOUBT },
-		{ "a start that is refused", { 300 }, SCHED_ORDER_NOT_SENT },
+		{ "a start that is refused", { 1300 }, SCHED_ORDER_NOT_SENT },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
