Approval: workers that may take no more tasks of a step are not enough for it

What callers would see: a lasting task of a job that needs approval and may have only so many tasks on a worker (anti_affinity) is down for as long as approval is valid, beside workers that could take it.

Cause: for tasks that are down approval is asked for ahead, of so many workers less those for which it is there. Workers at which the step is at its limit counted among both, so that all that was asked for and was valid could be of such workers.

Change: these are neither asked for nor counted.

Evidence: unit lasting_many/approval_of_workers_that_are_taken_is_not_enough, with approval valid for 30 s.

--- a/sched/approval.c
+++ b/sched/approval.c
@@ -166,7 +166,7 @@
 	int32_t gpu = w->gpu - w->used_gpu;
 	const run_t *r;
 
-	if (!place_fits_empty(s, w, st))
+	if (!place_fits_empty(s, w, st) || !place_spread_allows(st, w))
 		return false;
 	FOREACH_VALUE (r, w->runs) {
 		const Sched__Step *d;
@@ -218,6 +218,7 @@
 		    approval_ticket(s, st, w) != NULL)
 			continue;
 		if (ahead ? may_get_room(s, w, st) :
+			    place_spread_allows(st, w) &&
 			    place_possible(s, w, st, may_slow))
 			g_ptr_array_add(workers, (void *)w->id);
 	}
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -246,6 +246,7 @@
 bool place_fits_empty(const sched_t *s, const worker_t *w, const step_t *st);
 bool place_has_worker(const sched_t *s, const step_t *st);
 int64_t place_filler_capacity(const worker_t *w);
+bool place_spread_allows(const step_t *st, const worker_t *w);
 bool place_allowed(const sched_t *s, const step_t *st, const worker_t *w);
 bool place_gang_may_spread(const sched_t *s, const step_t *st);
 bool place_gang(sched_t *s, step_t *st, worker_t **at);
--- a/sched/place.c
+++ b/sched/place.c
@@ -196,6 +196,14 @@
 	return false;
 }
 
+/* Whether one more task of a step may be on a worker beside those that are. */
+bool
+place_spread_allows(const step_t *st, const worker_t *w)
+{
+	return st->def->per_worker == 0 ||
+	    step_tasks_on(w, st) < st->def->per_worker;
+}
+
 /*
  * Whether a worker may run one more task of the step, regardless of its free
  * resources and of the other images there.
@@ -204,8 +212,7 @@
 place_allowed(const sched_t *s, const step_t *st, const worker_t *w)
 {
 	return place_fits_empty(s, w, st) && approval_allows(s, st, w) &&
-	    (st->def->per_worker == 0 ||
-		step_tasks_on(w, st) < st->def->per_worker);
+	    place_spread_allows(st, w);
 }
 
 /* Workers chosen so far for the first n tasks of a gang. */
--- a/test/unit/full_cell.c
+++ b/test/unit/full_cell.c
@@ -85,7 +85,8 @@
 		.down = g_hash_table_new_full(NULL, NULL, NULL, g_free),
 		.failing = g_hash_table_new(NULL, NULL),
 		.requests = g_ptr_array_new_with_free_func(request_free),
-		.returns = g_string_new("") };
+		.returns = g_string_new(""),
+		.tickets_ms = TICKETS_MS };
 	c->s->opts.ctx = c;
 	c->s->opts.port.order = ignore_order;
 	c->s->opts.port.write = ignore_write;
@@ -279,7 +280,7 @@
 	g_autofree sched_ticket_t *t = g_new0(sched_ticket_t, r->workers->len);
 	sched_approval_t a = { .approved = t,
 		.napproved = r->workers->len,
-		.valid_ms = TICKETS_MS };
+		.valid_ms = c->tickets_ms };
 
 	for (guint i = 0; i < r->workers->len; i++)
 		t[i] =
--- a/test/unit/full_cell.h
+++ b/test/unit/full_cell.h
@@ -30,6 +30,7 @@
 	int64_t request_id;  /* for approval, to be answered; 0: none */
 	int bad_workers;     /* the first ones fail what they run */
 	int64_t bad_until_ms;
+	int64_t tickets_ms;  /* are valid for so long */
 	int64_t approval_ms; /* until a request for approval is answered */
 	bool weak;	     /* the owner has time for one pass a round */
 	int32_t failed;	     /* runs of lasting tasks */
--- a/test/unit/lasting_many.c
+++ b/test/unit/lasting_many.c
@@ -431,3 +431,47 @@
 		full_cell_free(&c);
 	}
 }
+
+/*
+ * Guards against a task that stays down while approval is valid of workers that may take
+ * no more tasks of its step, so that no others are asked for.
+ */
+Test(lasting_many, approval_of_workers_that_are_taken_is_not_enough)
+{
+	static const struct {
+		const char *what;
+		int tasks, lost; /* of 12 workers, one task on each */
+	} cases[] = {
+		{ "one is lost", 8, 1 },
+		{ "two are lost", 8, 2 },
+		{ "three are lost", 8, 3 },
+		{ "one of ten is lost", 10, 1 },
+		{ "two of ten are lost", 10, 2 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		Sched__Step d = step_def("", LASTING_MILLI, false, 0);
+		full_cell_t c;
+		step_t *st;
+
+		full_cell_init(&c, 12);
+		c.tickets_ms = WATCHED_MS;
+		c.work[0] = (short_work_t){ "s", 3000, 1000, 20, false };
+		d.lasting = true;
+		d.count = (uint32_t)cases[i].tasks;
+		d.per_worker = 1;
+		st = full_cell_add_lasting(&c, &d);
+		st->occ->job->needs_approval = true;
+		for (int n = 0; n < cases[i].tasks; n++)
+			full_cell_run(&c, st, n, full_cell_worker(&c, n));
+		full_cell_pass(&c, SETTLE_MS);
+		for (int n = 0; n < cases[i].lost; n++)
+			full_cell_lose(&c, full_cell_worker(&c, n));
+		full_cell_pass(&c, WATCHED_MS);
+		cr_log_info("%s: %d ms;%s", cases[i].what, (int)c.longest_ms,
+		    c.returns->str);
+		cr_expect_lt(c.longest_ms, DOWN_MAX_MS, "%s: down for %d ms",
+		    cases[i].what, (int)c.longest_ms);
+		full_cell_free(&c);
+	}
+}
