A new owner starts lasting tasks whose run it has seen before it has heard all workers

Cause: until each worker of the footprint has answered, or its lease has ended, an owner starts no task of an earlier job, also if that owner itself has adopted its run from a worker, stopped it there as the worker drains, and read its end. Where one worker is gone that is 6.5 s, and where owners follow each other no one gets so far.

Change: a task whose earlier run a worker still had when it first answered this owner can have no other run: there is one at a time, and an owner before sent the next start only once that run was known to be over. So when it has ended under this owner, the task starts at once. Only tasks that last, no gangs and no suspects: of others, failed ends and crashes may not be listed yet.

Evidence: unit takeover a_lasting_task_that_was_seen_need_not_wait_for_other_workers fails before ("it was seen": does not start).

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -501,6 +501,8 @@
 bool ownership_may_start_tasks(const sched_t *s);
 GByteArray *ownership_pack_row(sched_t *s, bool released);
 GByteArray *ownership_pack_renewal(sched_t *s);
+bool ownership_may_start_all(const sched_t *s, const step_t *st);
+bool ownership_may_start_task(const sched_t *s, const task_t *t);
 bool ownership_may_start_step(const sched_t *s, const step_t *st);
 
 /* handover.c */
--- a/sched/ownership.c
+++ b/sched/ownership.c
@@ -503,8 +503,7 @@
 	else if (c->row->released) {
 		if (may_claim_released(s))
 			send_claim(s, "its owner released it");
-	} else if (c->row_read_ms - c->row_changed_ms >=
-	    SILENT_MS + c->claim_delay_ms)
+	} else if (c->row_read_ms - c->row_changed_ms >= SILENT_MS + c->claim_delay_ms)
 		send_claim(s, "its owner is silent");
 }
 
@@ -588,9 +587,37 @@
  * tasks may be started; or two runs of a task may exist.
  */
 bool
-ownership_may_start_step(const sched_t *s, const step_t *st)
+ownership_may_start_all(const sched_t *s, const step_t *st)
 {
 	return s->cell.workers_accounted ||
 	    !st->occ->job->maybe_started_before || st->not_started_before ||
 	    st->def->duplicates;
 }
+
+/*
+ * Whether a waiting task can't run unknown to this owner: its step can't, or an earlier
+ * owner's run of it was at work when a worker first answered.  As there is one at a time,
+ * none was left elsewhere.  Only of tasks that last: the others may have failed or done
+ * runs that count, and have not been listed yet; so may suspects have crashed.
+ */
+bool
+ownership_may_start_task(const sched_t *s, const task_t *t)
+{
+	const step_t *st = t->step;
+
+	return ownership_may_start_all(s, st) ||
+	    (t->seen_at_work && st->def->lasting && !st->def->gang &&
+		!crash_is_suspect(t));
+}
+
+/* Whether a waiting task of the step may be started. */
+bool
+ownership_may_start_step(const sched_t *s, const step_t *st)
+{
+	bool may = ownership_may_start_all(s, st);
+
+	for (int32_t i = 0; !may && st->def->lasting && i < st->ntasks; i++)
+		may = st->tasks[i].state == TASK_WAITING &&
+		    ownership_may_start_task(s, &st->tasks[i]);
+	return may;
+}
--- a/sched/report.c
+++ b/sched/report.c
@@ -299,6 +299,7 @@
 	    t->run == NULL) {
 		nominate_withdraw(s, t);
 		t->run = r;
+		t->seen_at_work = true;
 		run_task_taken(t);
 		run_mark_job_started(s, j);
 		s->stats.adopted++;
--- a/sched/start.c
+++ b/sched/start.c
@@ -149,7 +149,8 @@
 		worker_t *w;
 
 		if (t->state != TASK_WAITING ||
-		    (only_down && !downtime_is_down(t)))
+		    (only_down && !downtime_is_down(t)) ||
+		    !ownership_may_start_task(s, t))
 			continue;
 		if (t->not_before_ms > s->now_ms) {
 			wait_reason_note(s, st,
@@ -223,7 +224,8 @@
 	    !has_row(s, st, pos < STORED_AHEAD))
 		return 0;
 	n = start_step(s, st);
-	if (n == 0 && !searched && starvation_start(s, st))
+	if (n == 0 && !searched && ownership_may_start_all(s, st) &&
+	    starvation_start(s, st))
 		n = 1;
 	if (st->nwaiting > 0)
 		approval_request_if_needed(s, st);
--- a/sched/types.h
+++ b/sched/types.h
@@ -82,7 +82,9 @@
 	int64_t not_before_ms;	/* not started before this time */
 	/* A lasting task: when its last run ended; 0: it has one, or had none. */
 	int64_t down_since_ms;
-	bool down_by_stop;  /* this owner had stopped that run */
+	bool down_by_stop; /* this owner had stopped that run */
+	/* This owner has seen a run of it at work, so that earlier owners left no other. */
+	bool seen_at_work;
 	crashes_t *crashes; /* or NULL */
 } task_t;
 
@@ -493,9 +495,9 @@
 	bool footprint_bad;	/* earlier owners may have used any worker */
 	/* No run of an earlier owner can be unknown to this owner. */
 	bool workers_accounted;
-	bool paused;	      /* see sched_process_paused */
-	bool releasing;	      /* it gives the cell up */
-	bool stopping;	      /* as a graceful stop has begun */
+	bool paused;	/* see sched_process_paused */
+	bool releasing; /* it gives the cell up */
+	bool stopping;	/* as a graceful stop has begun */
 	bool row_read;	      /* at least once */
 	bool had_predecessor; /* an earlier owner may have started runs */
 	/* Earlier owners stored a job's row before they started tasks of it. */
--- a/test/model/state.c
+++ b/test/model/state.c
@@ -166,6 +166,7 @@
 		    t->crashes->runs->len << 8 | t->crashes->unproved << 2 |
 			t->crashes->soon << 1 | t->crashes->start_acked);
 	digest_put_rank(d, RANK_RUN, t->last_run_number);
+	digest_put(d, t->seen_at_work);
 	digest_put_end(d, t->not_before_ms);
 	digest_put_string(d, t->avoid_worker);
 }
--- a/test/unit/takeover.c
+++ b/test/unit/takeover.c
@@ -1044,3 +1044,92 @@
 		sched_free(s);
 	}
 }
+
+/* Reads a job of one task that an earlier owner has started. */
+static void
+read_job_of(sched_t *s, bool lasting, bool gang)
+{
+	Sched__Progress p = SCHED__PROGRESS__INIT;
+	Sched__Step step = step_def("i", 1000, false, 0), *steps[] = { &step };
+	Sched__Job d;
+	uint8_t row[256];
+
+	step.lasting = lasting;
+	step.gang = gang;
+	step.checkpoints = !lasting;
+	d = job_def(steps, 1, 0);
+	p.state = SCHED__STATE__RUNNING;
+	read_row(s, JOB SCHED_KEY_PROGRESS, TOKEN - 2, row,
+	    sched__progress__pack(&p, row));
+	read_row(s, JOB, TOKEN - 3, row, sched__job__pack(&d, row));
+}
+
+/*
+ * Guards against lasting tasks that are down for long (LOST): one whose run this owner has
+ * seen, and seen to end, waits for workers that have not answered, where it can't run.
+ * And against two runs of one task, and failed runs that are not listed yet (BUDGET).
+ */
+Test(takeover, a_lasting_task_that_was_seen_need_not_wait_for_other_workers)
+{
+	static const struct {
+		const char *name;
+		bool lasting, gang, seen, suspect;
+		bool starts;
+	} cases[] = {
+		{ "it was seen", true, false, true, false, true },
+		{ "it was not: it may run elsewhere", true, false, false, false,
+		    false },
+		{ "failed runs of it may be unknown", false, false, true, false,
+		    false },
+		{ "a gang starts as a whole", true, true, true, false, false },
+		{ "crashes under it may be unknown", true, false, true, true,
+		    false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = new_entry();
+		Sched__Owner o = other_owner();
+		Sched__Footprint f = SCHED__FOOTPRINT__INIT;
+		char *workers[] = { (char *)"w0 a:1", (char *)"w1 a:2" };
+		int64_t born_ms[] = { 1, 1 }, until_ms[] = { 0, 0 };
+		sched_report_t ended = { .clock_ms = CLOCK_MS + 100,
+			.started_ms = 1 };
+		uint8_t row[128];
+		step_t *st;
+		job_t *j;
+
+		claim(s, &o);
+		f.n_workers = f.n_born_ms = f.n_until_ms = 2;
+		f.workers = workers;
+		f.born_ms = born_ms;
+		f.until_ms = until_ms;
+		read_row(s, SCHED_KEY_FOOTPRINT ".00", TOKEN - 1, row,
+		    sched__footprint__pack(&f, row));
+		read_job_of(s, cases[i].lasting, cases[i].gang);
+		list_worker(s, 1);
+		sched_load_done(s, CLAIMED_MS);
+		poll_id = 0;
+		sched_tick(s, CLAIMED_MS, 0);
+		poll_id = cell_worker_get(s, "w0")->poll_id;
+		if (cases[i].seen) {
+			answer_poll(s);
+			for (int k = 0;
+			     k < 100 && cell_worker_get(s, "w0")->poll_id == 0;
+			     k++)
+				sched_tick(s, s->now_ms + 10, 0);
+			poll_id = cell_worker_get(s, "w0")->poll_id;
+		}
+		sched_poll_done(
+		    s, poll_id, "w0", SCHED_ORDER_OK, &ended, s->now_ms);
+		cr_assert_eq(
+		    g_hash_table_size(cell_worker_get(s, "w0")->runs), 0);
+		j = g_hash_table_lookup(s->jobs, JOB);
+		st = first_step(j);
+		if (cases[i].suspect)
+			crash_add(&st->tasks[0], 1, true);
+		cr_assert_not(s->cell.workers_accounted);
+		cr_expect_eq(ownership_may_start_step(s, st), cases[i].starts,
+		    "%s", cases[i].name);
+		sched_free(s);
+	}
+}
