Schedules: planned restarts of all entries beside workers that leave (build/cells -restarts)

The check is the users' rule: no lasting task is without a run for 3 s, from 6 s after its last one, with capacity for it twice over. (That of -lasting counts 6 s in all, which is left as it is for all other schedules.) A process that stops follows serve/node.c: it serves 2.6 s on, releases after 4.3 s at most, ends after 5.3 s, and the others read the owner row on its release.

--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 WEAK_SEEDS = 800
 OVERLOAD_SEEDS = 96
 LASTING_SEEDS = 96
+RESTARTS_SEEDS = 96
 PKGS = glib-2.0 libuv libh2o libprotobuf-c log4c jansson libcurl openssl
 DEBS = gcc make pkg-config clang clang-format clang-tidy cppcheck curl man-db \
 	libuv1-dev libh2o-dev libprotobuf-c-dev liblog4c-dev libcriterion-dev \
@@ -93,6 +94,7 @@
 	sh test/cells.sh $(B) $(WEAK_SEEDS) -weak
 	sh test/cells.sh $(B) $(OVERLOAD_SEEDS) -overload
 	sh test/cells.sh $(B) $(LASTING_SEEDS) -lasting
+	sh test/cells.sh $(B) $(RESTARTS_SEEDS) -restarts
 model: $(B)/model
 	sh test/model.sh $(B)
 scenarios: $(B)/scenarios
