--- a/test/odd_entries.sh
+++ b/test/odd_entries.sh
@@ -10,7 +10,6 @@
 STORE=127.0.0.1:8420 # its workers: i-1 and i-2, at the next ports
 OTHER=8430	     # a list that is not read; its workers: i-1 to i-6
 TASK='{"spec":"x","steps":[{"count":6,"cpu":16000,"mem_mb":10,"estimate_ms":300}]}'
-BORN=1700000000000
 
 check() { # NAME GOT WANT
 	if [ "$2" = "$3" ]; then
@@ -44,13 +43,20 @@
 	    "$1" "$(base64 -w 0 "$2")" >"$T/put"
 	curl -s -m 5 -o "$T/put.out" --data-binary "@$T/put" "http://$STORE/-/rows-tx"
 }
-# entry ADDRESS [BORN [MORE]]: an entry; MORE stands before its other fields.
+# born STORE WORKER: the start time that a worker gives of itself; no task starts by an
+# entry with another one.
+born() {
+	curl -s -m 5 "http://127.0.0.1:$1/-/rows-get?table=servers&part=&from=$2&limit=1" |
+	    sed 's/^{"rows":\[{[^}]*"value":"\([^"]*\)".*/\1/' | base64 -d |
+	    sed 's/.*"born":\([0-9]*\).*/\1/'
+}
+# entry ADDRESS BORN [MORE]: an entry; MORE stands before its other fields.
 entry() {
 	printf '{%s"service":"s","address":"%s","zone":"z","version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,"capacity":{"cpu":16000,"mem_mb":64000,"gpu":0},"labels":["a","r1-1"],"born":%s,"sequence":1}' \
-	    "${3:-}" "$1" "${2:-$BORN}"
+	    "${3:-}" "$1" "$2"
 }
-put_entry() { # KEY ADDRESS [BORN [MORE]]
-	entry "$2" "${3:-$BORN}" "${4:-}" >"$T/entry"
+put_entry() { # KEY ADDRESS BORN [MORE]
+	entry "$2" "$3" "${4:-}" >"$T/entry"
 	put "$1" "$T/entry"
 }
 put_text() { printf '%s' "$2" >"$T/entry"; put "$1" "$T/entry"; }
@@ -76,6 +82,8 @@
 start_serve 1
 start_serve 2
 wait_for 10 ready 1 && wait_for 10 ready 2 || die "not ready"
+BORN=$(born $OTHER i-6)
+BORN_2=$(born 8420 i-2)
 completes before 1 00000000000000a1
 
 # Of each kind one, most with the address of a worker that would take tasks.
@@ -89,14 +97,14 @@
 put_text i-list '[]'
 put_entry i-far 127.0.0.1:8436 9007199254740993
 # These would be other ports of this machine, cut to 16 bits or at a letter.
-put_entry i-1 127.0.0.1:$((OTHER + 1 + 65536))
-put_entry i-3 127.0.0.1:$((OTHER + 3 + 65536))
-put_entry i-4 127.0.0.1:$((OTHER + 4 - 65536))
-put_entry i-5 "127.0.0.1:$((OTHER + 5))x"
-put_entry i-big 127.0.0.1:99999999999
-put_entry i-host localhost:8436
-put_entry i-v6 '[::1]:8436'
-put_entry 'i-6\r\nX: y' 127.0.0.1:8436
+put_entry i-1 127.0.0.1:$((OTHER + 1 + 65536)) "$(born $OTHER i-1)"
+put_entry i-3 127.0.0.1:$((OTHER + 3 + 65536)) "$(born $OTHER i-3)"
+put_entry i-4 127.0.0.1:$((OTHER + 4 - 65536)) "$(born $OTHER i-4)"
+put_entry i-5 "127.0.0.1:$((OTHER + 5))x" "$(born $OTHER i-5)"
+put_entry i-big 127.0.0.1:99999999999 $BORN
+put_entry i-host localhost:8436 $BORN
+put_entry i-v6 '[::1]:8436' $BORN
+put_entry 'i-6\r\nX: y' 127.0.0.1:8436 $BORN
 put_entry 'i-2 x' 127.0.0.1:8436 $((BORN + 86400000))
 completes among_odd 2 00000000000000a2
 completes among_odd_again 1 00000000000000a3
@@ -104,7 +112,7 @@
 check nothing_at_cut_ports "$(grep -c ^start "$T/other.out")" 0
 
 # A worker that is added later is used; its entry is the first that is new.
-put_entry i-6 127.0.0.1:$((OTHER + 6))
+put_entry i-6 127.0.0.1:$((OTHER + 6)) $BORN
 completes added 1 00000000000000a4
 check added_used "$([ "$(starts other 5)" -gt 0 ] && echo yes)" yes
 
@@ -129,7 +137,7 @@
 put_text i-2 '[]'
 sleep 0.5
 check logged_if_changed "$(logged 'key=i-2 why')" 2
-put_entry i-2 127.0.0.1:8422
+put_entry i-2 127.0.0.1:8422 $BORN_2
 submit 1 00000000000000a7
 wait_for 5 new_starts store 1 "$before"
 check restored_used "$([ "$(starts store 1)" -gt "$before" ] && echo yes)" yes
@@ -139,7 +147,7 @@
 # time was taken for that of an earlier process ever after.
 put_entry i-2 127.0.0.1:8422 9007199254740991
 sleep 0.5
-put_entry i-2 127.0.0.1:8422
+put_entry i-2 127.0.0.1:8422 $BORN_2
 before=$(starts store 1)
 for i in 1 2 3; do completes "far_start_$i" 1 "00000000000000b$i"; done
 check far_start_used "$([ "$(starts store 1)" -gt "$before" ] && echo yes)" yes
