Placement: a lasting task leaves all workers on which it fails, not only the last one

Callers would see a lasting task that fails again and again though other workers have room: it avoided only the worker on which it had failed last, so that two workers that fail this job's tasks at once, but run other work well and are no suspects by that (is_evidence), got it in turn for ever.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -433,6 +433,12 @@
 void starvation_run_removed(sched_t *s, const run_t *r);
 bool starvation_start(sched_t *s, step_t *st);
 
+/* avoid.c */
+void avoid_run_failed(
+    const sched_t *s, task_t *t, const worker_t *w, const run_t *r);
+bool avoid_has(const task_t *t, const worker_t *w);
+void avoid_forget(task_t *t);
+
 /* crash.c */
 void crash_add(task_t *t, int64_t run, bool soon);
 void crash_forget(task_t *t);
--- a/sched/occurrence.c
+++ b/sched/occurrence.c
@@ -116,6 +116,7 @@
 			if (st->tasks[k].failed_runs != NULL)
 				g_array_unref(st->tasks[k].failed_runs);
 			crash_forget(&st->tasks[k]);
+			avoid_forget(&st->tasks[k]);
 			nominate_withdraw(o->job->sched, &st->tasks[k]);
 		}
 		forget_step(o->job->sched, st);
--- a/sched/place.c
+++ b/sched/place.c
@@ -113,7 +113,7 @@
 		sc -= COST_OTHER_RACK;
 	sc -= w->failures_in_row * COST_FAILURE;
 	sc -= w->slow ? COST_SLOW_WORKER : 0;
-	if (w->id == t->avoid_worker)
+	if (avoid_has(t, w))
 		sc -= COST_AVOIDED;
 	/* Workers on which many filler images may run are kept for fillers that
 	 * few other workers can take. */
--- a/sched/report.c
+++ b/sched/report.c
@@ -140,7 +140,7 @@
 	s->stats.failed++;
 	if (r == NULL || !suspect_is_up(s, r))
 		suspect_run_failed(s, w, t);
-	t->avoid_worker = w->id;
+	avoid_run_failed(s, t, w, r);
 	if (t->step->def->lasting || !task_add_failed_run(t, run))
 		return;
 	nfailed = t->step->def->gang ? gang_failed_runs(t->step) :
--- a/sched/room.c
+++ b/sched/room.c
@@ -256,7 +256,7 @@
 static int64_t
 penalty_ms(const worker_t *w, const task_t *t)
 {
-	return (w->slow || w->id == t->avoid_worker ? UNSUITED_MS : 0) +
+	return (w->slow || avoid_has(t, w) ? UNSUITED_MS : 0) +
 	    w->failures_in_row * UNSUITED_MS;
 }
 
--- a/sched/types.h
+++ b/sched/types.h
@@ -76,6 +76,9 @@
 	/* Interned id of the worker that the task last failed on, crashed or was moved
 	 * away from, which placement avoids; or NULL. */
 	const char *avoid_worker;
+	/* Of a lasting task: of the last workers on which it failed soon, the latest at
+	 * the end; or NULL.  See avoid.c. */
+	GPtrArray *fails_on;
 	worker_t *nominated;	/* for its next run, or NULL; see nominate.c */
 	int64_t nominated_ms;	/* since then */
 	uint64_t searched_turn; /* a worker to nominate was searched for */
--- a/test/model/state.c
+++ b/test/model/state.c
@@ -169,6 +169,8 @@
 	digest_put(d, t->seen_at_work);
 	digest_put_end(d, t->not_before_ms);
 	digest_put_string(d, t->avoid_worker);
+	for (guint i = 0; t->fails_on != NULL && i < t->fails_on->len; i++)
+		digest_put_string(d, g_ptr_array_index(t->fails_on, i));
 }
 
 static void
--- a/test/unit/lasting.c
+++ b/test/unit/lasting.c
@@ -441,3 +441,76 @@
 	cr_expect_eq(st->tasks[0].run->worker, to);
 	sched_free(c.s);
 }
+
+/* A worker reports that the run of a task there has failed. */
+static void
+report_failed(sched_t *s, const task_t *t)
+{
+	worker_t *w = t->run->worker;
+	g_autofree char *name = g_strdup(t->run->name);
+	sched_ended_t e = { .seq = w->ended_seq + 1,
+		.task = name,
+		.run = t->run->number,
+		.outcome = SCHED_RUN_FAILED,
+		.checkpoint = "" };
+	sched_report_t report = {
+		.clock_ms = s->now_ms, .started_ms = 1, .ended = &e, .nended = 1
+	};
+
+	report_apply(s, w, &report, s->now_ms);
+}
+
+/*
+ * Guards against a lasting task that is started for ever on workers in turn where it fails
+ * at once, while others have room: they run other work well, so that they are not suspect.
+ */
+Test(lasting, a_task_leaves_all_workers_on_which_it_fails)
+{
+	static const struct {
+		const char *what;
+		guint failing; /* workers, of some more */
+		int64_t up_ms; /* until it fails */
+	} cases[] = {
+		{ "one", 1, 100 },
+		{ "two", 2, 100 },
+		{ "four", 4, 1000 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		scene_t c = { .s = new_owner() };
+		guint n = cases[i].failing, tries = 0;
+		Sched__Step d = step_def("", LASTING_MILLI, false, 0);
+		task_t *t;
+
+		set_fresh_time(c.s, 100000);
+		/* Placed by what is free: first on those where it fails. */
+		for (guint k = 0; k < n + 1; k++) {
+			g_autofree char *id = g_strdup_printf("w%02u", k);
+			worker_t *w = add_worker(c.s, id);
+
+			w->filler_cpu_milli = k < n ? 0 : WORKER_CPU_MILLI;
+		}
+		set_fresh_time(c.s, 100000);
+		d.lasting = true;
+		t = &add_step(&c, &d)->tasks[0];
+		queue_add_step(c.s, t->step);
+		for (; tries < 3 * (n + 1); tries++) {
+			worker_t *at;
+
+			set_fresh_time(c.s, c.s->now_ms + ROUND_MS);
+			scan_begin_round(c.s);
+			start_waiting_tasks(c.s);
+			cr_assert_not_null(t->run, "%s", cases[i].what);
+			run_order_done(c.s, t->run, SCHED_ORDER_OK, 0);
+			if (t->run->worker == worker(&c, n))
+				break;
+			at = t->run->worker;
+			set_fresh_time(c.s, c.s->now_ms + cases[i].up_ms);
+			report_failed(c.s, t);
+			/* Other work is done there. */
+			suspect_run_done(c.s, at);
+		}
+		cr_expect_leq(tries, n, "%s: %u", cases[i].what, tries);
+		sched_free(c.s);
+	}
+}
