--- a/sched/nominate.c
+++ b/sched/nominate.c
@@ -219,12 +219,13 @@
 
 /*
  * Whether a task can't start on its nominated worker for long, as its run has to leave a
- * worker that does not answer: not before the lease there has ended.
+ * worker that does not answer or is gone: not before the lease there has ended.
  */
 static bool
 must_wait(const task_t *t)
 {
-	return t->run != NULL && t->run->worker->missed_polls > 0;
+	return t->run != NULL &&
+	    (t->run->worker->missed_polls > 0 || !t->run->worker->listed);
 }
 
 /*
--- a/test/unit/nominate.c
+++ b/test/unit/nominate.c
@@ -846,9 +846,11 @@
 		int32_t leaving;      /* runs there */
 		int64_t milli;	      /* of the task that is down */
 		bool starts, kept;    /* it, and the nominations */
+		bool left;	      /* that worker is not listed any more */
 	} cases[] = {
 		{ "it does not answer", 1, 1, LASTING_MILLI, true, false },
 		{ "two are in the way", 1, 2, 2 * LASTING_MILLI, true, false },
+		{ "it has left", 0, 1, LASTING_MILLI, true, false, true },
 		{ "it answers", 0, 1, LASTING_MILLI, false, true },
 		{ "there is room beside it", 1, 1, WORKER_CPU_MILLI / 2, true,
 		    true },
@@ -874,6 +876,7 @@
 			nominate(s, &leaving->tasks[k], to);
 		}
 		from->missed_polls = cases[i].missed_polls;
+		from->listed = !cases[i].left;
 		down->tasks[0].down_since_ms = s->now_ms - 1000;
 		down->ndown = 1;
 		queue_add_step(s, down);
