Late starts: a later run of a worker's former process excludes none

Now only a run that may be on the process that answers counts, and what is left over is refused as soon as that run is removed.

--- a/sched/held_up.c
+++ b/sched/held_up.c
@@ -30,6 +30,7 @@
 	char task[64];
 	int64_t run;
 	int64_t until_ms;
+	bool refused; /* by the process that answers now */
 } held_up_t;
 
 /* Notes a run that is removed while its start may yet be carried out. */
@@ -38,7 +39,8 @@
 {
 	GArray *a = r->worker->held_up;
 	held_up_t h = { .run = r->number,
-		.until_ms = r->ordered_ms + HELD_UP_MS };
+		.until_ms = r->ordered_ms + HELD_UP_MS,
+		.refused = true };
 
 	if (!r->held_up)
 		return;
@@ -77,16 +79,37 @@
 	run_stop(s, r, "its start order may yet arrive");
 }
 
-/* Has a process that has answered for the first time refuse such runs. */
+/*
+ * Whether a run excludes an earlier one of its task on the process that answers now: it
+ * is not one of a former process, which is about to be removed.
+ */
+static bool
+excludes_earlier(const run_t *r)
+{
+	return r != NULL && !r->worker_restarted;
+}
+
+/* A process of a worker has answered for the first time: it has refused none yet. */
+void
+held_up_first_answer(worker_t *w)
+{
+	for (guint i = 0; w->held_up != NULL && i < w->held_up->len; i++)
+		g_array_index(w->held_up, held_up_t, i).refused = false;
+}
+
+/* Has the process that answers refuse such runs, each as soon as that is possible. */
 void
 held_up_stop_runs(sched_t *s, worker_t *w)
 {
 	for (guint i = w->held_up == NULL ? 0 : w->held_up->len; i-- > 0;) {
-		const held_up_t *h = &g_array_index(w->held_up, held_up_t, i);
+		held_up_t *h = &g_array_index(w->held_up, held_up_t, i);
+		const run_t *r = g_hash_table_lookup(w->runs, h->task);
 
-		/* A later run of the task there excludes it as well. */
-		if (h->until_ms >= s->now_ms &&
-		    g_hash_table_lookup(w->runs, h->task) == NULL)
+		if (h->refused || h->until_ms < s->now_ms ||
+		    (r != NULL && !excludes_earlier(r)))
+			continue;
+		h->refused = true;
+		if (r == NULL)
 			refuse_run(s, w, h);
 	}
 }
--- a/sched/report.c
+++ b/sched/report.c
@@ -422,6 +422,33 @@
 	}
 }
 
+/* Removes the runs that the present report, to a poll sent at a time, proves absent. */
+static void
+remove_absent(sched_t *s, worker_t *w, int64_t poll_sent_ms)
+{
+	g_autoptr(GList) all = g_hash_table_get_values(w->runs);
+
+	for (GList *i = all; i != NULL; i = i->next) {
+		run_t *r = i->data;
+
+		if (r->last_report == s->report_number)
+			continue;
+		if (r->in_doubt_ms != 0 && poll_sent_ms >= r->in_doubt_ms)
+			run_stop_in_doubt(s, r);
+		if (!proves_absent(r, poll_sent_ms))
+			continue;
+		if (r->state == RUN_RUNNING) {
+			s->stats.lost++;
+			LOG_EVENT(s, SCHED_EVT_LOST, r->name,
+			    "run=%" PRId64
+			    " worker=%s why=\"not in the report\"",
+			    r->number, w->id);
+		}
+		crash_run_absent(s, r);
+		run_remove(s, r);
+	}
+}
+
 /*
  * Processes a worker's report: reads its clock, handles the ends that are new,
  * updates or adopts the runs under way, and removes the runs that are proved
@@ -431,7 +458,6 @@
 report_apply(
     sched_t *s, worker_t *w, const sched_report_t *report, int64_t poll_sent_ms)
 {
-	g_autoptr(GList) all = NULL;
 	bool first;
 
 	if (is_other_process(s, w, report)) {
@@ -462,29 +488,12 @@
 			update_run(s, r, entry);
 	}
 	if (first)
-		held_up_stop_runs(s, w);
+		held_up_first_answer(w);
+	held_up_stop_runs(s, w);
 	/* A run that is not listed may be among the ends that are not. */
 	w->ended_cut = report->ended_cut;
 	if (w->ended_cut)
 		return;
-	all = g_hash_table_get_values(w->runs);
-	for (GList *i = all; i != NULL; i = i->next) {
-		run_t *r = i->data;
-
-		if (r->last_report == s->report_number)
-			continue;
-		if (r->in_doubt_ms != 0 && poll_sent_ms >= r->in_doubt_ms)
-			run_stop_in_doubt(s, r);
-		if (!proves_absent(r, poll_sent_ms))
-			continue;
-		if (r->state == RUN_RUNNING) {
-			s->stats.lost++;
-			LOG_EVENT(s, SCHED_EVT_LOST, r->name,
-			    "run=%" PRId64
-			    " worker=%s why=\"not in the report\"",
-			    r->number, w->id);
-		}
-		crash_run_absent(s, r);
-		run_remove(s, r);
-	}
+	remove_absent(s, w, poll_sent_ms);
+	held_up_stop_runs(s, w);
 }
--- a/test/unit/held_up.c
+++ b/test/unit/held_up.c
@@ -141,6 +141,45 @@
 	}
 }
 
+/*
+ * Guards against a second run of a task (TWICE): its worker crashes under a later run of it,
+ * and the next process carries out the start of an earlier one that was held up.
+ */
+Test(held_up, a_later_run_of_a_former_process_excludes_none)
+{
+	static const struct {
+		const char *name;
+		int64_t started_ms, listed; /* by the next report */
+		int32_t stops;		    /* of run 1 */
+	} cases[] = {
+		{ "it has started again", 2, 0, 1 },
+		{ "it goes on, with the later run", 1, 3, 0 },
+		{ "it goes on, without", 1, 0, 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = new_owner();
+		Sched__Step d = step_def("", 1000, false, 0);
+		worker_t *w = add_worker(s, "w");
+		job_t *j = add_job(s, "0000000000000001", &d, 0);
+		run_t *r;
+
+		s->opts.port.order = take_order;
+		s->now_ms = BEGUN_MS;
+		give_up_start(s, first_step(j), w, 1);
+		r = add_running(s, first_step(j), 0, w);
+		r->number = 3;
+		report(s, w, 1, 3);
+		stops = 0;
+		report(s, w, cases[i].started_ms, cases[i].listed);
+		cr_expect_eq(stops, cases[i].stops, "%s: %d stops",
+		    cases[i].name, stops);
+		if (stops == 1)
+			cr_expect_eq(last_stop.run, 1, "%s", cases[i].name);
+		sched_free(s);
+	}
+}
+
 /* Of two runs of a task it is told of the later one, which excludes the other. */
 Test(held_up, two_runs_of_a_task)
 {
