Quarantine: suspect tasks of jobs that an earlier owner had are tried together

Cause: a task of a job that an earlier owner had is tried alone, as that may have been lost before it knew of a crash; so n of them take n times 1.5 s over the workers but one.

Change: these join others as well, once their job has had no run for 2 s (1 s for jobs of this owner), and six instead of four are tried on a worker, which is what one start each 250 ms allows.

Tests: quarantine/jobs_of_an_earlier_owner_run_in_time failed before in four of five cases (4 of 12, 16 of 24, 4 of 20, 24 of 60 jobs without a run 7 s after the crash). quarantine/a_deadly_task_among_many_is_found has four cases more.

--- a/sched/quarantine.c
+++ b/sched/quarantine.c
@@ -42,10 +42,17 @@
 #define LONGEST_MS  10000 /* as other work can't start beside it */
 #define OTHER_MS    500	  /* other work has waited so lately; above a round */
 /* A job has had no run for so long when a task of it joins others in quarantine. */
-#define JOIN_MS	   1000
-#define TRIALS_MAX 4 /* tried together on a worker */
+#define JOIN_MS 1000
+/* The same of a job that an earlier owner had, which may have been lost before it knew
+ * of a crash: the task may not have many more then. */
+#define LATE_JOIN_MS 2000
+/* Tried together on a worker: one starts after the other. */
+#define TRIALS_MAX (CRASH_SOON_MS / CRASH_AT_ONCE_MS)
 /* Lasting tasks in a group: one deadly task stops so many others once more. */
 #define GROUP_MAX 16
+/* A lasting task is down for so long when it, or with it, one of a job that an earlier
+ * owner had is tried in a group; that may have been lost before it knew of a crash. */
+#define LATE_GROUP_MS 4000
 
 /* Ends the quarantine on a worker, which is kept for the next task that waits. */
 static void
@@ -330,15 +337,13 @@
 	return NULL;
 }
 
-/*
- * Whether a task may be tried together with others: an earlier owner may have been
- * lost before it knew of a crash of the task, which may not have many more then.
- */
+/* Whether a task may be tried together with others; find_group() has lasting tasks of
+ * jobs that an earlier owner had. */
 static bool
 may_be_together(const task_t *t)
 {
 	return earlier_crashes(t) <= 1 &&
-	    !t->step->occ->job->maybe_started_before;
+	    !(t->step->def->lasting && t->step->occ->job->maybe_started_before);
 }
 
 /* Whether the job of a task has a run, or the task itself if it lasts. */
@@ -356,8 +361,9 @@
 join_trial(sched_t *s, step_t *st, task_t *t)
 {
 	const job_t *j = st->occ->job;
+	int64_t join_ms = j->maybe_started_before ? LATE_JOIN_MS : JOIN_MS;
 
-	if (has_run(t) || s->now_ms - j->idle_since_ms < JOIN_MS ||
+	if (has_run(t) || s->now_ms - j->idle_since_ms < join_ms ||
 	    !may_be_together(t))
 		return NULL;
 	for (int32_t n = 1; n < TRIALS_MAX; n++)
@@ -377,9 +383,12 @@
 	return NULL;
 }
 
-/* Whether a group is tried on a worker that is in quarantine, and may become larger. */
+/*
+ * Whether a group is tried on a worker that is in quarantine, and may become larger; late:
+ * also one with tasks of jobs that an earlier owner had.
+ */
 static bool
-has_group(const worker_t *w)
+has_group(const worker_t *w, bool late)
 {
 	GHashTableIter it;
 	int32_t n = 0;
@@ -392,7 +401,8 @@
 		if (!is_trial(r) || crash_known_up_ms(r) >= CRASH_SOON_MS)
 			continue;
 		n++;
-		if (!may_group(r->task))
+		if (!may_group(r->task) ||
+		    (r->job->maybe_started_before && !late))
 			return false;
 	}
 	return n > 0 && n < GROUP_MAX;
@@ -403,13 +413,13 @@
  * as others may start there before the row of this one is stored.
  */
 static bool
-group_takes(sched_t *s, step_t *st, task_t *t, worker_t *w)
+group_takes(sched_t *s, step_t *st, task_t *t, worker_t *w, bool late)
 {
 	const task_t *reserved_for = w->reserved_for;
 	int64_t until_ms = w->reserved_until_ms;
 	bool takes;
 
-	if (!has_group(w))
+	if (!has_group(w, late))
 		return false;
 	reserve(s, w, t);
 	takes = place_alone(s, st, t, w) != NULL;
@@ -424,12 +434,15 @@
 {
 	worker_t *best = NULL;
 	int32_t least = GROUP_MAX;
+	bool late = downtime_ms(s, t) >= LATE_GROUP_MS;
 
-	for (guint i = 0; may_group(t) && i < s->worker_list->len; i++) {
+	if (!may_group(t) || (st->occ->job->maybe_started_before && !late))
+		return NULL;
+	for (guint i = 0; i < s->worker_list->len; i++) {
 		worker_t *w = g_ptr_array_index(s->worker_list, i);
 
 		if (w->quarantined_run == NULL || count_trials(w) >= least ||
-		    !group_takes(s, st, t, w))
+		    !group_takes(s, st, t, w, late))
 			continue;
 		best = w;
 		least = count_trials(w);
--- a/test/unit/quarantine.c
+++ b/test/unit/quarantine.c
@@ -27,6 +27,7 @@
 #define JOBS_MAX 64
 /* The users call a lasting task lost that is down for so long beside room for it. */
 #define DOWN_MAX_MS 6000
+#define CALM_MS	    4000 /* they count a job that has no run only after that */
 #define BACK_MS	    1500 /* after a crash another process answers */
 #define LOST_MS	    4300 /* after its last answer a worker is known to be lost */
 
@@ -370,6 +371,41 @@
 	}
 }
 
+/*
+ * Guards against jobs of an earlier owner that have no run (LOST) as their suspect tasks
+ * are tried one by one on few workers.
+ */
+Test(quarantine, jobs_of_an_earlier_owner_run_in_time)
+{
+	static const struct {
+		const char *what;
+		int workers, jobs;
+	} cases[] = {
+		{ "few", 6, 4 },
+		{ "3 workers, 12 jobs", 3, 12 },
+		{ "3 workers, 24 jobs", 3, 24 },
+		{ "5 workers, 20 jobs", 5, 20 },
+		{ "10 workers, 60 jobs", 10, 60 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = owner_of(cases[i].workers, 0);
+		task_t *tasks[JOBS_MAX];
+		int waiting = 0;
+
+		for (int k = 0; k < cases[i].jobs; k++) {
+			tasks[k] = queue_job(s, k + 1, 1000, true);
+			tasks[k]->step->occ->job->maybe_started_before = true;
+		}
+		run_until(s, BEGIN_MS + CALM_MS + RUN_MS - BACK_MS);
+		for (int k = 0; k < cases[i].jobs; k++)
+			waiting += tasks[k]->run == NULL;
+		cr_expect_eq(waiting, 0, "%s: %d of %d wait", cases[i].what,
+		    waiting, cases[i].jobs);
+		sched_free(s);
+	}
+}
+
 /* Crashes the worker of a task that has run for so long; whether it did. */
 static bool
 crash_deadly(sched_t *s, const task_t *t, int64_t after_ms)
@@ -393,16 +429,21 @@
 {
 	static const struct {
 		const char *what;
+		bool lasting, earlier_owner;
 		int workers, tasks, deadly;
 		int64_t after_ms; /* its start */
 	} cases[] = {
-		{ "at once, 3 workers", 3, 24, 5, 0 },
-		{ "later, 3 workers", 3, 24, 5, 800 },
-		{ "the first", 3, 24, 0, 800 },
-		{ "the last", 3, 24, 23, 800 },
-		{ "at once, 10 workers", 10, 60, 33, 0 },
-		{ "later, 10 workers", 10, 60, 33, 1200 },
-		{ "30 workers", 30, 60, 33, 800 },
+		{ "at once, 3 workers", true, false, 3, 24, 5, 0 },
+		{ "later, 3 workers", true, false, 3, 24, 5, 800 },
+		{ "the first", true, false, 3, 24, 0, 800 },
+		{ "the last", true, false, 3, 24, 23, 800 },
+		{ "at once, 10 workers", true, false, 10, 60, 33, 0 },
+		{ "later, 10 workers", true, false, 10, 60, 33, 1200 },
+		{ "30 workers", true, false, 30, 60, 33, 800 },
+		{ "lasting, an earlier owner", true, true, 3, 24, 5, 800 },
+		{ "short work", false, false, 3, 24, 5, 800 },
+		{ "short work, an earlier owner", false, true, 3, 24, 5, 800 },
+		{ "short work, at once", false, true, 10, 60, 33, 0 },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -411,8 +452,13 @@
 		const task_t *deadly;
 		int crashes = 0;
 
-		for (int k = 0; k < cases[i].tasks; k++)
-			tasks[k] = queue_lasting(s, k + 1, 1, BACK_MS);
+		for (int k = 0; k < cases[i].tasks; k++) {
+			tasks[k] = cases[i].lasting ?
+			    queue_lasting(s, k + 1, 1, BACK_MS) :
+			    queue_job(s, k + 1, 1000, true);
+			tasks[k]->step->occ->job->maybe_started_before =
+			    cases[i].earlier_owner;
+		}
 		deadly = tasks[cases[i].deadly];
 		while (s->now_ms < BEGIN_MS + 10 * DOWN_MAX_MS) {
 			run_until(s, s->now_ms + STEP_MS);
