--- a/test/unit/lasting.c
+++ b/test/unit/lasting.c
@@ -18,210 +18,18 @@
 #include "../../sched/customer.h"
 #include "../../sched/internal.h"
 #include "sched_fixture.h"
-
-#define WORKERS	      30
-#define LASTING_MILLI 10000 /* of the 64000 of a worker */
-#define PER_WORKER    3	    /* lasting tasks */
-#define SHORT_MILLI   6000
-#define SHORT_MS      1000
-#define SHORT_WIDTH   20   /* tasks of a job */
-#define STOP_MS	      500  /* until a stopped run has ended */
-#define SILENT_MS     4300 /* until a lease has ended for sure */
-#define LEAVES_MS     4000 /* after a worker begins to drain */
-#define STEP_MS	      50
-#define ROUND_MS      250
-#define SETTLE_MS     4000  /* before tasks go down */
-#define WATCHED_MS    30000 /* after that */
+#include "lasting_scene.h"
+
+#define PER_WORKER  3 /* lasting tasks */
+#define SHORT_MILLI 6000
+#define SHORT_WIDTH 20	  /* tasks of a job */
+#define SILENT_MS   4300  /* until a lease has ended for sure */
+#define LEAVES_MS   4000  /* after a worker begins to drain */
+#define SETTLE_MS   4000  /* before tasks go down */
+#define WATCHED_MS  30000 /* after that */
 /* The users call a lasting task lost that is down for so long beside room for it. */
 #define DOWN_MAX_MS 6000
 
-/* What happens to the workers of the first third. */
-typedef enum {
-	THEY_DRAIN,
-	THEIR_RUNS_FAIL,
-	THEY_ARE_LOST,
-	THEY_DRAIN_IN_TURN
-} event_t;
-
-typedef struct {
-	sched_t *s;
-	GPtrArray *lasting; /* of step_t */
-	int next_job;
-	int64_t longest_ms; /* that a lasting task was down */
-	int ended;	    /* runs of lasting tasks */
-	int64_t since_ms[WORKERS * PER_WORKER];
-} scene_t;
-
-static worker_t *
-worker(const scene_t *c, guint i)
-{
-	return g_ptr_array_index(c->s->worker_list, i);
-}
-
-static step_t *
-add_step(scene_t *c, const Sched__Step *d)
-{
-	g_autofree char *id = g_strdup_printf("%016d", ++c->next_job);
-	step_t *st = first_step(add_job(c->s, id, d, c->s->wall_ms));
-
-	st->ready = true;
-	return st;
-}
-
-/* Lasting jobs of some tasks each, spread over all workers. */
-static void
-add_lasting(scene_t *c, int width)
-{
-	Sched__Step d = step_def("", LASTING_MILLI, false, 0);
-	int left = 0;
-	step_t *st = NULL;
-
-	d.lasting = true;
-	d.count = width;
-	for (int i = 0; i < WORKERS * PER_WORKER; i++) {
-		if (left == 0) {
-			st = add_step(c, &d);
-			g_ptr_array_add(c->lasting, st);
-			left = width;
-		}
-		add_running(
-		    c->s, st, width - left--, worker(c, (guint)(i % WORKERS)))
-		    ->first_seen_ms = 1;
-	}
-}
-
-/* Short jobs, so that some always wait. */
-static void
-add_short(scene_t *c)
-{
-	Sched__Step d = step_def("", SHORT_MILLI, false, 0);
-
-	d.count = SHORT_WIDTH;
-	d.estimate_ms = SHORT_MS;
-	while (g_sequence_get_length(c->s->ready_steps) < 20)
-		queue_add_step(c->s, add_step(c, &d));
-}
-
-static void
-end_run(scene_t *c, run_t *r)
-{
-	c->ended += r->task->step->def->lasting;
-	run_remove(c->s, r);
-}
-
-/* Ends the runs whose time has come. */
-static void
-end_runs(scene_t *c)
-{
-	g_autoptr(GList) all = g_hash_table_get_values(c->s->runs);
-
-	for (GList *i = all; i != NULL; i = i->next) {
-		run_t *r = i->data;
-		int64_t age = c->s->now_ms - r->state_since_ms;
-
-		if (r->state == RUN_STARTING)
-			run_order_done(c->s, r, SCHED_ORDER_OK, 0);
-		else if (r->state == RUN_STOPPING && age >= STOP_MS)
-			end_run(c, r);
-		else if (r->state == RUN_RUNNING &&
-		    !r->task->step->def->lasting && age >= SHORT_MS) {
-			job_mark_task_done(r->task);
-			run_remove(c->s, r);
-		}
-	}
-}
-
-/* Ends all runs on a worker, of short work too if the worker is lost. */
-static void
-end_all_on(scene_t *c, worker_t *w, bool lost)
-{
-	g_autoptr(GList) all = g_hash_table_get_values(w->runs);
-
-	for (GList *i = all; i != NULL; i = i->next)
-		if (lost || ((run_t *)i->data)->task->step->def->lasting)
-			end_run(c, i->data);
-}
-
-static void
-begin_event(scene_t *c, event_t e, guint i)
-{
-	worker_t *w = worker(c, i);
-
-	if (e == THEIR_RUNS_FAIL)
-		end_all_on(c, w, false);
-	else if (e == THEY_ARE_LOST) {
-		w->listed = false;
-		end_all_on(c, w, true);
-	} else
-		w->draining = true;
-}
-
-/* A worker that drains has left after a while. */
-static void
-leave(scene_t *c, guint i)
-{
-	if (!worker(c, i)->draining)
-		return;
-	worker(c, i)->listed = false;
-	end_all_on(c, worker(c, i), true);
-}
-
-/* Notes how long each lasting task has been down. */
-static void
-look(scene_t *c)
-{
-	int n = 0;
-
-	for (guint i = 0; i < c->lasting->len; i++) {
-		const step_t *st = g_ptr_array_index(c->lasting, i);
-
-		for (int32_t k = 0; k < st->ntasks; k++, n++) {
-			if (st->tasks[k].run != NULL) {
-				c->since_ms[n] = 0;
-				continue;
-			}
-			if (c->since_ms[n] == 0)
-				c->since_ms[n] = c->s->now_ms;
-			c->longest_ms =
-			    MAX(c->longest_ms, c->s->now_ms - c->since_ms[n]);
-		}
-	}
-}
-
-static void
-step(scene_t *c)
-{
-	sched_t *s = c->s;
-
-	set_fresh_time(s, s->now_ms + STEP_MS);
-	end_runs(c);
-	add_short(c);
-	for (guint i = 0; i < WORKERS; i++)
-		if (worker(c, i)->listed)
-			straggler_report(s, worker(c, i));
-	if (s->now_ms % ROUND_MS == 0) {
-		queue_resort(s);
-		scan_begin_round(s);
-	}
-	start_waiting_tasks(s);
-	look(c);
-}
-
-static scene_t
-new_scene(int width)
-{
-	scene_t c = { .s = new_owner(), .lasting = g_ptr_array_new() };
-
-	set_fresh_time(c.s, 100000);
-	for (int i = 0; i < WORKERS; i++) {
-		g_autofree char *id = g_strdup_printf("w%02d", i);
-
-		add_worker(c.s, id);
-	}
-	add_lasting(&c, width);
-	return c;
-}
-
 /*
  * Guards against lasting tasks that are down for long, as what becomes free goes to
  * other work first or only to one of them at a time.
@@ -230,7 +38,7 @@
 {
 	static const struct {
 		const char *what;
-		event_t event;
+		scene_event_t event;
 		int width; /* of a lasting job; it divides the number of tasks */
 	} cases[] = {
 		{ "workers drain, wide jobs", THEY_DRAIN, 15 },
@@ -245,11 +53,15 @@
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		scene_t c = new_scene(cases[i].width);
+		scene_opts_t o = { .per_worker = PER_WORKER,
+			.width = cases[i].width,
+			.short_milli = SHORT_MILLI,
+			.short_width = SHORT_WIDTH };
+		scene_t c = scene_new(&o);
 		int64_t at_ms = c.s->now_ms + SETTLE_MS;
 
 		while (c.s->now_ms < at_ms)
-			step(&c);
+			scene_step(&c);
 		cr_assert_eq(c.ended, 0, "%s: before", cases[i].what);
 		for (int64_t n = 0; n < WATCHED_MS / STEP_MS; n++) {
 			int64_t ms = n * STEP_MS;
@@ -259,18 +71,18 @@
 				int64_t from = in_turn ? (int64_t)k * 300 : 0;
 
 				if (ms == from)
-					begin_event(&c, cases[i].event, k);
+					scene_begin_event(
+					    &c, cases[i].event, k);
 				if (ms == from + LEAVES_MS)
-					leave(&c, k);
+					scene_leave(&c, k);
 			}
-			step(&c);
+			scene_step(&c);
 		}
 		cr_expect_geq(c.ended, WORKERS / 3 * PER_WORKER, "%s: %d ended",
 		    cases[i].what, c.ended);
 		cr_expect_lt(c.longest_ms, DOWN_MAX_MS, "%s: down for %d ms",
 		    cases[i].what, (int)c.longest_ms);
-		g_ptr_array_free(c.lasting, TRUE);
-		sched_free(c.s);
+		scene_free(&c);
 	}
 }
 
@@ -301,12 +113,12 @@
 
 		set_fresh_time(c.s, 100000);
 		d.lasting = true;
-		st = add_step(&c, &d);
+		st = scene_add_step(&c, &d);
 		r = add_running(c.s, st, 0, from);
 		r->first_seen_ms = 1;
 		other.cpu_milli = cases[i].used_milli;
-		add_running(c.s, add_step(&c, &other), 0, to)->state_since_ms =
-		    c.s->now_ms + WATCHED_MS;
+		add_running(c.s, scene_add_step(&c, &other), 0, to)
+		    ->state_since_ms = c.s->now_ms + WATCHED_MS;
 		from->draining = true;
 		scan_begin_round(c.s);
 		straggler_report(c.s, from);
@@ -317,7 +129,7 @@
 			continue;
 		}
 		other.cpu_milli = SHORT_MILLI;
-		queue_add_step(c.s, add_step(&c, &other));
+		queue_add_step(c.s, scene_add_step(&c, &other));
 		scan_begin_round(c.s);
 		start_waiting_tasks(c.s);
 		run_remove(c.s, r);
@@ -354,10 +166,10 @@
 		add_worker(c.s, "w")->used_cpu_milli =
 		    WORKER_CPU_MILLI - LASTING_MILLI;
 		d.lasting = true;
-		lasting = add_step(&c, &d);
+		lasting = scene_add_step(&c, &d);
 		lasting->occ->job->maybe_started_before =
 		    lasting->occ->job->started = cases[i].begun;
-		late = add_step(&c, &other);
+		late = scene_add_step(&c, &other);
 		queue_add_step(c.s, lasting);
 		queue_add_step(c.s, late);
 		c.s->cell.workers_accounted = false;
@@ -389,11 +201,11 @@
 	set_fresh_time(c.s, silent_since_ms + SILENT_MS);
 	lost->answered_ms = silent_since_ms;
 	d.lasting = true;
-	st = add_step(&c, &d);
+	st = scene_add_step(&c, &d);
 	add_running(c.s, st, 0, lost)->first_seen_ms = 1;
 	other.estimate_ms = WATCHED_MS;
 	/* As end_runs() goes by. */
-	add_running(c.s, add_step(&c, &other), 0, w)->state_since_ms +=
+	add_running(c.s, scene_add_step(&c, &other), 0, w)->state_since_ms +=
 	    WATCHED_MS;
 	lost->listed = false;
 	run_worker_lost(c.s, lost, "test");
@@ -402,7 +214,7 @@
 		scan_begin_round(c.s);
 		start_waiting_tasks(c.s);
 		set_fresh_time(c.s, c.s->now_ms + ROUND_MS);
-		end_runs(&c);
+		scene_end_runs(&c);
 	}
 	cr_expect_lt(c.s->now_ms - silent_since_ms, DOWN_MAX_MS, "%d ms",
 	    (int)(c.s->now_ms - silent_since_ms));
@@ -423,11 +235,11 @@
 
 	set_fresh_time(c.s, 100000);
 	d.lasting = true;
-	st = add_step(&c, &d);
+	st = scene_add_step(&c, &d);
 	add_running(c.s, st, 0, from)->first_seen_ms = 1;
 	other.estimate_ms = WATCHED_MS;
 	/* As end_runs() goes by. */
-	add_running(c.s, add_step(&c, &other), 0, to)->state_since_ms +=
+	add_running(c.s, scene_add_step(&c, &other), 0, to)->state_since_ms +=
 	    WATCHED_MS;
 	from->draining = true;
 	for (int64_t ms = 0; ms < LEAVES_MS; ms += ROUND_MS) {
@@ -435,7 +247,7 @@
 		scan_begin_round(c.s);
 		start_waiting_tasks(c.s);
 		set_fresh_time(c.s, c.s->now_ms + ROUND_MS);
-		end_runs(&c);
+		scene_end_runs(&c);
 	}
 	cr_assert_not_null(st->tasks[0].run);
 	cr_expect_eq(st->tasks[0].run->worker, to);
@@ -492,7 +304,7 @@
 		}
 		set_fresh_time(c.s, 100000);
 		d.lasting = true;
-		t = &add_step(&c, &d)->tasks[0];
+		t = &scene_add_step(&c, &d)->tasks[0];
 		queue_add_step(c.s, t->step);
 		for (; tries < 3 * (n + 1); tries++) {
 			worker_t *at;
@@ -502,7 +314,7 @@
 			start_waiting_tasks(c.s);
 			cr_assert_not_null(t->run, "%s", cases[i].what);
 			run_order_done(c.s, t->run, SCHED_ORDER_OK, 0);
-			if (t->run->worker == worker(&c, n))
+			if (t->run->worker == scene_worker(&c, n))
 				break;
 			at = t->run->worker;
 			set_fresh_time(c.s, c.s->now_ms + cases[i].up_ms);
