Room: workers kept for large urgent tasks are not open to new lasting tasks

Cause: room.c keeps workers for large short tasks that can be in time, but after 1.5 s all of them but one were open to every lasting task. That was for tasks that are down; since nominations these may start on kept workers at once, so what came in were lasting tasks that never had a run. They keep the room for good.

Change: only lasting tasks that had a run (downtime_is_new) have this way in. New ones wait for a reservation, as before where one worker is kept.

Tests: unit room, a_lasting_task_is_not_kept_waiting_by_held_room, has two more cases; on the code before 1 and 2 new ones had started where none may, now none within 3 s and some within 6 s. The four older cases stay as they are, for tasks that had a run, of which the test's line speaks. Unit reservation, lasting_tasks_that_have_waited_leave_it: its task had a run, so that the case is still the one in which a kept worker would be open.

--- a/sched/down.h
+++ b/sched/down.h
@@ -17,6 +17,8 @@
 void nominate_update(sched_t *s);
 
 /* downtime.c */
+/* Whether a task lasts and has had no run. */
+bool downtime_is_new(const task_t *t);
 /* Lasting tasks that had a run and wait for the next one. */
 typedef struct {
 	int64_t tasks, longest_ms;
--- a/sched/downtime.c
+++ b/sched/downtime.c
@@ -109,6 +109,13 @@
 	return t->state == TASK_WAITING && t->down_since_ms != 0;
 }
 
+bool
+downtime_is_new(const task_t *t)
+{
+	return t->step->def->lasting && t->down_since_ms == 0 &&
+	    t->last_run_number == 0 && t->crashes == NULL;
+}
+
 int64_t
 downtime_ms(const sched_t *s, const task_t *t)
 {
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -287,7 +287,7 @@
 worker_t *room_find_soonest(const sched_t *s, const task_t *t);
 void room_mark_kept(sched_t *s, worker_t *w, const step_t *st);
 void room_keep(sched_t *s, step_t *st);
-bool room_allows_start(const sched_t *s, const worker_t *w, const step_t *st);
+bool room_allows_start(const sched_t *s, const worker_t *w, const task_t *t);
 void room_not_found(const sched_t *s, step_t *st, int32_t kept);
 void room_started(const sched_t *s, const worker_t *w, step_t *st);
 
--- a/sched/place.c
+++ b/sched/place.c
@@ -302,7 +302,7 @@
 	/* The nominated task could not start while a suspect is tried there. */
 	if (q->alone && w->nnominated > 0)
 		return SCHED_WAIT_RESERVED;
-	if (!downtime_is_down(q->task) && !room_allows_start(s, w, st))
+	if (!downtime_is_down(q->task) && !room_allows_start(s, w, q->task))
 		return SCHED_WAIT_KEPT;
 	if (q->slowed)
 		return can_slow(w, st) ? SCHED_WAIT_NONE :
--- a/sched/room.c
+++ b/sched/room.c
@@ -11,7 +11,7 @@
  * chosen anew, in the order of the queue.  The end of lasting and of serving tasks
  * is not waited for.
  *
- * A lasting task that is down serves nobody until it runs again.  Once its step has
+ * A lasting task that had a run serves nobody until it runs again.  Once its step has
  * waited for HOLD_LASTING_MS, of the kept workers with room for its tasks all but one
  * are open to them: that one is enough to keep for larger work, more are not.
  */
@@ -29,6 +29,7 @@
 #include "types.h"
 #include "customer.h"
 #include "internal.h"
+#include "down.h"
 
 /* At most one worker in this many is kept at a time. */
 #define WORKERS_PER_KEPT 8
@@ -355,24 +356,29 @@
 }
 
 /*
- * Whether a lasting step has waited for long enough beside kept workers that have
- * room for more than one of its tasks.
+ * Whether a lasting task that had a run has waited for long enough beside kept workers
+ * that have room for more than one of its step.
  */
 static bool
-waited_long(const sched_t *s, const step_t *st)
+waited_long(const sched_t *s, const task_t *t)
 {
-	return st->def->lasting && st->kept_with_room >= 2 &&
+	const step_t *st = t->step;
+
+	return st->def->lasting && !downtime_is_new(t) &&
+	    st->kept_with_room >= 2 &&
 	    s->now_ms - st->unplaced_since_ms >= HOLD_LASTING_MS;
 }
 
-/* Whether a task of a step may be started on a worker, as far as it is kept. */
+/* Whether a task may be started on a worker, as far as that is kept. */
 bool
-room_allows_start(const sched_t *s, const worker_t *w, const step_t *st)
+room_allows_start(const sched_t *s, const worker_t *w, const task_t *t)
 {
+	const step_t *st = t->step;
+
 	if (!is_kept(s, w) || w->kept_for == st)
 		return true;
 	return reservation_on(s, w) ? reservation_leaves_room(s, w, st) :
-				      st->def->filler || waited_long(s, st);
+				      st->def->filler || waited_long(s, t);
 }
 
 /*
--- a/test/unit/reservation.c
+++ b/test/unit/reservation.c
@@ -304,7 +304,8 @@
 	/* Others are kept with room for it, too. */
 	st->kept_with_room = 2;
 	st->unplaced_since_ms = s->now_ms - 1500;
-	cr_expect_not(room_allows_start(s, worker(s, 0), st));
+	st->tasks[0].last_run_number = 1;
+	cr_expect_not(room_allows_start(s, worker(s, 0), &st->tasks[0]));
 	sched_free(s);
 }
 
--- a/test/unit/room.c
+++ b/test/unit/room.c
@@ -170,7 +170,8 @@
 
 /*
  * Guards against lasting tasks that stay down beside room for them twice over, as it
- * is held for larger tasks that will not fit there for a long time.
+ * is held for larger tasks that will not fit there for a long time; and against new ones that
+ * take it as soon, and then keep it.
  */
 Test(room, a_lasting_task_is_not_kept_waiting_by_held_room)
 {
@@ -178,11 +179,14 @@
 		const char *what;
 		int gaps; /* workers with room for one task */
 		int32_t tasks, starts;
+		bool is_new; /* they had no run */
 	} cases[] = {
-		{ "two gaps", 2, 1, 1 },
-		{ "three gaps", 3, 1, 1 },
-		{ "one is left to the larger task", 3, 3, 2 },
-		{ "the only one is", 1, 1, 0 },
+		{ "two gaps", 2, 1, 1, false },
+		{ "three gaps", 3, 1, 1, false },
+		{ "one is left to the larger task", 3, 3, 2, false },
+		{ "the only one is", 1, 1, 0, false },
+		{ "two gaps, a new one", 2, 1, 0, true },
+		{ "three gaps, new ones", 3, 3, 0, true },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -219,12 +223,19 @@
 		cr_assert_eq(
 		    kept, cases[i].gaps, "%s: %d kept", cases[i].what, kept);
 		st = queue_job(s, 3, &lasting);
+		for (int k = 0; k < cases[i].tasks; k++)
+			st->tasks[k].last_run_number = !cases[i].is_new;
 		for (int64_t end_ms = s->now_ms + LASTING_BACK_MS;
 		     s->now_ms < end_ms;)
 			advance(s);
 		cr_expect_eq(lasting.count - st->nwaiting, cases[i].starts,
 		    "%s: %d of %d started", cases[i].what,
 		    lasting.count - st->nwaiting, cases[i].starts);
+		for (int64_t end_ms = s->now_ms + LASTING_BACK_MS;
+		     cases[i].is_new && s->now_ms < end_ms;)
+			advance(s);
+		cr_expect(!cases[i].is_new || st->nwaiting < lasting.count,
+		    "%s: none started", cases[i].what);
 		sched_free(s);
 	}
 }
