New lasting tasks wait for short work that counts, on a service that is nearly full

They go before late short work in the queue, and new tasks of a step of which another is down (and has to wait for something else than room) before all of it.

Lasting tasks that had a run are not held.

--- a/sched/down.h
+++ b/sched/down.h
@@ -16,6 +16,12 @@
 bool nominate_elsewhere(sched_t *s, const run_t *r);
 void nominate_update(sched_t *s);
 
+/* lasting_admission.c */
+void lasting_admission_init(sched_t *s);
+void lasting_admission_free(sched_t *s);
+void lasting_admission_note(sched_t *s, const step_t *st);
+bool lasting_admission_waits(const sched_t *s, const step_t *st);
+
 /* downtime.c */
 /* Whether a task lasts and has had no run. */
 bool downtime_is_new(const task_t *t);
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -14,7 +14,7 @@
  * - room.c: room that is kept for large tasks; reservation.c: room and quota that
  *   are reserved for the work that has been passed over longest;
  * - nominate.c, downtime.c (down.h): workers for lasting tasks that are down or have
- *   to move, and how long they are down;
+ *   to move, and how long they are down; lasting_admission.c: when new ones may start;
  * - start.c, run.c: starting and stopping runs of tasks;
  * - poll.c, report.c: polling workers and processing their reports;
  * - headroom.c, interference.c: how much filler tasks slow down serving tasks;
@@ -96,6 +96,7 @@
 	GHashTable *stopped_jobs;
 	GSequence *ready_steps;	   /* step_t with waiting tasks, sorted */
 	GPtrArray *nominations;	   /* of task_t with a nominated worker */
+	GArray *contended;	   /* services; see lasting_admission.c */
 	GHashTable *dirty_jobs;	   /* id -> job_t */
 	GPtrArray *recurring_jobs; /* jobs that repeat */
 	/* The flush in flight. */
@@ -256,6 +257,8 @@
 /* wait_reason.c */
 void wait_reason_note(const sched_t *s, step_t *st, sched_wait_reason_t why);
 sched_wait_reason_t wait_reason_of(const sched_t *s, const step_t *st);
+/* Whether a task waits for what workers lack or keep for others. */
+bool wait_reason_is_room(sched_wait_reason_t why);
 char *wait_reason_text(const int32_t *counts);
 void wait_reason_log(sched_t *s);
 
--- a/sched/reservation.c
+++ b/sched/reservation.c
@@ -97,20 +97,7 @@
 static bool
 waits_for_room(const step_t *st)
 {
-	if (st->quota_held)
-		return true;
-	switch (st->wait_reason) {
-	case SCHED_WAIT_MEM:
-	case SCHED_WAIT_GPU:
-	case SCHED_WAIT_CPU:
-	case SCHED_WAIT_PER_WORKER:
-	case SCHED_WAIT_RESERVED:
-	case SCHED_WAIT_KEPT:
-	case SCHED_WAIT_GANG_ROOM:
-		return true;
-	default:
-		return false;
-	}
+	return st->quota_held || wait_reason_is_room(st->wait_reason);
 }
 
 /* Whether a queued step has been passed over for long. */
--- a/sched/start.c
+++ b/sched/start.c
@@ -138,10 +138,14 @@
 start_step(sched_t *s, step_t *st)
 {
 	bool only_down = has_down_to_start(s, st);
+	bool waits = lasting_admission_waits(s, st);
 	int32_t n = 0;
 
 	if (st->def->gang) {
-		start_gang(s, st);
+		if (!waits || !downtime_is_new(&st->tasks[0]))
+			start_gang(s, st);
+		else
+			wait_reason_note(s, st, SCHED_WAIT_KEPT);
 		return st->nwaiting == 0 ? st->ntasks : 0;
 	}
 	for (int32_t i = 0; i < st->ntasks && st->nwaiting > 0; i++) {
@@ -158,6 +162,10 @@
 						  SCHED_WAIT_BACKOFF);
 			continue;
 		}
+		if (waits && downtime_is_new(t)) {
+			wait_reason_note(s, st, SCHED_WAIT_KEPT);
+			continue;
+		}
 		if (!customer_allows_start(st)) {
 			wait_reason_note(s, st, SCHED_WAIT_QUOTA);
 			break;
@@ -271,6 +279,8 @@
 			continue;
 		}
 		n = scan_offers(s, st, pos) ? offer_step(s, st, pos) : 0;
+		if (st->nwaiting > 0)
+			lasting_admission_note(s, st);
 		started_down += was_down ? n : 0;
 		started += was_down ? 0 : n;
 		searches +=
--- a/sched/wait_reason.c
+++ b/sched/wait_reason.c
@@ -69,6 +69,23 @@
 	[SCHED_WAIT_GANG_ROOM] = "gang_room",
 };
 
+bool
+wait_reason_is_room(sched_wait_reason_t why)
+{
+	switch (why) {
+	case SCHED_WAIT_MEM:
+	case SCHED_WAIT_GPU:
+	case SCHED_WAIT_CPU:
+	case SCHED_WAIT_PER_WORKER:
+	case SCHED_WAIT_RESERVED:
+	case SCHED_WAIT_KEPT:
+	case SCHED_WAIT_GANG_ROOM:
+		return true;
+	default:
+		return false;
+	}
+}
+
 const char *
 sched_wait_reason_name(sched_wait_reason_t why)
 {
