Late starts: the next process of a worker is told of a stop that the one before had acknowledged

Two runs of one task (TWICE): a start gets no answer, its worker acknowledges the stop, and crashes before it has reported. The next process under its id answers without the run, which so counted as over: the stop had been acknowledged, by the process before. It carried the start out 0.3 s later, beside the task's next run. held_up_stop_runs tells a new process only of runs that were removed before its first report; this one was removed by that report.

Now an acknowledged stop of a start that may yet be carried out counts no more once another process of the worker runs, and is sent again.

--- a/sched/cell_worker.c
+++ b/sched/cell_worker.c
@@ -128,6 +128,7 @@
 cell_worker_restarted(sched_t *s, worker_t *w, int64_t started_ms)
 {
 	crash_worker_restarted(s, w);
+	held_up_worker_restarted(w);
 	if (w->has_answered)
 		w->former_reported_ms = w->reported_ms;
 	w->started_ms = started_ms;
--- a/sched/held_up.c
+++ b/sched/held_up.c
@@ -91,6 +91,20 @@
 	}
 }
 
+/*
+ * Another process of a worker runs now: a stop that the one before has acknowledged does
+ * not keep this one from carrying out a start, and is sent again.
+ */
+void
+held_up_worker_restarted(worker_t *w)
+{
+	run_t *r;
+
+	FOREACH_VALUE (r, w->runs)
+		if (r->held_up)
+			r->stop_acked_ms = r->stop_retry_ms = 0;
+}
+
 /* Forgets such runs. */
 void
 held_up_forget(worker_t *w)
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -462,6 +462,7 @@
 /* held_up.c */
 void held_up_run_removed(sched_t *s, const run_t *r);
 void held_up_stop_runs(sched_t *s, worker_t *w);
+void held_up_worker_restarted(worker_t *w);
 void held_up_forget(worker_t *w);
 
 /* quarantine.c */
--- a/test/unit/held_up.c
+++ b/test/unit/held_up.c
@@ -62,9 +62,9 @@
 	sched_order_done(s, last_stop.id, SCHED_ORDER_OK, 0, s->now_ms);
 }
 
-/* Orders a run of the task, which gets no answer, and has it stopped there. */
+/* Orders a run of the task, which gets no answer, and sends a stop of it. */
 static void
-give_up_start(sched_t *s, step_t *st, worker_t *w, int64_t number)
+order_in_doubt(sched_t *s, step_t *st, worker_t *w, int64_t number)
 {
 	run_t *r = add_run(s, st, 0, w);
 
@@ -78,6 +78,13 @@
 	sched_order_done(s, r->id, SCHED_ORDER_IN_DOUBT, 0, s->now_ms);
 	report(s, w, 1, 0);
 	cr_assert_eq(stops, 1);
+}
+
+/* The same, and has it stopped there. */
+static void
+give_up_start(sched_t *s, step_t *st, worker_t *w, int64_t number)
+{
+	order_in_doubt(s, st, w, number);
 	stop_acked(s);
 	report(s, w, 1, 0);
 	cr_assert_eq(g_hash_table_size(w->runs), 0);
@@ -141,6 +148,53 @@
 	}
 }
 
+/*
+ * Guards against a second run of a task, by an order that is carried out late: the process
+ * that was told to refuse the run is gone before it has reported again, and the next one
+ * was not told (cells 51087 -weak).
+ */
+Test(held_up, the_process_that_was_told_is_gone_before_it_reports)
+{
+	static const struct {
+		const char *name;
+		bool
+		    listed_first; /* the list of workers tells of the next one */
+	} cases[] = {
+		{ "its report tells", false },
+		{ "the list of workers tells", true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sched_t *s = new_owner();
+		Sched__Step d = step_def("", 1000, false, 0);
+		worker_t *w = add_worker(s, "w");
+		job_t *j = add_job(s, "0000000000000001", &d, 0);
+		const task_t *t = &first_step(j)->tasks[0];
+
+		s->opts.port.order = take_order;
+		s->now_ms = BEGUN_MS;
+		order_in_doubt(s, first_step(j), w, 1);
+		stop_acked(s);
+		stops = 0;
+		if (cases[i].listed_first)
+			cell_worker_restarted(s, w, 2);
+		report(s, w, 2, 0);
+		run_resend_orders(s, w);
+		cr_expect_eq(stops, 1, "%s: %d stops", cases[i].name, stops);
+		cr_expect_eq(t->state, TASK_RUNNING, "%s: may start elsewhere",
+		    cases[i].name);
+		if (stops == 1) {
+			cr_expect_eq(last_stop.run, 1, "%s", cases[i].name);
+			stop_acked(s);
+		}
+		report(s, w, 2, 0);
+		cr_expect_eq(t->state, TASK_WAITING, "%s", cases[i].name);
+		cr_expect_eq(
+		    g_hash_table_size(w->runs), 0, "%s", cases[i].name);
+		sched_free(s);
+	}
+}
+
 /* Of two runs of a task it is told of the later one, which excludes the other. */
 Test(held_up, two_runs_of_a_task)
 {
