Late starts: the answer to a stop that was sent to an earlier process of a worker proves nothing of the next

An order in flight when another process is known to run is marked; of a stop whose start is held up the answer then counts for nothing, and the stop is sent again.

Unit held_up/the_process_that_was_told_is_gone_before_it_reports, "the answer is read late": 0 stops before, 1 now.

--- a/sched/held_up.c
+++ b/sched/held_up.c
@@ -101,8 +101,10 @@
 	run_t *r;
 
 	FOREACH_VALUE (r, w->runs)
-		if (r->held_up)
+		if (r->held_up) {
 			r->stop_acked_ms = r->stop_retry_ms = 0;
+			r->order_to_former = r->order_pending;
+		}
 }
 
 /* Forgets such runs. */
--- a/sched/run.c
+++ b/sched/run.c
@@ -433,13 +433,18 @@
 
 /*
  * Handles the result of a stop order.  Any answer of the worker process counts
- * as an acknowledgement, unless it is that the worker is unhealthy.  Another
+ * as an acknowledgement, unless it is that the worker is unhealthy, or another process
+ * runs by now, which the stop of a start that is held up has to be sent to as well.  Another
  * process at the address where the worker has answered does not have the run.
  */
 static void
 on_stop_done(sched_t *s, run_t *r, sched_order_result_t res)
 {
-	if (res == SCHED_ORDER_RESTARTED && !r->worker->has_answered)
+	bool to_former = r->order_to_former;
+
+	r->order_to_former = false;
+	if (to_former ||
+	    (res == SCHED_ORDER_RESTARTED && !r->worker->has_answered))
 		return;
 	if (res == SCHED_ORDER_RESTARTED) {
 		crash_run_replaced(s, r);
--- a/sched/types.h
+++ b/sched/types.h
@@ -291,6 +291,8 @@
 	/* It got none, and no report has listed the run. */
 	bool held_up;
 	int64_t stop_acked_ms; /* the worker acknowledged a stop; 0: not yet */
+	/* Another process runs there since the order in flight was sent. */
+	bool order_to_former;
 	int64_t stop_retry_ms; /* no stop order is sent before this time */
 	int32_t percent;       /* progress as last reported */
 	/* When the start was acknowledged or, for a run that this owner did not
--- a/test/unit/held_up.c
+++ b/test/unit/held_up.c
@@ -157,11 +157,13 @@
 {
 	static const struct {
 		const char *name;
-		bool
-		    listed_first; /* the list of workers tells of the next one */
+		/* The list of workers tells of the next one. */
+		bool listed_first;
+		bool acked_late; /* the answer is read after that */
 	} cases[] = {
-		{ "its report tells", false },
-		{ "the list of workers tells", true },
+		{ "its report tells", false, false },
+		{ "the list of workers tells", true, false },
+		{ "the answer is read late", true, true },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -174,10 +176,13 @@
 		s->opts.port.order = take_order;
 		s->now_ms = BEGUN_MS;
 		order_in_doubt(s, first_step(j), w, 1);
-		stop_acked(s);
 		stops = 0;
+		if (!cases[i].acked_late)
+			stop_acked(s);
 		if (cases[i].listed_first)
 			cell_worker_restarted(s, w, 2);
+		if (cases[i].acked_late)
+			stop_acked(s);
 		report(s, w, 2, 0);
 		run_resend_orders(s, w);
 		cr_expect_eq(stops, 1, "%s: %d stops", cases[i].name, stops);
