--- a/sched/down.h
+++ b/sched/down.h
@@ -16,6 +16,15 @@
 bool nominate_elsewhere(sched_t *s, const run_t *r);
 void nominate_update(sched_t *s);
 
+/* preempt.c */
+/* Whether more counts as used on a worker than it has. */
+bool preempt_is_short(const worker_t *w);
+/*
+ * Stops batch runs on such a worker.  False: the others leave too little room for what
+ * counts as used; then none is stopped.
+ */
+bool preempt_make_room(sched_t *s, const worker_t *w);
+
 /* lasting_admission.c */
 void lasting_admission_init(sched_t *s);
 void lasting_admission_free(sched_t *s);
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -3,7 +3,7 @@
  *
  * - sched.c: entry points of sched.h and the periodic tick;
  * - ownership.c: claiming, renewing and losing the cell;
- * - handover.c: an owner too weak for its cell;
+ * - handover.c: an owner too weak for its cell; stop.c: one whose entry stops;
  * - rows.c: rows read from the store;
  * - job.c, progress.c, queue.c: jobs, steps and tasks, their rows, and the order
  *   of waiting steps;
@@ -13,8 +13,9 @@
  * - place.c, scan.c, approval.c: choice of a worker for a task;
  * - room.c: room that is kept for large tasks; reservation.c: room and quota that
  *   are reserved for the work that has been passed over longest;
- * - nominate.c, downtime.c (down.h): workers for lasting tasks that are down or have
- *   to move, and how long they are down; lasting_admission.c: when new ones may start;
+ * - nominate.c, preempt.c, downtime.c (down.h): workers for lasting tasks that are down
+ *   or have to move, and how long they are down; lasting_admission.c: when new ones may
+ *   start; avoid.c: workers that a task leaves;
  * - start.c, run.c: starting and stopping runs of tasks;
  * - poll.c, report.c: polling workers and processing their reports;
  * - headroom.c, interference.c: how much filler tasks slow down serving tasks;
@@ -31,7 +32,8 @@
  * - held_up.c: start orders that may be carried out late;
  * - flush.c, interference_row.c, purge.c: rows written to and removed from the
  *   store;
- * - stats.c: counters and the periodic load event;
+ * - stats.c: counters and the periodic load event; room_use.c: what processors are
+ *   used for;
  * - wait_reason.c: why waiting tasks wait.
  *
  * Terms: a serving task answers requests and has a target for its tail
