--- a/test/unit/full_cell.c
+++ b/test/unit/full_cell.c
@@ -365,3 +365,11 @@
 	for (int64_t end_ms = c->s->now_ms + ms; c->s->now_ms < end_ms;)
 		step(c);
 }
+
+void
+full_cell_expect_back(const full_cell_t *c, const char *what)
+{
+	cr_expect_lt(c->longest_ms, DOWN_MAX_MS,
+	    "%s: down for %d ms; task=s down:%s", what, (int)c->longest_ms,
+	    c->returns->str);
+}
--- a/test/unit/full_cell.h
+++ b/test/unit/full_cell.h
@@ -53,5 +53,7 @@
 /* A worker is gone, with what it runs. */
 void full_cell_lose(full_cell_t *c, worker_t *w);
 void full_cell_pass(full_cell_t *c, int64_t ms);
+/* No lasting task has been down for DOWN_MAX_MS so far. */
+void full_cell_expect_back(const full_cell_t *c, const char *what);
 
 #endif
--- a/test/unit/lasting_ends.c
+++ b/test/unit/lasting_ends.c
@@ -109,9 +109,7 @@
 		full_cell_pass(&c, WATCHED_MS);
 		cr_expect_geq(c.failed, JOBS * k->failing, "%s: %d failed",
 		    k->what, c.failed);
-		cr_expect_lt(c.longest_ms, DOWN_MAX_MS,
-		    "%s: down for %d ms; task=s down:%s", k->what,
-		    (int)c.longest_ms, c.returns->str);
+		full_cell_expect_back(&c, k->what);
 		full_cell_free(&c);
 	}
 }
--- a/test/unit/lasting_many.c
+++ b/test/unit/lasting_many.c
@@ -135,9 +135,7 @@
 				full_cell_lose(&c, full_cell_worker(&c, k));
 		}
 		full_cell_pass(&c, WATCHED_MS);
-		cr_log_info("%s: %d ms", cases[i].what, (int)c.longest_ms);
-		cr_expect_lt(c.longest_ms, DOWN_MAX_MS, "%s: down for %d ms",
-		    cases[i].what, (int)c.longest_ms);
+		full_cell_expect_back(&c, cases[i].what);
 		full_cell_free(&c);
 	}
 }
@@ -202,9 +200,7 @@
 			full_cell_lose(&c, full_cell_worker(&c, k));
 		}
 		full_cell_pass(&c, WATCHED_MS);
-		cr_log_info("%s: %d ms", cases[i].what, (int)c.longest_ms);
-		cr_expect_lt(c.longest_ms, DOWN_MAX_MS, "%s: down for %d ms",
-		    cases[i].what, (int)c.longest_ms);
+		full_cell_expect_back(&c, cases[i].what);
 		full_cell_free(&c);
 	}
 }
@@ -230,9 +226,7 @@
 	full_cell_pass(&c, SETTLE_MS);
 	full_cell_lose(&c, full_cell_worker(&c, 3));
 	full_cell_pass(&c, WATCHED_MS);
-	cr_log_info("%d ms", (int)c.longest_ms);
-	cr_expect_lt(
-	    c.longest_ms, DOWN_MAX_MS, "down for %d ms", (int)c.longest_ms);
+	full_cell_expect_back(&c, "beside a filler");
 	full_cell_free(&c);
 }
 
@@ -279,9 +273,7 @@
 			else
 				full_cell_fail(&c, &st->tasks[n]);
 		full_cell_pass(&c, WATCHED_MS);
-		cr_log_info("%s: %d ms", cases[i].what, (int)c.longest_ms);
-		cr_expect_lt(c.longest_ms, DOWN_MAX_MS, "%s: down for %d ms",
-		    cases[i].what, (int)c.longest_ms);
+		full_cell_expect_back(&c, cases[i].what);
 		full_cell_free(&c);
 	}
 }
@@ -330,10 +322,7 @@
 			full_cell_lose(&c, w);
 		}
 		full_cell_pass(&c, WATCHED_MS);
-		cr_log_info("%s: %d ms;%s", cases[i].what, (int)c.longest_ms,
-		    c.returns->str);
-		cr_expect_lt(c.longest_ms, DOWN_MAX_MS, "%s: down for %d ms",
-		    cases[i].what, (int)c.longest_ms);
+		full_cell_expect_back(&c, cases[i].what);
 		full_cell_free(&c);
 	}
 }
@@ -373,9 +362,7 @@
 		crash_add(&st->tasks[0], -1, true);
 		full_cell_lose(&c, full_cell_worker(&c, 0));
 		full_cell_pass(&c, WATCHED_MS);
-		cr_log_info("%s: %d ms", cases[i].what, (int)c.longest_ms);
-		cr_expect_lt(c.longest_ms, DOWN_MAX_MS, "%s: down for %d ms",
-		    cases[i].what, (int)c.longest_ms);
+		full_cell_expect_back(&c, cases[i].what);
 		full_cell_free(&c);
 	}
 }
@@ -424,10 +411,7 @@
 		full_cell_pass(&c, SETTLE_MS);
 		full_cell_lose(&c, full_cell_worker(&c, 0));
 		full_cell_pass(&c, WATCHED_MS);
-		cr_log_info("%s: %d ms;%s", cases[i].what, (int)c.longest_ms,
-		    c.returns->str);
-		cr_expect_lt(c.longest_ms, DOWN_MAX_MS, "%s: down for %d ms",
-		    cases[i].what, (int)c.longest_ms);
+		full_cell_expect_back(&c, cases[i].what);
 		full_cell_free(&c);
 	}
 }
@@ -468,10 +452,7 @@
 		for (int n = 0; n < cases[i].lost; n++)
 			full_cell_lose(&c, full_cell_worker(&c, n));
 		full_cell_pass(&c, WATCHED_MS);
-		cr_log_info("%s: %d ms;%s", cases[i].what, (int)c.longest_ms,
-		    c.returns->str);
-		cr_expect_lt(c.longest_ms, DOWN_MAX_MS, "%s: down for %d ms",
-		    cases[i].what, (int)c.longest_ms);
+		full_cell_expect_back(&c, cases[i].what);
 		full_cell_free(&c);
 	}
 }
--- a/test/unit/lost_worker.c
+++ b/test/unit/lost_worker.c
@@ -80,14 +80,7 @@
 static worker_t *
 list_worker(sched_t *s, const char *id)
 {
-	sched_worker_info_t i = { .id = id,
-		.service = "s",
-		.address = "a:1",
-		.zone = "z",
-		.rack = "r",
-		.cpu_milli = WORKER_CPU_MILLI,
-		.mem_mb = 256000,
-		.started_ms = 1 };
+	sched_worker_info_t i = worker_info(id, 1);
 
 	sched_worker_listed(s, &i, s->now_ms);
 	return cell_worker_get(s, id);
--- a/test/unit/nominate.c
+++ b/test/unit/nominate.c
@@ -132,15 +132,9 @@
 static void
 list_again(sched_t *s, const worker_t *w, int64_t cpu_milli, int64_t started_ms)
 {
-	sched_worker_info_t i = { .id = w->id,
-		.service = "s",
-		.address = "a:1",
-		.zone = "z",
-		.rack = "r",
-		.cpu_milli = cpu_milli,
-		.mem_mb = 256000,
-		.started_ms = started_ms };
+	sched_worker_info_t i = worker_info(w->id, started_ms);
 
+	i.cpu_milli = cpu_milli;
 	sched_worker_listed(s, &i, s->now_ms);
 }
 
--- a/test/unit/sched_fixture.c
+++ b/test/unit/sched_fixture.c
@@ -122,17 +122,23 @@
 	return &((occurrence_t *)g_ptr_array_index(j->occs, 0))->steps[0];
 }
 
-worker_t *
-add_worker(sched_t *s, const char *id)
+sched_worker_info_t
+worker_info(const char *id, int64_t started_ms)
 {
-	sched_worker_info_t i = { .id = id,
+	return (sched_worker_info_t){ .id = id,
 		.service = "s",
 		.address = "a:1",
 		.zone = "z",
 		.rack = "r",
 		.cpu_milli = WORKER_CPU_MILLI,
 		.mem_mb = 256000,
-		.started_ms = 1 };
+		.started_ms = started_ms };
+}
+
+worker_t *
+add_worker(sched_t *s, const char *id)
+{
+	sched_worker_info_t i = worker_info(id, 1);
 	worker_t *w;
 
 	sched_worker_listed(s, &i, 0);
--- a/test/unit/sched_fixture.h
+++ b/test/unit/sched_fixture.h
@@ -29,6 +29,8 @@
     sched_t *s, const char *id, const Sched__Step *step, int64_t accepted_ms);
 /* The first step of a job that does not repeat. */
 step_t *first_step(job_t *j);
+/* The entry of a worker of service "s", whose process started at that time. */
+sched_worker_info_t worker_info(const char *id, int64_t started_ms);
 /* Adds a worker on which tasks may be started at once. */
 worker_t *add_worker(sched_t *s, const char *id);
 /* A run of a waiting task that is being started on a worker, without orders. */
--- a/test/unit/unlisted.c
+++ b/test/unit/unlisted.c
@@ -142,15 +142,9 @@
 static void
 list_as(sched_t *s, int64_t started_ms, const char *address)
 {
-	sched_worker_info_t i = { .id = "w",
-		.service = "s",
-		.address = address,
-		.zone = "z",
-		.rack = "r",
-		.cpu_milli = WORKER_CPU_MILLI,
-		.mem_mb = 256000,
-		.started_ms = started_ms };
+	sched_worker_info_t i = worker_info("w", started_ms);
 
+	i.address = address;
 	sched_worker_listed(s, &i, s->now_ms);
 }
 
--- a/test/unit/worker_entry.c
+++ b/test/unit/worker_entry.c
@@ -30,14 +30,7 @@
 static void
 list_born(sched_t *s, int64_t started_ms)
 {
-	sched_worker_info_t i = { .id = "w0",
-		.service = "s",
-		.address = "a:1",
-		.zone = "z",
-		.rack = "r",
-		.cpu_milli = WORKER_CPU_MILLI,
-		.mem_mb = 256000,
-		.started_ms = started_ms };
+	sched_worker_info_t i = worker_info("w0", started_ms);
 
 	sched_worker_listed(s, &i, s->now_ms);
 }
