--- a/test/unit/nominate.c
+++ b/test/unit/nominate.c
@@ -139,8 +139,8 @@
 }
 
 #define WORKERS	  6
-#define STEPS	  10
-#define WIDTH	  5
+#define STEPS	  14
+#define WIDTH	  8
 #define EVENTS	  600
 #define SEQUENCES 60
 
