--- a/sched/internal.h
+++ b/sched/internal.h
@@ -290,6 +290,7 @@
  * that end by themselves, whatever else is kept or reserved there; or NULL.
  */
 worker_t *room_find_soonest(const sched_t *s, const task_t *t);
+bool room_is_kept(const sched_t *s, const worker_t *w);
 void room_mark_kept(sched_t *s, worker_t *w, const step_t *st);
 void room_keep(sched_t *s, step_t *st);
 bool room_allows_start(const sched_t *s, const worker_t *w, const task_t *t);
@@ -428,7 +429,7 @@
 
 /* starvation.c */
 bool starvation_is_starved(const sched_t *s, const step_t *st);
-bool starvation_is_lasting(const step_t *st);
+bool starvation_is_lasting_filler(const step_t *st);
 bool starvation_may_slow(const sched_t *s, const step_t *st);
 int32_t starvation_cpu_times(const sched_t *s);
 void starvation_job_idle(job_t *j);
--- a/sched/nominate.c
+++ b/sched/nominate.c
@@ -192,7 +192,7 @@
 	}
 	s->scan.nominate_searches++;
 	t->searched_turn = s->scan.nominate_turn;
-	w = starvation_is_lasting(st) ? place_slowed(s, st, t) : NULL;
+	w = starvation_is_lasting_filler(st) ? place_slowed(s, st, t) : NULL;
 	if (w == NULL)
 		w = room_find_soonest(s, t);
 	if (w == NULL)
--- a/sched/place.c
+++ b/sched/place.c
@@ -437,7 +437,7 @@
 	bool ok = can_take(s, w, &q);
 	char name[64];
 
-	if (!ok && starvation_is_lasting(t->step)) {
+	if (!ok && starvation_is_lasting_filler(t->step)) {
 		q.slowed = true;
 		ok = can_take(s, w, &q);
 	}
--- a/sched/room.c
+++ b/sched/room.c
@@ -232,8 +232,8 @@
 }
 
 /* Whether a worker is kept for some step in this round. */
-static bool
-is_kept(const sched_t *s, const worker_t *w)
+bool
+room_is_kept(const sched_t *s, const worker_t *w)
 {
 	return w->kept_round == s->scan.round;
 }
@@ -245,7 +245,7 @@
 	/* Most full workers are ruled out here, at little cost. */
 	if ((!st->def->filler &&
 		w->cpu_milli - w->serving_cpu_milli < st->def->cpu_milli) ||
-	    is_kept(s, w) || !quarantine_allows_start(s, w, NULL) ||
+	    room_is_kept(s, w) || !quarantine_allows_start(s, w, NULL) ||
 	    !place_allowed(s, st, w))
 		return false;
 	o->worker = w;
@@ -375,7 +375,7 @@
 {
 	const step_t *st = t->step;
 
-	if (!is_kept(s, w) || w->kept_for == st)
+	if (!room_is_kept(s, w) || w->kept_for == st)
 		return true;
 	return reservation_on(s, w) ? reservation_leaves_room(s, w, st) :
 				      st->def->filler || waited_long(s, t);
@@ -397,6 +397,6 @@
 void
 room_started(const sched_t *s, const worker_t *w, step_t *st)
 {
-	if (is_kept(s, w) && w->kept_for != st && st->kept_with_room > 0)
+	if (room_is_kept(s, w) && w->kept_for != st && st->kept_with_room > 0)
 		st->kept_with_room--;
 }
--- a/sched/room_use.c
+++ b/sched/room_use.c
@@ -45,7 +45,7 @@
 		return IDLE_QUARANTINE;
 	if (reservation_on(s, w))
 		return IDLE_RESERVED;
-	return w->kept_round == s->scan.round ? IDLE_KEPT : IDLE_OPEN;
+	return room_is_kept(s, w) ? IDLE_KEPT : IDLE_OPEN;
 }
 
 static void
--- a/sched/start.c
+++ b/sched/start.c
@@ -125,7 +125,7 @@
 {
 	int64_t number = start_run_number(s, t);
 
-	return downtime_is_down(t) && starvation_is_lasting(st) ?
+	return downtime_is_down(t) && starvation_is_lasting_filler(st) ?
 	    starvation_run_start(s, st, t, w, number) :
 	    run_start(s, t, w, number);
 }
--- a/sched/starvation.c
+++ b/sched/starvation.c
@@ -89,7 +89,7 @@
  * wait for full speed once they are down, nor for a turn.
  */
 bool
-starvation_is_lasting(const step_t *st)
+starvation_is_lasting_filler(const step_t *st)
 {
 	return st->def->filler && st->def->lasting && !st->def->gang;
 }
@@ -101,7 +101,7 @@
 bool
 starvation_may_slow(const sched_t *s, const step_t *st)
 {
-	if (starvation_is_lasting(st) && st->ndown > 0)
+	if (starvation_is_lasting_filler(st) && st->ndown > 0)
 		return true;
 	if (jobs_come(s))
 		return waits_for_turn(s, st) && has_share_left(s);
