--- a/sched/held_up.c
+++ b/sched/held_up.c
@@ -79,16 +79,6 @@
 	run_stop(s, r, "its start order may yet arrive");
 }
 
-/*
- * Whether a run excludes an earlier one of its task on the process that answers now: it
- * is not one of a former process, which is about to be removed.
- */
-static bool
-excludes_earlier(const run_t *r)
-{
-	return r != NULL && !r->worker_restarted;
-}
-
 /* A process of a worker has answered for the first time: it has refused none yet. */
 void
 held_up_first_answer(worker_t *w)
@@ -97,7 +87,11 @@
 		g_array_index(w->held_up, held_up_t, i).refused = false;
 }
 
-/* Has the process that answers refuse such runs, each as soon as that is possible. */
+/*
+ * Has the process that answers refuse such runs, but where a later run of the task is
+ * there, which excludes it.  One of a former process does not: it is about to be
+ * removed, and then the earlier one is refused.
+ */
 void
 held_up_stop_runs(sched_t *s, worker_t *w)
 {
@@ -106,7 +100,7 @@
 		const run_t *r = g_hash_table_lookup(w->runs, h->task);
 
 		if (h->refused || h->until_ms < s->now_ms ||
-		    (r != NULL && !excludes_earlier(r)))
+		    (r != NULL && r->worker_restarted))
 			continue;
 		h->refused = true;
 		if (r == NULL)
