--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -12,6 +12,7 @@
 STORE=$NET.1:8100
 PIDS=
 TROUBLE=${TROUBLE:-1}
+ATTEMPTS=${ATTEMPTS:-4} # max_attempts of the queue
 : >"$RECORD"
 
 [ -x target/tanagerspool ] && [ -x $BIN/store ] && [ -x $BIN/worker ] &&
@@ -71,7 +72,7 @@
 	    "{\"precondition\":[],\"puts\":[{\"table\":\"$1\",\"part\":\"\",\"key\":\"$2\",\"value\":\"$_v\"}],\"remove\":[]}" >/dev/null
 }
 put_config() {
-	put_row op config '{"version":7,"routes":[{"name":"r-1","host":"work.example","prefix":"/q/","kind":"unsafe","timeout_ms":3000,"target_duration_ms":1000,"priority":0,"service":"work","max_attempts":4,"stretch":2.0}],"services":[{"name":"work","health_path":"/health","max_conns":64,"protocol":"h1","tls":false,"cold_start_s":0.0,"cold_per_s":0.0,"rejects_overload":true,"headroom":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}'
+	put_row op config '{"version":7,"routes":[{"name":"r-1","host":"work.example","prefix":"/q/","kind":"unsafe","timeout_ms":3000,"target_duration_ms":1000,"priority":0,"service":"work","max_attempts":'"$ATTEMPTS"',"stretch":2.0}],"services":[{"name":"work","health_path":"/health","max_conns":64,"protocol":"h1","tls":false,"cold_start_s":0.0,"cold_per_s":0.0,"rejects_overload":true,"headroom":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}'
 }
 
 # wait_for SECONDS COMMAND...: until the command succeeds; 1: it did not.
--- a/review/standin2/src/worker.c
+++ b/review/standin2/src/worker.c
@@ -5,25 +5,32 @@
  * usage: review2-worker ID IP:PORT STORE RECORD CPU MEM_MB [LABEL...]
  *
  * The spec of a job says what its tasks do: "ms=N", how long each takes (0: until it is
- * stopped).  Appends a line to RECORD for each start and end of a run.
+ * stopped); "gang=N" of a gang of N tasks.  The members of a gang on several workers meet
+ * in the folder RECORD.gang.  From SIGUSR1 to SIGUSR2 the worker fails all that it starts.
+ * Appends a line to RECORD for each start and end of a run.
  */
+#include <dirent.h>
 #include <fcntl.h>
 #include <pthread.h>
+#include <signal.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <jansson.h>
 
 #include "http.h"
 
-#define PING_MS	    1100
-#define MAX_HOLD_MS 6000
-#define TICK_MS	    5
-#define ENDS_LISTED 500
-#define LABELS_MAX  8
+#define PING_MS	     1100
+#define MAX_HOLD_MS  6000
+#define TICK_MS	     5
+#define ENDS_LISTED  500
+#define LABELS_MAX   8
+#define GANG_WAIT_MS 3000
+#define FAIL_MS	     20 /* after its start */
 
 typedef struct run {
 	struct run *next;
@@ -31,6 +38,10 @@
 	int64_t number, cpu, mem_mb;
 	int64_t began_ms, ms; /* by our clock; 0: until it is stopped */
 	int percent_pace;
+	int gang;	 /* its members; 0: none */
+	bool together;	 /* all of them are there: it works */
+	int64_t wait_ms; /* since then it waits for them */
+	bool fails;
 } run_t;
 
 typedef struct ended {
@@ -57,6 +68,13 @@
 static int64_t cpu, mem_mb;
 static const char *labels[LABELS_MAX];
 static int nlabels;
+static volatile sig_atomic_t grey;
+
+static void
+on_signal(int sig)
+{
+	grey = sig == SIGUSR1;
+}
 
 /* The worker's own steady clock. */
 static int64_t
@@ -132,6 +150,53 @@
 	return r;
 }
 
+/*
+ * The folder in which the members of a gang's run meet: each leaves a file "INDEX" when it
+ * starts, and one "ended" when it ends.
+ */
+static void
+gang_folder(const run_t *r, char *path, size_t room)
+{
+	const char *dot = strrchr(r->task, '.');
+
+	snprintf(path, room, "%s.gang/%.*s-%lld", record, (int)(dot - r->task),
+	    r->task, (long long)r->number);
+}
+
+static void
+gang_mark(const run_t *r, const char *name)
+{
+	char folder[512], path[600];
+
+	gang_folder(r, folder, sizeof(folder));
+	snprintf(path, sizeof(path), "%s.gang", record);
+	mkdir(path, 0755);
+	mkdir(folder, 0755);
+	snprintf(path, sizeof(path), "%s/%s", folder, name);
+	close(open(path, O_WRONLY | O_CREAT, 0644));
+}
+
+/* How many members have started; *ended: one has ended. */
+static int
+gang_members(const run_t *r, bool *ended)
+{
+	char folder[512];
+	const struct dirent *e;
+	DIR *d;
+	int n = 0;
+
+	gang_folder(r, folder, sizeof(folder));
+	*ended = false;
+	d = opendir(folder);
+	while (d != NULL && (e = readdir(d)) != NULL) {
+		*ended = *ended || strcmp(e->d_name, "ended") == 0;
+		n += e->d_name[0] >= '0' && e->d_name[0] <= '9';
+	}
+	if (d != NULL)
+		closedir(d);
+	return n;
+}
+
 static void
 end_run(run_t *r, const char *how)
 {
@@ -146,6 +211,8 @@
 	e->number = r->number;
 	e->how = how;
 	raise_highest(r->task, r->number);
+	if (r->gang > 0)
+		gang_mark(r, "ended");
 	note("end %s run %lld %s", r->task, (long long)r->number, how);
 	while (*at != r)
 		at = &(*at)->next;
@@ -227,8 +294,13 @@
 	r->began_ms = clock_ms();
 	r->ms = spec_field(spec, "ms=", 1000);
 	r->percent_pace = 100;
+	r->gang = (int)spec_field(spec, "gang=", 0);
+	r->wait_ms = r->began_ms;
+	r->fails = grey;
 	r->next = runs;
 	runs = r;
+	if (r->gang > 0)
+		gang_mark(r, strrchr(task, '.') + 1);
 	note("start %s run %lld token %lld", task, (long long)n,
 	    (long long)token);
 	return reply_clock(200, NULL);
@@ -261,6 +333,8 @@
 {
 	int64_t ms = clock_ms() - r->began_ms;
 
+	if (r->gang > 0 && !r->together)
+		return 0;
 	if (r->ms == 0)
 		return ms < 320 ? 0 : 100;
 	return ms >= r->ms ? 99 : (int)(ms * 100 / r->ms);
@@ -344,6 +418,25 @@
 	return reply;
 }
 
+/* A member of a gang works once all are there, and ends with the first that ends. */
+static void
+look_after_member(run_t *r)
+{
+	bool ended;
+	int n = gang_members(r, &ended);
+
+	if (!r->together && n >= r->gang && !ended) {
+		r->together = true;
+		r->began_ms = clock_ms();
+	}
+	if (r->together && clock_ms() - r->began_ms >= r->ms)
+		end_run(r, "done");
+	else if (ended)
+		end_run(r, "broken");
+	else if (!r->together && clock_ms() - r->wait_ms >= GANG_WAIT_MS)
+		end_run(r, "alone");
+}
+
 /* Ends the runs that are done, and all when the lease is over. */
 static void *
 work(void *arg)
@@ -357,6 +450,10 @@
 			next = r->next;
 			if (clock_ms() > deadline_ms)
 				end_run(r, "lapsed");
+			else if (r->fails && clock_ms() - r->wait_ms >= FAIL_MS)
+				end_run(r, "failed");
+			else if (r->gang > 0)
+				look_after_member(r);
 			else if (r->ms != 0 && r->percent_pace > 0 &&
 			    clock_ms() - r->began_ms >= r->ms)
 				end_run(r, "done");
@@ -446,6 +543,8 @@
 		labels[nlabels++] = argv[i];
 	began_ms = steady_ms();
 	born_ms = wall_ms();
+	signal(SIGUSR1, on_signal);
+	signal(SIGUSR2, on_signal);
 	note("up");
 	pthread_create(&t, NULL, work, NULL);
 	pthread_create(&t, NULL, ping, NULL);
