--- a/review/standin2/src/worker.c
+++ b/review/standin2/src/worker.c
@@ -5,7 +5,7 @@
  * usage: review2-worker ID IP:PORT STORE RECORD CPU MEM_MB [LABEL...]
  *
  * The spec of a job says what its tasks do: "ms=N", how long each takes (0: until it is
- * stopped); "gang=N" of a gang of N tasks.  The members of a gang on several workers meet
+ * stopped); "gang=N" of a gang of N tasks; "metric=N", the figure that is told with each.  The members of a gang on several workers meet
  * in the folder RECORD.gang.  From SIGUSR1 to SIGUSR2 the worker fails all that it starts.
  * Appends a line to RECORD for each start and end of a run.
  */
@@ -42,6 +42,7 @@
 	bool together;	 /* all of them are there: it works */
 	int64_t wait_ms; /* since then it waits for them */
 	bool fails;
+	int64_t metric;
 } run_t;
 
 typedef struct ended {
@@ -297,6 +298,7 @@
 	r->gang = (int)spec_field(spec, "gang=", 0);
 	r->wait_ms = r->began_ms;
 	r->fails = grey;
+	r->metric = spec_field(spec, "metric=", 0);
 	r->next = runs;
 	runs = r;
 	if (r->gang > 0)
@@ -350,8 +352,8 @@
 
 	for (const run_t *r = runs; r != NULL; r = r->next)
 		json_array_append_new(running,
-		    json_pack("[s,I,s,i,i]", r->task, (json_int_t)r->number, "",
-			percent(r), 0));
+		    json_pack("[s,I,s,i,I]", r->task, (json_int_t)r->number, "",
+			percent(r), (json_int_t)r->metric));
 	for (const ended_t *e = ends; e != NULL && n++ < ENDS_LISTED;
 	     e = e->next)
 		json_array_append_new(ended,
