--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 mkdir -p target/review-2
 S=review/standin2/src
 F="-std=gnu11 -O2 -g -Wall -Wextra -Werror"
-for n in store worker call; do
+for n in store worker call advice; do
 	gcc $F -o "target/review-2/$n" "$S/$n.c" "$S/http.c" \
 	    $(pkg-config --cflags --libs jansson) -lpthread
 done
--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -57,7 +57,7 @@
 start_entry() {
 	start "e$1" target/tanagerspool serve --name "e$1" --zone za \
 	    --ip "$NET.$((10 + $1))" --front "$NET.$((10 + $1)):8161" \
-	    --ready "$NET.$((10 + $1)):8167" --store ${ENTRY_STORE:-$STORE} --advice= \
+	    --ready "$NET.$((10 + $1)):8167" --store ${ENTRY_STORE:-$STORE} --advice="${ADVICE:-}" \
 	    --peer-port 7720 --max-hold-ms 6000 --keep-ended-s 120 \
 	    --grace-s 6 --drain-ms 2000 --config-ms 2000 --cpu-share 0.25 \
 	    --link-mbps 1000 --memory-mb 260 --max-fds 4100
@@ -71,8 +71,9 @@
 	$BIN/call $STORE POST /-/rows-tx platform \
 	    "{\"precondition\":[],\"puts\":[{\"table\":\"$1\",\"part\":\"\",\"key\":\"$2\",\"value\":\"$_v\"}],\"remove\":[]}" >/dev/null
 }
+# put_config VERSION [ROUTE]: the manifest, with one more route.
 put_config() {
-	put_row op config '{"version":7,"routes":[{"name":"r-1","host":"work.example","prefix":"/q/","kind":"unsafe","timeout_ms":3000,"target_duration_ms":1000,"priority":0,"service":"work","max_attempts":'"$ATTEMPTS"',"stretch":2.0}],"services":[{"name":"work","health_path":"/health","max_conns":64,"protocol":"h1","tls":false,"cold_start_s":0.0,"cold_per_s":0.0,"rejects_overload":true,"headroom":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}'
+	put_row op config '{"version":'"$1"',"routes":[{"name":"r-1","host":"work.example","prefix":"/q/","kind":"unsafe","timeout_ms":3000,"target_duration_ms":1000,"priority":0,"service":"work","max_attempts":'"$ATTEMPTS"',"stretch":2.0}'"${2:+,$2}"'],"services":[{"name":"work","health_path":"/health","max_conns":64,"protocol":"h1","tls":false,"cold_start_s":0.0,"cold_per_s":0.0,"rejects_overload":true,"headroom":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}'
 }
 
 # wait_for SECONDS COMMAND...: until the command succeeds; 1: it did not.
@@ -88,7 +89,7 @@
 start_all() {
 	start_store
 	wait_for 5 $BIN/call $STORE GET '/-/rows-get?table=op&part=' || quit 2
-	put_config
+	put_config 7 "${ROUTE:-}"
 	for _i in $(seq 1 "$2"); do start_worker "$_i"; done
 	for _i in $(seq 1 "$1"); do start_entry "$_i"; done
 	for _i in $(seq 1 "$1"); do
--- a/review/standin2/src/worker.c
+++ b/review/standin2/src/worker.c
@@ -5,7 +5,9 @@
  * usage: review2-worker ID IP:PORT STORE RECORD CPU MEM_MB [LABEL...]
  *
  * The spec of a job says what its tasks do: "ms=N", how long each takes (0: until it is
- * stopped); "gang=N" of a gang of N tasks; "metric=N", the figure that is told with each.  The members of a gang on several workers meet
+ * stopped); "gang=N" of a gang of N tasks; "metric=N", the figure that is told with each;
+ * "fail=N", each fails after so long; "ticket=1",
+ * a start needs a ticket of the service for advice (advice.c).  The members of a gang on several workers meet
  * in the folder RECORD.gang.  From SIGUSR1 to SIGUSR2 the worker fails all that it starts.
  * Appends a line to RECORD for each start and end of a run.
  */
@@ -24,13 +26,14 @@
 
 #include "http.h"
 
-#define PING_MS	     1100
-#define MAX_HOLD_MS  6000
-#define TICK_MS	     5
-#define ENDS_LISTED  500
-#define LABELS_MAX   8
-#define GANG_WAIT_MS 3000
-#define FAIL_MS	     20 /* after its start */
+#define PING_MS		1100
+#define MAX_HOLD_MS	6000
+#define TICK_MS		5
+#define ENDS_LISTED	500
+#define LABELS_MAX	8
+#define GANG_WAIT_MS	3000
+#define TICKET_VALID_MS 3000
+#define FAIL_MS		20 /* after its start */
 
 typedef struct run {
 	struct run *next;
@@ -42,6 +45,7 @@
 	bool together;	 /* all of them are there: it works */
 	int64_t wait_ms; /* since then it waits for them */
 	bool fails;
+	int64_t fail_ms; /* after its start */
 	int64_t metric;
 } run_t;
 
@@ -64,7 +68,7 @@
 static run_t *runs;
 static ended_t *ends;
 static highest_t *highests;
-static int64_t nended, token, deadline_ms, began_ms, born_ms;
+static int64_t nended, nrejected, token, deadline_ms, began_ms, born_ms;
 static const char *id, *address, *store, *record;
 static int64_t cpu, mem_mb;
 static const char *labels[LABELS_MAX];
@@ -265,6 +269,16 @@
 	return want_cpu <= cpu && want_mem <= mem_mb;
 }
 
+/* A ticket is "ID-MS": of this worker, given out at that time since 1970. */
+static bool
+ticket_holds(const char *ticket)
+{
+	size_t n = strlen(id);
+
+	return strncmp(ticket, id, n) == 0 && ticket[n] == '-' &&
+	    wall_ms() - strtoll(ticket + n + 1, NULL, 10) <= TICKET_VALID_MS;
+}
+
 static reply_t
 start(const json_t *j)
 {
@@ -285,6 +299,14 @@
 	if (until <= clock_ms())
 		return reply_clock(409, "late");
 	extend(until);
+	if (spec_field(spec, "ticket=", 0) != 0 &&
+	    !ticket_holds(text(j, "ticket"))) {
+		/* There may be very many. */
+		if (++nrejected <= 10 || nrejected % 1000 == 0)
+			note("reject %s run %lld ticket, %lld so far", task,
+			    (long long)n, (long long)nrejected);
+		return reply_clock(409, "ticket");
+	}
 	if (!has_room(spec_field(spec, "cpu=", 0), spec_field(spec, "mem=", 0)))
 		return reply_clock(409, "room");
 	r = calloc(1, sizeof(*r));
@@ -297,7 +319,9 @@
 	r->percent_pace = 100;
 	r->gang = (int)spec_field(spec, "gang=", 0);
 	r->wait_ms = r->began_ms;
-	r->fails = grey;
+	r->fail_ms = spec_field(spec, "fail=", 0);
+	r->fails = grey || r->fail_ms > 0;
+	r->fail_ms = r->fail_ms > 0 && !grey ? r->fail_ms : FAIL_MS;
 	r->metric = spec_field(spec, "metric=", 0);
 	r->next = runs;
 	runs = r;
@@ -452,7 +476,8 @@
 			next = r->next;
 			if (clock_ms() > deadline_ms)
 				end_run(r, "lapsed");
-			else if (r->fails && clock_ms() - r->wait_ms >= FAIL_MS)
+			else if (r->fails &&
+			    clock_ms() - r->wait_ms >= r->fail_ms)
 				end_run(r, "failed");
 			else if (r->gang > 0)
 				look_after_member(r);
