--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -8,6 +8,9 @@
 BIN=target/review-2
 RECORD=$HERE/record.txt
 T=$(mktemp -d)
+export GANG_DIR=$T/gang # where the members of gangs meet
+mkdir "$GANG_DIR"
+FINISH_S=14 # finish_s of the site
 NET=127.$((64 + $$ % 128)).$(($$ / 128 % 250))
 STORE=$NET.1:8100
 PIDS=
--- a/review/standin2/src/advice.c
+++ b/review/standin2/src/advice.c
@@ -1,13 +1,15 @@
 /*
  * A stand-in of the service for advice, after PROTOCOL.md: all workers may run all steps.
- * One call at a time.
+ * One call at a time.  Appends a line to RECORD for each.
  *
- * usage: review2-advice IP:PORT
+ * usage: review2-advice IP:PORT RECORD
  */
+#include <fcntl.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <jansson.h>
 
@@ -19,6 +21,21 @@
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 
+static const char *record;
+
+static void
+note(const char *step, size_t workers)
+{
+	char line[256];
+	int fd = open(record, O_WRONLY | O_APPEND | O_CREAT, 0644);
+	int n = snprintf(line, sizeof(line), "%lld advice %s workers %zu\n",
+	    (long long)wall_ms(), step, workers);
+
+	if (fd < 0 || write(fd, line, (size_t)n) != n)
+		fprintf(stderr, "can't write to the record\n");
+	close(fd);
+}
+
 static reply_t
 handle(const request_t *r)
 {
@@ -28,6 +45,8 @@
 	size_t i;
 
 	pthread_mutex_lock(&lock);
+	note(json_string_value(json_object_get(j, "step")),
+	    json_array_size(json_object_get(j, "workers")));
 	sleep_ms(DECISION_MS +
 	    PER_ITEM_MS *
 		(int64_t)json_array_size(json_object_get(j, "workers")));
@@ -50,10 +69,11 @@
 int
 main(int argc, char **argv)
 {
-	if (argc != 2) {
-		fprintf(stderr, "usage: review2-advice IP:PORT\n");
+	if (argc != 3) {
+		fprintf(stderr, "usage: review2-advice IP:PORT RECORD\n");
 		return 2;
 	}
+	record = argv[2];
 	http_serve(argv[1], handle);
 	return 0;
 }
--- a/review/standin2/src/worker.c
+++ b/review/standin2/src/worker.c
@@ -8,8 +8,10 @@
  * stopped); "gang=N" of a gang of N tasks; "metric=N", the figure that is told with each;
  * "fail=N", each fails after so long; "ticket=1",
  * a start needs a ticket of the service for advice (advice.c).  The members of a gang on several workers meet
- * in the folder RECORD.gang.  From SIGUSR1 to SIGUSR2 the worker fails all that it starts.
- * Appends a line to RECORD for each start and end of a run.
+ * in the folder GANG_DIR (of the environment).  From SIGUSR1 to SIGUSR2 the worker fails all that it starts.
+ * A member of a gang does so in the moment from which the gang works, like the members on
+ * other such workers, which can't know of each other's ends then.  Appends a line to RECORD
+ * for each start and end of a run.
  */
 #include <dirent.h>
 #include <fcntl.h>
@@ -33,7 +35,6 @@
 #define LABELS_MAX	8
 #define GANG_WAIT_MS	3000
 #define TICKET_VALID_MS 3000
-#define FAIL_MS		20 /* after its start */
 
 typedef struct run {
 	struct run *next;
@@ -69,7 +70,7 @@
 static ended_t *ends;
 static highest_t *highests;
 static int64_t nended, nrejected, token, deadline_ms, began_ms, born_ms;
-static const char *id, *address, *store, *record;
+static const char *id, *address, *store, *record, *gang_dir;
 static int64_t cpu, mem_mb;
 static const char *labels[LABELS_MAX];
 static int nlabels;
@@ -164,7 +165,7 @@
 {
 	const char *dot = strrchr(r->task, '.');
 
-	snprintf(path, room, "%s.gang/%.*s-%lld", record, (int)(dot - r->task),
+	snprintf(path, room, "%s/%.*s-%lld", gang_dir, (int)(dot - r->task),
 	    r->task, (long long)r->number);
 }
 
@@ -174,8 +175,6 @@
 	char folder[512], path[600];
 
 	gang_folder(r, folder, sizeof(folder));
-	snprintf(path, sizeof(path), "%s.gang", record);
-	mkdir(path, 0755);
 	mkdir(folder, 0755);
 	snprintf(path, sizeof(path), "%s/%s", folder, name);
 	close(open(path, O_WRONLY | O_CREAT, 0644));
@@ -321,7 +320,6 @@
 	r->wait_ms = r->began_ms;
 	r->fail_ms = spec_field(spec, "fail=", 0);
 	r->fails = grey || r->fail_ms > 0;
-	r->fail_ms = r->fail_ms > 0 && !grey ? r->fail_ms : FAIL_MS;
 	r->metric = spec_field(spec, "metric=", 0);
 	r->next = runs;
 	runs = r;
@@ -424,6 +422,8 @@
 	pthread_mutex_lock(&lock);
 	if (r->instance[0] != '\0' && strcmp(r->instance, id) != 0)
 		reply.status = 421;
+	else if (strcmp(r->path, "/health") == 0)
+		reply.status = 200;
 	else if (!json_is_object(j))
 		reply.status = 400;
 	else if (number(j, "fencing_token") < token)
@@ -451,6 +451,11 @@
 	bool ended;
 	int n = gang_members(r, &ended);
 
+	/* All were there: that began the gang's work, and this member's end. */
+	if (r->fails && n >= r->gang) {
+		end_run(r, "failed");
+		return;
+	}
 	if (!r->together && n >= r->gang && !ended) {
 		r->together = true;
 		r->began_ms = clock_ms();
@@ -476,11 +481,11 @@
 			next = r->next;
 			if (clock_ms() > deadline_ms)
 				end_run(r, "lapsed");
+			else if (r->gang > 0)
+				look_after_member(r);
 			else if (r->fails &&
 			    clock_ms() - r->wait_ms >= r->fail_ms)
 				end_run(r, "failed");
-			else if (r->gang > 0)
-				look_after_member(r);
 			else if (r->ms != 0 && r->percent_pace > 0 &&
 			    clock_ms() - r->began_ms >= r->ms)
 				end_run(r, "done");
@@ -564,6 +569,7 @@
 	address = argv[2];
 	store = argv[3];
 	record = argv[4];
+	gang_dir = getenv("GANG_DIR") == NULL ? "." : getenv("GANG_DIR");
 	cpu = strtoll(argv[5], NULL, 10);
 	mem_mb = strtoll(argv[6], NULL, 10);
 	for (int i = 7; i < argc && nlabels < LABELS_MAX; i++)
