--- a/review/standin3/worker3.c
+++ b/review/standin3/worker3.c
@@ -7,7 +7,8 @@
  * A task takes as many ms as the number after "t=" in its spec; one whose spec
  * has "ticket" starts only with a valid ticket for its step and this worker.  It
  * rejects what does not fit (rejects_overload).  Each start and end is a line of
- * RECORD.  It pings the store every 1,100 ms; a kill ends it as a crash would.
+ * RECORD.  It pings the store every 1,100 ms; a kill ends it as a crash would.  Tasks of
+ * a gang work from their own start on: what becomes of one that waits isn't looked at.
  */
 #define _GNU_SOURCE
 #include <inttypes.h>
