--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -9,6 +9,6 @@
 for p in store3 worker3 client3; do
 	# shellcheck disable=SC2046,SC2086
 	gcc -std=gnu11 -O2 -Wall -Iinclude $(pkg-config --cflags $PKGS) \
-	    -o "target/$p" "review/standin3/$p.c" $OBJS target/libtanagerspool.a \
+	    -o "target/$p" "review/standin3/src/$p.c" $OBJS target/libtanagerspool.a \
 	    $(pkg-config --libs $PKGS) -lhttp_parser -lm
 done
--- a/review/standin3/lib-3.sh
+++ b/review/standin3/lib-3.sh
@@ -1,7 +1,7 @@
 # What the scripts of review/11 to review/15 share.  HERE is the folder of the
 # case.  Everything is at loopback addresses 127.A.B.x, with A and B from the
 # process id, so that runs don't meet.
-A=$((64 + $$ / 250 % 150)) N3=127.$((64 + $$ / 250 % 150)).$(($$ % 250 + 1))
+N3=127.$((64 + $$ / 250 % 150)).$(($$ % 250 + 1))
 STORE_IP=$N3.1 STORE_PORT=8169 ADVICE_IP=$N3.2
 REC=$HERE/record.txt
 T=$(mktemp -d)
--- a/review/standin3/http3.h
+++ b/review/standin3/src/http3.h
@@ -75,7 +75,8 @@
     size_t size)
 {
 	int fd = http3_connect(NULL, ip, port, timeout_ms), status = 0;
-	size_t n = request == NULL ? 0 : strlen(request), have = 0, cap = 1 << 20;
+	size_t n = request == NULL ? 0 : strlen(request), have = 0,
+	       cap = 1 << 20;
 	char *buf = malloc(cap), *head = malloc(n + 4096), *end = NULL;
 	long length = -1;
 
@@ -84,7 +85,8 @@
 	if (fd < 0)
 		goto out;
 	snprintf(head, n + 4096,
-	    "%s %s HTTP/1.1\r\n%sContent-Length: %zu\r\nConnection: close\r\n\r\n%s",
+	    "%s %s HTTP/1.1\r\n%sContent-Length: %zu\r\nConnection: "
+	    "close\r\n\r\n%s",
 	    method, path, headers, n, request == NULL ? "" : request);
 	if (send(fd, head, strlen(head), MSG_NOSIGNAL) != (ssize_t)strlen(head))
 		goto out;
--- a/review/standin3/store3.c
+++ b/review/standin3/src/store3.c
@@ -27,9 +27,9 @@
 #include <jansson.h>
 #include <uv.h>
 
-#include "../../proto/peer.pb-c.h"
+#include "../../../proto/peer.pb-c.h"
 #include "tanagerspool.h"
-#include "../../trans/trans.h"
+#include "../../../trans/trans.h"
 #include "http3.h"
 
 #define PING_MS	   1100
@@ -186,8 +186,8 @@
 	}
 	json_array_foreach(on, i, e)
 	{
-		row_t *o = find(text(e, "table"), text(e, "part"),
-		    text(e, "key"));
+		row_t *o =
+		    find(text(e, "table"), text(e, "part"), text(e, "key"));
 		int64_t have = o == NULL || o->value == NULL ? 0 : o->version;
 
 		if (have ==
@@ -254,8 +254,8 @@
 			g_ptr_array_add(some, o);
 	}
 	g_ptr_array_sort(some, by_key);
-	for (i = 0; i < some->len && i < limit && i < MAX_ROWS &&
-	     bytes < 900000;
+	for (i = 0;
+	     i < some->len && i < limit && i < MAX_ROWS && bytes < 900000;
 	     i++) {
 		row_t *o = g_ptr_array_index(some, i);
 
@@ -293,9 +293,8 @@
 		json_array_append_new(list, row_json(o));
 	}
 	return answer(list, n < some->len,
-	    n < some->len ?
-		((row_t *)g_ptr_array_index(some, n - 1))->version :
-		version);
+	    n < some->len ? ((row_t *)g_ptr_array_index(some, n - 1))->version :
+			    version);
 }
 
 static void
@@ -339,8 +338,8 @@
 		g_autofree char *t = g_strdup_printf("%s:%s:%" PRId64,
 		    json_string_value(e), step, mono_ms() + valid_ms);
 
-		json_array_append_new(good,
-		    json_pack("[s,s]", json_string_value(e), t));
+		json_array_append_new(
+		    good, json_pack("[s,s]", json_string_value(e), t));
 	}
 	fprintf(record, "%" PRId64 " advice step=%s workers=%zu\n", wall_ms(),
 	    step, json_array_size(good));
--- a/review/standin3/worker3.c
+++ b/review/standin3/src/worker3.c
@@ -23,16 +23,16 @@
 #include <jansson.h>
 #include <uv.h>
 
-#include "../../proto/peer.pb-c.h"
+#include "../../../proto/peer.pb-c.h"
 #include "tanagerspool.h"
-#include "../../trans/trans.h"
+#include "../../../trans/trans.h"
 #include "http3.h"
 
-#define PING_MS	     1100
-#define TICK_MS	     5
-#define MAX_HOLD_MS  6000
-#define STOP_MS	     100 /* the platform's bound is 400 */
-#define ENDS_LISTED  500
+#define PING_MS	    1100
+#define TICK_MS	    5
+#define MAX_HOLD_MS 6000
+#define STOP_MS	    100 /* the platform's bound is 400 */
+#define ENDS_LISTED 500
 
 typedef struct {
 	char *task;
@@ -126,8 +126,7 @@
 {
 	int64_t n = MAX(run, highest_of(task));
 
-	g_hash_table_replace(
-	    highest, g_strdup(task), g_memdup2(&n, sizeof(n)));
+	g_hash_table_replace(highest, g_strdup(task), g_memdup2(&n, sizeof(n)));
 }
 
 static void
@@ -306,7 +305,8 @@
 on_request(void *ctx, server_req_t *r)
 {
 	json_t *j = json_loadb(r->body, r->body_bytes, 0, NULL);
-	g_autofree char *want = server_header(r, "tanagerspool-expect-instance");
+	g_autofree char *want =
+	    server_header(r, "tanagerspool-expect-instance");
 	int64_t t = number(j, "fencing_token");
 
 	(void)ctx;
