Approval: steps in wait do not keep each other from it, nor hold their tickets past use

Cause: a ticket counted from when its call was sent, though the service handles the calls of an entry in turn and the call had waited behind another one; with calls of 1.5 s and tickets of 3 s it was over when it arrived, and was asked for again. What arrived in time was used only by the next pass. A call named 30 workers, however little the step needed, and was given up after 5 s (the answer dropped after 8), however long the service takes.

Now a ticket counts from the earliest moment at which the service can have decided (the sending, or the answer before), and from the answer where that would leave nothing. The answer's step is offered workers at once, then the next call is sent. A call names what gives the step what it needs by room, the largest free workers first, and takes half the tickets' time at most, by the queue's published times, which are read from the tables now. Calls go in turn: one to the first step of the queue, one to the longest wait. Time-outs follow the published times, and grow where a call had no answer in time.

Evidence: new event 630 and counter tickets_unused (tickets that expired before a start used them); 628 tells how many steps wait for a call, 629 how long the tickets hold.

Check changed: unit sched/a_task_waits_for_approval_of_its_worker took it that nothing is started when the answer comes. Its workers are full then, as else the task starts at once; a case with a ticket that holds is new.

--- a/cmd/config_diff.c
+++ b/cmd/config_diff.c
@@ -116,6 +116,12 @@
 	number_field(s, "timeout ms", n->timeout_ms, b->timeout_ms);
 	text_field(s, "approval", n->needs_approval ? "yes" : "no",
 	    b->needs_approval ? "yes" : "no");
+	number_field(s, "decision ms", n->approval_cost.decision_ms,
+	    b->approval_cost.decision_ms);
+	number_field(s, "decision ms a worker", n->approval_cost.per_worker_ms,
+	    b->approval_cost.per_worker_ms);
+	number_field(s, "approval valid ms", n->approval_cost.valid_ms,
+	    b->approval_cost.valid_ms);
 	text_field(s, "public", n->is_public ? "yes" : "no",
 	    b->is_public ? "yes" : "no");
 }
--- a/cmd/log.c
+++ b/cmd/log.c
@@ -85,6 +85,7 @@
 	{ 627, LOG4C_PRIORITY_INFO, "pace" },
 	{ 628, LOG4C_PRIORITY_INFO, "advice_asked" },
 	{ 629, LOG4C_PRIORITY_INFO, "advice" },
+	{ 630, LOG4C_PRIORITY_INFO, "advice_unused" },
 	{ 631, LOG4C_PRIORITY_INFO, "worker" },
 	{ 632, LOG4C_PRIORITY_WARN, "worker_silent" },
 	{ 633, LOG4C_PRIORITY_INFO, "worker_back" },
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -10,8 +10,10 @@
  * - run_time.c: how long tasks are expected to take;
  * - cell_worker.c: workers and their free resources;
  * - lease.c: clocks and leases of workers;
- * - place.c, place_gang.c, scan.c, approval.c: choice of a worker for a task, or of
- *   workers for a gang;
+ * - place.c, place_gang.c, scan.c: choice of a worker for a task, or of workers for a
+ *   gang;
+ * - approval.c, approval_call.c, approval_choice.c: which workers the approval service
+ *   allows, the calls to it, and what they ask for;
  * - room.c: room that is kept for large tasks; reservation.c: room and quota that
  *   are reserved for the work that has been passed over longest;
  * - nominate.c, preempt.c, downtime.c (down.h): workers for lasting tasks that are down
@@ -91,8 +93,8 @@
 	 * service of those that waited last (interned). */
 	double wanted_fillers[IMAGES_MAX];
 	const char *filler_service[IMAGES_MAX];
-	GHashTable *approval_requests; /* in flight, by id */
-	GHashTable *evacuated_zones;   /* set of interned names */
+	approval_calls_t approval;
+	GHashTable *evacuated_zones; /* set of interned names */
 	/* While loading: id -> Sched__Progress; NULL for a row that can't be
 	 * read, which stays until the cell is lost. */
 	GHashTable *loaded_progress;
@@ -246,6 +248,7 @@
 
 /* place.c */
 worker_t *place_task(sched_t *s, step_t *st, const task_t *t);
+bool place_could_take(sched_t *s, worker_t *w, const task_t *t, bool slowed);
 worker_t *place_elsewhere(sched_t *s, const run_t *r);
 worker_t *place_slowed(sched_t *s, step_t *st, const task_t *t);
 worker_t *
@@ -298,6 +301,8 @@
  * that end by themselves, whatever else is kept or reserved there; or NULL.
  */
 worker_t *room_find_soonest(const sched_t *s, const task_t *t);
+/* How many tasks of a step fit into what is free on a worker. */
+int32_t room_tasks_now(const sched_t *s, const worker_t *w, const step_t *st);
 bool room_is_kept(const sched_t *s, const worker_t *w);
 void room_mark_kept(sched_t *s, worker_t *w, const step_t *st);
 void room_keep(sched_t *s, step_t *st);
@@ -313,14 +318,35 @@
 reservation_leaves_room(const sched_t *s, const worker_t *w, const step_t *st);
 
 /* approval.c */
-GHashTable *approval_requests_new(void);
 void approval_step_free(step_t *st);
 const char *
 approval_ticket(const sched_t *s, const step_t *st, const worker_t *w);
+/* When the ticket of a worker expires; 0: there is no valid one. */
+int64_t
+approval_until_ms(const sched_t *s, const step_t *st, const worker_t *w);
 bool approval_allows(const sched_t *s, const step_t *st, const worker_t *w);
+bool approval_is_granted(const step_t *st, const worker_t *w);
+bool approval_is_refused(const step_t *st, const worker_t *w);
+void approval_ticket_used(const step_t *st, const worker_t *w);
 void approval_ticket_rejected(step_t *st, const worker_t *w);
-void approval_request_if_needed(sched_t *s, step_t *st);
-void approval_expire_requests(sched_t *s);
+void approval_store(step_t *st, const worker_t *w, const char *ticket,
+    int64_t until_ms, int64_t latency_ms);
+void approval_count_unused(sched_t *s, const step_t *st);
+
+/* approval_call.c */
+void approval_init(sched_t *s);
+void approval_free(sched_t *s);
+void approval_want(sched_t *s, step_t *st);
+/* Whether a step has a call in flight, or will have one. */
+bool approval_is_pending(const sched_t *s, const step_t *st);
+void approval_forget(sched_t *s, step_t *st);
+void approval_call_next(sched_t *s);
+void approval_expire_calls(sched_t *s);
+
+/* approval_choice.c */
+GPtrArray *approval_choose(sched_t *s, const step_t *st);
+/* What a call that names so many workers is said to take; 0: not known. */
+int64_t approval_call_ms(const step_t *st, guint nworkers);
 
 /* queue.c */
 void queue_add_step(sched_t *s, step_t *st);
@@ -339,6 +365,7 @@
 void run_mark_job_started(sched_t *s, job_t *j);
 bool run_start(sched_t *s, task_t *t, worker_t *w, int64_t number);
 void start_waiting_tasks(sched_t *s);
+void start_approved_step(sched_t *s, step_t *st);
 int64_t start_run_number(sched_t *s, const task_t *t);
 void run_stop(sched_t *s, run_t *r, const char *why);
 void run_discard(sched_t *s, run_t *r, const char *why);
--- a/sched/place.c
+++ b/sched/place.c
@@ -295,7 +295,8 @@
 	    step_tasks_on(w, st) + gang_tasks_on(&q->gang, w) >=
 		st->def->per_worker)
 		return SCHED_WAIT_PER_WORKER;
-	if (!approval_allows(s, st, w))
+	if (q->unasked ? approval_is_refused(st, w) :
+			 !approval_allows(s, st, w))
 		return SCHED_WAIT_APPROVAL;
 	if (!quarantine_allows_start(s, w, q->task))
 		return SCHED_WAIT_RESERVED;
@@ -444,6 +445,18 @@
 	return ok && !g_hash_table_contains(w->runs, name);
 }
 
+/* Whether a task could start on a worker now, slowed or not, if approval were had. */
+bool
+place_could_take(sched_t *s, worker_t *w, const task_t *t, bool slowed)
+{
+	place_query_t q = { .step = t->step, .task = t, .unasked = true };
+
+	if (refusal(s, w, &q) == SCHED_WAIT_NONE)
+		return true;
+	q.slowed = true;
+	return slowed && refusal(s, w, &q) == SCHED_WAIT_NONE;
+}
+
 /* Returns a worker for the task of a query; reserved: the only one, unless NULL. */
 static worker_t *
 find_alone(sched_t *s, place_query_t *q, worker_t *reserved)
--- a/sched/place_query.h
+++ b/sched/place_query.h
@@ -24,6 +24,7 @@
 	guint enough;  /* so many workers that can take it are compared */
 	bool slowed;   /* it need not run at full speed; see starvation.c */
 	bool alone;    /* the fewer runs are there, the better; see crash.c */
+	bool unasked;  /* a worker that is not refused counts as approved */
 	bool isolated; /* set when only isolation keeps it from a worker */
 	int32_t kept;  /* workers that are only kept for another step */
 	/* Set to the last check that a worker failed, of all that were looked at. */
--- a/sched/room.c
+++ b/sched/room.c
@@ -231,6 +231,14 @@
 	    (st->misses_target ? (LATE_LIMIT_TIMES - 1) * j->allowed_ms : 0);
 }
 
+int32_t
+room_tasks_now(const sched_t *s, const worker_t *w, const step_t *st)
+{
+	amounts_t a = free_amounts(s, w, st->def->filler);
+
+	return tasks_in(&a, st->def);
+}
+
 /* Whether a worker is kept for some step in this round. */
 bool
 room_is_kept(const sched_t *s, const worker_t *w)
--- a/sched/run.c
+++ b/sched/run.c
@@ -112,8 +112,11 @@
 		o.spec = r->job->def->spec;
 		o.deadline_ms = lease_for_start(s, w);
 		lease_start_sent(s, w);
-		if (r->job->needs_approval && approval_ticket(s, st, w) != NULL)
+		if (r->job->needs_approval &&
+		    approval_ticket(s, st, w) != NULL) {
 			o.ticket = approval_ticket(s, st, w);
+			approval_ticket_used(st, w);
+		}
 		if (st->def->gang && st->gang_checkpoint != NULL)
 			o.checkpoint = st->gang_checkpoint;
 		else if (!st->def->gang && r->task->checkpoint != NULL)
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -88,7 +88,7 @@
 	s->tombstones = tombstone_table_new();
 	s->stopped_jobs =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	s->approval_requests = approval_requests_new();
+	approval_init(s);
 	s->evacuated_zones = g_hash_table_new(g_direct_hash, g_direct_equal);
 	s->overload = overload_new();
 	return s;
@@ -117,7 +117,7 @@
 	g_hash_table_unref(s->ended_jobs);
 	g_hash_table_unref(s->tombstones);
 	g_hash_table_unref(s->stopped_jobs);
-	g_hash_table_unref(s->approval_requests);
+	approval_free(s);
 	g_hash_table_unref(s->evacuated_zones);
 	g_hash_table_unref(s->dirty_jobs);
 	g_ptr_array_unref(s->recurring_jobs);
@@ -275,13 +275,16 @@
 	if (q->configured && q->service == service &&
 	    q->priority == settings->priority &&
 	    q->max_attempts == settings->max_attempts &&
-	    q->needs_approval == settings->needs_approval)
+	    q->needs_approval == settings->needs_approval &&
+	    memcmp(&q->approval_cost, &settings->approval_cost,
+		sizeof(q->approval_cost)) == 0)
 		return false;
 	q->configured = true;
 	q->service = service;
 	q->priority = settings->priority;
 	q->max_attempts = settings->max_attempts;
 	q->needs_approval = settings->needs_approval;
+	q->approval_cost = settings->approval_cost;
 	return true;
 }
 
@@ -351,7 +354,7 @@
 		isolation_refresh(s);
 		isolation_update_compatibility(s);
 		stats_count_waiting_jobs(s);
-		approval_expire_requests(s);
+		approval_expire_calls(s);
 		serving_move_update(s, UPDATE_MS);
 		starvation_update(s);
 		scan_begin_round(s);
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -172,6 +172,8 @@
 	const char *step; /* JOB.OCCURRENCE.STEP */
 	const char *const *workers;
 	size_t nworkers;
+	int32_t
+	    timeout_ms; /* without an answer after this time it has failed */
 } sched_approval_request_t;
 
 /* Permits starts of a step's tasks on a worker. */
@@ -184,7 +186,7 @@
 typedef struct {
 	const sched_ticket_t *approved;
 	size_t napproved;
-	int32_t valid_ms; /* validity of the tickets from the request on */
+	int32_t valid_ms; /* validity of the tickets */
 } sched_approval_t;
 
 /* Numbers of log events; docs/EVENTS.md describes them. */
@@ -215,6 +217,7 @@
 	SCHED_EVT_PACE = 627,
 	SCHED_EVT_APPROVAL_REQUESTED = 628,
 	SCHED_EVT_APPROVAL = 629,
+	SCHED_EVT_TICKETS_UNUSED = 630,
 	SCHED_EVT_WORKER = 631,
 	SCHED_EVT_WORKER_SILENT = 632,
 	SCHED_EVT_WORKER_BACK = 633,
@@ -335,12 +338,19 @@
 void sched_feed_read(sched_t *s, sched_feed_t feed, int64_t as_of_ms);
 /* The store's steady clock, at most 900 ms less than it is. */
 void sched_store_clock_read(sched_t *s, int64_t store_ms, int64_t now_ms);
+/* What the approval service takes for a call, and for how long a ticket holds; 0: not
+ * known. */
+typedef struct {
+	int32_t decision_ms, per_worker_ms, valid_ms;
+} sched_approval_cost_t;
+
 /* The settings of a queue. */
 typedef struct {
 	const char *name;
 	const char *service;
 	int32_t priority, max_attempts;
 	bool needs_approval; /* the approval service must permit placements */
+	sched_approval_cost_t approval_cost; /* if so */
 } sched_queue_t;
 /*
  * The settings of queues, which also apply to their present jobs.  Others keep
@@ -501,7 +511,8 @@
 
 /*
  * Counters since the start and present numbers, for the metrics page.
- * start_rejects counts starts that were not carried out; start_unknown, starts
+ * start_rejects counts starts that were not carried out; tickets_unused, tickets of the
+ * approval service that expired before a start used them; start_unknown, starts
  * left in doubt; done, failed, runs reported as such; lost, runs that a worker
  * no longer reports or whose lease has expired; adopted, runs taken over from
  * an earlier owner; orphans, runs found on a worker that no task needs, which
@@ -523,7 +534,7 @@
 	uint64_t starts, start_rejects, start_unknown, stops, done, failed,
 	    lost, adopted, orphans, claims, deposed, writes, polls, paces,
 	    places, quota_waits, over_rate, refused_over_rate, refused_hopeless,
-	    handovers, rejected_writes;
+	    handovers, rejected_writes, tickets_unused;
 	int64_t jobs, queued, running, workers, refused_customers,
 	    deferred_jobs, longest_idle_ms, lasting_down, longest_down_ms,
 	    suspect_workers;
--- a/sched/start.c
+++ b/sched/start.c
@@ -218,8 +218,8 @@
 }
 
 /*
- * Offers a queued step workers, and starts tasks of it; returns how many.
- * Requests approval for its workers if it needs that.
+ * Offers a queued step workers, and starts tasks of it; returns how many.  What waits
+ * yet wants approval, if it needs that.
  */
 static int32_t
 offer_step(sched_t *s, step_t *st, int32_t pos)
@@ -237,7 +237,7 @@
 	    starvation_start(s, st))
 		n = 1;
 	if (st->nwaiting > 0)
-		approval_request_if_needed(s, st);
+		approval_want(s, st);
 	return n;
 }
 
@@ -253,6 +253,38 @@
 	    customer_holds(s, st);
 }
 
+/* Puts a step that was offered workers where it belongs in the queue; false: it waits
+ * where it was. */
+static bool
+requeue(sched_t *s, step_t *st, bool was_down)
+{
+	if (st->nwaiting == 0)
+		queue_remove_step(st);
+	else if (was_down && st->ndown == 0)
+		queue_move_step(s, st);
+	else
+		return false;
+	return true;
+}
+
+/* Offers workers to a step whose approval has come: that does not hold until each step
+ * before it in the queue has had its turn. */
+void
+start_approved_step(sched_t *s, step_t *st)
+{
+	bool was_down = st->ndown > 0;
+
+	if (s->cell.state != CELL_OWNED || !ownership_may_start_tasks(s) ||
+	    st->queue_iter == NULL)
+		return;
+	if (s->unseen_stale)
+		customer_count_unseen(s);
+	if (waits_for_quota(s, st))
+		return;
+	offer_step(s, st, STORED_AHEAD);
+	requeue(s, st, was_down);
+}
+
 /*
  * Makes one pass over the queued steps, in the order of the queue, and starts
  * tasks.  After a pass that reaches a limit, the next tick makes another.
@@ -286,15 +318,11 @@
 		started += was_down ? 0 : n;
 		searches +=
 		    st->ndown == 0 && !searched && scan_has_searched(s, st);
-		if (st->nwaiting == 0)
-			queue_remove_step(st);
-		else if (was_down && st->ndown == 0)
-			queue_move_step(s, st);
-		else
-			pos++;
+		pos += !requeue(s, st, was_down);
 		i = next;
 	}
 	scan_end_pass(
 	    s, pos, started < STARTS_PER_PASS && searches < SEARCHES_PER_PASS);
 	s->start_pass_due |= started_down >= STARTS_PER_PASS;
+	approval_call_next(s);
 }
--- a/sched/types.h
+++ b/sched/types.h
@@ -168,11 +168,23 @@
 	int64_t sort_key_ms;   /* lower goes first within a tier and priority */
 	char *gang_checkpoint; /* latest one that a task of a gang reported */
 	GHashTable *approvals; /* worker id -> approval_t; or NULL */
-	uint64_t approval_request_id; /* approval request in flight; 0: none */
-	int64_t approval_retry_ms;    /* no approval request before this time */
+	bool wants_approval;   /* among those that wait for a call */
+	uint64_t approval_round; /* in which there was nothing to ask for */
 	serving_load_t *load; /* of a serving step of a known image; or NULL */
 };
 
+typedef struct approval_call approval_call_t;
+
+/* Calls to the approval service; see approval_call.c. */
+typedef struct {
+	GPtrArray *waiting;  /* of step_t, the longest wait first */
+	GPtrArray *calls;    /* of approval_call_t, in flight */
+	bool longest_next;   /* the next turn is for the longest wait */
+	int64_t answered_ms; /* the last call */
+	int64_t retry_ms;    /* no call before this time */
+	int64_t timeout_ms;  /* of the next call, at least */
+} approval_calls_t;
+
 typedef enum {
 	JOB_OPEN,
 	JOB_ENDING, /* end state decided; its runs are being stopped */
@@ -197,8 +209,9 @@
 	const char *service;
 	int32_t priority;
 	int32_t max_attempts;
-	bool configured;      /* in the configuration now in force */
-	bool needs_approval;  /* approval service must allow placements */
+	bool configured;     /* in the configuration now in force */
+	bool needs_approval; /* approval service must allow placements */
+	sched_approval_cost_t approval_cost;
 	int64_t run_time_pct; /* average real run time / declared run time */
 	run_time_t run_time;
 	double mean_work_milli_ms; /* of its jobs; moving average */
--- a/serve/cell_driver.c
+++ b/serve/cell_driver.c
@@ -471,7 +471,7 @@
 		const platform_queue_t *q =
 		    &g_array_index(cfg->queues, platform_queue_t, i);
 		sched_queue_t settings = { q->name, q->service, q->priority,
-			q->max_attempts, q->needs_approval };
+			q->max_attempts, q->needs_approval, q->approval_cost };
 
 		g_array_append_val(queues, settings);
 	}
--- a/serve/metrics.c
+++ b/serve/metrics.c
@@ -93,6 +93,7 @@
 {
 	put_metric(page, "starts", (int64_t)stats->starts);
 	put_metric(page, "start_rejects", (int64_t)stats->start_rejects);
+	put_metric(page, "tickets_unused", (int64_t)stats->tickets_unused);
 	put_metric(page, "quota_waits", (int64_t)stats->quota_waits);
 	put_metric(page, "start_unknown", (int64_t)stats->start_unknown);
 	put_metric(page, "stops", (int64_t)stats->stops);
--- a/test/unit/full_cell.c
+++ b/test/unit/full_cell.c
@@ -4,6 +4,7 @@
 #include <inttypes.h>
 #include <stdbool.h>
 #include <stdint.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <criterion/criterion.h>
@@ -32,11 +33,16 @@
 /* Runs of short work take one of so many times, STEP_MS apart. */
 #define LENGTHS 8
 
+/* A worker takes a start with a ticket that holds yet, if its job needs one. */
 static void
-ignore_order(void *ctx, const sched_order_t *o)
+take_order(void *ctx, const sched_order_t *o)
 {
-	(void)ctx;
-	(void)o;
+	full_cell_t *c = ctx;
+	const run_t *r = g_hash_table_lookup(c->s->runs, &o->id);
+
+	if (o->kind == SCHED_START && r->job->needs_approval &&
+	    g_ascii_strtoll(o->ticket, NULL, 10) <= c->s->now_ms)
+		g_hash_table_add(c->rejected, g_strdup(r->name));
 }
 
 static void
@@ -87,10 +93,12 @@
 		.faults = g_hash_table_new_full(
 		    g_str_hash, g_str_equal, g_free, g_free),
 		.requests = g_ptr_array_new_with_free_func(request_free),
+		.rejected = g_hash_table_new_full(
+		    g_str_hash, g_str_equal, g_free, NULL),
 		.returns = g_string_new(""),
 		.tickets_ms = TICKETS_MS };
 	c->s->opts.ctx = c;
-	c->s->opts.port.order = ignore_order;
+	c->s->opts.port.order = take_order;
 	c->s->opts.port.write = ignore_write;
 	c->s->opts.port.request_approval = take_request;
 	for (int i = 0; i < workers; i++) {
@@ -110,6 +118,7 @@
 	g_hash_table_unref(c->failing);
 	g_hash_table_unref(c->faults);
 	g_ptr_array_free(c->requests, TRUE);
+	g_hash_table_unref(c->rejected);
 	g_string_free(c->returns, TRUE);
 }
 
@@ -234,9 +243,16 @@
 {
 	g_autoptr(GList) all = g_hash_table_get_values(w->runs);
 
-	for (GList *i = all; i != NULL; i = i->next)
-		if (((run_t *)i->data)->order_pending)
-			run_order_done(c->s, i->data, SCHED_ORDER_OK, 0);
+	for (GList *i = all; i != NULL; i = i->next) {
+		run_t *r = i->data;
+
+		if (r->order_pending)
+			run_order_done(c->s, r,
+			    g_hash_table_remove(c->rejected, r->name) ?
+				SCHED_ORDER_NO_TICKET :
+				SCHED_ORDER_OK,
+			    0);
+	}
 }
 
 /* The worker answers a poll. */
@@ -287,32 +303,46 @@
 	g_string_chunk_free(names);
 }
 
-/* The service approves of all workers that it was asked for. */
+/* The service approves of the workers that it was asked for, but for those refused. */
 static void
 approve(full_cell_t *c, const request_t *r)
 {
 	g_autofree sched_ticket_t *t = g_new0(sched_ticket_t, r->workers->len);
-	sched_approval_t a = { .approved = t,
-		.napproved = r->workers->len,
-		.valid_ms = c->tickets_ms };
+	g_autofree char *ticket =
+	    g_strdup_printf("%" PRId64, c->s->now_ms + c->tickets_ms);
+	sched_approval_t a = { .approved = t, .valid_ms = c->tickets_ms };
+
+	for (guint i = 0; i < r->workers->len; i++) {
+		const char *id = g_ptr_array_index(r->workers, i);
 
-	for (guint i = 0; i < r->workers->len; i++)
-		t[i] =
-		    (sched_ticket_t){ g_ptr_array_index(r->workers, i), "t" };
+		if (c->refused_each == 0 || atoi(id + 1) % c->refused_each != 0)
+			t[a.napproved++] = (sched_ticket_t){ id, ticket };
+	}
 	sched_approval_done(c->s, r->id, &a, c->s->now_ms);
 }
 
-/* Answers the requests for approval that have waited for long enough. */
+/* When the service answers the first request that waits. */
+static int64_t
+answer_due_ms(const full_cell_t *c)
+{
+	const request_t *r = g_ptr_array_index(c->requests, 0);
+
+	if (c->decision_ms == 0)
+		return r->sent_ms + c->approval_ms;
+	return MAX(r->sent_ms, c->handled_ms) + c->decision_ms +
+	    c->per_worker_ms * r->workers->len;
+}
+
+/* Answers the requests for approval whose time has come. */
 static void
 answer_requests(full_cell_t *c)
 {
-	while (c->requests->len > 0) {
-		const request_t *r = g_ptr_array_index(c->requests, 0);
+	while (c->requests->len > 0 && answer_due_ms(c) <= c->s->now_ms) {
+		request_t *r = g_ptr_array_steal_index(c->requests, 0);
 
-		if (c->s->now_ms - r->sent_ms < c->approval_ms)
-			break;
+		c->handled_ms = c->s->now_ms;
 		approve(c, r);
-		g_ptr_array_remove_index(c->requests, 0);
+		request_free(r);
 	}
 }
 
--- a/test/unit/full_cell.h
+++ b/test/unit/full_cell.h
@@ -33,9 +33,15 @@
 	int64_t bad_until_ms;
 	int64_t tickets_ms;  /* are valid for so long */
 	int64_t approval_ms; /* until a request for approval is answered */
-	bool weak;	     /* the owner has time for one pass a round */
-	int32_t failed;	     /* runs of lasting tasks */
-	int32_t stopped;     /* runs of short work, before their end */
+	/* Else the service handles one request after the other, in this time and so much
+	 * more for each worker. */
+	int64_t decision_ms, per_worker_ms;
+	int64_t handled_ms; /* when the last one was */
+	int refused_each; /* of so many workers the first is refused; 0: none */
+	GHashTable *rejected; /* ids of runs that came without a valid ticket */
+	bool weak;	      /* the owner has time for one pass a round */
+	int32_t failed;	      /* runs of lasting tasks */
+	int32_t stopped;      /* runs of short work, before their end */
 	int64_t last_job, version;
 } full_cell_t;
 
--- a/test/unit/sched.c
+++ b/test/unit/sched.c
@@ -584,6 +584,18 @@
 	g_strlcpy(approval.ticket, o->ticket, sizeof(approval.ticket));
 }
 
+/* All workers are full, or nothing runs there. */
+static void
+set_full(sched_t *s, bool full)
+{
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		worker_t *w = g_ptr_array_index(s->worker_list, i);
+
+		w->used_cpu_milli = full ? w->cpu_milli : 0;
+		scan_worker_changed(s, w);
+	}
+}
+
 /* A queue whose tasks run only on workers that the approval service permits. */
 Test(sched, a_task_waits_for_approval_of_its_worker)
 {
@@ -592,13 +604,15 @@
 		const char *what;
 		bool answered;
 		size_t napproved;
+		bool full;	  /* the workers, when the answer comes */
 		int64_t later_ms; /* from the first pass to the second */
 		int orders, calls;
 	} cases[] = {
-		{ "no answer yet", false, 0, 0, 0, 1 },
-		{ "one worker approved", true, 1, 0, 1, 1 },
-		{ "no worker approved", true, 0, 0, 0, 1 },
-		{ "the ticket has expired", true, 1, 2900, 0, 2 },
+		{ "no answer yet", false, 0, false, 0, 0, 1 },
+		{ "one worker approved", true, 1, false, 0, 1, 1 },
+		{ "no worker approved", true, 0, false, 0, 0, 1 },
+		{ "the ticket holds", true, 1, true, 2500, 1, 1 },
+		{ "the ticket has expired", true, 1, true, 2900, 0, 2 },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -623,9 +637,12 @@
 		queue_add_step(s, first_step(j));
 		start_waiting_tasks(s);
 		cr_expect_eq(approval.nworkers, 2, "%s", cases[i].what);
+		set_full(s, cases[i].full);
 		if (cases[i].answered)
 			sched_approval_done(s, approval.id, &a, s->now_ms + 40);
 		s->now_ms += cases[i].later_ms;
+		set_full(s, false);
+		scan_begin_round(s);
 		start_waiting_tasks(s);
 		cr_expect_eq(approval.orders, cases[i].orders, "%s: %d orders",
 		    cases[i].what, approval.orders);
