Approval: a gang has its tickets at one time

Cause: a call named 30 workers at most, and the tickets of the first call were over, or the step's turn too far off, when the next ones came. The tasks of a gang need theirs at one time.

Now a call for a gang names as many as it needs, up to the 100 that the service takes; it counts what it has and will hold through a call, asks again for workers that are known to be approved before it tries others, and may go on for four calls with none between. Its tickets count from the answer; a worker rejects one that is over.

--- a/sched/approval_call.c
+++ b/sched/approval_call.c
@@ -5,7 +5,8 @@
  * short time.  So few calls are in flight, each as small as will do, and an answer is
  * used before the next call is sent.  Steps that want a call have it in turn: every
  * other call is for the first of them in the order of the queue, the ones between for
- * the one that has waited longest.
+ * the one that has waited longest.  A gang, all of whose tasks need tickets at the same
+ * time, may go on for a few calls, between which there are no others.
  */
 #include <inttypes.h>
 #include <stdbool.h>
@@ -35,6 +36,8 @@
 #define AHEAD_MS 1000
 /* Steps that are looked at for a call in a pass, as each looks at all workers. */
 #define CHOICES_PER_PASS 16
+/* Calls in a row for a gang that gathers tickets. */
+#define GATHER_CALLS_MAX 4
 
 /* A call in flight. */
 struct approval_call {
@@ -165,6 +168,8 @@
 approval_forget(sched_t *s, step_t *st)
 {
 	stop_waiting(s, st);
+	if (s->approval.gathering == st)
+		s->approval.gathering = NULL;
 }
 
 /* Whether a step goes before another in the queue; one that moves runs is not in it. */
@@ -183,6 +188,8 @@
 	const approval_calls_t *c = &s->approval;
 	step_t *first = g_ptr_array_index(c->waiting, 0);
 
+	if (c->gathering != NULL && c->gathering->wants_approval)
+		return c->gathering;
 	for (guint i = 1; !c->longest_next && i < c->waiting->len; i++) {
 		step_t *st = g_ptr_array_index(c->waiting, i);
 
@@ -192,6 +199,17 @@
 	return first;
 }
 
+/* Notes whether the step that has a turn is a gang that may go on. */
+static void
+count_turn(sched_t *s, step_t *st)
+{
+	approval_calls_t *c = &s->approval;
+
+	c->gather_calls = c->gathering == st ? c->gather_calls + 1 : 1;
+	c->gathering =
+	    st->def->gang && c->gather_calls < GATHER_CALLS_MAX ? st : NULL;
+}
+
 /* What the service is said to take for the calls in flight. */
 static int64_t
 expected_ms(const sched_t *s)
@@ -226,6 +244,7 @@
 	c->sent_ms = s->now_ms;
 	c->workers = g_ptr_array_ref(workers);
 	g_ptr_array_add(s->approval.calls, c);
+	count_turn(s, st);
 	LOG_EVENT(s, SCHED_EVT_APPROVAL_REQUESTED, name,
 	    "workers=%u waiting=%d steps=%u", workers->len, st->nwaiting,
 	    s->approval.waiting->len);
@@ -242,7 +261,7 @@
 	if (s->now_ms < c->retry_ms)
 		return;
 	for (int n = 0; n < CHOICES_PER_PASS && c->waiting->len > 0 &&
-	     c->calls->len < CALLS_MAX;
+	     c->calls->len < (c->gathering != NULL ? 1 : CALLS_MAX);
 	     n++) {
 		step_t *st = next_step(s);
 		g_autoptr(GPtrArray) workers = approval_choose(s, st);
@@ -258,16 +277,20 @@
 
 /*
  * When the tickets of an answer expire.  The service may have decided right after the call
- * was sent, or the one before was answered.  Where that would leave too little, they count from the answer; a worker rejects one that is over.
+ * was sent, or the one before was answered.  Where that would leave too little, or tickets are to be held until others have
+ * come, they count from the answer; a worker rejects one that is over.
  */
 static int64_t
-tickets_end_ms(const sched_t *s, const approval_call_t *c, int32_t valid_ms)
+tickets_end_ms(const sched_t *s, const approval_call_t *c, const step_t *st,
+    int32_t valid_ms)
 {
 	int64_t part_ms = valid_ms / TICKET_MARGIN_PARTS;
 	int64_t holds_ms = valid_ms - MIN(TICKET_MARGIN_MS, part_ms);
 	int64_t end_ms = MAX(c->sent_ms, s->approval.answered_ms) + holds_ms;
 
-	return end_ms - s->now_ms < part_ms ? s->now_ms + holds_ms : end_ms;
+	return st->def->gang || end_ms - s->now_ms < part_ms ?
+	    s->now_ms + holds_ms :
+	    end_ms;
 }
 
 /* Stores the decisions of an answer: workers without a ticket in it are refused. */
@@ -275,7 +298,7 @@
 store_answer(
     sched_t *s, const approval_call_t *c, step_t *st, const sched_approval_t *a)
 {
-	int64_t end_ms = tickets_end_ms(s, c, a->valid_ms);
+	int64_t end_ms = tickets_end_ms(s, c, st, a->valid_ms);
 	int64_t latency_ms = s->now_ms - c->sent_ms;
 	worker_t *w;
 
@@ -333,6 +356,8 @@
 		call_answered(s, c, st, a);
 	else
 		call_failed(s, c);
+	if (st != NULL && st == s->approval.gathering && !st->wants_approval)
+		s->approval.gathering = NULL;
 	call_free(c);
 	approval_call_next(s);
 	s->start_pass_due = true;
--- a/sched/approval_choice.c
+++ b/sched/approval_choice.c
@@ -23,6 +23,8 @@
 
 #define MAX_WORKERS 30 /* the service takes time for each */
 #define MIN_WORKERS 6  /* as not all will be approved */
+/* The tasks of a gang need their tickets at the same time; the most that a call takes. */
+#define MAX_GANG_WORKERS 100
 /* Room that is asked for, in times of what a step needs, where it may be refused. */
 #define UNASKED_TIMES 2
 /* Workers that are asked about for each lasting task that is down, ahead of their room. */
@@ -55,6 +57,8 @@
 {
 	const sched_approval_cost_t *c = &st->occ->job->queue->approval_cost;
 
+	if (st->def->gang)
+		return MAX_GANG_WORKERS;
 	if (c->per_worker_ms <= 0 || c->valid_ms <= 0)
 		return MAX_WORKERS;
 	return (guint)CLAMP(
@@ -73,11 +77,14 @@
 	return &st->tasks[0];
 }
 
-/* Whether a step has a valid ticket of a worker. */
+/* Whether a step has a valid ticket of a worker, of a gang one that holds until a call
+ * for others has been answered. */
 static bool
 has_ticket(const sched_t *s, const step_t *st, const worker_t *w)
 {
-	return approval_until_ms(s, st, w) != 0;
+	int64_t ms = st->def->gang ? approval_call_ms(st, MAX_WORKERS) : 0;
+
+	return approval_until_ms(s, st, w) > s->now_ms + ms;
 }
 
 /* Whether a lasting task could run on a worker once the runs that end have ended. */
@@ -151,13 +158,17 @@
 	return st->def->filler ? 1 : MAX(1, room_tasks_now(s, w, st));
 }
 
-/* Adds the workers without a ticket that could run a task of a step now. */
-static void
+/*
+ * Adds the workers without a ticket that could run a task of a step now; returns how many
+ * tasks of a gang could start with the tickets that it has.
+ */
+static int32_t
 add_possible(sched_t *s, const step_t *st, GArray *all)
 {
 	bool may_slow = starvation_may_slow(s, st);
 	const task_t *t = sample_task(st);
 	guint nawaited = all->len;
+	int32_t covered = 0;
 
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		/* Each call begins at another worker, to spread the load. */
@@ -173,10 +184,12 @@
 		c.open = place_could_take(s, c.worker, t, may_slow);
 		c.tasks = tasks_on(s, st, c.worker);
 		c.granted = approval_is_granted(st, c.worker);
-		if (!has_ticket(s, st, c.worker) &&
-		    (nawaited == 0 || !contains(all, c.worker)))
+		if (has_ticket(s, st, c.worker))
+			covered += st->def->gang && c.open ? c.tasks : 0;
+		else if (nawaited == 0 || !contains(all, c.worker))
 			g_array_append_val(all, c);
 	}
+	return covered;
 }
 
 /*
@@ -266,7 +279,7 @@
 		return g_ptr_array_new();
 	add_awaited(s, st, all);
 	nawaited = all->len;
-	add_possible(s, st, all);
+	tasks -= add_possible(s, st, all);
 	if (all->len == nawaited && st->ndown > 0) {
 		add_ahead(s, st, all);
 		tasks = MAX(tasks, (int32_t)all->len);
--- a/sched/types.h
+++ b/sched/types.h
@@ -177,12 +177,14 @@
 
 /* Calls to the approval service; see approval_call.c. */
 typedef struct {
-	GPtrArray *waiting;  /* of step_t, the longest wait first */
-	GPtrArray *calls;    /* of approval_call_t, in flight */
-	bool longest_next;   /* the next turn is for the longest wait */
-	int64_t answered_ms; /* the last call */
-	int64_t retry_ms;    /* no call before this time */
-	int64_t timeout_ms;  /* of the next call, at least */
+	GPtrArray *waiting; /* of step_t, the longest wait first */
+	GPtrArray *calls;   /* of approval_call_t, in flight */
+	step_t *gathering; /* a gang that goes on with its next call; or NULL */
+	int32_t gather_calls; /* that it has had in a row */
+	bool longest_next;    /* the next turn is for the longest wait */
+	int64_t answered_ms;  /* the last call */
+	int64_t retry_ms;     /* no call before this time */
+	int64_t timeout_ms;   /* of the next call, at least */
 } approval_calls_t;
 
 typedef enum {
--- a/test/unit/approval.c
+++ b/test/unit/approval.c
@@ -23,8 +23,8 @@
 #include "full_cell.h"
 
 #define STEP_MS	  50
-#define SLACK_MS  1000	 /* for rows, rounds and orders */
-#define LONG_MS	  600000 /* no task ends meanwhile */
+#define SLACK_MS  1000 /* for rows, rounds and orders */
+#define LONG_MS	 600000 /* no task ends meanwhile */
 #define SETTLE_MS 1000
 
 /* The service for approval. */
@@ -243,3 +243,26 @@
 
 	expect_all(cases, G_N_ELEMENTS(cases));
 }
+
+/* Guards against a gang that never starts, as it needs more tickets at one time than a
+ * call brings. */
+Test(approval, a_gang_has_its_tickets_at_one_time)
+{
+	static const case_t cases[] = {
+		{ "36 on 80 workers", 80, { 300, 40, 3000, 0, true },
+		    { 1, 36, 0, 500, true, false, true }, { 0 }, 1, 100 },
+		{ "60 ms a worker", 80, { 300, 60, 3000, 0, true },
+		    { 1, 36, 0, 500, true, false, true }, { 0 }, 1, 100 },
+		{ "half are refused", 80, { 300, 40, 3000, 2, true },
+		    { 1, 36, 0, 500, true, false, true }, { 0 }, 3, 100 },
+		{ "lasting", 80, { 300, 40, 3000, 0, true },
+		    { 1, 36, 0, 500, true, true, true }, { 0 }, 1, 100 },
+		{ "two calls", 150, { 300, 20, 3000, 0, true },
+		    { 1, 120, 0, 500, true, false, true }, { 0 }, 2, 100 },
+		{ "two calls, and others in wait", 150,
+		    { 300, 20, 3000, 0, true },
+		    { 3, 120, 100, 500, true, false, true }, { 0 }, 7, 100 },
+	};
+
+	expect_all(cases, G_N_ELEMENTS(cases));
+}
