Approval is not needed for the row without which it is not asked for

Cause: behind 32 steps that wait, the row of a job is stored once a task of it finds a worker (sched/start.c, has_row). Where approval is needed none is found before there are tickets, and tickets are asked for once the row is stored. That lasted until the job was late.

Now a worker that the approval service has not refused counts as found for the row. What is durable comes first, what expires last.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -248,6 +248,7 @@
 
 /* place.c */
 worker_t *place_task(sched_t *s, step_t *st, const task_t *t);
+bool place_could_start(sched_t *s, step_t *st, const task_t *t);
 bool place_could_take(sched_t *s, worker_t *w, const task_t *t, bool slowed);
 worker_t *place_elsewhere(sched_t *s, const run_t *r);
 worker_t *place_slowed(sched_t *s, step_t *st, const task_t *t);
--- a/sched/place.c
+++ b/sched/place.c
@@ -385,13 +385,14 @@
  * Returns a worker for a waiting task, or NULL.  When none is found, the rest
  * of the round looks only at workers that change.
  */
-worker_t *
-place_task(sched_t *s, step_t *st, const task_t *t)
+static worker_t *
+find_for_task(sched_t *s, step_t *st, const task_t *t, bool unasked)
 {
 	place_query_t q = { .step = st,
 		.task = t,
 		.workers = scan_workers(s, st),
-		.enough = enough_workers(st) };
+		.enough = enough_workers(st),
+		.unasked = unasked };
 	worker_t *w = place_best_worker(s, &q);
 
 	/* Later searches in a round look at changed workers only. */
@@ -407,6 +408,20 @@
 	return w;
 }
 
+/* Returns a worker on which a waiting task can start now, or NULL. */
+worker_t *
+place_task(sched_t *s, step_t *st, const task_t *t)
+{
+	return find_for_task(s, st, t, false);
+}
+
+/* Whether a waiting task could start now if approval were had. */
+bool
+place_could_start(sched_t *s, step_t *st, const task_t *t)
+{
+	return find_for_task(s, st, t, true) != NULL;
+}
+
 /*
  * Returns a worker for a waiting filler task that need not run at full speed, or
  * NULL.  How much its serving tasks would lack counts against a worker.
--- a/sched/start.c
+++ b/sched/start.c
@@ -198,7 +198,8 @@
  * it is started: a successor takes a job without one for not started, and infers
  * from runs at work what else can't have been (starts_after_write).  If it
  * has not, has it stored when a task could start now, slowed or not, or will start
- * soon, as the step is ahead in the queue or starved, or has room reserved.
+ * soon, as the step is ahead in the queue or starved, or has room reserved.  Approval,
+ * which expires, is asked for after that.
  */
 static bool
 has_row(sched_t *s, step_t *st, bool ahead)
@@ -208,7 +209,7 @@
 	if (!j->row_stored && !j->dirty &&
 	    (ahead || starvation_is_starved(s, st) || reservation_has(s, st) ||
 		starvation_may_slow(s, st) ||
-		place_task(s, st, first_waiting(st)) != NULL))
+		place_could_start(s, st, first_waiting(st))))
 		flush_mark_job(s, j);
 	if (j->row_stored && j->rows_stored >= j->starts_after_write)
 		return true;
--- a/test/unit/approval.c
+++ b/test/unit/approval.c
@@ -266,3 +266,27 @@
 
 	expect_all(cases, G_N_ELEMENTS(cases));
 }
+
+/*
+ * Guards against LOST as of review/14: behind 32 steps that wait, a job's row is stored
+ * once a task can start, approval asked for once the row is stored.
+ */
+Test(approval, it_does_not_need_a_row_that_needs_it)
+{
+	static const case_t cases[] = {
+		{ "one task", 13, { 100, 5, 3000, 0, true }, { 1, 1, 0, 500 },
+		    { 33, false }, 1, 30 },
+		{ "a gang", 13, { 100, 5, 3000, 0, true },
+		    { 1, 4, 0, 500, true }, { 33, false }, 1, 30 },
+		{ "lasting", 13, { 100, 5, 3000, 0, true },
+		    { 1, 4, 0, 500, false, true }, { 33, false }, 1, 30 },
+		{ "those ahead need it, too", 13, { 100, 5, 3000, 0, true },
+		    { 1, 1, 0, 500 }, { 33, true }, 1, 30 },
+		{ "100 of them", 13, { 100, 5, 3000, 0, true },
+		    { 1, 1, 0, 500 }, { 100, true }, 2, 30 },
+		{ "a short time", 13, { 300, 40, 500, 0, true },
+		    { 2, 1, 0, 500 }, { 100, true }, 3, 30 },
+	};
+
+	expect_all(cases, G_N_ELEMENTS(cases));
+}
