--- a/test/unit/approval.c
+++ b/test/unit/approval.c
@@ -23,8 +23,8 @@
 #include "full_cell.h"
 
 #define STEP_MS	  50
-#define SLACK_MS  1000 /* for rows, rounds and orders */
-#define LONG_MS	 600000 /* no task ends meanwhile */
+#define SLACK_MS  1000	 /* for rows, rounds and orders */
+#define LONG_MS	  600000 /* no task ends meanwhile */
 #define SETTLE_MS 1000
 
 /* The service for approval. */
--- a/test/unit/config_text.c
+++ b/test/unit/config_text.c
@@ -43,6 +43,8 @@
 	    a->stretch == b->stretch && a->target_ms == b->target_ms &&
 	    a->timeout_ms == b->timeout_ms &&
 	    a->needs_approval == b->needs_approval &&
+	    memcmp(&a->approval_cost, &b->approval_cost,
+		sizeof(a->approval_cost)) == 0 &&
 	    a->is_public == b->is_public && a->is_cut == b->is_cut;
 }
 
--- a/test/unit/queue_versions.c
+++ b/test/unit/queue_versions.c
@@ -32,6 +32,8 @@
 	"{\"name\":\"q\",\"service\":\"" SERVICE "\",\"priority\":" #PRIORITY \
 	",\"max_attempts\":" #ATTEMPTS MORE "}"
 
+#define COST "\"per_item_ms\":40,\"valid_ms\":3000"
+
 /*
  * Guards against CONFIG, a queue that runs by an older version: settings that did
  * not change are not given to the scheduler again.
@@ -43,6 +45,7 @@
 		const char *service;
 		int32_t priority, max_attempts;
 		bool needs_approval;
+		sched_approval_cost_t cost;
 	} cases[] = {
 		{ Q("a", 0, 1, ""), "a", 0, 1, false },
 		{ Q("b", 0, 1, ""), "b", 0, 1, false },
@@ -50,6 +53,15 @@
 		{ Q("a", 2, 1, ""), "a", 2, 1, false },
 		{ Q("a", 2, 4, ""), "a", 2, 4, false },
 		{ Q("a", 2, 4, ",\"advice\":{}"), "a", 2, 4, true },
+		{ Q("a", 2, 4, ",\"advice\":{\"decision_ms\":300," COST "}"),
+		    "a", 2, 4, true, { 300, 40, 3000 } },
+		{ Q("a", 2, 4, ",\"advice\":{\"decision_ms\":200," COST "}"),
+		    "a", 2, 4, true, { 200, 40, 3000 } },
+		/* Out of range, or no numbers. */
+		{ Q("a", 2, 4, ",\"advice\":{\"decision_ms\":-1," COST "}"),
+		    "a", 2, 4, true, { 0, 40, 3000 } },
+		{ Q("a", 2, 4, ",\"advice\":{\"decision_ms\":\"x\"}"), "a", 2,
+		    4, true },
 		{ Q("a", 2, 4, ""), "a", 2, 4, false },
 		/* Removed, and back with others. */
 		{ "", "a", 2, 4, false },
@@ -83,7 +95,9 @@
 		cr_expect(strcmp(q->service, cases[i].service) == 0 &&
 			q->priority == cases[i].priority &&
 			q->max_attempts == cases[i].max_attempts &&
-			q->needs_approval == cases[i].needs_approval,
+			q->needs_approval == cases[i].needs_approval &&
+			memcmp(&q->approval_cost, &cases[i].cost,
+			    sizeof(q->approval_cost)) == 0,
 		    "case %zu", i);
 		platform_config_free(cfg);
 	}
