Approval is not needed for the room that it is asked for: reservations, nominations

Cause: room was reserved, kept and nominated only on workers with a valid ticket, approval was asked for only where there was room, and a nomination ended with its ticket, before its room came. So what keeps room for such a step needed what only the room brings.

A step that waits for approval counts as passed over like one that waits for room.

--- a/sched/place.c
+++ b/sched/place.c
@@ -227,12 +227,13 @@
 
 /*
  * Whether a worker may run one more task of the step, regardless of its free
- * resources and of the other images there.
+ * resources and of the other images there, as far as is known: approval of it, which
+ * expires, is had once there is room.
  */
 bool
 place_allowed(const sched_t *s, const step_t *st, const worker_t *w)
 {
-	return place_fits_empty(s, w, st) && approval_allows(s, st, w) &&
+	return place_fits_empty(s, w, st) && !approval_is_refused(st, w) &&
 	    place_spread_allows(st, w);
 }
 
--- a/sched/reservation.c
+++ b/sched/reservation.c
@@ -97,7 +97,8 @@
 static bool
 waits_for_room(const step_t *st)
 {
-	return st->quota_held || wait_reason_is_room(st->wait_reason);
+	return st->quota_held || wait_reason_is_room(st->wait_reason) ||
+	    st->wait_reason == SCHED_WAIT_APPROVAL;
 }
 
 /* Whether a queued step has been passed over for long. */
--- a/sched/serving_move.c
+++ b/sched/serving_move.c
@@ -138,7 +138,8 @@
 {
 	const run_t *r = t->run;
 
-	return place_allowed(ctx, r->task->step, w->worker);
+	return place_allowed(ctx, r->task->step, w->worker) &&
+	    approval_allows(ctx, r->task->step, w->worker);
 }
 
 /* Describes a worker; its tasks are added to an array. */
