Runs that have to move want approval

Callers would see lasting tasks of a queue with approval stay on a worker that drains until it is gone, and be down then: approval was asked for only for tasks that wait, so no other worker could be found for a run.

Now a run that finds no other worker has its step ask for approval in its turn.

--- a/sched/straggler.c
+++ b/sched/straggler.c
@@ -202,8 +202,10 @@
 	if (r->task->nominated == NULL && !customer_allows_move(r))
 		return false;
 	if (d->lasting ? !nominate_elsewhere(s, r) :
-			 place_elsewhere(s, r) == NULL)
+			 place_elsewhere(s, r) == NULL) {
+		approval_want(s, r->task->step);
 		return false;
+	}
 	run_stop(s, r, "the worker is draining");
 	return true;
 }
--- a/test/unit/approval_full.c
+++ b/test/unit/approval_full.c
@@ -146,6 +146,45 @@
 	}
 }
 
+/* Guards against lasting tasks that stay on a worker that drains until that is gone, as
+ * approval was asked for only for tasks that wait. */
+Test(approval_full, runs_that_have_to_move_want_approval)
+{
+	static const struct {
+		const char *what;
+		service_t service;
+		bool full;
+	} cases[] = {
+		{ "room", { 300, 40, 3000, 0 }, false },
+		{ "room, slow", { 1000, 20, 1800, 0 }, false },
+		{ "full", { 300, 5, 3000, 0 }, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		Sched__Step d = step_def("", LASTING_MILLI, false, 0);
+		full_cell_t c;
+		step_t *st;
+
+		full_cell_init(&c, 12);
+		set_service(&c, &cases[i].service);
+		if (cases[i].full)
+			c.work[0] =
+			    (short_work_t){ "s", SMALL_MILLI, 1000, 20, false };
+		d.lasting = true;
+		st = full_cell_add_lasting(&c, &d);
+		st->occ->job->needs_approval = true;
+		full_cell_run(&c, st, 0, full_cell_worker(&c, 0));
+		full_cell_pass(&c, SETTLE_MS);
+		full_cell_worker(&c, 0)->draining = true;
+		full_cell_pass(&c, DOWN_MAX_MS);
+		cr_expect(st->tasks[0].run != NULL &&
+			st->tasks[0].run->worker != full_cell_worker(&c, 0),
+		    "%s: still there", cases[i].what);
+		full_cell_expect_back(&c, cases[i].what);
+		full_cell_free(&c);
+	}
+}
+
 /* Keeps small jobs of a customer in the queue. */
 static void
 add_small(full_cell_t *c)
