Approval: a call whose answer is lost keeps nobody waiting

Now a call is overdue 2 s after twice what the service is said to take, or took for the last one; then it keeps neither its place nor its step any more, up to four calls in all. If it is answered after all, that is used: it is given up three times as late.

unit approval/a_lost_answer_keeps_nobody_waiting failed before (one of its two cases).

--- a/sched/approval_call.c
+++ b/sched/approval_call.c
@@ -6,7 +6,9 @@
  * used before the next call is sent.  Steps that want a call have it in turn: every
  * other call is for the first of them in the order of the queue, the ones between for
  * the one that has waited longest.  A gang, all of whose tasks need tickets at the same
- * time, may go on for a few calls, between which there are no others.
+ * time, may go on for a few calls, between which there are no others.  A call that is
+ * overdue, as its answer may be lost, keeps nobody waiting any more; if it is answered after
+ * all, that is used.
  */
 #include <inttypes.h>
 #include <stdbool.h>
@@ -24,11 +26,16 @@
 #include "customer.h"
 #include "internal.h"
 
-#define CALLS_MAX      2    /* in flight: one is handled, one on its way */
-#define RETRY_MS       200  /* after a failed call */
-#define TIMEOUT_MS     5000 /* of a call, at least */
-#define TIMEOUT_MAX_MS 40000
-#define LOST_MS	       3000 /* a call that did not even time out is given up */
+#define CALLS_MAX     2	  /* in flight: one is handled, one on its way */
+#define CALLS_ALL_MAX 4	  /* with those that are overdue */
+#define RETRY_MS      200 /* after a failed call */
+#define OVERDUE_MS \
+	2000 /* beyond twice the time that the calls are said to take */
+/* The same of a call of which that is not known; doubled with each that times out. */
+#define OVERDUE_UNKNOWN_MS  5000
+#define OVERDUE_DOUBLED_MAX 3
+#define TIMEOUT_TIMES	    3 /* as long as until it is overdue */
+#define LOST_MS		    3000 /* a call that did not even time out is given up */
 /* For the order to arrive in time, at most this part of the ticket's time. */
 #define TICKET_MARGIN_MS    300
 #define TICKET_MARGIN_PARTS 4
@@ -45,7 +52,8 @@
 	char job[SCHED_JOB_ID_BYTES + 1];
 	int32_t occ, step;
 	int64_t sent_ms;
-	int64_t expected_ms; /* that the service takes for it; 0: not known */
+	int64_t expected_ms;   /* that the service takes for it; 0: not known */
+	int64_t overdue_at_ms; /* without an answer */
 	int32_t timeout_ms;
 	GPtrArray *workers; /* interned ids */
 };
@@ -61,8 +69,7 @@
 approval_init(sched_t *s)
 {
 	s->approval = (approval_calls_t){ .waiting = g_ptr_array_new(),
-		.calls = g_ptr_array_new(),
-		.timeout_ms = TIMEOUT_MS };
+		.calls = g_ptr_array_new() };
 }
 
 void
@@ -117,7 +124,14 @@
 	return false;
 }
 
-/* Whether a step has a call in flight. */
+/* Whether a call has waited for its answer for too long. */
+static bool
+is_overdue(const sched_t *s, const approval_call_t *c)
+{
+	return s->now_ms >= c->overdue_at_ms;
+}
+
+/* Whether a step has a call in flight that is not overdue. */
 static bool
 has_call(const sched_t *s, const step_t *st)
 {
@@ -126,7 +140,7 @@
 		    g_ptr_array_index(s->approval.calls, i);
 
 		if (c->step == st->number && c->occ == st->occ->number &&
-		    g_str_equal(c->job, st->occ->job->id))
+		    !is_overdue(s, c) && g_str_equal(c->job, st->occ->job->id))
 			return true;
 	}
 	return false;
@@ -210,17 +224,49 @@
 	    st->def->gang && c->gather_calls < GATHER_CALLS_MAX ? st : NULL;
 }
 
-/* What the service is said to take for the calls in flight. */
+/* The calls in flight that are not overdue, and what the service is said to take for them. */
+typedef struct {
+	guint calls;
+	int64_t expected_ms;
+} in_flight_t;
+
+static in_flight_t
+in_flight(const sched_t *s)
+{
+	in_flight_t f = { 0 };
+
+	for (guint i = 0; i < s->approval.calls->len; i++) {
+		const approval_call_t *c =
+		    g_ptr_array_index(s->approval.calls, i);
+
+		f.calls += !is_overdue(s, c);
+		f.expected_ms += is_overdue(s, c) ? 0 : c->expected_ms;
+	}
+	return f;
+}
+
+/* After which time a call is overdue that is sent behind those in flight. */
 static int64_t
-expected_ms(const sched_t *s)
+overdue_ms(const sched_t *s, int64_t expected_ms)
 {
-	int64_t ms = 0;
+	const approval_calls_t *a = &s->approval;
+
+	if (expected_ms > 0)
+		expected_ms += in_flight(s).expected_ms;
+	expected_ms = MAX(expected_ms, a->latency_ms);
+	return expected_ms > 0 ?
+	    OVERDUE_MS + 2 * expected_ms :
+	    OVERDUE_UNKNOWN_MS << MIN(a->timeouts, OVERDUE_DOUBLED_MAX);
+}
 
-	for (guint i = 0; i < s->approval.calls->len; i++)
-		ms +=
-		    ((approval_call_t *)g_ptr_array_index(s->approval.calls, i))
-			->expected_ms;
-	return ms;
+/* Whether one more call may be sent; a gang that goes on has no other beside its own. */
+static bool
+may_send(const sched_t *s)
+{
+	const approval_calls_t *a = &s->approval;
+
+	return s->now_ms >= a->retry_ms && a->calls->len < CALLS_ALL_MAX &&
+	    in_flight(s).calls < (a->gathering != NULL ? 1 : CALLS_MAX);
 }
 
 /* Sends a call about a step that names workers (interned ids). */
@@ -236,8 +282,9 @@
 
 	o.id = c->id = ++s->last_id;
 	c->expected_ms = approval_call_ms(st, workers->len);
-	o.timeout_ms = c->timeout_ms = (int32_t)MAX(s->approval.timeout_ms,
-	    TIMEOUT_MS + 2 * (c->expected_ms + expected_ms(s)));
+	c->overdue_at_ms = s->now_ms + overdue_ms(s, c->expected_ms);
+	o.timeout_ms = c->timeout_ms =
+	    (int32_t)(TIMEOUT_TIMES * (c->overdue_at_ms - s->now_ms));
 	g_strlcpy(c->job, st->occ->job->id, sizeof(c->job));
 	c->occ = st->occ->number;
 	c->step = st->number;
@@ -258,11 +305,8 @@
 {
 	approval_calls_t *c = &s->approval;
 
-	if (s->now_ms < c->retry_ms)
-		return;
-	for (int n = 0; n < CHOICES_PER_PASS && c->waiting->len > 0 &&
-	     c->calls->len < (c->gathering != NULL ? 1 : CALLS_MAX);
-	     n++) {
+	for (int n = 0;
+	     n < CHOICES_PER_PASS && c->waiting->len > 0 && may_send(s); n++) {
 		step_t *st = next_step(s);
 		g_autoptr(GPtrArray) workers = approval_choose(s, st);
 
@@ -317,15 +361,15 @@
 	st->unplaced_round = 0;
 }
 
-/* A call has failed: the next one is sent later, and waits longer if this one had no answer
- * in time. */
+/* A call has failed: the next one is sent later. */
 static void
 call_failed(sched_t *s, const approval_call_t *c)
 {
 	s->approval.retry_ms = s->now_ms + RETRY_MS;
-	if (s->now_ms - c->sent_ms >= c->timeout_ms)
-		s->approval.timeout_ms =
-		    MIN(2 * (int64_t)c->timeout_ms, TIMEOUT_MAX_MS);
+	if (s->now_ms - c->sent_ms < c->timeout_ms)
+		return;
+	s->approval.timeouts++;
+	s->approval.latency_ms = 0;
 }
 
 /* The service has answered: its tickets are used before the next call is sent. */
@@ -333,7 +377,8 @@
 call_answered(
     sched_t *s, const approval_call_t *c, step_t *st, const sched_approval_t *a)
 {
-	s->approval.timeout_ms = MAX(TIMEOUT_MS, 2 * (s->now_ms - c->sent_ms));
+	s->approval.latency_ms = s->now_ms - c->sent_ms;
+	s->approval.timeouts = 0;
 	if (st != NULL) {
 		store_answer(s, c, st, a);
 		start_approved_step(s, st);
--- a/sched/types.h
+++ b/sched/types.h
@@ -184,7 +184,8 @@
 	bool longest_next;    /* the next turn is for the longest wait */
 	int64_t answered_ms;  /* the last call */
 	int64_t retry_ms;     /* no call before this time */
-	int64_t timeout_ms;   /* of the next call, at least */
+	int64_t latency_ms;   /* of the last answer */
+	guint timeouts;	      /* calls that had none since */
 } approval_calls_t;
 
 typedef enum {
--- a/test/unit/approval.c
+++ b/test/unit/approval.c
@@ -32,6 +32,7 @@
 	int64_t decision_ms, per_worker_ms, valid_ms;
 	int refused_each;
 	bool is_published; /* the queue's settings tell its times */
+	int lost_answers;  /* the first ones */
 } service_t;
 
 /* Jobs that need approval, one after the other. */
@@ -70,6 +71,7 @@
 	c->per_worker_ms = v->per_worker_ms;
 	c->tickets_ms = v->valid_ms;
 	c->refused_each = v->refused_each;
+	c->lost_answers = v->lost_answers;
 	if (v->is_published)
 		q.approval_cost =
 		    (sched_approval_cost_t){ (int32_t)v->decision_ms,
@@ -267,6 +269,23 @@
 	expect_all(cases, G_N_ELEMENTS(cases));
 }
 
+/*
+ * Guards against steps that wait for their approval for as long as a call takes to time out,
+ * as the answers of others were lost.
+ */
+Test(approval, a_lost_answer_keeps_nobody_waiting)
+{
+	static const case_t cases[] = {
+		/* Two calls are overdue after 3 s, and two more are sent. */
+		{ "two", 32, { 100, 5, 3000, 0, true, 2 }, { 4, 4, 0, 500 },
+		    { 0 }, 14, 32 },
+		{ "two of slow ones", 32, { 1000, 40, 3000, 0, true, 2 },
+		    { 4, 4, 0, 500 }, { 0 }, 10, 32 },
+	};
+
+	expect_all(cases, G_N_ELEMENTS(cases));
+}
+
 /*
  * Guards against LOST as of review/14: behind 32 steps that wait, a job's row is stored
  * once a task can start, approval asked for once the row is stored.
--- a/test/unit/full_cell.c
+++ b/test/unit/full_cell.c
@@ -341,7 +341,8 @@
 		request_t *r = g_ptr_array_steal_index(c->requests, 0);
 
 		c->handled_ms = c->s->now_ms;
-		approve(c, r);
+		if (c->lost_answers-- <= 0)
+			approve(c, r);
 		request_free(r);
 	}
 }
