cells -approval: random schedules of jobs that need approval

New: a service that handles the calls of an entry in turn, slow or not, whose tickets hold from 0.25 to 3 s, that refuses some workers and loses answers; bursts of single, lasting, gang and one-a-worker tasks, behind lasting ones that nothing can take; owners that leave or are killed. Checked: what could start does within the calls of all that wait, and has ended at the end.

idle_check leaves jobs that need approval to the new check (there were none before), as they also wait for its calls. Gangs other than lasting ones are left out: workers here don't end the runs of a gang together.

--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,7 @@
 LASTING_SEEDS = 96
 RESTARTS_SEEDS = 96
 FAILING_SEEDS = 300
+APPROVAL_SEEDS = 600
 PKGS = glib-2.0 libuv libh2o libprotobuf-c log4c jansson libcurl openssl
 DEBS = gcc make pkg-config clang clang-format clang-tidy cppcheck curl man-db \
 	libuv1-dev libh2o-dev libprotobuf-c-dev liblog4c-dev libcriterion-dev \
@@ -97,6 +98,7 @@
 	sh test/cells.sh $(B) $(LASTING_SEEDS) -lasting
 	sh test/cells.sh $(B) $(RESTARTS_SEEDS) -restarts
 	sh test/cells.sh $(B) $(FAILING_SEEDS) -failing
+	sh test/cells.sh $(B) $(APPROVAL_SEEDS) -approval
 model: $(B)/model
 	sh test/model.sh $(B)
 scenarios: $(B)/scenarios
--- a/test/cell/cell.h
+++ b/test/cell/cell.h
@@ -26,6 +26,7 @@
 typedef struct lasting lasting_t;
 typedef struct restarts restarts_t;
 typedef struct failing failing_t;
+typedef struct approval approval_t;
 typedef struct down_check down_check_t;
 
 /* A callback that is due at a time; seq orders those due at the same time. */
@@ -241,6 +242,7 @@
 	lasting_t *lasting;	  /* NULL: no such jobs and events */
 	restarts_t *restarts;	  /* NULL: there are none */
 	failing_t *failing;	  /* NULL: no such jobs */
+	approval_t *approval;	  /* NULL: no job needs it */
 	down_check_t *down_check; /* NULL: not checked */
 	bool only_counts_down; /* lasting tasks without a run fail no check */
 	/* The first check that failed, or NULL. */
@@ -389,6 +391,20 @@
 void sim_failing_begin(world_t *w, int64_t end_ms);
 void sim_failing_free(world_t *w);
 
+/* approval.c */
+/* Schedules jobs that need approval, until a time, and checks that they start. */
+void sim_approval_begin(world_t *w, int64_t end_ms);
+void sim_approval_free(world_t *w);
+/* Hands the settings of the queues to an entry's scheduler. */
+void sim_approval_set_queues(world_t *w, sim_entry_t *en);
+/* A call of an entry to the service. */
+void sim_approval_request(sim_entry_t *en, const sched_approval_request_t *a);
+/* Whether a worker takes a start of a task with that ticket. */
+bool sim_approval_accepts(const world_t *w, const sim_job_t *job,
+    const char *task, const char *ticket);
+/* Whether answers of the service are lost. */
+bool sim_approval_has_fault(const world_t *w);
+
 /* restarts.c */
 /* Schedules planned restarts of all entries, which count as no fault. */
 void restarts_begin(world_t *w);
--- a/test/cell/entry.c
+++ b/test/cell/entry.c
@@ -74,6 +74,12 @@
 	g_free(fields);
 }
 
+static void
+do_request_approval(void *ctx, const sched_approval_request_t *a)
+{
+	sim_approval_request(ctx, a);
+}
+
 /* Argument of a periodic event of an entry, which ends with its process. */
 typedef struct {
 	sim_entry_t *entry;
@@ -196,7 +202,7 @@
 		.name = en->name,
 		.max_lease_ms = MAX_LEASE_MS,
 		.port = { do_claim, do_load, do_write, do_order, do_poll, NULL,
-		    NULL, NULL, do_event },
+		    NULL, do_request_approval, do_event },
 		.ctx = en };
 	sched_queue_t q = { "q", "s", 0, 2, false };
 
@@ -210,6 +216,8 @@
 	en->last_tick_ms = en->list_as_of_ms = en->leave_deadline_ms = 0;
 	en->sched = sched_new(&o);
 	sched_set_queues(en->sched, &q, 1, w->now_ms);
+	if (w->approval != NULL)
+		sim_approval_set_queues(w, en);
 	world_send_zones(w, en);
 	world_schedule(w, en->index, on_tick, entry_timer_new(en));
 	world_schedule(w, en->index, on_owner_poll, entry_timer_new(en));
--- a/test/cell/idle_check.c
+++ b/test/cell/idle_check.c
@@ -70,8 +70,9 @@
 static bool
 has_fault(const world_t *w)
 {
-	bool fault = w->store_down || w->lost_write_share > 0 ||
-	    w->late_read_share > 0 || w->store_latency_ms > STORE_LATENCY_MS;
+	bool fault = sim_approval_has_fault(w) || w->store_down ||
+	    w->lost_write_share > 0 || w->late_read_share > 0 ||
+	    w->store_latency_ms > STORE_LATENCY_MS;
 
 	for (int32_t i = 0; i < w->nentries; i++) {
 		const sim_entry_t *en = &w->entries[i];
@@ -306,7 +307,9 @@
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		const sim_job_t *job = v;
 
-		if (job->cancelled || job->ended_ms != 0)
+		/* approval.c looks at the others: they also wait for its calls. */
+		if (job->cancelled || job->ended_ms != 0 ||
+		    job->def->needs_approval)
 			continue;
 		if (job->def->steps[0]->lasting)
 			look_at_lasting(w, job);
--- a/test/cell/worker_call.c
+++ b/test/cell/worker_call.c
@@ -16,6 +16,7 @@
 #include "digest.h"
 #include "worker_internal.h"
 
+#define TICKET_BYTES	 96
 #define ORDER_TIMEOUT_MS 700
 #define KNOWN_PROCESS_MS 300  /* an owner has sent it what it must know */
 #define POLL_SLACK_MS	 800  /* a poll's timeout beyond its wait */
@@ -32,7 +33,8 @@
 	bool to_former;	    /* it names an earlier process */
 	sched_order_t order;
 	int64_t sent_ms; /* of order */
-	char task[64];	 /* of order, whose own string is the caller's */
+	char task[64];	 /* of order, whose own strings are the caller's */
+	char ticket[TICKET_BYTES];
 	sched_poll_t poll;
 	sched_order_result_t result;
 	int64_t clock_ms;
@@ -156,6 +158,7 @@
 		late = g_new0(worker_call_t, 1);
 		*late = *c;
 		late->order.task = late->task;
+		late->order.ticket = late->ticket;
 		world_schedule(
 		    w, world_random_int(w, 500, 8000), on_order_late, late);
 		c->result = SCHED_ORDER_IN_DOUBT;
@@ -187,6 +190,8 @@
 	c->sent_ms = en->world->now_ms;
 	g_strlcpy(c->task, o->task, sizeof(c->task));
 	c->order.task = c->task;
+	g_strlcpy(c->ticket, o->ticket, sizeof(c->ticket));
+	c->order.ticket = c->ticket;
 	c->order.spec = c->order.checkpoint = "";
 	world_schedule(en->world, NETWORK_DELAY_MS, on_order_arrived, c);
 }
--- a/test/cell/worker_start.c
+++ b/test/cell/worker_start.c
@@ -165,6 +165,8 @@
 		return SCHED_ORDER_INVALID;
 	}
 	sscanf(o->task + SCHED_JOB_ID_BYTES, ".%*d.%d", &step);
+	if (!sim_approval_accepts(w, job, o->task, o->ticket))
+		return SCHED_ORDER_NO_TICKET;
 	if (wk->guards_capacity && !fits(wk, job->def->steps[step]))
 		return SCHED_ORDER_NO_ROOM;
 	/* Runs may have ended on workers that got no call lately. */
--- a/test/cell/world.c
+++ b/test/cell/world.c
@@ -206,6 +206,7 @@
 	down_check_free(w);
 	sim_lasting_free(w);
 	sim_failing_free(w);
+	sim_approval_free(w);
 	restarts_free(w);
 	weak_entries_free(w);
 	g_free(w);
--- a/test/main/cells.c
+++ b/test/main/cells.c
@@ -3,11 +3,12 @@
  * faults and jobs until FAULTS_END_MS, then recovery, after which all jobs must
  * have ended.
  * usage: cells FROM TO [-handover | -overload | -lasting [-count] | -restarts [-count] |
- *     -failing] [-weak] [-v]
+ *     -failing | -approval] [-weak] [-v]
  * -handover adds the faults of cell/handover.c, -weak those of cell/weak_entry.c;
  * -overload has the jobs of cell/overload.c instead, -lasting the jobs and faults of
  * cell/lasting.c, -restarts of these workers that leave, and the restarts of
- * cell/restarts.c, -failing the jobs of cell/failing.c; with -count lasting tasks that are down for long fail no check, so
+ * cell/restarts.c, -failing the jobs of cell/failing.c, -approval those of
+ * cell/approval.c; with -count lasting tasks that are down for long fail no check, so
  * that the totals are those of whole runs.  Exits with 1 when a seed failed.
  */
 #include <inttypes.h>
@@ -497,7 +498,8 @@
 	SCHEDULE_OVERLOAD,
 	SCHEDULE_LASTING,
 	SCHEDULE_RESTARTS,
-	SCHEDULE_FAILING
+	SCHEDULE_FAILING,
+	SCHEDULE_APPROVAL
 } schedule_t;
 
 /* Whether its jobs and events are those of cell/lasting.c. */
@@ -530,9 +532,14 @@
 		handover_init(w);
 		sim_failing_begin(w, FAULTS_END_MS);
 		idle_check_begin(w, FAULTS_END_MS);
+	} else if (schedule == SCHEDULE_APPROVAL) {
+		handover_init(w);
+		sim_approval_begin(w, FAULTS_END_MS);
+		idle_check_begin(w, FAULTS_END_MS);
 	} else
 		world_schedule(w, 1500, submit, NULL);
-	if (!has_lasting(schedule) && schedule != SCHEDULE_FAILING)
+	if (!has_lasting(schedule) && schedule != SCHEDULE_FAILING &&
+	    schedule != SCHEDULE_APPROVAL)
 		world_schedule(w, 3000, fault, NULL);
 	world_schedule(w, 3000, check_waiting_count, NULL);
 	if (schedule == SCHEDULE_HANDOVER)
@@ -636,6 +643,7 @@
 	    has_flag(argc, argv, "-lasting")  ? SCHEDULE_LASTING :
 	    has_flag(argc, argv, "-restarts") ? SCHEDULE_RESTARTS :
 	    has_flag(argc, argv, "-failing")  ? SCHEDULE_FAILING :
+	    has_flag(argc, argv, "-approval") ? SCHEDULE_APPROVAL :
 						SCHEDULE_PLAIN;
 	bool weak = has_flag(argc, argv, "-weak");
 	bool count = has_flag(argc, argv, "-count");
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -50,6 +50,7 @@
 	overload_*) prog=cells flag=-overload ;;
 	lasting_*) prog=cells flag=-lasting ;;
 	failing_*) prog=cells flag=-failing ;;
+	approval_*) prog=cells flag=-approval ;;
 	unit_*) prog=unit flag=$5 ;;
 	model_*) prog=model flag=$5 ;;
 	soak_*) prog=soak step=1
