Approval: nominations are as they were; tests of them with more tasks, workers and refusals

The rule that a nomination stays while its approval is on its way, and the preference for workers that were approved before, showed in no test: with either taken out, also with many tasks, slow answers, most workers refused, long work or tickets of 250 ms, tasks are back in time (they are nominated again in the same pass). So both are taken out again.

--- a/sched/approval_call.c
+++ b/sched/approval_call.c
@@ -146,12 +146,6 @@
 	return false;
 }
 
-bool
-approval_is_pending(const sched_t *s, const step_t *st)
-{
-	return st->wants_approval || has_call(s, st);
-}
-
 /*
  * Tasks of a step wait, or a run of it is to be moved: it has a call in its turn, if its
  * job needs approval.  Nothing was to be asked for in this round: not before the next.
@@ -159,8 +153,8 @@
 void
 approval_want(sched_t *s, step_t *st)
 {
-	if (!st->occ->job->needs_approval || approval_is_pending(s, st) ||
-	    st->approval_round == s->scan.round ||
+	if (!st->occ->job->needs_approval || st->wants_approval ||
+	    has_call(s, st) || st->approval_round == s->scan.round ||
 	    s->opts.port.request_approval == NULL ||
 	    (st->nwaiting > 0 && !has_task_soon(s, st)))
 		return;
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -338,8 +338,6 @@
 void approval_init(sched_t *s);
 void approval_free(sched_t *s);
 void approval_want(sched_t *s, step_t *st);
-/* Whether a step has a call in flight, or will have one. */
-bool approval_is_pending(const sched_t *s, const step_t *st);
 void approval_forget(sched_t *s, step_t *st);
 void approval_call_next(sched_t *s);
 void approval_expire_calls(sched_t *s);
--- a/sched/nominate.c
+++ b/sched/nominate.c
@@ -319,9 +319,7 @@
 	const worker_t *w = t->nominated;
 
 	if (!place_fits_empty(s, w, t->step) ||
-	    approval_is_refused(t->step, w) ||
-	    !(approval_is_granted(t->step, w) ||
-		approval_is_pending(s, t->step)) ||
+	    !approval_allows(s, t->step, w) ||
 	    !quarantine_allows_start(s, w, t))
 		return true;
 	/* A suspect task has a worker of quarantine.c once it is down. */
@@ -367,19 +365,15 @@
 /*
  * Makes room for a task that has waited for it on its nominated worker for long.  If
  * there can't be room for all tasks there, the last of them is withdrawn, so that the
- * others do not wait for it; if neither room nor approval is what the task waits for, its
- * own is.  No run is stopped for a task that may not be approved there.
+ * others do not wait for it; if room is not what the task waits for, its own is.
  */
 static void
 unblock(sched_t *s, task_t *t)
 {
 	const worker_t *w = t->nominated;
 
-	if (!preempt_is_short(w)) {
-		if (approval_allows(s, t->step, w))
-			nominate_withdraw(s, t);
-	} else if (!approval_is_granted(t->step, w))
-		return;
+	if (!preempt_is_short(w))
+		nominate_withdraw(s, t);
 	else if (!preempt_make_room(s, w))
 		nominate_withdraw(s, last_nominated(s, w));
 }
--- a/sched/room.c
+++ b/sched/room.c
@@ -40,8 +40,6 @@
 
 /* A worker that is slow or failed a task counts as having room so much later. */
 #define UNSUITED_MS 5000
-/* The same of one that the approval service may refuse yet. */
-#define UNASKED_MS 1000
 
 /* Amounts that are free on a worker for a kind of task. */
 typedef struct {
@@ -268,7 +266,6 @@
 penalty_ms(const worker_t *w, const task_t *t)
 {
 	return (w->slow || avoid_has(t, w) ? UNSUITED_MS : 0) +
-	    (approval_is_granted(t->step, w) ? 0 : UNASKED_MS) +
 	    w->failures_in_row * UNSUITED_MS;
 }
 
--- a/test/unit/approval_full.c
+++ b/test/unit/approval_full.c
@@ -36,7 +36,7 @@
 /* The service for approval. */
 typedef struct {
 	int64_t decision_ms, per_worker_ms, valid_ms;
-	int refused_each;
+	int refused_each, approved_each;
 } service_t;
 
 static void
@@ -46,6 +46,7 @@
 	c->per_worker_ms = v->per_worker_ms;
 	c->tickets_ms = v->valid_ms;
 	c->refused_each = v->refused_each;
+	c->approved_each = v->approved_each;
 }
 
 /* A cell that is full of short work. */
@@ -115,27 +116,45 @@
 	static const struct {
 		const char *what;
 		service_t service;
-		int lost;
+		int workers, lost;
+		int64_t work_ms; /* of each short task; 0: 1 s */
+		int each, width; /* tasks on a worker, and of a job */
 	} cases[] = {
-		{ "quick", { 100, 5, 3000, 0 }, 2 },
-		{ "short tickets", { 300, 10, 600, 0 }, 1 },
-		{ "slow", { 1000, 10, 1800, 0 }, 1 },
-		{ "half are refused", { 300, 5, 1800, 2 }, 1 },
+		{ "quick", { 100, 5, 3000, 0 }, 12, 2, 0, 4, 1 },
+		{ "short tickets", { 300, 10, 600, 0 }, 12, 1, 0, 4, 1 },
+		{ "short tickets, wide", { 300, 10, 600, 0 }, 12, 5, 0, 4, 48 },
+		{ "slow", { 1000, 10, 1800, 0 }, 12, 1, 0, 4, 1 },
+		{ "slow, wide", { 1000, 10, 1800, 0 }, 12, 5, 0, 4, 48 },
+		{ "long work", { 100, 5, 3000, 0 }, 12, 1, 60000, 4, 4 },
+		{ "long work, short tickets", { 100, 5, 250, 0 }, 12, 1, 60000,
+		    4, 4 },
+		{ "half are refused", { 300, 5, 1800, 2 }, 12, 1, 0, 4, 1 },
+		{ "slow, most are refused", { 1000, 10, 1800, 0, 4 }, 12, 1, 0,
+		    2, 1 },
+		{ "slow, most of many are refused", { 1000, 10, 1800, 0, 6 },
+		    60, 1, 0, 4, 4 },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		Sched__Step d = step_def("", LASTING_MILLI, false, 0);
+		Sched__Step d =
+		    step_def("", LASTING_MILLI / cases[i].each, false, 0);
+		step_t *st = NULL;
 		full_cell_t c;
 
-		full_cell_init(&c, 12);
+		full_cell_init(&c, cases[i].workers);
 		set_service(&c, &cases[i].service);
-		c.work[0] = (short_work_t){ "s", SMALL_MILLI, 1000, 20, false };
+		c.work[0] = (short_work_t){ "s", SMALL_MILLI,
+			cases[i].work_ms == 0 ? 1000 : cases[i].work_ms, 20,
+			false };
 		d.lasting = true;
-		for (int n = 0; n < 12; n++) {
-			step_t *st = full_cell_add_lasting(&c, &d);
-
-			st->occ->job->needs_approval = true;
-			full_cell_run(&c, st, 0, full_cell_worker(&c, n));
+		d.count = cases[i].width;
+		for (int n = 0; n < cases[i].workers * cases[i].each; n++) {
+			if (n % cases[i].width == 0) {
+				st = full_cell_add_lasting(&c, &d);
+				st->occ->job->needs_approval = true;
+			}
+			full_cell_run(&c, st, n % cases[i].width,
+			    full_cell_worker(&c, n / cases[i].each));
 		}
 		full_cell_pass(&c, SETTLE_MS);
 		for (int n = 0; n < cases[i].lost; n++)
--- a/test/unit/full_cell.c
+++ b/test/unit/full_cell.c
@@ -303,6 +303,16 @@
 	g_string_chunk_free(names);
 }
 
+/* Whether the service approves of a worker. */
+static bool
+is_approved(const full_cell_t *c, const char *id)
+{
+	int n = atoi(id + 1);
+
+	return (c->refused_each == 0 || n % c->refused_each != 0) &&
+	    (c->approved_each == 0 || n % c->approved_each == 0);
+}
+
 /* The service approves of the workers that it was asked for, but for those refused. */
 static void
 approve(full_cell_t *c, const request_t *r)
@@ -315,7 +325,7 @@
 	for (guint i = 0; i < r->workers->len; i++) {
 		const char *id = g_ptr_array_index(r->workers, i);
 
-		if (c->refused_each == 0 || atoi(id + 1) % c->refused_each != 0)
+		if (is_approved(c, id))
 			t[a.napproved++] = (sched_ticket_t){ id, ticket };
 	}
 	sched_approval_done(c->s, r->id, &a, c->s->now_ms);
--- a/test/unit/full_cell.h
+++ b/test/unit/full_cell.h
@@ -37,8 +37,9 @@
 	 * more for each worker. */
 	int64_t decision_ms, per_worker_ms;
 	int64_t handled_ms; /* when the last one was */
-	int refused_each; /* of so many workers the first is refused; 0: none */
-	int lost_answers; /* of the next requests for approval */
+	/* Of so many workers the first is refused, or all but the first; 0: none. */
+	int refused_each, approved_each;
+	int lost_answers;     /* of the next requests for approval */
 	GHashTable *rejected; /* ids of runs that came without a valid ticket */
 	bool weak;	      /* the owner has time for one pass a round */
 	int32_t failed;	      /* runs of lasting tasks */
