--- a/sched/approval_call.c
+++ b/sched/approval_call.c
@@ -29,9 +29,9 @@
 #define CALLS_MAX     2	  /* in flight: one is handled, one on its way */
 #define CALLS_ALL_MAX 4	  /* with those that are overdue */
 #define RETRY_MS      200 /* after a failed call */
-#define OVERDUE_MS \
-	2000 /* beyond twice the time that the calls are said to take */
-/* The same of a call of which that is not known; doubled with each that times out. */
+/* A call is overdue so long after twice what it is said to take, or the last one took. */
+#define OVERDUE_MS 2000
+/* The same where neither is known; doubled with each call that times out. */
 #define OVERDUE_UNKNOWN_MS  5000
 #define OVERDUE_DOUBLED_MAX 3
 #define TIMEOUT_TIMES	    3 /* as long as until it is overdue */
@@ -292,13 +292,14 @@
 	s->opts.port.request_approval(s->opts.ctx, &o);
 }
 
-/* Sends the next calls that are wanted, unless enough are in flight or one has just
- * failed. */
+/* Sends the next calls that are wanted, as far as they may be sent. */
 void
 approval_call_next(sched_t *s)
 {
 	approval_calls_t *c = &s->approval;
 
+	if (s->cell.state != CELL_OWNED)
+		return;
 	for (int n = 0;
 	     n < CHOICES_PER_PASS && c->waiting->len > 0 && may_send(s); n++) {
 		step_t *st = next_step(s);
@@ -315,8 +316,9 @@
 
 /*
  * When the tickets of an answer expire.  The service may have decided right after the call
- * was sent, or the one before was answered.  Where that would leave too little, or tickets are to be held until others have
- * come, they count from the answer; a worker rejects one that is over.
+ * was sent, or the one before was answered.  Where that would leave too little, or tickets
+ * are to be held until others have come, they count from the answer; a worker rejects one
+ * that is over.
  */
 static int64_t
 tickets_end_ms(const sched_t *s, const approval_call_t *c, const step_t *st,
--- a/sched/approval_choice.c
+++ b/sched/approval_choice.c
@@ -240,8 +240,8 @@
 	return a->order < b->order ? -1 : a->order > b->order;
 }
 
-/* The first of the sorted workers that have room for so many tasks, if they are approved
- * as others were. */
+/* The first of the sorted workers, with room for so many tasks; more where some may be
+ * refused. */
 static GPtrArray *
 take_enough(const step_t *st, const GArray *all, int32_t tasks)
 {
