--- a/test/unit/queue_versions.c
+++ b/test/unit/queue_versions.c
@@ -58,6 +58,8 @@
 		{ Q("a", 2, 4, ",\"advice\":{\"decision_ms\":200," COST "}"),
 		    "a", 2, 4, true, { 200, 40, 3000 } },
 		/* Out of range, or no numbers. */
+		{ Q("a", 2, 4, ",\"advice\":{\"decision_ms\":600001," COST "}"),
+		    "a", 2, 4, true, { 600000, 40, 3000 } },
 		{ Q("a", 2, 4, ",\"advice\":{\"decision_ms\":-1," COST "}"),
 		    "a", 2, 4, true, { 0, 40, 3000 } },
 		{ Q("a", 2, 4, ",\"advice\":{\"decision_ms\":\"x\"}"), "a", 2,
